--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Shared vocabulary of jackdawstair.
+//!
+//! Every other crate of the workspace knows this one: it holds keys, units, errors, time, the
+//! catalogue that release notes change, placements, members' reports and the records that explain
+//! decisions. Traits at the borders to outside systems live here; their implementations live in
+//! sibling crates.
+
+pub mod arena;
+pub mod catalog;
+pub mod decision;
+pub mod engine;
+pub mod errors;
+pub mod inventory;
+pub mod key;
+pub mod member;
+pub mod note;
+pub mod order;
+pub mod outcome;
+pub mod placement;
+pub mod refusal;
+pub mod store;
+pub mod time;
+pub mod timer;
+pub mod token;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,143 @@
+//! The platform's key-value service behind a trait.
+
+use async_trait::async_trait;
+use compact_str::CompactString;
+
+use crate::errors::Result;
+use crate::units::Millis;
+
+/// Names a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Lease(pub i64);
+
+/// A stored value with the revisions at which it was created and last changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Key.
+    pub key: CompactString,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of the service at which the key was created.
+    pub create_revision: u64,
+    /// Revision of the service at which the key was last changed.
+    pub mod_revision: u64,
+    /// Lease that the key is bound to.
+    pub lease: Option<Lease>,
+}
+
+/// A condition of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent(CompactString),
+    /// The key was last changed at a revision.
+    ModRevision(CompactString, u64),
+    /// The key was created at a revision.
+    CreateRevision(CompactString, u64),
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Sets a key.
+    Put {
+        /// Key.
+        key: CompactString,
+        /// Value.
+        value: Vec<u8>,
+        /// Lease that the key is bound to.
+        lease: Option<Lease>,
+    },
+    /// Deletes a key.
+    Delete(CompactString),
+}
+
+/// Writes that happen together if every condition holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Conditions.
+    pub when: Vec<Compare>,
+    /// Writes if all conditions hold.
+    pub then: Vec<Write>,
+    /// Keys read if a condition fails.
+    pub otherwise: Vec<CompactString>,
+}
+
+/// Result of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// All conditions held and the writes happened at a revision of the service.
+    Yes(u64),
+    /// A condition failed; the entries read, absent ones left out.
+    No(Vec<Entry>),
+}
+
+/// A change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A key was set.
+    Put(Entry),
+    /// A key was deleted at a revision.
+    Delete(CompactString, u64),
+}
+
+/// A waiting watch. Ends when the connection is lost; the watcher then reads and watches anew.
+#[async_trait]
+pub trait Watch: Send {
+    /// Waits for the next changes; `None` means that the watch has ended.
+    async fn next(&mut self) -> Option<Vec<Change>>;
+}
+
+/// The key-value service.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Gets one entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer.
+    async fn get(&self, key: &str) -> Result<Option<Entry>>;
+
+    /// Gets all entries whose keys begin with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer.
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>>;
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Indeterminate` if the writes may have happened, and `Unreachable` if nothing was
+    /// sent.
+    async fn commit(&self, transaction: Transaction) -> Result<Committed>;
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer.
+    async fn grant(&self, ttl: Millis) -> Result<Lease>;
+
+    /// Renews a lease and returns its remaining time, or zero if it has lapsed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer.
+    async fn renew(&self, lease: Lease) -> Result<Millis>;
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer.
+    async fn revoke(&self, lease: Lease) -> Result<()>;
+
+    /// Watches all keys with a prefix, from a revision of the service on; zero means from now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the watch cannot be set up.
+    async fn watch(&self, prefix: &str, from: u64) -> Result<Box<dyn Watch>>;
+}
--- /dev/null
+++ b/crates/core/src/units.rs
@@ -0,0 +1,67 @@
+//! Newtypes for units and for numbers that only grow.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Defines a number with a unit.
+macro_rules! unit {
+    ($name:ident, $doc:literal, $suffix:literal) => {
+        #[doc = $doc]
+        #[derive(
+            Clone,
+            Copy,
+            Debug,
+            Default,
+            PartialEq,
+            Eq,
+            PartialOrd,
+            Ord,
+            Hash,
+            Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $suffix), self.0)
+            }
+        }
+    };
+}
+
+unit!(Millis, "A span of time in milliseconds.", " ms");
+unit!(Bytes, "A size in bytes.", " B");
+unit!(Tokens, "A number of generated or prompt tokens.", " tokens");
+unit!(
+    Revision,
+    "The revision of the key-value service at which a release note was accepted.",
+    ""
+);
+unit!(
+    Generation,
+    "Counts the times a replica group was formed from a new set of members.",
+    ""
+);
+unit!(
+    Fence,
+    "A fencing number: the creation revision of a leader's lease key.",
+    ""
+);
+
+impl Millis {
+    /// Returns the span as a standard duration.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+
+    /// Creates a span from whole seconds.
+    #[must_use]
+    pub const fn from_secs(seconds: u64) -> Self {
+        Millis(seconds * 1_000)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/fair.rs
@@ -0,0 +1,1 @@
+//! Admits requests by team, weight and deadline.
--- /dev/null
+++ b/crates/policy/src/lease.rs
@@ -0,0 +1,1 @@
+//! Elects one leader in each availability zone by a lease.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,17 @@
+//! Every decision of jackdawstair as pure functions of state, event and time.
+//!
+//! Nothing here opens a socket, starts a thread or reads a clock. Each module holds one aggregate
+//! with its own rules: an event and the time go in, actions and explanations come out, and
+//! whatever is random comes from a seed. The crate can therefore be driven from a test bench alone.
+
+pub mod fair;
+pub mod lease;
+pub mod member;
+pub mod once;
+pub mod placement;
+pub mod plan;
+pub mod poison;
+pub mod release;
+pub mod retry;
+pub mod route;
+pub mod spread;
--- /dev/null
+++ b/crates/policy/src/member.rs
@@ -0,0 +1,1 @@
+//! Judges from members' own reports which replica groups are whole.
--- /dev/null
+++ b/crates/policy/src/once.rs
@@ -0,0 +1,1 @@
+//! Runs non-idempotent calls at most once.
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,1 @@
+//! Turns a placement into orders for model engines.
--- /dev/null
+++ b/crates/policy/src/poison.rs
@@ -0,0 +1,1 @@
+//! Finds requests that crash backend servers.
--- /dev/null
+++ b/crates/policy/src/release.rs
@@ -0,0 +1,1 @@
+//! Accepts release notes and takes only higher revisions.
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,1 @@
+//! Decides whether and where a failed request is tried again.
--- /dev/null
+++ b/crates/policy/src/route.rs
@@ -0,0 +1,1 @@
+//! Chooses a replica group or a backend server for a request.
--- /dev/null
+++ b/crates/policy/src/spread.rs
@@ -0,0 +1,1 @@
+//! Spreads changes between nodes.
