Add HTTP clients of engines and of the VM list

The control side needs reports, orders and the VM list over ntex. Errors say what was sent: a failed connect is unreachable, a connection that closes or goes silent after the request is indeterminate, a 4xx answer is a refusal. The library reports a close before the answer as a connect error without a cause; it is told apart from a failed connect, so that a sent order never counts as not sent.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Clients of the platform: key-value service, VM list, weight store and model engines.
+
+pub mod engine;
+pub mod http;
+pub mod inventory;
