Let a report say that its VM is leaving

The VM list lags, so an engine that was told to stop needs a way to say so itself. The field is false when absent, so older reports still parse.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -44,4 +44,7 @@
     pub fence: Fence,
     /// Load.
     pub load: Load,
+    /// Whether the engine is about to stop and must get no new work.
+    #[serde(default)]
+    pub leaving: bool,
 }
