Judge whole groups from members' own reports

A group is whole only if every member itself reported its group, generation, model, version, rank and readiness by a probe sent within the bound and has not started anew since it joined. Age counts from the sending of the probe, so a straggling or relayed answer cannot look younger than it is.

--- /dev/null
+++ b/crates/policy/src/member/judgement.rs
@@ -0,0 +1,174 @@
+//! Judges one replica group.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use compact_str::CompactString;
+use jackdaw_core::decision::{Decision, Subject};
+use jackdaw_core::placement::Group;
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+
+use super::row::Row;
+
+/// Why a member keeps its group from being whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The placement does not list the group, or the group has no members.
+    NotPlaced,
+    /// The member has never reported.
+    Unknown,
+    /// The member's last report is too old.
+    Stale,
+    /// Nothing listens at the member's address.
+    Unreachable,
+    /// The member is about to go.
+    Leaving,
+    /// The member has started anew since it joined.
+    Restarted,
+    /// The member reports no group.
+    NoGroup,
+    /// The member reports another group.
+    OtherGroup,
+    /// The member reports another generation of the group.
+    OtherGeneration,
+    /// The member reports another model or version.
+    OtherModel,
+    /// The member reports another rank.
+    OtherRank,
+    /// The member still loads.
+    NotReady,
+    /// Requests to the group failed after the member's last report.
+    Broken,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Cause::NotPlaced => "the placement does not list the group",
+            Cause::Unknown => "a member has not reported",
+            Cause::Stale => "a member's last report is too old",
+            Cause::Unreachable => "nothing listens at a member's address",
+            Cause::Leaving => "a member is leaving",
+            Cause::Restarted => "a member has started anew",
+            Cause::NoGroup => "a member reports no group",
+            Cause::OtherGroup => "a member reports another group",
+            Cause::OtherGeneration => "a member reports another generation",
+            Cause::OtherModel => "a member reports another model or version",
+            Cause::OtherRank => "a member reports another rank",
+            Cause::NotReady => "a member is not ready",
+            Cause::Broken => "requests to the group failed after a member's last report",
+        })
+    }
+}
+
+/// The first member that keeps a group from being whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Member, or empty if no single member is the cause.
+    pub vm: CompactString,
+    /// Cause.
+    pub cause: Cause,
+}
+
+impl Fault {
+    pub(super) fn new(vm: &str, cause: Cause) -> Self {
+        Fault {
+            vm: vm.into(),
+            cause,
+        }
+    }
+}
+
+/// What a judgement depends on beside the group.
+pub(super) struct Judge<'a> {
+    pub(super) rows: &'a BTreeMap<CompactString, Row>,
+    pub(super) boots: &'a BTreeMap<CompactString, u64>,
+    pub(super) broken: Option<Instant>,
+    pub(super) bound: Millis,
+    pub(super) now: Instant,
+}
+
+/// Returns the first fault of a group, or `None` if the group is whole.
+pub(super) fn judge(group: &Group, judge: &Judge<'_>) -> Option<Fault> {
+    if group.members.is_empty() {
+        return Some(Fault::new("", Cause::NotPlaced));
+    }
+    group.members.iter().enumerate().find_map(|(rank, vm)| {
+        let cause = judge.cause(group, rank, vm)?;
+        Some(Fault::new(vm, cause))
+    })
+}
+
+impl Judge<'_> {
+    fn cause(&self, group: &Group, rank: usize, vm: &CompactString) -> Option<Cause> {
+        let Some(row) = self.rows.get(vm) else {
+            return Some(Cause::Unknown);
+        };
+        let Some(seen) = &row.seen else {
+            return Some(Cause::Unknown);
+        };
+        if row.is_leaving() {
+            return Some(Cause::Leaving);
+        }
+        if row.unreachable_at.is_some_and(|at| at > seen.sent) {
+            return Some(Cause::Unreachable);
+        }
+        if self.now.since(seen.sent) > self.bound {
+            return Some(Cause::Stale);
+        }
+        if self.broken.is_some_and(|at| at >= seen.sent) {
+            return Some(Cause::Broken);
+        }
+        let joined = self.boots.get(vm);
+        if joined.is_some_and(|boot| *boot != seen.report.boot) {
+            return Some(Cause::Restarted);
+        }
+        let Some(membership) = &seen.report.membership else {
+            return Some(Cause::NoGroup);
+        };
+        if membership.group != group.name {
+            return Some(Cause::OtherGroup);
+        }
+        if membership.generation != group.generation {
+            return Some(Cause::OtherGeneration);
+        }
+        if membership.model != group.model || membership.version != group.version {
+            return Some(Cause::OtherModel);
+        }
+        if membership.rank as usize != rank {
+            return Some(Cause::OtherRank);
+        }
+        (!seen.report.ready).then_some(Cause::NotReady)
+    }
+}
+
+/// Returns the decision for a changed judgement; a change of cause alone is none.
+pub(super) fn explain(group: &Group, was_whole: bool, fault: Option<&Fault>) -> Option<Decision> {
+    let subject = Subject::Group(group.name.clone());
+    let Some(fault) = fault else {
+        let decision = Decision::new(
+            subject,
+            "every member reports the group, its generation and that it is ready",
+            "group is whole",
+        );
+        return Some(
+            decision
+                .saw("generation", group.generation)
+                .saw("members", group.members.join(", ")),
+        );
+    };
+    if !was_whole {
+        return None;
+    }
+    let decision = Decision::new(subject, fault.cause, "group is not whole and gets no work")
+        .saw("generation", group.generation)
+        .weighed(
+            "keep the group until the member is back",
+            "no replica group serves while a member is missing",
+        );
+    if fault.vm.is_empty() {
+        return Some(decision);
+    }
+    Some(decision.about(Subject::Vm(fault.vm.clone())))
+}
