Add the control thread and the first stand-ins

Ruled out: taking decisions on the request path's threads (no order between events), a multi-threaded control runtime (ntex clients stay on one thread).

Before: nothing serves. After: the pieces compile; not yet started by any program.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Leader, membership, release notes and the operators' interface of one node.
+//!
+//! One control thread takes [`event::Event`]s, steps the policy parts in order, carries their
+//! actions out by local tasks and publishes the next snapshot for the request path.
+
+pub mod event;
+pub mod options;
+pub mod runtime;
+pub mod state;
+pub mod view;
--- /dev/null
+++ b/crates/control/src/options.rs
@@ -0,0 +1,40 @@
+//! Options of the control thread.
+
+use compact_str::CompactString;
+use jackdaw_core::units::Millis;
+
+/// Identity and timing of one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Name of the node.
+    pub node: CompactString,
+    /// Region of the node.
+    pub region: CompactString,
+    /// Availability zone of the node.
+    pub zone: CompactString,
+    /// Time between two probes of one VM.
+    pub probe_interval: Millis,
+    /// Age at which a member's report no longer counts.
+    pub report_bound: Millis,
+    /// Time between two reads of the VM list.
+    pub list_interval: Millis,
+    /// Time between two rounds of planning and orders.
+    pub plan_interval: Millis,
+    /// Number of decisions kept for operators.
+    pub decisions_kept: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            node: CompactString::default(),
+            region: CompactString::default(),
+            zone: CompactString::default(),
+            probe_interval: Millis(500),
+            report_bound: Millis(2_000),
+            list_interval: Millis(1_000),
+            plan_interval: Millis(250),
+            decisions_kept: 10_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,162 @@
+//! A set of VMs with engines and plain services, listed in a VM list.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::inventory::{State, Vm};
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{self, Engine};
+use crate::host::Host;
+use crate::inventory::{self, List};
+use crate::service::{self, Executions};
+
+/// A number of like VMs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Batch {
+    /// Availability zone.
+    pub zone: CompactString,
+    /// Fabric domain; empty for a plain service.
+    #[serde(default)]
+    pub domain: CompactString,
+    /// Plain service, or none for model engines.
+    #[serde(default)]
+    pub service: Option<CompactString>,
+    /// Number of VMs.
+    pub count: u32,
+}
+
+/// One VM of the fleet.
+#[derive(Debug)]
+struct Machine {
+    vm: Vm,
+    engine: Option<Arc<Engine>>,
+    host: Option<Host>,
+}
+
+/// All VMs with their servers.
+#[derive(Debug)]
+pub struct Fleet {
+    list: Arc<List>,
+    list_host: Host,
+    machines: BTreeMap<CompactString, Machine>,
+    services: BTreeMap<CompactString, Arc<Executions>>,
+    options: engine::Options,
+}
+
+impl Fleet {
+    /// Starts the VM list at an address and all VMs on free ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub fn start(
+        address: SocketAddr,
+        batches: &[Batch],
+        options: engine::Options,
+    ) -> Result<Fleet> {
+        let list = Arc::new(List::default());
+        let list_host = inventory::start(address, Arc::clone(&list))?;
+        let mut fleet = Fleet {
+            list,
+            list_host,
+            machines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            options,
+        };
+        for batch in batches {
+            for _ in 0..batch.count {
+                fleet.add(batch)?;
+            }
+        }
+        Ok(fleet)
+    }
+
+    /// Gets the address of the VM list.
+    #[must_use]
+    pub fn list_address(&self) -> SocketAddr {
+        self.list_host.address()
+    }
+
+    /// Gets the VM list.
+    #[must_use]
+    pub fn list(&self) -> &Arc<List> {
+        &self.list
+    }
+
+    /// Gets the engine of a VM.
+    #[must_use]
+    pub fn engine(&self, vm: &str) -> Option<&Arc<Engine>> {
+        self.machines.get(vm)?.engine.as_ref()
+    }
+
+    /// Gets the executions of a plain service.
+    #[must_use]
+    pub fn executions(&self, service: &str) -> Option<&Arc<Executions>> {
+        self.services.get(service)
+    }
+
+    /// Ends the servers of a VM, as a power failure does.
+    pub fn kill(&mut self, vm: &str) {
+        if let Some(machine) = self.machines.get_mut(vm) {
+            machine.host = None;
+        }
+    }
+
+    /// Starts a VM again on its old address with nothing remembered.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the VM is unknown or its address is taken.
+    pub fn revive(&mut self, vm: &str) -> Result<()> {
+        let Some(machine) = self.machines.get_mut(vm) else {
+            return Err(Error::malformed("revive VM", vm, "unknown VM"));
+        };
+        let Some(engine) = &machine.engine else {
+            return Err(Error::malformed("revive VM", vm, "not a model engine"));
+        };
+        engine.reset();
+        machine.host = Some(engine::start(machine.vm.address, Arc::clone(engine))?);
+        Ok(())
+    }
+
+    /// Iterates over the names of all VMs.
+    pub fn names(&self) -> impl Iterator<Item = &CompactString> {
+        self.machines.keys()
+    }
+
+    fn add(&mut self, batch: &Batch) -> Result<()> {
+        let label = batch.service.as_deref().unwrap_or("engine");
+        let number = self.machines.len() + 1;
+        let name = format_compact!("{}-{label}-{number}", batch.zone);
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let (engine, host) = match &batch.service {
+            None => {
+                let engine = Engine::new(&name, self.options);
+                let host = engine::start(any, Arc::clone(&engine))?;
+                (Some(engine), host)
+            }
+            Some(service) => {
+                let executions = self.services.entry(service.clone()).or_default();
+                (None, service::start(any, Arc::clone(executions))?)
+            }
+        };
+        let vm = Vm {
+            name: name.clone(),
+            address: host.address(),
+            zone: batch.zone.clone(),
+            domain: batch.domain.clone(),
+            service: batch.service.clone(),
+            accelerators: if engine.is_some() { 4 } else { 0 },
+            state: State::Live,
+        };
+        self.list.set(vm.clone());
+        let host = Some(host);
+        self.machines.insert(name, Machine { vm, engine, host });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,95 @@
+//! Runs one small HTTP server on a thread of its own.
+
+use std::fmt;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+
+use jackdaw_core::errors::{Error, Result};
+use ntex::rt::{DefaultRuntime, System};
+use ntex::server::Server;
+use ntex::web::{App, HttpServer, ServiceConfig};
+
+/// Adds the routes of a stand-in.
+pub type Routes = Arc<dyn Fn(&mut ServiceConfig) + Send + Sync>;
+
+/// A running HTTP server.
+pub struct Host {
+    address: SocketAddr,
+    server: Server,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl fmt::Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Host")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Host {
+    /// Starts a server on an address; port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(address: SocketAddr, routes: Routes) -> Result<Host> {
+        let peer = address.to_string();
+        let bound = TcpListener::bind(address)
+            .map_err(|error| Error::unreachable("bind stand-in", &peer, error))?;
+        let address = bound
+            .local_addr()
+            .map_err(|error| Error::unreachable("bind stand-in", &peer, error))?;
+        let (sender, receiver) = mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name("standin".to_owned())
+            .spawn(move || run(bound, routes, sender))
+            .map_err(|error| Error::unreachable("start stand-in", &peer, error))?;
+        let server = receiver
+            .recv()
+            .map_err(|error| Error::unreachable("start stand-in", &peer, error))?;
+        Ok(Host {
+            address,
+            server,
+            thread: Some(thread),
+        })
+    }
+
+    /// Gets the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // The stop is sent at once; the future only waits for it.
+        drop(self.server.stop(false));
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run(bound: TcpListener, routes: Routes, sender: mpsc::Sender<Server>) {
+    System::new("standin", DefaultRuntime).block_on(async move {
+        let factory = move || {
+            let routes = Arc::clone(&routes);
+            async move { App::new().configure(|config: &mut ServiceConfig| routes(config)) }
+        };
+        let Ok(listening) = HttpServer::new(factory)
+            .workers(1)
+            .disable_signals()
+            .listen(bound)
+        else {
+            return;
+        };
+        let server = listening.run();
+        if sender.send(server.clone()).is_ok() {
+            let _ = server.await;
+        }
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Small stand-ins for the platform and the back ends.
+//!
+//! Tests and the demo use them in-process; the binary runs them as a process of their own. They do
+//! only what the tests use.
+
+pub mod engine;
+pub mod fleet;
+pub mod host;
+pub mod inventory;
+pub mod service;
+pub mod tokens;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,105 @@
+//! Stand-in for a plain service that counts executions by idempotency key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use compact_str::CompactString;
+use jackdaw_core::errors::Result;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
+use serde::Serialize;
+
+use crate::host::Host;
+
+/// Header by which callers mark repeats of one call.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header that ties an answer to its request.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Executions of a plain service, shared by all of its backend servers.
+#[derive(Debug, Default)]
+pub struct Executions {
+    by_key: Mutex<BTreeMap<CompactString, u64>>,
+}
+
+impl Executions {
+    /// Returns how often a call with a key ran.
+    #[must_use]
+    pub fn count(&self, key: &str) -> u64 {
+        self.lock().get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns the executions of all keys together.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.lock().values().sum()
+    }
+
+    /// Returns the keys that ran more than once.
+    #[must_use]
+    pub fn doubled(&self) -> Vec<CompactString> {
+        self.lock()
+            .iter()
+            .filter(|(key, count)| !key.is_empty() && **count > 1)
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
+    fn run(&self, key: &str) -> u64 {
+        let mut by_key = self.lock();
+        let count = by_key.entry(key.into()).or_default();
+        *count += 1;
+        *count
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<CompactString, u64>> {
+        self.by_key.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answer of the stand-in.
+#[derive(Debug, Serialize)]
+struct Answer {
+    key: CompactString,
+    execution: u64,
+    bytes: usize,
+}
+
+async fn execute(
+    request: HttpRequest,
+    body: Bytes,
+    executions: types::State<Arc<Executions>>,
+) -> HttpResponse {
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    };
+    let key = header(IDEMPOTENCY_KEY);
+    let answer = Answer {
+        key: key.into(),
+        execution: executions.run(key),
+        bytes: body.len(),
+    };
+    HttpResponse::Ok()
+        .header(REQUEST_ID, header(REQUEST_ID))
+        .json(&answer)
+}
+
+/// Starts one backend server of a plain service.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub fn start(address: SocketAddr, executions: Arc<Executions>) -> Result<Host> {
+    let routes = move |config: &mut ServiceConfig| {
+        config
+            .state(Arc::clone(&executions))
+            .service(web::resource("{path}*").to(execute));
+    };
+    Host::start(address, Arc::new(routes))
+}
