--- a/crates/core/src/token.rs
+++ b/crates/core/src/token.rs
@@ -1,6 +1,7 @@
 //! Bearer tokens, kept only as digests.
 
 use std::fmt;
+use std::str::FromStr;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
@@ -24,6 +25,16 @@
     }
 }
 
+impl FromStr for Digest {
+    type Err = hex::FromHexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes)?;
+        Ok(Digest(bytes))
+    }
+}
+
 impl Serialize for Digest {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serializer.collect_str(self)
@@ -33,9 +44,7 @@
 impl<'de> Deserialize<'de> for Digest {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let text = CompactString::deserialize(deserializer)?;
-        let mut bytes = [0; 32];
-        hex::decode_to_slice(text.as_str(), &mut bytes)
-            .map_err(|_| de::Error::custom("expected a SHA-256 digest of 64 hexadecimal digits"))?;
-        Ok(Digest(bytes))
+        text.parse()
+            .map_err(|_| de::Error::custom("expected a SHA-256 digest of 64 hexadecimal digits"))
     }
 }
--- a/crates/jackdawstair/src/lib.rs
+++ b/crates/jackdawstair/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Facade of jackdawstair: checked settings, logs and the running node.
+//!
+//! The daemon, the demo and the tests start a node through [`node::Node`].
+
+pub mod log;
+pub mod node;
+pub mod settings;
+
+pub use jackdaw_control as control;
+pub use jackdaw_core as core;
+pub use jackdaw_entry as entry;
+pub use jackdaw_platform as platform;
+pub use jackdaw_policy as policy;
+pub use jackdaw_wire as wire;
--- /dev/null
+++ b/crates/jackdawstair/src/node.rs
@@ -0,0 +1,1 @@
+//! The running node.
