Add the key-value service's stand-in with its faults

It keeps one global revision, creation and change revisions, leases by a clock, watches from a revision and transactions. Faults stand for every call or are planned for the next transaction; one of them lets a lost write take effect later, which a plain loss does not show.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Small stand-ins for the platform and the back ends.
+
+pub mod store;
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in for the platform's key-value service.
+
+pub mod fault;
+pub mod memory;
+mod state;
+
+pub use fault::Fault;
+pub use memory::Memory;
