Merge the key-value service's stand-in

Cause: the thin path needs a store. Ruled out: waiting for the gRPC client, which the daemon needs but the demo does not.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod host;
 pub mod inventory;
 pub mod service;
+pub mod store;
 pub mod tokens;
