--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use jackdaw_core::catalog::Catalog;
+use jackdaw_core::decision::Decision;
 use jackdaw_core::engine::Engine;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::inventory::{Inventory, Vm};
@@ -16,7 +17,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_entry::snapshot::Snapshot;
 use ntex::rt::{DefaultRuntime, System};
-use slog::{Logger, warn};
+use slog::{Logger, error, info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::event::Event;
@@ -44,7 +45,8 @@
 }
 
 /// Makes the clients on the control thread.
-pub type Connect = Box<dyn FnOnce() -> futures::future::LocalBoxFuture<'static, Clients> + Send>;
+pub type Connect =
+    Box<dyn FnOnce() -> futures::future::LocalBoxFuture<'static, Result<Clients>> + Send>;
 
 /// What the control thread shares with the rest of the node.
 #[derive(Clone)]
@@ -90,7 +92,13 @@
             .name("control".to_owned())
             .spawn(move || {
                 System::new("control", DefaultRuntime).block_on(async move {
-                    let clients = connect().await;
+                    let clients = match connect().await {
+                        Ok(clients) => clients,
+                        Err(error) => {
+                            error!(shared.logger, "control thread has no clients"; "error" => %error);
+                            return;
+                        }
+                    };
                     let driver = Driver::new(options, shared, clients, sender);
                     driver.run(receiver, entry_events).await;
                 });
@@ -176,9 +184,19 @@
                 let snapshot = state.snapshot(self.shared.clock.now());
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
+            Action::Explain(decision) => self.explain(&decision),
         }
     }
 
+    fn explain(&self, decision: &Decision) {
+        let subjects: Vec<String> = decision.subjects.iter().map(ToString::to_string).collect();
+        info!(self.shared.logger, "decision";
+            "sequence" => decision.sequence,
+            "subjects" => subjects.join(" "),
+            "cause" => %decision.cause,
+            "taken" => %decision.taken);
+    }
+
     fn send_order(&self, vm: Vm, order: Order) {
         let engine = Rc::clone(&self.engine);
         let logger = self.shared.logger.clone();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -25,6 +25,8 @@
     Order(Vm, Order),
     /// Publish the snapshot anew.
     Publish,
+    /// Tell operators about a decision.
+    Explain(Decision),
 }
 
 /// The last report of a VM.
@@ -44,6 +46,7 @@
     seen: HashMap<CompactString, Seen>,
     builder: Builder,
     log: Log,
+    explained: Vec<Decision>,
     stopping: bool,
 }
 
@@ -64,6 +67,7 @@
             seen: HashMap::new(),
             builder: Builder::default(),
             log,
+            explained: Vec::new(),
             stopping: false,
         }
     }
@@ -78,6 +82,18 @@
 
     /// Takes an event and returns what has to be done.
     pub fn step(&mut self, event: Event, now: Instant, unix_millis: u64) -> Vec<Action> {
+        let mut actions = self.judge(event, now, unix_millis);
+        actions.extend(self.explained.drain(..).map(Action::Explain));
+        actions
+    }
+
+    /// Records a decision and hands it to operators with the next actions.
+    fn record(&mut self, decision: Decision, unix_millis: u64) {
+        let decision = self.log.record(decision, unix_millis);
+        self.explained.push(decision);
+    }
+
+    fn judge(&mut self, event: Event, now: Instant, unix_millis: u64) -> Vec<Action> {
         match event {
             Event::Vms(Ok(vms)) => self.vms = vms,
             Event::Vms(Err(_)) => return Vec::new(),
@@ -116,14 +132,14 @@
         let subject = Subject::Release(catalog.revision.0.to_string().into());
         let decision = Decision::new(subject, "a release note was accepted", "in force here")
             .saw("revision before", self.catalog.revision);
-        self.log.record(decision, unix_millis);
+        self.record(decision, unix_millis);
         self.catalog = Arc::new(catalog);
     }
 
     fn hear(&mut self, event: jackdaw_entry::event::Event, unix_millis: u64) {
         match event {
             jackdaw_entry::event::Event::Decided(decision) => {
-                self.log.record(decision, unix_millis);
+                self.record(decision, unix_millis);
             }
             jackdaw_entry::event::Event::ConnectFailed { .. }
             | jackdaw_entry::event::Event::Broken { .. }
@@ -206,7 +222,7 @@
         if let Some(proposal) = proposal {
             self.placement = proposal.placement;
             for decision in proposal.decisions {
-                self.log.record(decision, unix_millis);
+                self.record(decision, unix_millis);
             }
         }
         let mut actions = self.orders(now);
--- a/crates/jackdawstair/src/settings/check.rs
+++ b/crates/jackdawstair/src/settings/check.rs
@@ -11,6 +11,10 @@
 /// Adds a problem for every contradiction.
 pub(super) fn check(settings: &Settings, root: &Item, problems: &mut Vec<Problem>) {
     let mut add = |key: &str, reason: String| {
+        // What follows from a value that could not be read is no problem of its own.
+        if problems.iter().any(|problem| problem.path.starts_with(key)) {
+            return;
+        }
         problems.push(Problem::new(line_of(root, key), key, reason));
     };
     if !settings.zones.contains(&settings.zone) {
