Relay callers' requests to one target over HTTP

The thin path: authentication, request id and outcome on each answer, problem answers, whole answers and streams through ntex's client, and a stop that waits for everything in flight.

--- /dev/null
+++ b/crates/entry/src/counter.rs
@@ -0,0 +1,63 @@
+//! Counters of the callers' data path.
+
+use jackdaw_core::outcome::Outcome;
+use jackdaw_core::refusal::Reason;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+
+/// Counters of refusals, retries and outcomes.
+#[derive(Debug)]
+pub struct Counters {
+    outcomes: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+}
+
+impl Counters {
+    /// Creates the counters and registers a zero for each reason.
+    #[must_use]
+    pub fn new(meter: &Meter) -> Self {
+        let counters = Counters {
+            outcomes: meter
+                .u64_counter("jackdawstair_requests")
+                .with_description("Requests by outcome.")
+                .build(),
+            refusals: meter
+                .u64_counter("jackdawstair_refusals")
+                .with_description("Requests refused or given up, by reason.")
+                .build(),
+            retries: meter
+                .u64_counter("jackdawstair_retries")
+                .with_description("Attempts sent again, by the reason of the failure before.")
+                .build(),
+        };
+        for reason in Reason::ALL {
+            let label = KeyValue::new("reason", reason.label());
+            counters.refusals.add(0, std::slice::from_ref(&label));
+            counters.retries.add(0, &[label]);
+        }
+        counters
+    }
+
+    /// Counts a finished request.
+    pub fn outcome(&self, outcome: Outcome) {
+        let label = match outcome {
+            Outcome::Completed => "completed",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        };
+        self.outcomes.add(1, &[KeyValue::new("outcome", label)]);
+    }
+
+    /// Counts a request that was refused or given up.
+    pub fn refusal(&self, reason: Reason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason.label())]);
+    }
+
+    /// Counts an attempt that is sent again.
+    pub fn retry(&self, reason: Reason) {
+        self.retries
+            .add(1, &[KeyValue::new("reason", reason.label())]);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/head.rs
@@ -0,0 +1,103 @@
+//! Headers and bodies of callers' requests.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::catalog::Team;
+use jackdaw_core::outcome::Step;
+use jackdaw_core::refusal::Reason;
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::{Bytes as Size, Millis};
+use ntex::http::{HeaderMap, Payload};
+use ntex::time::{self, timeout};
+use ntex::util::{Bytes, BytesMut, stream_recv};
+use serde::Deserialize;
+
+use crate::problem::Problem;
+use crate::shared::{Options, Shared};
+
+/// Header that names the request.
+pub(crate) const REQUEST_ID: &str = "jackdawstair-request-id";
+/// Header that carries the outcome.
+pub(crate) const OUTCOME: &str = "jackdawstair-outcome";
+/// Header by which a caller sets its deadline, in milliseconds from now.
+pub(crate) const DEADLINE: &str = "jackdawstair-deadline-ms";
+/// Header that names a non-idempotent call.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The part of a completion request that the system reads.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Completion {
+    /// Model.
+    pub(crate) model: CompactString,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+/// Returns a new request identity, unique over nodes and restarts.
+pub(crate) fn request_id(shared: &Shared) -> CompactString {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let sequence = NEXT.fetch_add(1, Ordering::Relaxed);
+    let started = shared.clock.unix_millis();
+    format_compact!("{}-{started:x}-{sequence:x}", shared.node)
+}
+
+/// Returns the moment until which a request must be answered.
+pub(crate) fn deadline(
+    headers: &HeaderMap,
+    team: &Team,
+    options: &Options,
+    now: Instant,
+) -> Result<Instant, Problem> {
+    let Some(value) = headers.get(DEADLINE) else {
+        return Ok(now + team.deadline_ms);
+    };
+    let span = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .map(Millis)
+        .ok_or_else(|| {
+            let detail = format!("{DEADLINE} must be a number of milliseconds");
+            Problem::new(Reason::Malformed, Step::Authenticated, detail)
+        })?;
+    Ok(now + span.min(options.longest_deadline))
+}
+
+/// Reads the whole body of a request.
+pub(crate) async fn body(mut payload: Payload, options: &Options) -> Result<Bytes, Problem> {
+    let limit = time::Millis(u32::try_from(options.body_timeout.0).unwrap_or(u32::MAX));
+    match timeout(limit, collect(&mut payload, options.request_body)).await {
+        Ok(result) => result,
+        Err(()) => Err(Problem::new(
+            Reason::Deadline,
+            Step::Received,
+            format!("the body did not come within {}", options.body_timeout),
+        )),
+    }
+}
+
+async fn collect(payload: &mut Payload, limit: Size) -> Result<Bytes, Problem> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = stream_recv(payload).await {
+        let chunk = chunk.map_err(|error| {
+            let detail = format!("the body broke off: {error}");
+            Problem::new(Reason::Malformed, Step::Received, detail)
+        })?;
+        if (body.len() + chunk.len()) as u64 > limit.0 {
+            let detail = format!("the body is larger than {limit}");
+            return Err(Problem::new(Reason::TooLarge, Step::Received, detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Reads the fields of a completion request that the system needs.
+pub(crate) fn completion(body: &[u8]) -> Result<Completion, Problem> {
+    serde_json::from_slice(body).map_err(|error| {
+        let detail = format!("the body is no completion request: {error}");
+        Problem::new(Reason::Malformed, Step::Authenticated, detail)
+    })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,25 @@
 //! The callers' data path of one node.
 //!
 //! Requests read an immutable [`snapshot::Snapshot`] and atomic gauges; whatever has to be decided
-//! in order goes as an [`event::Event`] to the control thread.
+//! in order goes as an [`event::Event`] to the control thread. [`server::Server`] takes the
+//! callers' requests on several workers.
 
+pub mod counter;
+pub mod drain;
 pub mod event;
 pub mod gauge;
+pub mod server;
+pub mod shared;
 pub mod snapshot;
+
+mod auth;
+mod call;
+mod dispatch;
+mod exchange;
+mod handler;
+mod head;
+mod link;
+mod problem;
+mod sse;
+mod stream;
+mod whole;
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,118 @@
+//! The server for callers.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::{Arc, mpsc};
+use std::thread;
+
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpServer};
+use tokio::sync::oneshot;
+
+use crate::handler::{self, Worker};
+use crate::link::Links;
+use crate::shared::{Options, Shared};
+
+/// Time for callers to read the last bytes of answers that were already finished.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(30);
+
+type Handle = ntex::server::Server;
+
+/// A running server with its own threads.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    handle: Handle,
+    ended: oneshot::Receiver<()>,
+}
+
+impl Server {
+    /// Starts a server on an address; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound or a thread cannot be started.
+    pub fn start(shared: Arc<Shared>, address: SocketAddr) -> io::Result<Server> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let (started, start) = mpsc::channel();
+        let (end, ended) = oneshot::channel();
+        let inner = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("entry".to_owned())
+            .spawn(move || {
+                System::new("entry", DefaultRuntime).block_on(async move {
+                    match listen(inner, listener) {
+                        Ok(server) => {
+                            let _ = started.send(Ok(server.clone()));
+                            let _ = server.await;
+                        }
+                        Err(error) => {
+                            let _ = started.send(Err(error));
+                        }
+                    }
+                });
+                let _ = end.send(());
+            })?;
+        let handle = start
+            .recv()
+            .map_err(|_| io::Error::other("the server's thread ended"))??;
+        Ok(Server {
+            address,
+            shared,
+            handle,
+            ended,
+        })
+    }
+
+    /// Gets the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops the server: new requests are refused, everything in flight is finished.
+    pub async fn stop(self) {
+        self.shared.drain.stop();
+        self.shared.drain.idle().await;
+        self.handle.stop(true).await;
+        let _ = self.ended.await;
+    }
+}
+
+fn listen(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Handle> {
+    let options = shared.options;
+    let server = HttpServer::new(async move || {
+        let worker = Worker {
+            shared: Arc::clone(&shared),
+            links: Rc::new(Links::new(&shared.options)),
+        };
+        App::new()
+            .state(worker)
+            .configure(handler::routes)
+            .default_service(web::to(handler::unknown))
+    })
+    .workers(options.workers)
+    .disable_signals()
+    .shutdown_timeout(SHUTDOWN_TIMEOUT)
+    .config(config(&options))
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+fn config(options: &Options) -> SharedCfg {
+    let seconds = |millis: u64| Seconds(u16::try_from(millis.div_ceil(1_000)).unwrap_or(u16::MAX));
+    let head = seconds(options.head_timeout.0);
+    let http = HttpServiceConfig::new()
+        .set_max_headers(options.request_headers)
+        .set_max_buf_size(usize::try_from(options.request_head.0).unwrap_or(usize::MAX))
+        .set_headers_read_rate(head, head, u32::MAX)
+        .set_keepalive_timeout(Seconds(75));
+    SharedCfg::new("ENTRY").add(http).into()
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,124 @@
+//! What all workers of one node share.
+
+use std::fmt;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use compact_str::CompactString;
+use jackdaw_core::store::Store;
+use jackdaw_core::time::Clock;
+use jackdaw_core::units::{Bytes, Millis};
+use opentelemetry::metrics::Meter;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::counter::Counters;
+use crate::drain::Drain;
+use crate::event::Event;
+use crate::snapshot::Snapshot;
+
+/// Bounds of the callers' data path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Number of workers.
+    pub workers: usize,
+    /// Largest body of a request.
+    pub request_body: Bytes,
+    /// Largest whole answer of a backend server.
+    pub answer_body: Bytes,
+    /// Largest head of a request.
+    pub request_head: Bytes,
+    /// Largest number of headers of a request.
+    pub request_headers: usize,
+    /// Longest time that a caller may take for the head of a request.
+    pub head_timeout: Millis,
+    /// Longest time that a caller may take for the body of a request.
+    pub body_timeout: Millis,
+    /// Longest time that a caller may leave a stream unread.
+    pub unread_timeout: Millis,
+    /// Longest time for opening a connection to a backend server.
+    pub connect_timeout: Millis,
+    /// Longest time until the first byte of an answer.
+    pub first_byte_timeout: Millis,
+    /// Longest time between two parts of an answer.
+    pub idle_timeout: Millis,
+    /// Longest deadline that a caller may ask for.
+    pub longest_deadline: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            workers: 4,
+            request_body: Bytes(4 << 20),
+            answer_body: Bytes(16 << 20),
+            request_head: Bytes(32 << 10),
+            request_headers: 64,
+            head_timeout: Millis::from_secs(5),
+            body_timeout: Millis::from_secs(20),
+            unread_timeout: Millis::from_secs(30),
+            connect_timeout: Millis(1_000),
+            first_byte_timeout: Millis::from_secs(10),
+            idle_timeout: Millis::from_secs(5),
+            longest_deadline: Millis::from_secs(600),
+        }
+    }
+}
+
+/// What all workers of one node share.
+pub struct Shared {
+    /// The view from which requests are decided.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// Events to the control thread.
+    pub events: UnboundedSender<Event>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Key-value service of the platform.
+    pub store: Arc<dyn Store>,
+    /// Name of this node.
+    pub node: CompactString,
+    /// Bounds.
+    pub options: Options,
+    /// Counters of refusals, retries and outcomes.
+    pub counters: Counters,
+    /// Requests in flight, and whether new ones are taken.
+    pub drain: Drain,
+}
+
+impl Shared {
+    /// Creates the shared part of a node's data path.
+    #[must_use]
+    pub fn new(
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        events: UnboundedSender<Event>,
+        clock: Arc<dyn Clock>,
+        store: Arc<dyn Store>,
+        node: &str,
+        options: Options,
+        meter: &Meter,
+    ) -> Self {
+        Shared {
+            snapshot,
+            events,
+            clock,
+            store,
+            node: node.into(),
+            options,
+            counters: Counters::new(meter),
+            drain: Drain::default(),
+        }
+    }
+
+    /// Hands an event to the control thread; a control thread that has ended takes none.
+    pub(crate) fn send(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("node", &self.node)
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/node.rs
@@ -0,0 +1,181 @@
+//! A node's server over a snapshot.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use jackdaw_core::catalog::{Catalog, Model, Route, Service, Team};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::{Committed, Entry, Lease, Store, Transaction, Watch};
+use jackdaw_core::time::Machine;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::{Generation, Millis};
+use jackdaw_entry::event::Event;
+use jackdaw_entry::server::Server;
+use jackdaw_entry::shared::{Options, Shared};
+use jackdaw_entry::snapshot::{Snapshot, Target};
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::noop::NoopMeterProvider;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+use super::caller::TOKEN;
+
+/// Bounds short enough for tests.
+pub fn options() -> Options {
+    Options {
+        workers: 1,
+        first_byte_timeout: Millis(250),
+        idle_timeout: Millis(250),
+        connect_timeout: Millis(1_000),
+        ..Options::default()
+    }
+}
+
+/// A node under test.
+pub struct Node {
+    pub server: Server,
+    pub shared: Arc<Shared>,
+    pub events: UnboundedReceiver<Event>,
+}
+
+impl Node {
+    /// Starts a node whose model and service are served by some addresses.
+    pub fn start(options: Options, targets: &[SocketAddr]) -> Self {
+        Node::with(options, snapshot(targets))
+    }
+
+    pub fn with(options: Options, snapshot: Snapshot) -> Self {
+        let (sender, events) = unbounded_channel();
+        let meter = NoopMeterProvider::new().meter("test");
+        let shared = Arc::new(Shared::new(
+            Arc::new(ArcSwap::from_pointee(snapshot)),
+            sender,
+            Arc::new(Machine::default()),
+            Arc::new(Down),
+            "node",
+            options,
+            &meter,
+        ));
+        let address = "127.0.0.1:0".parse().expect("address");
+        let server = Server::start(Arc::clone(&shared), address).expect("server");
+        Node {
+            server,
+            shared,
+            events,
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the events so far.
+    pub fn events(&mut self) -> Vec<Event> {
+        std::iter::from_fn(|| self.events.try_recv().ok()).collect()
+    }
+}
+
+/// Returns a snapshot whose model and service are served by some addresses.
+pub fn snapshot(targets: &[SocketAddr]) -> Snapshot {
+    let targets: Vec<Target> = targets
+        .iter()
+        .enumerate()
+        .map(|(index, address)| Target {
+            name: format!("target-{index}").into(),
+            generation: Generation(1),
+            version: "1".into(),
+            address: *address,
+            zone: "qc-east-a".into(),
+            gauge: Arc::default(),
+        })
+        .collect();
+    let team = team();
+    let digest = team.token_sha256[0];
+    Snapshot {
+        catalog: Arc::new(catalog(team.clone())),
+        teams: [(digest, Arc::new(team))].into(),
+        models: [("tiles".into(), targets.clone())].into(),
+        services: [("stock".into(), targets)].into(),
+        zone: "qc-east-a".into(),
+        ready: true,
+        stopping: false,
+    }
+}
+
+/// Returns the test team.
+pub fn team() -> Team {
+    Team {
+        name: "showroom".into(),
+        token_sha256: vec![Digest::of(TOKEN.as_bytes())],
+        weight: 1,
+        requests_per_second: 10_000,
+        concurrency: 1_000,
+        priority: 7,
+        deadline_ms: Millis::from_secs(30),
+        allowed: vec!["tiles".into(), "stock".into()],
+    }
+}
+
+fn catalog(team: Team) -> Catalog {
+    let model = |name: &str| Model {
+        name: name.into(),
+        version: "1".into(),
+        vms_per_replica: 1,
+        replicas: 1,
+        adapters: Vec::new(),
+        zones: Vec::new(),
+        priority: 0,
+    };
+    Catalog {
+        models: vec![model("tiles"), model("secret")],
+        services: vec![Service {
+            name: "stock".into(),
+            routes: vec![Route {
+                method: "GET".into(),
+                path: "/".into(),
+                idempotent: true,
+            }],
+        }],
+        teams: vec![team],
+        ..Catalog::default()
+    }
+}
+
+/// A key-value service that is down.
+pub struct Down;
+
+fn down<T>() -> Result<T> {
+    Err(Error::unreachable("test", "store", "down"))
+}
+
+#[async_trait]
+impl Store for Down {
+    async fn get(&self, _: &str) -> Result<Option<Entry>> {
+        down()
+    }
+
+    async fn list(&self, _: &str) -> Result<Vec<Entry>> {
+        down()
+    }
+
+    async fn commit(&self, _: Transaction) -> Result<Committed> {
+        down()
+    }
+
+    async fn grant(&self, _: Millis) -> Result<Lease> {
+        down()
+    }
+
+    async fn renew(&self, _: Lease) -> Result<Millis> {
+        down()
+    }
+
+    async fn revoke(&self, _: Lease) -> Result<()> {
+        down()
+    }
+
+    async fn watch(&self, _: &str, _: u64) -> Result<Box<dyn Watch>> {
+        down()
+    }
+}
