Serve the thin whole path in one process

Cause: nothing started the parts together.

Ruled out: linking stand-ins into the daemon. Seen on the way: after SIGTERM the node was down at once but eleven stand-in servers ended one after another, about a second each; they now stop side by side, and a killed engine breaks off its streams at once.

Before: 7 s after SIGTERM the demo was still running.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -33,4 +33,6 @@
     Plan,
     /// The node begins a planned stop.
     Stop,
+    /// Everything in flight is finished; the control thread ends.
+    End,
 }
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -116,9 +116,14 @@
         &self.events
     }
 
-    /// Ends the control thread and waits for it.
-    pub fn stop(&mut self) {
+    /// Makes the node unready; the control thread goes on.
+    pub fn begin_stop(&self) {
         let _ = self.events.send(Event::Stop);
+    }
+
+    /// Ends the control thread and waits for it.
+    pub fn end(&mut self) {
+        let _ = self.events.send(Event::End);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -162,7 +167,7 @@
         self.spawn_plan();
         let mut next_probe = self.shared.clock.now();
         while let Some(event) = receiver.recv().await {
-            let stop = matches!(event, Event::Stop);
+            let end = matches!(event, Event::End);
             let now = self.shared.clock.now();
             for action in state.step(event, now, self.shared.clock.unix_millis()) {
                 self.carry_out(action, &mut state);
@@ -171,7 +176,7 @@
                 next_probe = now + self.options.probe_interval;
                 self.probe(&state);
             }
-            if stop {
+            if end {
                 break;
             }
         }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -104,6 +104,7 @@
             Event::Entry(event) => self.hear(event, unix_millis),
             Event::Plan => return self.plan(now, unix_millis),
             Event::Stop => self.stopping = true,
+            Event::End => return Vec::new(),
         }
         vec![Action::Publish]
     }
--- a/crates/jackdawstair/src/lib.rs
+++ b/crates/jackdawstair/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod log;
 pub mod node;
 pub mod settings;
+pub mod stop;
 
 pub use jackdaw_control as control;
 pub use jackdaw_core as core;
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -1,1 +1,149 @@
-//! The running node.
+//! The running node: control thread, callers' port and what they share.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use jackdaw_control::options::Options;
+use jackdaw_control::runtime::{self, Clients, Connect, Control};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::Store;
+use jackdaw_core::time::Clock;
+use jackdaw_core::units::Millis;
+use jackdaw_entry::server::Server;
+use jackdaw_entry::shared;
+use jackdaw_platform::http::Bounds;
+use jackdaw_platform::{engine, inventory};
+use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
+use slog::{Logger, info};
+use tokio::sync::mpsc::unbounded_channel;
+
+use crate::settings::{Settings, Timing};
+
+/// Longest time for connecting to an engine or to the VM list.
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+
+/// Largest VM list in bytes.
+const LIST_BYTES: usize = 4 << 20;
+
+/// Largest report of an engine in bytes.
+const REPORT_BYTES: usize = 64 << 10;
+
+/// What a node is given from outside.
+#[derive(Clone)]
+pub struct Parts {
+    /// Key-value service of the platform.
+    pub store: Arc<dyn Store>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Logger.
+    pub logger: Logger,
+}
+
+impl fmt::Debug for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Parts").finish_non_exhaustive()
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    control: Control,
+    server: Server,
+    logger: Logger,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound or a thread cannot be started.
+    pub fn start(settings: &Settings, parts: Parts) -> Result<Node> {
+        let snapshot = Arc::new(ArcSwap::default());
+        let (entry_events, receiver) = unbounded_channel();
+        let control = Control::start(
+            options(settings),
+            runtime::Shared {
+                snapshot: Arc::clone(&snapshot),
+                store: Arc::clone(&parts.store),
+                clock: Arc::clone(&parts.clock),
+                logger: parts.logger.clone(),
+            },
+            connect(settings.platform.vms, settings.timing),
+            receiver,
+        )?;
+        let shared = shared::Shared::new(
+            snapshot,
+            entry_events,
+            parts.clock,
+            parts.store,
+            &settings.node,
+            shared::Options {
+                workers: settings.workers,
+                ..shared::Options::default()
+            },
+            &NoopMeterProvider::new().meter("jackdaw-entry"),
+        );
+        let peer = settings.callers.to_string();
+        let server = Server::start(Arc::new(shared), settings.callers)
+            .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
+        info!(parts.logger, "node started"; "callers" => %server.address());
+        Ok(Node {
+            control,
+            server,
+            logger: parts.logger,
+        })
+    }
+
+    /// Gets the bound address of the callers' port.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops the node: takes nothing new, finishes what is in flight, then ends.
+    pub fn stop(mut self) {
+        info!(self.logger, "node stopping");
+        // Readiness fails first, so that the balancer sends nothing new.
+        self.control.begin_stop();
+        futures::executor::block_on(self.server.stop());
+        self.control.end();
+        info!(self.logger, "node stopped");
+    }
+}
+
+fn options(settings: &Settings) -> Options {
+    let timing = settings.timing;
+    Options {
+        node: settings.node.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        probe_interval: timing.probe_interval,
+        report_bound: timing.report_bound,
+        list_interval: timing.list_interval,
+        plan_interval: timing.plan_interval,
+        ..Options::default()
+    }
+}
+
+fn connect(vms: SocketAddr, timing: Timing) -> Connect {
+    let bounds = move |answer_bytes| Bounds {
+        connect: CONNECT_TIMEOUT,
+        total: timing.order_timeout,
+        answer_bytes,
+    };
+    Box::new(move || {
+        Box::pin(async move {
+            let engine = engine::Client::new(bounds(REPORT_BYTES)).await?;
+            let inventory = inventory::Client::new(vms, bounds(LIST_BYTES)).await?;
+            Ok(Clients {
+                engine: Rc::new(engine),
+                inventory: Rc::new(inventory),
+            })
+        })
+    })
+}
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,166 @@
+//! One node with in-process stand-ins and a sample release note.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::note::Note;
+use jackdaw_core::store::{Compare, Store, Transaction, Write};
+use jackdaw_core::time::Machine;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_standin::engine;
+use jackdaw_standin::fleet::{Batch, Fleet};
+use jackdaw_standin::store::Memory;
+use jackdawstair::control::runtime::CATALOG_KEY;
+use jackdawstair::core::catalog::Catalog;
+use jackdawstair::node::{Node, Parts};
+use jackdawstair::settings::{Operator, Platform, Role, Settings, Timing, Weights};
+use jackdawstair::{log, stop};
+use slog::Level;
+
+/// Token of the demo's team.
+const TEAM_TOKEN: &str = "demo-team-token";
+
+/// Token of the demo's operator.
+const OPERATOR_TOKEN: &str = "demo-operator-token";
+
+/// Time between two tokens of the demo's engines.
+const TOKEN_INTERVAL: Millis = Millis(5);
+
+/// The demo's release note.
+const NOTE: &str = include_str!("../../../examples/demo/note.yaml");
+
+/// Addresses of the demo.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Options {
+    /// Callers' port.
+    pub(crate) callers: SocketAddr,
+    /// Operators' port.
+    pub(crate) operators: SocketAddr,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            callers: SocketAddr::from((Ipv4Addr::LOCALHOST, 7400)),
+            operators: SocketAddr::from((Ipv4Addr::LOCALHOST, 7401)),
+        }
+    }
+}
+
+/// Runs the demo until a signal asks it to stop.
+pub(crate) fn run(options: &Options) -> Result<()> {
+    let signals = stop::Signals::install()?;
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let engines = engine::Options {
+        token_interval: TOKEN_INTERVAL,
+        ..engine::Options::default()
+    };
+    let fleet = Fleet::start(any, &batches(), engines)?;
+    let clock = Arc::new(Machine::default());
+    let store = Arc::new(Memory::new(clock.clone()));
+    futures::executor::block_on(accept_sample(store.as_ref()))?;
+    let parts = Parts {
+        store,
+        clock,
+        logger: log::json(Level::Warning, "demo-a-1"),
+    };
+    let node = Node::start(&settings(options, fleet.list_address()), parts)?;
+    print_welcome(options);
+    signals.wait();
+    node.stop();
+    drop(fleet);
+    Ok(())
+}
+
+fn batches() -> Vec<Batch> {
+    let batch = |domain: &str, service: Option<&str>, count| Batch {
+        zone: "demo-a".into(),
+        domain: domain.into(),
+        service: service.map(Into::into),
+        count,
+    };
+    vec![
+        batch("demo-a/f1", None, 5),
+        batch("demo-a/f2", None, 4),
+        batch("", Some("sample-orders"), 2),
+    ]
+}
+
+async fn accept_sample(store: &Memory) -> Result<()> {
+    let malformed = |error: String| Error::malformed("read sample note", "self", error);
+    let note: Note = serde_saphyr::from_str(NOTE).map_err(|error| malformed(error.to_string()))?;
+    let catalog = Catalog::default()
+        .apply(&note)
+        .map_err(|conflicts| malformed(format!("{conflicts:?}")))?;
+    let value = serde_json::to_vec(&catalog).map_err(|error| malformed(error.to_string()))?;
+    store
+        .commit(Transaction {
+            when: vec![Compare::Absent(CATALOG_KEY.into())],
+            then: vec![Write::Put {
+                key: CATALOG_KEY.into(),
+                value,
+                lease: None,
+            }],
+            otherwise: Vec::new(),
+        })
+        .await?;
+    Ok(())
+}
+
+fn settings(options: &Options, vms: SocketAddr) -> Settings {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Settings {
+        node: "demo-a-1".into(),
+        region: "demo".into(),
+        zone: "demo-a".into(),
+        zones: vec!["demo-a".into()],
+        callers: options.callers,
+        operators: options.operators,
+        peers: any,
+        seeds: Vec::new(),
+        peer_token: "demo-peer-token".into(),
+        operator_tokens: vec![Operator {
+            name: "demo".into(),
+            token: Digest::of(OPERATOR_TOKEN.as_bytes()),
+            role: Role::Write,
+        }],
+        platform: Platform {
+            store: Vec::new(),
+            vms,
+        },
+        workers: 2,
+        log_level: Level::Warning,
+        engines_check_fence: true,
+        weights: Weights {
+            downtime: 1,
+            stranded: 1,
+        },
+        timing: Timing::default(),
+    }
+}
+
+fn print_welcome(options: &Options) {
+    let callers = options.callers;
+    println!(
+        "jackdawstair demo: callers on {callers}, operators on {operators}
+
+A whole answer:
+  curl -s http://{callers}/v1/chat/completions -H 'authorization: Bearer {TEAM_TOKEN}' \\
+    -H 'content-type: application/json' \\
+    -d '{{\"model\":\"tile-match\",\"messages\":[{{\"role\":\"user\",\"content\":\"grey slate\"}}]}}'
+
+A stream:
+  curl -sN http://{callers}/v1/chat/completions -H 'authorization: Bearer {TEAM_TOKEN}' \\
+    -H 'content-type: application/json' \\
+    -d '{{\"model\":\"tile-match\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"grey slate\"}}]}}'
+
+A shipment order, which runs at most once however often it is sent:
+  curl -s http://{callers}/services/sample-orders/shipments -H 'authorization: Bearer {TEAM_TOKEN}' \\
+    -H 'idempotency-key: order-1' -d '{{\"box\":7}}'
+
+Stop with Ctrl-C.",
+        operators = options.operators,
+    );
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the model engine on one VM.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use compact_str::CompactString;
@@ -68,7 +68,7 @@
     running: AtomicU32,
     served: AtomicU64,
     refused_orders: AtomicU64,
-    crashed: AtomicBool,
+    crashed: watch::Sender<bool>,
     paused: watch::Sender<bool>,
 }
 
@@ -84,7 +84,7 @@
             running: AtomicU32::new(0),
             served: AtomicU64::new(0),
             refused_orders: AtomicU64::new(0),
-            crashed: AtomicBool::new(false),
+            crashed: watch::Sender::new(false),
             paused: watch::Sender::new(false),
         })
     }
@@ -126,14 +126,19 @@
     /// Forgets everything, as a re-imaged VM does.
     pub fn reset(&self) {
         self.boot.fetch_add(1, Ordering::SeqCst);
-        self.crashed.store(false, Ordering::SeqCst);
+        self.crashed.send_replace(false);
         *self.lock() = Held::default();
     }
 
-    /// Returns whether a poison request crashed the engine.
+    /// Breaks off every answer, as the loss of the VM does.
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    /// Returns whether the engine is lost.
     #[must_use]
     pub fn is_crashed(&self) -> bool {
-        self.crashed.load(Ordering::SeqCst)
+        *self.crashed.borrow()
     }
 
     fn obey(&self, order: &Order) -> bool {
@@ -177,7 +182,11 @@
 
     async fn wait_while_paused(&self) {
         let mut paused = self.paused.subscribe();
-        let _ = paused.wait_for(|paused| !paused).await;
+        let mut crashed = self.crashed.subscribe();
+        tokio::select! {
+            _ = paused.wait_for(|paused| !paused) => {}
+            _ = crashed.wait_for(|crashed| *crashed) => {}
+        }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Held> {
@@ -309,7 +318,7 @@
         done: false,
     };
     if work.prompt.contains(POISON) {
-        engine.crashed.store(true, Ordering::SeqCst);
+        engine.crash();
         return broken_answer(&work.id);
     }
     if body.stream {
@@ -399,7 +408,12 @@
 async fn wait_for_token(engine: &Engine) {
     engine.wait_while_paused().await;
     let interval = engine.options.token_interval;
-    if interval.0 > 0 {
-        tokio::time::sleep(interval.duration()).await;
+    if interval.0 == 0 {
+        return;
+    }
+    let mut crashed = engine.crashed.subscribe();
+    tokio::select! {
+        () = tokio::time::sleep(interval.duration()) => {}
+        _ = crashed.wait_for(|crashed| *crashed) => {}
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -102,8 +102,14 @@
 
     /// Ends the servers of a VM, as a power failure does.
     pub fn kill(&mut self, vm: &str) {
-        if let Some(machine) = self.machines.get_mut(vm) {
-            machine.host = None;
+        let Some(machine) = self.machines.get_mut(vm) else {
+            return;
+        };
+        if let Some(engine) = &machine.engine {
+            engine.crash();
+        }
+        if let Some(host) = &machine.host {
+            host.begin_stop();
         }
     }
 
@@ -119,6 +125,8 @@
         let Some(engine) = &machine.engine else {
             return Err(Error::malformed("revive VM", vm, "not a model engine"));
         };
+        // The old server has to end before its address is free.
+        machine.host = None;
         engine.reset();
         machine.host = Some(engine::start(machine.vm.address, Arc::clone(engine))?);
         Ok(())
@@ -129,6 +137,15 @@
         self.machines.keys()
     }
 
+    /// Begins to stop every server, so that they end side by side.
+    fn begin_stop(&self) {
+        for machine in self.machines.values() {
+            if let Some(host) = &machine.host {
+                host.begin_stop();
+            }
+        }
+    }
+
     fn add(&mut self, batch: &Batch) -> Result<()> {
         let label = batch.service.as_deref().unwrap_or("engine");
         let number = self.machines.len() + 1;
@@ -160,3 +177,9 @@
         Ok(())
     }
 }
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.begin_stop();
+    }
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -57,6 +57,12 @@
         })
     }
 
+    /// Begins to stop the server without waiting for it.
+    pub fn begin_stop(&self) {
+        // The stop is sent at once; the future only waits for it.
+        drop(self.server.stop(false));
+    }
+
     /// Gets the bound address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -66,8 +72,7 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        // The stop is sent at once; the future only waits for it.
-        drop(self.server.stop(false));
+        self.begin_stop();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
