Generate the etcd v3 client and server from a committed proto

protox compiles the published subset without protoc; the generator stands outside the workspace, so that a build needs neither it nor its libraries.

--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -234,8 +234,12 @@
 
     async fn renew(&self, lease: Lease) -> Result<Millis> {
         let fault = self.receive(|counts| counts.leases += 1);
-        self.write("renew", fault, move |state, now| Ok(state.renew(lease, now)))
-            .await
+        self.write(
+            "renew",
+            fault,
+            move |state, now| Ok(state.renew(lease, now)),
+        )
+        .await
     }
 
     async fn revoke(&self, lease: Lease) -> Result<()> {
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -177,7 +177,10 @@
                 self.entries.get(key).map_or(0, |entry| entry.mod_revision) == *revision
             }
             Compare::CreateRevision(key, revision) => {
-                let created = self.entries.get(key).map_or(0, |entry| entry.create_revision);
+                let created = self
+                    .entries
+                    .get(key)
+                    .map_or(0, |entry| entry.create_revision);
                 created == *revision
             }
         }
--- /dev/null
+++ b/tools/generate/src/main.rs
@@ -0,0 +1,21 @@
+//! Generates the code of `jackdaw-wire` from its proto files.
+//!
+//! Run it from this folder with `cargo run --locked` after each change of a proto file, and commit
+//! what it writes to `crates/wire/src/generated`.
+
+use std::error::Error;
+use std::path::Path;
+
+/// Proto files, each with a package of its own.
+const FILES: [&str; 2] = ["kv.proto", "etcd.proto"];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../crates/wire");
+    let descriptors = protox::compile(FILES, [wire.join("proto")])?;
+    tonic_prost_build::configure()
+        .build_client(true)
+        .build_server(true)
+        .out_dir(wire.join("src/generated"))
+        .compile_fds(descriptors)?;
+    Ok(())
+}
