--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod fault;
 pub mod memory;
+pub mod server;
 mod state;
 
 pub use fault::Fault;
 pub use memory::Memory;
+pub use server::Server;
