--- a/crates/policy/src/once.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Runs non-idempotent calls at most once.
--- /dev/null
+++ b/crates/policy/src/once/explain.rs
@@ -0,0 +1,49 @@
+//! Explains what an attempt decided.
+
+use compact_str::CompactString;
+use jackdaw_core::decision::{Decision, Subject};
+use jackdaw_core::refusal::Reason;
+
+use super::call::{Action, Call};
+
+impl Call {
+    /// Explains an action for a request; `None` for writes, which decide nothing yet.
+    #[must_use]
+    pub fn explain(&self, request: &CompactString, action: &Action) -> Option<Decision> {
+        let (taken, against) = match action {
+            Action::Write(_) => return None,
+            Action::Run => ("run it", None),
+            Action::Replay(_) => (
+                "give the stored answer",
+                Some("an earlier attempt completed"),
+            ),
+            Action::Refuse { reason, .. } => ("refuse it as not run", Some(describe(*reason))),
+            Action::Closed { recorded: true } => ("record its result", None),
+            Action::Closed { recorded: false } => ("leave its result unrecorded for now", None),
+        };
+        let asked = self.request();
+        let decision = Decision::new(
+            Subject::Request(request.clone()),
+            "non-idempotent call",
+            taken,
+        )
+        .about(Subject::Team(asked.team.clone()))
+        .saw("idempotency key", &asked.key)
+        .saw("request digest", asked.digest)
+        .saw("attempt", self.origin().attempt);
+        Some(match against {
+            Some(against) => decision.weighed("run it", against),
+            None => decision,
+        })
+    }
+}
+
+/// Gets why a refused attempt is not run.
+fn describe(reason: Reason) -> &'static str {
+    match reason {
+        Reason::KeyMismatch => "the key was used for another request",
+        Reason::MayHaveRun => "an earlier attempt may have run",
+        Reason::InProgress => "another attempt may be running",
+        _ => "its intent could not be recorded in time",
+    }
+}
