--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod drain;
 pub mod event;
 pub mod gauge;
+pub mod once;
 pub mod server;
 pub mod shared;
 pub mod snapshot;
