--- a/crates/policy/tests/release.rs
+++ b/crates/policy/tests/release.rs
@@ -262,7 +262,7 @@
 struct Store {
     catalogs: Vec<Stored>,
     records: BTreeMap<u64, Record>,
-    late: Vec<Box<Commit>>,
+    late: Vec<Commit>,
 }
 
 /// What happens to one call.
@@ -322,7 +322,7 @@
         match fault {
             Fault::LostBefore => return lost(),
             Fault::Late => {
-                self.late.push(Box::new(commit.clone()));
+                self.late.push(commit.clone());
                 return lost();
             }
             _ => {}
