Spread membership and changes between nodes

Full names with few stable links on a ring, heartbeats and a digest exchanged with one link a round, changes pushed at once, differences found by 16 parts. Weighed: partial views (nobody could share duties by hashing), full-state exchange (16 KB of names a message), random links (1 in 150 gets no push and each new contact opens a connection).

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod event;
 pub mod options;
+pub mod peer;
 pub mod runtime;
 pub mod state;
 pub mod view;
--- /dev/null
+++ b/crates/control/src/peer.rs
@@ -0,0 +1,3 @@
+//! Messages between nodes over gRPC.
+
+pub mod codec;
--- /dev/null
+++ b/crates/control/src/peer/codec.rs
@@ -0,0 +1,313 @@
+//! Translates between the messages of the policy and those on the wire.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use compact_str::CompactString;
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::member::{Load, Membership, Report};
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::{Fence, Generation, Revision};
+use jackdaw_policy::spread::fact::{Fact, Key, Member, Value, Version};
+use jackdaw_policy::spread::message::{Body, Entry, Envelope, Exchange, Lag, Part, Summary};
+use jackdaw_wire::peer as wire;
+
+const STEP: &str = "decode peer message";
+
+/// Encodes a message.
+#[must_use]
+pub fn encode(envelope: &Envelope) -> wire::Envelope {
+    wire::Envelope {
+        from: envelope.from.to_string(),
+        address: Some(encode_address(envelope.address)),
+        zone: envelope.zone.to_string(),
+        incarnation: envelope.incarnation,
+        beat: envelope.beat,
+        revision: envelope.revision.0,
+        body: Some(encode_body(&envelope.body)),
+    }
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns `Malformed` if a part of the message is missing or makes no sense.
+pub fn decode(envelope: wire::Envelope) -> Result<Envelope> {
+    let body = envelope
+        .body
+        .ok_or_else(|| Error::malformed(STEP, &envelope.from, "no body"))?;
+    Ok(Envelope {
+        address: decode_address(envelope.address, &envelope.from)?,
+        body: decode_body(body, &envelope.from)?,
+        from: envelope.from.into(),
+        zone: envelope.zone.into(),
+        incarnation: envelope.incarnation,
+        beat: envelope.beat,
+        revision: Revision(envelope.revision),
+    })
+}
+
+fn encode_body(body: &Body) -> wire::envelope::Body {
+    match body {
+        Body::Probe(exchange) => wire::envelope::Body::Probe(encode_exchange(exchange)),
+        Body::Answer(exchange) => wire::envelope::Body::Answer(encode_exchange(exchange)),
+        Body::Push(facts) => wire::envelope::Body::Push(wire::Push {
+            facts: facts.iter().map(encode_fact).collect(),
+        }),
+        Body::Detail(parts) => wire::envelope::Body::Detail(wire::Detail {
+            parts: parts.iter().map(encode_part).collect(),
+        }),
+        Body::Repair { facts, wants } => wire::envelope::Body::Repair(wire::Repair {
+            facts: facts.iter().map(encode_fact).collect(),
+            wants: wants.clone(),
+        }),
+    }
+}
+
+fn decode_body(body: wire::envelope::Body, peer: &str) -> Result<Body> {
+    Ok(match body {
+        wire::envelope::Body::Probe(exchange) => Body::Probe(decode_exchange(exchange)),
+        wire::envelope::Body::Answer(exchange) => Body::Answer(decode_exchange(exchange)),
+        wire::envelope::Body::Push(push) => Body::Push(decode_facts(push.facts, peer)?),
+        wire::envelope::Body::Detail(detail) => {
+            Body::Detail(detail.parts.into_iter().map(decode_part).collect())
+        }
+        wire::envelope::Body::Repair(repair) => Body::Repair {
+            facts: decode_facts(repair.facts, peer)?,
+            wants: repair.wants,
+        },
+    })
+}
+
+fn encode_address(address: SocketAddr) -> wire::Address {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    wire::Address {
+        ip,
+        port: u32::from(address.port()),
+    }
+}
+
+fn decode_address(address: Option<wire::Address>, peer: &str) -> Result<SocketAddr> {
+    let malformed = || Error::malformed(STEP, peer, "no valid address");
+    let address = address.ok_or_else(malformed)?;
+    let port = u16::try_from(address.port).map_err(|_| malformed())?;
+    let ip = match <[u8; 4]>::try_from(address.ip.as_slice()) {
+        Ok(octets) => IpAddr::V4(Ipv4Addr::from(octets)),
+        Err(_) => {
+            let octets = <[u8; 16]>::try_from(address.ip.as_slice()).map_err(|_| malformed())?;
+            IpAddr::V6(Ipv6Addr::from(octets))
+        }
+    };
+    Ok(SocketAddr::new(ip, port))
+}
+
+fn encode_exchange(exchange: &Exchange) -> wire::Exchange {
+    wire::Exchange {
+        root: exchange.root,
+        members: exchange.members,
+        beats: exchange.beats.clone(),
+        ids: exchange.ids.clone(),
+        lags: exchange
+            .lags
+            .iter()
+            .map(|lag| wire::Lag {
+                position: lag.position,
+                revision: lag.revision.0,
+            })
+            .collect(),
+        zones: exchange.zones.iter().map(encode_summary).collect(),
+        buckets: exchange.buckets.clone(),
+    }
+}
+
+fn decode_exchange(exchange: wire::Exchange) -> Exchange {
+    Exchange {
+        root: exchange.root,
+        members: exchange.members,
+        beats: exchange.beats,
+        ids: exchange.ids,
+        lags: exchange
+            .lags
+            .into_iter()
+            .map(|lag| Lag {
+                position: lag.position,
+                revision: Revision(lag.revision),
+            })
+            .collect(),
+        zones: exchange.zones.into_iter().map(decode_summary).collect(),
+        buckets: exchange.buckets,
+    }
+}
+
+fn encode_summary(summary: &Summary) -> wire::Summary {
+    wire::Summary {
+        zone: summary.zone.to_string(),
+        at_unix_ms: summary.at_unix_ms,
+        live: summary.live,
+        lowest: summary.lowest.0,
+        highest: summary.highest.0,
+    }
+}
+
+fn decode_summary(summary: wire::Summary) -> Summary {
+    Summary {
+        zone: summary.zone.into(),
+        at_unix_ms: summary.at_unix_ms,
+        live: summary.live,
+        lowest: Revision(summary.lowest),
+        highest: Revision(summary.highest),
+    }
+}
+
+fn encode_part(part: &Part) -> wire::Part {
+    let entries = part.entries.iter().map(|entry| wire::Entry {
+        key: entry.key,
+        major: entry.version.major,
+        minor: entry.version.minor,
+    });
+    wire::Part {
+        bucket: part.bucket,
+        entries: entries.collect(),
+    }
+}
+
+fn decode_part(part: wire::Part) -> Part {
+    let entries = part.entries.into_iter().map(|entry| Entry {
+        key: entry.key,
+        version: Version {
+            major: entry.major,
+            minor: entry.minor,
+        },
+    });
+    Part {
+        bucket: part.bucket,
+        entries: entries.collect(),
+    }
+}
+
+fn encode_fact(fact: &Fact) -> wire::Fact {
+    wire::Fact {
+        major: fact.version.major,
+        minor: fact.version.minor,
+        value: encode_value(&fact.key, &fact.value),
+    }
+}
+
+/// Encodes key and value; `None` for a pair that does not belong together.
+fn encode_value(key: &Key, value: &Value) -> Option<wire::fact::Value> {
+    Some(match (key, value) {
+        (Key::Member(name), Value::Member(member)) => wire::fact::Value::Member(wire::Member {
+            name: name.to_string(),
+            address: Some(encode_address(member.address)),
+            zone: member.zone.to_string(),
+            removed_unix_ms: member.removed_unix_ms,
+        }),
+        (Key::Catalog, Value::Catalog(note)) => wire::fact::Value::CatalogNote(note.to_string()),
+        (Key::Placement(zone), Value::Placement(fence)) => {
+            wire::fact::Value::Placement(wire::Placement {
+                zone: zone.to_string(),
+                fence: fence.0,
+            })
+        }
+        (Key::Report(_), Value::Report(report)) => wire::fact::Value::Report(encode_report(report)),
+        (Key::Leaving(vm), Value::Leaving) => wire::fact::Value::LeavingVm(vm.to_string()),
+        (Key::Convicted(digest), Value::Convicted) => {
+            wire::fact::Value::Convicted(digest.0.to_vec())
+        }
+        _ => return None,
+    })
+}
+
+fn decode_facts(facts: Vec<wire::Fact>, peer: &str) -> Result<Vec<Fact>> {
+    facts
+        .into_iter()
+        .map(|fact| decode_fact(fact, peer))
+        .collect()
+}
+
+fn decode_fact(fact: wire::Fact, peer: &str) -> Result<Fact> {
+    let value = fact
+        .value
+        .ok_or_else(|| Error::malformed(STEP, peer, "fact without a value"))?;
+    let (key, value) = decode_value(value, peer)?;
+    let version = Version {
+        major: fact.major,
+        minor: fact.minor,
+    };
+    Ok(Fact {
+        key,
+        version,
+        value,
+    })
+}
+
+fn decode_value(value: wire::fact::Value, peer: &str) -> Result<(Key, Value)> {
+    Ok(match value {
+        wire::fact::Value::Member(member) => {
+            let value = Member {
+                address: decode_address(member.address, peer)?,
+                zone: member.zone.into(),
+                removed_unix_ms: member.removed_unix_ms,
+            };
+            (Key::Member(member.name.into()), Value::Member(value))
+        }
+        wire::fact::Value::CatalogNote(note) => (Key::Catalog, Value::Catalog(note.into())),
+        wire::fact::Value::Placement(placement) => (
+            Key::Placement(placement.zone.into()),
+            Value::Placement(Fence(placement.fence)),
+        ),
+        wire::fact::Value::Report(report) => {
+            let report = decode_report(report);
+            (Key::Report(report.vm.clone()), Value::Report(report))
+        }
+        wire::fact::Value::LeavingVm(vm) => (Key::Leaving(vm.into()), Value::Leaving),
+        wire::fact::Value::Convicted(digest) => {
+            let digest = <[u8; 32]>::try_from(digest.as_slice())
+                .map_err(|_| Error::malformed(STEP, peer, "digest of another length"))?;
+            (Key::Convicted(Digest(digest)), Value::Convicted)
+        }
+    })
+}
+
+fn encode_report(report: &Report) -> wire::Report {
+    let membership = report.membership.as_ref().map(|held| wire::Membership {
+        group: held.group.to_string(),
+        generation: held.generation.0,
+        model: held.model.to_string(),
+        version: held.version.to_string(),
+        rank: held.rank,
+    });
+    wire::Report {
+        vm: report.vm.to_string(),
+        boot: report.boot,
+        membership,
+        ready: report.ready,
+        fence: report.fence.0,
+        running: report.load.running,
+        waiting: report.load.waiting,
+    }
+}
+
+fn decode_report(report: wire::Report) -> Report {
+    let membership = report.membership.map(|held| Membership {
+        group: held.group.into(),
+        generation: Generation(held.generation),
+        model: held.model.into(),
+        version: held.version.into(),
+        rank: held.rank,
+    });
+    Report {
+        vm: CompactString::from(report.vm),
+        boot: report.boot,
+        membership,
+        ready: report.ready,
+        fence: Fence(report.fence),
+        load: Load {
+            running: report.running,
+            waiting: report.waiting,
+        },
+    }
+}
--- /dev/null
+++ b/crates/policy/src/spread/hash.rs
@@ -0,0 +1,26 @@
+//! A stable hash, the same in every process and release.
+
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes texts in order (FNV-1a with a final mix); a separator keeps their borders apart.
+#[must_use]
+pub fn texts(parts: &[&str]) -> u64 {
+    let mut state = OFFSET;
+    for part in parts {
+        for byte in part.bytes().chain([0xff]) {
+            state ^= u64::from(byte);
+            state = state.wrapping_mul(PRIME);
+        }
+    }
+    mix(state)
+}
+
+/// Spreads the bits of a number over all positions (the final step of SplitMix64).
+#[must_use]
+pub fn mix(number: u64) -> u64 {
+    let mut state = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    state = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    state = (state ^ (state >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    state ^ (state >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/spread/table.rs
@@ -0,0 +1,125 @@
+//! The facts of one node with digests that find differences cheaply.
+
+use std::collections::BTreeMap;
+
+use super::fact::{Fact, Key, Version};
+use super::hash;
+use super::message::Entry;
+
+/// The number of parts whose digests are compared before any entry is sent.
+pub const BUCKETS: usize = 16;
+
+/// Holds the highest version of each fact.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    facts: BTreeMap<u64, Fact>,
+    buckets: [u64; BUCKETS],
+}
+
+impl Table {
+    /// Takes a fact if its version is higher than the one held; returns whether it was taken.
+    pub fn merge(&mut self, fact: Fact) -> bool {
+        let key = fact.key.hash();
+        let held = self.facts.get(&key).map(|held| held.version);
+        if held.is_some_and(|held| held >= fact.version) {
+            return false;
+        }
+        if let Some(held) = held {
+            self.flip(key, held);
+        }
+        self.flip(key, fact.version);
+        self.facts.insert(key, fact);
+        true
+    }
+
+    /// Gets the fact about a key.
+    #[must_use]
+    pub fn get(&self, key: &Key) -> Option<&Fact> {
+        self.facts.get(&key.hash())
+    }
+
+    /// Gets a fact by the hash of its key.
+    #[must_use]
+    pub fn by_hash(&self, key: u64) -> Option<&Fact> {
+        self.facts.get(&key)
+    }
+
+    /// Iterates over all facts.
+    pub fn iter(&self) -> impl Iterator<Item = &Fact> {
+        self.facts.values()
+    }
+
+    /// Returns the number of facts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    /// Returns whether no fact is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    /// Forgets what has expired and returns it.
+    pub fn expire(&mut self, unix_ms: u64) -> Vec<Fact> {
+        let expired: Vec<u64> = self
+            .facts
+            .iter()
+            .filter(|(_, fact)| fact.expires_unix_ms().is_some_and(|at| at <= unix_ms))
+            .map(|(key, _)| *key)
+            .collect();
+        expired
+            .into_iter()
+            .filter_map(|key| self.remove(key))
+            .collect()
+    }
+
+    /// Computes the digest of all facts.
+    #[must_use]
+    pub fn root(&self) -> u64 {
+        self.buckets
+            .iter()
+            .enumerate()
+            .fold(0, |root, (index, digest)| {
+                root ^ hash::mix(digest ^ index as u64)
+            })
+    }
+
+    /// Gets the digests of the parts.
+    #[must_use]
+    pub fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+
+    /// Returns keys and versions of one part.
+    #[must_use]
+    pub fn entries(&self, bucket: usize) -> Vec<Entry> {
+        self.facts
+            .iter()
+            .filter(|(key, _)| bucket_of(**key) == bucket)
+            .map(|(key, fact)| Entry {
+                key: *key,
+                version: fact.version,
+            })
+            .collect()
+    }
+
+    fn remove(&mut self, key: u64) -> Option<Fact> {
+        let fact = self.facts.remove(&key)?;
+        self.flip(key, fact.version);
+        Some(fact)
+    }
+
+    /// Adds an entry to its part's digest, or takes it out again.
+    fn flip(&mut self, key: u64, version: Version) {
+        let digest = hash::mix(key ^ hash::mix(version.major ^ hash::mix(version.minor)));
+        self.buckets[bucket_of(key)] ^= digest;
+    }
+}
+
+/// Returns the part that a key belongs to.
+#[must_use]
+pub fn bucket_of(key: u64) -> usize {
+    (key % BUCKETS as u64) as usize
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,3 +24,14 @@
 pub mod mvccpb {
     include!("generated/mvccpb.rs");
 }
+
+/// Messages between the nodes.
+#[allow(
+    missing_docs,
+    unreachable_pub,
+    clippy::all,
+    reason = "the code is generated"
+)]
+pub mod peer {
+    include!("generated/jackdaw.peer.v1.rs");
+}
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 
 /// Proto files, each with a package of its own.
-const FILES: [&str; 2] = ["kv.proto", "etcd.proto"];
+const FILES: [&str; 3] = ["kv.proto", "etcd.proto", "peer.proto"];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../crates/wire");
