Test that exchanges repair what lost pushes missed

The first form of the test kept 60 % loss on for the repair as well; a repair is four messages in a row, so 2.5 % of them came through a round and it failed. The loss now hits the pushes alone, and the same run without exchanges fails.

--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -328,6 +328,10 @@
         let (fact, now) = (catalog(1), fleet.now);
         let node = fleet.nodes[9].as_mut().expect("runs");
         node.publish(fact.clone(), now);
+        fleet.run(Millis::from_secs(1));
+        assert!(!fleet.all_hold(&fact), "the loss hit no push");
+        // A repair takes four messages in a row, so it needs a network that mostly delivers.
+        fleet.loss_percent = 10;
         fleet.run(Millis::from_secs(20));
         fleet.all_hold(&fact)
     };
