Run nodes and stand-ins as separate processes

Cause: the path ran in one process only. jackdawd now reads settings, reaches the key-value service by gRPC and stops on signals; the stand-ins run as one process with a port for faults.

Ruled out: one process per stand-in (more processes than the tests need).

Before: demo only.

--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -18,6 +18,7 @@
 use jackdaw_platform::{engine, inventory};
 use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
 use slog::{Logger, info};
+use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::settings::{Settings, Timing};
@@ -31,6 +32,23 @@
 /// Largest report of an engine in bytes.
 const REPORT_BYTES: usize = 64 << 10;
 
+/// Threads for the connections to other nodes and to the key-value service.
+const WIRE_THREADS: usize = 2;
+
+/// Creates the runtime of the connections to other nodes and to the key-value service.
+///
+/// # Errors
+///
+/// Returns an error if its threads cannot be started.
+pub fn wire_runtime() -> Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(WIRE_THREADS)
+        .thread_name("wire")
+        .enable_all()
+        .build()
+        .map_err(|error| Error::unreachable("start runtime", "self", error))
+}
+
 /// What a node is given from outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -38,6 +56,8 @@
     pub store: Arc<dyn Store>,
     /// Clock.
     pub clock: Arc<dyn Clock>,
+    /// Runtime of the connections to other nodes.
+    pub wire: Handle,
     /// Logger.
     pub logger: Logger,
 }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -14,7 +14,7 @@
 use jackdaw_standin::store::Memory;
 use jackdawstair::control::runtime::CATALOG_KEY;
 use jackdawstair::core::catalog::Catalog;
-use jackdawstair::node::{Node, Parts};
+use jackdawstair::node::{Node, Parts, wire_runtime};
 use jackdawstair::settings::{Operator, Platform, Role, Settings, Timing, Weights};
 use jackdawstair::{log, stop};
 use slog::Level;
@@ -61,7 +61,9 @@
     let clock = Arc::new(Machine::default());
     let store = Arc::new(Memory::new(clock.clone()));
     futures::executor::block_on(accept_sample(store.as_ref()))?;
+    let runtime = wire_runtime()?;
     let parts = Parts {
+        wire: runtime.handle().clone(),
         store,
         clock,
         logger: log::json(Level::Warning, "demo-a-1"),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod host;
 pub mod inventory;
+pub mod platform;
 pub mod service;
 pub mod store;
 pub mod tokens;
--- /dev/null
+++ b/crates/standin/src/standalone.rs
@@ -0,0 +1,61 @@
+//! The stand-ins of the platform and the back ends as a process of their own.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::units::Millis;
+use jackdaw_standin::engine;
+use jackdaw_standin::platform::{Addresses, Plan, Platform};
+use jackdawstair::stop;
+
+/// What the command line names.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// File that lists the VMs.
+    pub(crate) file: String,
+    /// Where the stand-ins listen.
+    pub(crate) addresses: Addresses,
+    /// Time between two tokens.
+    pub(crate) token_interval: Millis,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let local = |port: u16| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Options {
+            file: String::new(),
+            addresses: Addresses {
+                store: local(7590),
+                vms: local(7591),
+                faults: local(7592),
+            },
+            token_interval: Millis(5),
+        }
+    }
+}
+
+/// Runs the stand-ins until a signal asks them to stop.
+pub(crate) fn run(options: &Options) -> Result<()> {
+    let signals = stop::Signals::install()?;
+    let file = &options.file;
+    let malformed = |error: String| Error::malformed("read fleet file", file, error);
+    let text = fs::read_to_string(file).map_err(|error| malformed(error.to_string()))?;
+    let plan: Plan = serde_saphyr::from_str(&text).map_err(|error| malformed(error.to_string()))?;
+    let engines = engine::Options {
+        token_interval: options.token_interval,
+        ..engine::Options::default()
+    };
+    let platform = Platform::start(options.addresses, &plan, engines)?;
+    let addresses = platform.addresses();
+    println!(
+        "key-value service {}, VM list {}, faults {}",
+        addresses.store, addresses.vms, addresses.faults
+    );
+    for name in platform.fleet().names() {
+        println!("VM {name}");
+    }
+    signals.wait();
+    drop(platform);
+    Ok(())
+}
