--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use jackdaw_core::catalog::Catalog;
+use jackdaw_core::decision::Decision;
 use jackdaw_core::engine::Engine;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::inventory::{Inventory, Vm};
@@ -16,7 +17,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_entry::snapshot::Snapshot;
 use ntex::rt::{DefaultRuntime, System};
-use slog::{Logger, warn};
+use slog::{Logger, error, info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::event::Event;
@@ -44,7 +45,8 @@
 }
 
 /// Makes the clients on the control thread.
-pub type Connect = Box<dyn FnOnce() -> futures::future::LocalBoxFuture<'static, Clients> + Send>;
+pub type Connect =
+    Box<dyn FnOnce() -> futures::future::LocalBoxFuture<'static, Result<Clients>> + Send>;
 
 /// What the control thread shares with the rest of the node.
 #[derive(Clone)]
@@ -90,7 +92,13 @@
             .name("control".to_owned())
             .spawn(move || {
                 System::new("control", DefaultRuntime).block_on(async move {
-                    let clients = connect().await;
+                    let clients = match connect().await {
+                        Ok(clients) => clients,
+                        Err(error) => {
+                            error!(shared.logger, "control thread has no clients"; "error" => %error);
+                            return;
+                        }
+                    };
                     let driver = Driver::new(options, shared, clients, sender);
                     driver.run(receiver, entry_events).await;
                 });
@@ -108,9 +116,14 @@
         &self.events
     }
 
-    /// Ends the control thread and waits for it.
-    pub fn stop(&mut self) {
+    /// Makes the node unready; the control thread goes on.
+    pub fn begin_stop(&self) {
         let _ = self.events.send(Event::Stop);
+    }
+
+    /// Ends the control thread and waits for it.
+    pub fn end(&mut self) {
+        let _ = self.events.send(Event::End);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -154,7 +167,7 @@
         self.spawn_plan();
         let mut next_probe = self.shared.clock.now();
         while let Some(event) = receiver.recv().await {
-            let stop = matches!(event, Event::Stop);
+            let end = matches!(event, Event::End);
             let now = self.shared.clock.now();
             for action in state.step(event, now, self.shared.clock.unix_millis()) {
                 self.carry_out(action, &mut state);
@@ -163,7 +176,7 @@
                 next_probe = now + self.options.probe_interval;
                 self.probe(&state);
             }
-            if stop {
+            if end {
                 break;
             }
         }
@@ -176,9 +189,19 @@
                 let snapshot = state.snapshot(self.shared.clock.now());
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
+            Action::Explain(decision) => self.explain(&decision),
         }
     }
 
+    fn explain(&self, decision: &Decision) {
+        let subjects: Vec<String> = decision.subjects.iter().map(ToString::to_string).collect();
+        info!(self.shared.logger, "decision";
+            "sequence" => decision.sequence,
+            "subjects" => subjects.join(" "),
+            "cause" => %decision.cause,
+            "taken" => %decision.taken);
+    }
+
     fn send_order(&self, vm: Vm, order: Order) {
         let engine = Rc::clone(&self.engine);
         let logger = self.shared.logger.clone();
