--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod event;
 pub mod options;
 pub mod peer;
+pub mod release;
 pub mod runtime;
 pub mod state;
 pub mod view;
--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -13,13 +13,16 @@
 use jackdaw_core::units::{Fence, Millis, Revision};
 use jackdaw_policy::spread::fact::{Fact, Key, Value, Version};
 use jackdaw_policy::spread::message::{Body, Envelope};
-use jackdaw_policy::spread::node::{Node, Options, Output, REMOVE_AFTER, ROUND};
+use jackdaw_policy::spread::node::{Node, Options, Output, REMOVE_ROUNDS};
 use prost::Message as _;
 use rstest::rstest;
 
 /// Time between two deliveries.
 const STEP: Millis = Millis(10);
 
+/// Time between two rounds of exchanges.
+const ROUND: Millis = Millis::from_secs(1);
+
 /// Wall-clock time at the start.
 const EPOCH_MS: u64 = 1_800_000_000_000;
 
@@ -100,6 +103,7 @@
             zone: format!("zone-{}", index % self.zones).into(),
             seeds: (0..self.zones).map(address).collect(),
             incarnation: EPOCH_MS + self.now.0,
+            round: ROUND,
             seed: self.rng.u64(..),
         };
         Node::new(options, at)
@@ -468,7 +472,7 @@
     fleet.run(Millis::from_secs(15));
     assert_eq!(probed(&fleet, fleet.now), 0, "a suspect has no duties");
     let key = Key::Member(victim.clone());
-    fleet.run_until(REMOVE_AFTER, |fleet| {
+    fleet.run_until(Millis(ROUND.0 * REMOVE_ROUNDS), |fleet| {
         fleet.running().all(|node| {
             let fact = node.facts().get(&key).expect("remembered");
             fact.as_member()
--- a/crates/policy/src/spread/node.rs
+++ b/crates/policy/src/spread/node.rs
@@ -15,14 +15,11 @@
 use super::message::{Body, Envelope, Summary};
 use super::table::Table;
 
-/// Time between two rounds of exchanges.
-pub const ROUND: Millis = Millis::from_secs(1);
+/// Rounds of silence after which a node gets no duties and no links.
+pub const SUSPECT_ROUNDS: u64 = 10;
 
-/// Silence after which a node gets no duties and no links.
-pub const SUSPECT_AFTER: Millis = Millis::from_secs(10);
-
-/// Silence after which a node is removed.
-pub const REMOVE_AFTER: Millis = Millis::from_secs(30);
+/// Rounds of silence after which a node is removed.
+pub const REMOVE_ROUNDS: u64 = 30;
 
 /// Shortest time between two pushes.
 const PUSH_INTERVAL: Millis = Millis(100);
@@ -49,6 +46,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Grows with each start of the node; the wall-clock time in milliseconds will do.
     pub incarnation: u64,
+    /// Time between two rounds of exchanges.
+    pub round: Millis,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -93,7 +92,7 @@
     pub(super) zones: BTreeMap<CompactString, Summary>,
     pub(super) contacts: HashMap<SocketAddr, Contact>,
     pub(super) rng: Rng,
-    pub(super) rounds: u64,
+    pub(super) round: u64,
     pub(super) fresh: Vec<u64>,
     pub(super) next_round: Instant,
     pub(super) next_push: Instant,
@@ -115,7 +114,7 @@
             zones: BTreeMap::new(),
             contacts: HashMap::new(),
             rng,
-            rounds: 0,
+            round: 0,
             fresh: Vec::new(),
             next_round: now,
             next_push: now,
@@ -141,7 +140,7 @@
     pub fn tick(&mut self, now: Instant, unix_ms: u64) -> Vec<Output> {
         let mut outputs = Vec::new();
         if now >= self.next_round {
-            self.next_round = now + ROUND;
+            self.next_round = now + self.options.round;
             self.round(now, unix_ms, &mut outputs);
         }
         if !self.fresh.is_empty() && now >= self.next_push {
@@ -207,9 +206,10 @@
 
     /// Iterates over the zone's nodes that are not suspected, this one included.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &CompactString> {
+        let bound = self.rounds(SUSPECT_ROUNDS);
         self.beats
             .silences(now)
-            .filter(|(_, silence)| *silence <= SUSPECT_AFTER)
+            .filter(move |(_, silence)| *silence <= bound)
             .map(|(name, _)| name)
     }
 
@@ -240,6 +240,11 @@
             .contains(&&self.options.name)
     }
 
+    /// Returns the time that some rounds take.
+    pub(super) fn rounds(&self, count: u64) -> Millis {
+        Millis(self.options.round.0 * count)
+    }
+
     fn own_fact(&self) -> Fact {
         let member = Member {
             address: self.options.address,
@@ -250,13 +255,13 @@
     }
 
     fn round(&mut self, now: Instant, unix_ms: u64, outputs: &mut Vec<Output>) {
-        self.rounds += 1;
+        self.round += 1;
         self.beats.advance(self.revision, now);
         if !self.table.expire(unix_ms).is_empty() {
             self.changed = now;
         }
         self.remove_silent(now, unix_ms, outputs);
-        if self.rounds % SLOW_ROUNDS == 1 {
+        if self.round % SLOW_ROUNDS == 1 {
             self.summarize(now, unix_ms);
         }
         for to in self.targets(now) {
@@ -271,10 +276,11 @@
         if self.is_isolated(now) {
             return;
         }
+        let bound = self.rounds(REMOVE_ROUNDS);
         let silent: Vec<(CompactString, Millis)> = self
             .beats
             .silences(now)
-            .filter(|(_, silence)| *silence > REMOVE_AFTER)
+            .filter(|(_, silence)| *silence > bound)
             .map(|(name, silence)| (name.clone(), silence))
             .collect();
         for (name, silence) in silent {
--- a/crates/policy/src/spread/repair.rs
+++ b/crates/policy/src/spread/repair.rs
@@ -4,18 +4,18 @@
 use std::net::SocketAddr;
 
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Millis, Revision};
+use jackdaw_core::units::Revision;
 
 use super::fact::Fact;
 use super::message::{Body, Exchange, Part};
 use super::node::{Node, Output};
 use super::table::BUCKETS;
 
-/// Time for which the facts must have been at rest before differences are looked into.
-const SETTLE: Millis = Millis(500);
+/// Part of a round for which the facts must have been at rest before differences are looked into.
+const SETTLE_DIVISOR: u64 = 2;
 
-/// Time after which differences are looked into though the facts are not at rest.
-const REPAIR_OVERDUE: Millis = Millis::from_secs(5);
+/// Rounds after which differences are looked into though the facts are not at rest.
+const REPAIR_OVERDUE_ROUNDS: u64 = 5;
 
 /// The number of parts that one repair looks into.
 const REPAIR_PARTS: usize = 4;
@@ -63,8 +63,8 @@
         now: Instant,
         outputs: &mut Vec<Output>,
     ) {
-        let is_settled = now.since(self.changed) >= SETTLE;
-        let is_overdue = now.since(self.repaired) >= REPAIR_OVERDUE;
+        let is_settled = now.since(self.changed).0 >= self.options.round.0 / SETTLE_DIVISOR;
+        let is_overdue = now.since(self.repaired) >= self.rounds(REPAIR_OVERDUE_ROUNDS);
         let is_joiner = self.table.len() < JOINER_FACTS;
         if exchange.buckets.len() != BUCKETS || !(is_settled || is_overdue || is_joiner) {
             return;
--- a/crates/policy/src/spread/target.rs
+++ b/crates/policy/src/spread/target.rs
@@ -21,10 +21,10 @@
         }
         let others = self.bridged(now);
         if !others.is_empty() {
-            let turn = usize::try_from(self.rounds).unwrap_or(0) % others.len();
+            let turn = usize::try_from(self.round).unwrap_or(0) % others.len();
             targets.push(others[turn]);
         }
-        if links.is_empty() || self.rounds % SLOW_ROUNDS == 1 {
+        if links.is_empty() || self.round % SLOW_ROUNDS == 1 {
             let lost = self.out_of_contact(now);
             targets.extend(self.rng.choice(&lost));
         }
