Give each settings check case its own file

Cause: two cases ran side by side on one temporary file.

Ruled out: a fault of the check itself (each case passes alone).

--- a/crates/daemon/tests/check.rs
+++ b/crates/daemon/tests/check.rs
@@ -31,7 +31,7 @@
     let name = format!(
         "jackdaw-check-{}-{}.yaml",
         std::process::id(),
-        case.said.len()
+        case.settings.len()
     );
     let file = std::env::temp_dir().join(name);
     fs::write(&file, case.settings).expect("written");
