Drive the control thread by the timer service

Cause: each period had a task of its own that slept, so that parts could not be cancelled or asked for their next time.

Ruled out: a sleeping task a part. One loop now waits for the next event or the next subscription, whichever comes first.

--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -14,6 +14,7 @@
 use jackdaw_core::order::Order;
 use jackdaw_core::store::{Change, Store};
 use jackdaw_core::time::Clock;
+use jackdaw_core::timer;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::snapshot::Snapshot;
 use ntex::rt::{DefaultRuntime, System};
@@ -30,6 +31,9 @@
 /// Time before a lost watch is set up again.
 const WATCH_RETRY: Millis = Millis(500);
 
+/// Longest wait while no part has subscribed.
+const IDLE: Millis = Millis(1_000);
+
 /// Clients that live on the control thread.
 pub struct Clients {
     /// Reads reports and sends orders.
@@ -137,6 +141,18 @@
     engine: Rc<dyn Engine>,
     inventory: Rc<dyn Inventory>,
     events: UnboundedSender<Event>,
+    timers: timer::Service<Part>,
+}
+
+/// Parts of the control thread that subscribe to the timer service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    /// Reads the VM list.
+    List,
+    /// Probes the engines.
+    Probe,
+    /// Plans and sends orders.
+    Plan,
 }
 
 impl Driver {
@@ -152,36 +168,74 @@
             engine: clients.engine,
             inventory: clients.inventory,
             events,
+            timers: timer::Service::default(),
         }
     }
 
     async fn run(
-        self,
+        mut self,
         mut receiver: UnboundedReceiver<Event>,
         entry_events: UnboundedReceiver<jackdaw_entry::event::Event>,
     ) {
         let mut state = State::new(self.options.clone());
         self.spawn_catalog_watch();
-        self.spawn_list();
         self.spawn_entry(entry_events);
-        self.spawn_plan();
-        let mut next_probe = self.shared.clock.now();
-        while let Some(event) = receiver.recv().await {
+        self.subscribe();
+        while let Some(event) = self.next_event(&mut receiver, &state).await {
             let end = matches!(event, Event::End);
             let now = self.shared.clock.now();
             for action in state.step(event, now, self.shared.clock.unix_millis()) {
                 self.carry_out(action, &mut state);
             }
-            if now >= next_probe {
-                next_probe = now + self.options.probe_interval;
-                self.probe(&state);
-            }
             if end {
                 break;
             }
         }
     }
 
+    /// Subscribes every part to its period.
+    fn subscribe(&mut self) {
+        let now = self.shared.clock.now();
+        let timers = &mut self.timers;
+        timers.every(Part::List, now, self.options.list_interval);
+        timers.every(Part::Probe, now, self.options.probe_interval);
+        timers.every(Part::Plan, now, self.options.plan_interval);
+        // The first list is read at once.
+        timers.once(Part::List, now);
+    }
+
+    /// Waits for the next event and serves the timers that are due in between.
+    async fn next_event(
+        &mut self,
+        receiver: &mut UnboundedReceiver<Event>,
+        state: &State,
+    ) -> Option<Event> {
+        loop {
+            let now = self.shared.clock.now();
+            for due in self.timers.advance(now) {
+                self.serve(due.part, state);
+            }
+            let pause = self
+                .timers
+                .next_at()
+                .map_or(IDLE, |at| at.since(self.shared.clock.now()));
+            tokio::select! {
+                event = receiver.recv() => return event,
+                () = tokio::time::sleep(pause.duration()) => {}
+            }
+        }
+    }
+
+    fn serve(&self, part: Part, state: &State) {
+        match part {
+            Part::List => self.read_list(),
+            Part::Probe => self.probe(state),
+            Part::Plan => {
+                let _ = self.events.send(Event::Plan);
+            }
+        }
+    }
+
     fn carry_out(&self, action: Action, state: &mut State) {
         match action {
             Action::Order(vm, order) => self.send_order(vm, order),
@@ -231,24 +285,11 @@
         }
     }
 
-    fn spawn_list(&self) {
+    fn read_list(&self) {
         let inventory = Rc::clone(&self.inventory);
         let events = self.events.clone();
-        let interval = self.options.list_interval;
-        ntex::rt::spawn(async move {
-            while events.send(Event::Vms(inventory.vms().await)).is_ok() {
-                tokio::time::sleep(interval.duration()).await;
-            }
-        });
-    }
-
-    fn spawn_plan(&self) {
-        let events = self.events.clone();
-        let interval = self.options.plan_interval;
         ntex::rt::spawn(async move {
-            while events.send(Event::Plan).is_ok() {
-                tokio::time::sleep(interval.duration()).await;
-            }
+            let _ = events.send(Event::Vms(inventory.vms().await));
         });
     }
 
