--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -40,8 +40,7 @@
         .route("/admin/v1/nodes", web::get().to(nodes))
         .route("/admin/v1/teams", web::get().to(teams))
         .route("/admin/v1/decisions", web::get().to(decisions))
-        .route("/admin/v1/explain/{subject}*", web::get().to(explain))
-        .default_service(web::to(unknown));
+        .route("/admin/v1/explain/{subject}*", web::get().to(explain));
 }
 
 #[derive(Debug, Deserialize)]
@@ -66,7 +65,9 @@
         Err(error) => return unreachable(&error),
     };
     if status.ready {
-        return HttpResponse::Ok().content_type("text/plain").body("ready\n");
+        return HttpResponse::Ok()
+            .content_type("text/plain")
+            .body("ready\n");
     }
     let reason = if status.stopping {
         "the node is stopping"
@@ -192,7 +193,8 @@
     answer(&site, &request, Request::Decisions { after: 0, subject }).await
 }
 
-async fn unknown() -> HttpResponse {
+/// Answers requests for anything else.
+pub(super) async fn unknown() -> HttpResponse {
     Problem::new(StatusCode::NOT_FOUND, "not-found", "no such resource").response()
 }
 
--- a/crates/control/src/admin/server.rs
+++ b/crates/control/src/admin/server.rs
@@ -8,7 +8,7 @@
 use jackdaw_core::errors::{Error, Result};
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::Seconds;
-use ntex::web::{App, HttpServer};
+use ntex::web::{self, App, HttpServer};
 
 use super::auth::Operator;
 use super::handle::Handle;
@@ -58,7 +58,7 @@
         let (started, start) = mpsc::channel();
         let thread = std::thread::Builder::new()
             .name("operators".to_owned())
-            .spawn(move || run(listener, site, &started))
+            .spawn(move || run(listener, site, started))
             .map_err(fail)?;
         let server = start
             .recv()
@@ -87,11 +87,16 @@
     }
 }
 
-fn run(listener: TcpListener, site: Site, started: &mpsc::Sender<ntex::server::Server>) {
+fn run(listener: TcpListener, site: Site, started: mpsc::Sender<ntex::server::Server>) {
     System::new("operators", DefaultRuntime).block_on(async move {
         let listening = HttpServer::new(move || {
             let site = site.clone();
-            async move { App::new().state(site).configure(routes::configure) }
+            async move {
+                App::new()
+                    .state(site)
+                    .configure(routes::configure)
+                    .default_service(web::to(routes::unknown))
+            }
         })
         .workers(1)
         .disable_signals()
--- /dev/null
+++ b/crates/control/src/courier.rs
@@ -0,0 +1,154 @@
+//! Carries messages to other nodes and calls to the key-value service by local tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jackdaw_core::note::Note;
+use jackdaw_core::store::Store;
+use jackdaw_core::time::Clock;
+use jackdaw_core::units::Revision;
+use jackdaw_policy::release::accept::Attempt;
+use jackdaw_policy::release::register::Restore;
+use jackdaw_policy::spread::message::Envelope;
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use crate::admin::handle::Reply;
+use crate::admin::view::History;
+use crate::event::Event;
+use crate::peer::Transport;
+use crate::peer::shelf::What;
+use crate::release;
+
+/// Something to be carried out.
+#[derive(Debug)]
+pub enum Job {
+    /// Send a message to another node.
+    Send {
+        /// Address of the receiver.
+        to: SocketAddr,
+        /// The message.
+        envelope: Envelope,
+    },
+    /// Get a value from another node.
+    Fetch {
+        /// Address of the holder.
+        from: SocketAddr,
+        /// The value.
+        what: What,
+    },
+    /// Write the catalogue in force back to the key-value service.
+    Restore(Restore),
+    /// Try to accept a release note.
+    Accept {
+        /// The note.
+        note: Box<Note>,
+        /// Revision in force here.
+        known: Revision,
+        /// Takes the verdict.
+        reply: oneshot::Sender<Reply>,
+    },
+    /// Read the last accepted notes.
+    History {
+        /// Revision in force here.
+        newest: Revision,
+        /// Number of notes.
+        count: u64,
+        /// Takes the notes.
+        reply: oneshot::Sender<Reply>,
+    },
+}
+
+/// Starts local tasks for jobs; their results come back as events or replies.
+pub struct Courier {
+    /// Name of the node.
+    pub node: String,
+    /// Transport to other nodes.
+    pub transport: Option<Arc<Transport>>,
+    /// Key-value service.
+    pub store: Arc<dyn Store>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Channel to the control thread.
+    pub events: UnboundedSender<Event>,
+    /// Logger.
+    pub logger: Logger,
+}
+
+impl std::fmt::Debug for Courier {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Courier").finish_non_exhaustive()
+    }
+}
+
+impl Courier {
+    /// Starts a job; must be called within an ntex system.
+    pub fn start(&self, job: Job) {
+        match job {
+            Job::Send { to, envelope } => {
+                if let Some(transport) = &self.transport {
+                    transport.send(to, &envelope);
+                }
+            }
+            Job::Fetch { from, what } => self.fetch(from, what),
+            Job::Restore(restore) => self.restore(restore),
+            Job::Accept { note, known, reply } => self.accept(*note, known, reply),
+            Job::History {
+                newest,
+                count,
+                reply,
+            } => self.history(newest, count, reply),
+        }
+    }
+
+    fn fetch(&self, from: SocketAddr, what: What) {
+        let Some(transport) = self.transport.clone() else {
+            return;
+        };
+        let events = self.events.clone();
+        ntex::rt::spawn(async move {
+            let result = transport.fetch(from, what.clone()).await;
+            let _ = events.send(Event::Fetched { what, from, result });
+        });
+    }
+
+    fn restore(&self, restore: Restore) {
+        let store = Arc::clone(&self.store);
+        let logger = self.logger.clone();
+        ntex::rt::spawn(async move {
+            let revision = restore.catalog.revision;
+            match release::restore(store.as_ref(), &restore).await {
+                Ok(done) => info!(logger, "key-value service is behind";
+                    "revision" => revision.0, "written back" => ?done),
+                Err(error) => warn!(logger, "catalogue not written back"; "error" => %error),
+            }
+        });
+    }
+
+    fn accept(&self, mut note: Note, known: Revision, reply: oneshot::Sender<Reply>) {
+        let unix_ms = self.clock.unix_millis();
+        if note.id.is_empty() {
+            note.id = format!("{}-{unix_ms}-{:08x}", self.node, fastrand::u32(..)).into();
+        }
+        let id = note.id.clone();
+        let attempt = Attempt::new(note, known, &self.node, unix_ms);
+        let store = Arc::clone(&self.store);
+        let events = self.events.clone();
+        ntex::rt::spawn(async move {
+            let accepted = release::accept(store.as_ref(), attempt).await;
+            if let Some(catalog) = accepted.catalog {
+                let _ = events.send(Event::Accepted(catalog));
+            }
+            let _ = reply.send(Reply::Verdict(id, accepted.verdict));
+        });
+    }
+
+    fn history(&self, newest: Revision, count: u64, reply: oneshot::Sender<Reply>) {
+        let store = Arc::clone(&self.store);
+        ntex::rt::spawn(async move {
+            let notes = release::history(store, newest, count).await;
+            let _ = reply.send(Reply::History(notes.map(|notes| History { notes })));
+        });
+    }
+}
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -8,6 +8,12 @@
 use jackdaw_core::inventory::Vm;
 use jackdaw_core::member::Report;
 use jackdaw_core::time::Instant;
+use jackdaw_policy::release::accept::Stored;
+use jackdaw_policy::release::register::Source;
+use jackdaw_policy::spread::message::Envelope;
+
+use crate::admin::handle::Question;
+use crate::peer::shelf::What;
 
 /// Something that the control thread has to judge.
 #[derive(Debug)]
@@ -25,8 +31,32 @@
         /// Report or error.
         result: Result<Report>,
     },
-    /// A catalogue was read from the key-value service.
-    Catalog(Catalog),
+    /// The catalogue's key was read or watched; `None` means that it does not exist.
+    Catalog {
+        /// The catalogue.
+        stored: Option<Stored>,
+        /// Where it came from.
+        source: Source,
+    },
+    /// This node's own attempt committed a catalogue.
+    Accepted(Catalog),
+    /// The key-value service answered, and nothing had changed.
+    Contact,
+    /// Another node sent a message.
+    Message(Envelope),
+    /// A value was fetched from another node.
+    Fetched {
+        /// The value's name.
+        what: What,
+        /// Address of the node.
+        from: SocketAddr,
+        /// The value as JSON.
+        result: Result<Vec<u8>>,
+    },
+    /// It is time for the overlay to look what is due.
+    Spread,
+    /// An operator asks.
+    Ask(Question),
     /// The request path saw something.
     Entry(jackdaw_entry::event::Event),
     /// It is time to plan and to send orders.
--- /dev/null
+++ b/crates/control/src/follow.rs
@@ -0,0 +1,138 @@
+//! Follows the catalogue in the key-value service.
+//!
+//! One node of each zone waits on a watch. The others read the record of the next revision now
+//! and then, which is absent as long as nothing changed, and otherwise learn from the watcher.
+
+use std::sync::Arc;
+
+use jackdaw_core::errors::Result;
+use jackdaw_core::store::{Change, Store};
+use jackdaw_core::units::{Millis, Revision};
+use jackdaw_policy::release::register::Source;
+use slog::{Logger, warn};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch::Receiver;
+
+use crate::event::Event;
+use crate::release::{self, CATALOG_KEY};
+
+/// Shortest time before a lost watch is set up again; a random part of it is added.
+const WATCH_RETRY: Millis = Millis(500);
+
+/// Time between two reads by which a watcher finds a watch that has gone silent.
+const WATCH_CHECK: Millis = Millis::from_secs(5);
+
+/// Time between two reads of a node that does not watch.
+const IDLE_CHECK: Millis = Millis::from_secs(30);
+
+/// What the follower is told by the control thread.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Duty {
+    /// Whether this node waits on the watch.
+    pub is_watcher: bool,
+    /// Revision in force here.
+    pub revision: Revision,
+}
+
+/// Follows the catalogue until the control thread ends.
+pub async fn run(
+    store: Arc<dyn Store>,
+    events: UnboundedSender<Event>,
+    mut duty: Receiver<Duty>,
+    logger: Logger,
+) {
+    while !events.is_closed() {
+        let followed = follow(store.as_ref(), &events, &mut duty).await;
+        if let Err(error) = followed {
+            warn!(logger, "catalogue not followed"; "error" => %error);
+        }
+        let pause = WATCH_RETRY.0 + fastrand::u64(..WATCH_RETRY.0);
+        tokio::time::sleep(Millis(pause).duration()).await;
+    }
+}
+
+/// Reads the catalogue and follows its changes until the duty changes or the watch ends.
+async fn follow(
+    store: &dyn Store,
+    events: &UnboundedSender<Event>,
+    duty: &mut Receiver<Duty>,
+) -> Result<()> {
+    let stored = release::read_catalog(store).await?;
+    let from = stored.as_ref().map_or(0, |stored| stored.mod_revision);
+    let source = Source::Read;
+    let _ = events.send(Event::Catalog { stored, source });
+    if duty.borrow().is_watcher {
+        return watch(store, events, duty, from + 1).await;
+    }
+    idle(store, events, duty).await
+}
+
+async fn watch(
+    store: &dyn Store,
+    events: &UnboundedSender<Event>,
+    duty: &mut Receiver<Duty>,
+    from: u64,
+) -> Result<()> {
+    let mut watch = store.watch(CATALOG_KEY, from).await?;
+    while duty.borrow().is_watcher {
+        tokio::select! {
+            changes = watch.next() => match changes {
+                Some(changes) => tell(events, changes)?,
+                None => return Ok(()),
+            },
+            () = tokio::time::sleep(WATCH_CHECK.duration()) => {
+                // A newer record that the watch did not tell of means that it has gone silent.
+                if is_behind(store, events, duty).await? {
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn idle(
+    store: &dyn Store,
+    events: &UnboundedSender<Event>,
+    duty: &mut Receiver<Duty>,
+) -> Result<()> {
+    while !duty.borrow().is_watcher {
+        tokio::select! {
+            changed = duty.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+            }
+            () = tokio::time::sleep(IDLE_CHECK.duration()) => {
+                if is_behind(store, events, duty).await? {
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether the service holds a record newer than the catalogue in force.
+async fn is_behind(
+    store: &dyn Store,
+    events: &UnboundedSender<Event>,
+    duty: &Receiver<Duty>,
+) -> Result<bool> {
+    let revision = duty.borrow().revision;
+    let next = release::read_record(store, Revision(revision.0 + 1)).await?;
+    let _ = events.send(Event::Contact);
+    Ok(next.is_some())
+}
+
+fn tell(events: &UnboundedSender<Event>, changes: Vec<Change>) -> Result<()> {
+    for change in changes {
+        let stored = match change {
+            Change::Put(entry) => Some(release::parse_catalog(&entry)?),
+            Change::Delete(..) => None,
+        };
+        let source = Source::Watch;
+        let _ = events.send(Event::Catalog { stored, source });
+    }
+    Ok(())
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,8 +3,14 @@
 //! One control thread takes [`event::Event`]s, steps the policy parts in order, carries their
 //! actions out by local tasks and publishes the next snapshot for the request path.
 
+pub mod admin;
+pub mod courier;
 pub mod event;
+pub mod follow;
+pub mod metrics;
+pub mod network;
 pub mod options;
+pub mod overlay;
 pub mod peer;
 pub mod release;
 pub mod runtime;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -51,7 +51,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
+            .scope_info_enabled(false)
             .without_target_info()
             .build()
             .map_err(|error| Error::unreachable("start metrics", "self", error))?;
--- /dev/null
+++ b/crates/control/src/network.rs
@@ -0,0 +1,101 @@
+//! Joins a node to the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use jackdaw_core::errors::Result;
+use jackdaw_core::time::Clock;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::spread::hash;
+use jackdaw_policy::spread::message::Envelope;
+use jackdaw_policy::spread::node;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::event::Event;
+use crate::options::Options;
+use crate::overlay::Overlay;
+use crate::peer::shelf::Shelf;
+use crate::peer::switch::Switch;
+use crate::peer::{self, Inbound, Transport};
+
+/// Where and how other nodes are reached.
+#[derive(Clone, Debug)]
+pub struct Network {
+    /// Runtime of the connections.
+    pub runtime: Handle,
+    /// Address of this node's peers' port; port 0 takes any free port.
+    pub listen: SocketAddr,
+    /// Token that nodes show each other.
+    pub token: CompactString,
+    /// Addresses of nodes to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two rounds of exchanges.
+    pub round: Millis,
+    /// Fault switch for tests.
+    pub switch: Arc<Switch>,
+}
+
+/// A node's running transport and its overlay.
+#[derive(Debug)]
+pub struct Joined {
+    /// Transport.
+    pub transport: Transport,
+    /// Overlay.
+    pub overlay: Overlay,
+}
+
+impl Joined {
+    /// Gets the bound address of the peers' port.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.transport.address()
+    }
+}
+
+impl Network {
+    /// Starts the transport; messages go to the control thread as events.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peers' port cannot be bound.
+    pub fn join(
+        &self,
+        options: &Options,
+        clock: &dyn Clock,
+        events: &UnboundedSender<Event>,
+    ) -> Result<Joined> {
+        let shelf = Arc::new(Shelf::default());
+        let sender = events.clone();
+        let inbound: Inbound = Arc::new(move |envelope: Envelope| {
+            // A node that has ended takes no more messages.
+            let _ = sender.send(Event::Message(envelope));
+        });
+        let transport = Transport::start(
+            &self.runtime,
+            &peer::Options {
+                listen: self.listen,
+                token: self.token.clone(),
+            },
+            Arc::clone(&shelf),
+            Arc::clone(&self.switch),
+            inbound,
+        )?;
+        let incarnation = clock.unix_millis();
+        let overlay = Overlay::join(
+            node::Options {
+                name: options.node.clone(),
+                address: transport.address(),
+                zone: options.zone.clone(),
+                seeds: self.seeds.clone(),
+                incarnation,
+                round: self.round,
+                seed: hash::texts(&[&options.node]) ^ incarnation,
+            },
+            shelf,
+            clock.now(),
+        );
+        Ok(Joined { transport, overlay })
+    }
+}
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -1,18 +1,18 @@
 //! The control thread: takes events, steps the state and carries actions out.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use arc_swap::ArcSwap;
-use jackdaw_core::catalog::Catalog;
 use jackdaw_core::decision::Decision;
 use jackdaw_core::engine::Engine;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::inventory::{Inventory, Vm};
 use jackdaw_core::order::Order;
-use jackdaw_core::store::{Change, Store};
+use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::timer;
 use jackdaw_core::units::Millis;
@@ -20,16 +20,19 @@
 use ntex::rt::{DefaultRuntime, System};
 use slog::{Logger, error, info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
 
+use crate::admin::feed::Feed;
+use crate::courier::Courier;
 use crate::event::Event;
+use crate::follow::{self, Duty};
+use crate::metrics::Metrics;
+use crate::network::{Joined, Network};
 use crate::options::Options;
 use crate::state::{Action, State};
 
-/// Key of the catalogue in the key-value service.
-pub const CATALOG_KEY: &str = "/jackdaw/catalog";
-
-/// Time before a lost watch is set up again.
-const WATCH_RETRY: Millis = Millis(500);
+/// Time between two looks at what the overlay has due.
+const SPREAD_CHECK: Millis = Millis(50);
 
 /// Longest wait while no part has subscribed.
 const IDLE: Millis = Millis(1_000);
@@ -63,6 +66,12 @@
     pub clock: Arc<dyn Clock>,
     /// Logger.
     pub logger: Logger,
+    /// Takes decisions for operators who follow them.
+    pub feed: Feed,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Where other nodes are reached, unless this node runs alone.
+    pub network: Option<Network>,
 }
 
 impl fmt::Debug for Shared {
@@ -75,6 +84,7 @@
 #[derive(Debug)]
 pub struct Control {
     events: UnboundedSender<Event>,
+    peers: Option<SocketAddr>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -92,6 +102,11 @@
     ) -> Result<Control> {
         let (events, receiver) = unbounded_channel();
         let sender = events.clone();
+        let joined = match &shared.network {
+            Some(network) => Some(network.join(&options, shared.clock.as_ref(), &events)?),
+            None => None,
+        };
+        let peers = joined.as_ref().map(Joined::address);
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
@@ -104,12 +119,13 @@
                         }
                     };
                     let driver = Driver::new(options, shared, clients, sender);
-                    driver.run(receiver, entry_events).await;
+                    driver.run(receiver, entry_events, joined).await;
                 });
             })
             .map_err(|error| Error::unreachable("start control thread", "self", error))?;
         Ok(Control {
             events,
+            peers,
             thread: Some(thread),
         })
     }
@@ -120,6 +136,12 @@
         &self.events
     }
 
+    /// Gets the bound address of the peers' port, unless the node runs alone.
+    #[must_use]
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.peers
+    }
+
     /// Makes the node unready; the control thread goes on.
     pub fn begin_stop(&self) {
         let _ = self.events.send(Event::Stop);
@@ -153,6 +175,8 @@
     Probe,
     /// Plans and sends orders.
     Plan,
+    /// Spreads changes between nodes.
+    Spread,
 }
 
 impl Driver {
@@ -176,17 +200,24 @@
         mut self,
         mut receiver: UnboundedReceiver<Event>,
         entry_events: UnboundedReceiver<jackdaw_entry::event::Event>,
+        joined: Option<Joined>,
     ) {
         let mut state = State::new(self.options.clone());
-        self.spawn_catalog_watch();
+        let courier = self.courier(joined, &mut state);
+        let (duty, duties) = watch::channel(state.duty(self.shared.clock.now()));
+        self.spawn_follower(duties);
         self.spawn_entry(entry_events);
         self.subscribe();
         while let Some(event) = self.next_event(&mut receiver, &state).await {
             let end = matches!(event, Event::End);
             let now = self.shared.clock.now();
             for action in state.step(event, now, self.shared.clock.unix_millis()) {
-                self.carry_out(action, &mut state);
+                self.carry_out(action, &mut state, &courier);
             }
+            duty.send_if_modified(|duty| {
+                let before = std::mem::replace(duty, state.duty(now));
+                before != *duty
+            });
             if end {
                 break;
             }
@@ -200,6 +231,7 @@
         timers.every(Part::List, now, self.options.list_interval);
         timers.every(Part::Probe, now, self.options.probe_interval);
         timers.every(Part::Plan, now, self.options.plan_interval);
+        timers.every(Part::Spread, now, SPREAD_CHECK);
         // The first list is read at once.
         timers.once(Part::List, now);
     }
@@ -233,27 +265,49 @@
             Part::Plan => {
                 let _ = self.events.send(Event::Plan);
             }
+            Part::Spread => {
+                let _ = self.events.send(Event::Spread);
+            }
         }
     }
 
-    fn carry_out(&self, action: Action, state: &mut State) {
+    /// Creates the courier and lets the state reach other nodes.
+    fn courier(&self, joined: Option<Joined>, state: &mut State) -> Courier {
+        let transport = joined.map(|joined| {
+            state.join_overlay(joined.overlay);
+            Arc::new(joined.transport)
+        });
+        Courier {
+            node: self.options.node.to_string(),
+            transport,
+            store: Arc::clone(&self.shared.store),
+            clock: Arc::clone(&self.shared.clock),
+            events: self.events.clone(),
+            logger: self.shared.logger.clone(),
+        }
+    }
+
+    fn carry_out(&self, action: Action, state: &mut State, courier: &Courier) {
         match action {
             Action::Order(vm, order) => self.send_order(vm, order),
             Action::Publish => {
                 let snapshot = state.snapshot(self.shared.clock.now());
+                self.shared.metrics.set_revision(state.catalog().revision);
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
-            Action::Explain(decision) => self.explain(&decision),
+            Action::Explain(decision) => self.explain(decision),
+            Action::Carry(job) => courier.start(job),
         }
     }
 
-    fn explain(&self, decision: &Decision) {
+    fn explain(&self, decision: Decision) {
         let subjects: Vec<String> = decision.subjects.iter().map(ToString::to_string).collect();
         info!(self.shared.logger, "decision";
             "sequence" => decision.sequence,
             "subjects" => subjects.join(" "),
             "cause" => %decision.cause,
             "taken" => %decision.taken);
+        self.shared.feed.tell(decision);
     }
 
     fn send_order(&self, vm: Vm, order: Order) {
@@ -302,40 +356,14 @@
         });
     }
 
-    fn spawn_catalog_watch(&self) {
+    fn spawn_follower(&self, duties: watch::Receiver<Duty>) {
         let store = Arc::clone(&self.shared.store);
-        let events = self.events.clone();
-        let logger = self.shared.logger.clone();
-        ntex::rt::spawn(async move {
-            while !events.is_closed() {
-                if let Err(error) = follow_catalog(store.as_ref(), &events).await {
-                    warn!(logger, "catalogue watch lost"; "error" => %error);
-                }
-                tokio::time::sleep(WATCH_RETRY.duration()).await;
-            }
-        });
-    }
-}
-
-/// Reads the catalogue and follows its changes until the watch ends.
-async fn follow_catalog(store: &dyn Store, events: &UnboundedSender<Event>) -> Result<()> {
-    let entry = store.get(CATALOG_KEY).await?;
-    let from = entry.as_ref().map_or(0, |entry| entry.mod_revision);
-    if let Some(entry) = entry {
-        let _ = events.send(Event::Catalog(parse(&entry.value)?));
+        let follower = follow::run(
+            store,
+            self.events.clone(),
+            duties,
+            self.shared.logger.clone(),
+        );
+        ntex::rt::spawn(follower);
     }
-    let mut watch = store.watch(CATALOG_KEY, from + 1).await?;
-    while let Some(changes) = watch.next().await {
-        for change in changes {
-            if let Change::Put(entry) = change {
-                let _ = events.send(Event::Catalog(parse(&entry.value)?));
-            }
-        }
-    }
-    Ok(())
-}
-
-fn parse(value: &[u8]) -> Result<Catalog> {
-    serde_json::from_slice(value)
-        .map_err(|error| Error::malformed("read catalogue", "key-value service", error))
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,11 +1,13 @@
 //! The state of the control thread.
 
+mod news;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use compact_str::CompactString;
 use jackdaw_core::catalog::Catalog;
-use jackdaw_core::decision::{Decision, Log, Subject};
+use jackdaw_core::decision::{Decision, Log};
 use jackdaw_core::inventory::{self, Vm};
 use jackdaw_core::member::Report;
 use jackdaw_core::order::{Command, Order};
@@ -14,8 +16,10 @@
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::plan::{self, Candidate, Health};
 
+use crate::courier::Job;
 use crate::event::Event;
 use crate::options::Options;
+use crate::overlay::Overlay;
 use crate::view::{Builder, Whole};
 
 /// What the control thread has to do after an event.
@@ -27,6 +31,8 @@
     Publish,
     /// Tell operators about a decision.
     Explain(Decision),
+    /// Carry a message to another node or a call to the key-value service.
+    Carry(Job),
 }
 
 /// The last report of a VM.
@@ -40,6 +46,7 @@
 #[derive(Debug)]
 pub struct State {
     options: Options,
+    overlay: Overlay,
     catalog: Arc<Catalog>,
     vms: Vec<Vm>,
     placement: Placement,
@@ -61,6 +68,7 @@
         let log = Log::new(&options.node, options.decisions_kept);
         State {
             options,
+            overlay: Overlay::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
             placement,
@@ -100,7 +108,26 @@
             Event::Probed {
                 vm, sent, result, ..
             } => self.see(vm, sent, result.ok()),
-            Event::Catalog(catalog) => self.take(catalog, unix_millis),
+            Event::Catalog { stored, source } => {
+                return self.take_stored(stored, source, now, unix_millis);
+            }
+            Event::Accepted(catalog) => return self.take_accepted(catalog, now, unix_millis),
+            Event::Contact => {
+                self.overlay.contacted(now);
+                return Vec::new();
+            }
+            Event::Message(envelope) => return self.take_message(envelope, now, unix_millis),
+            Event::Fetched { what, from, result } => {
+                let effects = self.overlay.fetched(&what, from, result, now);
+                return self.apply(effects, unix_millis);
+            }
+            Event::Spread => return self.tick_overlay(now, unix_millis),
+            Event::Ask(question) => {
+                return self
+                    .answer(question, now, unix_millis)
+                    .into_iter()
+                    .collect();
+            }
             Event::Entry(event) => self.hear(event, unix_millis),
             Event::Plan => return self.plan(now, unix_millis),
             Event::Stop => self.stopping = true,
@@ -126,17 +153,6 @@
         self.seen.insert(vm, Seen { report, sent });
     }
 
-    fn take(&mut self, catalog: Catalog, unix_millis: u64) {
-        if catalog.revision <= self.catalog.revision {
-            return;
-        }
-        let subject = Subject::Release(catalog.revision.0.to_string().into());
-        let decision = Decision::new(subject, "a release note was accepted", "in force here")
-            .saw("revision before", self.catalog.revision);
-        self.record(decision, unix_millis);
-        self.catalog = Arc::new(catalog);
-    }
-
     fn hear(&mut self, event: jackdaw_entry::event::Event, unix_millis: u64) {
         match event {
             jackdaw_entry::event::Event::Decided(decision) => {
@@ -175,7 +191,8 @@
             .collect()
     }
 
-    fn is_member(&self, vm: &CompactString, group: &Group, now: Instant) -> bool {
+    /// Returns whether a VM reported a group and its generation within the bound.
+    pub(crate) fn is_member(&self, vm: &CompactString, group: &Group, now: Instant) -> bool {
         let Some(seen) = self.seen.get(vm) else {
             return false;
         };
--- /dev/null
+++ b/crates/control/src/state/news.rs
@@ -0,0 +1,189 @@
+//! What the control thread makes of catalogues, other nodes and operators' questions.
+
+use std::sync::Arc;
+
+use jackdaw_core::catalog::Catalog;
+use jackdaw_core::decision::{Decision, Log};
+use jackdaw_core::inventory::Vm;
+use jackdaw_core::member::Report;
+use jackdaw_core::placement::Placement;
+use jackdaw_core::time::Instant;
+use jackdaw_policy::plan;
+use jackdaw_policy::release::accept::Stored;
+use jackdaw_policy::release::register::Source;
+use jackdaw_policy::spread::message::Envelope;
+
+use super::{Action, State};
+use crate::admin::answer;
+use crate::admin::handle::{Question, Request};
+use crate::courier::Job;
+use crate::follow::Duty;
+use crate::options::Options;
+use crate::overlay::{Effect, Overlay};
+
+impl State {
+    /// Reaches other nodes through an overlay.
+    pub fn join_overlay(&mut self, overlay: Overlay) {
+        self.overlay = overlay;
+    }
+
+    /// Gets the overlay.
+    #[must_use]
+    pub fn overlay(&self) -> &Overlay {
+        &self.overlay
+    }
+
+    /// Gets the options.
+    #[must_use]
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Gets the catalogue in force.
+    #[must_use]
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Gets the placement of this zone.
+    #[must_use]
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Gets the VM list.
+    #[must_use]
+    pub fn vms(&self) -> &[Vm] {
+        &self.vms
+    }
+
+    /// Gets the log of decisions.
+    #[must_use]
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Returns whether the node is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Gets the last report of a VM and the time at which it was asked for.
+    #[must_use]
+    pub fn seen(&self, vm: &str) -> Option<(&Report, Instant)> {
+        self.seen.get(vm).map(|seen| (&seen.report, seen.sent))
+    }
+
+    /// Returns the decisions that the planner would take under another catalogue.
+    #[must_use]
+    pub fn dry_run(&self, catalog: &Catalog, now: Instant) -> Vec<Decision> {
+        let vms = self.candidates(now);
+        let proposal = plan::propose(&plan::Input {
+            placement: &self.placement,
+            catalog,
+            vms: &vms,
+            drained: &[],
+            now,
+        });
+        proposal.map_or_else(Vec::new, |proposal| proposal.decisions)
+    }
+
+    /// Returns what the follower of the catalogue has to do.
+    #[must_use]
+    pub fn duty(&self, now: Instant) -> Duty {
+        Duty {
+            is_watcher: self.overlay.node().is_none_or(|node| node.is_watcher(now)),
+            revision: self.overlay.register().revision(),
+        }
+    }
+
+    pub(super) fn take_stored(
+        &mut self,
+        stored: Option<Stored>,
+        source: Source,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
+        let effects = self.overlay.stored(stored, source, now);
+        self.apply(effects, unix_ms)
+    }
+
+    pub(super) fn take_accepted(
+        &mut self,
+        catalog: Catalog,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
+        let effects = self.overlay.offer(Arc::new(catalog), Source::Accepted, now);
+        self.apply(effects, unix_ms)
+    }
+
+    pub(super) fn take_message(
+        &mut self,
+        envelope: Envelope,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
+        let effects = self.overlay.receive(envelope, now, unix_ms);
+        self.apply(effects, unix_ms)
+    }
+
+    pub(super) fn tick_overlay(&mut self, now: Instant, unix_ms: u64) -> Vec<Action> {
+        let effects = self.overlay.tick(now, unix_ms);
+        self.apply(effects, unix_ms)
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        question: Question,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Option<Action> {
+        let Question { request, reply } = question;
+        let newest = self.overlay.register().revision();
+        let job = match request {
+            Request::Apply(note) => Job::Accept {
+                note: Box::new(note),
+                known: newest,
+                reply,
+            },
+            Request::History(count) => Job::History {
+                newest,
+                count,
+                reply,
+            },
+            request => {
+                if let Some(answer) = answer::answer(self, &request, now, unix_ms) {
+                    // An operator who has gone away needs no reply.
+                    let _ = reply.send(answer);
+                }
+                return None;
+            }
+        };
+        Some(Action::Carry(job))
+    }
+
+    /// Turns the overlay's effects into actions.
+    pub(super) fn apply(&mut self, effects: Vec<Effect>, unix_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, envelope } => {
+                    actions.push(Action::Carry(Job::Send { to, envelope }));
+                }
+                Effect::Fetch { from, what } => {
+                    actions.push(Action::Carry(Job::Fetch { from, what }));
+                }
+                Effect::Restore(restore) => actions.push(Action::Carry(Job::Restore(restore))),
+                Effect::Taken(catalog) => {
+                    self.catalog = catalog;
+                    actions.push(Action::Publish);
+                }
+                Effect::Decided(decision) => self.record(decision, unix_ms),
+                Effect::Placement(_) | Effect::Learned(_) => {}
+            }
+        }
+        actions
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -105,6 +105,7 @@
         clock: Arc::new(Machine::default()),
         wire: runtime.handle().clone(),
         logger,
+        switch: Arc::default(),
     };
     match Node::start(settings, parts) {
         Ok(node) => {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,15 +7,14 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use jackdaw_core::catalog::Catalog;
 use jackdaw_core::note::Note;
-use jackdaw_core::store::{Compare, Store, Transaction, Write};
 use jackdaw_core::token::Digest;
-use jackdaw_core::units::Millis;
+use jackdaw_core::units::{Millis, Revision};
 use jackdaw_standin::engine;
 use jackdaw_standin::fleet::Batch;
 use jackdaw_standin::platform::{Addresses, Plan, Platform};
-use jackdawstair::control::runtime::CATALOG_KEY;
+use jackdawstair::control::release;
+use jackdawstair::policy::release::accept::Attempt;
 
 pub use caller::Caller;
 pub use node::Node;
@@ -131,18 +130,10 @@
             Digest::of(TEAM_TOKEN.as_bytes())
         );
         let note: Note = serde_saphyr::from_str(&team).expect("note");
-        let catalog = Catalog::default().apply(&note).expect("note applies");
-        let write = Write::Put {
-            key: CATALOG_KEY.into(),
-            value: serde_json::to_vec(&catalog).expect("catalogue"),
-            lease: None,
-        };
-        let transaction = Transaction {
-            when: vec![Compare::Absent(CATALOG_KEY.into())],
-            then: vec![write],
-            otherwise: Vec::new(),
-        };
-        futures::executor::block_on(self.platform.memory().commit(transaction)).expect("committed");
+        let attempt = Attempt::new(note, Revision(0), "test", 1);
+        let accepted = release::accept(self.platform.memory(), attempt);
+        let accepted = futures::executor::block_on(accepted);
+        assert!(accepted.catalog.is_some(), "{:?}", accepted.verdict);
     }
 }
 
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -6,7 +6,14 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use jackdaw_control::admin::auth::{self, Operator};
+use jackdaw_control::admin::feed::Feed;
+use jackdaw_control::admin::handle::Handle as Operators;
+use jackdaw_control::admin::server::{Server as AdminServer, Site};
+use jackdaw_control::metrics::Metrics;
+use jackdaw_control::network::Network;
 use jackdaw_control::options::Options;
+use jackdaw_control::peer::switch::Switch;
 use jackdaw_control::runtime::{self, Clients, Connect, Control};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::store::Store;
@@ -16,12 +23,11 @@
 use jackdaw_entry::shared;
 use jackdaw_platform::http::Bounds;
 use jackdaw_platform::{engine, inventory};
-use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
-use crate::settings::{Settings, Timing};
+use crate::settings::{Role, Settings, Timing};
 
 /// Longest time for connecting to an engine or to the VM list.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -60,6 +66,8 @@
     pub wire: Handle,
     /// Logger.
     pub logger: Logger,
+    /// Fault switch of the connections to other nodes, for tests.
+    pub switch: Arc<Switch>,
 }
 
 impl fmt::Debug for Parts {
@@ -73,6 +81,7 @@
 pub struct Node {
     control: Control,
     server: Server,
+    admin: AdminServer,
     logger: Logger,
 }
 
@@ -84,6 +93,8 @@
     /// Returns an error if a port cannot be bound or a thread cannot be started.
     pub fn start(settings: &Settings, parts: Parts) -> Result<Node> {
         let snapshot = Arc::new(ArcSwap::default());
+        let metrics = Metrics::new()?;
+        let feed = Feed::default();
         let (entry_events, receiver) = unbounded_channel();
         let control = Control::start(
             options(settings),
@@ -92,6 +103,9 @@
                 store: Arc::clone(&parts.store),
                 clock: Arc::clone(&parts.clock),
                 logger: parts.logger.clone(),
+                feed: feed.clone(),
+                metrics: metrics.clone(),
+                network: Some(network(settings, &parts)),
             },
             connect(settings.platform.vms, settings.timing),
             receiver,
@@ -106,15 +120,25 @@
                 workers: settings.workers,
                 ..shared::Options::default()
             },
-            &NoopMeterProvider::new().meter("jackdaw-entry"),
+            &metrics.meter("jackdaw-entry"),
         );
         let peer = settings.callers.to_string();
         let server = Server::start(Arc::new(shared), settings.callers)
             .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
-        info!(parts.logger, "node started"; "callers" => %server.address());
+        let site = Site {
+            handle: Operators::new(control.events().clone(), feed),
+            operators: operators(settings),
+            metrics,
+        };
+        let admin = AdminServer::start(settings.operators, site)?;
+        info!(parts.logger, "node started";
+            "callers" => %server.address(),
+            "operators" => %admin.address(),
+            "peers" => control.peers().map(|peers| peers.to_string()));
         Ok(Node {
             control,
             server,
+            admin,
             logger: parts.logger,
         })
     }
@@ -125,6 +149,18 @@
         self.server.address()
     }
 
+    /// Gets the bound address of the operators' port.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Gets the bound address of the peers' port.
+    #[must_use]
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.control.peers()
+    }
+
     /// Stops the node: takes nothing new, finishes what is in flight, then ends.
     pub fn stop(mut self) {
         info!(self.logger, "node stopping");
@@ -132,6 +168,7 @@
         self.control.begin_stop();
         futures::executor::block_on(self.server.stop());
         self.control.end();
+        drop(self.admin);
         info!(self.logger, "node stopped");
     }
 }
@@ -150,6 +187,29 @@
     }
 }
 
+fn network(settings: &Settings, parts: &Parts) -> Network {
+    Network {
+        runtime: parts.wire.clone(),
+        listen: settings.peers,
+        token: settings.peer_token.clone(),
+        seeds: settings.seeds.clone(),
+        round: settings.timing.spread_interval,
+        switch: Arc::clone(&parts.switch),
+    }
+}
+
+fn operators(settings: &Settings) -> Arc<[Operator]> {
+    let operators = settings.operator_tokens.iter().map(|operator| Operator {
+        name: operator.name.clone(),
+        token: operator.token,
+        role: match operator.role {
+            Role::Read => auth::Role::Read,
+            Role::Write => auth::Role::Write,
+        },
+    });
+    operators.collect()
+}
+
 fn connect(vms: SocketAddr, timing: Timing) -> Connect {
     let bounds = move |answer_bytes| Bounds {
         connect: CONNECT_TIMEOUT,
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -5,16 +5,15 @@
 
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::note::Note;
-use jackdaw_core::store::{Compare, Store, Transaction, Write};
 use jackdaw_core::time::Machine;
 use jackdaw_core::token::Digest;
-use jackdaw_core::units::Millis;
+use jackdaw_core::units::{Millis, Revision};
 use jackdaw_standin::engine;
 use jackdaw_standin::fleet::{Batch, Fleet};
 use jackdaw_standin::store::Memory;
-use jackdawstair::control::runtime::CATALOG_KEY;
-use jackdawstair::core::catalog::Catalog;
+use jackdawstair::control::release;
 use jackdawstair::node::{Node, Parts, wire_runtime};
+use jackdawstair::policy::release::accept::Attempt;
 use jackdawstair::settings::{Operator, Platform, Role, Settings, Timing, Weights};
 use jackdawstair::{log, stop};
 use slog::Level;
@@ -67,6 +66,7 @@
         store,
         clock,
         logger: log::json(Level::Warning, "demo-a-1"),
+        switch: Arc::default(),
     };
     let node = Node::start(&settings(options, fleet.list_address()), parts)?;
     print_welcome(options);
@@ -93,21 +93,11 @@
 async fn accept_sample(store: &Memory) -> Result<()> {
     let malformed = |error: String| Error::malformed("read sample note", "self", error);
     let note: Note = serde_saphyr::from_str(NOTE).map_err(|error| malformed(error.to_string()))?;
-    let catalog = Catalog::default()
-        .apply(&note)
-        .map_err(|conflicts| malformed(format!("{conflicts:?}")))?;
-    let value = serde_json::to_vec(&catalog).map_err(|error| malformed(error.to_string()))?;
-    store
-        .commit(Transaction {
-            when: vec![Compare::Absent(CATALOG_KEY.into())],
-            then: vec![Write::Put {
-                key: CATALOG_KEY.into(),
-                value,
-                lease: None,
-            }],
-            otherwise: Vec::new(),
-        })
-        .await?;
+    let attempt = Attempt::new(note, Revision(0), "demo", 0);
+    let accepted = release::accept(store, attempt).await;
+    if accepted.catalog.is_none() {
+        return Err(malformed(format!("{:?}", accepted.verdict)));
+    }
     Ok(())
 }
 
