Retry, resume or report every fault of a backend server

policy::retry judges each failed attempt: only idempotent or not-run work is sent again, under a retry budget per team, within the deadline, never to the same server but for one new connection when the old one may be at fault. The relay checks request ids, lengths, chunk ends, event order and the end marker; a stream resumes at the next token or ends with an error event. ntex reports a connection that closes before the answer as a failed connect without a cause, so that only other connect errors count as not-run.

--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -2,9 +2,12 @@
 
 use jackdaw_core::outcome::Outcome;
 use jackdaw_core::refusal::Reason;
+use jackdaw_policy::retry::Fault;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 
+use crate::problem::Problem;
+
 /// Counters of refusals, retries and outcomes.
 #[derive(Debug)]
 pub struct Counters {
@@ -33,8 +36,10 @@
         };
         for reason in Reason::ALL {
             let label = KeyValue::new("reason", reason.label());
-            counters.refusals.add(0, std::slice::from_ref(&label));
-            counters.retries.add(0, &[label]);
+            counters.refusals.add(0, &[label]);
+        }
+        for fault in Fault::ALL {
+            counters.retries.add(0, &retry_labels(fault, "elsewhere"));
         }
         counters
     }
@@ -55,9 +60,21 @@
             .add(1, &[KeyValue::new("reason", reason.label())]);
     }
 
-    /// Counts an attempt that is sent again.
-    pub fn retry(&self, reason: Reason) {
-        self.retries
-            .add(1, &[KeyValue::new("reason", reason.label())]);
+    /// Counts a request that was refused or given up, with its outcome.
+    pub(crate) fn refused(&self, problem: &Problem) {
+        self.refusal(problem.reason);
+        self.outcome(problem.outcome());
     }
+
+    /// Counts an attempt that is sent again, to the same server or elsewhere.
+    pub fn retry(&self, fault: Fault, way: &'static str) {
+        self.retries.add(1, &retry_labels(fault, way));
+    }
+}
+
+fn retry_labels(fault: Fault, way: &'static str) -> [KeyValue; 2] {
+    [
+        KeyValue::new("reason", fault.label()),
+        KeyValue::new("way", way),
+    ]
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,18 +3,19 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use jackdaw_core::outcome::Step;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::units::Millis;
-use ntex::client::ClientResponse;
+use jackdaw_policy::retry::{Cause, Connection, Failure, Fault, Request, Verdict};
+use ntex::client::{Client, ClientResponse};
 
 use crate::call::{Call, Destination};
 use crate::event::Event;
-use crate::exchange::{self, Fault};
+use crate::exchange::{self, Bound, Broken};
 use crate::gauge::Guard;
 use crate::link::Links;
 use crate::problem::Problem;
+use crate::share::Share;
 use crate::shared::Shared;
 use crate::snapshot::Target;
 
@@ -22,79 +23,178 @@
 #[derive(Debug)]
 pub(crate) struct Opened {
     pub(crate) answer: ClientResponse,
+    pub(crate) attempt: Attempt,
+}
+
+/// A target that was chosen, and the connection to use.
+#[derive(Debug)]
+pub(crate) struct Attempt {
     pub(crate) target: Target,
+    connection: Connection,
     _guard: Guard,
 }
 
+impl Attempt {
+    fn new(target: Target, connection: Connection) -> Self {
+        let guard = Guard::new(&target.gauge);
+        Attempt {
+            target,
+            connection,
+            _guard: guard,
+        }
+    }
+}
+
 /// Sends one call.
 pub(crate) struct Dispatch {
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: Rc<Call>,
     links: Rc<Links>,
-    tried: Vec<CompactString>,
+    share: Arc<Share>,
+    request: Request,
+    again: Option<Target>,
+    last: Option<Problem>,
 }
 
 impl Dispatch {
     pub(crate) fn new(shared: Arc<Shared>, links: Rc<Links>, call: Rc<Call>) -> Self {
+        let share = shared.shares.of(&call.team.name);
+        share.budget.deposit();
+        let request = Request::new(call.idempotent, call.deadline);
         Dispatch {
             shared,
             call,
             links,
-            tried: Vec::new(),
+            share,
+            request,
+            again: None,
+            last: None,
         }
     }
 
-    /// Opens an answer that starts at a token.
+    /// Opens an answer that starts at a token, with as many attempts as are allowed.
     pub(crate) async fn open(&mut self, resume_at: u64) -> Result<Opened, Problem> {
-        let target = self.choose()?;
-        self.tried.push(target.name.clone());
-        let bound = self.remaining().min(self.shared.options.first_byte_timeout);
-        let client = self.links.pooled(target.address).await.ok_or_else(|| {
-            Problem::new(Reason::ConnectFailed, Step::Connecting, "no client").at(&target.name)
-        })?;
-        let guard = Guard::new(&target.gauge);
-        match exchange::send(&client, &self.call, &target, resume_at, bound).await {
-            Ok(answer) => Ok(Opened {
-                answer,
-                target,
-                _guard: guard,
+        loop {
+            let attempt = self.choose()?;
+            match self.send(&attempt, resume_at).await {
+                Ok(answer) => return Ok(Opened { answer, attempt }),
+                Err(broken) => self.failed(&broken, &attempt)?,
+            }
+        }
+    }
+
+    /// Takes in a failed attempt; an error means that the call is given up.
+    pub(crate) fn failed(&mut self, broken: &Broken, attempt: &Attempt) -> Result<(), Problem> {
+        let target = &attempt.target;
+        let failure = Failure {
+            server: target.name.clone(),
+            step: broken.step,
+            fault: broken.fault,
+            connection: attempt.connection,
+        };
+        if broken.fault != Fault::Refused {
+            self.links.retire(target.address);
+        }
+        if self.request.blames_server(&failure) {
+            self.blame(broken.fault, target);
+        }
+        let now = self.shared.clock.now();
+        let verdict = self.request.judge(&failure, &self.share.budget, now);
+        let problem = self.problem(broken, target);
+        match verdict {
+            Verdict::GiveUp(Cause::Deadline) => Err(Problem {
+                reason: Reason::Deadline,
+                ..problem
             }),
-            Err(fault) => Err(self.failed(&fault, &target)),
+            Verdict::GiveUp(Cause::MayHaveRun | Cause::Budget | Cause::Attempts) => Err(problem),
+            Verdict::Reconnect => {
+                self.shared.counters.retry(broken.fault, "reconnect");
+                self.again = Some(target.clone());
+                Ok(())
+            }
+            Verdict::Elsewhere => {
+                self.shared.counters.retry(broken.fault, "elsewhere");
+                self.last = Some(problem);
+                Ok(())
+            }
         }
     }
 
-    /// Records a fault and returns the problem that it means for the caller.
-    pub(crate) fn failed(&mut self, fault: &Fault, target: &Target) -> Problem {
-        self.links.retire(target.address);
-        let event = match fault.reason {
-            Reason::ConnectFailed => Event::ConnectFailed {
+    /// Records a whole answer.
+    pub(crate) fn answered(&self, attempt: &Attempt) {
+        self.shared.send(Event::Answered {
+            target: attempt.target.name.clone(),
+            digest: self.call.digest,
+        });
+    }
+
+    /// Returns the bound on waiting for the next part of an answer.
+    pub(crate) fn idle_bound(&self) -> Bound {
+        Bound::new(self.shared.options.idle_timeout, self.remaining())
+    }
+
+    fn first_byte_bound(&self) -> Bound {
+        let options = &self.shared.options;
+        let span = match &self.call.destination {
+            // An engine answers a whole completion only after its last token.
+            Destination::Model(_) if !self.call.streamed => options.whole_answer_timeout,
+            Destination::Model(_) | Destination::Service(_) => options.first_byte_timeout,
+        };
+        Bound::new(span, self.remaining())
+    }
+
+    fn remaining(&self) -> Millis {
+        self.call.deadline.since(self.shared.clock.now())
+    }
+
+    async fn send(&self, attempt: &Attempt, resume_at: u64) -> Result<ClientResponse, Broken> {
+        let bound = self.first_byte_bound();
+        let client = self.client(attempt).await?;
+        exchange::send(&client, &self.call, &attempt.target, resume_at, bound).await
+    }
+
+    async fn client(&self, attempt: &Attempt) -> Result<Client, Broken> {
+        let client = match attempt.connection {
+            Connection::New => self.links.fresh().await,
+            Connection::Used => self.links.pooled(attempt.target.address).await,
+        };
+        client.ok_or_else(|| Broken::new(Fault::Unreachable, Step::Routed, "no client"))
+    }
+
+    fn blame(&self, fault: Fault, target: &Target) {
+        let crashed = fault != Fault::Unreachable || self.request.was_cut_off_by(&target.name);
+        let event = if crashed {
+            Event::Broken {
                 target: target.name.clone(),
                 generation: target.generation,
-            },
-            _ => Event::Broken {
+                digest: self.call.digest,
+            }
+        } else {
+            Event::ConnectFailed {
                 target: target.name.clone(),
                 generation: target.generation,
-                digest: self.call.digest,
-            },
+            }
         };
         self.shared.send(event);
-        Problem::new(fault.reason, fault.step, &fault.detail).at(&target.name)
     }
 
-    /// Records a whole answer.
-    pub(crate) fn answered(&self, target: &Target) {
-        self.shared.send(Event::Answered {
-            target: target.name.clone(),
-            digest: self.call.digest,
-        });
+    fn problem(&self, broken: &Broken, target: &Target) -> Problem {
+        let step = self.request.furthest();
+        Problem::new(broken.fault.reason(), step, &broken.detail).at(&target.name)
     }
 
-    /// Returns the time until the deadline.
-    pub(crate) fn remaining(&self) -> Millis {
-        self.call.deadline.since(self.shared.clock.now())
+    fn choose(&mut self) -> Result<Attempt, Problem> {
+        if let Some(target) = self.again.take() {
+            return Ok(Attempt::new(target, Connection::New));
+        }
+        // A call that may not be repeated cannot survive the loss of a used connection.
+        let connection = exchange::connection(!self.call.idempotent);
+        let target = self.route();
+        let target = target.ok_or_else(|| self.no_server())?;
+        Ok(Attempt::new(target, connection))
     }
 
-    fn choose(&self) -> Result<Target, Problem> {
+    fn route(&self) -> Option<Target> {
         let snapshot = self.shared.snapshot.load();
         let targets = match &self.call.destination {
             Destination::Model(name) => snapshot.models.get(name),
@@ -103,12 +203,16 @@
         targets
             .into_iter()
             .flatten()
-            .filter(|target| !self.tried.contains(&target.name))
+            .filter(|target| self.request.may_try(&target.name))
             .min_by_key(|target| target.gauge.in_flight())
             .cloned()
-            .ok_or_else(|| {
-                let detail = "no whole replica group or backend server is known";
-                Problem::new(Reason::NoServer, Step::Admitted, detail)
-            })
+    }
+
+    /// Returns the problem when no target is left; an earlier failure tells more.
+    fn no_server(&mut self) -> Problem {
+        self.last.take().unwrap_or_else(|| {
+            let detail = "no whole replica group or live backend server is known";
+            Problem::new(Reason::NoServer, Step::Admitted, detail)
+        })
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,52 +1,80 @@
 //! One exchange with one target.
 
 use jackdaw_core::outcome::Step;
-use jackdaw_core::refusal::Reason;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::retry::{Connection, Fault};
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientResponse};
+use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{Method, StatusCode};
 use ntex::time;
+use ntex::util::{Bytes, stream_recv};
 
 use crate::call::{Call, Destination};
 use crate::snapshot::Target;
 
 /// Header by which a backend server ties its answer to the request.
 const REQUEST_ID: &str = "x-request-id";
+/// Header that carries the priority of a request.
 const PRIORITY: &str = "x-priority";
+/// Header that carries the first token wanted of a stream.
 const RESUME_AT: &str = "x-resume-at";
+/// Header that names the replica group that a request is meant for.
 const GROUP: &str = "x-jackdaw-group";
+/// Header that carries the generation of that group.
 const GENERATION: &str = "x-jackdaw-generation";
 
 /// Why an exchange brought no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Fault {
-    pub(crate) reason: Reason,
+pub(crate) struct Broken {
+    pub(crate) fault: Fault,
     pub(crate) step: Step,
     pub(crate) detail: String,
-    /// Whether nothing at all came back in time.
-    pub(crate) silent: bool,
 }
 
-impl Fault {
-    pub(crate) fn new(reason: Reason, step: Step, detail: impl ToString) -> Self {
-        Fault {
-            reason,
+impl Broken {
+    pub(crate) fn new(fault: Fault, step: Step, detail: impl ToString) -> Self {
+        Broken {
+            fault,
             step,
             detail: detail.to_string(),
-            silent: false,
         }
     }
 
-    pub(crate) fn silent(step: Step, bound: Millis) -> Self {
-        Fault {
-            reason: Reason::Broken,
-            step,
-            detail: format!("nothing came for {bound}"),
-            silent: true,
+    pub(crate) fn invalid(detail: impl ToString) -> Self {
+        Broken::new(Fault::Invalid, Step::Answering, detail)
+    }
+}
+
+/// How long to wait, and what it means when nothing came by then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Bound {
+    span: Millis,
+    fault: Fault,
+}
+
+impl Bound {
+    /// Returns the shorter of a span and the time until the deadline.
+    pub(crate) fn new(span: Millis, remaining: Millis) -> Self {
+        if remaining < span {
+            return Bound {
+                span: remaining,
+                fault: Fault::Deadline,
+            };
+        }
+        Bound {
+            span,
+            fault: Fault::Silent,
         }
     }
+
+    fn broken(self, step: Step) -> Broken {
+        let detail = match self.fault {
+            Fault::Deadline => "the deadline passed".to_owned(),
+            _ => format!("nothing came for {}", self.span),
+        };
+        Broken::new(self.fault, step, detail)
+    }
 }
 
 /// Sends a call to a target and returns the checked head of the answer.
@@ -55,31 +83,39 @@
     call: &Call,
     target: &Target,
     resume_at: u64,
-    bound: Millis,
-) -> Result<ClientResponse, Fault> {
+    bound: Bound,
+) -> Result<ClientResponse, Broken> {
     let request = request(client, call, target, resume_at);
-    let sent = time::timeout(span(bound), request.send_body(call.body.clone())).await;
+    let sent = time::timeout(span(bound.span), request.send_body(call.body.clone())).await;
     let answer = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return Err(send_fault(&error)),
-        Err(()) => return Err(Fault::silent(Step::Written, bound)),
+        Err(()) => return Err(bound.broken(Step::Written)),
     };
     check_head(call, &answer)?;
     Ok(answer)
 }
 
+/// Receives the next part of an answer's body; `None` means that it ended as announced.
+pub(crate) async fn receive(
+    answer: &mut ClientResponse,
+    bound: Bound,
+) -> Result<Option<Bytes>, Broken> {
+    match time::timeout(span(bound.span), stream_recv(answer)).await {
+        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
+        Ok(Some(Err(error))) => Err(Broken::new(Fault::Closed, Step::Answering, error)),
+        Ok(None) => Ok(None),
+        Err(()) => Err(bound.broken(Step::Answering)),
+    }
+}
+
 /// Returns a span in the unit of the HTTP library.
 pub(crate) fn span(span: Millis) -> time::Millis {
     // Zero would mean no bound at all.
     time::Millis(u32::try_from(span.0.max(1)).unwrap_or(u32::MAX))
 }
 
-fn request(
-    client: &Client,
-    call: &Call,
-    target: &Target,
-    resume_at: u64,
-) -> ntex::client::ClientRequest {
+fn request(client: &Client, call: &Call, target: &Target, resume_at: u64) -> ClientRequest {
     let url = format!("http://{}{}", target.address, call.path);
     let mut request = client.request(call.method.clone(), url).no_decompress();
     for (name, value) in &call.headers {
@@ -99,50 +135,70 @@
     request
 }
 
-fn send_fault(error: &ClientError) -> Fault {
-    match error {
-        // The library reports a connection that closes before the answer in the same way as
-        // one that could not be used, so that only the other kinds prove that nothing was sent.
-        ClientError::Connect(ConnectError::Disconnected(None)) => {
-            Fault::new(Reason::Broken, Step::Written, "connection closed")
-        }
-        ClientError::Connect(error) => Fault::new(Reason::ConnectFailed, Step::Connecting, error),
+fn send_fault(error: &ClientError) -> Broken {
+    let (fault, step) = match error {
+        // The library reports a connection that closes before the answer as a kind of failed
+        // connect, so that only the other kinds prove that nothing was sent.
+        ClientError::Connect(ConnectError::Disconnected(None)) => (Fault::Closed, Step::Written),
+        ClientError::Connect(_) => (Fault::Unreachable, Step::Connecting),
         ClientError::Url(_) | ClientError::Http(_) | ClientError::TunnelNotSupported => {
-            Fault::new(Reason::Malformed, Step::Routed, error)
+            (Fault::Unreachable, Step::Routed)
         }
-        ClientError::Response(_) => Fault::new(Reason::AnswerInvalid, Step::Written, error),
+        ClientError::Response(_) => (Fault::Invalid, Step::Answering),
         ClientError::Send(_)
         | ClientError::Request(_)
         | ClientError::H2(_)
         | ClientError::Timeout
-        | ClientError::Error(_) => Fault::new(Reason::Broken, Step::Written, error),
-    }
+        | ClientError::Error(_) => (Fault::Closed, Step::Written),
+    };
+    Broken::new(fault, step, error)
 }
 
-fn check_head(call: &Call, answer: &ClientResponse) -> Result<(), Fault> {
-    let invalid = |detail: &str| Err(Fault::new(Reason::AnswerInvalid, Step::Answering, detail));
+fn check_head(call: &Call, answer: &ClientResponse) -> Result<(), Broken> {
+    if is_refused(call, answer.status()) {
+        let detail = format!(
+            "the engine refused with status {}",
+            answer.status().as_u16()
+        );
+        return Err(Broken::new(Fault::Refused, Step::Written, detail));
+    }
     let echoed = answer.headers().get(REQUEST_ID);
     match echoed.and_then(|value| value.to_str().ok()) {
         Some(id) if id == call.id => {}
-        Some(_) => return invalid("the answer belongs to another request"),
-        // A target that refuses before it reads the request need not name it.
-        None if is_refusal(answer.status()) => {}
-        None => return invalid("the answer names no request"),
+        Some(_) => return Err(Broken::invalid("the answer belongs to another request")),
+        None => return Err(Broken::invalid("the answer names no request")),
     }
-    let empty = call.method == Method::HEAD
-        || answer.status() == StatusCode::NO_CONTENT
-        || answer.status() == StatusCode::NOT_MODIFIED;
-    let framed = answer.headers().contains_key(CONTENT_LENGTH)
-        || answer.headers().contains_key(TRANSFER_ENCODING);
-    if !empty && !framed {
-        return invalid("the answer has neither a length nor chunks");
+    if !has_body(call, answer) {
+        return Ok(());
     }
-    Ok(())
+    let headers = answer.headers();
+    if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        return Ok(());
+    }
+    Err(Broken::invalid(
+        "the answer has neither a length nor chunks",
+    ))
+}
+
+/// Returns whether a model engine refused to take the request.
+fn is_refused(call: &Call, status: StatusCode) -> bool {
+    matches!(call.destination, Destination::Model(_))
+        && (status == StatusCode::CONFLICT
+            || status == StatusCode::SERVICE_UNAVAILABLE
+            || status == StatusCode::TOO_MANY_REQUESTS)
 }
 
-/// Returns whether a status means that the target refused to start.
-pub(crate) fn is_refusal(status: StatusCode) -> bool {
-    status == StatusCode::CONFLICT
-        || status == StatusCode::SERVICE_UNAVAILABLE
-        || status == StatusCode::TOO_MANY_REQUESTS
+fn has_body(call: &Call, answer: &ClientResponse) -> bool {
+    call.method != Method::HEAD
+        && answer.status() != StatusCode::NO_CONTENT
+        && answer.status() != StatusCode::NOT_MODIFIED
+}
+
+/// Returns how a connection counts for the one that failed on it.
+pub(crate) fn connection(fresh: bool) -> Connection {
+    if fresh {
+        Connection::New
+    } else {
+        Connection::Used
+    }
 }
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -211,11 +211,14 @@
 async fn forward(worker: &Worker, call: Call, pass: Pass) -> Result<HttpResponse, Problem> {
     let streamed = call.streamed;
     let shared = Arc::clone(&worker.shared);
-    let mut dispatch = Dispatch::new(shared, Rc::clone(&worker.links), Rc::new(call));
+    let call = Rc::new(call);
+    let mut dispatch = Dispatch::new(shared, Rc::clone(&worker.links), Rc::clone(&call));
     if streamed {
         return stream::relay(dispatch, pass).await;
     }
-    whole::relay(&mut dispatch).await
+    let answer = whole::relay(&mut dispatch).await?;
+    worker.shared.counters.outcome(Outcome::Completed);
+    Ok(answer.response(&call.id))
 }
 
 fn enter(shared: &Shared) -> Result<Pass, Problem> {
@@ -251,8 +254,7 @@
     match answer {
         Ok(response) => response,
         Err(problem) => {
-            shared.counters.refusal(problem.reason);
-            shared.counters.outcome(problem.outcome());
+            shared.counters.refused(&problem);
             problem.response(id)
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,8 @@
 mod head;
 mod link;
 mod problem;
+mod sequence;
+mod share;
 mod sse;
 mod stream;
 mod whole;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::counter::Counters;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::share::Shares;
 use crate::snapshot::Snapshot;
 
 /// Bounds of the callers' data path.
@@ -37,7 +38,9 @@
     pub unread_timeout: Millis,
     /// Longest time for opening a connection to a backend server.
     pub connect_timeout: Millis,
-    /// Longest time until the first byte of an answer.
+    /// Longest time until the whole answer of a completion that is not streamed begins.
+    pub whole_answer_timeout: Millis,
+    /// Longest time until the first byte of any other answer.
     pub first_byte_timeout: Millis,
     /// Longest time between two parts of an answer.
     pub idle_timeout: Millis,
@@ -57,6 +60,7 @@
             body_timeout: Millis::from_secs(20),
             unread_timeout: Millis::from_secs(30),
             connect_timeout: Millis(1_000),
+            whole_answer_timeout: Millis::from_secs(60),
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             longest_deadline: Millis::from_secs(600),
@@ -82,6 +86,7 @@
     pub counters: Counters,
     /// Requests in flight, and whether new ones are taken.
     pub drain: Drain,
+    pub(crate) shares: Shares,
 }
 
 impl Shared {
@@ -105,6 +110,7 @@
             options,
             counters: Counters::new(meter),
             drain: Drain::default(),
+            shares: Shares::default(),
         }
     }
 
--- a/crates/entry/src/sse.rs
+++ b/crates/entry/src/sse.rs
@@ -4,14 +4,14 @@
 
 /// Text that ends a stream of completions.
 const DONE: &[u8] = b"[DONE]";
-/// Largest event.
+/// Largest event in bytes.
 const LARGEST_EVENT: usize = 1 << 20;
 
 /// One event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
-    /// Data of an event, as it came and without the field's name.
-    Data(Bytes),
+    /// Data of an event, with its number if the server numbers its events.
+    Data(Option<u64>, Bytes),
     /// The marker that ends the stream.
     Done,
 }
@@ -36,7 +36,7 @@
     pub(crate) fn next(&mut self) -> Result<Option<Event>, TooLarge> {
         while let Some((length, gap)) = find_end(&self.buffer) {
             let text = self.buffer.split_to(length + gap);
-            if let Some(event) = event(&text.slice(..length)) {
+            if let Some(event) = event(&text[..length]) {
                 return Ok(Some(event));
             }
         }
@@ -45,42 +45,49 @@
         }
         Ok(None)
     }
-
-    /// Returns whether bytes of an unfinished event wait.
-    pub(crate) fn is_partial(&self) -> bool {
-        !self.buffer.is_empty()
-    }
 }
 
 /// Returns the length of the first event and of the empty line after it.
 fn find_end(bytes: &[u8]) -> Option<(usize, usize)> {
-    let line_feeds = bytes.windows(2).position(|pair| pair == b"\n\n");
-    let both = bytes.windows(4).position(|four| four == b"\r\n\r\n");
-    match (line_feeds, both) {
-        (Some(short), Some(long)) if long < short => Some((long, 4)),
-        (Some(short), _) => Some((short, 2)),
-        (None, Some(long)) => Some((long, 4)),
-        (None, None) => None,
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        match &bytes[index + 1..] {
+            [b'\n', ..] => return Some((index, 2)),
+            [b'\r', b'\n', ..] => return Some((index, 3)),
+            _ => {}
+        }
     }
+    None
 }
 
 /// Returns the event in some lines, or `None` for lines without data, such as comments.
-fn event(lines: &Bytes) -> Option<Event> {
+fn event(lines: &[u8]) -> Option<Event> {
     let mut data: Option<Bytes> = None;
+    let mut number = None;
     for line in lines.split(|byte| *byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
-        let Some(value) = line.strip_prefix(b"data:") else {
-            continue;
-        };
-        let value = value.strip_prefix(b" ").unwrap_or(value);
-        data = Some(match data {
-            None => Bytes::copy_from_slice(value),
-            Some(before) => Bytes::from([&before[..], b"\n", value].concat()),
-        });
+        if let Some(value) = field(line, b"id:") {
+            number = str::from_utf8(value)
+                .ok()
+                .and_then(|text| text.parse().ok());
+        }
+        if let Some(value) = field(line, b"data:") {
+            data = Some(match data {
+                None => Bytes::copy_from_slice(value),
+                Some(before) => Bytes::from([&before[..], b"\n", value].concat()),
+            });
+        }
     }
     let data = data?;
     if &data[..] == DONE {
         return Some(Event::Done);
     }
-    Some(Event::Data(data))
+    Some(Event::Data(number, data))
+}
+
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = line.strip_prefix(name)?;
+    Some(value.strip_prefix(b" ").unwrap_or(value))
 }
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -8,8 +8,8 @@
 
 #[test]
 fn a_whole_answer_passes() {
-    let backend = Backend::start(&[]);
-    let node = Node::start(options(), &[backend.address]);
+    let backend = Backend::start(1, &[]);
+    let node = Node::start(options(), &backend.addresses);
     let reply = Ask::whole().send(node.address());
     assert_eq!(reply.status, 200);
     assert_eq!(reply.body, r#"{"ok":true}"#);
@@ -22,9 +22,9 @@
 
 #[test]
 fn a_stream_passes() {
-    let script = vec![Act::Write(STREAM), Act::Tokens(0, 3), Act::Write(DONE)];
-    let backend = Backend::start(&[script]);
-    let node = Node::start(options(), &[backend.address]);
+    let script = vec![Act::Write(STREAM), Act::Tokens(3), Act::Write(DONE)];
+    let backend = Backend::start(1, &[script]);
+    let node = Node::start(options(), &backend.addresses);
     let reply = Ask::streamed().send(node.address());
     assert_eq!(reply.status, 200);
     assert_eq!(reply.tokens(), [0, 1, 2]);
--- a/crates/entry/tests/support/backend.rs
+++ b/crates/entry/tests/support/backend.rs
@@ -16,18 +16,18 @@
 pub enum Act {
     /// Writes text.
     Write(&'static str),
+    /// Writes an event as one chunk.
+    Event(&'static str),
     /// Writes a text many times.
     Repeat(&'static str, usize),
-    /// Writes the events of tokens from one number up to another, from the resume offset on.
-    Tokens(u64, u64),
+    /// Writes the events of tokens up to a number, from the resume offset on.
+    Tokens(u64),
     /// Waits until the other side closes the connection.
     Hang,
     /// Waits until the test releases the backend server.
     Wait,
     /// Closes the connection with everything unread thrown away.
     Close,
-    /// Closes the listener, so that nobody can connect any more.
-    Deafen,
 }
 
 /// The steps that answer one request; `Close` before reading is a step as well.
@@ -36,7 +36,9 @@
 /// A request that arrived.
 #[derive(Clone, Debug)]
 pub struct Request {
-    /// Number of the connection, from zero.
+    /// Number of the server, from zero.
+    pub server: usize,
+    /// Number of the connection to the server, from zero.
     pub connection: usize,
     /// Head in lower case.
     pub head: String,
@@ -59,12 +61,13 @@
     requests: Sender<Request>,
     closed: Sender<usize>,
     release: Mutex<Receiver<()>>,
-    deaf: Mutex<bool>,
 }
 
-/// A backend server that follows a script; without one it answers whole.
+/// Backend servers that follow one list of scripts, in the order in which requests come.
+///
+/// Without a script a server answers whole.
 pub struct Backend {
-    pub address: SocketAddr,
+    pub addresses: Vec<SocketAddr>,
     inner: Arc<Inner>,
     arrived: Receiver<Request>,
     closed: Receiver<usize>,
@@ -72,9 +75,7 @@
 }
 
 impl Backend {
-    pub fn start(scripts: &[Script]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-        let address = listener.local_addr().expect("address");
+    pub fn start(servers: usize, scripts: &[Script]) -> Self {
         let (requests, arrived) = channel();
         let (closed_sender, closed) = channel();
         let (release, released) = channel();
@@ -83,12 +84,10 @@
             requests,
             closed: closed_sender,
             release: Mutex::new(released),
-            deaf: Mutex::new(false),
         });
-        let accepting = Arc::clone(&inner);
-        thread::spawn(move || accept(&listener, &accepting));
+        let addresses = (0..servers).map(|server| listen(server, &inner)).collect();
         Backend {
-            address,
+            addresses,
             inner,
             arrived,
             closed,
@@ -96,6 +95,11 @@
         }
     }
 
+    /// Adds a script for a later request.
+    pub fn then(&self, script: Script) {
+        self.inner.scripts.lock().expect("lock").push_back(script);
+    }
+
     /// Returns an address at which nothing listens.
     pub fn nowhere() -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -125,21 +129,25 @@
     }
 }
 
-fn accept(listener: &TcpListener, inner: &Arc<Inner>) {
-    for (connection, stream) in listener.incoming().enumerate() {
-        let Ok(stream) = stream else { return };
-        if *inner.deaf.lock().expect("lock") {
-            drop(stream);
-            return;
+fn listen(server: usize, inner: &Arc<Inner>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let inner = Arc::clone(inner);
+    thread::spawn(move || {
+        for (connection, stream) in listener.incoming().enumerate() {
+            let Ok(stream) = stream else { return };
+            let inner = Arc::clone(&inner);
+            thread::spawn(move || serve(server, connection, &stream, &inner));
         }
-        let inner = Arc::clone(inner);
-        thread::spawn(move || serve(connection, &stream, &inner));
-    }
+    });
+    address
 }
 
-fn serve(connection: usize, stream: &TcpStream, inner: &Inner) {
+fn serve(server: usize, connection: usize, stream: &TcpStream, inner: &Inner) {
     let mut reader = BufReader::new(stream);
-    while let Some(request) = read(connection, &mut reader) {
+    while let Some(mut request) = read(&mut reader) {
+        request.server = server;
+        request.connection = connection;
         let script = inner.scripts.lock().expect("lock").pop_front();
         let script = script.unwrap_or_else(|| vec![Act::Write(WHOLE)]);
         let _ = inner.requests.send(request.clone());
@@ -164,14 +172,13 @@
     let id = request.header("x-request-id").unwrap_or_default();
     match act {
         Act::Write(text) => write(stream, text.replace("{id}", id).as_bytes()),
+        Act::Event(text) => write(stream, chunk(&text.replace("{id}", id)).as_bytes()),
         Act::Repeat(text, times) => write(stream, text.repeat(*times).as_bytes()),
-        Act::Tokens(from, to) => {
+        Act::Tokens(end) => {
             let resume = request.header("x-resume-at").and_then(|at| at.parse().ok());
-            let from = resume.map_or(*from, |at: u64| at.max(*from));
-            (from..*to).all(|token| {
+            (resume.unwrap_or(0)..*end).all(|token: u64| {
                 let event = format!("data: {{\"id\":\"{id}\",\"token\":{token}}}\n\n");
-                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                write(stream, chunk.as_bytes())
+                write(stream, chunk(&event).as_bytes())
             })
         }
         Act::Hang => {
@@ -185,18 +192,18 @@
             let _ = stream.shutdown(Shutdown::Both);
             false
         }
-        Act::Deafen => {
-            *inner.deaf.lock().expect("lock") = true;
-            true
-        }
     }
 }
 
+fn chunk(event: &str) -> String {
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 fn write(mut stream: &TcpStream, bytes: &[u8]) -> bool {
     stream.write_all(bytes).is_ok()
 }
 
-fn read(connection: usize, reader: &mut BufReader<&TcpStream>) -> Option<Request> {
+fn read(reader: &mut BufReader<&TcpStream>) -> Option<Request> {
     let mut head = String::new();
     loop {
         let mut line = String::new();
@@ -209,7 +216,8 @@
         head.push_str(&line);
     }
     let mut request = Request {
-        connection,
+        server: 0,
+        connection: 0,
         head: head
             .lines()
             .map(|line| match line.split_once(": ") {
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,228 @@
+//! Tables and seeded sequences of failed attempts.
+
+use jackdaw_core::outcome::{Outcome, Step};
+use jackdaw_core::time::Instant;
+use jackdaw_policy::retry::{Budget, Cause, Connection, Failure, Fault, Request, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rstest::rstest;
+
+const DEADLINE: Instant = Instant(1_000);
+
+struct Case {
+    idempotent: bool,
+    step: Step,
+    fault: Fault,
+    connection: Connection,
+    now: Instant,
+    verdict: Verdict,
+    blamed: bool,
+}
+
+fn case(step: Step, fault: Fault, connection: Connection, verdict: Verdict, blamed: bool) -> Case {
+    Case {
+        idempotent: true,
+        step,
+        fault,
+        connection,
+        now: Instant(0),
+        verdict,
+        blamed,
+    }
+}
+
+fn once(step: Step, fault: Fault, connection: Connection, verdict: Verdict, blamed: bool) -> Case {
+    Case {
+        idempotent: false,
+        ..case(step, fault, connection, verdict, blamed)
+    }
+}
+
+fn failure(server: &str, step: Step, fault: Fault, connection: Connection) -> Failure {
+    Failure {
+        server: server.into(),
+        step,
+        fault,
+        connection,
+    }
+}
+
+const MAY_HAVE_RUN: Verdict = Verdict::GiveUp(Cause::MayHaveRun);
+
+#[rstest]
+#[case::unreachable(case(
+    Step::Connecting,
+    Fault::Unreachable,
+    Connection::New,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::lost_connection(case(
+    Step::Written,
+    Fault::Silent,
+    Connection::Used,
+    Verdict::Reconnect,
+    false
+))]
+#[case::silent_server(case(
+    Step::Written,
+    Fault::Silent,
+    Connection::New,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::silent_midway(case(
+    Step::Answering,
+    Fault::Silent,
+    Connection::New,
+    Verdict::Reconnect,
+    false
+))]
+#[case::stale_connection(case(
+    Step::Written,
+    Fault::Closed,
+    Connection::Used,
+    Verdict::Reconnect,
+    false
+))]
+#[case::crash(case(
+    Step::Written,
+    Fault::Closed,
+    Connection::New,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::crash_midway(case(
+    Step::Answering,
+    Fault::Closed,
+    Connection::Used,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::foreign_answer(case(
+    Step::Answering,
+    Fault::Invalid,
+    Connection::Used,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::old_generation(case(
+    Step::Written,
+    Fault::Refused,
+    Connection::Used,
+    Verdict::Elsewhere,
+    false
+))]
+#[case::once_unreachable(once(
+    Step::Connecting,
+    Fault::Unreachable,
+    Connection::New,
+    Verdict::Elsewhere,
+    true
+))]
+#[case::once_written(once(Step::Written, Fault::Closed, Connection::New, MAY_HAVE_RUN, true))]
+#[case::once_silent(once(Step::Written, Fault::Silent, Connection::Used, MAY_HAVE_RUN, false))]
+#[case::once_answering(once(Step::Answering, Fault::Closed, Connection::New, MAY_HAVE_RUN, true))]
+#[case::late(Case {
+    now: DEADLINE,
+    ..case(Step::Connecting, Fault::Unreachable, Connection::New, Verdict::GiveUp(Cause::Deadline), true)
+})]
+#[case::deadline_while_waiting(case(
+    Step::Written,
+    Fault::Deadline,
+    Connection::New,
+    Verdict::GiveUp(Cause::Deadline),
+    false
+))]
+fn the_first_failure_is_judged(#[case] case: Case) {
+    let mut request = Request::new(case.idempotent, DEADLINE);
+    let failure = failure("a", case.step, case.fault, case.connection);
+    assert_eq!(request.blames_server(&failure), case.blamed);
+    let verdict = request.judge(&failure, &Budget::default(), case.now);
+    assert_eq!(verdict, case.verdict);
+    assert_eq!(request.furthest(), case.step);
+}
+
+#[test]
+fn a_server_that_stays_silent_on_a_new_connection_is_blamed_and_left() {
+    let mut request = Request::new(true, DEADLINE);
+    let budget = Budget::default();
+    let first = failure("a", Step::Written, Fault::Silent, Connection::Used);
+    assert_eq!(
+        request.judge(&first, &budget, Instant(0)),
+        Verdict::Reconnect
+    );
+    let second = failure("a", Step::Answering, Fault::Silent, Connection::New);
+    assert!(request.blames_server(&second));
+    assert_eq!(
+        request.judge(&second, &budget, Instant(1)),
+        Verdict::Elsewhere
+    );
+    assert!(!request.may_try("a"));
+}
+
+#[test]
+fn an_earlier_written_attempt_keeps_the_outcome_unknown() {
+    let mut request = Request::new(true, DEADLINE);
+    let budget = Budget::default();
+    let written = failure("a", Step::Written, Fault::Closed, Connection::New);
+    let unreachable = failure("b", Step::Connecting, Fault::Unreachable, Connection::New);
+    request.judge(&written, &budget, Instant(0));
+    request.judge(&unreachable, &budget, Instant(1));
+    assert_eq!(request.furthest().outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn retries_stay_a_fifth_of_the_requests_once_the_reserve_is_spent() {
+    let budget = Budget::default();
+    let reserve = budget.left();
+    let retries = (0..1_000)
+        .filter(|_| {
+            budget.deposit();
+            budget.withdraw()
+        })
+        .count();
+    assert!(retries <= 1_000 / 5 + reserve as usize, "{retries}");
+}
+
+fn failures() -> impl Strategy<Value = Vec<Failure>> {
+    let steps = prop::sample::select(vec![Step::Connecting, Step::Written, Step::Answering]);
+    let faults = prop::sample::select(Fault::ALL.to_vec());
+    let connections = prop::sample::select(vec![Connection::New, Connection::Used]);
+    let one =
+        (0..5_u8, steps, faults, connections).prop_map(|(server, step, fault, connection)| {
+            failure(&server.to_string(), step, fault, connection)
+        });
+    prop::collection::vec(one, 1..8)
+}
+
+#[test]
+fn no_sequence_repeats_work_that_may_have_run_or_a_server() {
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    runner
+        .run(&(any::<bool>(), failures()), |(idempotent, failures)| {
+            let mut request = Request::new(idempotent, DEADLINE);
+            let budget = Budget::default();
+            let mut retries = 0;
+            for failure in failures {
+                let verdict = request.judge(&failure, &budget, Instant(0));
+                prop_assert!(!request.may_try(&failure.server));
+                prop_assert!(request.furthest() >= failure.step);
+                if let Verdict::GiveUp(_) = verdict {
+                    break;
+                }
+                retries += 1;
+                let not_run = request.furthest().outcome() == Outcome::NotRun;
+                prop_assert!(idempotent || not_run);
+            }
+            prop_assert!(retries < 4);
+            Ok(())
+        })
+        .expect("every sequence keeps the rules");
+}
