--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,91 @@
+//! Answers requests whose head or body breaks the rules of HTTP or the node's limits.
+
+use std::io;
+use std::sync::Arc;
+
+use jackdaw_core::outcome::Step;
+use jackdaw_core::refusal::Reason as Refusal;
+use ntex::SharedCfg;
+use ntex::http::error::DecodeError;
+use ntex::http::h1::control::Reason;
+use ntex::http::h1::{Control, ControlAck, ProtocolError};
+use ntex::http::{ConnectionType, ResponseError};
+use ntex::io::Filter;
+use ntex::service::{Service, ServiceCtx, ServiceFactory};
+
+use crate::head;
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+/// Takes control messages of one worker's connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Controller {
+    shared: Arc<Shared>,
+}
+
+impl Controller {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Controller { shared }
+    }
+
+    fn answer<F: Filter, E: ResponseError>(&self, control: Control<F, E>) -> ControlAck<F> {
+        let Control::Disconnect(Reason::ProtocolError(error)) = control else {
+            return control.ack();
+        };
+        let Some(problem) = problem(error.err()) else {
+            return error.ack();
+        };
+        self.shared.counters.refused(&problem);
+        let id = head::request_id(&self.shared);
+        let mut response = problem.response(&id);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+        error.fail_with(response)
+    }
+}
+
+impl<F: Filter, E: ResponseError> ServiceFactory<Control<F, E>, SharedCfg> for Controller {
+    type Response = ControlAck<F>;
+    type Error = io::Error;
+    type Service = Controller;
+    type InitError = io::Error;
+
+    async fn create(&self, _: SharedCfg) -> io::Result<Controller> {
+        Ok(self.clone())
+    }
+}
+
+impl<F: Filter, E: ResponseError> Service<Control<F, E>> for Controller {
+    type Response = ControlAck<F>;
+    type Error = io::Error;
+
+    /// Answers a control message; only broken requests differ from the library's own answers.
+    async fn call(
+        &self,
+        control: Control<F, E>,
+        _: ServiceCtx<'_, Self>,
+    ) -> io::Result<ControlAck<F>> {
+        Ok(self.answer(control))
+    }
+}
+
+fn problem(error: &ProtocolError) -> Option<Problem> {
+    let (reason, detail) = match error {
+        ProtocolError::Decode(DecodeError::MaxHeaders | DecodeError::TooLarge(_)) => (
+            Refusal::TooLarge,
+            "the head has too many or too large headers".to_owned(),
+        ),
+        ProtocolError::Decode(error) => (Refusal::Malformed, error.to_string()),
+        ProtocolError::SlowRequestTimeout => (
+            Refusal::Deadline,
+            "the head did not come in time".to_owned(),
+        ),
+        ProtocolError::SlowPayloadTimeout => (
+            Refusal::Deadline,
+            "the body did not come in time".to_owned(),
+        ),
+        ProtocolError::Encode(_) | ProtocolError::ResponsePayload(_) => return None,
+    };
+    Some(Problem::new(reason, Step::Received, detail))
+}
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -43,6 +43,16 @@
     format_compact!("{}-{started:x}-{sequence:x}", shared.node)
 }
 
+/// Checks the number of headers, which the HTTP library only bounds together with their size.
+pub(crate) fn check(headers: &HeaderMap, options: &Options) -> Result<(), Problem> {
+    let count = headers.iter().count();
+    if count <= options.request_headers {
+        return Ok(());
+    }
+    let detail = format!("the head has {count} headers");
+    Err(Problem::new(Reason::TooLarge, Step::Received, detail))
+}
+
 /// Returns the moment until which a request must be answered.
 pub(crate) fn deadline(
     headers: &HeaderMap,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod auth;
 mod call;
+mod control;
 mod dispatch;
 mod exchange;
 mod handler;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,12 +7,14 @@
 use std::thread;
 
 use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
+use ntex::http::{HttpService, HttpServiceConfig};
+use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::Seconds;
-use ntex::web::{self, App, HttpServer};
+use ntex::web::{self, App};
 use tokio::sync::oneshot;
 
+use crate::control::Controller;
 use crate::handler::{self, Worker};
 use crate::link::Links;
 use crate::shared::{Options, Shared};
@@ -87,22 +89,24 @@
 
 fn listen(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Handle> {
     let options = shared.options;
-    let server = HttpServer::new(async move || {
-        let worker = Worker {
-            shared: Arc::clone(&shared),
-            links: Rc::new(Links::new(&shared.options)),
-        };
-        App::new()
-            .state(worker)
-            .configure(handler::routes)
-            .default_service(web::to(handler::unknown))
-    })
-    .workers(options.workers)
-    .disable_signals()
-    .shutdown_timeout(SHUTDOWN_TIMEOUT)
-    .config(config(&options))
-    .listen(listener)?
-    .run();
+    let server = ntex::server::build()
+        .workers(options.workers)
+        .disable_signals()
+        .shutdown_timeout(SHUTDOWN_TIMEOUT)
+        .listen("entry", listener, async move |_| {
+            let controller = Controller::new(Arc::clone(&shared));
+            let worker = Worker {
+                shared: Arc::clone(&shared),
+                links: Rc::new(Links::new(&shared.options)),
+            };
+            let app = App::new()
+                .state(worker)
+                .configure(handler::routes)
+                .default_service(web::to(handler::unknown));
+            HttpService::new(app).h1_control(controller)
+        })?
+        .config("entry", config(&options))
+        .run();
     Ok(server)
 }
 
@@ -114,5 +118,7 @@
         .set_max_buf_size(usize::try_from(options.request_head.0).unwrap_or(usize::MAX))
         .set_headers_read_rate(head, head, u32::MAX)
         .set_keepalive_timeout(Seconds(75));
-    SharedCfg::new("ENTRY").add(http).into()
+    // An answer that was finished is not cut off while its caller still reads.
+    let io = IoConfig::new().set_disconnect_timeout(SHUTDOWN_TIMEOUT);
+    SharedCfg::new("ENTRY").add(http).add(io).into()
 }
--- a/crates/entry/tests/support/backend.rs
+++ b/crates/entry/tests/support/backend.rs
@@ -116,7 +116,7 @@
         self.arrived.try_iter().collect()
     }
 
-    /// Waits until the node closes a connection on which the script hangs.
+    /// Waits until a connection closes before its script ends, or because the script hangs.
     pub fn hung_up(&self) -> usize {
         self.closed
             .recv_timeout(PATIENCE)
@@ -151,10 +151,12 @@
         let script = inner.scripts.lock().expect("lock").pop_front();
         let script = script.unwrap_or_else(|| vec![Act::Write(WHOLE)]);
         let _ = inner.requests.send(request.clone());
-        for act in script {
-            if !perform(&act, &request, stream, inner) {
-                return;
-            }
+        let finished = script
+            .iter()
+            .all(|act| perform(act, &request, stream, inner));
+        if !finished {
+            let _ = inner.closed.send(connection);
+            return;
         }
     }
 }
@@ -184,7 +186,6 @@
         Act::Hang => {
             let mut rest = Vec::new();
             let _ = stream.read_to_end(&mut rest);
-            let _ = inner.closed.send(request.connection);
             false
         }
         Act::Wait => inner.release.lock().expect("lock").recv().is_ok(),
