Run calls that may not be repeated under the ledger, at most once

Each such call goes out on a connection of its own, goes on after its caller left, and its repeat gets the stored answer, or 409 with the outcome unknown where the first may have run.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -18,6 +18,15 @@
     Service(CompactString),
 }
 
+impl Destination {
+    /// Gets the name of the model or service.
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            Destination::Model(name) | Destination::Service(name) => name,
+        }
+    }
+}
+
 /// A caller's request after it was read and authenticated.
 #[derive(Debug)]
 pub(crate) struct Call {
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -63,7 +63,7 @@
     /// Counts a request that was refused or given up, with its outcome.
     pub(crate) fn refused(&self, problem: &Problem) {
         self.refusal(problem.reason);
-        self.outcome(problem.outcome());
+        self.outcome(problem.outcome);
     }
 
     /// Counts an attempt that is sent again, to the same server or elsewhere.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use jackdaw_core::outcome::Step;
+use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::retry::{Cause, Connection, Failure, Fault, Request, Verdict};
@@ -14,6 +14,7 @@
 use crate::exchange::{self, Bound, Broken};
 use crate::gauge::Guard;
 use crate::link::Links;
+use crate::once::Ticket;
 use crate::problem::Problem;
 use crate::share::Share;
 use crate::shared::Shared;
@@ -52,6 +53,8 @@
     links: Rc<Links>,
     share: Arc<Share>,
     request: Request,
+    /// Right to dispatch a call that may not be repeated.
+    ticket: Option<Ticket>,
     again: Option<Target>,
     last: Option<Problem>,
 }
@@ -67,11 +70,24 @@
             links,
             share,
             request,
+            ticket: None,
             again: None,
             last: None,
         }
     }
 
+    /// Lets the call run under a ticket, which is asked before each attempt.
+    pub(crate) fn with_ticket(mut self, ticket: Ticket) -> Self {
+        self.ticket = Some(ticket);
+        self.request.record();
+        self
+    }
+
+    /// Takes the ticket back, so that the outcome can be recorded.
+    pub(crate) fn take_ticket(&mut self) -> Option<Ticket> {
+        self.ticket.take()
+    }
+
     /// Opens an answer that starts at a token, with as many attempts as are allowed.
     pub(crate) async fn open(&mut self, resume_at: u64) -> Result<Opened, Problem> {
         loop {
@@ -92,9 +108,14 @@
             fault: broken.fault,
             connection: attempt.connection,
         };
-        if broken.fault != Fault::Refused {
+        if matches!(broken.fault, Fault::Closed | Fault::Silent) {
             self.links.retire(target.address);
         }
+        if let Some(ticket) = &mut self.ticket
+            && broken.step.outcome() == Outcome::NotRun
+        {
+            ticket.nothing_written();
+        }
         if self.request.blames_server(&failure) {
             self.blame(broken.fault, target);
         }
@@ -147,9 +168,23 @@
         self.call.deadline.since(self.shared.clock.now())
     }
 
-    async fn send(&self, attempt: &Attempt, resume_at: u64) -> Result<ClientResponse, Broken> {
+    async fn send(&mut self, attempt: &Attempt, resume_at: u64) -> Result<ClientResponse, Broken> {
+        if self.remaining() == Millis(0) {
+            let detail = "the deadline passed before the request was sent";
+            return Err(Broken::new(
+                Fault::Deadline,
+                self.request.furthest(),
+                detail,
+            ));
+        }
         let bound = self.first_byte_bound();
         let client = self.client(attempt).await?;
+        if let Some(ticket) = &mut self.ticket
+            && !ticket.may_dispatch()
+        {
+            let detail = "the call waited too long after it was recorded";
+            return Err(Broken::new(Fault::Deadline, Step::Recorded, detail));
+        }
         exchange::send(&client, &self.call, &attempt.target, resume_at, bound).await
     }
 
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -6,22 +6,19 @@
 use compact_str::CompactString;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::token::Digest;
-use ntex::http::header::CONTENT_TYPE;
-use ntex::http::{HeaderMap, Method, Payload};
+use ntex::http::HeaderMap;
+use ntex::http::header::HeaderName;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
 use serde::Serialize;
 
 use crate::auth;
-use crate::call::{Call, Destination};
-use crate::dispatch::Dispatch;
+use crate::complete::complete;
 use crate::drain::Pass;
 use crate::head;
 use crate::link::Links;
+use crate::plain::serve;
 use crate::problem::Problem;
 use crate::shared::Shared;
-use crate::stream;
-use crate::whole;
 
 /// What one worker keeps.
 #[derive(Clone, Debug)]
@@ -96,132 +93,8 @@
     finish(shared, &id, listed)
 }
 
-async fn complete(
-    request: HttpRequest,
-    payload: types::Payload,
-    worker: types::State<Worker>,
-) -> HttpResponse {
-    let id = head::request_id(&worker.shared);
-    let answer = try_complete(&request, payload.into_inner(), &worker, &id).await;
-    finish(&worker.shared, &id, answer)
-}
-
-async fn try_complete(
-    request: &HttpRequest,
-    payload: Payload,
-    worker: &Worker,
-    id: &str,
-) -> Result<HttpResponse, Problem> {
-    let shared = &worker.shared;
-    let pass = enter(shared)?;
-    let team = auth::team(request.headers(), &shared.snapshot.load())?;
-    let options = &shared.options;
-    let deadline = head::deadline(request.headers(), &team, options, shared.clock.now())?;
-    let body = head::body(payload, options).await?;
-    let completion = head::completion(&body)?;
-    auth::permit(&team, &completion.model)?;
-    if shared
-        .snapshot
-        .load()
-        .catalog
-        .model(&completion.model)
-        .is_none()
-    {
-        let detail = format!("model {} is not served", completion.model);
-        return Err(Problem::new(Reason::NotFound, Step::Authenticated, detail));
-    }
-    let call = Call {
-        id: id.into(),
-        team,
-        destination: Destination::Model(completion.model),
-        method: Method::POST,
-        path: request.path().into(),
-        headers: kept(request.headers(), &[CONTENT_TYPE.as_str()]),
-        digest: Digest::of(&body),
-        body,
-        deadline,
-        idempotent: true,
-        streamed: completion.stream,
-    };
-    forward(worker, call, pass).await
-}
-
-async fn serve(
-    request: HttpRequest,
-    payload: types::Payload,
-    worker: types::State<Worker>,
-) -> HttpResponse {
-    let id = head::request_id(&worker.shared);
-    let answer = try_serve(&request, payload.into_inner(), &worker, &id).await;
-    finish(&worker.shared, &id, answer)
-}
-
-async fn try_serve(
-    request: &HttpRequest,
-    payload: Payload,
-    worker: &Worker,
-    id: &str,
-) -> Result<HttpResponse, Problem> {
-    let shared = &worker.shared;
-    let pass = enter(shared)?;
-    let snapshot = shared.snapshot.load_full();
-    let team = auth::team(request.headers(), &snapshot)?;
-    let options = &shared.options;
-    let deadline = head::deadline(request.headers(), &team, options, shared.clock.now())?;
-    let name = request.match_info().get("service").unwrap_or_default();
-    auth::permit(&team, name)?;
-    let service = snapshot.catalog.service(name).ok_or_else(|| {
-        let detail = format!("service {name} is not known");
-        Problem::new(Reason::NotFound, Step::Authenticated, detail)
-    })?;
-    let path = format!("/{}", request.match_info().get("path").unwrap_or_default());
-    let idempotent = service.is_idempotent(request.method().as_str(), &path);
-    if !idempotent && !request.headers().contains_key(head::IDEMPOTENCY_KEY) {
-        let detail = "a call that may not be repeated needs an Idempotency-Key";
-        return Err(Problem::new(
-            Reason::KeyMissing,
-            Step::Authenticated,
-            detail,
-        ));
-    }
-    let body = head::body(payload, options).await?;
-    let query = request.uri().query();
-    let call = Call {
-        id: id.into(),
-        team,
-        destination: Destination::Service(name.into()),
-        method: request.method().clone(),
-        path: match query {
-            Some(query) => format!("{path}?{query}").into(),
-            None => path.into(),
-        },
-        headers: kept(
-            request.headers(),
-            &[CONTENT_TYPE.as_str(), "accept", head::IDEMPOTENCY_KEY],
-        ),
-        digest: Digest::of(&body),
-        body,
-        deadline,
-        idempotent,
-        streamed: false,
-    };
-    forward(worker, call, pass).await
-}
-
-async fn forward(worker: &Worker, call: Call, pass: Pass) -> Result<HttpResponse, Problem> {
-    let streamed = call.streamed;
-    let shared = Arc::clone(&worker.shared);
-    let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(shared, Rc::clone(&worker.links), Rc::clone(&call));
-    if streamed {
-        return stream::relay(dispatch, pass).await;
-    }
-    let answer = whole::relay(&mut dispatch).await?;
-    worker.shared.counters.outcome(Outcome::Completed);
-    Ok(answer.response(&call.id))
-}
-
-fn enter(shared: &Shared) -> Result<Pass, Problem> {
+/// Counts a request in flight, unless the node takes none.
+pub(crate) fn enter(shared: &Shared) -> Result<Pass, Problem> {
     let refused = |detail: &str| Problem::new(Reason::NotReady, Step::Received, detail);
     let pass = shared
         .drain
@@ -237,20 +110,23 @@
     Ok(pass)
 }
 
-fn kept(headers: &HeaderMap, names: &[&'static str]) -> HeaderMap {
+/// Returns some of a request's headers.
+pub(crate) fn kept(headers: &HeaderMap, names: &[&'static str]) -> HeaderMap {
     let mut kept = HeaderMap::new();
     for name in names {
         if let Some(value) = headers.get(*name) {
-            kept.insert(
-                ntex::http::header::HeaderName::from_static(name),
-                value.clone(),
-            );
+            kept.insert(HeaderName::from_static(name), value.clone());
         }
     }
     kept
 }
 
-fn finish(shared: &Shared, id: &str, answer: Result<HttpResponse, Problem>) -> HttpResponse {
+/// Returns the answer for the caller and counts a refusal.
+pub(crate) fn finish(
+    shared: &Shared,
+    id: &str,
+    answer: Result<HttpResponse, Problem>,
+) -> HttpResponse {
     match answer {
         Ok(response) => response,
         Err(problem) => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,12 +15,15 @@
 
 mod auth;
 mod call;
+mod complete;
 mod control;
 mod dispatch;
 mod exchange;
+mod guarded;
 mod handler;
 mod head;
 mod link;
+mod plain;
 mod problem;
 mod sequence;
 mod share;
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,118 @@
+//! Takes calls of plain services.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::outcome::{Outcome, Step};
+use jackdaw_core::refusal::Reason;
+use jackdaw_core::token::Digest;
+use ntex::http::header::{ACCEPT, CONTENT_TYPE};
+use ntex::http::{HeaderMap, Payload};
+use ntex::web::{HttpRequest, HttpResponse, types};
+
+use crate::auth;
+use crate::call::{Call, Destination};
+use crate::dispatch::Dispatch;
+use crate::guarded;
+use crate::handler::{self, Worker};
+use crate::head;
+use crate::problem::Problem;
+use crate::whole;
+
+/// Answers a call of a plain service.
+pub(crate) async fn serve(
+    request: HttpRequest,
+    payload: types::Payload,
+    worker: types::State<Worker>,
+) -> HttpResponse {
+    let id = head::request_id(&worker.shared);
+    let answer = attempt(&request, payload.into_inner(), &worker, &id).await;
+    handler::finish(&worker.shared, &id, answer)
+}
+
+async fn attempt(
+    request: &HttpRequest,
+    payload: Payload,
+    worker: &Worker,
+    id: &str,
+) -> Result<HttpResponse, Problem> {
+    let shared = &worker.shared;
+    let pass = handler::enter(shared)?;
+    head::check(request.headers(), &shared.options)?;
+    let snapshot = shared.snapshot.load_full();
+    let team = auth::team(request.headers(), &snapshot)?;
+    let options = &shared.options;
+    let deadline = head::deadline(request.headers(), &team, options, shared.clock.now())?;
+    let name = request.match_info().get("service").unwrap_or_default();
+    auth::permit(&team, name)?;
+    let service = snapshot.catalog.service(name).ok_or_else(|| {
+        let detail = format!("service {name} is not known");
+        Problem::new(Reason::NotFound, Step::Authenticated, detail)
+    })?;
+    let path = path(request);
+    let idempotent = service.is_idempotent(request.method().as_str(), &path);
+    let key = key(request.headers(), idempotent)?;
+    let body = head::body(payload, options).await?;
+    let call = Call {
+        id: id.into(),
+        team,
+        destination: Destination::Service(name.into()),
+        method: request.method().clone(),
+        path: with_query(&path, request.uri().query()),
+        headers: handler::kept(
+            request.headers(),
+            &[
+                CONTENT_TYPE.as_str(),
+                ACCEPT.as_str(),
+                head::IDEMPOTENCY_KEY,
+            ],
+        ),
+        digest: Digest::of(&body),
+        body,
+        deadline,
+        idempotent,
+        streamed: false,
+    };
+    if let Some(key) = key {
+        return guarded::run(worker, call, key, pass).await;
+    }
+    let call = Rc::new(call);
+    let links = Rc::clone(&worker.links);
+    let mut dispatch = Dispatch::new(Arc::clone(shared), links, Rc::clone(&call));
+    let answer = whole::relay(&mut dispatch).await?;
+    shared.counters.outcome(Outcome::Completed);
+    Ok(answer.response(&call.id))
+}
+
+/// Returns the path below the service.
+fn path(request: &HttpRequest) -> CompactString {
+    let rest = request.match_info().get("path").unwrap_or_default();
+    format_compact!("/{rest}")
+}
+
+fn with_query(path: &CompactString, query: Option<&str>) -> CompactString {
+    match query {
+        Some(query) => format_compact!("{path}?{query}"),
+        None => path.clone(),
+    }
+}
+
+/// Returns the key of a call that may not be repeated.
+fn key(headers: &HeaderMap, idempotent: bool) -> Result<Option<CompactString>, Problem> {
+    if idempotent {
+        return Ok(None);
+    }
+    let value = headers.get(head::IDEMPOTENCY_KEY);
+    match value.and_then(|value| value.to_str().ok()) {
+        Some(key) if !key.trim().is_empty() => Ok(Some(key.trim().into())),
+        _ => {
+            let detail = "a call that may not be repeated needs an Idempotency-Key";
+            Err(Problem::new(
+                Reason::KeyMissing,
+                Step::Authenticated,
+                detail,
+            ))
+        }
+    }
+}
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -18,6 +18,7 @@
 pub(crate) struct Problem {
     pub(crate) reason: Reason,
     pub(crate) step: Step,
+    pub(crate) outcome: Outcome,
     pub(crate) peer: CompactString,
     pub(crate) detail: CompactString,
     pub(crate) retry_after: Millis,
@@ -28,6 +29,7 @@
         Problem {
             reason,
             step,
+            outcome: step.outcome(),
             peer: CompactString::default(),
             detail: detail.to_string().into(),
             retry_after: DEFAULT_RETRY_AFTER,
@@ -44,8 +46,10 @@
         self
     }
 
-    pub(crate) fn outcome(&self) -> Outcome {
-        self.step.outcome()
+    /// Says more than the step does, for a call that an earlier attempt stands behind.
+    pub(crate) fn with_outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
     }
 
     /// Returns the answer for the caller.
@@ -55,7 +59,7 @@
         let mut response = HttpResponse::build(status);
         response
             .set_header(head::REQUEST_ID, request_id)
-            .set_header(head::OUTCOME, self.outcome().to_string())
+            .set_header(head::OUTCOME, self.outcome.to_string())
             .content_type("application/problem+json");
         if self.reason.is_retryable() {
             let seconds = self.retry_after.0.div_ceil(1_000).max(1);
@@ -70,7 +74,7 @@
             kind: format_compact!("urn:jackdawstair:{}", self.reason),
             title: &self.detail,
             status: self.reason.status(),
-            outcome: self.outcome(),
+            outcome: self.outcome,
             step: self.step,
             peer: &self.peer,
             reason: self.reason.label(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::counter::Counters;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::once::{self, Ledger};
 use crate::share::Shares;
 use crate::snapshot::Snapshot;
 
@@ -46,6 +47,8 @@
     pub idle_timeout: Millis,
     /// Longest deadline that a caller may ask for.
     pub longest_deadline: Millis,
+    /// Bounds of the records of non-idempotent calls.
+    pub once: once::Options,
 }
 
 impl Default for Options {
@@ -64,6 +67,7 @@
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             longest_deadline: Millis::from_secs(600),
+            once: once::Options::default(),
         }
     }
 }
@@ -76,8 +80,8 @@
     pub events: UnboundedSender<Event>,
     /// Time.
     pub clock: Arc<dyn Clock>,
-    /// Key-value service of the platform.
-    pub store: Arc<dyn Store>,
+    /// Records of non-idempotent calls.
+    pub ledger: Arc<Ledger>,
     /// Name of this node.
     pub node: CompactString,
     /// Bounds.
@@ -101,11 +105,12 @@
         options: Options,
         meter: &Meter,
     ) -> Self {
+        let ledger = Ledger::new(store, Arc::clone(&clock), node, options.once);
         Shared {
             snapshot,
             events,
             clock,
-            store,
+            ledger,
             node: node.into(),
             options,
             counters: Counters::new(meter),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -6,3 +6,4 @@
 pub mod backend;
 pub mod caller;
 pub mod node;
+pub mod store;
--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -4,10 +4,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use async_trait::async_trait;
 use jackdaw_core::catalog::{Catalog, Model, Route, Service, Team};
-use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::store::{Committed, Entry, Lease, Store, Transaction, Watch};
+use jackdaw_core::store::Store;
 use jackdaw_core::time::Machine;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Generation, Millis};
@@ -20,6 +18,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::caller::TOKEN;
+use super::store::Memory;
 
 /// Bounds short enough for tests.
 pub fn options() -> Options {
@@ -37,6 +36,7 @@
     pub server: Server,
     pub shared: Arc<Shared>,
     pub events: UnboundedReceiver<Event>,
+    pub store: Arc<Memory>,
 }
 
 impl Node {
@@ -46,13 +46,14 @@
     }
 
     pub fn with(options: Options, snapshot: Snapshot) -> Self {
+        let store = Arc::new(Memory::default());
         let (sender, events) = unbounded_channel();
         let meter = NoopMeterProvider::new().meter("test");
         let shared = Arc::new(Shared::new(
             Arc::new(ArcSwap::from_pointee(snapshot)),
             sender,
             Arc::new(Machine::default()),
-            Arc::new(Down),
+            Arc::clone(&store) as Arc<dyn Store>,
             "node",
             options,
             &meter,
@@ -63,9 +64,15 @@
             server,
             shared,
             events,
+            store,
         }
     }
 
+    /// Publishes a snapshot with other addresses.
+    pub fn serve_from(&self, targets: &[SocketAddr]) {
+        self.shared.snapshot.store(Arc::new(snapshot(targets)));
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
@@ -141,41 +148,3 @@
         ..Catalog::default()
     }
 }
-
-/// A key-value service that is down.
-pub struct Down;
-
-fn down<T>() -> Result<T> {
-    Err(Error::unreachable("test", "store", "down"))
-}
-
-#[async_trait]
-impl Store for Down {
-    async fn get(&self, _: &str) -> Result<Option<Entry>> {
-        down()
-    }
-
-    async fn list(&self, _: &str) -> Result<Vec<Entry>> {
-        down()
-    }
-
-    async fn commit(&self, _: Transaction) -> Result<Committed> {
-        down()
-    }
-
-    async fn grant(&self, _: Millis) -> Result<Lease> {
-        down()
-    }
-
-    async fn renew(&self, _: Lease) -> Result<Millis> {
-        down()
-    }
-
-    async fn revoke(&self, _: Lease) -> Result<()> {
-        down()
-    }
-
-    async fn watch(&self, _: &str, _: u64) -> Result<Box<dyn Watch>> {
-        down()
-    }
-}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Notes that the intent of the call is recorded.
+    pub fn record(&mut self) {
+        self.furthest = self.furthest.max(Step::Recorded);
+    }
+
     /// Returns whether a server may still be tried.
     #[must_use]
     pub fn may_try(&self, server: &str) -> bool {
