--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,166 @@
+//! Real daemons as child processes, with the stand-ins in the test's own process.
+
+#![allow(dead_code, reason = "each test file uses its own part of the harness")]
+
+pub mod caller;
+pub mod node;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use jackdaw_core::catalog::Catalog;
+use jackdaw_core::note::Note;
+use jackdaw_core::store::{Compare, Store, Transaction, Write};
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_standin::engine;
+use jackdaw_standin::fleet::Batch;
+use jackdaw_standin::platform::{Addresses, Plan, Platform};
+use jackdawstair::control::runtime::CATALOG_KEY;
+
+pub use caller::Caller;
+pub use node::Node;
+
+/// Token of the team of every test.
+pub const TEAM_TOKEN: &str = "team-token";
+
+/// Token of the operator of every test.
+pub const OPERATOR_TOKEN: &str = "operator-token";
+
+/// Availability zones of the tests.
+pub const ZONES: [&str; 2] = ["east-a", "east-b"];
+
+const NOTE: &str = "\
+id: first
+base: 0
+summary: What the tests serve
+models:
+  add:
+    - {name: large, version: \"1\", vms_per_replica: 2, replicas: 2, priority: 10}
+services:
+  add:
+    - name: orders
+      routes:
+        - {method: GET, path: /stock, idempotent: true}
+        - {method: POST, path: /shipments, idempotent: false}
+";
+
+/// The platform, the back ends and the nodes of one test.
+pub struct Cluster {
+    /// Stand-ins.
+    pub platform: Platform,
+    /// Nodes in the order in which they were started.
+    pub nodes: Vec<Node>,
+}
+
+impl Cluster {
+    /// Starts the stand-ins with an accepted first note, and no node.
+    pub fn start(token_interval: Millis) -> Cluster {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let addresses = Addresses {
+            store: any,
+            vms: any,
+            faults: any,
+        };
+        let options = engine::Options {
+            token_interval,
+            ..engine::Options::default()
+        };
+        let platform = Platform::start(addresses, &plan(), options).expect("stand-ins start");
+        let cluster = Cluster {
+            platform,
+            nodes: Vec::new(),
+        };
+        cluster.accept_first_note();
+        cluster
+    }
+
+    /// Starts a node in an availability zone and waits for its ports.
+    pub fn add_node(&mut self, zone: &str) -> usize {
+        let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
+        let name = format!("{zone}-{}", self.nodes.len() + 1);
+        let settings = self.settings(&name, zone, &seeds);
+        self.nodes.push(Node::start(&name, &settings));
+        self.nodes.len() - 1
+    }
+
+    /// Returns a caller of a node.
+    pub fn caller(&self, node: usize) -> Caller {
+        Caller::new(self.nodes[node].callers)
+    }
+
+    fn settings(&self, name: &str, zone: &str, seeds: &[SocketAddr]) -> String {
+        let addresses = self.platform.addresses();
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        format!(
+            "node: {name}
+region: east
+zone: {zone}
+zones: [{zones}]
+callers: 127.0.0.1:0
+operators: 127.0.0.1:0
+peers: 127.0.0.1:0
+seeds: [{seeds}]
+peer_token: peer-token
+operator_tokens:
+  - {{name: test, sha256: {digest}, role: write}}
+platform:
+  store: [{store}]
+  vms: {vms}
+log_level: debug
+timing:
+  probe_interval: 100ms
+  report_bound: 1s
+  list_interval: 100ms
+  plan_interval: 50ms
+  leader_lease: 3s
+  clock_margin: 200ms
+  order_timeout: 500ms
+  spread_interval: 100ms
+",
+            zones = ZONES.join(", "),
+            seeds = seeds.join(", "),
+            digest = Digest::of(OPERATOR_TOKEN.as_bytes()),
+            store = addresses.store,
+            vms = addresses.vms,
+        )
+    }
+
+    fn accept_first_note(&self) {
+        let team = format!(
+            "{NOTE}teams:\n  add:\n    - {{name: team, token_sha256: [{}]}}\n",
+            Digest::of(TEAM_TOKEN.as_bytes())
+        );
+        let note: Note = serde_saphyr::from_str(&team).expect("note");
+        let catalog = Catalog::default().apply(&note).expect("note applies");
+        let write = Write::Put {
+            key: CATALOG_KEY.into(),
+            value: serde_json::to_vec(&catalog).expect("catalogue"),
+            lease: None,
+        };
+        let transaction = Transaction {
+            when: vec![Compare::Absent(CATALOG_KEY.into())],
+            then: vec![write],
+            otherwise: Vec::new(),
+        };
+        futures::executor::block_on(self.platform.memory().commit(transaction)).expect("committed");
+    }
+}
+
+fn plan() -> Plan {
+    let mut vms = Vec::new();
+    for zone in ZONES {
+        vms.push(Batch {
+            zone: zone.into(),
+            domain: format!("{zone}/f1").into(),
+            service: None,
+            count: 5,
+        });
+        vms.push(Batch {
+            zone: zone.into(),
+            domain: "".into(),
+            service: Some("orders".into()),
+            count: 2,
+        });
+    }
+    Plan { vms }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/node.rs
@@ -0,0 +1,153 @@
+//! One daemon as a child process.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Time after which a wait is given up, so that a hang becomes a failure.
+const HANG: Duration = Duration::from_secs(60);
+
+/// Log lines of a child process.
+#[derive(Default)]
+struct Lines {
+    lines: Mutex<Vec<Value>>,
+    grown: Condvar,
+}
+
+/// A running daemon.
+pub struct Node {
+    /// Name of the node.
+    pub name: String,
+    /// Callers' port.
+    pub callers: SocketAddr,
+    /// Operators' port.
+    pub operators: SocketAddr,
+    /// Peers' port.
+    pub peers: SocketAddr,
+    child: Child,
+    lines: Arc<Lines>,
+    settings: std::path::PathBuf,
+}
+
+impl Node {
+    /// Starts a daemon and waits for its ports.
+    pub fn start(name: &str, settings: &str) -> Node {
+        let file = std::env::temp_dir().join(format!("jackdaw-{}-{name}.yaml", unique()));
+        fs::write(&file, settings).expect("settings are written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jackdawd"))
+            .arg("run")
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("daemon starts");
+        let stderr = child.stderr.take().expect("standard error");
+        let lines = Arc::new(Lines::default());
+        let sink = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let value = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                sink.lines.lock().expect("lines").push(value);
+                sink.grown.notify_all();
+            }
+        });
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut node = Node {
+            name: name.to_owned(),
+            callers: any,
+            operators: any,
+            peers: any,
+            child,
+            lines,
+            settings: file,
+        };
+        let started = node.wait_for(|line| line["msg"] == "node started");
+        let address = |key: &str| started[key].as_str().and_then(|text| text.parse().ok());
+        node.callers = address("callers").expect("callers' port");
+        node.operators = address("operators").unwrap_or(any);
+        node.peers = address("peers").unwrap_or(any);
+        node
+    }
+
+    /// Waits for a log line and returns it.
+    pub fn wait_for(&self, is_match: impl Fn(&Value) -> bool) -> Value {
+        let guard = self.lines.lock().expect("lines");
+        let (guard, timeout) = self
+            .lines
+            .grown
+            .wait_timeout_while(guard, HANG, |lines| !lines.iter().any(&is_match))
+            .expect("lines");
+        let found = guard.iter().find(|line| is_match(line)).cloned();
+        found.unwrap_or_else(|| {
+            let last = &guard[guard.len().saturating_sub(30)..];
+            panic!(
+                "{}: no such line (timed out: {}): {last:#?}",
+                self.name,
+                timeout.timed_out()
+            )
+        })
+    }
+
+    /// Waits for a decision about a subject.
+    pub fn wait_for_decision(&self, subject: &str, taken: &str) -> Value {
+        self.wait_for(|line| {
+            line["msg"] == "decision"
+                && line["subjects"]
+                    .as_str()
+                    .is_some_and(|text| text.contains(subject))
+                && line["taken"]
+                    .as_str()
+                    .is_some_and(|text| text.contains(taken))
+        })
+    }
+
+    /// Returns how many log lines match.
+    pub fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
+        let lines = self.lines.lock().expect("lines");
+        lines.iter().filter(|line| is_match(line)).count()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name to this process alone.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "signal {name} sent");
+    }
+
+    /// Waits for the process to end.
+    pub fn wait_for_exit(&mut self) -> ExitStatus {
+        self.child.wait().expect("daemon ends")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // A frozen process takes no other signal than this one.
+        self.kill();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn unique() -> String {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    format!(
+        "{}-{}",
+        std::process::id(),
+        NEXT.fetch_add(1, Ordering::SeqCst)
+    )
+}
