--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -76,7 +76,7 @@
 
     /// Waits for a log line and returns it.
     pub fn wait_for(&self, is_match: impl Fn(&Value) -> bool) -> Value {
-        let guard = self.lines.lock().expect("lines");
+        let guard = self.lines.lines.lock().expect("lines");
         let (guard, timeout) = self
             .lines
             .grown
@@ -108,7 +108,7 @@
 
     /// Returns how many log lines match.
     pub fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
-        let lines = self.lines.lock().expect("lines");
+        let lines = self.lines.lines.lock().expect("lines");
         lines.iter().filter(|line| is_match(line)).count()
     }
 
