--- /dev/null
+++ b/crates/entry/tests/once.rs
@@ -0,0 +1,512 @@
+//! Non-idempotent calls at several nodes over one faulty key-value service.
+
+use std::sync::Arc;
+
+use jackdaw_core::store::Lease;
+use jackdaw_core::time::{Clock, Manual};
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_entry::once::{Answer, Begin, Ledger, Options, Ticket};
+use jackdaw_standin::store::{Fault, Memory};
+use rstest::rstest;
+use tokio::runtime::Runtime;
+
+const NODES: usize = 2;
+
+/// One step at a node or at the service.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A node takes the call with a body.
+    Begin(usize, &'static str),
+    /// A node writes the call to the backend server, if it may.
+    Dispatch(usize),
+    /// A node could not write to the backend server after it was allowed to.
+    ConnectFails(usize),
+    Complete(usize),
+    NotRun(usize),
+    Unknown(usize),
+    /// The caller goes away, and the node's handler with it.
+    Abandon(usize),
+    /// A node dies and a new one takes its name.
+    Restart(usize),
+    Settle(usize),
+    Set(Fault),
+    Plan(Fault),
+    Advance(Millis),
+    Lapse(Lease),
+}
+
+/// Steps with what each of them shows, and what they amount to.
+struct Case {
+    steps: &'static [(Step, &'static str)],
+    executions: u64,
+    writes: u64,
+}
+
+struct Node {
+    ledger: Arc<Ledger>,
+    ticket: Option<Ticket>,
+}
+
+struct Bench {
+    memory: Memory,
+    clock: Arc<Manual>,
+    nodes: Vec<Node>,
+    executions: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let clock = Arc::new(Manual::default());
+        let memory = Memory::new(Arc::clone(&clock) as Arc<dyn Clock>);
+        let mut bench = Bench {
+            memory,
+            clock,
+            nodes: Vec::new(),
+            executions: 0,
+        };
+        bench.nodes = (0..NODES).map(|_| bench.node()).collect();
+        bench
+    }
+
+    fn node(&self) -> Node {
+        let options = Options {
+            answer: Millis(50),
+            ..Options::default()
+        };
+        let clock = Arc::clone(&self.clock) as Arc<dyn Clock>;
+        let store = Arc::new(self.memory.clone());
+        Node {
+            ledger: Ledger::new(store, clock, "node", options),
+            ticket: None,
+        }
+    }
+
+    async fn step(&mut self, step: Step) -> String {
+        match step {
+            Step::Begin(node, body) => self.begin(node, body).await,
+            Step::Dispatch(node) => {
+                let allowed = self.ticket(node).may_dispatch();
+                self.executions += u64::from(allowed);
+                allowed.to_string()
+            }
+            Step::ConnectFails(node) => {
+                let ticket = self.ticket(node);
+                let allowed = ticket.may_dispatch();
+                ticket.nothing_written();
+                allowed.to_string()
+            }
+            Step::Complete(node) => {
+                let answer = Answer {
+                    status: 201,
+                    content_type: "text/plain".into(),
+                    body: "shipped".into(),
+                };
+                self.take(node).completed(answer).await.to_string()
+            }
+            Step::NotRun(node) => self.take(node).not_run().await.to_string(),
+            Step::Unknown(node) => self.take(node).unknown().await.to_string(),
+            Step::Abandon(node) => {
+                drop(self.take(node));
+                self.nodes[node].ledger.backlog().to_string()
+            }
+            Step::Restart(node) => {
+                self.nodes[node] = self.node();
+                String::new()
+            }
+            Step::Settle(node) => self.nodes[node].ledger.settle().await.to_string(),
+            Step::Set(fault) => {
+                self.memory.set(fault);
+                String::new()
+            }
+            Step::Plan(fault) => {
+                self.memory.plan(fault);
+                String::new()
+            }
+            Step::Advance(span) => {
+                self.clock.advance(span);
+                String::new()
+            }
+            Step::Lapse(lease) => {
+                self.memory.lapse(lease);
+                String::new()
+            }
+        }
+    }
+
+    async fn begin(&mut self, node: usize, body: &str) -> String {
+        let digest = Digest::of(body.as_bytes());
+        let begin = self.nodes[node].ledger.begin("desk", "box-7", digest).await;
+        match begin {
+            Begin::Run(ticket) => {
+                self.nodes[node].ticket = Some(ticket);
+                "run".into()
+            }
+            Begin::Stored(answer) => String::from_utf8(answer.body).unwrap(),
+            Begin::Refused(refusal) => {
+                let again = if refusal.retry_after.is_some() { ", again" } else { "" };
+                format!("{}{again}", refusal.reason)
+            }
+        }
+    }
+
+    fn ticket(&mut self, node: usize) -> &mut Ticket {
+        self.nodes[node].ticket.as_mut().unwrap()
+    }
+
+    fn take(&mut self, node: usize) -> Ticket {
+        self.nodes[node].ticket.take().unwrap()
+    }
+}
+
+const DOWN: &str = "platform-down, again";
+const BUSY: &str = "in-progress, again";
+const BODY: &str = "one box";
+const MINUTE: Millis = Millis::from_secs(60);
+const PAST_RETENTION: Millis = Millis::from_secs(26 * 60 * 60);
+
+const REPEATED: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Begin(0, BODY), BUSY),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Complete(0), "true"),
+        (Step::Begin(0, BODY), "shipped"),
+        (Step::Begin(1, BODY), "shipped"),
+        (Step::Begin(1, "two boxes"), "idempotency-key-mismatch"),
+    ],
+    executions: 1,
+    writes: 7,
+};
+
+const OLD_VALUES: Case = Case {
+    steps: &[
+        (Step::Set(Fault::Stale), ""),
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Complete(0), "true"),
+        (Step::Begin(1, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 3,
+};
+
+const DIES_BEFORE_DISPATCH: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Restart(0), ""),
+        (Step::Begin(0, BODY), BUSY),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Advance(MINUTE), ""),
+        (Step::Begin(0, BODY), "may-have-run"),
+        (Step::Begin(1, BODY), "may-have-run"),
+    ],
+    executions: 0,
+    writes: 5,
+};
+
+const DIES_AFTER_DISPATCH: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Restart(0), ""),
+        (Step::Advance(MINUTE), ""),
+        (Step::Begin(0, BODY), "may-have-run"),
+    ],
+    executions: 1,
+    writes: 2,
+};
+
+const INTENT_ANSWER_LOST: Case = Case {
+    steps: &[
+        (Step::Plan(Fault::LoseAnswer), ""),
+        (Step::Begin(0, BODY), "run"),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Dispatch(0), "true"),
+        (Step::Complete(0), "true"),
+        (Step::Begin(1, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 5,
+};
+
+const INTENT_LOST: Case = Case {
+    steps: &[
+        (Step::Plan(Fault::Down), ""),
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Complete(0), "true"),
+    ],
+    executions: 1,
+    writes: 3,
+};
+
+const INTENT_LATE: Case = Case {
+    steps: &[
+        (Step::Plan(Fault::Late), ""),
+        (Step::Begin(0, BODY), "run"),
+        (Step::NotRun(0), "true"),
+        // The late copy lands here and finds the key taken.
+        (Step::Set(Fault::None), ""),
+        (Step::Begin(1, BODY), "run"),
+        (Step::Dispatch(1), "true"),
+    ],
+    executions: 1,
+    writes: 5,
+};
+
+const INTENT_LATE_FOR_GOOD: Case = Case {
+    steps: &[
+        (Step::Plan(Fault::Late), ""),
+        (Step::Plan(Fault::Down), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Begin(1, BODY), "run"),
+        (Step::Dispatch(1), "true"),
+        (Step::Set(Fault::None), ""),
+        (Step::Settle(0), "0"),
+        (Step::Complete(1), "true"),
+        (Step::Begin(0, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 6,
+};
+
+const INTENT_NEVER_CONFIRMED: Case = Case {
+    steps: &[
+        (Step::Plan(Fault::LoseAnswer), ""),
+        (Step::Plan(Fault::Down), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "run"),
+        (Step::Dispatch(1), "true"),
+    ],
+    executions: 1,
+    writes: 7,
+};
+
+const SERVICE_DOWN: Case = Case {
+    steps: &[
+        (Step::Set(Fault::Down), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Set(Fault::Refuse), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Set(Fault::None), ""),
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+    ],
+    executions: 1,
+    writes: 1,
+};
+
+const SERVICE_GOES_DOWN: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::NotRun(0), "true"),
+        (Step::Set(Fault::Refuse), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Set(Fault::HoldCall), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Set(Fault::None), ""),
+        (Step::Settle(0), "0"),
+        (Step::Begin(0, BODY), "run"),
+    ],
+    executions: 0,
+    writes: 9,
+};
+
+const CONNECT_FAILS: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::ConnectFails(0), "true"),
+        (Step::ConnectFails(0), "true"),
+        (Step::NotRun(0), "true"),
+        (Step::Begin(1, BODY), "run"),
+        (Step::Dispatch(1), "true"),
+        (Step::Complete(1), "true"),
+        (Step::Begin(0, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 6,
+};
+
+const NOT_RUN_ANSWER_LOST: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Plan(Fault::LoseAnswer), ""),
+        (Step::NotRun(0), "true"),
+        (Step::Begin(1, BODY), "run"),
+    ],
+    executions: 0,
+    writes: 5,
+};
+
+const NOT_RUN_WHILE_DOWN: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Set(Fault::Down), ""),
+        (Step::NotRun(0), "false"),
+        (Step::Settle(0), "1"),
+        (Step::Set(Fault::None), ""),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "run"),
+    ],
+    executions: 0,
+    writes: 9,
+};
+
+const RESULT_WHILE_DOWN: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Set(Fault::Down), ""),
+        (Step::Complete(0), "false"),
+        (Step::Set(Fault::None), ""),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 6,
+};
+
+const RESULT_ANSWER_LOST: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Plan(Fault::LoseAnswer), ""),
+        (Step::Complete(0), "true"),
+        (Step::Begin(1, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 4,
+};
+
+const BROKEN_OFF: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Unknown(0), "true"),
+        (Step::Begin(0, BODY), "may-have-run"),
+        (Step::Begin(1, BODY), "may-have-run"),
+    ],
+    executions: 1,
+    writes: 4,
+};
+
+const ABANDONED_BEFORE_DISPATCH: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::ConnectFails(0), "true"),
+        (Step::Abandon(0), "1"),
+        (Step::Begin(1, BODY), BUSY),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "run"),
+    ],
+    executions: 0,
+    writes: 5,
+};
+
+const ABANDONED_AFTER_DISPATCH: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Abandon(0), "1"),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "may-have-run"),
+    ],
+    executions: 1,
+    writes: 3,
+};
+
+const PAUSED_PAST_WINDOW: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Advance(MINUTE), ""),
+        (Step::Dispatch(0), "false"),
+        (Step::Begin(1, BODY), "may-have-run"),
+        (Step::NotRun(0), "true"),
+        (Step::Begin(1, BODY), "run"),
+    ],
+    executions: 0,
+    writes: 5,
+};
+
+const PAUSED_PAST_RETENTION: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Advance(PAST_RETENTION), ""),
+        (Step::Begin(1, BODY), "run"),
+        (Step::Dispatch(1), "true"),
+        (Step::Dispatch(0), "false"),
+        (Step::NotRun(0), "false"),
+        (Step::Complete(1), "true"),
+        (Step::Begin(0, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 5,
+};
+
+const LEASE_LAPSES: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::NotRun(0), "true"),
+        (Step::Lapse(Lease(1)), ""),
+        (Step::Begin(0, BODY), DOWN),
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+    ],
+    executions: 1,
+    writes: 4,
+};
+
+#[rstest]
+#[case::repeated(REPEATED)]
+#[case::old_values(OLD_VALUES)]
+#[case::dies_before_dispatch(DIES_BEFORE_DISPATCH)]
+#[case::dies_after_dispatch(DIES_AFTER_DISPATCH)]
+#[case::intent_answer_lost(INTENT_ANSWER_LOST)]
+#[case::intent_lost(INTENT_LOST)]
+#[case::intent_late(INTENT_LATE)]
+#[case::intent_late_for_good(INTENT_LATE_FOR_GOOD)]
+#[case::intent_never_confirmed(INTENT_NEVER_CONFIRMED)]
+#[case::service_down(SERVICE_DOWN)]
+#[case::service_goes_down(SERVICE_GOES_DOWN)]
+#[case::connect_fails(CONNECT_FAILS)]
+#[case::not_run_answer_lost(NOT_RUN_ANSWER_LOST)]
+#[case::not_run_while_down(NOT_RUN_WHILE_DOWN)]
+#[case::result_while_down(RESULT_WHILE_DOWN)]
+#[case::result_answer_lost(RESULT_ANSWER_LOST)]
+#[case::broken_off(BROKEN_OFF)]
+#[case::abandoned_before_dispatch(ABANDONED_BEFORE_DISPATCH)]
+#[case::abandoned_after_dispatch(ABANDONED_AFTER_DISPATCH)]
+#[case::paused_past_window(PAUSED_PAST_WINDOW)]
+#[case::paused_past_retention(PAUSED_PAST_RETENTION)]
+#[case::lease_lapses(LEASE_LAPSES)]
+fn at_most_once(#[case] case: Case) {
+    let runtime = Runtime::new().unwrap();
+    let mut bench = Bench::new();
+    for (step, expected) in case.steps {
+        let shown = runtime.block_on(bench.step(*step));
+        assert_eq!(&shown, expected, "{step:?}");
+    }
+    assert_eq!(bench.executions, case.executions, "executions");
+    assert_eq!(bench.memory.counts().writes, case.writes, "writes");
+}
+
+#[test]
+fn calls_of_a_period_share_a_lease() {
+    let runtime = Runtime::new().unwrap();
+    let bench = Bench::new();
+    let ledger = &bench.nodes[0].ledger;
+    for (wait, leases) in [(Millis(0), 1), (Millis(59_999), 1), (Millis(1), 2)] {
+        bench.clock.advance(wait);
+        for key in ["a", "b"] {
+            let digest = Digest::of(key.as_bytes());
+            drop(runtime.block_on(ledger.begin("desk", key, digest)));
+        }
+        assert_eq!(bench.memory.counts().leases, leases);
+    }
+}
--- a/crates/policy/src/once/call.rs
+++ b/crates/policy/src/once/call.rs
@@ -143,16 +143,54 @@
     },
 }
 
+/// How the writing of the intent stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Opening {
+    when: Condition,
+    // Times that the write has been sent under this condition.
+    sent: u32,
+    // Times that the condition has changed.
+    turns: u32,
+    // Whether a copy of the write may have taken effect, or still may.
+    uncertain: bool,
+}
+
+impl Opening {
+    /// Creates the first write, for a call without a record.
+    fn first() -> Self {
+        Opening {
+            when: Condition::Absent,
+            sent: 1,
+            turns: 0,
+            uncertain: false,
+        }
+    }
+
+    /// Gets the same write, sent once more after its answer was lost.
+    fn again(self) -> Self {
+        Opening {
+            sent: self.sent + 1,
+            uncertain: true,
+            ..self
+        }
+    }
+
+    /// Gets the write under another condition.
+    fn turn(self, when: Condition) -> Self {
+        Opening {
+            when,
+            sent: 1,
+            turns: self.turns + 1,
+            ..self
+        }
+    }
+}
+
 /// Where the attempt stands.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Phase {
     /// The intent is being written.
-    Opening {
-        when: Condition,
-        tries: u32,
-        // Whether a copy of the write may have taken effect, or still may.
-        uncertain: bool,
-    },
+    Opening(Opening),
     /// The intent stands at a revision and the call may be dispatched.
     Open { revision: u64 },
     /// The result is being written.
@@ -186,18 +224,14 @@
             limits,
             phase: Phase::Ended,
         };
-        let action = call.intend(Condition::Absent, 1, false);
+        let action = call.intend(Opening::first());
         (call, action)
     }
 
     /// Takes in how the last write ended.
     pub fn step(&mut self, event: Event, at: Moment) -> Action {
         match self.phase.clone() {
-            Phase::Opening {
-                when,
-                tries,
-                uncertain,
-            } => self.step_opening(event, at, when, tries, uncertain),
+            Phase::Opening(opening) => self.step_opening(event, at, opening),
             Phase::Closing { when, state, tries } => self.step_closing(event, when, state, tries),
             // No write is under way in these phases.
             Phase::Open { .. } | Phase::Unsettled { .. } | Phase::Ended => {
@@ -252,26 +286,19 @@
         &self.origin
     }
 
-    fn step_opening(
-        &mut self,
-        event: Event,
-        at: Moment,
-        when: Condition,
-        tries: u32,
-        uncertain: bool,
-    ) -> Action {
+    fn step_opening(&mut self, event: Event, at: Moment, opening: Opening) -> Action {
+        let may_turn = opening.turns < self.limits.tries;
+        let may_repeat = opening.sent < self.limits.tries && self.is_in_window(at);
         match event {
             Event::Written(revision) => self.opened(revision, at),
-            Event::Found(Some(seen)) => self.found(seen, at, tries, uncertain),
+            Event::Found(Some(seen)) => self.found(seen, at, opening),
             // The record lapsed after it was seen, so the key is free again.
-            Event::Found(None) if tries < self.limits.tries => {
-                self.intend(Condition::Absent, tries + 1, uncertain)
-            }
-            Event::Lost if tries < self.limits.tries && self.is_in_window(at) => {
-                self.intend(when, tries + 1, true)
+            Event::Found(None) if may_turn => self.intend(opening.turn(Condition::Absent)),
+            Event::Lost if may_repeat => self.intend(opening.again()),
+            Event::Lost => self.give_up(opening.when, true),
+            Event::Found(None) | Event::Unsent | Event::Rejected => {
+                self.give_up(opening.when, opening.uncertain)
             }
-            Event::Lost => self.give_up(when, true),
-            Event::Found(None) | Event::Unsent | Event::Rejected => self.give_up(when, uncertain),
         }
     }
 
@@ -285,7 +312,7 @@
     }
 
     /// Judges the record that stands in the way of the intent.
-    fn found(&mut self, seen: Seen, at: Moment, tries: u32, uncertain: bool) -> Action {
+    fn found(&mut self, seen: Seen, at: Moment, opening: Opening) -> Action {
         let record = seen.record;
         if record.attempt == self.origin.attempt {
             // An earlier copy of the same write took effect and its answer was lost.
@@ -308,8 +335,8 @@
                 self.refuse(Reason::MayHaveRun, None)
             }
             State::Intended => self.refuse_intended(record.opened_unix_ms, at),
-            State::NotRun if tries <= self.limits.tries => {
-                self.intend(Condition::Unchanged(seen.revision), tries + 1, uncertain)
+            State::NotRun if opening.turns < self.limits.tries => {
+                self.intend(opening.turn(Condition::Unchanged(seen.revision)))
             }
             // Other attempts keep taking the key and giving it up.
             State::NotRun => self.refuse(Reason::InProgress, Some(self.limits.retry_after)),
@@ -329,8 +356,8 @@
         match event {
             Event::Written(_) => self.end(true),
             Event::Found(Some(seen)) if seen.record.attempt != self.origin.attempt => {
-                // Only a record of a call that did not run passes to another attempt, so an
-                // earlier copy of this write took effect; any other result has lapsed.
+                // A record passes to another attempt only if its call did not run or its time has
+                // run out. Nothing is left to record of a call that did not run either way.
                 self.end(state == State::NotRun)
             }
             Event::Found(Some(seen)) if seen.record.state == State::Intended => {
@@ -348,13 +375,9 @@
         }
     }
 
-    fn intend(&mut self, when: Condition, tries: u32, uncertain: bool) -> Action {
-        self.phase = Phase::Opening {
-            when,
-            tries,
-            uncertain,
-        };
-        self.write(when, State::Intended)
+    fn intend(&mut self, opening: Opening) -> Action {
+        self.phase = Phase::Opening(opening);
+        self.write(opening.when, State::Intended)
     }
 
     fn conclude(&mut self, when: Condition, state: State, tries: u32) -> Action {
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fault;
 pub mod memory;
+mod message;
 pub mod server;
 mod state;
 
