--- a/crates/standin/src/store/message.rs
+++ b/crates/standin/src/store/message.rs
@@ -20,7 +20,10 @@
     })
 }
 
-pub(super) fn range(header: Option<proto::ResponseHeader>, found: Vec<Entry>) -> proto::RangeResponse {
+pub(super) fn range(
+    header: Option<proto::ResponseHeader>,
+    found: Vec<Entry>,
+) -> proto::RangeResponse {
     proto::RangeResponse {
         header,
         more: false,
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -9,17 +9,15 @@
 
 use futures::stream;
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::store::{
-    Committed, Entry, Lease, Store, Transaction, Watch,
-};
+use jackdaw_core::store::{Committed, Entry, Lease, Store, Transaction, Watch};
 use jackdaw_core::units::Millis;
-use jackdaw_wire::etcdserverpb::{self, self as proto};
 use jackdaw_wire::etcdserverpb::kv_server::{Kv, KvServer};
 use jackdaw_wire::etcdserverpb::lease_server::{Lease as Leases, LeaseServer};
 use jackdaw_wire::etcdserverpb::request_op::Request as Step;
 use jackdaw_wire::etcdserverpb::response_op::Response as Done;
 use jackdaw_wire::etcdserverpb::watch_request::RequestUnion;
 use jackdaw_wire::etcdserverpb::watch_server::{Watch as Watches, WatchServer};
+use jackdaw_wire::etcdserverpb::{self, self as proto};
 use tokio::sync::oneshot;
 use tokio_stream::Stream;
 use tokio_stream::wrappers::TcpListenerStream;
