--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,8 @@
 use crate::counter::Counters;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::once::{self, Ledger};
+use crate::share::Shares;
 use crate::snapshot::Snapshot;
 
 /// Bounds of the callers' data path.
@@ -37,12 +39,16 @@
     pub unread_timeout: Millis,
     /// Longest time for opening a connection to a backend server.
     pub connect_timeout: Millis,
-    /// Longest time until the first byte of an answer.
+    /// Longest time until the whole answer of a completion that is not streamed begins.
+    pub whole_answer_timeout: Millis,
+    /// Longest time until the first byte of any other answer.
     pub first_byte_timeout: Millis,
     /// Longest time between two parts of an answer.
     pub idle_timeout: Millis,
     /// Longest deadline that a caller may ask for.
     pub longest_deadline: Millis,
+    /// Bounds of the records of non-idempotent calls.
+    pub once: once::Options,
 }
 
 impl Default for Options {
@@ -57,9 +63,11 @@
             body_timeout: Millis::from_secs(20),
             unread_timeout: Millis::from_secs(30),
             connect_timeout: Millis(1_000),
+            whole_answer_timeout: Millis::from_secs(60),
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             longest_deadline: Millis::from_secs(600),
+            once: once::Options::default(),
         }
     }
 }
@@ -72,8 +80,8 @@
     pub events: UnboundedSender<Event>,
     /// Time.
     pub clock: Arc<dyn Clock>,
-    /// Key-value service of the platform.
-    pub store: Arc<dyn Store>,
+    /// Records of non-idempotent calls.
+    pub ledger: Arc<Ledger>,
     /// Name of this node.
     pub node: CompactString,
     /// Bounds.
@@ -82,6 +90,7 @@
     pub counters: Counters,
     /// Requests in flight, and whether new ones are taken.
     pub drain: Drain,
+    pub(crate) shares: Shares,
 }
 
 impl Shared {
@@ -96,15 +105,17 @@
         options: Options,
         meter: &Meter,
     ) -> Self {
+        let ledger = Ledger::new(store, Arc::clone(&clock), node, options.once);
         Shared {
             snapshot,
             events,
             clock,
-            store,
+            ledger,
             node: node.into(),
             options,
             counters: Counters::new(meter),
             drain: Drain::default(),
+            shares: Shares::default(),
         }
     }
 
