--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod event;
 pub mod options;
+pub mod peer;
+pub mod release;
 pub mod runtime;
 pub mod state;
 pub mod view;
