--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -288,6 +288,7 @@
         fence: report.fence.0,
         running: report.load.running,
         waiting: report.load.waiting,
+        leaving: report.leaving,
     }
 }
 
@@ -305,6 +306,7 @@
         membership,
         ready: report.ready,
         fence: Fence(report.fence),
+        leaving: report.leaving,
         load: Load {
             running: report.running,
             waiting: report.waiting,
--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -247,6 +247,7 @@
             membership: None,
             ready: true,
             fence: Fence(3),
+            leaving: false,
             load: Default::default(),
         }),
     }
