--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -103,6 +103,7 @@
                 running: self.running.load(Ordering::SeqCst),
                 waiting: 0,
             },
+            leaving: false,
         }
     }
 
