Serve a request through real processes, explain when a group is whole

Cause: path.rs waited 60 s for a decision that nothing took (run before this commit: failed).

Ruled out: polling the callers' port (a wait on an event is exact).

Before: 1 failed. After: path.rs passes in 1.4 s with a daemon, an etcd stand-in and engines as separate servers. Reports carry leaving between nodes as well.

--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -288,6 +288,7 @@
         fence: report.fence.0,
         running: report.load.running,
         waiting: report.load.waiting,
+        leaving: report.leaving,
     }
 }
 
@@ -304,6 +305,7 @@
         boot: report.boot,
         membership,
         ready: report.ready,
+        leaving: report.leaving,
         fence: Fence(report.fence),
         load: Load {
             running: report.running,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -45,6 +45,7 @@
     placement: Placement,
     seen: HashMap<CompactString, Seen>,
     builder: Builder,
+    whole: HashSet<CompactString>,
     log: Log,
     explained: Vec<Decision>,
     stopping: bool,
@@ -66,6 +67,7 @@
             placement,
             seen: HashMap::new(),
             builder: Builder::default(),
+            whole: HashSet::new(),
             log,
             explained: Vec::new(),
             stopping: false,
@@ -83,10 +85,25 @@
     /// Takes an event and returns what has to be done.
     pub fn step(&mut self, event: Event, now: Instant, unix_millis: u64) -> Vec<Action> {
         let mut actions = self.judge(event, now, unix_millis);
+        self.explain_whole(now, unix_millis);
         actions.extend(self.explained.drain(..).map(Action::Explain));
         actions
     }
 
+    fn explain_whole(&mut self, now: Instant, unix_millis: u64) {
+        let whole: HashSet<CompactString> = self
+            .whole_groups(now)
+            .iter()
+            .map(|whole| whole.group.name.clone())
+            .collect();
+        for name in whole.difference(&self.whole.clone()) {
+            let cause = "every member reports the group, its generation and that it is ready";
+            let subject = Subject::Group(name.clone());
+            self.record(Decision::new(subject, cause, "group is whole"), unix_millis);
+        }
+        self.whole = whole;
+    }
+
     /// Records a decision and hands it to operators with the next actions.
     fn record(&mut self, decision: Decision, unix_millis: u64) {
         let decision = self.log.record(decision, unix_millis);
--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -245,6 +245,7 @@
             vm: vm.into(),
             boot: 1,
             membership: None,
+            leaving: false,
             ready: true,
             fence: Fence(3),
             load: Default::default(),
--- a/crates/daemon/tests/support/caller.rs
+++ b/crates/daemon/tests/support/caller.rs
@@ -14,25 +14,25 @@
 
 /// Answer to a request.
 #[derive(Clone, Debug)]
-pub struct Answer {
+pub(crate) struct Answer {
     /// HTTP status code, or zero if the connection broke.
-    pub status: u16,
+    pub(crate) status: u16,
     /// Value of `jackdawstair-outcome`.
-    pub outcome: String,
+    pub(crate) outcome: String,
     /// Whether a `Retry-After` came.
-    pub retry_after: bool,
+    pub(crate) retry_after: bool,
     /// Body.
-    pub body: String,
+    pub(crate) body: String,
 }
 
 impl Answer {
     /// Gets the body as JSON.
-    pub fn json(&self) -> Value {
+    pub(crate) fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or_default()
     }
 
     /// Gets the text of a whole completion.
-    pub fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         self.json()["choices"][0]["text"]
             .as_str()
             .unwrap_or_default()
@@ -40,7 +40,7 @@
     }
 
     /// Gets the joined texts of a stream, and whether it ended with its marker.
-    pub fn stream(&self) -> (String, bool) {
+    pub(crate) fn stream(&self) -> (String, bool) {
         let mut text = String::new();
         for line in self
             .body
@@ -59,31 +59,31 @@
 
 /// Sends requests to one port.
 #[derive(Clone, Copy, Debug)]
-pub struct Caller {
+pub(crate) struct Caller {
     address: SocketAddr,
 }
 
 impl Caller {
     /// Creates a caller of a port.
-    pub fn new(address: SocketAddr) -> Caller {
+    pub(crate) fn new(address: SocketAddr) -> Caller {
         Caller { address }
     }
 
     /// Asks for a whole completion.
-    pub fn complete(&self, prompt: &str, tokens: u64) -> Answer {
+    pub(crate) fn complete(&self, prompt: &str, tokens: u64) -> Answer {
         let body = json!({"model": "large", "prompt": prompt, "max_tokens": tokens});
         self.send(Method::POST, "/v1/completions", TEAM_TOKEN, &[], &body)
     }
 
     /// Asks for a streamed completion.
-    pub fn stream(&self, prompt: &str, tokens: u64) -> Answer {
+    pub(crate) fn stream(&self, prompt: &str, tokens: u64) -> Answer {
         let body =
             json!({"model": "large", "prompt": prompt, "max_tokens": tokens, "stream": true});
         self.send(Method::POST, "/v1/completions", TEAM_TOKEN, &[], &body)
     }
 
     /// Sends a shipment order.
-    pub fn ship(&self, key: &str, box_number: u64) -> Answer {
+    pub(crate) fn ship(&self, key: &str, box_number: u64) -> Answer {
         let headers = [("idempotency-key", key)];
         let body = json!({"box": box_number});
         let path = "/services/orders/shipments";
@@ -91,7 +91,7 @@
     }
 
     /// Reads the stock.
-    pub fn stock(&self) -> Answer {
+    pub(crate) fn stock(&self) -> Answer {
         self.send(
             Method::GET,
             "/services/orders/stock",
@@ -102,7 +102,7 @@
     }
 
     /// Sends an operator's request.
-    pub fn operate(&self, method: Method, path: &str, body: &Value) -> Answer {
+    pub(crate) fn operate(&self, method: Method, path: &str, body: &Value) -> Answer {
         self.send(method, path, OPERATOR_TOKEN, &[], body)
     }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the harness")]
 
-pub mod caller;
-pub mod node;
+pub(crate) mod caller;
+pub(crate) mod node;
 
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -17,17 +17,17 @@
 use jackdaw_standin::platform::{Addresses, Plan, Platform};
 use jackdawstair::control::runtime::CATALOG_KEY;
 
-pub use caller::Caller;
-pub use node::Node;
+pub(crate) use caller::Caller;
+pub(crate) use node::Node;
 
 /// Token of the team of every test.
-pub const TEAM_TOKEN: &str = "team-token";
+pub(crate) const TEAM_TOKEN: &str = "team-token";
 
 /// Token of the operator of every test.
-pub const OPERATOR_TOKEN: &str = "operator-token";
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
 
 /// Availability zones of the tests.
-pub const ZONES: [&str; 2] = ["east-a", "east-b"];
+pub(crate) const ZONES: [&str; 2] = ["east-a", "east-b"];
 
 const NOTE: &str = "\
 id: first
@@ -45,16 +45,16 @@
 ";
 
 /// The platform, the back ends and the nodes of one test.
-pub struct Cluster {
+pub(crate) struct Cluster {
     /// Stand-ins.
-    pub platform: Platform,
+    pub(crate) platform: Platform,
     /// Nodes in the order in which they were started.
-    pub nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
 }
 
 impl Cluster {
     /// Starts the stand-ins with an accepted first note, and no node.
-    pub fn start(token_interval: Millis) -> Cluster {
+    pub(crate) fn start(token_interval: Millis) -> Cluster {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let addresses = Addresses {
             store: any,
@@ -75,7 +75,7 @@
     }
 
     /// Starts a node in an availability zone and waits for its ports.
-    pub fn add_node(&mut self, zone: &str) -> usize {
+    pub(crate) fn add_node(&mut self, zone: &str) -> usize {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
         let name = format!("{zone}-{}", self.nodes.len() + 1);
         let settings = self.settings(&name, zone, &seeds);
@@ -84,7 +84,7 @@
     }
 
     /// Returns a caller of a node.
-    pub fn caller(&self, node: usize) -> Caller {
+    pub(crate) fn caller(&self, node: usize) -> Caller {
         Caller::new(self.nodes[node].callers)
     }
 
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -21,15 +21,15 @@
 }
 
 /// A running daemon.
-pub struct Node {
+pub(crate) struct Node {
     /// Name of the node.
-    pub name: String,
+    pub(crate) name: String,
     /// Callers' port.
-    pub callers: SocketAddr,
+    pub(crate) callers: SocketAddr,
     /// Operators' port.
-    pub operators: SocketAddr,
+    pub(crate) operators: SocketAddr,
     /// Peers' port.
-    pub peers: SocketAddr,
+    pub(crate) peers: SocketAddr,
     child: Child,
     lines: Arc<Lines>,
     settings: std::path::PathBuf,
@@ -37,7 +37,7 @@
 
 impl Node {
     /// Starts a daemon and waits for its ports.
-    pub fn start(name: &str, settings: &str) -> Node {
+    pub(crate) fn start(name: &str, settings: &str) -> Node {
         let file = std::env::temp_dir().join(format!("jackdaw-{}-{name}.yaml", unique()));
         fs::write(&file, settings).expect("settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_jackdawd"))
@@ -52,7 +52,8 @@
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 let value = serde_json::from_str(&line).unwrap_or(Value::String(line));
-                sink.lines.lock().expect("lines").push(value);
+                let mut lines = sink.lines.lock().unwrap_or_else(PoisonError::into_inner);
+                lines.push(value);
                 sink.grown.notify_all();
             }
         });
@@ -75,7 +76,7 @@
     }
 
     /// Waits for a log line and returns it.
-    pub fn wait_for(&self, is_match: impl Fn(&Value) -> bool) -> Value {
+    pub(crate) fn wait_for(&self, is_match: impl Fn(&Value) -> bool) -> Value {
         let guard = self.lines.lines.lock().expect("lines");
         let (guard, timeout) = self
             .lines
@@ -94,7 +95,7 @@
     }
 
     /// Waits for a decision about a subject.
-    pub fn wait_for_decision(&self, subject: &str, taken: &str) -> Value {
+    pub(crate) fn wait_for_decision(&self, subject: &str, taken: &str) -> Value {
         self.wait_for(|line| {
             line["msg"] == "decision"
                 && line["subjects"]
@@ -107,19 +108,19 @@
     }
 
     /// Returns how many log lines match.
-    pub fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
+    pub(crate) fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
         let lines = self.lines.lines.lock().expect("lines");
         lines.iter().filter(|line| is_match(line)).count()
     }
 
     /// Ends the process at once.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
     /// Sends a signal by name to this process alone.
-    pub fn signal(&self, name: &str) {
+    pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .arg(format!("-{name}"))
             .arg(self.child.id().to_string())
@@ -129,7 +130,7 @@
     }
 
     /// Waits for the process to end.
-    pub fn wait_for_exit(&mut self) -> ExitStatus {
+    pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
         self.child.wait().expect("daemon ends")
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the model engine on one VM.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use compact_str::CompactString;
@@ -68,6 +68,7 @@
     running: AtomicU32,
     served: AtomicU64,
     refused_orders: AtomicU64,
+    leaving: AtomicBool,
     crashed: watch::Sender<bool>,
     paused: watch::Sender<bool>,
 }
@@ -84,6 +85,7 @@
             running: AtomicU32::new(0),
             served: AtomicU64::new(0),
             refused_orders: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
             crashed: watch::Sender::new(false),
             paused: watch::Sender::new(false),
         })
@@ -98,6 +100,7 @@
             boot: self.boot.load(Ordering::SeqCst),
             membership: held.membership.clone(),
             ready: held.ready,
+            leaving: self.leaving.load(Ordering::SeqCst),
             fence: held.fence,
             load: Load {
                 running: self.running.load(Ordering::SeqCst),
@@ -123,9 +126,15 @@
         self.paused.send_replace(paused);
     }
 
+    /// Sets whether the engine says that it is about to stop.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::SeqCst);
+    }
+
     /// Forgets everything, as a re-imaged VM does.
     pub fn reset(&self) {
         self.boot.fetch_add(1, Ordering::SeqCst);
+        self.set_leaving(false);
         self.crashed.send_replace(false);
         *self.lock() = Held::default();
     }
