Plan replica groups by need, cost and weights

Cause: the thin planner broke a group up at its first missing member, forgot which weights the survivors hold, and knew neither spares nor drains ahead of need. The planner now runs passes until nothing changes: groups that ended or broke are set aside, wanted groups are completed, merged, formed, copied ahead or preempted in order of need, versions roll, and left-over VMs may be bound as spares whose use needs no write.

Ruled out: dropping broken groups at once (a member that returns would find its group gone), and generation counters for bound spares (two views could give one number to two member lists; the number now names the committed placement and the VMs left out).

Found by the random sequences and mended: a group that had drained went on with VMs kept for a model more in need; a group was ended by a drain of its former life.

--- /dev/null
+++ b/crates/policy/src/plan/spare.rs
@@ -0,0 +1,122 @@
+//! Binds VMs that are left over to groups as spares.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::decision::{Decision, Subject};
+use jackdaw_core::placement::{Group, State};
+
+use super::draft::Draft;
+
+impl Draft<'_> {
+    /// Unbinds spares that are no longer of use and binds free VMs, in order of need.
+    pub(super) fn bind_spares(&mut self) {
+        self.unbind_unfit();
+        let mut free = self.unbound();
+        let limit = self.context.options.spares_per_group as usize;
+        for count in 0..limit {
+            for index in self.groups_by_need() {
+                self.bind_one(index, count, &mut free);
+            }
+        }
+    }
+
+    fn unbind_unfit(&mut self) {
+        let members = self.members();
+        let mut groups = std::mem::take(&mut self.placement.groups);
+        for group in &mut groups {
+            let bound = std::mem::take(&mut group.spares);
+            let limit = self.spares_allowed(group);
+            for vm in bound {
+                let is_fit =
+                    group.spares.len() < limit && self.is_usable(&vm) && !members.contains(&vm);
+                if is_fit {
+                    group.spares.push(vm);
+                } else {
+                    self.explain_unbound(group, vm);
+                }
+            }
+        }
+        self.placement.groups = groups;
+    }
+
+    /// Returns how many spares a group may have.
+    fn spares_allowed(&self, group: &Group) -> usize {
+        if group.state == State::Draining {
+            return 0;
+        }
+        let limit = self.context.options.spares_per_group as usize;
+        limit.min(group.members.len().saturating_sub(1))
+    }
+
+    fn explain_unbound(&mut self, group: &Group, vm: CompactString) {
+        let health = format_compact!("{:?}", self.health(&vm));
+        self.decisions.push(
+            Decision::new(
+                Subject::Group(group.name.clone()),
+                "a spare does not answer, leaves or is a member now, or the group drains",
+                "spare is bound to the group no longer",
+            )
+            .about(Subject::Vm(vm))
+            .saw("health of the VM", health),
+        );
+    }
+
+    /// Returns the VMs that are in no group, by fabric domain.
+    fn unbound(&self) -> BTreeMap<CompactString, Vec<CompactString>> {
+        let mut taken = self.members();
+        for group in &self.placement.groups {
+            taken.extend(group.spares.iter().cloned());
+        }
+        let mut free: BTreeMap<CompactString, Vec<CompactString>> = BTreeMap::new();
+        for vm in self.input.vms {
+            if self.is_usable(&vm.name) && !taken.contains(&vm.name) {
+                free.entry(vm.domain.clone())
+                    .or_default()
+                    .push(vm.name.clone());
+            }
+        }
+        for vms in free.values_mut() {
+            vms.sort_by(|a, b| b.cmp(a));
+        }
+        free
+    }
+
+    fn groups_by_need(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.placement.groups.len()).collect();
+        order.sort_by_key(|index| {
+            let group = &self.placement.groups[*index];
+            let priority = self.model(group).map_or(0, |model| model.priority);
+            (Reverse(priority), group.name.clone())
+        });
+        order
+    }
+
+    /// Binds a spare to a group that has `count` of them.
+    fn bind_one(
+        &mut self,
+        index: usize,
+        count: usize,
+        free: &mut BTreeMap<CompactString, Vec<CompactString>>,
+    ) {
+        let limit = self.spares_allowed(&self.placement.groups[index]);
+        let group = &mut self.placement.groups[index];
+        if group.spares.len() != count || count >= limit {
+            return;
+        }
+        let Some(vm) = free.get_mut(&group.domain).and_then(Vec::pop) else {
+            return;
+        };
+        self.decisions.push(
+            Decision::new(
+                Subject::Group(group.name.clone()),
+                "a VM of the fabric domain is left over",
+                "bound to this group alone as a spare",
+            )
+            .about(Subject::Vm(vm.clone()))
+            .weighed("leave it unbound", "a cut-off zone could not use it"),
+        );
+        group.spares.push(vm);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/plan/zone.rs
@@ -0,0 +1,127 @@
+//! A zone with its planner's inputs.
+
+use std::collections::BTreeSet;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::catalog::{Catalog, Model};
+use jackdaw_core::placement::{Group, Placement, State};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Revision;
+use jackdaw_policy::plan::{Candidate, Context, Health, Input, Options, Proposal, propose_with};
+
+/// A point in time late enough for every span.
+pub(crate) const NOW: Instant = Instant(100_000_000);
+
+pub(crate) fn model(name: &str, size: u32, replicas: u32, priority: u32) -> Model {
+    Model {
+        name: name.into(),
+        version: "1".into(),
+        vms_per_replica: size,
+        replicas,
+        adapters: Vec::new(),
+        zones: Vec::new(),
+        priority,
+    }
+}
+
+/// A zone with its planner's inputs, changed step by step.
+pub(crate) struct Zone {
+    pub(crate) placement: Placement,
+    pub(crate) catalog: Catalog,
+    pub(crate) vms: Vec<Candidate>,
+    pub(crate) drained: Vec<CompactString>,
+    pub(crate) options: Options,
+    pub(crate) serving: Option<BTreeSet<CompactString>>,
+}
+
+impl Zone {
+    /// Creates a zone whose domains `a`, `b` … have the given numbers of VMs, all present.
+    pub(crate) fn new(domains: &[u32], models: Vec<Model>) -> Self {
+        let names = ["a", "b", "c", "d", "e"];
+        let vms = domains.iter().zip(names).flat_map(|(count, domain)| {
+            (0..*count).map(move |number| Candidate {
+                name: format_compact!("{domain}{number}"),
+                domain: domain.into(),
+                health: Health::Present,
+                since: Instant(0),
+            })
+        });
+        Zone {
+            placement: Placement {
+                zone: "z".into(),
+                ..Placement::default()
+            },
+            catalog: Catalog {
+                revision: Revision(1),
+                models,
+                ..Catalog::default()
+            },
+            vms: vms.collect(),
+            drained: Vec::new(),
+            options: Options::default(),
+            serving: None,
+        }
+    }
+
+    pub(crate) fn propose(&self) -> Option<Proposal> {
+        let input = Input {
+            placement: &self.placement,
+            catalog: &self.catalog,
+            vms: &self.vms,
+            drained: &self.drained,
+            now: NOW,
+        };
+        let context = Context {
+            options: self.options,
+            flaps: None,
+            serving: self.serving.as_ref(),
+        };
+        propose_with(&input, &context)
+    }
+
+    /// Commits what the planner proposes and returns whether it proposed anything.
+    pub(crate) fn step(&mut self) -> bool {
+        let Some(proposal) = self.propose() else {
+            return false;
+        };
+        assert!(!proposal.decisions.is_empty(), "a change without a reason");
+        let sequence = self.placement.sequence + 1;
+        self.placement = proposal.placement;
+        self.placement.sequence = sequence;
+        true
+    }
+
+    /// Lets every draining group finish.
+    pub(crate) fn drain(&mut self) {
+        let draining = |group: &&Group| group.state == State::Draining;
+        let groups = self.placement.groups.iter().filter(draining);
+        self.drained = groups.map(|group| group.name.clone()).collect();
+    }
+
+    pub(crate) fn set(&mut self, vm: &str, health: Health, since: Instant) {
+        let found = self.vms.iter_mut().find(|known| known.name == vm);
+        let found = found.expect("the VM exists");
+        found.health = health;
+        found.since = since;
+    }
+
+    pub(crate) fn model(&mut self, name: &str) -> &mut Model {
+        let mut models = self.catalog.models.iter_mut();
+        models
+            .find(|model| model.name == name)
+            .expect("the model exists")
+    }
+
+    /// Returns the groups as lines, `model:members` with a mark for draining ones.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        let line = |group: &Group| {
+            let mark = if group.state == State::Draining {
+                "~"
+            } else {
+                ""
+            };
+            format!("{mark}{}:{}", group.model, group.members.join(","))
+        };
+        self.placement.groups.iter().map(line).collect()
+    }
+}
