--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -305,6 +305,7 @@
         boot: report.boot,
         membership,
         ready: report.ready,
+        leaving: report.leaving,
         fence: Fence(report.fence),
         leaving: report.leaving,
         load: Load {
