--- a/crates/control/src/courier.rs
+++ b/crates/control/src/courier.rs
@@ -29,7 +29,7 @@
         /// Address of the receiver.
         to: SocketAddr,
         /// The message.
-        envelope: Envelope,
+        envelope: Box<Envelope>,
     },
     /// Get a value from another node.
     Fetch {
--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -307,7 +307,6 @@
         ready: report.ready,
         leaving: report.leaving,
         fence: Fence(report.fence),
-        leaving: report.leaving,
         load: Load {
             running: report.running,
             waiting: report.waiting,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,7 +7,7 @@
 
 use compact_str::CompactString;
 use jackdaw_core::catalog::Catalog;
-use jackdaw_core::decision::{Decision, Log};
+use jackdaw_core::decision::{Decision, Log, Subject};
 use jackdaw_core::inventory::{self, Vm};
 use jackdaw_core::member::Report;
 use jackdaw_core::order::{Command, Order};
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -170,6 +170,7 @@
         for effect in effects {
             match effect {
                 Effect::Send { to, envelope } => {
+                    let envelope = Box::new(envelope);
                     actions.push(Action::Carry(Job::Send { to, envelope }));
                 }
                 Effect::Fetch { from, what } => {
--- a/crates/control/tests/spread.rs
+++ b/crates/control/tests/spread.rs
@@ -248,7 +248,6 @@
             leaving: false,
             ready: true,
             fence: Fence(3),
-            leaving: false,
             load: Default::default(),
         }),
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -106,7 +106,6 @@
                 running: self.running.load(Ordering::SeqCst),
                 waiting: 0,
             },
-            leaving: false,
         }
     }
 
