Prove at most once through real daemons that die, freeze and lose answers

Fail points stand after the intent, before and after the result; the daemon's tests build them in by a feature of the development dependency. A task of the facade records late what the service did not take, and a planned stop tries once more.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use fail::FailScenario;
 use jackdawstair::core::time::Machine;
 use jackdawstair::node::{Node, Parts, wire_runtime};
 use jackdawstair::platform::etcd;
@@ -85,6 +86,8 @@
 }
 
 fn run(settings: &Settings) -> ExitCode {
+    // Builds without the feature of the tests have no fail points to set up.
+    let _failures = FailScenario::setup();
     let logger = log::json(settings.log_level, &settings.node);
     let signals = match stop::Signals::install() {
         Ok(signals) => signals,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -76,10 +76,15 @@
 
     /// Starts a node in an availability zone and waits for its ports.
     pub fn add_node(&mut self, zone: &str) -> usize {
+        self.add_failing_node(zone, "")
+    }
+
+    /// Starts a node with fail points, in the form of the `fail` crate, and waits for its ports.
+    pub fn add_failing_node(&mut self, zone: &str, fail_points: &str) -> usize {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
         let name = format!("{zone}-{}", self.nodes.len() + 1);
         let settings = self.settings(&name, zone, &seeds);
-        self.nodes.push(Node::start(&name, &settings));
+        self.nodes.push(Node::start(&name, &settings, fail_points));
         self.nodes.len() - 1
     }
 
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -36,13 +36,14 @@
 }
 
 impl Node {
-    /// Starts a daemon and waits for its ports.
-    pub fn start(name: &str, settings: &str) -> Node {
+    /// Starts a daemon with fail points, in the form of the `fail` crate, and waits for its ports.
+    pub fn start(name: &str, settings: &str, fail_points: &str) -> Node {
         let file = std::env::temp_dir().join(format!("jackdaw-{}-{name}.yaml", unique()));
         fs::write(&file, settings).expect("settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_jackdawd"))
             .arg("run")
             .arg(&file)
+            .env("FAILPOINTS", fail_points)
             .stderr(Stdio::piped())
             .spawn()
             .expect("daemon starts");
@@ -76,7 +77,7 @@
 
     /// Waits for a log line and returns it.
     pub fn wait_for(&self, is_match: impl Fn(&Value) -> bool) -> Value {
-        let guard = self.lines.lock().expect("lines");
+        let guard = self.lines.lines.lock().expect("lines");
         let (guard, timeout) = self
             .lines
             .grown
@@ -108,7 +109,7 @@
 
     /// Returns how many log lines match.
     pub fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
-        let lines = self.lines.lock().expect("lines");
+        let lines = self.lines.lines.lock().expect("lines");
         lines.iter().filter(|line| is_match(line)).count()
     }
 
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use compact_str::CompactString;
+use fail::fail_point;
 use jackdaw_core::errors::Error;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::store::{Committed, Compare, Entry, Lease, Store, Transaction};
@@ -153,12 +154,15 @@
         };
         let (mut call, first) = Call::open(request, origin, self.options.limits);
         match self.drive(&mut call, lease, first).await {
-            Action::Run => Begin::Run(Ticket {
-                ledger: Arc::clone(self),
-                call: Some(Box::new(call)),
-                lease,
-                dispatched: false,
-            }),
+            Action::Run => {
+                fail_point!("once-recorded");
+                Begin::Run(Ticket {
+                    ledger: Arc::clone(self),
+                    call: Some(Box::new(call)),
+                    lease,
+                    dispatched: false,
+                })
+            }
             Action::Replay(answer) => Begin::Stored(answer),
             Action::Refuse {
                 reason,
@@ -372,6 +376,7 @@
         let Some(mut call) = self.call.take() else {
             return false;
         };
+        fail_point!("once-ended");
         let first = call.close(result);
         // A caller that goes away while the result is written must not lose it.
         let mut guard = Closing {
@@ -385,6 +390,7 @@
         };
         let last = self.ledger.drive(call, self.lease, first).await;
         guard.unsent = None;
+        fail_point!("once-closed");
         last == Action::Closed { recorded: true }
     }
 }
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -120,7 +120,7 @@
                 String::new()
             }
             Step::Plan(fault) => {
-                self.memory.plan(fault);
+                self.memory.plan("", fault);
                 String::new()
             }
             Step::Advance(span) => {
--- a/crates/jackdawstair/src/lib.rs
+++ b/crates/jackdawstair/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod log;
 pub mod node;
+mod recorder;
 pub mod settings;
 pub mod stop;
 
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -21,6 +21,7 @@
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
+use crate::recorder::Recorder;
 use crate::settings::{Settings, Timing};
 
 /// Longest time for connecting to an engine or to the VM list.
@@ -73,6 +74,7 @@
 pub struct Node {
     control: Control,
     server: Server,
+    recorder: Recorder,
     logger: Logger,
 }
 
@@ -108,6 +110,7 @@
             },
             &NoopMeterProvider::new().meter("jackdaw-entry"),
         );
+        let recorder = Recorder::start(&parts.wire, &shared.ledger, parts.logger.clone());
         let peer = settings.callers.to_string();
         let server = Server::start(Arc::new(shared), settings.callers)
             .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
@@ -115,6 +118,7 @@
         Ok(Node {
             control,
             server,
+            recorder,
             logger: parts.logger,
         })
     }
@@ -131,8 +135,9 @@
         // Readiness fails first, so that the balancer sends nothing new.
         self.control.begin_stop();
         futures::executor::block_on(self.server.stop());
+        let unrecorded = self.recorder.stop();
         self.control.end();
-        info!(self.logger, "node stopped");
+        info!(self.logger, "node stopped"; "unrecorded_results" => unrecorded);
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 
 use compact_str::CompactString;
 use jackdaw_core::errors::Result;
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct Executions {
     by_key: Mutex<BTreeMap<CompactString, u64>>,
+    grown: Condvar,
 }
 
 impl Executions {
@@ -31,6 +32,17 @@
         self.lock().get(key).copied().unwrap_or_default()
     }
 
+    /// Waits until a call with a key has run.
+    pub fn wait_for(&self, key: &str) {
+        let mut by_key = self.lock();
+        while !by_key.contains_key(key) {
+            by_key = self
+                .grown
+                .wait(by_key)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
     /// Returns the executions of all keys together.
     #[must_use]
     pub fn total(&self) -> u64 {
@@ -51,6 +63,7 @@
         let mut by_key = self.lock();
         let count = by_key.entry(key.into()).or_default();
         *count += 1;
+        self.grown.notify_all();
         *count
     }
 
--- a/crates/standin/src/store/fault.rs
+++ b/crates/standin/src/store/fault.rs
@@ -2,6 +2,9 @@
 
 use std::collections::VecDeque;
 
+use compact_str::CompactString;
+use jackdaw_core::store::{Transaction, Write};
+
 /// How the service treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -42,6 +45,22 @@
 pub(super) struct Plan {
     /// Fault for every call.
     pub(super) standing: Fault,
-    /// Faults for the next transactions, one each, before the standing one.
-    pub(super) next: VecDeque<Fault>,
+    /// Faults for the next transactions that put a key with a prefix, one each.
+    pub(super) next: VecDeque<(CompactString, Fault)>,
+    /// Number of times that a fault was set; what is held waits for the next one.
+    pub(super) releases: u64,
+}
+
+impl Plan {
+    /// Takes the fault that is planned for a transaction.
+    pub(super) fn take(&mut self, transaction: &Transaction) -> Option<Fault> {
+        let is_meant = |prefix: &CompactString| {
+            transaction.then.iter().any(|write| match write {
+                Write::Put { key, .. } => key.starts_with(prefix.as_str()),
+                Write::Delete(_) => false,
+            })
+        };
+        let place = self.next.iter().position(|(prefix, _)| is_meant(prefix))?;
+        self.next.remove(place).map(|(_, fault)| fault)
+    }
 }
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -71,6 +71,7 @@
     pub fn set(&self, fault: Fault) {
         self.change(|inner, now| {
             inner.plan.standing = fault;
+            inner.plan.releases += 1;
             inner.state.freeze(fault == Fault::Stale);
             for call in inner.late.drain(..) {
                 call(&mut inner.state, now);
@@ -78,9 +79,10 @@
         });
     }
 
-    /// Plans a fault for the next transaction that no other is planned for.
-    pub fn plan(&self, fault: Fault) {
-        self.change(|inner, _| inner.plan.next.push_back(fault));
+    /// Plans a fault for the next transaction that puts a key with a prefix and that no other
+    /// fault is planned for. What it holds is let go by the next [`Memory::set`].
+    pub fn plan(&self, prefix: &str, fault: Fault) {
+        self.change(|inner, _| inner.plan.next.push_back((prefix.into(), fault)));
     }
 
     /// Ends a lease as if its time had run out.
@@ -134,13 +136,11 @@
         result
     }
 
-    /// Waits until the standing fault holds nothing back.
+    /// Waits until the next fault is set.
     async fn released(&self) {
         let mut version = self.shared.version.subscribe();
-        while matches!(
-            self.lock().plan.standing,
-            Fault::HoldCall | Fault::HoldAnswer
-        ) {
+        let before = self.lock().plan.releases;
+        while self.lock().plan.releases == before {
             // The sender lives as long as this service, so the channel cannot close.
             let _ = version.changed().await;
         }
@@ -221,7 +221,8 @@
 
     async fn commit(&self, transaction: Transaction) -> Result<Committed> {
         let standing = self.receive(|counts| counts.writes += 1);
-        let fault = self.change(|inner, _| inner.plan.next.pop_front().unwrap_or(standing));
+        let planned = self.change(|inner, _| inner.plan.take(&transaction));
+        let fault = planned.unwrap_or(standing);
         self.write("commit", fault, |state, _| state.commit(transaction))
             .await
     }
