--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -46,7 +46,7 @@
         Options {
             limits: Limits::default(),
             retention: Millis::from_secs(24 * 60 * 60),
-            lease_period: Millis::from_secs(60),
+            lease_period: Millis::from_secs(300),
             answer: Millis::from_secs(1),
         }
     }
