--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -12,6 +12,7 @@
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::once;
 use jackdaw_entry::server::Server;
 use jackdaw_entry::shared;
 use jackdaw_platform::http::Bounds;
@@ -106,6 +107,7 @@
             &settings.node,
             shared::Options {
                 workers: settings.workers,
+                once: once_options(settings.timing),
                 ..shared::Options::default()
             },
             &NoopMeterProvider::new().meter("jackdaw-entry"),
@@ -155,6 +157,18 @@
     }
 }
 
+fn once_options(timing: Timing) -> once::Options {
+    let default = once::Options::default();
+    once::Options {
+        limits: once::Limits {
+            dispatch_window: timing.dispatch_window,
+            ..default.limits
+        },
+        retention: timing.key_retention,
+        ..default
+    }
+}
+
 fn connect(vms: SocketAddr, timing: Timing) -> Connect {
     let bounds = move |answer_bytes| Bounds {
         connect: CONNECT_TIMEOUT,
--- a/crates/jackdawstair/src/settings/check.rs
+++ b/crates/jackdawstair/src/settings/check.rs
@@ -8,6 +8,10 @@
 use super::tree::Item;
 use super::{Settings, Timing};
 
+/// Dispatch windows that fit into the retention of a key, so that no call whose record has expired
+/// may still be dispatched.
+const RETENTION_WINDOWS: u64 = 60;
+
 /// Adds a problem for every contradiction.
 pub(super) fn check(settings: &Settings, root: &Item, problems: &mut Vec<Problem>) {
     let mut add = |key: &str, reason: String| {
@@ -72,6 +76,10 @@
         let reason = "must be longer than clock_margin and order_timeout together";
         add("timing.leader_lease", reason.to_owned());
     }
+    if timing.key_retention.0 < timing.dispatch_window.0.saturating_mul(RETENTION_WINDOWS) {
+        let reason = format!("must be at least {RETENTION_WINDOWS} times as long as dispatch_window");
+        add("timing.key_retention", reason);
+    }
 }
 
 fn line_of(root: &Item, path: &str) -> u64 {
--- a/crates/jackdawstair/src/settings/mod.rs
+++ b/crates/jackdawstair/src/settings/mod.rs
@@ -52,7 +52,7 @@
     pub stranded: u64,
 }
 
-/// Timing of the control thread.
+/// Timing of the node's parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
     /// Time between two probes of one VM.
@@ -71,6 +71,10 @@
     pub order_timeout: Millis,
     /// Time between two rounds of spreading.
     pub spread_interval: Millis,
+    /// Time after its start in which a non-idempotent call may be dispatched.
+    pub dispatch_window: Millis,
+    /// Time for which the key of a non-idempotent call is remembered at least.
+    pub key_retention: Millis,
 }
 
 impl Default for Timing {
@@ -84,6 +88,8 @@
             clock_margin: Millis(500),
             order_timeout: Millis(2_000),
             spread_interval: Millis(500),
+            dispatch_window: Millis::from_secs(10),
+            key_retention: Millis::from_secs(24 * 60 * 60),
         }
     }
 }
--- a/crates/jackdawstair/src/settings/read.rs
+++ b/crates/jackdawstair/src/settings/read.rs
@@ -131,6 +131,8 @@
         clock_margin: span("clock_margin", default.clock_margin),
         order_timeout: span("order_timeout", default.order_timeout),
         spread_interval: span("spread_interval", default.spread_interval),
+        dispatch_window: span("dispatch_window", default.dispatch_window),
+        key_retention: span("key_retention", default.key_retention),
     };
     section.finish(problems);
     timing
--- a/crates/jackdawstair/tests/settings.rs
+++ b/crates/jackdawstair/tests/settings.rs
@@ -61,6 +61,11 @@
     to: "leader_lease: 9 parsecs",
     problems: &["line 17: timing.leader_lease: expected a span of time"],
 })]
+#[case::retention_too_short(Case {
+    from: "leader_lease: 9s",
+    to: "key_retention: 9min",
+    problems: &["line 17: timing.key_retention: must be at least 60 times as long"],
+})]
 #[case::ports_overlap(Case {
     from: "operators: 127.0.0.1:7401",
     to: "operators: 0.0.0.0:7400",
