--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -10,7 +10,7 @@
 use jackdaw_standin::store::Fault;
 use rstest::rstest;
 use support::caller::Answer;
-use support::{Caller, Cluster};
+use support::{Caller, Cluster, Extra};
 
 const KEY: &str = "order-1";
 const BOX: u64 = 7;
@@ -25,9 +25,9 @@
 }
 
 impl Bench {
-    fn new(fail_points: &str) -> Bench {
+    fn new(first: Extra) -> Bench {
         let mut cluster = Cluster::start(Millis(0));
-        cluster.add_failing_node("east-a", fail_points);
+        cluster.add_node_with("east-a", first);
         cluster.add_node("east-b");
         for node in 0..cluster.nodes.len() {
             wait_for_service(&cluster.caller(node));
@@ -133,7 +133,10 @@
     repeat: (200, "completed", false),
 })]
 fn node_dies(#[case] case: Death) {
-    let mut bench = Bench::new(case.fail_points);
+    let mut bench = Bench::new(Extra {
+        fail_points: case.fail_points,
+        ..Extra::default()
+    });
     let call = bench.ship_beside();
     bench.wait_for_record(case.record);
     if case.executions > 0 {
@@ -180,7 +183,7 @@
     repeat: (200, "completed", false),
 })]
 fn service_loses(#[case] case: Loss) {
-    let bench = Bench::new("");
+    let bench = Bench::new(Extra::default());
     for fault in case.faults {
         bench.plan(*fault);
     }
@@ -197,7 +200,7 @@
 
 #[test]
 fn service_is_down() {
-    let bench = Bench::new("");
+    let bench = Bench::new(Extra::default());
     bench.set(Fault::Down);
     let refused = bench.ship(0, BOX);
     assert_eq!(shown(&refused), (503, "not-run", true), "{refused:?}");
@@ -210,7 +213,7 @@
 
 #[test]
 fn result_is_recorded_late() {
-    let mut bench = Bench::new("");
+    let mut bench = Bench::new(Extra::default());
     for fault in [Fault::None, Fault::Down, Fault::Down] {
         bench.plan(fault);
     }
@@ -224,7 +227,9 @@
 
 #[test]
 fn node_freezes_between_intent_and_dispatch() {
-    let mut bench = Bench::new("");
+    let mut bench = Bench::new(Extra::default());
+    // The second holds the copy that the node sends if it is not frozen in time.
+    bench.plan(Fault::HoldAnswer);
     bench.plan(Fault::HoldAnswer);
     let call = bench.ship_beside();
     bench.wait_for_record("intended");
@@ -240,3 +245,45 @@
     assert!(ran == 1 || answer.outcome == "not-run", "{answer:?}");
     assert_eq!(bench.executions(), ran);
 }
+
+#[test]
+fn node_freezes_past_its_window() {
+    let mut bench = Bench::new(Extra {
+        timing: "  dispatch_window: 300ms\n",
+        ..Extra::default()
+    });
+    bench.plan(Fault::HoldAnswer);
+    let call = bench.ship_beside();
+    bench.wait_for_record("intended");
+    bench.cluster.nodes[0].signal("STOP");
+    // The window is what is tested, so this much time has to pass by the clock.
+    thread::sleep(Millis(300).duration());
+    bench.set(Fault::None);
+    let repeat = bench.ship(1, BOX);
+    assert_eq!(shown(&repeat), (409, "unknown", true), "{repeat:?}");
+    bench.cluster.nodes[0].signal("CONT");
+    let answer = call.join().expect("caller");
+    assert_eq!(shown(&answer), (503, "not-run", true), "{answer:?}");
+    assert_eq!(bench.executions(), 0);
+    bench.wait_for_record("not-run");
+    let repeat = bench.ship(1, BOX);
+    assert_eq!(shown(&repeat), (200, "completed", false), "{repeat:?}");
+    assert_eq!(bench.executions(), 1);
+}
+
+#[test]
+fn stopping_node_records_what_is_left() {
+    let mut bench = Bench::new(Extra::default());
+    // The node tries twice with the caller, and once a second after that.
+    for fault in [Fault::None, Fault::Down, Fault::Down] {
+        bench.plan(fault);
+    }
+    let answer = bench.ship(0, BOX);
+    assert_eq!(shown(&answer), (200, "completed", false), "{answer:?}");
+    bench.cluster.nodes[0].signal("TERM");
+    assert!(bench.cluster.nodes[0].wait_for_exit().success());
+    bench.wait_for_record("completed");
+    let repeat = bench.ship(1, BOX);
+    assert_eq!(shown(&repeat), (200, "completed", false), "{repeat:?}");
+    assert_eq!(bench.executions(), 1);
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -44,6 +44,15 @@
         - {method: POST, path: /shipments, idempotent: false}
 ";
 
+/// In what one node differs from the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Extra {
+    /// Fail points, in the form of the `fail` crate.
+    pub fail_points: &'static str,
+    /// More lines of the settings' section `timing`.
+    pub timing: &'static str,
+}
+
 /// The platform, the back ends and the nodes of one test.
 pub struct Cluster {
     /// Stand-ins.
@@ -76,15 +85,16 @@
 
     /// Starts a node in an availability zone and waits for its ports.
     pub fn add_node(&mut self, zone: &str) -> usize {
-        self.add_failing_node(zone, "")
+        self.add_node_with(zone, Extra::default())
     }
 
-    /// Starts a node with fail points, in the form of the `fail` crate, and waits for its ports.
-    pub fn add_failing_node(&mut self, zone: &str, fail_points: &str) -> usize {
+    /// Starts a node that differs from the others and waits for its ports.
+    pub fn add_node_with(&mut self, zone: &str, extra: Extra) -> usize {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
         let name = format!("{zone}-{}", self.nodes.len() + 1);
-        let settings = self.settings(&name, zone, &seeds);
-        self.nodes.push(Node::start(&name, &settings, fail_points));
+        let settings = self.settings(&name, zone, &seeds) + extra.timing;
+        self.nodes
+            .push(Node::start(&name, &settings, extra.fail_points));
         self.nodes.len() - 1
     }
 
--- a/crates/jackdawstair/src/settings/check.rs
+++ b/crates/jackdawstair/src/settings/check.rs
@@ -77,7 +77,8 @@
         add("timing.leader_lease", reason.to_owned());
     }
     if timing.key_retention.0 < timing.dispatch_window.0.saturating_mul(RETENTION_WINDOWS) {
-        let reason = format!("must be at least {RETENTION_WINDOWS} times as long as dispatch_window");
+        let reason =
+            format!("must be at least {RETENTION_WINDOWS} times as long as dispatch_window");
         add("timing.key_retention", reason);
     }
 }
