--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -19,6 +19,7 @@
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::once;
 use jackdaw_entry::server::Server;
 use jackdaw_entry::shared;
 use jackdaw_platform::http::Bounds;
@@ -27,6 +28,7 @@
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
+use crate::recorder::Recorder;
 use crate::settings::{Role, Settings, Timing};
 
 /// Longest time for connecting to an engine or to the VM list.
@@ -82,6 +84,7 @@
     control: Control,
     server: Server,
     admin: AdminServer,
+    recorder: Recorder,
     logger: Logger,
 }
 
@@ -118,10 +121,12 @@
             &settings.node,
             shared::Options {
                 workers: settings.workers,
+                once: once_options(settings.timing),
                 ..shared::Options::default()
             },
             &metrics.meter("jackdaw-entry"),
         );
+        let recorder = Recorder::start(&parts.wire, &shared.ledger, parts.logger.clone());
         let peer = settings.callers.to_string();
         let server = Server::start(Arc::new(shared), settings.callers)
             .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
@@ -139,6 +144,7 @@
             control,
             server,
             admin,
+            recorder,
             logger: parts.logger,
         })
     }
@@ -167,9 +173,10 @@
         // Readiness fails first, so that the balancer sends nothing new.
         self.control.begin_stop();
         futures::executor::block_on(self.server.stop());
+        let unrecorded = self.recorder.stop();
         self.control.end();
         drop(self.admin);
-        info!(self.logger, "node stopped");
+        info!(self.logger, "node stopped"; "unrecorded_results" => unrecorded);
     }
 }
 
@@ -210,6 +217,18 @@
     operators.collect()
 }
 
+fn once_options(timing: Timing) -> once::Options {
+    let default = once::Options::default();
+    once::Options {
+        limits: once::Limits {
+            dispatch_window: timing.dispatch_window,
+            ..default.limits
+        },
+        retention: timing.key_retention,
+        ..default
+    }
+}
+
 fn connect(vms: SocketAddr, timing: Timing) -> Connect {
     let bounds = move |answer_bytes| Bounds {
         connect: CONNECT_TIMEOUT,
