Let the faulty peer of control_http.rs read whole requests

Cause: the tiny peer read once, answered and closed. When the order's body came as a second segment, closing with unread bytes reset the connection, and the client never saw the answer.

Ruled out: a fault of the client (its trace shows the reset before any byte of the answer). The expectations stay as they are.

--- a/crates/platform/tests/control_http.rs
+++ b/crates/platform/tests/control_http.rs
@@ -1,7 +1,7 @@
 //! Clients of engines and of the VM list against small servers: what each fault is reported as.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 
@@ -77,7 +77,7 @@
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("connection");
         let mut buffer = [0; 4096];
-        let _ = stream.read(&mut buffer);
+        read_request(&mut stream);
         match answer {
             Some(answer) => drop(stream.write_all(answer.as_bytes())),
             // Returns once the client has closed the connection.
@@ -87,6 +87,31 @@
     address
 }
 
+/// Reads a whole request: closing with unread bytes would reset the connection and race the answer.
+fn read_request(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    let mut buffer = [0; 4096];
+    while !is_whole(&request) {
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(length) => request.extend_from_slice(&buffer[..length]),
+        }
+    }
+}
+
+/// Returns whether a head and the body that it announces are there.
+fn is_whole(request: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(request).to_ascii_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let announced = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |length| length.parse().expect("length"));
+    body.len() >= announced
+}
+
 struct Case {
     peer: Peer,
     bounds: Bounds,
