--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -6,21 +6,30 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use jackdaw_control::admin::auth::{self, Operator};
+use jackdaw_control::admin::feed::Feed;
+use jackdaw_control::admin::handle::Handle as Operators;
+use jackdaw_control::admin::server::{Server as AdminServer, Site};
+use jackdaw_control::metrics::Metrics;
+use jackdaw_control::network::Network;
 use jackdaw_control::options::Options;
+use jackdaw_control::peer::switch::Switch;
 use jackdaw_control::runtime::{self, Clients, Connect, Control};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::once;
 use jackdaw_entry::server::Server;
 use jackdaw_entry::shared;
 use jackdaw_platform::http::Bounds;
 use jackdaw_platform::{engine, inventory};
-use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
 use slog::{Logger, info};
+use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
-use crate::settings::{Settings, Timing};
+use crate::recorder::Recorder;
+use crate::settings::{Role, Settings, Timing};
 
 /// Longest time for connecting to an engine or to the VM list.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -31,6 +40,23 @@
 /// Largest report of an engine in bytes.
 const REPORT_BYTES: usize = 64 << 10;
 
+/// Threads for the connections to other nodes and to the key-value service.
+const WIRE_THREADS: usize = 2;
+
+/// Creates the runtime of the connections to other nodes and to the key-value service.
+///
+/// # Errors
+///
+/// Returns an error if its threads cannot be started.
+pub fn wire_runtime() -> Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(WIRE_THREADS)
+        .thread_name("wire")
+        .enable_all()
+        .build()
+        .map_err(|error| Error::unreachable("start runtime", "self", error))
+}
+
 /// What a node is given from outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -38,8 +64,12 @@
     pub store: Arc<dyn Store>,
     /// Clock.
     pub clock: Arc<dyn Clock>,
+    /// Runtime of the connections to other nodes.
+    pub wire: Handle,
     /// Logger.
     pub logger: Logger,
+    /// Fault switch of the connections to other nodes, for tests.
+    pub switch: Arc<Switch>,
 }
 
 impl fmt::Debug for Parts {
@@ -53,6 +83,8 @@
 pub struct Node {
     control: Control,
     server: Server,
+    admin: AdminServer,
+    recorder: Recorder,
     logger: Logger,
 }
 
@@ -64,6 +96,8 @@
     /// Returns an error if a port cannot be bound or a thread cannot be started.
     pub fn start(settings: &Settings, parts: Parts) -> Result<Node> {
         let snapshot = Arc::new(ArcSwap::default());
+        let metrics = Metrics::new()?;
+        let feed = Feed::default();
         let (entry_events, receiver) = unbounded_channel();
         let control = Control::start(
             options(settings),
@@ -72,6 +106,9 @@
                 store: Arc::clone(&parts.store),
                 clock: Arc::clone(&parts.clock),
                 logger: parts.logger.clone(),
+                feed: feed.clone(),
+                metrics: metrics.clone(),
+                network: Some(network(settings, &parts)),
             },
             connect(settings.platform.vms, settings.timing),
             receiver,
@@ -84,17 +121,30 @@
             &settings.node,
             shared::Options {
                 workers: settings.workers,
+                once: once_options(settings.timing),
                 ..shared::Options::default()
             },
-            &NoopMeterProvider::new().meter("jackdaw-entry"),
+            &metrics.meter("jackdaw-entry"),
         );
+        let recorder = Recorder::start(&parts.wire, &shared.ledger, parts.logger.clone());
         let peer = settings.callers.to_string();
         let server = Server::start(Arc::new(shared), settings.callers)
             .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
-        info!(parts.logger, "node started"; "callers" => %server.address());
+        let site = Site {
+            handle: Operators::new(control.events().clone(), feed),
+            operators: operators(settings),
+            metrics,
+        };
+        let admin = AdminServer::start(settings.operators, site)?;
+        info!(parts.logger, "node started";
+            "callers" => %server.address(),
+            "operators" => %admin.address(),
+            "peers" => control.peers().map(|peers| peers.to_string()));
         Ok(Node {
             control,
             server,
+            admin,
+            recorder,
             logger: parts.logger,
         })
     }
@@ -105,14 +155,28 @@
         self.server.address()
     }
 
+    /// Gets the bound address of the operators' port.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Gets the bound address of the peers' port.
+    #[must_use]
+    pub fn peers(&self) -> Option<SocketAddr> {
+        self.control.peers()
+    }
+
     /// Stops the node: takes nothing new, finishes what is in flight, then ends.
     pub fn stop(mut self) {
         info!(self.logger, "node stopping");
         // Readiness fails first, so that the balancer sends nothing new.
         self.control.begin_stop();
         futures::executor::block_on(self.server.stop());
+        let unrecorded = self.recorder.stop();
         self.control.end();
-        info!(self.logger, "node stopped");
+        drop(self.admin);
+        info!(self.logger, "node stopped"; "unrecorded_results" => unrecorded);
     }
 }
 
@@ -130,6 +194,41 @@
     }
 }
 
+fn network(settings: &Settings, parts: &Parts) -> Network {
+    Network {
+        runtime: parts.wire.clone(),
+        listen: settings.peers,
+        token: settings.peer_token.clone(),
+        seeds: settings.seeds.clone(),
+        round: settings.timing.spread_interval,
+        switch: Arc::clone(&parts.switch),
+    }
+}
+
+fn operators(settings: &Settings) -> Arc<[Operator]> {
+    let operators = settings.operator_tokens.iter().map(|operator| Operator {
+        name: operator.name.clone(),
+        token: operator.token,
+        role: match operator.role {
+            Role::Read => auth::Role::Read,
+            Role::Write => auth::Role::Write,
+        },
+    });
+    operators.collect()
+}
+
+fn once_options(timing: Timing) -> once::Options {
+    let default = once::Options::default();
+    once::Options {
+        limits: once::Limits {
+            dispatch_window: timing.dispatch_window,
+            ..default.limits
+        },
+        retention: timing.key_retention,
+        ..default
+    }
+}
+
 fn connect(vms: SocketAddr, timing: Timing) -> Connect {
     let bounds = move |answer_bytes| Bounds {
         connect: CONNECT_TIMEOUT,
