Lead, judge members and place groups by policy in the control thread

The thin version formed groups on every node without a lease. Now the control thread steps the member table, the election and the reconciler; the leader's calls, orders and probes are thin executors that check the authority right before they send. A node that stops hands its lease over and waits until it has ended.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -8,6 +8,8 @@
 use jackdaw_core::inventory::Vm;
 use jackdaw_core::member::Report;
 use jackdaw_core::time::Instant;
+use jackdaw_policy::lease;
+use jackdaw_policy::placement;
 use jackdaw_policy::release::accept::Stored;
 use jackdaw_policy::release::register::Source;
 use jackdaw_policy::spread::message::Envelope;
@@ -42,6 +44,10 @@
     Accepted(Catalog),
     /// The key-value service answered, and nothing had changed.
     Contact,
+    /// The election of this zone's leader goes on.
+    Lease(lease::Event),
+    /// Something about this zone's placement is known.
+    Placement(placement::Event),
     /// Another node sent a message.
     Message(Envelope),
     /// A value was fetched from another node.
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -20,6 +20,14 @@
     pub list_interval: Millis,
     /// Time between two rounds of planning and orders.
     pub plan_interval: Millis,
+    /// Time to live of the zone leader's lease.
+    pub leader_lease: Millis,
+    /// Margin for the difference between clocks' rates.
+    pub clock_margin: Millis,
+    /// Longest time that an order may be under way.
+    pub order_timeout: Millis,
+    /// Whether every engine refuses orders with an old fencing number.
+    pub engines_check_fence: bool,
     /// Number of decisions kept for operators.
     pub decisions_kept: usize,
 }
@@ -34,6 +42,10 @@
             report_bound: Millis(2_000),
             list_interval: Millis(1_000),
             plan_interval: Millis(250),
+            leader_lease: Millis(6_000),
+            clock_margin: Millis(500),
+            order_timeout: Millis(2_000),
+            engines_check_fence: false,
             decisions_kept: 10_000,
         }
     }
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -10,15 +10,14 @@
 use jackdaw_core::decision::Decision;
 use jackdaw_core::engine::Engine;
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::inventory::{Inventory, Vm};
-use jackdaw_core::order::Order;
+use jackdaw_core::inventory::Inventory;
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::timer;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::snapshot::Snapshot;
 use ntex::rt::{DefaultRuntime, System};
-use slog::{Logger, error, info, warn};
+use slog::{Logger, error, info};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 
@@ -26,10 +25,13 @@
 use crate::courier::Courier;
 use crate::event::Event;
 use crate::follow::{self, Duty};
+use crate::leader::{self, Keys};
 use crate::metrics::Metrics;
 use crate::network::{Joined, Network};
 use crate::options::Options;
-use crate::state::{Action, State};
+use crate::order;
+use crate::probe::Prober;
+use crate::state::{Action, State, zone};
 
 /// Time between two looks at what the overlay has due.
 const SPREAD_CHECK: Millis = Millis(50);
@@ -160,7 +162,9 @@
 struct Driver {
     options: Options,
     shared: Shared,
-    engine: Rc<dyn Engine>,
+    prober: Prober,
+    orders: order::Sender,
+    leader: leader::Caller,
     inventory: Rc<dyn Inventory>,
     events: UnboundedSender<Event>,
     timers: timer::Service<Part>,
@@ -186,10 +190,30 @@
         clients: Clients,
         events: UnboundedSender<Event>,
     ) -> Self {
+        let prober = Prober::new(
+            Rc::clone(&clients.engine),
+            Arc::clone(&shared.clock),
+            events.clone(),
+        );
+        let orders = order::Sender {
+            engine: clients.engine,
+            clock: Arc::clone(&shared.clock),
+            events: events.clone(),
+            logger: shared.logger.clone(),
+        };
+        let leader = leader::Caller::new(
+            &options.node,
+            zone::placement_options(&options),
+            Arc::clone(&shared.store),
+            Arc::clone(&shared.clock),
+            events.clone(),
+        );
         Driver {
             options,
             shared,
-            engine: clients.engine,
+            prober,
+            orders,
+            leader,
             inventory: clients.inventory,
             events,
             timers: timer::Service::default(),
@@ -206,10 +230,14 @@
         let courier = self.courier(joined, &mut state);
         let (duty, duties) = watch::channel(state.duty(self.shared.clock.now()));
         self.spawn_follower(duties);
+        self.spawn_zone_follower();
         self.spawn_entry(entry_events);
         self.subscribe();
         while let Some(event) = self.next_event(&mut receiver, &state).await {
             let end = matches!(event, Event::End);
+            if let Event::Probed { vm, .. } = &event {
+                self.prober.ended(vm);
+            }
             let now = self.shared.clock.now();
             for action in state.step(event, now, self.shared.clock.unix_millis()) {
                 self.carry_out(action, &mut state, &courier);
@@ -222,6 +250,7 @@
                 break;
             }
         }
+        self.leader.finish().await;
     }
 
     /// Subscribes every part to its period.
@@ -258,10 +287,10 @@
         }
     }
 
-    fn serve(&self, part: Part, state: &State) {
+    fn serve(&mut self, part: Part, state: &State) {
         match part {
             Part::List => self.read_list(),
-            Part::Probe => self.probe(state),
+            Part::Probe => self.prober.probe(state.engines()),
             Part::Plan => {
                 let _ = self.events.send(Event::Plan);
             }
@@ -289,9 +318,12 @@
 
     fn carry_out(&self, action: Action, state: &mut State, courier: &Courier) {
         match action {
-            Action::Order(vm, order) => self.send_order(vm, order),
+            Action::Order(vm, order, authority) => self.orders.send(vm, order, authority),
+            Action::Elect(action) => self.leader.elect(action),
+            Action::ReadPlacement => self.leader.read_placement(),
+            Action::Commit(commit, authority) => self.leader.commit(commit, authority),
             Action::Publish => {
-                let snapshot = state.snapshot(self.shared.clock.now());
+                let snapshot = state.snapshot();
                 self.shared.metrics.set_revision(state.catalog().revision);
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
@@ -310,35 +342,6 @@
         self.shared.feed.tell(decision);
     }
 
-    fn send_order(&self, vm: Vm, order: Order) {
-        let engine = Rc::clone(&self.engine);
-        let logger = self.shared.logger.clone();
-        ntex::rt::spawn(async move {
-            if let Err(error) = engine.order(vm.address, &order).await {
-                warn!(logger, "order failed"; "vm" => %vm.name, "error" => %error);
-            }
-        });
-    }
-
-    fn probe(&self, state: &State) {
-        for vm in state.engines() {
-            let engine = Rc::clone(&self.engine);
-            let events = self.events.clone();
-            let clock = Arc::clone(&self.shared.clock);
-            let (vm, address) = (vm.name.clone(), vm.address);
-            ntex::rt::spawn(async move {
-                let sent = clock.now();
-                let result = engine.report(address).await;
-                let _ = events.send(Event::Probed {
-                    vm,
-                    address,
-                    sent,
-                    result,
-                });
-            });
-        }
-    }
-
     fn read_list(&self) {
         let inventory = Rc::clone(&self.inventory);
         let events = self.events.clone();
@@ -356,6 +359,16 @@
         });
     }
 
+    fn spawn_zone_follower(&self) {
+        let follower = leader::follow(
+            Arc::clone(&self.shared.store),
+            Keys::of(&self.options.zone),
+            self.events.clone(),
+            self.shared.logger.clone(),
+        );
+        ntex::rt::spawn(follower);
+    }
+
     fn spawn_follower(&self, duties: watch::Receiver<Duty>) {
         let store = Arc::clone(&self.shared.store);
         let follower = follow::run(
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,32 +1,40 @@
 //! The state of the control thread.
 
 mod news;
+pub(crate) mod zone;
 
-use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use compact_str::CompactString;
 use jackdaw_core::catalog::Catalog;
-use jackdaw_core::decision::{Decision, Log, Subject};
+use jackdaw_core::decision::{Decision, Log};
 use jackdaw_core::inventory::{self, Vm};
-use jackdaw_core::member::Report;
-use jackdaw_core::order::{Command, Order};
-use jackdaw_core::placement::{Group, Placement};
+use jackdaw_core::order::Order;
+use jackdaw_core::placement::Group;
 use jackdaw_core::time::Instant;
 use jackdaw_entry::snapshot::Snapshot;
-use jackdaw_policy::plan::{self, Candidate, Health};
+use jackdaw_policy::lease::{self, Authority};
+use jackdaw_policy::member;
+use jackdaw_policy::placement::Commit;
 
 use crate::courier::Job;
 use crate::event::Event;
 use crate::options::Options;
 use crate::overlay::Overlay;
 use crate::view::{Builder, Whole};
+use zone::{Outcome, Zone};
 
 /// What the control thread has to do after an event.
 #[derive(Debug)]
 pub enum Action {
-    /// Send an order to a VM.
-    Order(Vm, Order),
+    /// Send an order to a VM while the authority lasts.
+    Order(Vm, Order, Authority),
+    /// Make a call of the election.
+    Elect(lease::Action),
+    /// Read the placement of this zone.
+    ReadPlacement,
+    /// Write the placement of this zone while the authority lasts.
+    Commit(Commit, Authority),
     /// Publish the snapshot anew.
     Publish,
     /// Tell operators about a decision.
@@ -35,13 +43,6 @@
     Carry(Job),
 }
 
-/// The last report of a VM.
-#[derive(Clone, Debug)]
-struct Seen {
-    report: Report,
-    sent: Instant,
-}
-
 /// Everything the control thread knows.
 #[derive(Debug)]
 pub struct State {
@@ -49,10 +50,8 @@
     overlay: Overlay,
     catalog: Arc<Catalog>,
     vms: Vec<Vm>,
-    placement: Placement,
-    seen: HashMap<CompactString, Seen>,
+    zone: Zone,
     builder: Builder,
-    whole: HashSet<CompactString>,
     log: Log,
     explained: Vec<Decision>,
     stopping: bool,
@@ -62,20 +61,14 @@
     /// Creates the state of a node that knows nothing yet.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        let placement = Placement {
-            zone: options.zone.clone(),
-            ..Placement::default()
-        };
         let log = Log::new(&options.node, options.decisions_kept);
         State {
+            zone: Zone::new(&options),
             options,
             overlay: Overlay::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
-            placement,
-            seen: HashMap::new(),
             builder: Builder::default(),
-            whole: HashSet::new(),
             log,
             explained: Vec::new(),
             stopping: false,
@@ -93,25 +86,10 @@
     /// Takes an event and returns what has to be done.
     pub fn step(&mut self, event: Event, now: Instant, unix_millis: u64) -> Vec<Action> {
         let mut actions = self.judge(event, now, unix_millis);
-        self.explain_whole(now, unix_millis);
         actions.extend(self.explained.drain(..).map(Action::Explain));
         actions
     }
 
-    fn explain_whole(&mut self, now: Instant, unix_millis: u64) {
-        let whole: HashSet<CompactString> = self
-            .whole_groups(now)
-            .iter()
-            .map(|whole| whole.group.name.clone())
-            .collect();
-        for name in whole.difference(&self.whole.clone()) {
-            let cause = "every member reports the group, its generation and that it is ready";
-            let subject = Subject::Group(name.clone());
-            self.record(Decision::new(subject, cause, "group is whole"), unix_millis);
-        }
-        self.whole = whole;
-    }
-
     /// Records a decision and hands it to operators with the next actions.
     fn record(&mut self, decision: Decision, unix_millis: u64) {
         let decision = self.log.record(decision, unix_millis);
@@ -120,89 +98,123 @@
 
     fn judge(&mut self, event: Event, now: Instant, unix_millis: u64) -> Vec<Action> {
         match event {
-            Event::Vms(Ok(vms)) => self.vms = vms,
-            Event::Vms(Err(_)) => return Vec::new(),
+            Event::Vms(Ok(vms)) => self.list(vms, now, unix_millis),
+            Event::Vms(Err(_)) => Vec::new(),
             Event::Probed {
                 vm, sent, result, ..
-            } => self.see(vm, sent, result.ok()),
-            Event::Catalog { stored, source } => {
-                return self.take_stored(stored, source, now, unix_millis);
+            } => {
+                let outcome = self.zone.probed(vm, sent, result, now);
+                self.follow(outcome, now, unix_millis)
+            }
+            Event::Lease(event) => {
+                let outcome = self.zone.elect(event, now);
+                self.follow(outcome, now, unix_millis)
             }
-            Event::Accepted(catalog) => return self.take_accepted(catalog, now, unix_millis),
+            Event::Placement(event) => {
+                let outcome = self.zone.place(event, now);
+                self.follow(outcome, now, unix_millis)
+            }
+            Event::Catalog { stored, source } => self.take_stored(stored, source, now, unix_millis),
+            Event::Accepted(catalog) => self.take_accepted(catalog, now, unix_millis),
             Event::Contact => {
                 self.overlay.contacted(now);
-                return Vec::new();
+                Vec::new()
             }
-            Event::Message(envelope) => return self.take_message(envelope, now, unix_millis),
+            Event::Message(envelope) => self.take_message(envelope, now, unix_millis),
             Event::Fetched { what, from, result } => {
                 let effects = self.overlay.fetched(&what, from, result, now);
-                return self.apply(effects, unix_millis);
+                self.apply(effects, now, unix_millis)
             }
-            Event::Spread => return self.tick_overlay(now, unix_millis),
+            Event::Spread => self.tick_overlay(now, unix_millis),
             Event::Ask(question) => {
-                return self
-                    .answer(question, now, unix_millis)
-                    .into_iter()
-                    .collect();
+                let action = self.answer(question, now, unix_millis);
+                action.into_iter().collect()
+            }
+            Event::Entry(event) => self.hear(event, now, unix_millis),
+            Event::Plan => {
+                let outcome = self.zone.plan(&self.catalog, now);
+                self.follow(outcome, now, unix_millis)
+            }
+            Event::Stop | Event::End => {
+                self.stopping = true;
+                let outcome = self.zone.elect(lease::Event::Resign, now);
+                self.follow(outcome, now, unix_millis)
             }
-            Event::Entry(event) => self.hear(event, unix_millis),
-            Event::Plan => return self.plan(now, unix_millis),
-            Event::Stop => self.stopping = true,
-            Event::End => return Vec::new(),
         }
-        vec![Action::Publish]
     }
 
     /// Builds the snapshot that the request path reads.
-    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
+    pub fn snapshot(&mut self) -> Snapshot {
         let mut builder = std::mem::take(&mut self.builder);
-        let whole = self.whole_groups(now);
+        let whole = self.whole_groups();
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
         self.builder = builder;
         snapshot
     }
 
-    fn see(&mut self, vm: CompactString, sent: Instant, report: Option<Report>) {
-        let Some(report) = report else {
-            return;
-        };
-        self.seen.insert(vm, Seen { report, sent });
+    /// Takes the VM list.
+    fn list(&mut self, mut vms: Vec<Vm>, now: Instant, unix_millis: u64) -> Vec<Action> {
+        let outcome = self.zone.list(&self.options.zone, &vms, now);
+        // The list lags: a VM that is known to leave stays so whatever the list says.
+        for vm in &mut vms {
+            if self.zone.table.is_leaving(&vm.name) {
+                vm.state = inventory::State::Leaving;
+            }
+        }
+        self.vms = vms;
+        self.follow(outcome, now, unix_millis)
     }
 
-    fn hear(&mut self, event: jackdaw_entry::event::Event, unix_millis: u64) {
+    /// Records what the zone decided and returns what it has to do.
+    fn follow(&mut self, outcome: Outcome, now: Instant, unix_millis: u64) -> Vec<Action> {
+        for decision in outcome.decisions {
+            self.record(decision, unix_millis);
+        }
+        if outcome.placed {
+            let placement = Arc::new(self.zone.table.placement().clone());
+            self.overlay.announce(&placement, now);
+        }
+        let mut actions = outcome.actions;
+        actions.push(Action::Publish);
+        actions
+    }
+
+    fn hear(
+        &mut self,
+        event: jackdaw_entry::event::Event,
+        now: Instant,
+        unix_millis: u64,
+    ) -> Vec<Action> {
         match event {
             jackdaw_entry::event::Event::Decided(decision) => {
                 self.record(decision, unix_millis);
+                Vec::new()
+            }
+            jackdaw_entry::event::Event::ConnectFailed { target, generation }
+            | jackdaw_entry::event::Event::Broken {
+                target, generation, ..
+            } => {
+                let group = target;
+                let event = member::Event::Broken { group, generation };
+                let outcome = self.zone.learn(event, now);
+                self.follow(outcome, now, unix_millis)
             }
-            jackdaw_entry::event::Event::ConnectFailed { .. }
-            | jackdaw_entry::event::Event::Broken { .. }
-            | jackdaw_entry::event::Event::Answered { .. } => {}
+            jackdaw_entry::event::Event::Answered { .. } => Vec::new(),
         }
     }
 
-    fn is_fresh(&self, seen: &Seen, now: Instant) -> bool {
-        now.since(seen.sent) <= self.options.report_bound
-    }
-
-    fn whole_groups(&self, now: Instant) -> Vec<Whole<'_>> {
-        self.placement
-            .groups
-            .iter()
-            .filter(|group| {
-                group
-                    .members
-                    .iter()
-                    .all(|vm| self.is_member(vm, group, now))
-            })
+    fn whole_groups(&self) -> Vec<Whole<'_>> {
+        let table = &self.zone.table;
+        table
+            .whole()
             .filter_map(|group| {
                 let head = group.members.first()?;
-                let vm = self.vms.iter().find(|vm| vm.name == *head)?;
                 Some(Whole {
                     group,
                     zone: &self.options.zone,
-                    address: vm.address,
-                    load: self.seen.get(head)?.report.load,
+                    address: self.zone.address(head)?,
+                    load: table.seen(head)?.report.load,
                 })
             })
             .collect()
@@ -210,108 +222,6 @@
 
     /// Returns whether a VM reported a group and its generation within the bound.
     pub(crate) fn is_member(&self, vm: &CompactString, group: &Group, now: Instant) -> bool {
-        let Some(seen) = self.seen.get(vm) else {
-            return false;
-        };
-        let Some(membership) = &seen.report.membership else {
-            return false;
-        };
-        self.is_fresh(seen, now)
-            && seen.report.ready
-            && membership.group == group.name
-            && membership.generation == group.generation
-    }
-
-    fn candidates(&self, now: Instant) -> Vec<Candidate> {
-        self.engines()
-            .map(|vm| Candidate {
-                name: vm.name.clone(),
-                domain: vm.domain.clone(),
-                health: self.health(vm, now),
-                since: now,
-            })
-            .collect()
-    }
-
-    fn health(&self, vm: &Vm, now: Instant) -> Health {
-        let fresh = self
-            .seen
-            .get(&vm.name)
-            .is_some_and(|seen| self.is_fresh(seen, now));
-        match (fresh, vm.state) {
-            (false, _) => Health::Missing,
-            (true, inventory::State::Leaving) => Health::Leaving,
-            (true, inventory::State::Live) => Health::Present,
-        }
-    }
-
-    fn plan(&mut self, now: Instant, unix_millis: u64) -> Vec<Action> {
-        let vms = self.candidates(now);
-        let proposal = plan::propose(&plan::Input {
-            placement: &self.placement,
-            catalog: &self.catalog,
-            vms: &vms,
-            drained: &[],
-            now,
-        });
-        if let Some(proposal) = proposal {
-            self.placement = proposal.placement;
-            for decision in proposal.decisions {
-                self.record(decision, unix_millis);
-            }
-        }
-        let mut actions = self.orders(now);
-        actions.push(Action::Publish);
-        actions
-    }
-
-    fn orders(&self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let placed: HashSet<&CompactString> = self
-            .placement
-            .groups
-            .iter()
-            .flat_map(|group| &group.members)
-            .collect();
-        for group in &self.placement.groups {
-            for (rank, name) in group.members.iter().enumerate() {
-                if self.is_member(name, group, now) {
-                    continue;
-                }
-                actions.extend(self.join(group, rank, name));
-            }
-        }
-        for vm in self.engines() {
-            let joined = self
-                .seen
-                .get(&vm.name)
-                .is_some_and(|seen| seen.report.membership.is_some());
-            if joined && !placed.contains(&vm.name) {
-                actions.push(self.order(vm, Command::Leave));
-            }
-        }
-        actions
-    }
-
-    fn join(&self, group: &Group, rank: usize, name: &CompactString) -> Option<Action> {
-        let vm = self.vms.iter().find(|vm| vm.name == *name)?;
-        let command = Command::Join {
-            group: group.name.clone(),
-            generation: group.generation,
-            model: group.model.clone(),
-            version: group.version.clone(),
-            adapters: group.adapters.clone(),
-            members: group.members.clone(),
-            rank: u32::try_from(rank).unwrap_or(u32::MAX),
-        };
-        Some(self.order(vm, command))
-    }
-
-    fn order(&self, vm: &Vm, command: Command) -> Action {
-        let order = Order {
-            fence: self.placement.fence,
-            command,
-        };
-        Action::Order(vm.clone(), order)
+        self.zone.table.cause(group, vm, now).is_none()
     }
 }
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -48,7 +48,7 @@
     /// Gets the placement of this zone.
     #[must_use]
     pub fn placement(&self) -> &Placement {
-        &self.placement
+        self.zone.table.placement()
     }
 
     /// Gets the VM list.
@@ -72,15 +72,16 @@
     /// Gets the last report of a VM and the time at which it was asked for.
     #[must_use]
     pub fn seen(&self, vm: &str) -> Option<(&Report, Instant)> {
-        self.seen.get(vm).map(|seen| (&seen.report, seen.sent))
+        let seen = self.zone.table.seen(vm)?;
+        Some((&seen.report, seen.sent))
     }
 
     /// Returns the decisions that the planner would take under another catalogue.
     #[must_use]
     pub fn dry_run(&self, catalog: &Catalog, now: Instant) -> Vec<Decision> {
-        let vms = self.candidates(now);
+        let vms = self.zone.table.candidates();
         let proposal = plan::propose(&plan::Input {
-            placement: &self.placement,
+            placement: self.zone.table.placement(),
             catalog,
             vms: &vms,
             drained: &[],
@@ -106,7 +107,7 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.stored(stored, source, now);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn take_accepted(
@@ -116,7 +117,7 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.offer(Arc::new(catalog), Source::Accepted, now);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn take_message(
@@ -126,12 +127,12 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.receive(envelope, now, unix_ms);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn tick_overlay(&mut self, now: Instant, unix_ms: u64) -> Vec<Action> {
         let effects = self.overlay.tick(now, unix_ms);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn answer(
@@ -165,7 +166,12 @@
     }
 
     /// Turns the overlay's effects into actions.
-    pub(super) fn apply(&mut self, effects: Vec<Effect>, unix_ms: u64) -> Vec<Action> {
+    pub(super) fn apply(
+        &mut self,
+        effects: Vec<Effect>,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
         let mut actions = Vec::new();
         for effect in effects {
             match effect {
@@ -182,7 +188,13 @@
                     actions.push(Action::Publish);
                 }
                 Effect::Decided(decision) => self.record(decision, unix_ms),
-                Effect::Placement(_) | Effect::Learned(_) => {}
+                Effect::Placement(placement) => {
+                    if placement.zone == self.options.zone {
+                        let outcome = self.zone.told(placement, now);
+                        actions.extend(self.follow(outcome, now, unix_ms));
+                    }
+                }
+                Effect::Learned(_) => {}
             }
         }
         actions
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -190,6 +190,10 @@
         report_bound: timing.report_bound,
         list_interval: timing.list_interval,
         plan_interval: timing.plan_interval,
+        leader_lease: timing.leader_lease,
+        clock_margin: timing.clock_margin,
+        order_timeout: timing.order_timeout,
+        engines_check_fence: settings.engines_check_fence,
         ..Options::default()
     }
 }
--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -183,17 +183,23 @@
     /// Returns why a group is not whole, or `None` if it is whole.
     #[must_use]
     pub fn fault(&self, group: &str) -> Option<Fault> {
-        let index = self
-            .placement
-            .groups
-            .iter()
-            .position(|known| known.name == group);
-        index.map_or_else(
+        self.index(group).map_or_else(
             || Some(Fault::new("", Cause::NotPlaced)),
             |index| self.verdicts[index].fault.clone(),
         )
     }
 
+    /// Returns why a VM does not count as a member of a group, or `None` if it does.
+    #[must_use]
+    pub fn cause(&self, group: &Group, vm: &str, now: Instant) -> Option<Cause> {
+        let index = self.index(&group.name);
+        let rank = group.members.iter().position(|member| member == vm);
+        let Some((index, rank)) = index.zip(rank) else {
+            return Some(Cause::NotPlaced);
+        };
+        self.judge_of(index, now).cause(group, rank, vm)
+    }
+
     /// Gets the newest report of a VM.
     #[must_use]
     pub fn seen(&self, vm: &str) -> Option<&Seen> {
@@ -267,6 +273,21 @@
         engines.peek().is_some() && !engines.any(|row| row.is_answering(now, self.bounds))
     }
 
+    fn index(&self, group: &str) -> Option<usize> {
+        let mut groups = self.placement.groups.iter();
+        groups.position(|known| known.name == group)
+    }
+
+    fn judge_of(&self, index: usize, now: Instant) -> Judge<'_> {
+        Judge {
+            rows: &self.rows,
+            boots: &self.verdicts[index].boots,
+            broken: self.verdicts[index].broken,
+            bound: self.bounds.report,
+            now,
+        }
+    }
+
     fn engines(&self) -> impl Iterator<Item = &Row> {
         self.rows
             .values()
@@ -408,14 +429,12 @@
         now: Instant,
         decisions: &mut Vec<Decision>,
     ) {
-        let index = self
-            .placement
-            .groups
-            .iter()
-            .position(|known| known.name == group && known.generation == generation);
-        let Some(index) = index else {
+        let Some(index) = self.index(group) else {
             return;
         };
+        if self.placement.groups[index].generation != generation {
+            return;
+        }
         self.verdicts[index].broken = Some(now);
         self.judge(index, now, decisions);
     }
@@ -455,16 +474,7 @@
     fn judge(&mut self, index: usize, now: Instant, decisions: &mut Vec<Decision>) {
         let group = &self.placement.groups[index];
         let verdict = &self.verdicts[index];
-        let fault = judge(
-            group,
-            &Judge {
-                rows: &self.rows,
-                boots: &verdict.boots,
-                broken: verdict.broken,
-                bound: self.bounds.report,
-                now,
-            },
-        );
+        let fault = judge(group, &self.judge_of(index, now));
         if fault == verdict.fault {
             return;
         }
--- a/crates/policy/src/member/judgement.rs
+++ b/crates/policy/src/member/judgement.rs
@@ -101,7 +101,7 @@
 }
 
 impl Judge<'_> {
-    fn cause(&self, group: &Group, rank: usize, vm: &CompactString) -> Option<Cause> {
+    pub(super) fn cause(&self, group: &Group, rank: usize, vm: &str) -> Option<Cause> {
         let Some(row) = self.rows.get(vm) else {
             return Some(Cause::Unknown);
         };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -317,13 +317,14 @@
 
     /// Starts from an empty placement when the key does not exist.
     fn start_empty(&mut self, fence: Fence, actions: &mut Vec<Action>) {
-        // The fencing number only grows, so names of groups are not used twice even if the key
-        // was deleted, and members' tables take the empty placement for a newer one.
+        // Names of groups go on from those that were known, should the key have been deleted, and
+        // the fencing number lets members' tables take the empty placement for a newer one.
+        let next_group = self.known.placement.next_group;
         self.known = Known {
             placement: Placement {
                 zone: self.options.zone.clone(),
                 fence,
-                next_group: fence.0,
+                next_group,
                 ..Placement::default()
             },
             mod_revision: 0,
