--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -3,6 +3,11 @@
 //! A call costs two writes: its intent before the dispatch and its result after it. A repeat costs
 //! one. Records expire with leases that a node shares among all of its calls of one period.
 
+mod counter;
+mod encoding;
+mod lease;
+mod ticket;
+
 use std::collections::VecDeque;
 use std::fmt;
 use std::hash::{BuildHasher, RandomState};
@@ -13,17 +18,18 @@
 use fail::fail_point;
 use jackdaw_core::errors::Error;
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::store::{Committed, Compare, Entry, Lease, Store, Transaction};
+use jackdaw_core::store::{Lease, Store};
 use jackdaw_core::time::Clock;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::once::{
-    Action, Attempt, Call, Condition, Event, Moment, Origin, Record, Request, Result, Seen, Write,
-    path,
-};
+use jackdaw_policy::once::{Action, Attempt, Call, Event, Moment, Origin, Request, Write};
 pub use jackdaw_policy::once::{Answer, Limits};
+use opentelemetry::metrics::Meter;
 use tokio::time::timeout;
 
+use counter::Counters;
+pub use ticket::Ticket;
+
 /// Results that wait to be recorded; beyond these the oldest is dropped, and its call stays one
 /// that may have run.
 const BACKLOG: usize = 4_096;
@@ -39,6 +45,8 @@
     pub lease_period: Millis,
     /// Time in which the key-value service must answer one call.
     pub answer: Millis,
+    /// Longest time for which an answer to the caller waits until it is recorded.
+    pub record: Millis,
 }
 
 impl Default for Options {
@@ -48,6 +56,7 @@
             retention: Millis::from_secs(24 * 60 * 60),
             lease_period: Millis::from_secs(300),
             answer: Millis::from_secs(1),
+            record: Millis(250),
         }
     }
 }
@@ -72,14 +81,6 @@
     Refused(Refusal),
 }
 
-/// A lease that the records of one period share.
-#[derive(Clone, Copy, Debug)]
-struct Grant {
-    lease: Lease,
-    // Read before the service was asked, so that the lease lives at least its time from then on.
-    asked: Moment,
-}
-
 /// A call whose result is not recorded yet.
 #[derive(Debug)]
 struct Pending {
@@ -98,8 +99,8 @@
     // Keyed by random numbers of the operating system; two of them make up an attempt's identity.
     seeds: [RandomState; 2],
     attempts: AtomicU64,
-    grant: tokio::sync::Mutex<Option<Grant>>,
-    failed_grants: AtomicU64,
+    lease: lease::Shared,
+    counters: Arc<Counters>,
     backlog: Mutex<VecDeque<Pending>>,
 }
 
@@ -127,8 +128,8 @@
             options,
             seeds: [RandomState::new(), RandomState::new()],
             attempts: AtomicU64::new(0),
-            grant: tokio::sync::Mutex::new(None),
-            failed_grants: AtomicU64::new(0),
+            lease: lease::Shared::default(),
+            counters: Arc::default(),
             backlog: Mutex::default(),
         })
     }
@@ -139,7 +140,8 @@
     /// Never waits longer than a few bounded calls of the key-value service.
     pub async fn begin(self: &Arc<Self>, team: &str, key: &str, digest: Digest) -> Begin {
         let started = self.moment();
-        let Ok(lease) = self.shared_lease(started).await else {
+        let store = self.store.as_ref();
+        let Ok(lease) = self.lease.get(store, &self.options, started).await else {
             return Begin::Refused(self.platform_down());
         };
         let request = Request {
@@ -156,12 +158,7 @@
         match self.drive(&mut call, lease, first).await {
             Action::Run => {
                 fail_point!("once-recorded");
-                Begin::Run(Ticket {
-                    ledger: Arc::clone(self),
-                    call: Some(Box::new(call)),
-                    lease,
-                    dispatched: false,
-                })
+                Begin::Run(Ticket::new(self, call, lease))
             }
             Action::Replay(answer) => Begin::Stored(answer),
             Action::Refuse {
@@ -201,6 +198,11 @@
         self.backlog()
     }
 
+    /// Shows in a meter how the writes of records ended.
+    pub fn observe(&self, meter: &Meter) {
+        self.counters.observe(meter);
+    }
+
     /// Gets the number of results that wait to be recorded.
     #[must_use]
     pub fn backlog(&self) -> usize {
@@ -211,78 +213,24 @@
     async fn drive(&self, call: &mut Call, lease: Lease, first: Action) -> Action {
         let mut action = first;
         while let Action::Write(write) = action {
-            let event = self.write(lease, write).await;
+            let event = self.write(lease, &write).await;
             action = call.step(event, self.moment());
         }
         action
     }
 
-    async fn write(&self, lease: Lease, write: Write) -> Event {
-        let key = path(&write.record.team, &write.record.key);
-        let Ok(value) = serde_json::to_vec(&write.record) else {
+    async fn write(&self, lease: Lease, write: &Write) -> Event {
+        let Ok(transaction) = encoding::transaction(write, lease) else {
             return Event::Unsent;
         };
-        let transaction = Transaction {
-            when: vec![compare(&key, write.when)],
-            then: vec![jackdaw_core::store::Write::Put {
-                key: key.clone(),
-                value,
-                lease: Some(lease),
-            }],
-            otherwise: vec![key],
-        };
-        let answer = timeout(
-            self.options.answer.duration(),
-            self.store.commit(transaction),
-        );
-        match answer.await {
-            Ok(Ok(Committed::Yes(revision))) => Event::Written(revision),
-            Ok(Ok(Committed::No(found))) => read(found),
-            Ok(Err(Error::Unreachable { .. })) => Event::Unsent,
-            Ok(Err(Error::Refused { .. })) => {
-                self.forget(lease).await;
-                Event::Rejected
-            }
-            Ok(Err(Error::Indeterminate { .. } | Error::Malformed { .. })) | Err(_) => Event::Lost,
-        }
-    }
-
-    /// Gets the lease of this period, granting a new one if the last is too old.
-    async fn shared_lease(&self, at: Moment) -> std::result::Result<Lease, Error> {
-        let failed_before = self.failed_grants.load(Ordering::SeqCst);
-        let mut kept = self.grant.lock().await;
-        if let Some(grant) = *kept
-            && at.since(grant.asked) < self.options.lease_period
-        {
-            return Ok(grant.lease);
-        }
-        // Whoever waited while another call failed does not wait for the same failure again.
-        if self.failed_grants.load(Ordering::SeqCst) != failed_before {
-            let reason = "the lease was not granted";
-            return Err(Error::unreachable("grant", "key-value service", reason));
-        }
-        let asked = self.moment();
-        let ttl = Millis(self.options.retention.0 + self.options.lease_period.0);
-        let answer = timeout(self.options.answer.duration(), self.store.grant(ttl)).await;
-        let granted = answer.unwrap_or_else(|_| {
-            let reason = "no answer in time";
-            Err(Error::indeterminate("grant", "key-value service", reason))
-        });
-        match granted {
-            Ok(lease) => *kept = Some(Grant { lease, asked }),
-            Err(_) => {
-                self.failed_grants.fetch_add(1, Ordering::SeqCst);
-            }
-        }
-        granted
-    }
-
-    /// Stops sharing a lease that the service does not know.
-    async fn forget(&self, lease: Lease) {
-        let mut kept = self.grant.lock().await;
-        if kept.is_some_and(|grant| grant.lease == lease) {
-            *kept = None;
+        let bound = self.options.answer.duration();
+        let answer = timeout(bound, self.store.commit(transaction)).await;
+        if let Ok(Err(Error::Refused { .. })) = answer {
+            self.lease.forget(lease).await;
         }
+        let event = answer.map_or(Event::Lost, encoding::event);
+        self.counters.add(&event);
+        event
     }
 
     /// Keeps a call until its result is recorded.
@@ -328,122 +276,3 @@
         self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// The right to dispatch one call; ends by one of its last three methods.
-///
-/// A ticket that is dropped counts as not run before [`Ticket::may_dispatch`] has allowed a
-/// dispatch, and as unknown after it.
-#[derive(Debug)]
-pub struct Ticket {
-    ledger: Arc<Ledger>,
-    call: Option<Box<Call>>,
-    lease: Lease,
-    dispatched: bool,
-}
-
-impl Ticket {
-    /// Returns whether the first byte may be written to a backend server now.
-    ///
-    /// It is asked directly before that write, for each backend server that is tried anew.
-    pub fn may_dispatch(&mut self) -> bool {
-        let at = self.ledger.moment();
-        let allowed = self.call.as_ref().is_some_and(|call| call.may_dispatch(at));
-        self.dispatched |= allowed;
-        allowed
-    }
-
-    /// Notes that a dispatch which was allowed wrote nothing, so that another may be tried.
-    pub fn nothing_written(&mut self) {
-        self.dispatched = false;
-    }
-
-    /// Records the whole answer; returns whether the service took it.
-    pub async fn completed(self, answer: Answer) -> bool {
-        self.close(Result::Completed(answer)).await
-    }
-
-    /// Records that nothing was written to a backend server, so that a repeat may run.
-    pub async fn not_run(self) -> bool {
-        self.close(Result::NotRun).await
-    }
-
-    /// Records that something was written and no whole answer came.
-    pub async fn unknown(self) -> bool {
-        self.close(Result::Unknown).await
-    }
-
-    async fn close(mut self, result: Result) -> bool {
-        let Some(mut call) = self.call.take() else {
-            return false;
-        };
-        fail_point!("once-ended");
-        let first = call.close(result);
-        // A caller that goes away while the result is written must not lose it.
-        let mut guard = Closing {
-            ledger: Arc::clone(&self.ledger),
-            call: Some(call),
-            lease: self.lease,
-            unsent: Some(first.clone()),
-        };
-        let Some(call) = guard.call.as_mut() else {
-            return false;
-        };
-        let last = self.ledger.drive(call, self.lease, first).await;
-        guard.unsent = None;
-        fail_point!("once-closed");
-        last == Action::Closed { recorded: true }
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let Some(mut call) = self.call.take() else {
-            return;
-        };
-        let result = if self.dispatched {
-            Result::Unknown
-        } else {
-            Result::NotRun
-        };
-        let unsent = call.close(result);
-        self.ledger.keep(call, self.lease, Some(unsent));
-    }
-}
-
-/// A result on its way; whatever is unsettled at its end goes to the backlog.
-struct Closing {
-    ledger: Arc<Ledger>,
-    call: Option<Box<Call>>,
-    lease: Lease,
-    unsent: Option<Action>,
-}
-
-impl Drop for Closing {
-    fn drop(&mut self) {
-        if let Some(call) = self.call.take() {
-            self.ledger.keep(call, self.lease, self.unsent.take());
-        }
-    }
-}
-
-fn compare(key: &CompactString, when: Condition) -> Compare {
-    match when {
-        Condition::Absent => Compare::Absent(key.clone()),
-        Condition::Unchanged(revision) => Compare::ModRevision(key.clone(), revision),
-    }
-}
-
-/// Reads the record that stands in the way of a write.
-fn read(found: Vec<Entry>) -> Event {
-    let Some(entry) = found.into_iter().next() else {
-        return Event::Found(None);
-    };
-    match serde_json::from_slice::<Record>(&entry.value) {
-        Ok(record) => Event::Found(Some(Seen {
-            record,
-            revision: entry.mod_revision,
-        })),
-        // A record of another format may stand for a call that ran, so this one does not run.
-        Err(_) => Event::Rejected,
-    }
-}
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -72,6 +72,7 @@
     fn node(&self) -> Node {
         let options = Options {
             answer: Millis(50),
+            record: Millis(20),
             ..Options::default()
         };
         let clock = Arc::clone(&self.clock) as Arc<dyn Clock>;
@@ -388,6 +389,21 @@
     writes: 4,
 };
 
+// The answer goes to the caller before the service has confirmed the record.
+const RESULT_SLOW: Case = Case {
+    steps: &[
+        (Step::Begin(0, BODY), "run"),
+        (Step::Dispatch(0), "true"),
+        (Step::Set(Fault::HoldAnswer), ""),
+        (Step::Complete(0), "false"),
+        (Step::Set(Fault::None), ""),
+        (Step::Settle(0), "0"),
+        (Step::Begin(1, BODY), "shipped"),
+    ],
+    executions: 1,
+    writes: 4,
+};
+
 const BROKEN_OFF: Case = Case {
     steps: &[
         (Step::Begin(0, BODY), "run"),
@@ -484,6 +500,7 @@
 #[case::not_run_while_down(NOT_RUN_WHILE_DOWN)]
 #[case::result_while_down(RESULT_WHILE_DOWN)]
 #[case::result_answer_lost(RESULT_ANSWER_LOST)]
+#[case::result_slow(RESULT_SLOW)]
 #[case::broken_off(BROKEN_OFF)]
 #[case::abandoned_before_dispatch(ABANDONED_BEFORE_DISPATCH)]
 #[case::abandoned_after_dispatch(ABANDONED_AFTER_DISPATCH)]
