Choose targets by own count, two draws and prefix; leave stragglers out

Now a node takes two draws among the servers to which it sent least, and the reports only decide between these; a prefix's server is projected as if all nodes had sent as many.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -40,6 +40,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) digest: Digest,
+    /// Hash of the prompt's prefix, which decides where it is probably cached.
+    pub(crate) prefix: Option<u64>,
     pub(crate) deadline: Instant,
     /// Whether the call may be sent to a backend server more than once.
     pub(crate) idempotent: bool,
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -1,7 +1,6 @@
 //! Takes completion requests for models.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
@@ -59,6 +58,8 @@
     let call = Call {
         id: id.into(),
         team,
+        prefix: Some(completion.prefix()),
+        streamed: completion.stream,
         destination: Destination::Model(completion.model),
         method: Method::POST,
         path: request.path().into(),
@@ -67,15 +68,13 @@
         body,
         deadline,
         idempotent: true,
-        streamed: completion.stream,
     };
     forward(worker, call, pass).await
 }
 
 async fn forward(worker: &Worker, call: Call, pass: Pass) -> Result<HttpResponse, Problem> {
-    let shared = Arc::clone(&worker.shared);
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(shared, Rc::clone(&worker.links), Rc::clone(&call));
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call));
     if call.streamed {
         return stream::relay(dispatch, pass).await;
     }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
+use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::retry::{Cause, Connection, Failure, Fault, Request, Verdict};
 use ntex::client::{Client, ClientResponse};
@@ -13,9 +14,11 @@
 use crate::event::Event;
 use crate::exchange::{self, Bound, Broken};
 use crate::gauge::Guard;
+use crate::handler::Worker;
 use crate::link::Links;
 use crate::once::Ticket;
 use crate::problem::Problem;
+use crate::route::{Router, Wish};
 use crate::share::Share;
 use crate::shared::Shared;
 use crate::snapshot::Target;
@@ -32,15 +35,17 @@
 pub(crate) struct Attempt {
     pub(crate) target: Target,
     connection: Connection,
+    sent: Instant,
     _guard: Guard,
 }
 
 impl Attempt {
-    fn new(target: Target, connection: Connection) -> Self {
+    fn new(target: Target, connection: Connection, sent: Instant) -> Self {
         let guard = Guard::new(&target.gauge);
         Attempt {
             target,
             connection,
+            sent,
             _guard: guard,
         }
     }
@@ -51,6 +56,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: Rc<Call>,
     links: Rc<Links>,
+    router: Rc<Router>,
     share: Arc<Share>,
     request: Request,
     /// Right to dispatch a call that may not be repeated.
@@ -60,14 +66,16 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(shared: Arc<Shared>, links: Rc<Links>, call: Rc<Call>) -> Self {
+    pub(crate) fn new(worker: &Worker, call: Rc<Call>) -> Self {
+        let shared = Arc::clone(&worker.shared);
         let share = shared.shares.of(&call.team.name);
         share.budget.deposit();
         let request = Request::new(call.idempotent, call.deadline);
         Dispatch {
             shared,
             call,
-            links,
+            links: Rc::clone(&worker.links),
+            router: Rc::clone(&worker.router),
             share,
             request,
             ticket: None,
@@ -141,8 +149,22 @@
         }
     }
 
+    /// Records a whole answer, and its pace if it was a stream of some tokens.
+    pub(crate) fn streamed(&self, attempt: &Attempt, tokens: u64) {
+        self.answered(attempt);
+        if tokens > 1 {
+            let micros = self.micros_since(attempt.sent) / tokens;
+            attempt.target.gauge.sample(micros);
+        }
+    }
+
     /// Records a whole answer.
     pub(crate) fn answered(&self, attempt: &Attempt) {
+        // A completion's time depends on its length, so that only services are compared by it.
+        if let Destination::Service(_) = self.call.destination {
+            let micros = self.micros_since(attempt.sent);
+            attempt.target.gauge.sample(micros);
+        }
         self.shared.send(Event::Answered {
             target: attempt.target.name.clone(),
             digest: self.call.digest,
@@ -168,6 +190,10 @@
         self.call.deadline.since(self.shared.clock.now())
     }
 
+    fn micros_since(&self, sent: Instant) -> u64 {
+        self.shared.clock.now().since(sent).0 * 1_000
+    }
+
     async fn send(&mut self, attempt: &Attempt, resume_at: u64) -> Result<ClientResponse, Broken> {
         if self.remaining() == Millis(0) {
             let detail = "the deadline passed before the request was sent";
@@ -219,28 +245,33 @@
     }
 
     fn choose(&mut self) -> Result<Attempt, Problem> {
+        let now = self.shared.clock.now();
         if let Some(target) = self.again.take() {
-            return Ok(Attempt::new(target, Connection::New));
+            return Ok(Attempt::new(target, Connection::New, now));
         }
         // A call that may not be repeated cannot survive the loss of a used connection.
         let connection = exchange::connection(!self.call.idempotent);
         let target = self.route();
         let target = target.ok_or_else(|| self.no_server())?;
-        Ok(Attempt::new(target, connection))
+        Ok(Attempt::new(target, connection, now))
     }
 
     fn route(&self) -> Option<Target> {
-        let snapshot = self.shared.snapshot.load();
-        let targets = match &self.call.destination {
-            Destination::Model(name) => snapshot.models.get(name),
-            Destination::Service(name) => snapshot.services.get(name),
+        let snapshot = self.shared.snapshot.load_full();
+        let wish = Wish {
+            name: self.call.destination.name(),
+            model: matches!(self.call.destination, Destination::Model(_)),
+            prefix: self.call.prefix,
+            alone: false,
         };
-        targets
-            .into_iter()
-            .flatten()
-            .filter(|target| self.request.may_try(&target.name))
-            .min_by_key(|target| target.gauge.in_flight())
-            .cloned()
+        let now = self.shared.clock.now();
+        let choice = self
+            .router
+            .choose(&snapshot, wish, self.request.tried(), now);
+        for decision in self.router.explained() {
+            self.shared.send(Event::Decided(decision));
+        }
+        Some(choice?.target)
     }
 
     /// Returns the problem when no target is left; an earlier failure tells more.
--- a/crates/entry/src/guarded.rs
+++ b/crates/entry/src/guarded.rs
@@ -1,7 +1,6 @@
 //! Runs calls that may not be repeated, each at most once.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use compact_str::CompactString;
 use jackdaw_core::outcome::{Outcome, Step};
@@ -53,9 +52,7 @@
         Begin::Refused(refusal) => return Err(refused(refusal)),
     };
     let call = Rc::new(call);
-    let links = Rc::clone(&worker.links);
-    let dispatch = Dispatch::new(Arc::clone(shared), links, Rc::clone(&call));
-    let mut dispatch = dispatch.with_ticket(ticket);
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call)).with_ticket(ticket);
     let result = whole::relay(&mut dispatch).await;
     if let Some(ticket) = dispatch.take_ticket() {
         close(ticket, &result).await;
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
+use jackdaw_policy::route;
 use ntex::http::HeaderMap;
 use ntex::http::header::HeaderName;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
@@ -18,6 +19,7 @@
 use crate::link::Links;
 use crate::plain::serve;
 use crate::problem::Problem;
+use crate::route::Router;
 use crate::shared::Shared;
 
 /// What one worker keeps.
@@ -25,6 +27,20 @@
 pub(crate) struct Worker {
     pub(crate) shared: Arc<Shared>,
     pub(crate) links: Rc<Links>,
+    pub(crate) router: Rc<Router>,
+}
+
+impl Worker {
+    /// Creates what a worker keeps; each worker has a seed of its own.
+    pub(crate) fn new(shared: Arc<Shared>, number: u64) -> Self {
+        let options = &shared.options;
+        let seed = route::prefix_hash(shared.node.as_bytes()).wrapping_add(number);
+        Worker {
+            links: Rc::new(Links::new(options)),
+            router: Rc::new(Router::new(options.route, seed)),
+            shared,
+        }
+    }
 }
 
 /// Adds the callers' routes.
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -8,14 +8,18 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_policy::route::prefix_hash;
 use ntex::http::{HeaderMap, Payload};
 use ntex::time::{self, timeout};
 use ntex::util::{Bytes, BytesMut, stream_recv};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::problem::Problem;
 use crate::shared::{Options, Shared};
 
+/// Bytes of a prompt that decide where it goes.
+const PREFIX_BYTES: usize = 512;
 /// Header that names the request.
 pub(crate) const REQUEST_ID: &str = "jackdawstair-request-id";
 /// Header that carries the outcome.
@@ -27,12 +31,27 @@
 
 /// The part of a completion request that the system reads.
 #[derive(Debug, Deserialize)]
-pub(crate) struct Completion {
+pub(crate) struct Completion<'a> {
     /// Model.
     pub(crate) model: CompactString,
     /// Whether the answer is streamed.
     #[serde(default)]
     pub(crate) stream: bool,
+    /// Prompt of a plain completion.
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
+    /// Messages of a chat.
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
+}
+
+impl Completion<'_> {
+    /// Returns the hash of the prompt's prefix.
+    pub(crate) fn prefix(&self) -> u64 {
+        let text = self.messages.or(self.prompt).map_or("", RawValue::get);
+        let length = text.len().min(PREFIX_BYTES);
+        prefix_hash(&text.as_bytes()[..length])
+    }
 }
 
 /// Returns a new request identity, unique over nodes and restarts.
@@ -105,7 +124,7 @@
 }
 
 /// Reads the fields of a completion request that the system needs.
-pub(crate) fn completion(body: &[u8]) -> Result<Completion, Problem> {
+pub(crate) fn completion(body: &[u8]) -> Result<Completion<'_>, Problem> {
     serde_json::from_slice(body).map_err(|error| {
         let detail = format!("the body is no completion request: {error}");
         Problem::new(Reason::Malformed, Step::Authenticated, detail)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod gauge;
 pub mod once;
+pub mod route;
 pub mod server;
 pub mod shared;
 pub mod snapshot;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,7 +1,6 @@
 //! Takes calls of plain services.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::outcome::{Outcome, Step};
@@ -70,6 +69,7 @@
         ),
         digest: Digest::of(&body),
         body,
+        prefix: None,
         deadline,
         idempotent,
         streamed: false,
@@ -78,8 +78,7 @@
         return guarded::run(worker, call, key, pass).await;
     }
     let call = Rc::new(call);
-    let links = Rc::clone(&worker.links);
-    let mut dispatch = Dispatch::new(Arc::clone(shared), links, Rc::clone(&call));
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call));
     let answer = whole::relay(&mut dispatch).await?;
     shared.counters.outcome(Outcome::Completed);
     Ok(answer.response(&call.id))
--- a/crates/entry/src/sequence.rs
+++ b/crates/entry/src/sequence.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Sequence {
     delivered: u64,
+    /// Offset at which the replica that streams now began.
+    begun: u64,
     /// Identity that the caller sees.
     shown: Option<CompactString>,
     /// Identity in the answer of the replica that streams now.
@@ -31,8 +33,14 @@
         self.delivered
     }
 
+    /// Returns the number of tokens that came from the replica that streams now.
+    pub(crate) fn taken(&self) -> u64 {
+        self.delivered - self.begun
+    }
+
     /// Begins an answer from another replica.
     pub(crate) fn resume(&mut self) {
+        self.begun = self.delivered;
         self.current = None;
     }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
 
@@ -16,7 +16,6 @@
 
 use crate::control::Controller;
 use crate::handler::{self, Worker};
-use crate::link::Links;
 use crate::shared::{Options, Shared};
 
 /// Time for callers to read the last bytes of answers that were already finished.
@@ -89,16 +88,15 @@
 
 fn listen(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Handle> {
     let options = shared.options;
+    let workers = Arc::new(AtomicU64::new(0));
     let server = ntex::server::build()
         .workers(options.workers)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_TIMEOUT)
         .listen("entry", listener, async move |_| {
             let controller = Controller::new(Arc::clone(&shared));
-            let worker = Worker {
-                shared: Arc::clone(&shared),
-                links: Rc::new(Links::new(&shared.options)),
-            };
+            let number = workers.fetch_add(1, Ordering::Relaxed);
+            let worker = Worker::new(Arc::clone(&shared), number);
             let app = App::new()
                 .state(worker)
                 .configure(handler::routes)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,6 +8,7 @@
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::{Bytes, Millis};
+use jackdaw_policy::route;
 use opentelemetry::metrics::Meter;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -47,6 +48,8 @@
     pub idle_timeout: Millis,
     /// Longest deadline that a caller may ask for.
     pub longest_deadline: Millis,
+    /// What the choice of a target weighs; the number of nodes comes from the snapshot.
+    pub route: route::Options,
     /// Bounds of the records of non-idempotent calls.
     pub once: once::Options,
 }
@@ -67,6 +70,7 @@
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             longest_deadline: Millis::from_secs(600),
+            route: route::Options::default(),
             once: once::Options::default(),
         }
     }
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -39,6 +39,8 @@
     pub models: HashMap<CompactString, Vec<Target>>,
     /// Live backend servers by plain service.
     pub services: HashMap<CompactString, Vec<Target>>,
+    /// Nodes that share the load, this one among them; zero means that they are not known.
+    pub nodes: u32,
     /// Availability zone of this node.
     pub zone: CompactString,
     /// Whether the node knows a catalogue and may take requests.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -220,7 +220,8 @@
         let Some(mut opened) = self.opened.take() else {
             return;
         };
-        self.dispatch.answered(&opened.attempt);
+        let tokens = self.sequence.taken();
+        self.dispatch.streamed(&opened.attempt, tokens);
         self.dispatch.shared.counters.outcome(Outcome::Completed);
         let bound = self.dispatch.idle_bound();
         ntex::rt::spawn(async move {
--- /dev/null
+++ b/crates/entry/tests/router.rs
@@ -0,0 +1,88 @@
+//! The router reads the snapshot and its gauges.
+
+mod support;
+
+use std::sync::Arc;
+
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+use jackdaw_entry::route::{Router, Wish};
+use jackdaw_entry::snapshot::Snapshot;
+use jackdaw_policy::route::{Options, Way};
+use support::backend::Backend;
+use support::node::snapshot;
+
+const WISH: Wish<'static> = Wish {
+    name: "tiles",
+    model: true,
+    prefix: None,
+    alone: false,
+};
+
+fn four() -> Snapshot {
+    let addresses: Vec<_> = (0..4).map(|_| Backend::nowhere()).collect();
+    snapshot(&addresses)
+}
+
+fn chosen(router: &Router, snapshot: &Arc<Snapshot>, now: Instant) -> Vec<String> {
+    let mut names: Vec<String> = (0..200)
+        .filter_map(|_| router.choose(snapshot, WISH, &[], now))
+        .map(|choice| choice.target.name.to_string())
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+#[test]
+fn a_straggler_is_left_out_for_some_time_and_explained() {
+    let snapshot = Arc::new(four());
+    for (index, target) in snapshot.models["tiles"].iter().enumerate() {
+        for _ in 0..20 {
+            target
+                .gauge
+                .sample(if index == 3 { 90_000 } else { 10_000 });
+        }
+    }
+    let router = Router::new(Options::default(), 1);
+    let names = chosen(&router, &snapshot, Instant(0));
+    assert_eq!(names, ["target-0", "target-1", "target-2"]);
+    let decisions = router.explained();
+    assert_eq!(decisions.len(), 1);
+    assert_eq!(decisions[0].subjects[0].name(), "target-3");
+
+    let next = Arc::new(Snapshot::clone(&snapshot));
+    let later = Instant(0) + Millis::from_secs(31);
+    assert_eq!(chosen(&router, &next, later).len(), 4);
+    assert!(router.explained().is_empty());
+}
+
+#[test]
+fn another_zone_is_used_when_no_own_target_is_left() {
+    let mut snapshot = four();
+    let targets = snapshot.models.get_mut("tiles").expect("targets");
+    targets[0].zone = "qc-east-b".into();
+    let snapshot = Arc::new(snapshot);
+    let router = Router::new(Options::default(), 1);
+    assert_eq!(chosen(&router, &snapshot, Instant(0)).len(), 3);
+    let own = ["target-1".into(), "target-2".into(), "target-3".into()];
+    let choice = router.choose(&snapshot, WISH, &own, Instant(0));
+    let choice = choice.expect("a target");
+    assert_eq!(choice.target.name, "target-0");
+    assert_eq!(choice.way, Way::Spill);
+}
+
+#[test]
+fn a_request_that_runs_alone_gets_the_quietest_target() {
+    let snapshot = Arc::new(four());
+    for (index, target) in snapshot.models["tiles"].iter().enumerate() {
+        target.gauge.set_reported(if index == 2 { 1 } else { 5 });
+    }
+    let alone = Wish {
+        alone: true,
+        ..WISH
+    };
+    let router = Router::new(Options::default(), 1);
+    let choice = router.choose(&snapshot, alone, &[], Instant(0));
+    assert_eq!(choice.expect("a target").target.name, "target-2");
+}
--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -104,6 +104,7 @@
         teams: [(digest, Arc::new(team))].into(),
         models: [("tiles".into(), targets.clone())].into(),
         services: [("stock".into(), targets)].into(),
+        nodes: 1,
         zone: "qc-east-a".into(),
         ready: true,
         stopping: false,
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -191,6 +191,12 @@
         !self.tried.iter().any(|tried| tried == server)
     }
 
+    /// Gets the servers that were tried.
+    #[must_use]
+    pub fn tried(&self) -> &[CompactString] {
+        &self.tried
+    }
+
     /// Gets the furthest step that any attempt reached.
     #[must_use]
     pub fn furthest(&self) -> Step {
--- a/crates/policy/src/route.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Chooses a replica group or a backend server for a request.
