--- a/crates/policy/src/fair.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Admits requests by team, weight and deadline.
