Admit calls by team limits and fair queues; run suspects alone

Checked by tests: the deadline is now refused at admission, so that the case in limits names the step before it; a stream that breaks on two servers in a row counts as poison, so that the twice resumed stream now breaks once and falls silent once.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -27,6 +27,18 @@
     }
 }
 
+/// Returns the digest over everything that makes two calls the same.
+pub(crate) fn digest(method: &Method, name: &str, path: &str, body: &[u8]) -> Digest {
+    let mut text = Vec::with_capacity(body.len() + path.len() + name.len() + 16);
+    text.extend_from_slice(method.as_str().as_bytes());
+    text.push(b' ');
+    text.extend_from_slice(name.as_bytes());
+    text.extend_from_slice(path.as_bytes());
+    text.push(b'\n');
+    text.extend_from_slice(body);
+    Digest::of(&text)
+}
+
 /// A caller's request after it was read and authenticated.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -39,7 +51,10 @@
     /// Headers that are handed on.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Digest over everything that makes two calls the same.
     pub(crate) digest: Digest,
+    /// Largest work that the call may make, relative to other calls.
+    pub(crate) cost: u32,
     /// Hash of the prompt's prefix, which decides where it is probably cached.
     pub(crate) prefix: Option<u64>,
     pub(crate) deadline: Instant,
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -4,13 +4,13 @@
 
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::token::Digest;
 use ntex::http::header::CONTENT_TYPE;
 use ntex::http::{Method, Payload};
 use ntex::web::{HttpRequest, HttpResponse, types};
 
+use crate::admit::{self, Admission};
 use crate::auth;
-use crate::call::{Call, Destination};
+use crate::call::{Call, Destination, digest};
 use crate::dispatch::Dispatch;
 use crate::drain::Pass;
 use crate::handler::{self, Worker};
@@ -40,6 +40,7 @@
     let pass = handler::enter(shared)?;
     head::check(request.headers(), &shared.options)?;
     let team = auth::team(request.headers(), &shared.snapshot.load())?;
+    let slot = admit::enter_team(shared, &team)?;
     let options = &shared.options;
     let deadline = head::deadline(request.headers(), &team, options, shared.clock.now())?;
     let body = head::body(payload, options).await?;
@@ -60,21 +61,28 @@
         team,
         prefix: Some(completion.prefix()),
         streamed: completion.stream,
-        destination: Destination::Model(completion.model),
+        destination: Destination::Model(completion.model.clone()),
         method: Method::POST,
         path: request.path().into(),
         headers: handler::kept(request.headers(), &[CONTENT_TYPE.as_str()]),
-        digest: Digest::of(&body),
+        digest: digest(request.method(), &completion.model, request.path(), &body),
+        cost: completion.cost(),
         body,
         deadline,
         idempotent: true,
     };
-    forward(worker, call, pass).await
+    let admission = admit::admit(shared, &call, slot).await?;
+    forward(worker, call, admission, pass).await
 }
 
-async fn forward(worker: &Worker, call: Call, pass: Pass) -> Result<HttpResponse, Problem> {
+async fn forward(
+    worker: &Worker,
+    call: Call,
+    admission: Admission,
+    pass: Pass,
+) -> Result<HttpResponse, Problem> {
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call));
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
     if call.streamed {
         return stream::relay(dispatch, pass).await;
     }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -7,9 +7,12 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::poison::CONVICTION;
 use jackdaw_policy::retry::{Cause, Connection, Failure, Fault, Request, Verdict};
 use ntex::client::{Client, ClientResponse};
 
+use crate::admit::Admission;
+use crate::alone::{self, Alone};
 use crate::call::{Call, Destination};
 use crate::event::Event;
 use crate::exchange::{self, Bound, Broken};
@@ -19,7 +22,6 @@
 use crate::once::Ticket;
 use crate::problem::Problem;
 use crate::route::{Router, Wish};
-use crate::share::Share;
 use crate::shared::Shared;
 use crate::snapshot::Target;
 
@@ -36,18 +38,15 @@
     pub(crate) target: Target,
     connection: Connection,
     sent: Instant,
+    alone: Option<Alone>,
     _guard: Guard,
 }
 
 impl Attempt {
-    fn new(target: Target, connection: Connection, sent: Instant) -> Self {
-        let guard = Guard::new(&target.gauge);
-        Attempt {
-            target,
-            connection,
-            sent,
-            _guard: guard,
-        }
+    /// Returns whether no other request is in flight at the target, as far as is known.
+    fn is_alone(&self) -> bool {
+        let load = self.target.gauge.load();
+        self.alone.is_some() && load.in_flight == 1 && load.reported <= load.at_report
     }
 }
 
@@ -57,7 +56,7 @@
     pub(crate) call: Rc<Call>,
     links: Rc<Links>,
     router: Rc<Router>,
-    share: Arc<Share>,
+    admission: Admission,
     request: Request,
     /// Right to dispatch a call that may not be repeated.
     ticket: Option<Ticket>,
@@ -66,17 +65,16 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(worker: &Worker, call: Rc<Call>) -> Self {
+    pub(crate) fn new(worker: &Worker, call: Rc<Call>, admission: Admission) -> Self {
         let shared = Arc::clone(&worker.shared);
-        let share = shared.shares.of(&call.team.name);
-        share.budget.deposit();
+        admission.slot.share().budget.deposit();
         let request = Request::new(call.idempotent, call.deadline);
         Dispatch {
             shared,
             call,
             links: Rc::clone(&worker.links),
             router: Rc::clone(&worker.router),
-            share,
+            admission,
             request,
             ticket: None,
             again: None,
@@ -99,7 +97,7 @@
     /// Opens an answer that starts at a token, with as many attempts as are allowed.
     pub(crate) async fn open(&mut self, resume_at: u64) -> Result<Opened, Problem> {
         loop {
-            let attempt = self.choose()?;
+            let attempt = self.choose().await?;
             match self.send(&attempt, resume_at).await {
                 Ok(answer) => return Ok(Opened { answer, attempt }),
                 Err(broken) => self.failed(&broken, &attempt)?,
@@ -124,12 +122,19 @@
         {
             ticket.nothing_written();
         }
-        if self.request.blames_server(&failure) {
-            self.blame(broken.fault, target);
-        }
+        let guilty = self.request.blames_server(&failure) && self.blame(broken.fault, attempt);
         let now = self.shared.clock.now();
-        let verdict = self.request.judge(&failure, &self.share.budget, now);
+        let verdict = self
+            .request
+            .judge(&failure, &self.admission.slot.share().budget, now);
         let problem = self.problem(broken, target);
+        if guilty {
+            return Err(Problem {
+                reason: Reason::Poison,
+                retry_after: CONVICTION,
+                ..problem
+            });
+        }
         match verdict {
             Verdict::GiveUp(Cause::Deadline) => Err(Problem {
                 reason: Reason::Deadline,
@@ -150,7 +155,7 @@
     }
 
     /// Records a whole answer, and its pace if it was a stream of some tokens.
-    pub(crate) fn streamed(&self, attempt: &Attempt, tokens: u64) {
+    pub(crate) fn streamed(&mut self, attempt: &Attempt, tokens: u64) {
         self.answered(attempt);
         if tokens > 1 {
             let micros = self.micros_since(attempt.sent) / tokens;
@@ -159,16 +164,19 @@
     }
 
     /// Records a whole answer.
-    pub(crate) fn answered(&self, attempt: &Attempt) {
+    pub(crate) fn answered(&mut self, attempt: &Attempt) {
+        self.admission.permit.answered();
         // A completion's time depends on its length, so that only services are compared by it.
         if let Destination::Service(_) = self.call.destination {
             let micros = self.micros_since(attempt.sent);
             attempt.target.gauge.sample(micros);
         }
-        self.shared.send(Event::Answered {
-            target: attempt.target.name.clone(),
-            digest: self.call.digest,
-        });
+        if self.admission.suspect {
+            self.shared.send(Event::Answered {
+                target: attempt.target.name.clone(),
+                digest: self.call.digest,
+            });
+        }
     }
 
     /// Returns the bound on waiting for the next part of an answer.
@@ -222,13 +230,23 @@
         client.ok_or_else(|| Broken::new(Fault::Unreachable, Step::Routed, "no client"))
     }
 
-    fn blame(&self, fault: Fault, target: &Target) {
-        let crashed = fault != Fault::Unreachable || self.request.was_cut_off_by(&target.name);
+    /// Tells the control thread of a target's fault; returns whether the call alone caused it.
+    fn blame(&mut self, fault: Fault, attempt: &Attempt) -> bool {
+        let target = &attempt.target;
+        let crashed = match fault {
+            Fault::Closed => true,
+            Fault::Unreachable => self.request.was_cut_off_by(&target.name),
+            Fault::Silent | Fault::Invalid | Fault::Refused | Fault::Deadline => false,
+        };
+        // What crashed one target may crash the next, so that it runs alone from now on.
+        self.admission.suspect |= crashed;
+        let alone = crashed && attempt.is_alone();
         let event = if crashed {
             Event::Broken {
                 target: target.name.clone(),
                 generation: target.generation,
                 digest: self.call.digest,
+                alone,
             }
         } else {
             Event::ConnectFailed {
@@ -237,6 +255,7 @@
             }
         };
         self.shared.send(event);
+        alone
     }
 
     fn problem(&self, broken: &Broken, target: &Target) -> Problem {
@@ -244,16 +263,30 @@
         Problem::new(broken.fault.reason(), step, &broken.detail).at(&target.name)
     }
 
-    fn choose(&mut self) -> Result<Attempt, Problem> {
-        let now = self.shared.clock.now();
-        if let Some(target) = self.again.take() {
-            return Ok(Attempt::new(target, Connection::New, now));
-        }
+    async fn choose(&mut self) -> Result<Attempt, Problem> {
+        let turn = match self.admission.suspect {
+            true => alone::turn(&self.shared, self.remaining()).await,
+            false => None,
+        };
         // A call that may not be repeated cannot survive the loss of a used connection.
-        let connection = exchange::connection(!self.call.idempotent);
-        let target = self.route();
-        let target = target.ok_or_else(|| self.no_server())?;
-        Ok(Attempt::new(target, connection, now))
+        let (target, connection) = match self.again.take() {
+            Some(target) => (target, Connection::New),
+            None => {
+                let target = self.route().ok_or_else(|| self.no_server())?;
+                (target, exchange::connection(!self.call.idempotent))
+            }
+        };
+        let alone = match turn {
+            Some(turn) => alone::reserve(turn, &target, self.remaining()).await,
+            None => None,
+        };
+        Ok(Attempt {
+            connection,
+            sent: self.shared.clock.now(),
+            alone,
+            _guard: Guard::new(&target.gauge),
+            target,
+        })
     }
 
     fn route(&self) -> Option<Target> {
@@ -262,7 +295,7 @@
             name: self.call.destination.name(),
             model: matches!(self.call.destination, Destination::Model(_)),
             prefix: self.call.prefix,
-            alone: false,
+            alone: self.admission.suspect,
         };
         let now = self.shared.clock.now();
         let choice = self
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -23,8 +23,10 @@
         generation: Generation,
         /// Digest of the request that was cut off.
         digest: Digest,
+        /// Whether no other request was in flight there, as far as this node knows.
+        alone: bool,
     },
-    /// A target answered a request completely.
+    /// A target answered a suspect request completely.
     Answered {
         /// Replica group or backend server.
         target: CompactString,
--- a/crates/entry/src/guarded.rs
+++ b/crates/entry/src/guarded.rs
@@ -5,11 +5,11 @@
 use compact_str::CompactString;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::token::Digest;
 use ntex::channel::oneshot;
 use ntex::http::header::CONTENT_TYPE;
 use ntex::web::HttpResponse;
 
+use crate::admit::Admission;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::drain::Pass;
@@ -29,12 +29,13 @@
     worker: &Worker,
     call: Call,
     key: CompactString,
+    admission: Admission,
     pass: Pass,
 ) -> Result<HttpResponse, Problem> {
     let (sender, receiver) = oneshot::channel();
     let worker = worker.clone();
     ntex::rt::spawn(async move {
-        let _ = sender.send(attempt(&worker, call, &key).await);
+        let _ = sender.send(attempt(&worker, call, &key, admission).await);
         drop(pass);
     });
     receiver.await.unwrap_or_else(|_| {
@@ -43,16 +44,20 @@
     })
 }
 
-async fn attempt(worker: &Worker, call: Call, key: &str) -> Result<HttpResponse, Problem> {
+async fn attempt(
+    worker: &Worker,
+    call: Call,
+    key: &str,
+    admission: Admission,
+) -> Result<HttpResponse, Problem> {
     let shared = &worker.shared;
-    let digest = digest(&call);
-    let ticket = match shared.ledger.begin(&call.team.name, key, digest).await {
+    let ticket = match shared.ledger.begin(&call.team.name, key, call.digest).await {
         Begin::Run(ticket) => ticket,
         Begin::Stored(answer) => return Ok(replay(&answer, &call.id)),
         Begin::Refused(refusal) => return Err(refused(refusal)),
     };
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call)).with_ticket(ticket);
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission).with_ticket(ticket);
     let result = whole::relay(&mut dispatch).await;
     if let Some(ticket) = dispatch.take_ticket() {
         close(ticket, &result).await;
@@ -71,18 +76,6 @@
     };
 }
 
-/// Returns the digest over everything that makes two calls the same.
-fn digest(call: &Call) -> Digest {
-    let mut text = Vec::with_capacity(call.body.len() + call.path.len() + 16);
-    text.extend_from_slice(call.method.as_str().as_bytes());
-    text.push(b' ');
-    text.extend_from_slice(call.destination.name().as_bytes());
-    text.extend_from_slice(call.path.as_bytes());
-    text.push(b'\n');
-    text.extend_from_slice(&call.body);
-    Digest::of(&text)
-}
-
 fn stored(answer: &Answer) -> once::Answer {
     let content_type = answer.headers.get(CONTENT_TYPE);
     once::Answer {
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -18,6 +18,10 @@
 use crate::problem::Problem;
 use crate::shared::{Options, Shared};
 
+/// Tokens expected of a request that names no bound.
+const DEFAULT_TOKENS: u32 = 256;
+/// Tokens that count as one unit of cost.
+const TOKENS_PER_COST: u32 = 16;
 /// Bytes of a prompt that decide where it goes.
 const PREFIX_BYTES: usize = 512;
 /// Header that names the request.
@@ -37,6 +41,9 @@
     /// Whether the answer is streamed.
     #[serde(default)]
     pub(crate) stream: bool,
+    /// Largest number of tokens wanted.
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
     /// Prompt of a plain completion.
     #[serde(borrow, default)]
     prompt: Option<&'a RawValue>,
@@ -46,6 +53,12 @@
 }
 
 impl Completion<'_> {
+    /// Returns the largest work that the request may make, relative to other requests.
+    pub(crate) fn cost(&self) -> u32 {
+        let tokens = self.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        tokens / TOKENS_PER_COST + 1
+    }
+
     /// Returns the hash of the prompt's prefix.
     pub(crate) fn prefix(&self) -> u64 {
         let text = self.messages.or(self.prompt).map_or("", RawValue::get);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,12 +14,15 @@
 pub mod shared;
 pub mod snapshot;
 
+mod admit;
+mod alone;
 mod auth;
 mod call;
 mod complete;
 mod control;
 mod dispatch;
 mod exchange;
+mod gate;
 mod guarded;
 mod handler;
 mod head;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -5,13 +5,13 @@
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::token::Digest;
 use ntex::http::header::{ACCEPT, CONTENT_TYPE};
 use ntex::http::{HeaderMap, Payload};
 use ntex::web::{HttpRequest, HttpResponse, types};
 
+use crate::admit;
 use crate::auth;
-use crate::call::{Call, Destination};
+use crate::call::{Call, Destination, digest};
 use crate::dispatch::Dispatch;
 use crate::guarded;
 use crate::handler::{self, Worker};
@@ -41,6 +41,7 @@
     head::check(request.headers(), &shared.options)?;
     let snapshot = shared.snapshot.load_full();
     let team = auth::team(request.headers(), &snapshot)?;
+    let slot = admit::enter_team(shared, &team)?;
     let options = &shared.options;
     let deadline = head::deadline(request.headers(), &team, options, shared.clock.now())?;
     let name = request.match_info().get("service").unwrap_or_default();
@@ -53,12 +54,12 @@
     let idempotent = service.is_idempotent(request.method().as_str(), &path);
     let key = key(request.headers(), idempotent)?;
     let body = head::body(payload, options).await?;
+    let target = with_query(&path, request.uri().query());
     let call = Call {
         id: id.into(),
         team,
         destination: Destination::Service(name.into()),
         method: request.method().clone(),
-        path: with_query(&path, request.uri().query()),
         headers: handler::kept(
             request.headers(),
             &[
@@ -67,18 +68,21 @@
                 head::IDEMPOTENCY_KEY,
             ],
         ),
-        digest: Digest::of(&body),
+        digest: digest(request.method(), name, &target, &body),
+        path: target,
+        cost: 1,
         body,
         prefix: None,
         deadline,
         idempotent,
         streamed: false,
     };
+    let admission = admit::admit(shared, &call, slot).await?;
     if let Some(key) = key {
-        return guarded::run(worker, call, key, pass).await;
+        return guarded::run(worker, call, key, admission, pass).await;
     }
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call));
+    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
     let answer = whole::relay(&mut dispatch).await?;
     shared.counters.outcome(Outcome::Completed);
     Ok(answer.response(&call.id))
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,11 +10,13 @@
 use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_policy::route;
 use opentelemetry::metrics::Meter;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::counter::Counters;
 use crate::drain::Drain;
 use crate::event::Event;
+use crate::gate::Gates;
 use crate::once::{self, Ledger};
 use crate::share::Shares;
 use crate::snapshot::Snapshot;
@@ -48,6 +50,10 @@
     pub idle_timeout: Millis,
     /// Longest deadline that a caller may ask for.
     pub longest_deadline: Millis,
+    /// Requests that a backend server of a plain service runs at once.
+    pub service_slots: u32,
+    /// Suspect calls that run alone at the same time.
+    pub suspects: usize,
     /// What the choice of a target weighs; the number of nodes comes from the snapshot.
     pub route: route::Options,
     /// Bounds of the records of non-idempotent calls.
@@ -70,6 +76,8 @@
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             longest_deadline: Millis::from_secs(600),
+            service_slots: 64,
+            suspects: 2,
             route: route::Options::default(),
             once: once::Options::default(),
         }
@@ -95,6 +103,9 @@
     /// Requests in flight, and whether new ones are taken.
     pub drain: Drain,
     pub(crate) shares: Shares,
+    pub(crate) gates: Gates,
+    /// Turns of suspect calls, so that few targets are taken from the others.
+    pub(crate) suspects: Arc<Semaphore>,
 }
 
 impl Shared {
@@ -120,6 +131,8 @@
             counters: Counters::new(meter),
             drain: Drain::default(),
             shares: Shares::default(),
+            gates: Gates::default(),
+            suspects: Arc::new(Semaphore::new(options.suspects)),
         }
     }
 
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -8,6 +8,7 @@
 use jackdaw_core::catalog::{Catalog, Team};
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Generation;
+use jackdaw_policy::poison::Verdicts;
 
 use crate::gauge::Gauge;
 
@@ -39,6 +40,8 @@
     pub models: HashMap<CompactString, Vec<Target>>,
     /// Live backend servers by plain service.
     pub services: HashMap<CompactString, Vec<Target>>,
+    /// What is held against digests of requests.
+    pub verdicts: Arc<Verdicts>,
     /// Nodes that share the load, this one among them; zero means that they are not known.
     pub nodes: u32,
     /// Availability zone of this node.
--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -13,6 +13,7 @@
 use jackdaw_entry::server::Server;
 use jackdaw_entry::shared::{Options, Shared};
 use jackdaw_entry::snapshot::{Snapshot, Target};
+use jackdaw_policy::poison::Verdicts;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::noop::NoopMeterProvider;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -77,6 +78,19 @@
         self.server.address()
     }
 
+    /// Publishes what is held against digests of requests.
+    pub fn publish(&self, verdicts: Verdicts) {
+        let before = self.shared.snapshot.load();
+        let mut next = Snapshot::clone(&before);
+        next.verdicts = Arc::new(verdicts);
+        self.shared.snapshot.store(Arc::new(next));
+    }
+
+    /// Waits for the next event.
+    pub fn event(&mut self) -> Event {
+        self.events.blocking_recv().expect("a running node")
+    }
+
     /// Returns the events so far.
     pub fn events(&mut self) -> Vec<Event> {
         std::iter::from_fn(|| self.events.try_recv().ok()).collect()
@@ -104,6 +118,7 @@
         teams: [(digest, Arc::new(team))].into(),
         models: [("tiles".into(), targets.clone())].into(),
         services: [("stock".into(), targets)].into(),
+        verdicts: Arc::default(),
         nodes: 1,
         zone: "qc-east-a".into(),
         ready: true,
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -13,7 +13,7 @@
 use jackdaw_core::units::Millis;
 
 /// Time for which a convicted digest is refused.
-const CONVICTION: Millis = Millis::from_secs(10 * 60);
+pub const CONVICTION: Millis = Millis::from_secs(10 * 60);
 /// Time after which a suspect that did not come again is forgotten.
 const SUSPICION: Millis = Millis::from_secs(10 * 60);
 /// Crashes with others in flight after which a digest is convicted all the same.
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -335,7 +335,7 @@
             .chain(&self.remote)
             .filter(|server| scene.is_allowed(**server))
             .map(|server| scene.weigh(*server))
-            .min_by_key(|weighed| weighed.estimate)
+            .min_by_key(|weighed| (loads.load(weighed.server).reserved, weighed.estimate))
             .map(|weighed| weighed.by(Way::Last))
     }
 
