--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,32 +2,31 @@
 
 #![allow(dead_code, reason = "each test file uses its own part of the harness")]
 
-pub mod caller;
-pub mod node;
+pub(crate) mod caller;
+pub(crate) mod node;
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use jackdaw_core::catalog::Catalog;
 use jackdaw_core::note::Note;
-use jackdaw_core::store::{Compare, Store, Transaction, Write};
 use jackdaw_core::token::Digest;
-use jackdaw_core::units::Millis;
+use jackdaw_core::units::{Millis, Revision};
 use jackdaw_standin::engine;
 use jackdaw_standin::fleet::Batch;
 use jackdaw_standin::platform::{Addresses, Plan, Platform};
-use jackdawstair::control::runtime::CATALOG_KEY;
+use jackdawstair::control::release;
+use jackdawstair::policy::release::accept::Attempt;
 
-pub use caller::Caller;
-pub use node::Node;
+pub(crate) use caller::Caller;
+pub(crate) use node::Node;
 
 /// Token of the team of every test.
-pub const TEAM_TOKEN: &str = "team-token";
+pub(crate) const TEAM_TOKEN: &str = "team-token";
 
 /// Token of the operator of every test.
-pub const OPERATOR_TOKEN: &str = "operator-token";
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
 
 /// Availability zones of the tests.
-pub const ZONES: [&str; 2] = ["east-a", "east-b"];
+pub(crate) const ZONES: [&str; 2] = ["east-a", "east-b"];
 
 const NOTE: &str = "\
 id: first
@@ -45,16 +44,16 @@
 ";
 
 /// The platform, the back ends and the nodes of one test.
-pub struct Cluster {
+pub(crate) struct Cluster {
     /// Stand-ins.
-    pub platform: Platform,
+    pub(crate) platform: Platform,
     /// Nodes in the order in which they were started.
-    pub nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
 }
 
 impl Cluster {
     /// Starts the stand-ins with an accepted first note, and no node.
-    pub fn start(token_interval: Millis) -> Cluster {
+    pub(crate) fn start(token_interval: Millis) -> Cluster {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let addresses = Addresses {
             store: any,
@@ -75,7 +74,7 @@
     }
 
     /// Starts a node in an availability zone and waits for its ports.
-    pub fn add_node(&mut self, zone: &str) -> usize {
+    pub(crate) fn add_node(&mut self, zone: &str) -> usize {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
         let name = format!("{zone}-{}", self.nodes.len() + 1);
         let settings = self.settings(&name, zone, &seeds);
@@ -84,7 +83,7 @@
     }
 
     /// Returns a caller of a node.
-    pub fn caller(&self, node: usize) -> Caller {
+    pub(crate) fn caller(&self, node: usize) -> Caller {
         Caller::new(self.nodes[node].callers)
     }
 
@@ -131,18 +130,10 @@
             Digest::of(TEAM_TOKEN.as_bytes())
         );
         let note: Note = serde_saphyr::from_str(&team).expect("note");
-        let catalog = Catalog::default().apply(&note).expect("note applies");
-        let write = Write::Put {
-            key: CATALOG_KEY.into(),
-            value: serde_json::to_vec(&catalog).expect("catalogue"),
-            lease: None,
-        };
-        let transaction = Transaction {
-            when: vec![Compare::Absent(CATALOG_KEY.into())],
-            then: vec![write],
-            otherwise: Vec::new(),
-        };
-        futures::executor::block_on(self.platform.memory().commit(transaction)).expect("committed");
+        let attempt = Attempt::new(note, Revision(0), "test", 1);
+        let accepted = release::accept(self.platform.memory(), attempt);
+        let accepted = futures::executor::block_on(accepted);
+        assert!(accepted.catalog.is_some(), "{:?}", accepted.verdict);
     }
 }
 
