Drain for a higher priority only after five minutes

Cause: most members that go missing are restarts of 90 to 360 s, and a drain for them takes a second group out of service. Ruled out: 1,200 s, a model of high priority would wait for that long.

--- a/crates/policy/src/plan/options.rs
+++ b/crates/policy/src/plan/options.rs
@@ -47,7 +47,7 @@
         Options {
             weights: Weights::DOWNTIME,
             patience: Millis(0),
-            preempt_after: Millis::from_secs(120),
+            preempt_after: Millis::from_secs(300),
             salvage_after: Millis::from_secs(600),
             spares_per_group: 0,
         }
