--- /dev/null
+++ b/crates/control/tests/support/http.rs
@@ -0,0 +1,81 @@
+//! Requests to the operators' port.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Answer to a request.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    /// Gets the body as JSON.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).expect("JSON body")
+    }
+}
+
+/// Sends a request and reads the whole answer.
+pub(crate) fn send(to: SocketAddr, method: &str, path: &str, token: &str, body: &str) -> Answer {
+    let mut reader = open(to, method, path, token, body);
+    let head = read_head(&mut reader);
+    let mut body = String::new();
+    reader.read_to_string(&mut body).expect("body");
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .expect("status");
+    Answer { status, head, body }
+}
+
+/// Opens a stream of server-sent events and returns its data lines.
+pub(crate) fn follow(
+    to: SocketAddr,
+    path: &str,
+    token: &str,
+) -> impl Iterator<Item = serde_json::Value> {
+    let mut reader = open(to, "GET", path, token, "");
+    let head = read_head(&mut reader);
+    assert!(head.contains("text/event-stream"), "{head}");
+    reader
+        .lines()
+        .map_while(std::result::Result::ok)
+        .filter_map(|line| line.strip_prefix("data: ").map(str::to_owned))
+        .map(|data| serde_json::from_str(&data).expect("JSON event"))
+}
+
+fn open(to: SocketAddr, method: &str, path: &str, token: &str, body: &str) -> BufReader<TcpStream> {
+    let mut stream = TcpStream::connect(to).expect("connects");
+    let accept = if method == "GET" && body.is_empty() && path.contains("decisions") {
+        "text/event-stream"
+    } else {
+        "application/json"
+    };
+    let authorization = if token.is_empty() {
+        String::new()
+    } else {
+        format!("authorization: Bearer {token}\r\n")
+    };
+    let length = body.len();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: node\r\naccept: {accept}\r\n{authorization}\
+         connection: close\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n\
+         {body}"
+    )
+    .expect("sends");
+    BufReader::new(stream)
+}
+
+fn read_head(reader: &mut impl BufRead) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        let read = reader.read_line(&mut head).expect("head");
+        assert!(read > 0, "broken off after {head}");
+    }
+    head
+}
