--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -240,10 +240,12 @@
 }
 
 fn read_note(body: &Bytes) -> Result<Note, Problem> {
-    serde_json::from_slice(body).map_err(|error| {
-        let title = error.to_string();
-        Problem::new(StatusCode::BAD_REQUEST, "malformed-note", &title)
-    })
+    let malformed = |title: &str| Problem::new(StatusCode::BAD_REQUEST, "malformed-note", title);
+    // A list would pass as a note whose fields are left at their defaults.
+    if body.iter().find(|byte| !byte.is_ascii_whitespace()) != Some(&b'{') {
+        return Err(malformed("a release note is a JSON object"));
+    }
+    serde_json::from_slice(body).map_err(|error| malformed(&error.to_string()))
 }
 
 fn json<T: Serialize>(value: &T) -> HttpResponse {
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -97,6 +97,12 @@
         self.links.send(to, envelope);
     }
 
+    /// Returns the number of messages to a peer that are under way.
+    #[must_use]
+    pub fn under_way(&self, to: SocketAddr) -> usize {
+        self.links.under_way(to)
+    }
+
     /// Gets a value that a peer holds.
     ///
     /// # Errors
--- a/crates/control/src/peer/client.rs
+++ b/crates/control/src/peer/client.rs
@@ -83,6 +83,13 @@
         });
     }
 
+    pub(super) fn under_way(&self, to: SocketAddr) -> usize {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get(&to).map_or(0, |link| {
+            MESSAGES_UNDER_WAY - link.under_way.available_permits()
+        })
+    }
+
     pub(super) async fn fetch(&self, from: SocketAddr, what: What) -> Result<Vec<u8>> {
         const STEP: &str = "fetch from peer";
         let peer = from.to_compact_string();
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -156,6 +156,9 @@
                 found: self.revision,
             });
         }
+        if note.is_empty() {
+            conflicts.push(Conflict::invalid("note", "changes nothing"));
+        }
         let mut next = self.clone();
         change_section(&mut next.models, &note.models, &mut conflicts);
         change_section(&mut next.services, &note.services, &mut conflicts);
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -56,6 +56,22 @@
     pub teams: Section<Team>,
 }
 
+impl<T> Section<T> {
+    /// Returns whether the section changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.add.is_empty() && self.change.is_empty() && self.withdraw.is_empty()
+    }
+}
+
+impl Note {
+    /// Returns whether the note changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.models.is_empty() && self.services.is_empty() && self.teams.is_empty()
+    }
+}
+
 /// Why a release note does not fit the catalogue.
 #[derive(Clone, Debug, PartialEq, Eq, ThisError, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
