--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -43,6 +43,15 @@
         - {method: POST, path: /shipments, idempotent: false}
 ";
 
+/// In what one node differs from the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Extra {
+    /// Fail points, in the form of the `fail` crate.
+    pub(crate) fail_points: &'static str,
+    /// More lines of the settings' section `timing`.
+    pub(crate) timing: &'static str,
+}
+
 /// The platform, the back ends and the nodes of one test.
 pub(crate) struct Cluster {
     /// Stand-ins.
@@ -75,10 +84,16 @@
 
     /// Starts a node in an availability zone and waits for its ports.
     pub(crate) fn add_node(&mut self, zone: &str) -> usize {
+        self.add_node_with(zone, Extra::default())
+    }
+
+    /// Starts a node that differs from the others and waits for its ports.
+    pub(crate) fn add_node_with(&mut self, zone: &str, extra: Extra) -> usize {
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.peers).collect();
         let name = format!("{zone}-{}", self.nodes.len() + 1);
-        let settings = self.settings(&name, zone, &seeds);
-        self.nodes.push(Node::start(&name, &settings));
+        let settings = self.settings(&name, zone, &seeds) + extra.timing;
+        self.nodes
+            .push(Node::start(&name, &settings, extra.fail_points));
         self.nodes.len() - 1
     }
 
