--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod caller;
 pub(crate) mod node;
+pub(crate) mod zone;
 
 use std::net::{Ipv4Addr, SocketAddr};
 
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -108,6 +108,21 @@
         })
     }
 
+    /// Waits for a decision about a subject that was taken after another one.
+    pub(crate) fn wait_for_later(&self, earlier: &Value, subject: &str, taken: &str) -> Value {
+        let after = earlier["sequence"].as_u64();
+        self.wait_for(|line| {
+            line["msg"] == "decision"
+                && line["sequence"].as_u64() > after
+                && line["subjects"]
+                    .as_str()
+                    .is_some_and(|text| text.contains(subject))
+                && line["taken"]
+                    .as_str()
+                    .is_some_and(|text| text.contains(taken))
+        })
+    }
+
     /// Returns how many log lines match.
     pub(crate) fn count(&self, is_match: impl Fn(&Value) -> bool) -> usize {
         let lines = self.lines.lines.lock().expect("lines");
