--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -16,6 +16,7 @@
 
 use compact_str::CompactString;
 use fail::fail_point;
+use jackdaw_core::decision::Decision;
 use jackdaw_core::errors::Error;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::store::{Lease, Store};
@@ -62,12 +63,14 @@
 }
 
 /// Why a call is refused; its attempt does not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
     /// Reason.
     pub reason: Reason,
     /// When to try again, if that can help.
     pub retry_after: Option<Millis>,
+    /// What was seen and weighed; the request path adds the request and passes it on.
+    pub explanation: Option<Box<Decision>>,
 }
 
 /// What a call may do.
@@ -155,7 +158,9 @@
             started,
         };
         let (mut call, first) = Call::open(request, origin, self.options.limits);
-        match self.drive(&mut call, lease, first).await {
+        let action = self.drive(&mut call, lease, first).await;
+        let explanation = call.explain(&action).map(Box::new);
+        match action {
             Action::Run => {
                 fail_point!("once-recorded");
                 Begin::Run(Ticket::new(self, call, lease))
@@ -169,6 +174,7 @@
                 Begin::Refused(Refusal {
                     reason,
                     retry_after,
+                    explanation,
                 })
             }
             Action::Write(_) | Action::Closed { .. } => Begin::Refused(self.platform_down()),
@@ -262,6 +268,7 @@
         Refusal {
             reason: Reason::PlatformDown,
             retry_after: Some(self.options.limits.retry_after),
+            explanation: None,
         }
     }
 
--- a/crates/policy/src/once/call.rs
+++ b/crates/policy/src/once/call.rs
@@ -205,6 +205,17 @@
     Ended,
 }
 
+/// What an attempt saw of the record of another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Holder {
+    /// Node of the other attempt.
+    pub(super) node: CompactString,
+    /// Name of the record's state.
+    pub(super) state: &'static str,
+    /// Time since the other attempt started, by the wall clock.
+    pub(super) age: Millis,
+}
+
 /// One attempt at a call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Call {
@@ -212,6 +223,7 @@
     origin: Origin,
     limits: Limits,
     phase: Phase,
+    holder: Option<Holder>,
 }
 
 impl Call {
@@ -223,6 +235,7 @@
             origin,
             limits,
             phase: Phase::Ended,
+            holder: None,
         };
         let action = call.intend(Opening::first());
         (call, action)
@@ -274,6 +287,11 @@
         Some(self.conclude(when, state, 1))
     }
 
+    /// Gets what this attempt saw of the record of another.
+    pub(super) fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
     /// Gets what the caller asked for.
     #[must_use]
     pub fn request(&self) -> &Request {
@@ -318,6 +336,12 @@
             // An earlier copy of the same write took effect and its answer was lost.
             return self.opened(seen.revision, at);
         }
+        let age = Millis(at.unix_ms.saturating_sub(record.opened_unix_ms));
+        self.holder = Some(Holder {
+            node: record.node.clone(),
+            state: record.state.label(),
+            age,
+        });
         let is_same = record.team == self.request.team
             && record.key == self.request.key
             && record.digest == self.request.digest;
@@ -334,7 +358,7 @@
             State::Completed { answer: None } | State::Unknown => {
                 self.refuse(Reason::MayHaveRun, None)
             }
-            State::Intended => self.refuse_intended(record.opened_unix_ms, at),
+            State::Intended => self.refuse_intended(age),
             State::NotRun if opening.turns < self.limits.tries => {
                 self.intend(opening.turn(Condition::Unchanged(seen.revision)))
             }
@@ -343,8 +367,7 @@
         }
     }
 
-    fn refuse_intended(&mut self, opened_unix_ms: u64, at: Moment) -> Action {
-        let age = Millis(at.unix_ms.saturating_sub(opened_unix_ms));
+    fn refuse_intended(&mut self, age: Millis) -> Action {
         if age < self.limits.running {
             return self.refuse(Reason::InProgress, Some(self.limits.retry_after));
         }
--- a/crates/policy/src/once/explain.rs
+++ b/crates/policy/src/once/explain.rs
@@ -1,15 +1,16 @@
 //! Explains what an attempt decided.
 
-use compact_str::CompactString;
 use jackdaw_core::decision::{Decision, Subject};
 use jackdaw_core::refusal::Reason;
 
 use super::call::{Action, Call};
 
 impl Call {
-    /// Explains an action for a request; `None` for writes, which decide nothing yet.
+    /// Explains an action; `None` for writes, which decide nothing yet.
+    ///
+    /// The main subject is the team; the executor adds the request, whose name it knows.
     #[must_use]
-    pub fn explain(&self, request: &CompactString, action: &Action) -> Option<Decision> {
+    pub fn explain(&self, action: &Action) -> Option<Decision> {
         let (taken, against) = match action {
             Action::Write(_) => return None,
             Action::Run => ("run it", None),
@@ -17,20 +18,22 @@
                 "give the stored answer",
                 Some("an earlier attempt completed"),
             ),
-            Action::Refuse { reason, .. } => ("refuse it as not run", Some(describe(*reason))),
+            Action::Refuse { reason, .. } => ("do not run it", Some(describe(*reason))),
             Action::Closed { recorded: true } => ("record its result", None),
             Action::Closed { recorded: false } => ("leave its result unrecorded for now", None),
         };
         let asked = self.request();
-        let decision = Decision::new(
-            Subject::Request(request.clone()),
-            "non-idempotent call",
-            taken,
-        )
-        .about(Subject::Team(asked.team.clone()))
-        .saw("idempotency key", &asked.key)
-        .saw("request digest", asked.digest)
-        .saw("attempt", self.origin().attempt);
+        let team = Subject::Team(asked.team.clone());
+        let mut decision = Decision::new(team, "non-idempotent call", taken)
+            .saw("idempotency key", &asked.key)
+            .saw("request digest", asked.digest)
+            .saw("attempt", self.origin().attempt);
+        if let Some(holder) = self.holder() {
+            decision = decision
+                .saw("record of node", &holder.node)
+                .saw("record state", holder.state)
+                .saw("record age", holder.age);
+        }
         Some(match against {
             Some(against) => decision.weighed("run it", against),
             None => decision,
--- a/crates/policy/tests/once.rs
+++ b/crates/policy/tests/once.rs
@@ -467,3 +467,38 @@
     assert_ne!(path("a/b", "c"), path("a", "b/c"));
     assert_ne!(path("a", "b"), path("a", "c"));
 }
+
+#[test]
+fn refusal_names_the_record_in_its_way() {
+    let mut bench = Bench {
+        call: None,
+        at: Moment::default(),
+    };
+    bench.feed(Feed::Open);
+    bench.feed(Feed::Wait(5));
+    let action = bench.call().step(
+        found(record(2, State::Intended, 2), 9),
+        Moment {
+            now: Instant(5),
+            unix_ms: 5,
+        },
+    );
+    let decision = bench.call().explain(&action).unwrap();
+    assert_eq!(decision.taken, "do not run it");
+    assert_eq!(
+        decision.weighed[0].against,
+        "another attempt may be running"
+    );
+    let inputs: Vec<(&str, &str)> = decision
+        .inputs
+        .iter()
+        .map(|input| (input.name.as_str(), input.value.as_str()))
+        .collect();
+    for expected in [
+        ("record of node", "node"),
+        ("record state", "intended"),
+        ("record age", "3 ms"),
+    ] {
+        assert!(inputs.contains(&expected), "{expected:?} in {inputs:?}");
+    }
+}
