--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -38,7 +38,7 @@
     }
 
     fn plan(&self, fault: Fault) {
-        self.cluster.platform.memory().plan(PREFIX, fault);
+        self.cluster.platform.memory().plan_for(PREFIX, fault);
     }
 
     fn set(&self, fault: Fault) {
--- a/crates/standin/src/store/fault.rs
+++ b/crates/standin/src/store/fault.rs
@@ -55,10 +55,12 @@
     /// Takes the fault that is planned for a transaction.
     pub(super) fn take(&mut self, transaction: &Transaction) -> Option<Fault> {
         let is_meant = |prefix: &CompactString| {
-            transaction.then.iter().any(|write| match write {
-                Write::Put { key, .. } => key.starts_with(prefix.as_str()),
-                Write::Delete(_) => false,
-            })
+            let is_any = prefix.is_empty();
+            is_any
+                || transaction.then.iter().any(|write| match write {
+                    Write::Put { key, .. } => key.starts_with(prefix.as_str()),
+                    Write::Delete(_) => false,
+                })
         };
         let place = self.next.iter().position(|(prefix, _)| is_meant(prefix))?;
         self.next.remove(place).map(|(_, fault)| fault)
