--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -147,6 +147,9 @@
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), case.repeat, "{repeat:?}");
     assert_eq!(bench.executions(), case.executions);
+    if case.repeat.0 == 409 {
+        bench.cluster.nodes[1].wait_for_decision("team:team", "do not run it");
+    }
 }
 
 /// Faults of the writes of one call in turn, and what the call sees.
--- a/crates/entry/src/guarded.rs
+++ b/crates/entry/src/guarded.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
+use jackdaw_core::decision::Subject;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
 use ntex::channel::oneshot;
@@ -13,6 +14,7 @@
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::drain::Pass;
+use crate::event::Event;
 use crate::handler::Worker;
 use crate::head;
 use crate::once::{self, Begin, Refusal, Ticket};
@@ -54,7 +56,13 @@
     let ticket = match shared.ledger.begin(&call.team.name, key, call.digest).await {
         Begin::Run(ticket) => ticket,
         Begin::Stored(answer) => return Ok(replay(&answer, &call.id)),
-        Begin::Refused(refusal) => return Err(refused(refusal)),
+        Begin::Refused(mut refusal) => {
+            if let Some(explanation) = refusal.explanation.take() {
+                let request = Subject::Request(call.id.clone());
+                shared.send(Event::Decided(explanation.about(request)));
+            }
+            return Err(refused(refusal));
+        }
     };
     let call = Rc::new(call);
     let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission).with_ticket(ticket);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -121,6 +121,7 @@
         meter: &Meter,
     ) -> Self {
         let ledger = Ledger::new(store, Arc::clone(&clock), node, options.once);
+        ledger.observe(meter);
         Shared {
             snapshot,
             events,
