--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,138 @@
+//! The command line.
+
+use std::env;
+
+use lexopt::{Arg, Parser, ValueExt};
+
+/// Address used if neither a flag nor the environment names one.
+const DEFAULT_ADDRESS: &str = "127.0.0.1:7401";
+
+/// Environment variable of the address.
+const ADDRESS_VARIABLE: &str = "JACKDAW_ADDRESS";
+
+/// Environment variable of the token.
+const TOKEN_VARIABLE: &str = "JACKDAW_TOKEN";
+
+/// The number of notes that `history` shows unless told otherwise.
+const DEFAULT_HISTORY: u64 = 20;
+
+pub(crate) const HELP: &str = "\
+Usage: jackdawctl [OPTIONS] COMMAND
+
+plan NOTE.yaml     shows what a release note would change
+apply NOTE.yaml    sends a release note and waits until it is accepted or refused
+status             shows the node's view of the fleet
+groups             shows the replica groups of the node's zone
+vms                shows the VMs
+nodes              shows the nodes of the system
+teams              shows the teams
+watch [SUBJECT]    follows decisions as they happen
+explain SUBJECT    explains decisions about a group, VM, request, release, node, team or zone
+history            shows the last accepted release notes
+
+--address HOST:PORT  operators' port of a node (JACKDAW_ADDRESS, else 127.0.0.1:7401)
+--token TOKEN        operator's token (JACKDAW_TOKEN)
+--json               prints JSON instead of tables
+--id ID              identity of the note, to send again what may have been accepted
+--count N            number of notes that history shows (20)
+--help               prints this text
+
+Exit codes: 0 done, 1 refused or conflict, 2 bad input, 3 unreachable or answer unknown.";
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Command {
+    /// Show what a note would change.
+    Plan(String),
+    /// Send a note.
+    Apply(String),
+    /// Show the node's view of the fleet.
+    Status,
+    /// Show the replica groups.
+    Groups,
+    /// Show the VMs.
+    Vms,
+    /// Show the nodes.
+    Nodes,
+    /// Show the teams.
+    Teams,
+    /// Follow decisions.
+    Watch(Option<String>),
+    /// Explain a subject.
+    Explain(String),
+    /// Show accepted notes.
+    History(u64),
+}
+
+/// The parsed command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Args {
+    /// What to do.
+    pub(crate) command: Command,
+    /// Operators' port of a node.
+    pub(crate) address: String,
+    /// Operator's token.
+    pub(crate) token: String,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+    /// Identity of the note.
+    pub(crate) id: Option<String>,
+}
+
+/// What the command line asks for.
+pub(crate) enum Parsed {
+    /// Run a command.
+    Run(Args),
+    /// Print the help text.
+    Help,
+}
+
+impl Args {
+    /// Parses the command line and the environment.
+    pub(crate) fn parse(mut parser: Parser) -> Result<Parsed, lexopt::Error> {
+        let mut address = env::var(ADDRESS_VARIABLE).ok();
+        let mut token = env::var(TOKEN_VARIABLE).ok();
+        let mut count = DEFAULT_HISTORY;
+        let mut json = false;
+        let mut id = None;
+        let mut words = Vec::new();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help),
+                Arg::Long("address") => address = Some(parser.value()?.string()?),
+                Arg::Long("token") => token = Some(parser.value()?.string()?),
+                Arg::Long("json") => json = true,
+                Arg::Long("id") => id = Some(parser.value()?.string()?),
+                Arg::Long("count") => count = parser.value()?.parse()?,
+                Arg::Value(value) => words.push(value.string()?),
+                Arg::Short(_) | Arg::Long(_) => return Err(arg.unexpected()),
+            }
+        }
+        Ok(Parsed::Run(Args {
+            command: command(&words, count)?,
+            address: address.unwrap_or_else(|| DEFAULT_ADDRESS.to_owned()),
+            token: token.ok_or("no token; use --token or JACKDAW_TOKEN")?,
+            json,
+            id,
+        }))
+    }
+}
+
+fn command(words: &[String], count: u64) -> Result<Command, lexopt::Error> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    Ok(match words.as_slice() {
+        ["plan", file] => Command::Plan((*file).to_owned()),
+        ["apply", file] => Command::Apply((*file).to_owned()),
+        ["status"] => Command::Status,
+        ["groups"] => Command::Groups,
+        ["vms"] => Command::Vms,
+        ["nodes"] => Command::Nodes,
+        ["teams"] => Command::Teams,
+        ["watch"] => Command::Watch(None),
+        ["watch", subject] => Command::Watch(Some((*subject).to_owned())),
+        ["explain", subject] => Command::Explain((*subject).to_owned()),
+        ["history"] => Command::History(count),
+        [] => return Err("no command".into()),
+        [word, ..] => return Err(format!("wrong use of {word}, or no such command").into()),
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/note.rs
@@ -0,0 +1,55 @@
+//! Reads release notes from YAML files and names them.
+
+use std::fs;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use jackdawstair::core::note::Note;
+use jackdawstair::core::token::Digest;
+
+use crate::error::{Error, Result};
+
+/// Hexadecimal digits of the random part of an identity.
+const ID_DIGITS: usize = 12;
+
+/// Reads a note; an error names the file and, where it is known, the line.
+pub(crate) fn read(path: &str) -> Result<Note> {
+    let text =
+        fs::read_to_string(path).map_err(|error| Error::Input(format!("{path}: {error}")))?;
+    serde_saphyr::from_str(&text).map_err(|error| {
+        let reason = error.to_string();
+        let line = error
+            .location()
+            .map(|place| place.line())
+            .or_else(|| line_of_key(&text, &reason));
+        let place = line.map_or_else(String::new, |line| format!(":{line}"));
+        Error::Input(format!("{path}{place}: {reason}"))
+    })
+}
+
+/// Returns the line of the key that an error names first in back quotes. The parser gives no
+/// place for keys that it does not know.
+fn line_of_key(text: &str, reason: &str) -> Option<u64> {
+    let key = reason.split('`').nth(1)?;
+    let is_key = |line: &str| {
+        line.split([' ', '{', ',', '-'])
+            .any(|word| word.strip_suffix(':') == Some(key))
+    };
+    (1..)
+        .zip(text.lines())
+        .find(|(_, line)| is_key(line))
+        .map(|(number, _)| number)
+}
+
+/// Makes the identity of a note that has none.
+///
+/// The same file sent by two operators, or twice on purpose, gets two identities, since time and
+/// process are part of them.
+pub(crate) fn new_id(note: &Note) -> String {
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_nanos();
+    let text = format!("{nanos} {} {}", std::process::id(), note.summary);
+    let digest = Digest::of(text.as_bytes()).to_string();
+    format!("note-{}", &digest[..ID_DIGITS])
+}
