--- a/crates/control/tests/release.rs
+++ b/crates/control/tests/release.rs
@@ -53,7 +53,7 @@
 fn verdict_tells_what_the_service_holds(#[case] case: Case) {
     let memory = Memory::new(std::sync::Arc::new(jackdaw_core::time::Machine::default()));
     for fault in case.faults {
-        memory.plan(*fault);
+        memory.plan(release::CATALOG_KEY, *fault);
     }
     let attempt = Attempt::new(note("mine", 0), Revision(0), "node", 1);
     let outcome = futures::executor::block_on(release::accept(&memory, attempt));
