--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -159,6 +159,7 @@
         let whole = self.whole_groups(now);
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
+        snapshot.nodes = self.known_nodes();
         self.builder = builder;
         snapshot
     }
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -11,6 +11,7 @@
 use jackdaw_policy::plan;
 use jackdaw_policy::release::accept::Stored;
 use jackdaw_policy::release::register::Source;
+use jackdaw_policy::spread::fact::Fact;
 use jackdaw_policy::spread::message::Envelope;
 
 use super::{Action, State};
@@ -89,6 +90,21 @@
         proposal.map_or_else(Vec::new, |proposal| proposal.decisions)
     }
 
+    /// Counts the nodes that are not removed, this one among them. A node that is cut off goes on
+    /// counting the others, so that it keeps to its share.
+    pub(super) fn known_nodes(&self) -> u32 {
+        let Some(node) = self.overlay.node() else {
+            return 1;
+        };
+        let known = node
+            .facts()
+            .iter()
+            .filter_map(Fact::as_member)
+            .filter(|(_, member)| member.removed_unix_ms == 0)
+            .count();
+        u32::try_from(known).unwrap_or(u32::MAX)
+    }
+
     /// Returns what the follower of the catalogue has to do.
     #[must_use]
     pub fn duty(&self, now: Instant) -> Duty {
