--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -149,6 +149,7 @@
         let whole = self.whole_groups();
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
+        snapshot.nodes = self.known_nodes();
         self.builder = builder;
         snapshot
     }
