Judge crashes in the control thread and tell other nodes of convictions

Nodes are counted from the spreading's members, which an isolated node does not remove, so that no count of its own is needed in policy::fair.

--- a/crates/control/src/overlay.rs
+++ b/crates/control/src/overlay.rs
@@ -13,7 +13,7 @@
 use jackdaw_core::units::{Millis, Revision};
 use jackdaw_policy::release::accept::Stored;
 use jackdaw_policy::release::register::{Offer, Register, Restore, Source};
-use jackdaw_policy::spread::fact::{Fact, Key};
+use jackdaw_policy::spread::fact::{Fact, Key, Member};
 use jackdaw_policy::spread::message::Envelope;
 use jackdaw_policy::spread::node::{self, Node, Output};
 
@@ -185,6 +185,17 @@
         }
     }
 
+    /// Iterates over the nodes that are known and not removed, this one included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.node
+            .as_ref()
+            .into_iter()
+            .flat_map(|node| node.facts().iter())
+            .filter_map(Fact::as_member)
+            .map(|(_, member)| member)
+            .filter(|member| member.removed_unix_ms == 0)
+    }
+
     fn name_of(&self, address: SocketAddr) -> CompactString {
         self.node
             .iter()
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,5 +1,6 @@
 //! The state of the control thread.
 
+mod callers;
 mod news;
 
 use std::collections::{HashMap, HashSet};
@@ -15,6 +16,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::plan::{self, Candidate, Health};
+use jackdaw_policy::poison;
 
 use crate::courier::Job;
 use crate::event::Event;
@@ -55,6 +57,7 @@
     whole: HashSet<CompactString>,
     log: Log,
     explained: Vec<Decision>,
+    poison: poison::Ledger,
     stopping: bool,
 }
 
@@ -78,6 +81,7 @@
             whole: HashSet::new(),
             log,
             explained: Vec::new(),
+            poison: poison::Ledger::default(),
             stopping: false,
         }
     }
@@ -136,7 +140,7 @@
             Event::Message(envelope) => return self.take_message(envelope, now, unix_millis),
             Event::Fetched { what, from, result } => {
                 let effects = self.overlay.fetched(&what, from, result, now);
-                return self.apply(effects, unix_millis);
+                return self.apply(effects, now, unix_millis);
             }
             Event::Spread => return self.tick_overlay(now, unix_millis),
             Event::Ask(question) => {
@@ -145,7 +149,7 @@
                     .into_iter()
                     .collect();
             }
-            Event::Entry(event) => self.hear(event, unix_millis),
+            Event::Entry(event) => self.hear(event, now, unix_millis),
             Event::Plan => return self.plan(now, unix_millis),
             Event::Stop => self.stopping = true,
             Event::End => return Vec::new(),
@@ -159,6 +163,7 @@
         let whole = self.whole_groups(now);
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
+        self.share(&mut snapshot, now);
         self.builder = builder;
         snapshot
     }
@@ -170,17 +175,6 @@
         self.seen.insert(vm, Seen { report, sent });
     }
 
-    fn hear(&mut self, event: jackdaw_entry::event::Event, unix_millis: u64) {
-        match event {
-            jackdaw_entry::event::Event::Decided(decision) => {
-                self.record(decision, unix_millis);
-            }
-            jackdaw_entry::event::Event::ConnectFailed { .. }
-            | jackdaw_entry::event::Event::Broken { .. }
-            | jackdaw_entry::event::Event::Answered { .. } => {}
-        }
-    }
-
     fn is_fresh(&self, seen: &Seen, now: Instant) -> bool {
         now.since(seen.sent) <= self.options.report_bound
     }
--- /dev/null
+++ b/crates/control/src/state/callers.rs
@@ -0,0 +1,78 @@
+//! What the control thread makes of the callers' data path.
+
+use std::sync::Arc;
+
+use jackdaw_core::time::Instant;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_entry::event::Event;
+use jackdaw_entry::snapshot::Snapshot;
+use jackdaw_policy::poison::{Conviction, Crash};
+use jackdaw_policy::spread::fact::{Fact, Key, Member};
+
+use super::State;
+
+impl State {
+    /// Takes an event of the data path.
+    pub(super) fn hear(&mut self, event: Event, now: Instant, unix_ms: u64) {
+        match event {
+            Event::Decided(decision) => self.record(decision, unix_ms),
+            Event::Broken {
+                target,
+                digest,
+                alone,
+                ..
+            } => {
+                let crash = Crash {
+                    digest,
+                    server: target,
+                    alone,
+                };
+                let decision = self.poison.crash(&crash, now);
+                self.record(decision, unix_ms);
+                self.tell(&digest, now, unix_ms);
+            }
+            Event::Answered { digest, .. } => {
+                if let Some(decision) = self.poison.answered(&digest) {
+                    self.record(decision, unix_ms);
+                }
+            }
+            Event::ConnectFailed { .. } => {}
+        }
+    }
+
+    /// Takes a fact that another node told; returns whether the data path must hear of it.
+    pub(super) fn learn(&mut self, fact: &Fact, now: Instant, unix_ms: u64) -> bool {
+        let Key::Convicted(digest) = &fact.key else {
+            return false;
+        };
+        let conviction = Conviction {
+            digest: *digest,
+            remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
+        };
+        self.poison.learn(conviction, now)
+    }
+
+    /// Fills in what the data path shares with other nodes.
+    pub(super) fn share(&mut self, snapshot: &mut Snapshot, now: Instant) {
+        self.poison.expire(now);
+        snapshot.verdicts = Arc::new(self.poison.verdicts());
+        let zone = &self.options.zone;
+        let of_zone = |member: &&Member| member.zone == *zone;
+        // A node that knows no other counts itself.
+        snapshot.nodes = count(self.overlay.members()).max(1);
+        snapshot.zone_nodes = count(self.overlay.members().filter(of_zone)).max(1);
+    }
+
+    /// Tells other nodes that a digest is refused, if it is.
+    fn tell(&mut self, digest: &Digest, now: Instant, unix_ms: u64) {
+        if let Some(conviction) = self.poison.conviction(digest, now) {
+            let until = unix_ms + conviction.remaining.0;
+            self.overlay.publish(Fact::convicted(*digest, until), now);
+        }
+    }
+}
+
+fn count<'a>(members: impl Iterator<Item = &'a Member>) -> u32 {
+    u32::try_from(members.count()).unwrap_or(u32::MAX)
+}
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -106,7 +106,7 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.stored(stored, source, now);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn take_accepted(
@@ -116,7 +116,7 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.offer(Arc::new(catalog), Source::Accepted, now);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn take_message(
@@ -126,12 +126,12 @@
         unix_ms: u64,
     ) -> Vec<Action> {
         let effects = self.overlay.receive(envelope, now, unix_ms);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn tick_overlay(&mut self, now: Instant, unix_ms: u64) -> Vec<Action> {
         let effects = self.overlay.tick(now, unix_ms);
-        self.apply(effects, unix_ms)
+        self.apply(effects, now, unix_ms)
     }
 
     pub(super) fn answer(
@@ -165,7 +165,12 @@
     }
 
     /// Turns the overlay's effects into actions.
-    pub(super) fn apply(&mut self, effects: Vec<Effect>, unix_ms: u64) -> Vec<Action> {
+    pub(super) fn apply(
+        &mut self,
+        effects: Vec<Effect>,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
         let mut actions = Vec::new();
         for effect in effects {
             match effect {
@@ -182,7 +187,12 @@
                     actions.push(Action::Publish);
                 }
                 Effect::Decided(decision) => self.record(decision, unix_ms),
-                Effect::Placement(_) | Effect::Learned(_) => {}
+                Effect::Learned(fact) => {
+                    if self.learn(&fact, now, unix_ms) {
+                        actions.push(Action::Publish);
+                    }
+                }
+                Effect::Placement(_) => {}
             }
         }
         actions
--- /dev/null
+++ b/crates/control/tests/callers.rs
@@ -0,0 +1,61 @@
+//! Crashes that the data path saw become verdicts in its next snapshot.
+
+use jackdaw_control::event::Event;
+use jackdaw_control::options::Options;
+use jackdaw_control::state::{Action, State};
+use jackdaw_core::time::Instant;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::{Generation, Millis};
+use jackdaw_entry::event::Event as Seen;
+use jackdaw_policy::poison::Verdict;
+use rstest::rstest;
+
+fn digest() -> Digest {
+    Digest::of(b"request")
+}
+
+fn broken(alone: bool) -> Seen {
+    Seen::Broken {
+        target: "qc-east-a/1".into(),
+        generation: Generation(1),
+        digest: digest(),
+        alone,
+    }
+}
+
+fn answered() -> Seen {
+    Seen::Answered {
+        target: "qc-east-a/2".into(),
+        digest: digest(),
+    }
+}
+
+#[rstest]
+#[case::nothing(vec![], Verdict::Clear, 0)]
+#[case::suspected(vec![broken(false)], Verdict::Suspect, 1)]
+#[case::cleared(vec![broken(false), answered()], Verdict::Clear, 2)]
+#[case::convicted(vec![broken(false), broken(true)], Verdict::Convicted(Millis::from_secs(600)), 2)]
+fn events_become_verdicts_and_decisions(
+    #[case] events: Vec<Seen>,
+    #[case] verdict: Verdict,
+    #[case] decisions: usize,
+) {
+    let mut state = State::new(Options::default());
+    let mut explained = 0;
+    let mut published = 0;
+    let count = events.len();
+    for event in events {
+        for action in state.step(Event::Entry(event), Instant(0), 0) {
+            match action {
+                Action::Explain(_) => explained += 1,
+                Action::Publish => published += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    let snapshot = state.snapshot(Instant(0));
+    assert_eq!(snapshot.verdicts.of(&digest(), Instant(0)), verdict);
+    assert_eq!(explained, decisions);
+    assert_eq!(published, count);
+    assert_eq!((snapshot.nodes, snapshot.zone_nodes), (1, 1));
+}
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -82,5 +82,13 @@
     } else {
         shared.options.service_slots
     };
-    fair::share(slots, wish.targets(&snapshot).len(), snapshot.nodes)
+    let targets = wish.targets(&snapshot);
+    let own = targets
+        .iter()
+        .filter(|target| target.zone == snapshot.zone)
+        .count();
+    if own == 0 {
+        return fair::share(slots, targets.len(), snapshot.nodes);
+    }
+    fair::share(slots, own, snapshot.zone_nodes)
 }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -107,7 +107,7 @@
             avoid: &avoid,
         };
         let options = route::Options {
-            nodes: snapshot.nodes.max(1),
+            nodes: snapshot.zone_nodes.max(1),
             ..self.options
         };
         self.refresh(snapshot);
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -42,8 +42,10 @@
     pub services: HashMap<CompactString, Vec<Target>>,
     /// What is held against digests of requests.
     pub verdicts: Arc<Verdicts>,
-    /// Nodes that share the load, this one among them; zero means that they are not known.
+    /// Nodes of the whole fleet, this one among them; zero means that they are not known.
     pub nodes: u32,
+    /// Nodes of this availability zone, this one among them; zero means that they are not known.
+    pub zone_nodes: u32,
     /// Availability zone of this node.
     pub zone: CompactString,
     /// Whether the node knows a catalogue and may take requests.
--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -120,6 +120,7 @@
         services: [("stock".into(), targets)].into(),
         verdicts: Arc::default(),
         nodes: 1,
+        zone_nodes: 1,
         zone: "qc-east-a".into(),
         ready: true,
         stopping: false,
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -1,13 +1,12 @@
 //! Shares capacity among teams and refuses early what cannot be answered in time.
 //!
 //! Each node keeps to its own share of a team's rate and of the servers' slots, so that no count
-//! has to be agreed on between nodes, and a node that is cut off takes no more than before.
+//! has to be agreed on between nodes, and a node that is cut off takes no more than before: the spreading
+//! between nodes does not lower the number of nodes while most of them are out of reach.
 
-mod census;
 mod queue;
 mod rate;
 
-pub use census::Census;
 pub use queue::{Entrant, Entry, Grant, Queue, Refusal, Ticket};
 pub use rate::Rate;
 
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -136,20 +136,14 @@
         news
     }
 
-    /// Returns the convictions to tell other nodes of.
+    /// Returns the conviction of a digest, to tell other nodes of.
     #[must_use]
-    pub fn convictions(&self, now: Instant) -> Vec<Conviction> {
-        let mut convictions: Vec<Conviction> = self
-            .convicted
-            .iter()
-            .filter(|(_, until)| now < **until)
-            .map(|(digest, until)| Conviction {
-                digest: *digest,
-                remaining: until.since(now),
-            })
-            .collect();
-        convictions.sort_by_key(|conviction| conviction.digest);
-        convictions
+    pub fn conviction(&self, digest: &Digest, now: Instant) -> Option<Conviction> {
+        let until = self.convicted.get(digest)?;
+        (now < *until).then(|| Conviction {
+            digest: *digest,
+            remaining: until.since(now),
+        })
     }
 
     /// Forgets what is old.
--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -4,7 +4,7 @@
 
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::fair::{Census, Entrant, Entry, Grant, Queue, Rate, Ticket, share};
+use jackdaw_policy::fair::{Entrant, Entry, Grant, Queue, Rate, Ticket, share};
 use rstest::rstest;
 
 fn entrant(team: &str, weight: u32, deadline: u64) -> Entrant {
@@ -67,21 +67,6 @@
     }
 }
 
-#[rstest]
-#[case::grows_at_once(&[(3, 0), (8, 1)], 8)]
-#[case::holds_for_a_while(&[(8, 0), (7, 1), (7, 299)], 8)]
-#[case::falls_after_a_while(&[(8, 0), (7, 1), (7, 301)], 7)]
-#[case::comes_back(&[(8, 0), (7, 1), (8, 200), (7, 302)], 8)]
-#[case::cut_off_keeps_its_share(&[(8, 0), (1, 1), (1, 100_000)], 8)]
-#[case::half_is_cut_off(&[(8, 0), (4, 1), (4, 100_000)], 8)]
-fn nodes_are_counted(#[case] seen: &[(u32, u64)], #[case] expected: u32) {
-    let mut census = Census::default();
-    for (reachable, seconds) in seen {
-        census.see(*reachable, Instant(seconds * 1_000));
-    }
-    assert_eq!(census.count(), expected);
-}
-
 /// Fills a queue that runs one request at a time and whose answers take a second.
 fn busy() -> Queue {
     let mut queue = Queue::new(1);
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -83,14 +83,12 @@
     first.crash(&crash(1, true), Instant(0));
     second.crash(&crash(1, false), Instant(0));
     let later = Instant(0) + MINUTE;
-    for conviction in first.convictions(later) {
-        assert!(second.learn(conviction, later));
-        assert!(!second.learn(conviction, later));
-    }
+    let told = first.conviction(&digest(1), later).expect("a conviction");
+    assert!(second.learn(told, later));
+    assert!(!second.learn(told, later));
     assert_eq!(second.verdicts().of(&digest(1), later), convicted(9));
-    for conviction in second.convictions(later) {
-        assert!(!first.learn(conviction, later));
-    }
+    let back = second.conviction(&digest(1), later).expect("a conviction");
+    assert!(!first.learn(back, later));
     assert_eq!(first.verdicts().of(&digest(1), later), convicted(9));
 }
 
