--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -36,13 +36,14 @@
 }
 
 impl Node {
-    /// Starts a daemon and waits for its ports.
-    pub(crate) fn start(name: &str, settings: &str) -> Node {
+    /// Starts a daemon with fail points, in the form of the `fail` crate, and waits for its ports.
+    pub(crate) fn start(name: &str, settings: &str, fail_points: &str) -> Node {
         let file = std::env::temp_dir().join(format!("jackdaw-{}-{name}.yaml", unique()));
         fs::write(&file, settings).expect("settings are written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_jackdawd"))
             .arg("run")
             .arg(&file)
+            .env("FAILPOINTS", fail_points)
             .stderr(Stdio::piped())
             .spawn()
             .expect("daemon starts");
