--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use jackdaw_control::release::CATALOG_KEY;
 use jackdaw_standin::store::Fault;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -188,7 +189,7 @@
     let node = node(&world);
     assert_eq!(node.apply(note("one", 0)), accepted(1));
     for _ in 0..3 {
-        world.memory.plan("", Fault::Down);
+        world.memory.plan(CATALOG_KEY, Fault::Down);
     }
     let answer = post(&node, &note("two", 1));
     assert_eq!(answer.status, 503, "{answer:?}");
--- a/crates/control/tests/release.rs
+++ b/crates/control/tests/release.rs
@@ -53,7 +53,7 @@
 fn verdict_tells_what_the_service_holds(#[case] case: Case) {
     let memory = Memory::new(std::sync::Arc::new(jackdaw_core::time::Machine::default()));
     for fault in case.faults {
-        memory.plan("", *fault);
+        memory.plan(release::CATALOG_KEY, *fault);
     }
     let attempt = Attempt::new(note("mine", 0), Revision(0), "node", 1);
     let outcome = futures::executor::block_on(release::accept(&memory, attempt));
@@ -182,7 +182,15 @@
     };
     futures::executor::block_on(world.memory.commit(delete)).expect("deleted");
     // The node keeps its catalogue and writes it back, so that a new node finds it.
-    futures::executor::block_on(world.memory.wait_for_counts(|counts| counts.writes >= 4));
+    let is_back = || {
+        let stored = futures::executor::block_on(release::read_catalog(&world.memory));
+        stored
+            .expect("reads")
+            .is_some_and(|stored| stored.catalog.revision == Revision(2))
+    };
+    while !is_back() {
+        std::thread::yield_now();
+    }
     assert_eq!(node.revision(), 2, "an empty service reverts nothing");
     let fresh = world.node("fresh", "c", &[]);
     fresh.wait_for_revision(2);
