--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,5 +1,6 @@
 //! The state of the control thread.
 
+mod departure;
 mod news;
 pub(crate) mod zone;
 
@@ -104,6 +105,7 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
             Event::Lease(event) => {
@@ -164,6 +166,7 @@
             }
         }
         self.vms = vms;
+        self.tell_departures(now, unix_millis);
         self.follow(outcome, now, unix_millis)
     }
 
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -210,7 +210,9 @@
                         actions.extend(self.follow(outcome, now, unix_ms));
                     }
                 }
-                Effect::Learned(_) => {}
+                Effect::Learned(fact) => {
+                    actions.extend(self.take_departure(&fact, now, unix_ms));
+                }
             }
         }
         actions
