--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of the control thread.
 
 mod callers;
+mod departure;
 mod news;
 pub(crate) mod zone;
 
@@ -107,6 +108,7 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
             Event::Lease(event) => {
@@ -167,6 +169,7 @@
             }
         }
         self.vms = vms;
+        self.tell_departures(now, unix_millis);
         self.follow(outcome, now, unix_millis)
     }
 
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -198,6 +198,7 @@
                     if self.learn(&fact, now, unix_ms) {
                         actions.push(Action::Publish);
                     }
+                    actions.extend(self.take_departure(&fact, now, unix_ms));
                 }
             }
         }
