Close connections after a planned stop by the node's own count

The node now counts connections itself, closes each once nothing is in flight, and only then stops the library's workers, whose timeout no longer matters.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,8 +1,10 @@
 //! Answers requests whose head or body breaks the rules of HTTP or the node's limits.
 
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 
+use futures::future::{Either, select};
 use jackdaw_core::outcome::Step;
 use jackdaw_core::refusal::Reason as Refusal;
 use ntex::SharedCfg;
@@ -10,7 +12,7 @@
 use ntex::http::h1::control::Reason;
 use ntex::http::h1::{Control, ControlAck, ProtocolError};
 use ntex::http::{ConnectionType, ResponseError};
-use ntex::io::Filter;
+use ntex::io::{Filter, IoRef};
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 
 use crate::head;
@@ -29,8 +31,13 @@
     }
 
     fn answer<F: Filter, E: ResponseError>(&self, control: Control<F, E>) -> ControlAck<F> {
-        let Control::Disconnect(Reason::ProtocolError(error)) = control else {
-            return control.ack();
+        let error = match control {
+            Control::Connect(connection) => {
+                self.follow(connection.get_ref().get_ref());
+                return connection.ack();
+            }
+            Control::Disconnect(Reason::ProtocolError(error)) => error,
+            other => return other.ack(),
         };
         let Some(problem) = problem(error.err()) else {
             return error.ack();
@@ -43,6 +50,22 @@
             .set_connection_type(ConnectionType::Close);
         error.fail_with(response)
     }
+
+    /// Counts a connection, and closes it once a planned stop has finished all requests.
+    fn follow(&self, io: IoRef) {
+        let drain = self.shared.drain.clone();
+        let link = drain.connect();
+        ntex::rt::spawn(async move {
+            let gone = io.on_disconnect();
+            let idle = pin!(drain.idle());
+            if let Either::Right((_, gone)) = select(gone, idle).await {
+                // What was written before is still sent to the caller.
+                io.close();
+                gone.await;
+            }
+            drop(link);
+        });
+    }
 }
 
 impl<F: Filter, E: ResponseError> ServiceFactory<Control<F, E>, SharedCfg> for Controller {
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -1,4 +1,4 @@
-//! Counts requests in flight and refuses new ones while a node stops.
+//! Counts requests and connections and refuses new requests while a node stops.
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -8,13 +8,35 @@
 
 #[derive(Debug, Default)]
 struct State {
-    in_flight: AtomicUsize,
+    requests: AtomicUsize,
+    connections: AtomicUsize,
     stopping: AtomicBool,
-    idle: Notify,
+    changed: Notify,
 }
 
-/// Requests in flight on one node.
-#[derive(Debug, Default)]
+impl State {
+    /// Waits until a condition holds that changes only together with a notice.
+    async fn wait(&self, holds: impl Fn(&State) -> bool) {
+        loop {
+            let mut changed = pin!(self.changed.notified());
+            changed.as_mut().enable();
+            if holds(self) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn leave(&self, count: &AtomicUsize) {
+        let before = count.fetch_sub(1, Ordering::SeqCst);
+        if before == 1 && self.stopping.load(Ordering::SeqCst) {
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+/// Requests in flight and open connections of one node.
+#[derive(Clone, Debug, Default)]
 pub struct Drain {
     state: Arc<State>,
 }
@@ -25,7 +47,7 @@
     pub fn enter(&self) -> Option<Pass> {
         // The count goes up before the flag is read, so that a request is either seen by `idle`
         // or refused.
-        self.state.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.state.requests.fetch_add(1, Ordering::SeqCst);
         let pass = Pass {
             state: Arc::clone(&self.state),
         };
@@ -35,9 +57,19 @@
         Some(pass)
     }
 
+    /// Counts a connection.
+    #[must_use]
+    pub fn connect(&self) -> Link {
+        self.state.connections.fetch_add(1, Ordering::SeqCst);
+        Link {
+            state: Arc::clone(&self.state),
+        }
+    }
+
     /// Refuses requests from now on.
     pub fn stop(&self) {
         self.state.stopping.store(true, Ordering::SeqCst);
+        self.state.changed.notify_waiters();
     }
 
     /// Returns whether new requests are refused.
@@ -49,19 +81,21 @@
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.state.in_flight.load(Ordering::SeqCst)
+        self.state.requests.load(Ordering::SeqCst)
     }
 
-    /// Waits until no request is in flight; to be called after [`Drain::stop`].
+    /// Waits until the node stops and no request is in flight.
     pub async fn idle(&self) {
-        loop {
-            let mut notified = pin!(self.state.idle.notified());
-            notified.as_mut().enable();
-            if self.in_flight() == 0 {
-                return;
-            }
-            notified.await;
-        }
+        let idle = |state: &State| {
+            state.stopping.load(Ordering::SeqCst) && state.requests.load(Ordering::SeqCst) == 0
+        };
+        self.state.wait(idle).await;
+    }
+
+    /// Waits until no connection is open; to be called after [`Drain::stop`].
+    pub async fn closed(&self) {
+        let closed = |state: &State| state.connections.load(Ordering::SeqCst) == 0;
+        self.state.wait(closed).await;
     }
 }
 
@@ -73,9 +107,18 @@
 
 impl Drop for Pass {
     fn drop(&mut self) {
-        let before = self.state.in_flight.fetch_sub(1, Ordering::SeqCst);
-        if before == 1 && self.state.stopping.load(Ordering::SeqCst) {
-            self.state.idle.notify_waiters();
-        }
+        self.state.leave(&self.state.requests);
+    }
+}
+
+/// Counts one connection until it is dropped.
+#[derive(Debug)]
+pub struct Link {
+    state: Arc<State>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.state.leave(&self.state.connections);
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,7 +19,9 @@
 use crate::shared::{Options, Shared};
 
 /// Time for callers to read the last bytes of answers that were already finished.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(30);
+const READ_TIMEOUT: Seconds = Seconds(30);
+/// Time for the library's workers to end after all connections are closed.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 
 type Handle = ntex::server::Server;
 
@@ -81,6 +83,7 @@
     pub async fn stop(self) {
         self.shared.drain.stop();
         self.shared.drain.idle().await;
+        self.shared.drain.closed().await;
         self.handle.stop(true).await;
         let _ = self.ended.await;
     }
@@ -117,6 +120,6 @@
         .set_headers_read_rate(head, head, u32::MAX)
         .set_keepalive_timeout(Seconds(75));
     // An answer that was finished is not cut off while its caller still reads.
-    let io = IoConfig::new().set_disconnect_timeout(SHUTDOWN_TIMEOUT);
+    let io = IoConfig::new().set_disconnect_timeout(READ_TIMEOUT);
     SharedCfg::new("ENTRY").add(http).add(io).into()
 }
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -9,6 +9,7 @@
 use futures::executor::block_on;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::shared::Options;
+use rstest::rstest;
 use support::backend::Act::{Hang, Repeat, Tokens, Wait, Write};
 use support::backend::{Backend, DONE, STREAM, WHOLE};
 use support::caller::{Ask, Reply, read_chunk, read_head};
@@ -68,16 +69,28 @@
     assert!(TcpStream::connect(address).is_err());
 }
 
-#[test]
-fn a_stop_lets_a_slow_caller_read_the_answer_to_its_end() {
-    let script = vec![Write(LARGE), Repeat(LINE, 800_000)];
-    let backend = Backend::start(1, &[script]);
+#[rstest]
+#[case::first_connection(0)]
+// The HTTP library waits for connections only if there was always one since its start.
+#[case::later_connection(1)]
+fn a_stop_lets_a_slow_caller_read_the_answer_to_its_end(#[case] before: usize) {
+    let mut scripts = vec![vec![Write(WHOLE)]; before];
+    scripts.push(vec![Write(LARGE), Repeat(LINE, 800_000)]);
+    let backend = Backend::start(1, &scripts);
     let node = Node::start(patient(), &backend.addresses);
+    for _ in 0..before {
+        assert_eq!(Ask::whole().send(node.address()).status, 200);
+    }
     let stream = open(&Ask::whole(), &node);
     // The head arrives once the whole answer is at the node; the body is still unread.
     let mut reader = BufReader::with_capacity(1, &stream);
     assert_eq!(read_head(&mut reader).0, 200);
+    let shared = std::sync::Arc::clone(&node.shared);
     let stop = thread::spawn(move || block_on(node.server.stop()));
+    // The caller goes on reading only after the node has nothing in flight any more.
+    while !shared.drain.is_stopping() || shared.drain.in_flight() > 0 {
+        thread::yield_now();
+    }
     let mut length = 0;
     let mut buffer = vec![0; 100_000];
     while let Ok(count) = std::io::Read::read(&mut reader, &mut buffer) {
