--- a/crates/control/tests/callers.rs
+++ b/crates/control/tests/callers.rs
@@ -49,11 +49,11 @@
             match action {
                 Action::Explain(_) => explained += 1,
                 Action::Publish => published += 1,
-                other => panic!("{other:?}"),
+                other => panic!("unexpected {other:?}"),
             }
         }
     }
-    let snapshot = state.snapshot(Instant(0));
+    let snapshot = state.snapshot();
     assert_eq!(snapshot.verdicts.of(&digest(), Instant(0)), verdict);
     assert_eq!(explained, decisions);
     assert_eq!(published, count);
