--- a/crates/control/src/state/callers.rs
+++ b/crates/control/src/state/callers.rs
@@ -58,7 +58,11 @@
             digest: *digest,
             remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
         };
-        self.poison.learn(conviction, now)
+        let Some(decision) = self.poison.learn(conviction, now) else {
+            return false;
+        };
+        self.record(decision, unix_ms);
+        true
     }
 
     /// Takes a group out until its members report again.
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -11,7 +11,6 @@
 use jackdaw_policy::plan;
 use jackdaw_policy::release::accept::Stored;
 use jackdaw_policy::release::register::Source;
-use jackdaw_policy::spread::fact::Fact;
 use jackdaw_policy::spread::message::Envelope;
 
 use super::{Action, State};
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -123,17 +123,16 @@
         Some(decision)
     }
 
-    /// Takes in a conviction from another node; returns whether it was news.
-    pub fn learn(&mut self, conviction: Conviction, now: Instant) -> bool {
+    /// Takes in a conviction from another node; returns a decision if it was news.
+    pub fn learn(&mut self, conviction: Conviction, now: Instant) -> Option<Decision> {
         let until = now + conviction.remaining.min(CONVICTION);
         let known = self.convicted.get(&conviction.digest);
         if conviction.remaining == Millis(0) || known.is_some_and(|known| *known >= until) {
-            return false;
+            return None;
         }
         self.suspects.remove(&conviction.digest);
-        let news = known.is_none();
         self.convicted.insert(conviction.digest, until);
-        news
+        Some(told(&conviction))
     }
 
     /// Returns the conviction of a digest, to tell other nodes of.
@@ -195,6 +194,12 @@
     .weighed("run it as before", "it could crash the next server too")
 }
 
+fn told(conviction: &Conviction) -> Decision {
+    let cause = "another node saw a server crash on it";
+    let taken = format_compact!("refused for {}", conviction.remaining);
+    Decision::new(subject(&conviction.digest), cause, taken)
+}
+
 fn convicted(crash: &Crash, crashes: u32) -> Decision {
     Decision::new(
         subject(&crash.digest),
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -84,11 +84,11 @@
     second.crash(&crash(1, false), Instant(0));
     let later = Instant(0) + MINUTE;
     let told = first.conviction(&digest(1), later).expect("a conviction");
-    assert!(second.learn(told, later));
-    assert!(!second.learn(told, later));
+    assert!(second.learn(told, later).is_some());
+    assert_eq!(second.learn(told, later), None);
     assert_eq!(second.verdicts().of(&digest(1), later), convicted(9));
     let back = second.conviction(&digest(1), later).expect("a conviction");
-    assert!(!first.learn(back, later));
+    assert_eq!(first.learn(back, later), None);
     assert_eq!(first.verdicts().of(&digest(1), later), convicted(9));
 }
 
