--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -14,8 +14,8 @@
 use jackdaw_entry::shared::{Options, Shared};
 use jackdaw_entry::snapshot::{Snapshot, Target};
 use jackdaw_policy::poison::Verdicts;
-use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::noop::NoopMeterProvider;
+use opentelemetry::metrics::{Meter, MeterProvider};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use super::caller::TOKEN;
@@ -47,9 +47,13 @@
     }
 
     pub fn with(options: Options, snapshot: Snapshot) -> Self {
+        Node::measured(options, snapshot, &NoopMeterProvider::new().meter("test"))
+    }
+
+    /// Starts a node whose counters go to a meter.
+    pub fn measured(options: Options, snapshot: Snapshot, meter: &Meter) -> Self {
         let store = Arc::new(Memory::default());
         let (sender, events) = unbounded_channel();
-        let meter = NoopMeterProvider::new().meter("test");
         let shared = Arc::new(Shared::new(
             Arc::new(ArcSwap::from_pointee(snapshot)),
             sender,
@@ -57,7 +61,7 @@
             Arc::clone(&store) as Arc<dyn Store>,
             "node",
             options,
-            &meter,
+            meter,
         ));
         let address = "127.0.0.1:0".parse().expect("address");
         let server = Server::start(Arc::clone(&shared), address).expect("server");
