--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -9,6 +9,7 @@
 
 use crate::call::{Call, Destination};
 use crate::gate::Permit;
+use crate::handler::Worker;
 use crate::problem::Problem;
 use crate::route::Wish;
 use crate::share::Slot;
@@ -31,7 +32,8 @@
 }
 
 /// Lets a call pass, in fair order with the calls of other teams.
-pub(crate) async fn admit(shared: &Shared, call: &Call, slot: Slot) -> Result<Admission, Problem> {
+pub(crate) async fn admit(worker: &Worker, call: &Call, slot: Slot) -> Result<Admission, Problem> {
+    let shared = &worker.shared;
     let suspect = judge(shared, call)?;
     if call.deadline.since(shared.clock.now()) == Millis(0) {
         let detail = "the deadline passed before the request was admitted";
@@ -46,7 +48,7 @@
         cost: call.cost,
         deadline: call.deadline,
     };
-    let permit = gate.pass(entrant, limit(shared, model, name)).await?;
+    let permit = gate.pass(entrant, limit(worker, model, name)).await?;
     Ok(Admission {
         slot,
         permit,
@@ -69,7 +71,8 @@
 }
 
 /// Returns how many requests this node may run at a model or service.
-fn limit(shared: &Shared, model: bool, name: &str) -> u32 {
+fn limit(worker: &Worker, model: bool, name: &str) -> u32 {
+    let shared = &worker.shared;
     let snapshot = shared.snapshot.load();
     let wish = Wish {
         name,
@@ -82,13 +85,9 @@
     } else {
         shared.options.service_slots
     };
-    let targets = wish.targets(&snapshot);
-    let own = targets
-        .iter()
-        .filter(|target| target.zone == snapshot.zone)
-        .count();
+    let (own, all) = worker.router.count(&snapshot, wish, shared.clock.now());
     if own == 0 {
-        return fair::share(slots, targets.len(), snapshot.nodes);
+        return fair::share(slots, all, snapshot.nodes);
     }
     fair::share(slots, own, snapshot.zone_nodes)
 }
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -71,7 +71,7 @@
         deadline,
         idempotent: true,
     };
-    let admission = admit::admit(shared, &call, slot).await?;
+    let admission = admit::admit(worker, &call, slot).await?;
     forward(worker, call, admission, pass).await
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use jackdaw_core::decision::{Decision, Subject};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
@@ -128,6 +129,7 @@
             .request
             .judge(&failure, &self.admission.slot.share().budget, now);
         let problem = self.problem(broken, target);
+        self.explain(&problem, verdict);
         if guilty {
             return Err(Problem {
                 reason: Reason::Poison,
@@ -258,6 +260,25 @@
         alone
     }
 
+    /// Tells operators why an attempt was followed by another or by none.
+    fn explain(&self, problem: &Problem, verdict: Verdict) {
+        let taken = match verdict {
+            Verdict::Reconnect => "tried again on a new connection",
+            Verdict::Elsewhere => "tried elsewhere",
+            Verdict::GiveUp(cause) => cause.label(),
+        };
+        let subject = Subject::Request(self.call.id.clone());
+        let decision = Decision::new(subject, &problem.detail, taken)
+            .about(Subject::Group(problem.peer.clone()))
+            .about(Subject::Team(self.call.team.name.clone()))
+            .saw("reason", problem.reason)
+            .saw("furthest step", problem.step)
+            .saw("idempotent", self.call.idempotent)
+            .saw("time left", self.remaining())
+            .saw("retries left", self.admission.slot.share().budget.left());
+        self.shared.send(Event::Decided(decision));
+    }
+
     fn problem(&self, broken: &Broken, target: &Target) -> Problem {
         let step = self.request.furthest();
         Problem::new(broken.fault.reason(), step, &broken.detail).at(&target.name)
--- a/crates/entry/src/guarded.rs
+++ b/crates/entry/src/guarded.rs
@@ -53,7 +53,10 @@
     let shared = &worker.shared;
     let ticket = match shared.ledger.begin(&call.team.name, key, call.digest).await {
         Begin::Run(ticket) => ticket,
-        Begin::Stored(answer) => return Ok(replay(&answer, &call.id)),
+        Begin::Stored(answer) => {
+            shared.counters.outcome(Outcome::Completed);
+            return Ok(replay(&answer, &call.id));
+        }
         Begin::Refused(refusal) => return Err(refused(refusal)),
     };
     let call = Rc::new(call);
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -16,6 +16,9 @@
 /// The client's pool wakes its waiters only below a limit, so none must ever be reached.
 const CONNECTIONS: usize = 1 << 20;
 
+/// Largest number of addresses to which idle connections are kept.
+const ADDRESSES: usize = 2_048;
+
 /// Connections of one worker, pooled by address.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -42,7 +45,12 @@
             return known;
         }
         let client = self.fresh().await?;
-        self.clients.borrow_mut().insert(address, client.clone());
+        let mut clients = self.clients.borrow_mut();
+        // Addresses come and go; starting over costs one new connection to each in use.
+        if clients.len() >= ADDRESSES {
+            clients.clear();
+        }
+        clients.insert(address, client.clone());
         Some(client)
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -77,7 +77,7 @@
         idempotent,
         streamed: false,
     };
-    let admission = admit::admit(shared, &call, slot).await?;
+    let admission = admit::admit(worker, &call, slot).await?;
     if let Some(key) = key {
         return guarded::run(worker, call, key, admission, pass).await;
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -11,11 +11,15 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::route::{self, Ask, Load, Loads, Member, Pool, Straggler, Way};
 
+use crate::gauge::Gauge;
 use crate::snapshot::{Snapshot, Target};
 
 /// Time for which a straggler is left out before it is judged anew.
 const EJECTION: Millis = Millis::from_secs(30);
 
+/// Time between two judgements of stragglers.
+const JUDGEMENT_PERIOD: Millis = Millis::from_secs(1);
+
 /// A chosen target.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -63,12 +67,64 @@
     }
 }
 
-/// Pools of one snapshot.
+/// The pool of one model or plain service, with what it was made from.
+#[derive(Debug)]
+struct Prepared {
+    pool: Pool,
+    gauges: Vec<Arc<Gauge>>,
+    ejected: Vec<bool>,
+    judged: Instant,
+}
+
+impl Prepared {
+    fn new(targets: &[Target], zone: &CompactString, now: Instant) -> Self {
+        let ejected: Vec<bool> = ejected(targets, now).collect();
+        Prepared {
+            pool: Pool::new(&members(targets, zone, &ejected)),
+            gauges: targets.iter().map(|it| Arc::clone(&it.gauge)).collect(),
+            ejected,
+            judged: now,
+        }
+    }
+
+    /// Returns whether the pool still stands for some targets.
+    ///
+    /// A gauge belongs to one target and is kept from snapshot to snapshot, so that comparing
+    /// gauges is enough. A new ring for each report of a load would cost more than the choice.
+    fn is_current(&self, targets: &[Target], now: Instant) -> bool {
+        self.gauges.len() == targets.len()
+            && self
+                .gauges
+                .iter()
+                .zip(targets)
+                .all(|(gauge, target)| Arc::ptr_eq(gauge, &target.gauge))
+            && ejected(targets, now).eq(self.ejected.iter().copied())
+    }
+}
+
+/// The pools of the snapshot that was seen last.
 #[derive(Debug, Default)]
 struct Pools {
     snapshot: Arc<Snapshot>,
-    models: HashMap<CompactString, Pool>,
-    services: HashMap<CompactString, Pool>,
+    models: HashMap<CompactString, Prepared>,
+    services: HashMap<CompactString, Prepared>,
+}
+
+impl Pools {
+    /// Drops the pools that no longer stand for the targets of a new snapshot.
+    fn follow(&mut self, snapshot: &Arc<Snapshot>, now: Instant) {
+        if Arc::ptr_eq(&self.snapshot, snapshot) {
+            return;
+        }
+        self.snapshot = Arc::clone(snapshot);
+        let current = |targets: Option<&Vec<Target>>, prepared: &Prepared| {
+            targets.is_some_and(|targets| prepared.is_current(targets, now))
+        };
+        self.models
+            .retain(|name, prepared| current(snapshot.models.get(name), prepared));
+        self.services
+            .retain(|name, prepared| current(snapshot.services.get(name), prepared));
+    }
 }
 
 /// Chooses targets for one worker; a seed makes its draws repeatable.
@@ -110,8 +166,8 @@
             nodes: snapshot.zone_nodes.max(1),
             ..self.options
         };
-        self.refresh(snapshot);
         let mut pools = self.pools.borrow_mut();
+        pools.follow(snapshot, now);
         let pool = self.pool(&mut pools, wish, now);
         let gauges = Gauges(targets);
         let choice = if wish.alone {
@@ -130,53 +186,69 @@
         self.explained.take()
     }
 
-    /// Forgets the pools of an older snapshot.
-    fn refresh(&self, snapshot: &Arc<Snapshot>) {
+    /// Returns the number of targets that are in use in the own availability zone, and of all.
+    pub fn count(&self, snapshot: &Arc<Snapshot>, wish: Wish<'_>, now: Instant) -> (usize, usize) {
         let mut pools = self.pools.borrow_mut();
-        if !Arc::ptr_eq(&pools.snapshot, snapshot) {
-            *pools = Pools {
-                snapshot: Arc::clone(snapshot),
-                ..Pools::default()
-            };
-        }
+        pools.follow(snapshot, now);
+        let pool = self.pool(&mut pools, wish, now);
+        (pool.local(), wish.targets(snapshot).len())
     }
 
     fn pool<'a>(&self, pools: &'a mut Pools, wish: Wish<'_>, now: Instant) -> &'a Pool {
+        let snapshot = Arc::clone(&pools.snapshot);
+        let targets = wish.targets(&snapshot);
         let known = if wish.model {
             &mut pools.models
         } else {
             &mut pools.services
         };
+        if let Some(prepared) = known.get_mut(wish.name)
+            && now.since(prepared.judged) >= JUDGEMENT_PERIOD
+        {
+            prepared.judged = now;
+            if self.eject(targets, now) {
+                *prepared = Prepared::new(targets, &snapshot.zone, now);
+            }
+        }
         if !known.contains_key(wish.name) {
-            let targets = wish.targets(&pools.snapshot);
             self.eject(targets, now);
-            let pool = Pool::new(&members(targets, &pools.snapshot.zone, now));
-            known.insert(wish.name.into(), pool);
+            let prepared = Prepared::new(targets, &snapshot.zone, now);
+            known.insert(wish.name.into(), prepared);
         }
-        &known[wish.name]
+        &known[wish.name].pool
     }
 
-    fn eject(&self, targets: &[Target], now: Instant) {
+    /// Leaves stragglers out; returns whether there were any.
+    fn eject(&self, targets: &[Target], now: Instant) -> bool {
         let paces: Vec<_> = targets
             .iter()
             .map(|target| target.gauge.pace(now))
             .collect();
-        for straggler in route::stragglers(&paces) {
+        let stragglers = route::stragglers(&paces);
+        for straggler in &stragglers {
             let target = &targets[straggler.index];
             if target.gauge.eject(now, EJECTION) {
-                self.explained.borrow_mut().push(explain(target, straggler));
+                self.explained
+                    .borrow_mut()
+                    .push(explain(target, *straggler));
             }
         }
+        !stragglers.is_empty()
     }
 }
 
-fn members(targets: &[Target], zone: &CompactString, now: Instant) -> Vec<Member> {
+fn ejected(targets: &[Target], now: Instant) -> impl Iterator<Item = bool> {
+    targets.iter().map(move |it| it.gauge.is_ejected(now))
+}
+
+fn members(targets: &[Target], zone: &CompactString, ejected: &[bool]) -> Vec<Member> {
     targets
         .iter()
-        .map(|target| Member {
+        .zip(ejected)
+        .map(|(target, ejected)| Member {
             name: target.name.clone(),
             local: target.zone == *zone,
-            ejected: target.gauge.is_ejected(now),
+            ejected: *ejected,
         })
         .collect()
 }
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -339,6 +339,12 @@
             .map(|weighed| weighed.by(Way::Last))
     }
 
+    /// Returns the number of servers in the own availability zone.
+    #[must_use]
+    pub fn local(&self) -> usize {
+        self.local.len()
+    }
+
     /// Returns the number of servers.
     #[must_use]
     pub fn len(&self) -> usize {
