--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of the control thread.
 
 mod callers;
+mod departure;
 mod news;
 pub(crate) mod zone;
 
@@ -107,6 +108,7 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
             Event::Lease(event) => {
@@ -147,14 +149,12 @@
     }
 
     /// Builds the snapshot that the request path reads.
-    pub fn snapshot(&mut self) -> Snapshot {
+    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
         let mut builder = std::mem::take(&mut self.builder);
         let whole = self.whole_groups();
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
-        snapshot.nodes = self.known_nodes();
-        snapshot.zone_nodes = self.zone_nodes();
-        snapshot.verdicts = Arc::new(self.poison.verdicts());
+        self.share(&mut snapshot, now);
         self.builder = builder;
         snapshot
     }
@@ -169,6 +169,7 @@
             }
         }
         self.vms = vms;
+        self.tell_departures(now, unix_millis);
         self.follow(outcome, now, unix_millis)
     }
 
--- a/crates/control/src/state/callers.rs
+++ b/crates/control/src/state/callers.rs
@@ -1,13 +1,16 @@
 //! What the control thread makes of the callers' data path.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Generation, Millis};
 use jackdaw_entry::event::Event;
+use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::member;
 use jackdaw_policy::poison::{Conviction, Crash};
-use jackdaw_policy::spread::fact::{Fact, Key};
+use jackdaw_policy::spread::fact::{Fact, Key, Member};
 
 use super::{Action, State};
 
@@ -19,9 +22,6 @@
                 self.record(decision, unix_ms);
                 Vec::new()
             }
-            Event::ConnectFailed { target, generation } => {
-                self.take_out(target, generation, now, unix_ms)
-            }
             Event::Broken {
                 target,
                 generation,
@@ -33,22 +33,37 @@
                     server: target.clone(),
                     alone,
                 };
-                self.poison.expire(now);
                 let decision = self.poison.crash(&crash, now);
                 self.record(decision, unix_ms);
                 self.tell(&digest, now, unix_ms);
-                self.take_out(target, generation, now, unix_ms)
+                self.doubt(target, generation, now, unix_ms)
+            }
+            Event::Answered { digest, .. } => {
+                let Some(decision) = self.poison.answered(&digest) else {
+                    return Vec::new();
+                };
+                self.record(decision, unix_ms);
+                vec![Action::Publish]
+            }
+            Event::ConnectFailed { target, generation } => {
+                self.doubt(target, generation, now, unix_ms)
             }
-            Event::Answered { digest, .. } => match self.poison.answered(&digest) {
-                Some(decision) => {
-                    self.record(decision, unix_ms);
-                    vec![Action::Publish]
-                }
-                None => Vec::new(),
-            },
         }
     }
 
+    /// Takes a group out until its members report again.
+    fn doubt(
+        &mut self,
+        group: CompactString,
+        generation: Generation,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Vec<Action> {
+        let event = member::Event::Broken { group, generation };
+        let outcome = self.zone.learn(event, now);
+        self.follow(outcome, now, unix_ms)
+    }
+
     /// Takes a fact that another node told; returns whether the data path must hear of it.
     pub(super) fn learn(&mut self, fact: &Fact, now: Instant, unix_ms: u64) -> bool {
         let Key::Convicted(digest) = &fact.key else {
@@ -65,17 +80,15 @@
         true
     }
 
-    /// Takes a group out until its members report again.
-    fn take_out(
-        &mut self,
-        group: CompactString,
-        generation: Generation,
-        now: Instant,
-        unix_ms: u64,
-    ) -> Vec<Action> {
-        let event = member::Event::Broken { group, generation };
-        let outcome = self.zone.learn(event, now);
-        self.follow(outcome, now, unix_ms)
+    /// Fills in what the data path shares with other nodes.
+    pub(super) fn share(&mut self, snapshot: &mut Snapshot, now: Instant) {
+        self.poison.expire(now);
+        snapshot.verdicts = Arc::new(self.poison.verdicts());
+        let zone = &self.options.zone;
+        let of_zone = |member: &&Member| member.zone == *zone;
+        // A node that knows no other counts itself.
+        snapshot.nodes = count(self.overlay.members()).max(1);
+        snapshot.zone_nodes = count(self.overlay.members().filter(of_zone)).max(1);
     }
 
     /// Tells other nodes that a digest is refused, if it is.
@@ -86,3 +99,7 @@
         }
     }
 }
+
+fn count<'a>(members: impl Iterator<Item = &'a Member>) -> u32 {
+    u32::try_from(members.count()).unwrap_or(u32::MAX)
+}
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -90,21 +90,6 @@
         proposal.map_or_else(Vec::new, |proposal| proposal.decisions)
     }
 
-    /// Counts the nodes that are not removed, this one among them. A node that is cut off goes on
-    /// counting the others, so that it keeps to its share.
-    pub(super) fn known_nodes(&self) -> u32 {
-        let known = self.overlay.members().count();
-        u32::try_from(known).unwrap_or(u32::MAX).max(1)
-    }
-
-    /// Counts the nodes of this availability zone that are not removed, this one among them.
-    pub(super) fn zone_nodes(&self) -> u32 {
-        let zone = &self.options.zone;
-        let members = self.overlay.members();
-        let known = members.filter(|member| member.zone == *zone).count();
-        u32::try_from(known).unwrap_or(u32::MAX).max(1)
-    }
-
     /// Returns what the follower of the catalogue has to do.
     #[must_use]
     pub fn duty(&self, now: Instant) -> Duty {
@@ -213,6 +198,7 @@
                     if self.learn(&fact, now, unix_ms) {
                         actions.push(Action::Publish);
                     }
+                    actions.extend(self.take_departure(&fact, now, unix_ms));
                 }
             }
         }
