--- a/crates/control/tests/callers.rs
+++ b/crates/control/tests/callers.rs
@@ -49,7 +49,7 @@
             match action {
                 Action::Explain(_) => explained += 1,
                 Action::Publish => published += 1,
-                other => panic!("{other:?}"),
+                other => panic!("unexpected {other:?}"),
             }
         }
     }
