--- /dev/null
+++ b/crates/bench/src/route.rs
@@ -0,0 +1,63 @@
+//! Measures the cost of one routing decision.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant as Wall;
+
+use hdrhistogram::Histogram;
+use jackdaw_core::time::Instant;
+use jackdaw_entry::route::{Router, Wish};
+use jackdaw_policy::route::{Options, prefix_hash};
+
+use crate::sample;
+
+/// Decisions that one sample covers, so that the clock's own cost does not count.
+const BATCH: u64 = 64;
+/// Longest time that is told apart, in nanoseconds.
+const LONGEST: u64 = 1_000_000_000;
+/// Samples of each size.
+const SAMPLES: u64 = 4_000;
+
+/// Prints the cost of one routing decision at three sizes.
+pub(crate) fn run() {
+    println!(
+        "{:<10} {:>12} {:>12} {:>12}   (one decision, {SAMPLES} batches of {BATCH})",
+        "targets", "mean ns", "p50 ns", "p99 ns"
+    );
+    for targets in [20, 150, 600] {
+        let histogram = measure(targets);
+        println!(
+            "{targets:<10} {:>12.0} {:>12} {:>12}",
+            histogram.mean(),
+            histogram.value_at_quantile(0.5),
+            histogram.value_at_quantile(0.99)
+        );
+    }
+}
+
+fn measure(targets: usize) -> Histogram<u64> {
+    let snapshot = Arc::new(sample::snapshot(targets, 40));
+    for (number, target) in snapshot.models["drafting-model-000"].iter().enumerate() {
+        target.gauge.set_reported(number as u32 * 7 % 13);
+    }
+    let router = Router::new(Options::default(), 1);
+    let mut histogram =
+        Histogram::new_with_bounds(1, LONGEST, 3).expect("the bounds fit three digits");
+    let mut prompt = 0_u64;
+    for sample in 0..SAMPLES {
+        let start = Wall::now();
+        for _ in 0..BATCH {
+            prompt += 1;
+            let wish = Wish {
+                name: "drafting-model-000",
+                model: true,
+                prefix: Some(prefix_hash(&(prompt % 500).to_le_bytes())),
+                alone: false,
+            };
+            black_box(router.choose(&snapshot, wish, &[], Instant(sample)));
+        }
+        let spent = start.elapsed().as_nanos() as u64 / BATCH;
+        histogram.saturating_record(spent);
+    }
+    histogram
+}
--- /dev/null
+++ b/crates/bench/src/sample.rs
@@ -0,0 +1,175 @@
+//! Sample state of a given size.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::catalog::{Catalog, Model, Team};
+use jackdaw_core::inventory::{self, Vm};
+use jackdaw_core::member::{Load, Membership, Report};
+use jackdaw_core::placement::{Group, Placement, State};
+use jackdaw_core::time::Instant;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::{Fence, Generation, Millis, Revision};
+use jackdaw_entry::gauge::Gauge;
+use jackdaw_entry::snapshot::{Snapshot, Target};
+use jackdaw_policy::plan::{Candidate, Health};
+
+/// VMs of one replica group.
+pub(crate) const GROUP: usize = 4;
+/// VMs of one fabric domain.
+const DOMAIN: usize = 18;
+
+/// Returns a catalogue.
+pub(crate) fn catalog(models: usize, teams: usize, replicas: u32) -> Catalog {
+    Catalog {
+        revision: Revision(1),
+        note: "note-2026-12-03".into(),
+        models: (0..models).map(|number| model(number, replicas)).collect(),
+        services: Vec::new(),
+        teams: (0..teams).map(team).collect(),
+    }
+}
+
+fn model(number: usize, replicas: u32) -> Model {
+    Model {
+        name: format_compact!("drafting-model-{number:03}"),
+        version: "2026-11-03".into(),
+        vms_per_replica: GROUP as u32,
+        replicas,
+        adapters: vec!["court-style".into(), "care-sheets".into()],
+        zones: Vec::new(),
+        priority: 5,
+    }
+}
+
+fn team(number: usize) -> Team {
+    Team {
+        name: format_compact!("showroom-team-{number:03}"),
+        token_sha256: vec![Digest::of(format!("token {number}").as_bytes())],
+        weight: 1,
+        requests_per_second: 1_000,
+        concurrency: 4_096,
+        priority: 0,
+        deadline_ms: Millis::from_secs(60),
+        allowed: Vec::new(),
+    }
+}
+
+/// Returns the name of a VM.
+fn vm_name(number: usize) -> CompactString {
+    format_compact!("qc-east-a-model-{number:04}")
+}
+
+fn domain_name(number: usize) -> CompactString {
+    format_compact!("qc-east-a/fabric-{:02}", number / DOMAIN)
+}
+
+/// Returns the VM list of a zone.
+pub(crate) fn vms(count: usize) -> Vec<Vm> {
+    let vm = |number| Vm {
+        name: vm_name(number),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 20_000)),
+        zone: "qc-east-a".into(),
+        domain: domain_name(number),
+        service: None,
+        accelerators: 4,
+        state: inventory::State::Live,
+    };
+    (0..count).map(vm).collect()
+}
+
+/// Returns the VMs of a zone as the planner sees them.
+pub(crate) fn candidates(count: usize) -> Vec<Candidate> {
+    let candidate = |number| Candidate {
+        name: vm_name(number),
+        domain: domain_name(number),
+        health: Health::Present,
+        since: Instant(0),
+    };
+    (0..count).map(candidate).collect()
+}
+
+/// Returns a placement in which every domain holds as many groups as fit.
+pub(crate) fn placement(vms: usize) -> Placement {
+    let mut groups = Vec::new();
+    for first in (0..vms).step_by(DOMAIN) {
+        let end = (first + DOMAIN).min(vms);
+        let mut rank0 = first;
+        while rank0 + GROUP <= end {
+            groups.push(group(groups.len(), rank0));
+            rank0 += GROUP;
+        }
+    }
+    Placement {
+        zone: "qc-east-a".into(),
+        fence: Fence(7),
+        sequence: 12,
+        next_group: groups.len() as u64,
+        groups,
+    }
+}
+
+fn group(number: usize, rank0: usize) -> Group {
+    Group {
+        name: format_compact!("qc-east-a/{}", number + 1),
+        generation: Generation(3),
+        model: "drafting-model-000".into(),
+        version: "2026-11-03".into(),
+        adapters: vec!["court-style".into(), "care-sheets".into()],
+        domain: domain_name(rank0),
+        members: (rank0..rank0 + GROUP).map(vm_name).collect(),
+        state: State::Active,
+        spares: Vec::new(),
+    }
+}
+
+/// Returns the report of a group's member.
+pub(crate) fn report(group: &Group, rank: usize) -> Report {
+    Report {
+        vm: group.members[rank].clone(),
+        boot: 1,
+        membership: Some(Membership {
+            group: group.name.clone(),
+            generation: group.generation,
+            model: group.model.clone(),
+            version: group.version.clone(),
+            rank: rank as u32,
+        }),
+        ready: true,
+        fence: Fence(7),
+        load: Load {
+            running: 12,
+            waiting: 0,
+        },
+        leaving: false,
+    }
+}
+
+/// Returns a snapshot with targets of one model and teams.
+pub(crate) fn snapshot(targets: usize, teams: usize) -> Snapshot {
+    let target = |number: usize| Target {
+        name: format_compact!("qc-east-a/{number}"),
+        generation: Generation(3),
+        version: "2026-11-03".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 20_000)),
+        zone: format_compact!("qc-east-{}", ["a", "b", "c", "d"][number % 4]),
+        gauge: Arc::new(Gauge::default()),
+    };
+    let known = (0..teams).map(team).map(|team| {
+        let digest = team.token_sha256[0];
+        (digest, Arc::new(team))
+    });
+    Snapshot {
+        models: HashMap::from([(
+            CompactString::new("drafting-model-000"),
+            (0..targets).map(target).collect(),
+        )]),
+        teams: known.collect(),
+        zone: "qc-east-a".into(),
+        nodes: 370,
+        ready: true,
+        ..Snapshot::default()
+    }
+}
