--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -54,6 +54,16 @@
             resident_bytes(&placement),
         );
     }
+    for vms in [50, 150, 600] {
+        print_state(
+            &format!("VM list, {vms} VMs"),
+            json_bytes(&sample::vms(vms)),
+            0,
+        );
+    }
+    let placement = sample::placement(50);
+    let report = sample::report(&placement.groups[0], 1);
+    print_state("report of one VM", json_bytes(&report), 0);
     for vms in [50, 150, 600] {
         let resident = resident_bytes(&|| table(vms));
         print_state(&format!("member table, {vms} VMs"), 0, resident);
