Find watches that went silent, with times that tests can set

Tried with the check turned off: watch_goes_silent waits to its bound and fails. The test store's gate now counts its own change before what a watch has ready; the cut of a zone had failed once in six runs over that.

--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -16,14 +16,26 @@
 use crate::event::Event;
 use crate::release::{self, CATALOG_KEY};
 
-/// Shortest time before a lost watch is set up again; a random part of it is added.
-const WATCH_RETRY: Millis = Millis(500);
-
-/// Time between two reads by which a watcher finds a watch that has gone silent.
-const WATCH_CHECK: Millis = Millis::from_secs(5);
+/// Times of the follower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Shortest time before a lost watch is set up again; a random part of it is added.
+    pub retry: Millis,
+    /// Time between two reads by which a watcher finds a watch that has gone silent.
+    pub watch_check: Millis,
+    /// Time between two reads of a node that does not watch.
+    pub idle_check: Millis,
+}
 
-/// Time between two reads of a node that does not watch.
-const IDLE_CHECK: Millis = Millis::from_secs(30);
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            retry: Millis(500),
+            watch_check: Millis::from_secs(5),
+            idle_check: Millis::from_secs(30),
+        }
+    }
+}
 
 /// What the follower is told by the control thread.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,14 +51,15 @@
     store: Arc<dyn Store>,
     events: UnboundedSender<Event>,
     mut duty: Receiver<Duty>,
+    pace: Pace,
     logger: Logger,
 ) {
     while !events.is_closed() {
-        let followed = follow(store.as_ref(), &events, &mut duty).await;
+        let followed = follow(store.as_ref(), &events, &mut duty, pace).await;
         if let Err(error) = followed {
             warn!(logger, "catalogue not followed"; "error" => %error);
         }
-        let pause = WATCH_RETRY.0 + fastrand::u64(..WATCH_RETRY.0);
+        let pause = pace.retry.0 + fastrand::u64(..pace.retry.0.max(1));
         tokio::time::sleep(Millis(pause).duration()).await;
     }
 }
@@ -56,21 +69,23 @@
     store: &dyn Store,
     events: &UnboundedSender<Event>,
     duty: &mut Receiver<Duty>,
+    pace: Pace,
 ) -> Result<()> {
     let stored = release::read_catalog(store).await?;
     let from = stored.as_ref().map_or(0, |stored| stored.mod_revision);
     let source = Source::Read;
     let _ = events.send(Event::Catalog { stored, source });
     if duty.borrow().is_watcher {
-        return watch(store, events, duty, from + 1).await;
+        return watch(store, events, duty, pace, from + 1).await;
     }
-    idle(store, events, duty).await
+    idle(store, events, duty, pace).await
 }
 
 async fn watch(
     store: &dyn Store,
     events: &UnboundedSender<Event>,
     duty: &mut Receiver<Duty>,
+    pace: Pace,
     from: u64,
 ) -> Result<()> {
     let mut watch = store.watch(CATALOG_KEY, from).await?;
@@ -80,7 +95,7 @@
                 Some(changes) => tell(events, changes)?,
                 None => return Ok(()),
             },
-            () = tokio::time::sleep(WATCH_CHECK.duration()) => {
+            () = tokio::time::sleep(pace.watch_check.duration()) => {
                 // A newer record that the watch did not tell of means that it has gone silent.
                 if is_behind(store, events, duty).await? {
                     return Ok(());
@@ -95,6 +110,7 @@
     store: &dyn Store,
     events: &UnboundedSender<Event>,
     duty: &mut Receiver<Duty>,
+    pace: Pace,
 ) -> Result<()> {
     while !duty.borrow().is_watcher {
         tokio::select! {
@@ -103,7 +119,7 @@
                     return Ok(());
                 }
             }
-            () = tokio::time::sleep(IDLE_CHECK.duration()) => {
+            () = tokio::time::sleep(pace.idle_check.duration()) => {
                 if is_behind(store, events, duty).await? {
                     return Ok(());
                 }
--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -24,7 +24,7 @@
 use crate::admin::feed::Feed;
 use crate::courier::Courier;
 use crate::event::Event;
-use crate::follow::{self, Duty};
+use crate::follow::{self, Duty, Pace};
 use crate::leader::{self, Keys};
 use crate::metrics::Metrics;
 use crate::network::{Joined, Network};
@@ -375,6 +375,7 @@
             store,
             self.events.clone(),
             duties,
+            Pace::default(),
             self.shared.logger.clone(),
         );
         ntex::rt::spawn(follower);
--- /dev/null
+++ b/crates/control/tests/follow.rs
@@ -0,0 +1,96 @@
+//! Following the catalogue: watches that go silent or end, and nodes that do not watch.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jackdaw_control::event::Event;
+use jackdaw_control::follow::{self, Duty, Pace};
+use jackdaw_control::release;
+use jackdaw_core::time::Machine;
+use jackdaw_core::units::{Millis, Revision};
+use jackdaw_policy::release::accept::Attempt;
+use jackdaw_policy::release::register::Source;
+use jackdaw_standin::store::Memory;
+use rstest::rstest;
+use slog::{Discard, Logger, o};
+use support::note;
+use support::store::Gate;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+
+/// Time after which a wait is given up, so that a hang becomes a failure.
+const HANG: Duration = Duration::from_secs(60);
+
+const PACE: Pace = Pace {
+    retry: Millis(5),
+    watch_check: Millis(20),
+    idle_check: Millis(20),
+};
+
+async fn accept(memory: &Memory, id: &str, base: u64) {
+    let attempt = Attempt::new(note(id, base), Revision(base), "other", 1);
+    let accepted = release::accept(memory, attempt).await;
+    assert!(accepted.catalog.is_some(), "{:?}", accepted.verdict);
+}
+
+/// Waits for a revision and returns where it came from.
+async fn source_of(events: &mut UnboundedReceiver<Event>, revision: u64) -> Source {
+    loop {
+        let event = tokio::time::timeout(HANG, events.recv()).await;
+        if let Event::Catalog { stored, source } = event.expect("no hang").expect("follower runs")
+            && stored.is_some_and(|stored| stored.catalog.revision == Revision(revision))
+        {
+            return source;
+        }
+    }
+}
+
+/// How the node follows, what happens to its watch, and how it learns of the next note.
+struct Case {
+    is_watcher: bool,
+    disturb: fn(&Gate),
+    source: Source,
+}
+
+#[rstest]
+#[case::watch_tells(Case { is_watcher: true, disturb: |_| {}, source: Source::Watch })]
+#[case::watch_goes_silent(Case {
+    is_watcher: true, disturb: Gate::silence_watches, source: Source::Read })]
+#[case::watch_ends_and_the_service_is_back(Case {
+    is_watcher: true, disturb: Gate::close, source: Source::Read })]
+#[case::node_does_not_watch(Case {
+    is_watcher: false, disturb: |_| {}, source: Source::Read })]
+fn next_note_is_found(#[case] case: Case) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let memory = Memory::new(Arc::new(Machine::default()));
+        accept(&memory, "one", 0).await;
+        let gate = Arc::new(Gate::new(memory.clone()));
+        let (sender, mut events) = unbounded_channel();
+        let (duty, duties) = watch::channel(Duty {
+            is_watcher: case.is_watcher,
+            revision: Revision(1),
+        });
+        let logger = Logger::root(Discard, o!());
+        let follower = follow::run(gate.clone(), sender, duties, PACE, logger);
+        let follower = tokio::spawn(follower);
+        assert_eq!(source_of(&mut events, 1).await, Source::Read);
+        if case.is_watcher {
+            memory.wait_for_counts(|counts| counts.watches > 0).await;
+        }
+        (case.disturb)(&gate);
+        accept(&memory, "two", 1).await;
+        if gate.is_closed() {
+            gate.wait_for_refusal().await;
+            gate.open();
+        }
+        assert_eq!(source_of(&mut events, 2).await, case.source);
+        drop(duty);
+        follower.abort();
+    });
+}
--- a/crates/control/tests/support/store.rs
+++ b/crates/control/tests/support/store.rs
@@ -13,12 +13,14 @@
     Open,
     Closed,
     Empty,
+    Silent,
 }
 
 /// Passes calls on to the service while it is open.
 pub(crate) struct Gate {
     memory: Memory,
     state: watch::Sender<State>,
+    refusals: watch::Sender<u32>,
 }
 
 impl Gate {
@@ -26,6 +28,7 @@
         Gate {
             memory,
             state: watch::Sender::new(State::Open),
+            refusals: watch::Sender::new(0),
         }
     }
 
@@ -39,14 +42,33 @@
         self.state.send_replace(State::Closed);
     }
 
+    /// Lets calls pass, while open watches tell nothing more and do not end.
+    pub(crate) fn silence_watches(&self) {
+        self.state.send_replace(State::Silent);
+    }
+
     /// Answers reads as an empty service would, and lets writes pass.
     pub(crate) fn pretend_empty(&self) {
         self.state.send_replace(State::Empty);
     }
 
+    /// Returns whether all calls are refused.
+    pub(crate) fn is_closed(&self) -> bool {
+        *self.state.borrow() == State::Closed
+    }
+
+    /// Waits until a call was refused.
+    pub(crate) async fn wait_for_refusal(&self) {
+        let mut refusals = self.refusals.subscribe();
+        let _ = refusals.wait_for(|count| *count > 0).await;
+    }
+
     fn pass(&self, step: &'static str) -> Result<bool> {
         match *self.state.borrow() {
-            State::Closed => Err(Error::unreachable(step, "store", "the gate is closed")),
+            State::Closed => {
+                self.refusals.send_modify(|count| *count += 1);
+                Err(Error::unreachable(step, "store", "the gate is closed"))
+            }
             state => Ok(state == State::Empty),
         }
     }
@@ -106,9 +128,17 @@
 #[async_trait]
 impl Watch for Follower {
     async fn next(&mut self) -> Option<Vec<Change>> {
-        tokio::select! {
-            changes = self.inner.next() => changes,
-            _ = self.state.wait_for(|state| *state == State::Closed) => None,
+        loop {
+            let state = *self.state.borrow_and_update();
+            if state == State::Closed {
+                return None;
+            }
+            // A change of the gate counts before whatever the watch has ready.
+            tokio::select! {
+                biased;
+                _ = self.state.changed() => {}
+                changes = self.inner.next(), if state != State::Silent => return changes,
+            }
         }
     }
 }
