--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,5 +1,7 @@
 //! The state of the control thread.
 
+mod callers;
+mod departure;
 mod news;
 pub(crate) mod zone;
 
@@ -14,8 +16,8 @@
 use jackdaw_core::time::Instant;
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::lease::{self, Authority};
-use jackdaw_policy::member;
 use jackdaw_policy::placement::Commit;
+use jackdaw_policy::poison;
 
 use crate::courier::Job;
 use crate::event::Event;
@@ -54,6 +56,7 @@
     builder: Builder,
     log: Log,
     explained: Vec<Decision>,
+    poison: poison::Ledger,
     stopping: bool,
 }
 
@@ -71,6 +74,7 @@
             builder: Builder::default(),
             log,
             explained: Vec::new(),
+            poison: poison::Ledger::default(),
             stopping: false,
         }
     }
@@ -104,6 +108,7 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
             Event::Lease(event) => {
@@ -144,11 +149,12 @@
     }
 
     /// Builds the snapshot that the request path reads.
-    pub fn snapshot(&mut self) -> Snapshot {
+    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
         let mut builder = std::mem::take(&mut self.builder);
         let whole = self.whole_groups();
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
+        self.share(&mut snapshot, now);
         self.builder = builder;
         snapshot
     }
@@ -163,6 +169,7 @@
             }
         }
         self.vms = vms;
+        self.tell_departures(now, unix_millis);
         self.follow(outcome, now, unix_millis)
     }
 
@@ -180,30 +187,6 @@
         actions
     }
 
-    fn hear(
-        &mut self,
-        event: jackdaw_entry::event::Event,
-        now: Instant,
-        unix_millis: u64,
-    ) -> Vec<Action> {
-        match event {
-            jackdaw_entry::event::Event::Decided(decision) => {
-                self.record(decision, unix_millis);
-                Vec::new()
-            }
-            jackdaw_entry::event::Event::ConnectFailed { target, generation }
-            | jackdaw_entry::event::Event::Broken {
-                target, generation, ..
-            } => {
-                let group = target;
-                let event = member::Event::Broken { group, generation };
-                let outcome = self.zone.learn(event, now);
-                self.follow(outcome, now, unix_millis)
-            }
-            jackdaw_entry::event::Event::Answered { .. } => Vec::new(),
-        }
-    }
-
     fn whole_groups(&self) -> Vec<Whole<'_>> {
         let table = &self.zone.table;
         table
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -194,7 +194,12 @@
                         actions.extend(self.follow(outcome, now, unix_ms));
                     }
                 }
-                Effect::Learned(_) => {}
+                Effect::Learned(fact) => {
+                    if self.learn(&fact, now, unix_ms) {
+                        actions.push(Action::Publish);
+                    }
+                    actions.extend(self.take_departure(&fact, now, unix_ms));
+                }
             }
         }
         actions
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -147,6 +147,9 @@
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), case.repeat, "{repeat:?}");
     assert_eq!(bench.executions(), case.executions);
+    if case.repeat.0 == 409 {
+        bench.cluster.nodes[1].wait_for_decision("team:team", "do not run it");
+    }
 }
 
 /// Faults of the writes of one call in turn, and what the call sees.
@@ -183,12 +186,13 @@
     repeat: (200, "completed", false),
 })]
 fn service_loses(#[case] case: Loss) {
-    let bench = Bench::new(Extra::default());
+    let mut bench = Bench::new(Extra::default());
     for fault in case.faults {
         bench.plan(*fault);
     }
     let answer = bench.ship(0, BOX);
     assert_eq!(shown(&answer), case.answer, "{answer:?}");
+    bench.wait_for_record("completed");
     // Whatever was late lands here.
     bench.set(Fault::None);
     let repeat = bench.ship(1, BOX);
@@ -234,6 +238,7 @@
     let call = bench.ship_beside();
     bench.wait_for_record("intended");
     bench.cluster.nodes[0].signal("STOP");
+    bench.cluster.platform.memory().drop_plans();
     bench.set(Fault::None);
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), (409, "unknown", true), "{repeat:?}");
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -123,33 +123,26 @@
         Some(decision)
     }
 
-    /// Takes in a conviction from another node; returns whether it was news.
-    pub fn learn(&mut self, conviction: Conviction, now: Instant) -> bool {
+    /// Takes in a conviction from another node; returns a decision if it was news.
+    pub fn learn(&mut self, conviction: Conviction, now: Instant) -> Option<Decision> {
         let until = now + conviction.remaining.min(CONVICTION);
         let known = self.convicted.get(&conviction.digest);
         if conviction.remaining == Millis(0) || known.is_some_and(|known| *known >= until) {
-            return false;
+            return None;
         }
         self.suspects.remove(&conviction.digest);
-        let news = known.is_none();
         self.convicted.insert(conviction.digest, until);
-        news
+        Some(told(&conviction))
     }
 
-    /// Returns the convictions to tell other nodes of.
+    /// Returns the conviction of a digest, to tell other nodes of.
     #[must_use]
-    pub fn convictions(&self, now: Instant) -> Vec<Conviction> {
-        let mut convictions: Vec<Conviction> = self
-            .convicted
-            .iter()
-            .filter(|(_, until)| now < **until)
-            .map(|(digest, until)| Conviction {
-                digest: *digest,
-                remaining: until.since(now),
-            })
-            .collect();
-        convictions.sort_by_key(|conviction| conviction.digest);
-        convictions
+    pub fn conviction(&self, digest: &Digest, now: Instant) -> Option<Conviction> {
+        let until = self.convicted.get(digest)?;
+        (now < *until).then(|| Conviction {
+            digest: *digest,
+            remaining: until.since(now),
+        })
     }
 
     /// Forgets what is old.
@@ -201,6 +194,12 @@
     .weighed("run it as before", "it could crash the next server too")
 }
 
+fn told(conviction: &Conviction) -> Decision {
+    let cause = "another node saw a server crash on it";
+    let taken = format_compact!("refused for {}", conviction.remaining);
+    Decision::new(subject(&conviction.digest), cause, taken)
+}
+
 fn convicted(crash: &Crash, crashes: u32) -> Decision {
     Decision::new(
         subject(&crash.digest),
