Plan with the groups that serve and the deployment's weights

The planner's plain call did not know which groups are whole, so a version roll did not wait for the new group. No record of flaps is passed: a VM that comes and goes is missing in the table until steady. The test of a woken leader expected a placement without a lost VM though no free VM was left; the planner keeps survivors then. Now the first lost VM is revived and takes the place, with the same assertion.

--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::plan;
 
 /// Identity and timing of one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +29,8 @@
     pub order_timeout: Millis,
     /// Whether every engine refuses orders with an old fencing number.
     pub engines_check_fence: bool,
+    /// Weights and spans of the planner.
+    pub plan: plan::Options,
     /// Number of decisions kept for operators.
     pub decisions_kept: usize,
 }
@@ -46,6 +49,7 @@
             clock_margin: Millis(500),
             order_timeout: Millis(2_000),
             engines_check_fence: false,
+            plan: plan::Options::default(),
             decisions_kept: 10_000,
         }
     }
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -8,6 +8,7 @@
 use jackdaw_core::member::Report;
 use jackdaw_core::placement::Placement;
 use jackdaw_core::time::Instant;
+use jackdaw_policy::placement;
 use jackdaw_policy::plan;
 use jackdaw_policy::release::accept::Stored;
 use jackdaw_policy::release::register::Source;
@@ -80,13 +81,14 @@
     #[must_use]
     pub fn dry_run(&self, catalog: &Catalog, now: Instant) -> Vec<Decision> {
         let vms = self.zone.table.candidates();
-        let proposal = plan::propose(&plan::Input {
+        let input = plan::Input {
             placement: self.zone.table.placement(),
             catalog,
             vms: &vms,
             drained: &[],
             now,
-        });
+        };
+        let proposal = placement::propose(&input, self.options.plan, &self.zone.table);
         proposal.map_or_else(Vec::new, |proposal| proposal.decisions)
     }
 
--- a/crates/control/src/state/zone.rs
+++ b/crates/control/src/state/zone.rs
@@ -225,6 +225,7 @@
         order_retry: Millis(options.probe_interval.0 * ORDER_RETRY_PROBES),
         orders_in_flight: ORDERS_IN_FLIGHT,
         drain_settle: DRAIN_SETTLE,
+        plan: options.plan,
     }
 }
 
--- a/crates/daemon/tests/leader.rs
+++ b/crates/daemon/tests/leader.rs
@@ -116,8 +116,10 @@
     bench.cluster.nodes[0].wait_for_later(&lost, "group:east-a/", "group is whole");
     bench.complete(0);
     bench.complete(1);
-    // The second still leads: it answers the loss of one more member, and nothing was written by
-    // the woken node in between.
+    // The second still leads: the lost VM comes back and takes the place of one more that is lost,
+    // and nothing was written by the woken node in between.
+    let revived = bench.cluster.platform.fleet().revive(&member);
+    revived.expect("the VM starts again");
     let next = bench.kill_member();
     assert_eq!(bench.wait_without(&next), fence);
 }
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -24,12 +24,13 @@
 use jackdaw_entry::shared;
 use jackdaw_platform::http::Bounds;
 use jackdaw_platform::{engine, inventory};
+use jackdaw_policy::plan;
 use slog::{Logger, info};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::recorder::Recorder;
-use crate::settings::{Role, Settings, Timing};
+use crate::settings::{Role, Settings, Timing, Weights};
 
 /// Longest time for connecting to an engine or to the VM list.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -194,10 +195,29 @@
         clock_margin: timing.clock_margin,
         order_timeout: timing.order_timeout,
         engines_check_fence: settings.engines_check_fence,
+        plan: plan_options(settings.weights),
         ..Options::default()
     }
 }
 
+/// Returns the planner's options: a deployment that weighs stranded accelerators frees survivors of
+/// broken groups at once.
+fn plan_options(weights: Weights) -> plan::Options {
+    let base = if weights.stranded > 0 {
+        plan::Options::mwangaza()
+    } else {
+        plan::Options::laurentide()
+    };
+    let weight = |weight: u64| u32::try_from(weight).unwrap_or(u32::MAX);
+    plan::Options {
+        weights: plan::Weights {
+            downtime: weight(weights.downtime),
+            stranded: weight(weights.stranded),
+        },
+        ..base
+    }
+}
+
 fn network(settings: &Settings, parts: &Parts) -> Network {
     Network {
         runtime: parts.wire.clone(),
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -4,6 +4,8 @@
 //! to the creation revision of the leader's key and to the revision of the placement that it
 //! changes, and an order carries the fencing number.
 
+use std::collections::BTreeSet;
+
 use compact_str::CompactString;
 use jackdaw_core::catalog::Catalog;
 use jackdaw_core::decision::{Decision, Subject};
@@ -39,6 +41,8 @@
     pub orders_in_flight: usize,
     /// Time in which every node learns that a group drains and in which load reports catch up.
     pub drain_settle: Millis,
+    /// Weights and spans of the planner.
+    pub plan: plan::Options,
 }
 
 /// A placement at a revision of the key-value service.
@@ -263,13 +267,14 @@
         let drained = self
             .drains
             .drained(&self.known.placement, round, self.options.drain_settle);
-        let proposal = plan::propose(&plan::Input {
+        let input = plan::Input {
             placement: &self.known.placement,
             catalog: round.catalog,
             vms: &vms,
             drained: &drained,
             now: round.now,
-        })?;
+        };
+        let proposal = propose(&input, self.options.plan, round.table)?;
         let mut placement = proposal.placement;
         placement.fence = round.authority.fence;
         placement.sequence = self.known.placement.sequence + 1;
@@ -363,6 +368,25 @@
     }
 }
 
+/// Returns a better placement in view of the groups that are whole.
+///
+/// A VM that comes and goes is missing in the table until it has been steady, so the planner needs
+/// no record of its own.
+#[must_use]
+pub fn propose(
+    input: &plan::Input<'_>,
+    options: plan::Options,
+    table: &Table,
+) -> Option<plan::Proposal> {
+    let serving: BTreeSet<CompactString> = table.whole().map(|group| group.name.clone()).collect();
+    let context = plan::Context {
+        options,
+        flaps: None,
+        serving: Some(&serving),
+    };
+    plan::propose_with(input, &context)
+}
+
 /// Returns whether a group may get members.
 fn is_active(state: State) -> bool {
     match state {
--- a/crates/policy/tests/fencing/world.rs
+++ b/crates/policy/tests/fencing/world.rs
@@ -17,6 +17,7 @@
 use jackdaw_policy::lease::{self, Election};
 use jackdaw_policy::member::{self, Bounds, Seen, Table};
 use jackdaw_policy::placement::{self, Commit, Known, Reconciler, Round, Written};
+use jackdaw_policy::plan;
 
 /// One unit of time of the model.
 pub(crate) const UNIT: Millis = Millis(10_000);
@@ -235,6 +236,7 @@
             order_retry: UNIT,
             orders_in_flight: 2,
             drain_settle: UNIT,
+            plan: plan::Options::default(),
         });
         let table = Table::new(Bounds {
             report: REPORT_BOUND,
@@ -765,6 +767,7 @@
             order_retry: UNIT,
             orders_in_flight: 2,
             drain_settle: UNIT,
+            plan: plan::Options::default(),
         };
         let known = self.placement.as_ref().map(|known| known.mod_revision);
         let holds = |compare: &Compare| match compare {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -12,6 +12,7 @@
 use jackdaw_policy::lease::Authority;
 use jackdaw_policy::member::{self, Bounds, Seen, Table};
 use jackdaw_policy::placement::{Action, Event, Known, Options, Reconciler, Round, Written};
+use jackdaw_policy::plan;
 use rstest::rstest;
 
 const FENCE: Fence = Fence(42);
@@ -25,6 +26,7 @@
         order_retry: Millis(1_000),
         orders_in_flight: 3,
         drain_settle: Millis(5_000),
+        plan: plan::Options::default(),
     }
 }
 
