--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod load;
+mod nodes;
 mod options;
 mod overlay;
 mod plan;
@@ -13,6 +14,7 @@
 
 use std::process::ExitCode;
 
+use jackdaw_core::errors::Result;
 use options::{Command, Options};
 
 fn main() -> ExitCode {
@@ -27,12 +29,18 @@
         Command::Plan => plan::run(&options),
         Command::Route => route::run(),
         Command::Slopes => slopes::run(),
-        Command::Load => {
-            if let Err(error) = load::run(&options) {
-                eprintln!("jackdaw-bench: {error}");
-                return ExitCode::FAILURE;
-            }
-        }
+        Command::Load => return finish(load::run(&options)),
+        Command::Nodes => return finish(nodes::run()),
     }
     ExitCode::SUCCESS
 }
+
+fn finish(result: Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jackdaw-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -7,6 +7,7 @@
 usage: jackdaw-bench plan [--seed N] [--seeds N] [--days N]
        jackdaw-bench route
        jackdaw-bench slopes
+       jackdaw-bench nodes
        jackdaw-bench load [--rate N] [--seconds N] [--tokens N] [--whole]";
 
 /// What is measured.
@@ -20,6 +21,8 @@
     Slopes,
     /// Latency and throughput of one node.
     Load,
+    /// What real nodes spend as processes.
+    Nodes,
 }
 
 /// The command line.
@@ -86,6 +89,7 @@
         Some("route") => Ok(Command::Route),
         Some("slopes") => Ok(Command::Slopes),
         Some("load") => Ok(Command::Load),
+        Some("nodes") => Ok(Command::Nodes),
         _ => Err(format!("unknown command {}", name.display()).into()),
     }
 }
