Let a stopping node finish the result that it is recording

The task was aborted between taking a result from the backlog and recording it, so that the result was lost and its repeat got "may have run".

--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -11,10 +11,14 @@
 use rstest::rstest;
 use support::caller::Answer;
 use support::{Caller, Cluster, Extra};
+use tokio::time::timeout;
 
 const KEY: &str = "order-1";
 const BOX: u64 = 7;
 
+/// Time after which a wait is given up, so that a hang becomes a failure.
+const HANG: Millis = Millis::from_secs(60);
+
 /// Calls after which a node that does not serve is given up.
 const MAX_CALLS: usize = 20_000;
 
@@ -69,7 +73,8 @@
     fn wait_for_record(&mut self, label: &str) {
         let runtime = tokio::runtime::Runtime::new().expect("runtime");
         loop {
-            let next = runtime.block_on(self.records.next());
+            let next = async { timeout(HANG.duration(), self.records.next()).await };
+            let next = runtime.block_on(next).expect("the record comes");
             let changes = next.expect("the watch goes on");
             if changes.iter().any(|change| state(change) == Some(label)) {
                 return;
@@ -279,12 +284,13 @@
 #[test]
 fn stopping_node_records_what_is_left() {
     let mut bench = Bench::new(Extra::default());
-    // The node tries twice with the caller, and once a second after that.
-    for fault in [Fault::None, Fault::Down, Fault::Down] {
+    // The node tries twice with the caller, and is stopped while a later try is under way.
+    for fault in [Fault::None, Fault::Down, Fault::Down, Fault::HoldCall] {
         bench.plan(fault);
     }
     let answer = bench.ship(0, BOX);
     assert_eq!(shown(&answer), (200, "completed", false), "{answer:?}");
+    futures::executor::block_on(bench.cluster.platform.memory().wait_for_plans());
     bench.cluster.nodes[0].signal("TERM");
     assert!(bench.cluster.nodes[0].wait_for_exit().success());
     bench.wait_for_record("completed");
--- a/crates/jackdawstair/src/recorder.rs
+++ b/crates/jackdawstair/src/recorder.rs
@@ -6,6 +6,7 @@
 use jackdaw_entry::once::Ledger;
 use slog::{Logger, info};
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 /// Time between two tries to record what is left.
@@ -16,31 +17,41 @@
 pub(crate) struct Recorder {
     runtime: Handle,
     ledger: Arc<Ledger>,
+    stop: oneshot::Sender<()>,
     task: JoinHandle<()>,
 }
 
 impl Recorder {
     /// Starts the task on a runtime.
     pub(crate) fn start(runtime: &Handle, ledger: &Arc<Ledger>, logger: Logger) -> Self {
-        let task = runtime.spawn(repeat(Arc::clone(ledger), logger));
+        let (stop, stopped) = oneshot::channel();
+        let task = runtime.spawn(repeat(Arc::clone(ledger), logger, stopped));
         Recorder {
             runtime: runtime.clone(),
             ledger: Arc::clone(ledger),
+            stop,
             task,
         }
     }
 
     /// Ends the task after a last try, and returns how many results are left unrecorded.
     pub(crate) fn stop(self) -> usize {
-        self.task.abort();
-        self.runtime.block_on(self.ledger.settle())
+        drop(self.stop);
+        self.runtime.block_on(async {
+            // The task ends between two results; aborting it would lose the one under way.
+            let _ = self.task.await;
+            self.ledger.settle().await
+        })
     }
 }
 
-async fn repeat(ledger: Arc<Ledger>, logger: Logger) {
+async fn repeat(ledger: Arc<Ledger>, logger: Logger, mut stopped: oneshot::Receiver<()>) {
     let mut period = tokio::time::interval(PERIOD.duration());
     loop {
-        period.tick().await;
+        tokio::select! {
+            _ = period.tick() => {}
+            _ = &mut stopped => return,
+        }
         let before = ledger.backlog();
         if before > 0 {
             let left = ledger.settle().await;
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -86,6 +86,15 @@
         self.change(|inner, _| inner.plan.next.push_back((prefix.into(), fault)));
     }
 
+    /// Waits until every planned fault has met its transaction.
+    pub async fn wait_for_plans(&self) {
+        let mut version = self.shared.version.subscribe();
+        while !self.lock().plan.next.is_empty() {
+            // The sender lives as long as this service, so the channel cannot close.
+            let _ = version.changed().await;
+        }
+    }
+
     /// Drops the planned faults that no transaction has met yet.
     pub fn drop_plans(&self) {
         self.change(|inner, _| inner.plan.next.clear());
