--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -96,7 +96,8 @@
     fn enter(self: &Arc<Self>, entrant: Entrant, limit: u32) -> Result<Option<Queued>, Problem> {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.queue.set_limit(limit);
+        let grants = state.queue.set_limit(limit, now);
+        state.tell(grants, now);
         match state.queue.enter(entrant, now) {
             Entry::Run => Ok(None),
             Entry::Refuse(refusal) => Err(overloaded(refusal)),
--- a/crates/policy/src/fair/queue.rs
+++ b/crates/policy/src/fair/queue.rs
@@ -148,9 +148,15 @@
         }
     }
 
-    /// Changes how many requests run at once.
-    pub fn set_limit(&mut self, limit: u32) {
+    /// Changes how many requests run at once, and starts those for which there is room now.
+    pub fn set_limit(&mut self, limit: u32, now: Instant) -> Vec<Grant> {
+        let is_raised = limit.max(1) > self.limit;
         self.limit = limit.max(1);
+        let mut grants = Vec::new();
+        if is_raised {
+            self.fill(now, &mut grants);
+        }
+        grants
     }
 
     /// Returns the number of requests that wait.
--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -192,6 +192,20 @@
     assert_eq!(queue.running(), 1);
 }
 
+#[test]
+fn a_higher_limit_starts_those_that_wait() {
+    let mut queue = busy();
+    let first = wait(&mut queue, "a", 1);
+    let second = wait(&mut queue, "a", 1);
+    let third = wait(&mut queue, "a", 1);
+    let started = queue.set_limit(3, Instant(0));
+    assert_eq!(started, [Grant::Run(first), Grant::Run(second)]);
+    assert!(queue.set_limit(1, Instant(0)).is_empty());
+    assert!(queue.leave(1, None, Instant(0)).is_empty());
+    assert!(queue.leave(1, None, Instant(0)).is_empty());
+    assert_eq!(queue.leave(1, None, Instant(0)), [Grant::Run(third)]);
+}
+
 /// What a team got under overload.
 #[derive(Debug, Default)]
 struct Result {
