Serve from whole groups of other zones by what their nodes tell

Probers tell changed reports; a zone's summary bounds the age of all its words. Placements are announced by every node that fetched one: before, only the links of the leader learnt of them. Weighed: probing other zones' VMs from every node (600 VMs by 370 nodes) and asking a bridge for each judgement (a round trip and one more thing to fail).

--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -323,7 +323,8 @@
             Action::ReadPlacement => self.leader.read_placement(),
             Action::Commit(commit, authority) => self.leader.commit(commit, authority),
             Action::Publish => {
-                let snapshot = state.snapshot(self.shared.clock.now());
+                let clock = &self.shared.clock;
+                let snapshot = state.snapshot(clock.now(), clock.unix_millis());
                 self.shared.metrics.set_revision(state.catalog().revision);
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,8 +3,10 @@
 mod callers;
 mod departure;
 mod news;
+mod remote;
 pub(crate) mod zone;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -12,7 +14,7 @@
 use jackdaw_core::decision::{Decision, Log};
 use jackdaw_core::inventory::{self, Vm};
 use jackdaw_core::order::Order;
-use jackdaw_core::placement::Group;
+use jackdaw_core::placement::{Group, Placement};
 use jackdaw_core::time::Instant;
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::lease::{self, Authority};
@@ -53,6 +55,7 @@
     catalog: Arc<Catalog>,
     vms: Vec<Vm>,
     zone: Zone,
+    remote: BTreeMap<CompactString, Arc<Placement>>,
     builder: Builder,
     log: Log,
     explained: Vec<Decision>,
@@ -71,6 +74,7 @@
             overlay: Overlay::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
+            remote: BTreeMap::new(),
             builder: Builder::default(),
             log,
             explained: Vec::new(),
@@ -137,6 +141,7 @@
             }
             Event::Entry(event) => self.hear(event, now, unix_millis),
             Event::Plan => {
+                self.tell_reports(now, unix_millis);
                 let outcome = self.zone.plan(&self.catalog, now);
                 self.follow(outcome, now, unix_millis)
             }
@@ -149,9 +154,10 @@
     }
 
     /// Builds the snapshot that the request path reads.
-    pub fn snapshot(&mut self, now: Instant) -> Snapshot {
+    pub fn snapshot(&mut self, now: Instant, unix_millis: u64) -> Snapshot {
         let mut builder = std::mem::take(&mut self.builder);
-        let whole = self.whole_groups();
+        let mut whole = self.whole_groups();
+        whole.extend(self.remote_groups(unix_millis));
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
         self.share(&mut snapshot, now);
--- a/crates/control/src/state/news.rs
+++ b/crates/control/src/state/news.rs
@@ -189,10 +189,7 @@
                 }
                 Effect::Decided(decision) => self.record(decision, unix_ms),
                 Effect::Placement(placement) => {
-                    if placement.zone == self.options.zone {
-                        let outcome = self.zone.told(placement, now);
-                        actions.extend(self.follow(outcome, now, unix_ms));
-                    }
+                    actions.extend(self.take_placement(placement, now, unix_ms));
                 }
                 Effect::Learned(fact) => {
                     if self.learn(&fact, now, unix_ms) {
--- a/crates/control/tests/callers.rs
+++ b/crates/control/tests/callers.rs
@@ -53,7 +53,7 @@
             }
         }
     }
-    let snapshot = state.snapshot(Instant(0));
+    let snapshot = state.snapshot(Instant(0), 0);
     assert_eq!(snapshot.verdicts.of(&digest(), Instant(0)), verdict);
     assert_eq!(explained, decisions);
     assert_eq!(published, count);
--- /dev/null
+++ b/crates/control/tests/pair/mod.rs
@@ -0,0 +1,163 @@
+//! Two states of two zones whose messages are delivered at once, unless they are cut.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use jackdaw_control::courier::Job;
+use jackdaw_control::event::Event;
+use jackdaw_control::options::Options;
+use jackdaw_control::overlay::Overlay;
+use jackdaw_control::peer::shelf::Shelf;
+use jackdaw_control::state::{Action, State};
+use jackdaw_core::catalog::{Catalog, Model};
+use jackdaw_core::inventory::{self, Vm};
+use jackdaw_core::member::{Load, Membership, Report};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::{Fence, Generation, Millis, Revision};
+use jackdaw_policy::spread::node;
+
+pub(crate) const ZONES: [&str; 2] = ["a", "b"];
+pub(crate) const VM: &str = "vm-1";
+
+const UNIX_MS: u64 = 1_800_000_000_000;
+const STEP: Millis = Millis(50);
+
+pub(crate) fn address(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn state(name: &str, zone: &str, port: u16, seed: u16) -> State {
+    let options = Options {
+        node: name.into(),
+        zone: zone.into(),
+        ..Options::default()
+    };
+    let overlay = node::Options {
+        name: name.into(),
+        address: address(port),
+        zone: zone.into(),
+        seeds: vec![address(seed)],
+        incarnation: UNIX_MS,
+        round: Millis(500),
+        seed: 7,
+    };
+    let mut state = State::new(options);
+    state.join_overlay(Overlay::join(
+        overlay,
+        Arc::new(Shelf::default()),
+        Instant(0),
+    ));
+    state
+}
+
+pub(crate) fn catalog() -> Catalog {
+    Catalog {
+        revision: Revision(1),
+        note: "one".into(),
+        models: vec![Model {
+            name: "large".into(),
+            version: "1".into(),
+            vms_per_replica: 1,
+            replicas: 1,
+            adapters: Vec::new(),
+            zones: Vec::new(),
+            priority: 0,
+        }],
+        ..Catalog::default()
+    }
+}
+
+pub(crate) fn vms() -> Event {
+    Event::Vms(Ok(vec![Vm {
+        name: VM.into(),
+        address: address(9),
+        zone: ZONES[0].into(),
+        domain: "a/f1".into(),
+        service: None,
+        accelerators: 4,
+        state: inventory::State::Live,
+    }]))
+}
+
+fn probed(now: Instant) -> Event {
+    Event::Probed {
+        vm: VM.into(),
+        address: address(9),
+        sent: now,
+        result: Ok(Report {
+            vm: VM.into(),
+            boot: 1,
+            membership: Some(Membership {
+                group: "a/1".into(),
+                generation: Generation(1),
+                model: "large".into(),
+                version: "1".into(),
+                rank: 0,
+            }),
+            ready: true,
+            fence: Fence(0),
+            load: Load::default(),
+            leaving: false,
+        }),
+    }
+}
+
+pub(crate) struct Pair {
+    pub(crate) states: [State; 2],
+    pub(crate) is_cut: bool,
+    now: Instant,
+}
+
+impl Pair {
+    pub(crate) fn new(zones: [&str; 2]) -> Pair {
+        Pair {
+            states: [state("one", zones[0], 1, 2), state("two", zones[1], 2, 1)],
+            is_cut: false,
+            now: Instant(0),
+        }
+    }
+
+    pub(crate) fn step(&mut self, node: usize, event: Event) {
+        let mut queue = vec![(node, event)];
+        while let Some((node, event)) = queue.pop() {
+            for action in self.states[node].step(event, self.now, UNIX_MS + self.now.0) {
+                let Action::Carry(Job::Send { to, envelope }) = action else {
+                    continue;
+                };
+                if !self.is_cut {
+                    queue.push((usize::from(to.port() - 1), Event::Message(*envelope)));
+                }
+            }
+        }
+    }
+
+    /// Lets both nodes do what is due; no VM is probed.
+    pub(crate) fn run(&mut self, span: Millis) {
+        self.pass(span, false);
+    }
+
+    /// Lets both nodes do what is due while the first probes its VM.
+    pub(crate) fn run_probing(&mut self, span: Millis) {
+        self.pass(span, true);
+    }
+
+    /// Counts the second zone's targets of the model.
+    pub(crate) fn targets(&mut self, node: usize) -> usize {
+        let snapshot = self.states[node].snapshot(self.now, UNIX_MS + self.now.0);
+        snapshot.models.get("large").map_or(0, Vec::len)
+    }
+
+    fn pass(&mut self, span: Millis, probes: bool) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            if probes {
+                self.step(0, probed(self.now));
+            }
+            for node in 0..2 {
+                self.step(node, Event::Spread);
+                self.step(node, Event::Plan);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/remote.rs
@@ -0,0 +1,74 @@
+//! Groups of another zone become targets by what that zone's nodes tell, and cease to be.
+
+mod pair;
+
+use jackdaw_control::event::Event;
+use jackdaw_control::peer::shelf::What;
+use jackdaw_core::placement::{Group, Placement, State as GroupState};
+use jackdaw_core::units::{Fence, Generation, Millis};
+use pair::{Pair, VM, ZONES, address, catalog};
+
+fn placement() -> Placement {
+    Placement {
+        zone: ZONES[0].into(),
+        fence: Fence(1),
+        sequence: 1,
+        next_group: 1,
+        groups: vec![Group {
+            name: "a/1".into(),
+            generation: Generation(1),
+            model: "large".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+            domain: "a/f1".into(),
+            members: vec![VM.into()],
+            state: GroupState::Active,
+            spares: Vec::new(),
+        }],
+    }
+}
+
+/// Starts two nodes of two zones; the first probes the VM, the second knows the placement.
+fn start() -> Pair {
+    let mut pair = Pair::new(ZONES);
+    pair.run(Millis(3_000));
+    for node in 0..2 {
+        pair.step(node, Event::Accepted(catalog()));
+        pair.step(node, pair::vms());
+    }
+    pair.step(
+        1,
+        Event::Fetched {
+            what: What::Placement(ZONES[0].into()),
+            from: address(1),
+            result: Ok(serde_json::to_vec(&placement()).expect("JSON")),
+        },
+    );
+    pair
+}
+
+#[test]
+fn group_of_another_zone_is_a_target_while_its_zone_vouches_for_it() {
+    let mut pair = start();
+    assert_eq!(pair.targets(1), 0, "nothing is told yet");
+    pair.run_probing(Millis(3_000));
+    assert_eq!(pair.targets(1), 1, "the member's report was told");
+    pair.run(Millis(4_000));
+    assert_eq!(pair.targets(1), 0, "the member has not answered for long");
+    pair.run_probing(Millis(2_000));
+    assert_eq!(pair.targets(1), 1, "the member is back");
+    pair.is_cut = true;
+    pair.run_probing(Millis(12_000));
+    assert_eq!(pair.targets(1), 0, "the zone was not heard for long");
+    pair.is_cut = false;
+    pair.run_probing(Millis(8_000));
+    assert_eq!(pair.targets(1), 1, "the zone is heard again");
+}
+
+#[test]
+fn placement_of_another_zone_is_passed_on() {
+    let pair = start();
+    let facts = pair.states[1].overlay().node().expect("joined").facts();
+    let key = jackdaw_policy::spread::fact::Key::Placement(ZONES[0].into());
+    assert!(facts.get(&key).is_some());
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plan;
 pub mod poison;
 pub mod release;
+pub mod remote;
 pub mod retry;
 pub mod route;
 pub mod spread;
