--- a/crates/control/src/state/callers.rs
+++ b/crates/control/src/state/callers.rs
@@ -73,7 +73,11 @@
             digest: *digest,
             remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
         };
-        self.poison.learn(conviction, now)
+        let Some(decision) = self.poison.learn(conviction, now) else {
+            return false;
+        };
+        self.record(decision, unix_ms);
+        true
     }
 
     /// Fills in what the data path shares with other nodes.
