--- a/crates/control/tests/pair/mod.rs
+++ b/crates/control/tests/pair/mod.rs
@@ -1,4 +1,6 @@
-//! Two states of two zones whose messages are delivered at once, unless they are cut.
+//! Two states whose messages are delivered at once, unless they are cut.
+
+#![allow(dead_code, reason = "each test file uses its own part of the harness")]
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -67,7 +69,7 @@
     }
 }
 
-pub(crate) fn vms() -> Event {
+pub(crate) fn vms(state: inventory::State) -> Event {
     Event::Vms(Ok(vec![Vm {
         name: VM.into(),
         address: address(9),
@@ -75,18 +77,18 @@
         domain: "a/f1".into(),
         service: None,
         accelerators: 4,
-        state: inventory::State::Live,
+        state,
     }]))
 }
 
-fn probed(now: Instant) -> Event {
+pub(crate) fn probed(boot: u64, leaving: bool, now: Instant) -> Event {
     Event::Probed {
         vm: VM.into(),
         address: address(9),
         sent: now,
         result: Ok(Report {
             vm: VM.into(),
-            boot: 1,
+            boot,
             membership: Some(Membership {
                 group: "a/1".into(),
                 generation: Generation(1),
@@ -97,7 +99,7 @@
             ready: true,
             fence: Fence(0),
             load: Load::default(),
-            leaving: false,
+            leaving,
         }),
     }
 }
@@ -105,7 +107,7 @@
 pub(crate) struct Pair {
     pub(crate) states: [State; 2],
     pub(crate) is_cut: bool,
-    now: Instant,
+    pub(crate) now: Instant,
 }
 
 impl Pair {
@@ -141,7 +143,12 @@
         self.pass(span, true);
     }
 
-    /// Counts the second zone's targets of the model.
+    /// Returns whether a node knows the VM to be leaving.
+    pub(crate) fn is_leaving(&self, node: usize) -> bool {
+        self.states[node].is_leaving(VM)
+    }
+
+    /// Counts a node's targets of the model.
     pub(crate) fn targets(&mut self, node: usize) -> usize {
         let snapshot = self.states[node].snapshot(self.now, UNIX_MS + self.now.0);
         snapshot.models.get("large").map_or(0, Vec::len)
@@ -152,7 +159,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             if probes {
-                self.step(0, probed(self.now));
+                self.step(0, probed(1, false, self.now));
             }
             for node in 0..2 {
                 self.step(node, Event::Spread);
--- a/crates/control/tests/remote.rs
+++ b/crates/control/tests/remote.rs
@@ -4,6 +4,7 @@
 
 use jackdaw_control::event::Event;
 use jackdaw_control::peer::shelf::What;
+use jackdaw_core::inventory;
 use jackdaw_core::placement::{Group, Placement, State as GroupState};
 use jackdaw_core::units::{Fence, Generation, Millis};
 use pair::{Pair, VM, ZONES, address, catalog};
@@ -34,7 +35,7 @@
     pair.run(Millis(3_000));
     for node in 0..2 {
         pair.step(node, Event::Accepted(catalog()));
-        pair.step(node, pair::vms());
+        pair.step(node, pair::vms(inventory::State::Live));
     }
     pair.step(
         1,
