Form a group anew when a member started anew

Cause: found by hand with six nodes: a member was killed and revived, answered again, and its group stayed broken for good. The member table called it missing as long as the placement named its group, and the planner, which had no other VM, waited for it to return: each waited for the other.

Ruled out: ordering the old generation again (the other members still hold state of the engine that is gone). The table now says Restarted: lost to its group, usable for the next generation.

The test that expected Missing now expects Restarted and, as well, that the group is not whole.

--- a/crates/policy/src/member/row.rs
+++ b/crates/policy/src/member/row.rs
@@ -162,13 +162,16 @@
             }
             return None;
         }
-        if health == Health::Missing {
+        if health == Health::Missing
+            || health == Health::Restarted && self.health != Health::Missing
+        {
             self.losses += 1;
         }
         let taken = match health {
             Health::Present => "VM counts as present",
             Health::Leaving => "VM counts as leaving",
             Health::Missing => "VM counts as missing",
+            Health::Restarted => "VM may join the next generation",
         };
         let subject = Subject::Vm(name.clone());
         let decision = Decision::new(subject, cause, taken).saw("losses", self.losses);
@@ -181,9 +184,6 @@
         let Some(since) = self.answering_since else {
             return (Health::Missing, "the VM does not answer");
         };
-        if restarted {
-            return (Health::Missing, "the VM started anew and lost its group");
-        }
         // Hysteresis keeps a VM that comes and goes from being placed again and again.
         if now.since(since) < self.hold(bounds) && self.health == Health::Missing {
             return (Health::Missing, "the VM was missing a short while ago");
@@ -191,6 +191,9 @@
         if self.is_leaving() {
             return (Health::Leaving, "the VM is leaving");
         }
+        if restarted {
+            return (Health::Restarted, "the VM started anew and lost its group");
+        }
         (Health::Present, "the VM answers")
     }
 
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -41,6 +41,28 @@
     Leaving,
     /// The VM does not answer.
     Missing,
+    /// The VM answers and stays, but started anew and lost the group that the placement names.
+    Restarted,
+}
+
+impl Health {
+    /// Returns whether the VM may join a group.
+    #[must_use]
+    pub fn is_usable(self) -> bool {
+        match self {
+            Health::Present | Health::Restarted => true,
+            Health::Leaving | Health::Missing => false,
+        }
+    }
+
+    /// Returns whether the group that the placement names has lost the VM.
+    #[must_use]
+    pub fn is_lost(self) -> bool {
+        match self {
+            Health::Missing | Health::Restarted => true,
+            Health::Present | Health::Leaving => false,
+        }
+    }
 }
 
 /// A VM that the planner may use.
--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -90,7 +90,7 @@
         };
         match self.context.flaps {
             Some(flaps) => flaps.is_settled(vm, self.input.now),
-            None => vm.health == Health::Present,
+            None => vm.health.is_usable(),
         }
     }
 
@@ -103,15 +103,12 @@
         }
     }
 
-    /// Iterates over the members of a group that do not answer.
+    /// Iterates over the members of a group that do not answer or have lost the group.
     pub(super) fn missing<'g>(
         &'g self,
         group: &'g Group,
     ) -> impl Iterator<Item = &'g CompactString> {
-        group
-            .members
-            .iter()
-            .filter(|vm| self.health(vm) == Health::Missing)
+        group.members.iter().filter(|vm| self.health(vm).is_lost())
     }
 
     /// Returns whether a group serves.
--- a/crates/policy/src/plan/flap.rs
+++ b/crates/policy/src/plan/flap.rs
@@ -68,14 +68,14 @@
     /// Returns whether a VM may be used now.
     #[must_use]
     pub fn is_settled(&self, vm: &Candidate, now: Instant) -> bool {
-        vm.health == Health::Present && now.since(vm.since) >= self.hold(&vm.name)
+        vm.health.is_usable() && now.since(vm.since) >= self.hold(&vm.name)
     }
 
     /// Returns when the next VM that is held back may be used, if one is.
     #[must_use]
     pub fn next_release(&self, vms: &[Candidate], now: Instant) -> Option<Instant> {
         vms.iter()
-            .filter(|vm| vm.health == Health::Present)
+            .filter(|vm| vm.health.is_usable())
             .map(|vm| vm.since + self.hold(&vm.name))
             .filter(|at| *at > now)
             .min()
--- a/crates/policy/src/plan/retire.rs
+++ b/crates/policy/src/plan/retire.rs
@@ -57,7 +57,9 @@
                 .context
                 .flaps
                 .is_some_and(|flaps| flaps.is_flapping(vm));
-            !flaps && self.missing_for(vm) < patience
+            // A VM that lost the group does not return to its generation.
+            let returns = self.health(vm) != Health::Restarted;
+            returns && !flaps && self.missing_for(vm) < patience
         })
     }
 
--- a/crates/policy/tests/member.rs
+++ b/crates/policy/tests/member.rs
@@ -223,11 +223,12 @@
 }
 
 #[test]
-fn restarted_member_is_missing_until_its_group_is_formed_anew() {
+fn restarted_member_is_lost_to_its_group_until_it_is_formed_anew() {
     let mut table = whole_table();
     table.step(reported(report("v1", 2, None), 1_100), Instant(1_100));
     assert!(table.is_restarted("v1"));
-    assert_eq!(health(&table, "v1"), Health::Missing);
+    assert_eq!(health(&table, "v1"), Health::Restarted);
+    assert_eq!(table.whole().count(), 0);
     table.step(Event::Placed(placement(2, 2)), Instant(1_200));
     for at in [3_000, 5_000, 6_100] {
         table.step(reported(report("v1", 2, None), at), Instant(at));
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -22,6 +22,7 @@
 #[derive(Clone, Copy)]
 enum Event {
     Lose(&'static str),
+    Restart(&'static str),
     LoseJustNow(&'static str),
     Leave(&'static str),
     Version(&'static str),
@@ -35,6 +36,7 @@
     fn apply(self, zone: &mut Zone) {
         match self {
             Event::Lose(vm) => zone.set(vm, Health::Missing, Instant(0)),
+            Event::Restart(vm) => zone.set(vm, Health::Restarted, NOW),
             Event::LoseJustNow(vm) => zone.set(vm, Health::Missing, NOW),
             Event::Leave(vm) => zone.set(vm, Health::Leaving, Instant(0)),
             Event::Version(name) => zone.model(name).version = "2".into(),
@@ -83,6 +85,12 @@
     events: &[Event::Lose("a1")],
     expected: &["m:a0,a1,a2,a3"],
 })]
+#[case::group_does_not_wait_for_a_member_that_started_anew(Case {
+    domains: &[5],
+    models: &[("m", 4, 1, 1)],
+    events: &[Event::Restart("a1")],
+    expected: &["m:a0,a4,a2,a3"],
+})]
 #[case::survivors_of_two_broken_groups_merge(Case {
     domains: &[8],
     models: &[("m", 4, 2, 1)],
@@ -254,3 +262,20 @@
     assert_eq!(zone.lines()[0], "also:a0");
     assert_eq!(models, ["high", "also", "high", "low", "low"]);
 }
+
+#[test]
+fn group_goes_on_in_a_new_generation_with_a_member_that_started_anew() {
+    let mut zone = Zone::new(&[4], vec![model("m", 4, 1, 1)]);
+    while zone.step() {}
+    let before = zone.placement.groups[0].clone();
+    zone.set("a1", Health::Restarted, NOW);
+    let proposal = zone.propose().expect("the group lost a member's state");
+    let [after] = proposal.placement.groups.as_slice() else {
+        panic!("one group: {:?}", proposal.placement.groups);
+    };
+    assert_eq!(after.members, before.members);
+    assert!(
+        after.name != before.name || after.generation > before.generation,
+        "{after:?}"
+    );
+}
