--- a/crates/daemon/tests/groups.rs
+++ b/crates/daemon/tests/groups.rs
@@ -71,6 +71,10 @@
         let engine = fleet.engine(&self.member).cloned().expect("engine");
         match fault {
             Fault::Killed => fleet.kill(&self.member),
+            Fault::Restarted => {
+                fleet.kill(&self.member);
+                fleet.revive(&self.member).expect("the VM starts again");
+            }
             Fault::Paused => engine.set_paused(true),
             Fault::ReImaged => engine.reset(),
             Fault::SaysLeaving => engine.set_leaving(true),
@@ -86,6 +90,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     Killed,
+    Restarted,
     Paused,
     ReImaged,
     SaysLeaving,
@@ -97,6 +102,7 @@
 /// again in its place.
 #[rstest]
 #[case::killed(Fault::Killed)]
+#[case::killed_and_started_again(Fault::Restarted)]
 #[case::paused(Fault::Paused)]
 #[case::re_imaged(Fault::ReImaged)]
 #[case::says_leaving_while_the_list_lags(Fault::SaysLeaving)]
