--- a/crates/control/src/runtime.rs
+++ b/crates/control/src/runtime.rs
@@ -24,7 +24,7 @@
 use crate::admin::feed::Feed;
 use crate::courier::Courier;
 use crate::event::Event;
-use crate::follow::{self, Duty};
+use crate::follow::{self, Duty, Pace};
 use crate::leader::{self, Keys};
 use crate::metrics::Metrics;
 use crate::network::{Joined, Network};
@@ -323,7 +323,8 @@
             Action::ReadPlacement => self.leader.read_placement(),
             Action::Commit(commit, authority) => self.leader.commit(commit, authority),
             Action::Publish => {
-                let snapshot = state.snapshot();
+                let clock = &self.shared.clock;
+                let snapshot = state.snapshot(clock.now(), clock.unix_millis());
                 self.shared.metrics.set_revision(state.catalog().revision);
                 self.shared.snapshot.store(Arc::new(snapshot));
             }
@@ -375,6 +376,7 @@
             store,
             self.events.clone(),
             duties,
+            Pace::default(),
             self.shared.logger.clone(),
         );
         ntex::rt::spawn(follower);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,8 +1,12 @@
 //! The state of the control thread.
 
+mod callers;
+mod departure;
 mod news;
+mod remote;
 pub(crate) mod zone;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use compact_str::CompactString;
@@ -10,12 +14,12 @@
 use jackdaw_core::decision::{Decision, Log};
 use jackdaw_core::inventory::{self, Vm};
 use jackdaw_core::order::Order;
-use jackdaw_core::placement::Group;
+use jackdaw_core::placement::{Group, Placement};
 use jackdaw_core::time::Instant;
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::lease::{self, Authority};
-use jackdaw_policy::member;
 use jackdaw_policy::placement::Commit;
+use jackdaw_policy::poison;
 
 use crate::courier::Job;
 use crate::event::Event;
@@ -51,9 +55,11 @@
     catalog: Arc<Catalog>,
     vms: Vec<Vm>,
     zone: Zone,
+    remote: BTreeMap<CompactString, Arc<Placement>>,
     builder: Builder,
     log: Log,
     explained: Vec<Decision>,
+    poison: poison::Ledger,
     stopping: bool,
 }
 
@@ -68,9 +74,11 @@
             overlay: Overlay::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
+            remote: BTreeMap::new(),
             builder: Builder::default(),
             log,
             explained: Vec::new(),
+            poison: poison::Ledger::default(),
             stopping: false,
         }
     }
@@ -104,6 +112,7 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
             Event::Lease(event) => {
@@ -132,6 +141,7 @@
             }
             Event::Entry(event) => self.hear(event, now, unix_millis),
             Event::Plan => {
+                self.tell_reports(now, unix_millis);
                 let outcome = self.zone.plan(&self.catalog, now);
                 self.follow(outcome, now, unix_millis)
             }
@@ -144,12 +154,13 @@
     }
 
     /// Builds the snapshot that the request path reads.
-    pub fn snapshot(&mut self) -> Snapshot {
+    pub fn snapshot(&mut self, now: Instant, unix_millis: u64) -> Snapshot {
         let mut builder = std::mem::take(&mut self.builder);
-        let whole = self.whole_groups();
+        let mut whole = self.whole_groups();
+        whole.extend(self.remote_groups(unix_millis));
         let mut snapshot = builder.build(&self.catalog, &self.options.zone, &whole, &self.vms);
         snapshot.stopping = self.stopping;
-        snapshot.nodes = self.known_nodes();
+        self.share(&mut snapshot, now);
         self.builder = builder;
         snapshot
     }
@@ -164,6 +175,7 @@
             }
         }
         self.vms = vms;
+        self.tell_departures(now, unix_millis);
         self.follow(outcome, now, unix_millis)
     }
 
@@ -181,30 +193,6 @@
         actions
     }
 
-    fn hear(
-        &mut self,
-        event: jackdaw_entry::event::Event,
-        now: Instant,
-        unix_millis: u64,
-    ) -> Vec<Action> {
-        match event {
-            jackdaw_entry::event::Event::Decided(decision) => {
-                self.record(decision, unix_millis);
-                Vec::new()
-            }
-            jackdaw_entry::event::Event::ConnectFailed { target, generation }
-            | jackdaw_entry::event::Event::Broken {
-                target, generation, ..
-            } => {
-                let group = target;
-                let event = member::Event::Broken { group, generation };
-                let outcome = self.zone.learn(event, now);
-                self.follow(outcome, now, unix_millis)
-            }
-            jackdaw_entry::event::Event::Answered { .. } => Vec::new(),
-        }
-    }
-
     fn whole_groups(&self) -> Vec<Whole<'_>> {
         let table = &self.zone.table;
         table
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -80,11 +80,26 @@
     }
 
     /// Plans a fault for the next transaction that puts a key with a prefix and that no other
-    /// fault is planned for. What it holds is let go by the next [`Memory::set`].
+    /// fault is planned for; an empty prefix stands for any transaction. What it holds is let go
+    /// by the next [`Memory::set`].
     pub fn plan(&self, prefix: &str, fault: Fault) {
         self.change(|inner, _| inner.plan.next.push_back((prefix.into(), fault)));
     }
 
+    /// Waits until every planned fault has met its transaction.
+    pub async fn wait_for_plans(&self) {
+        let mut version = self.shared.version.subscribe();
+        while !self.lock().plan.next.is_empty() {
+            // The sender lives as long as this service, so the channel cannot close.
+            let _ = version.changed().await;
+        }
+    }
+
+    /// Drops the planned faults that no transaction has met yet.
+    pub fn drop_plans(&self) {
+        self.change(|inner, _| inner.plan.next.clear());
+    }
+
     /// Ends a lease as if its time had run out.
     pub fn lapse(&self, lease: Lease) {
         // A lease that is gone already needs no ending.
