--- a/crates/ctl/src/print.rs
+++ b/crates/ctl/src/print.rs
@@ -224,13 +224,16 @@
     table.to_string()
 }
 
-/// Shows accepted notes.
-pub(crate) fn history(notes: &[Record]) -> String {
+/// Shows accepted notes with their ages at a wall-clock time.
+pub(crate) fn history(notes: &[Record], now: u64) -> String {
     let mut table = Table::new(&["REVISION", "ACCEPTED", "BY NODE", "NOTE", "SUMMARY"]);
     for record in notes {
         table.row(vec![
             record.revision.to_string(),
-            time_of_day(record.at_unix_ms),
+            format!(
+                "{} ago",
+                span(Millis(now.saturating_sub(record.at_unix_ms)))
+            ),
             record.node.to_string(),
             record.note.id.to_string(),
             record.note.summary.to_string(),
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -6,6 +6,7 @@
 use jackdawstair::control::admin::problem::Outcome;
 use jackdawstair::control::admin::view;
 use jackdawstair::core::decision::Decision;
+use jackdawstair::core::time::{Clock, Machine};
 use serde::de::DeserializeOwned;
 
 use crate::args::{Args, Command};
@@ -38,7 +39,8 @@
         Command::Explain(subject) => explain(&node, &subject, json).await,
         Command::History(count) => {
             let path = format!("{NOTES}?count={count}");
-            let print = |history: &view::History| print::history(&history.notes);
+            let now = Machine::default().unix_millis();
+            let print = |history: &view::History| print::history(&history.notes, now);
             show(&node, &path, json, print).await
         }
     }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -5,7 +5,7 @@
 
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::note::Note;
-use jackdaw_core::time::Machine;
+use jackdaw_core::time::{Clock, Machine};
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Millis, Revision};
 use jackdaw_standin::engine;
@@ -59,7 +59,7 @@
     let fleet = Fleet::start(any, &batches(), engines)?;
     let clock = Arc::new(Machine::default());
     let store = Arc::new(Memory::new(clock.clone()));
-    futures::executor::block_on(accept_sample(store.as_ref()))?;
+    futures::executor::block_on(accept_sample(store.as_ref(), clock.unix_millis()))?;
     let runtime = wire_runtime()?;
     let parts = Parts {
         wire: runtime.handle().clone(),
@@ -90,10 +90,10 @@
     ]
 }
 
-async fn accept_sample(store: &Memory) -> Result<()> {
+async fn accept_sample(store: &Memory, unix_ms: u64) -> Result<()> {
     let malformed = |error: String| Error::malformed("read sample note", "self", error);
     let note: Note = serde_saphyr::from_str(NOTE).map_err(|error| malformed(error.to_string()))?;
-    let attempt = Attempt::new(note, Revision(0), "demo", 0);
+    let attempt = Attempt::new(note, Revision(0), "demo", unix_ms);
     let accepted = release::accept(store, attempt).await;
     if accepted.catalog.is_none() {
         return Err(malformed(format!("{:?}", accepted.verdict)));
@@ -152,6 +152,14 @@
   curl -s http://{callers}/services/sample-orders/shipments -H 'authorization: Bearer {TEAM_TOKEN}' \\
     -H 'idempotency-key: order-1' -d '{{\"box\":7}}'
 
+What the node decides and why, as it happens:
+  curl -sN http://{operators}/admin/v1/decisions -H 'accept: text/event-stream' \\
+    -H 'authorization: Bearer {OPERATOR_TOKEN}'
+
+The same for people, and the state of the fleet:
+  cargo run --release --bin jackdawctl -- --address {operators} --token {OPERATOR_TOKEN} watch
+  cargo run --release --bin jackdawctl -- --address {operators} --token {OPERATOR_TOKEN} status
+
 Stop with Ctrl-C.",
         operators = options.operators,
     );
