Check operators' tokens before reading a note, and bound its size

Found by a test of a large note: the library's extractor read up to 256 KiB before the token was checked and answered a larger note with 400 in plain text.

--- a/crates/control/src/admin/routes.rs
+++ b/crates/control/src/admin/routes.rs
@@ -1,13 +1,13 @@
 //! Routes of the operators' interface.
 
 use compact_str::CompactString;
+use futures::StreamExt;
 use jackdaw_core::errors::Error;
 use jackdaw_core::note::Note;
 use jackdaw_policy::release::accept::Verdict;
 use ntex::http::StatusCode;
-use ntex::http::header::ACCEPT;
-use ntex::util::Bytes;
-use ntex::web::types::{Path, Query, State};
+use ntex::http::header::{ACCEPT, CONTENT_LENGTH};
+use ntex::web::types::{Path, Payload, Query, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,9 @@
 /// The number of accepted notes that a history holds unless the operator asks for another.
 const DEFAULT_HISTORY: u64 = 20;
 
+/// Largest release note in bytes; the key-value service holds values of up to a megabyte.
+const NOTE_BYTES: usize = 1 << 20;
+
 /// Media type of a followed list of decisions.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -89,11 +92,11 @@
     }
 }
 
-async fn apply(site: State<Site>, request: HttpRequest, body: Bytes) -> HttpResponse {
+async fn apply(site: State<Site>, request: HttpRequest, payload: Payload) -> HttpResponse {
     if let Some(denied) = deny(&site, &request, Role::Write) {
         return denied;
     }
-    let note = match read_note(&body) {
+    let note = match read_note(&request, payload).await {
         Ok(note) => note,
         Err(problem) => return problem.response(),
     };
@@ -113,14 +116,14 @@
     Problem::of(verdict).map_or_else(failed, |problem| problem.response())
 }
 
-async fn plan(site: State<Site>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    let note = match read_note(&body) {
-        Ok(note) => note,
-        Err(problem) => {
-            return deny(&site, &request, Role::Read).unwrap_or_else(|| problem.response());
-        }
-    };
-    answer(&site, &request, Request::Plan(note)).await
+async fn plan(site: State<Site>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    if let Some(denied) = deny(&site, &request, Role::Read) {
+        return denied;
+    }
+    match read_note(&request, payload).await {
+        Ok(note) => answer(&site, &request, Request::Plan(note)).await,
+        Err(problem) => problem.response(),
+    }
 }
 
 async fn history(
@@ -239,13 +242,45 @@
     Some(Problem::denied(denial).response())
 }
 
-fn read_note(body: &Bytes) -> Result<Note, Problem> {
+/// Reads a release note; its size is bounded by the stored value's.
+async fn read_note(request: &HttpRequest, payload: Payload) -> Result<Note, Problem> {
     let malformed = |title: &str| Problem::new(StatusCode::BAD_REQUEST, "malformed-note", title);
+    let body = read_body(request, payload).await?;
     // A list would pass as a note whose fields are left at their defaults.
     if body.iter().find(|byte| !byte.is_ascii_whitespace()) != Some(&b'{') {
         return Err(malformed("a release note is a JSON object"));
     }
-    serde_json::from_slice(body).map_err(|error| malformed(&error.to_string()))
+    serde_json::from_slice(&body).map_err(|error| malformed(&error.to_string()))
+}
+
+async fn read_body(request: &HttpRequest, mut payload: Payload) -> Result<Vec<u8>, Problem> {
+    let too_large = || {
+        Problem::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too-large",
+            "a release note has at most 1 MiB",
+        )
+    };
+    let announced = request
+        .headers()
+        .get(CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok())
+        .and_then(|length| length.parse::<usize>().ok());
+    if announced.is_some_and(|length| length > NOTE_BYTES) {
+        return Err(too_large());
+    }
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            let title = error.to_string();
+            Problem::new(StatusCode::BAD_REQUEST, "malformed-note", &title)
+        })?;
+        body.extend_from_slice(&chunk);
+        if body.len() > NOTE_BYTES {
+            return Err(too_large());
+        }
+    }
+    Ok(body)
 }
 
 fn json<T: Serialize>(value: &T) -> HttpResponse {
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -6,7 +6,7 @@
 use jackdaw_standin::store::Fault;
 use rstest::rstest;
 use serde_json::{Value, json};
-use support::http::{follow, send};
+use support::http::{announce, follow, send};
 use support::{Node, READ_TOKEN, WRITE_TOKEN, World, accepted, note};
 
 const NOTES: &str = "/admin/v1/release-notes";
@@ -112,6 +112,22 @@
     );
 }
 
+#[test]
+fn note_is_bounded_in_size() {
+    let world = World::new();
+    let node = node(&world);
+    let mut large = note("one", 0);
+    large.summary = "x".repeat(600 << 10).into();
+    assert_eq!(post(&node, &large).status, 200);
+    // The body is announced alone, since a server that closes on unread bytes resets the
+    // connection and may take its answer back.
+    let head = announce(node.admin.address(), NOTES, WRITE_TOKEN, 2 << 20);
+    assert!(head.starts_with("HTTP/1.1 413"), "{head}");
+    assert!(head.contains("application/problem+json"), "{head}");
+    let head = announce(node.admin.address(), NOTES, "guess", 2 << 20);
+    assert!(head.starts_with("HTTP/1.1 401"), "{head}");
+}
+
 #[test]
 fn note_without_an_identity_gets_one() {
     let world = World::new();
--- a/crates/control/tests/support/http.rs
+++ b/crates/control/tests/support/http.rs
@@ -32,6 +32,18 @@
     Answer { status, head, body }
 }
 
+/// Announces a body without sending it and returns the head of the answer.
+pub(crate) fn announce(to: SocketAddr, path: &str, token: &str, length: usize) -> String {
+    let mut stream = TcpStream::connect(to).expect("connects");
+    write!(
+        stream,
+        "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {token}\r\n\
+         content-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+    )
+    .expect("sends");
+    read_head(&mut BufReader::new(stream))
+}
+
 /// Opens a stream of server-sent events and returns its data lines.
 pub(crate) fn follow(
     to: SocketAddr,
