--- a/crates/policy/tests/fencing/main.rs
+++ b/crates/policy/tests/fencing/main.rs
@@ -1,12 +1,17 @@
 //! Explores every interleaving of two leaders, one placement and three engines: the first leader
 //! freezes at any step and wakes at any later one, answers are lost, orders arrive late.
 
+mod engine;
+mod fixture;
+mod node;
+mod store;
 mod world;
 
 use std::collections::HashSet;
 
+use node::digest;
 use rstest::rstest;
-use world::{Move, Setup, Variant, World, digest};
+use world::{Move, Setup, Variant, World};
 
 /// Number of states after which an exploration counts as out of bounds.
 const MAX_STATES: usize = 2_000_000;
--- a/crates/policy/tests/fencing/world.rs
+++ b/crates/policy/tests/fencing/world.rs
@@ -1,35 +1,35 @@
 //! Two nodes, one placement, three engines and a key-value service, all driven by single moves.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use jackdaw_core::catalog::{Catalog, Model};
 use jackdaw_core::errors::Error;
-use jackdaw_core::inventory::{self, Vm};
-use jackdaw_core::member::{Load, Membership, Report};
-use jackdaw_core::order::{Command, Order};
-use jackdaw_core::store::{Committed, Compare, Entry, Lease};
+use jackdaw_core::member::Report;
+use jackdaw_core::order::Order;
+use jackdaw_core::store::Lease;
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Fence, Generation, Millis, Revision};
-use jackdaw_policy::lease::{self, Election};
-use jackdaw_policy::member::{self, Bounds, Seen, Table};
-use jackdaw_policy::placement::{self, Commit, Known, Reconciler, Round, Written};
-use jackdaw_policy::plan;
+use jackdaw_core::units::{Fence, Millis};
+use jackdaw_policy::lease;
+use jackdaw_policy::member::{self, Seen};
+use jackdaw_policy::placement::{self, Commit, Known, Round, Written};
+
+use crate::engine::Engine;
+use crate::fixture::{catalog, vms};
+use crate::node::{Node, digest};
+use crate::store::Store;
 
 /// One unit of time of the model.
 pub(crate) const UNIT: Millis = Millis(10_000);
 
-const VMS: [&str; 3] = ["v0", "v1", "v2"];
+pub(crate) const VMS: [&str; 3] = ["v0", "v1", "v2"];
 /// The first node may freeze within this many units of the exploration: while it finds the member
 /// missing, writes the placement and sends the orders.
 const FREEZE_WITHIN: u64 = 1;
-const LEADER_KEY: &str = "leader";
-const REPORT_BOUND: Millis = UNIT;
-const TTL: Millis = Millis(3 * UNIT.0);
-const ORDER_TIME: Millis = Millis(3 * UNIT.0);
+pub(crate) const LEADER_KEY: &str = "leader";
+pub(crate) const REPORT_BOUND: Millis = UNIT;
+pub(crate) const TTL: Millis = Millis(3 * UNIT.0);
+pub(crate) const ORDER_TIME: Millis = Millis(3 * UNIT.0);
 
 /// What is left out on purpose, to show that the explorer finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +77,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Call {
+pub(crate) enum Call {
     Grant,
     Create(Lease),
     ReadLeader,
@@ -103,45 +103,13 @@
 }
 
 #[derive(Clone, Debug)]
-enum Task {
+pub(crate) enum Task {
     Lease(lease::Action),
     Place(placement::Action),
     LeaseAnswer(lease::Event),
     PlaceAnswer(placement::Event),
 }
 
-#[derive(Clone)]
-struct Node {
-    election: Election,
-    reconciler: Rc<Reconciler>,
-    table: Rc<Table>,
-    /// Digest of reconciler and table, kept because they are large and change seldom.
-    digest: u64,
-    tasks: VecDeque<Task>,
-    cycled: Option<Instant>,
-    frozen: bool,
-}
-
-#[derive(Clone, Default)]
-struct Store {
-    /// Digest of the placement.
-    digest: u64,
-    revision: u64,
-    leases: BTreeMap<i64, Instant>,
-    next_lease: i64,
-    leader: Option<Entry>,
-    placement: Option<Rc<Known>>,
-}
-
-#[derive(Clone, Debug)]
-struct Engine {
-    alive: bool,
-    fence: Fence,
-    membership: Option<Membership>,
-    /// When each group and generation was last held before the present one.
-    held: BTreeMap<(CompactString, Generation), Instant>,
-}
-
 /// The whole model.
 #[derive(Clone, Debug)]
 pub(crate) struct World {
@@ -161,148 +129,6 @@
     pub(crate) stale_refused: bool,
 }
 
-fn catalog() -> Catalog {
-    Catalog {
-        revision: Revision(1),
-        models: vec![Model {
-            name: "m".into(),
-            version: "1".into(),
-            vms_per_replica: 2,
-            replicas: 1,
-            adapters: Vec::new(),
-            zones: Vec::new(),
-            priority: 0,
-        }],
-        ..Catalog::default()
-    }
-}
-
-fn vms() -> Vec<Vm> {
-    let vm = |name: &str| Vm {
-        name: name.into(),
-        address: "127.0.0.1:1".parse().expect("address"),
-        zone: "a".into(),
-        domain: "d".into(),
-        service: None,
-        accelerators: 4,
-        state: inventory::State::Live,
-    };
-    VMS.map(vm).to_vec()
-}
-
-/// Feeds a debug representation to a hasher.
-pub(crate) struct Sink(DefaultHasher);
-
-impl fmt::Write for Sink {
-    fn write_str(&mut self, text: &str) -> fmt::Result {
-        self.0.write(text.as_bytes());
-        Ok(())
-    }
-}
-
-/// Returns a digest of a debug representation.
-pub(crate) fn digest(value: &dyn fmt::Debug) -> u64 {
-    let mut sink = Sink(DefaultHasher::new());
-    fmt::write(&mut sink, format_args!("{value:?}")).expect("sink takes everything");
-    sink.0.finish()
-}
-
-impl fmt::Debug for Node {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut election = DefaultHasher::new();
-        self.election.hash(&mut election);
-        let parts = (election.finish(), self.digest, self.cycled, self.frozen);
-        write!(f, "{parts:?} {:?}", self.tasks)
-    }
-}
-
-impl Node {
-    fn new(index: usize, setup: &Setup) -> Self {
-        let engines_check = setup.engines_check || setup.variant == Variant::NoWait;
-        let election = Election::new(lease::Options {
-            node: ["n0", "n1"][index].into(),
-            zone: "a".into(),
-            ttl: TTL,
-            clock_error: UNIT,
-            order_time: ORDER_TIME,
-            retry: UNIT,
-            stagger: Millis(0),
-            engines_check,
-        });
-        let reconciler = Reconciler::new(placement::Options {
-            zone: "a".into(),
-            leader_key: LEADER_KEY.into(),
-            placement_key: "placement".into(),
-            order_retry: UNIT,
-            orders_in_flight: 2,
-            drain_settle: UNIT,
-            plan: plan::Options::default(),
-        });
-        let table = Table::new(Bounds {
-            report: REPORT_BOUND,
-            missing: REPORT_BOUND,
-            steady: Millis(0),
-            calm: Millis(0),
-        });
-        Node {
-            election,
-            reconciler: Rc::new(reconciler),
-            table: Rc::new(table),
-            digest: 0,
-            tasks: VecDeque::new(),
-            cycled: None,
-            frozen: false,
-        }
-    }
-
-    fn lease(&mut self, event: lease::Event, now: Instant) {
-        let actions = self.election.step(event, now);
-        let actions = actions.into_iter();
-        let actions = actions.filter(|action| !matches!(action, lease::Action::Explain(_)));
-        self.tasks.extend(actions.map(Task::Lease));
-    }
-
-    fn place(&mut self, event: placement::Event) {
-        // Planning goes on at once when the view of the placement has changed.
-        let changes = matches!(
-            event,
-            placement::Event::Acquired(_)
-                | placement::Event::Read(_)
-                | placement::Event::Written(_)
-        );
-        if changes {
-            self.cycled = None;
-        }
-        let actions = Rc::make_mut(&mut self.reconciler).step(event);
-        self.queue(actions);
-        self.digest = digest(&(&self.reconciler, &self.table));
-    }
-
-    fn queue(&mut self, actions: Vec<placement::Action>) {
-        let matters = |action: &placement::Action| {
-            !matches!(
-                action,
-                placement::Action::Explain(_) | placement::Action::Changed
-            )
-        };
-        let actions = actions.into_iter().filter(matters);
-        self.tasks.extend(actions.map(Task::Place));
-    }
-
-    /// Returns whether the next task touches this node alone, so that its order among the moves of
-    /// others does not matter.
-    fn next_is_local(&self) -> bool {
-        match self.tasks.front() {
-            Some(Task::LeaseAnswer(_) | Task::PlaceAnswer(_)) => true,
-            Some(Task::Lease(action)) => {
-                matches!(action, lease::Action::Acquired(_) | lease::Action::Lost(_))
-            }
-            Some(Task::Place(action)) => matches!(action, placement::Action::Superseded(_)),
-            None => false,
-        }
-    }
-}
-
 impl World {
     /// Creates a world in which the first node leads and a group was whole whose second member has
     /// died.
@@ -670,228 +496,3 @@
         Call::Commit(_) => Task::PlaceAnswer(placement::Event::Written(Err(error))),
     }
 }
-
-impl fmt::Debug for Store {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let leader = self.leader.as_ref().map(|entry| entry.create_revision);
-        let numbers = (self.digest, self.revision, self.next_lease, leader);
-        write!(f, "{numbers:?} {:?}", self.leases)
-    }
-}
-
-impl Store {
-    fn placement(&self) -> Option<Known> {
-        self.placement.as_deref().cloned()
-    }
-
-    fn drop_unleased(&mut self) {
-        let lapsed = self
-            .leader
-            .as_ref()
-            .and_then(|entry| entry.lease)
-            .is_some_and(|lease| !self.leases.contains_key(&lease.0));
-        if lapsed {
-            self.revision += 1;
-            self.leader = None;
-        }
-    }
-
-    fn execute(
-        &mut self,
-        node: usize,
-        call: &Call,
-        sent: Instant,
-        now: Instant,
-        setup: &Setup,
-    ) -> Result<Task, String> {
-        let expiry = now + TTL;
-        let event = match call {
-            Call::Grant => {
-                self.next_lease += 1;
-                self.leases.insert(self.next_lease, expiry);
-                lease::Event::Granted(sent, Ok(Lease(self.next_lease)))
-            }
-            Call::Create(lease) => lease::Event::Created(sent, self.create(node, *lease)),
-            Call::ReadLeader => lease::Event::Read(sent, Ok(self.leader.clone())),
-            Call::Renew(lease) => {
-                let left = match self.leases.get_mut(&lease.0) {
-                    Some(end) => {
-                        *end = expiry;
-                        TTL
-                    }
-                    None => Millis(0),
-                };
-                lease::Event::Renewed(sent, Ok(left))
-            }
-            Call::Revoke(lease) => {
-                self.leases.remove(&lease.0);
-                self.drop_unleased();
-                lease::Event::Tick
-            }
-            Call::ReadPlacement => {
-                let answer = placement::Event::Read(Ok(self.placement()));
-                return Ok(Task::PlaceAnswer(answer));
-            }
-            Call::Commit(commit) => {
-                let written = self.commit(commit, setup)?;
-                return Ok(Task::PlaceAnswer(placement::Event::Written(Ok(written))));
-            }
-        };
-        Ok(Task::LeaseAnswer(event))
-    }
-
-    fn create(&mut self, node: usize, lease: Lease) -> Result<Committed, Error> {
-        if let Some(entry) = &self.leader {
-            return Ok(Committed::No(vec![entry.clone()]));
-        }
-        if !self.leases.contains_key(&lease.0) {
-            return Err(Error::refused("create", "store", "lease not found"));
-        }
-        self.revision += 1;
-        self.leader = Some(Entry {
-            key: LEADER_KEY.into(),
-            value: ["n0", "n1"][node].into(),
-            create_revision: self.revision,
-            mod_revision: self.revision,
-            lease: Some(lease),
-        });
-        Ok(Committed::Yes(self.revision))
-    }
-
-    fn commit(&mut self, commit: &Commit, setup: &Setup) -> Result<Written, String> {
-        let leader = self.leader.as_ref().map(|entry| entry.create_revision);
-        let options = placement::Options {
-            zone: "a".into(),
-            leader_key: LEADER_KEY.into(),
-            placement_key: "placement".into(),
-            order_retry: UNIT,
-            orders_in_flight: 2,
-            drain_settle: UNIT,
-            plan: plan::Options::default(),
-        };
-        let known = self.placement.as_ref().map(|known| known.mod_revision);
-        let holds = |compare: &Compare| match compare {
-            Compare::CreateRevision(_, revision) => {
-                setup.variant == Variant::WriteNotTied || leader == Some(*revision)
-            }
-            Compare::ModRevision(_, revision) => known == Some(*revision),
-            Compare::Absent(_) => known.is_none(),
-        };
-        let transaction = commit.transaction(&options, Vec::new());
-        if !transaction.when.iter().all(holds) {
-            let known = self.placement();
-            return Ok(Written::Refused { leader, known });
-        }
-        self.check(commit, leader)?;
-        self.revision += 1;
-        let known = Known {
-            placement: commit.placement.clone(),
-            mod_revision: self.revision,
-        };
-        self.digest = digest(&known);
-        self.placement = Some(Rc::new(known));
-        Ok(Written::Done(self.revision))
-    }
-
-    /// Checks a placement at the moment at which it comes into force.
-    fn check(&self, commit: &Commit, leader: Option<u64>) -> Result<(), String> {
-        let placement = &commit.placement;
-        if !placement.vms_in_two_groups().is_empty() {
-            return Err("a VM is in two groups".to_owned());
-        }
-        if leader != Some(placement.fence.0) {
-            return Err(format!(
-                "a write of {} beside leader {leader:?}",
-                placement.fence
-            ));
-        }
-        let before = self
-            .placement
-            .as_ref()
-            .map_or(0, |known| known.placement.sequence);
-        if placement.sequence != before + 1 {
-            return Err("a write was lost".to_owned());
-        }
-        Ok(())
-    }
-}
-
-impl Engine {
-    fn report(&self, vm: usize) -> Report {
-        Report {
-            vm: VMS[vm].into(),
-            boot: 1,
-            membership: self.membership.clone(),
-            ready: true,
-            fence: self.fence,
-            load: Load::default(),
-            leaving: false,
-        }
-    }
-
-    fn die(&mut self, now: Instant) {
-        self.alive = false;
-        if let Some(membership) = self.membership.take() {
-            let key = (membership.group, membership.generation);
-            self.held.insert(key, now);
-        }
-    }
-
-    fn last_held(&self, group: &str, generation: Generation, now: Instant) -> Option<Instant> {
-        let holds = self.membership.as_ref().is_some_and(|membership| {
-            membership.group == group && membership.generation == generation
-        });
-        if holds {
-            return Some(now);
-        }
-        self.held.get(&(group.into(), generation)).copied()
-    }
-
-    /// Obeys an order, or refuses it if the engine checks the number and knows a higher one.
-    fn obey(
-        &mut self,
-        order: &Order,
-        check: bool,
-        now: Instant,
-    ) -> Result<Result<(), Error>, String> {
-        if !self.alive {
-            return Ok(Err(Error::indeterminate("order", "engine", "dead")));
-        }
-        if check && order.fence < self.fence {
-            return Ok(Err(Error::refused("order", "engine", "old fencing number")));
-        }
-        self.fence = self.fence.max(order.fence);
-        if let Some(membership) = self.membership.take() {
-            let joins_other = matches!(
-                &order.command,
-                Command::Join { group, .. } if *group != membership.group
-            );
-            if joins_other {
-                return Err(format!(
-                    "a VM of {} was told to join another",
-                    membership.group
-                ));
-            }
-            let key = (membership.group, membership.generation);
-            self.held.insert(key, now);
-        }
-        if let Command::Join {
-            group,
-            generation,
-            model,
-            version,
-            rank,
-            ..
-        } = &order.command
-        {
-            self.membership = Some(Membership {
-                group: group.clone(),
-                generation: *generation,
-                model: model.clone(),
-                version: version.clone(),
-                rank: *rank,
-            });
-        }
-        Ok(Ok(()))
-    }
-}
