Drain no more than a model in need lacks; let plans end after a member started anew

Cause: a group that a plan itself forms of a restarted VM counted as having lost that VM, so that each pass formed it again; and groups that drained already did not count when groups of lower priority were chosen to drain, so that one too many drained and was resumed.

--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -108,7 +108,13 @@
         &'g self,
         group: &'g Group,
     ) -> impl Iterator<Item = &'g CompactString> {
-        group.members.iter().filter(|vm| self.health(vm).is_lost())
+        // A VM that started anew lost the group that was in force, not one that this plan forms.
+        let in_force = self.input.placement.group(&group.name);
+        let is_old = in_force.is_some_and(|old| old.generation == group.generation);
+        group.members.iter().filter(move |vm| {
+            let health = self.health(vm);
+            health == Health::Missing || is_old && health.is_lost()
+        })
     }
 
     /// Returns whether a group serves.
--- a/crates/policy/src/plan/fill.rs
+++ b/crates/policy/src/plan/fill.rs
@@ -314,7 +314,7 @@
                 group.name.clone(),
             )
         });
-        let mut have = self.free(model, domain);
+        let mut have = self.free(model, domain) + self.coming_free(domain);
         let mut victims = Vec::new();
         for index in open {
             if have >= size {
@@ -323,9 +323,27 @@
             have += self.staying(&self.placement.groups[index]);
             victims.push(index);
         }
+        // A group taken early may not be needed after a larger one was added.
+        victims.retain(|index| {
+            let vms = self.staying(&self.placement.groups[*index]);
+            let is_needed = have < size + vms;
+            have -= if is_needed { 0 } else { vms };
+            is_needed
+        });
         (have >= size && !victims.is_empty()).then_some(victims)
     }
 
+    /// Returns the number of a domain's VMs that draining groups will free for nobody else.
+    fn coming_free(&self, domain: &CompactString) -> usize {
+        self.placement
+            .groups
+            .iter()
+            .filter(|group| group.domain == *domain && group.state == State::Draining)
+            .filter(|group| !self.promised.contains(&group.name))
+            .map(|group| self.staying(group))
+            .sum()
+    }
+
     fn priority(&self, index: usize) -> u32 {
         let group = &self.placement.groups[index];
         self.model(group).map_or(0, |model| model.priority)
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -151,6 +151,12 @@
     events: &[Event::Add("big", 4, 1, 9), Event::DrainedOne("z/1")],
     expected: &["~pair:a1,a2"],
 })]
+#[case::a_group_that_drains_already_counts_for_the_model_in_need(Case {
+    domains: &[4],
+    models: &[("aone", 1, 1, 5), ("bone", 1, 1, 5), ("pair", 2, 1, 5)],
+    events: &[Event::Withdraw("bone"), Event::Add("big", 3, 1, 9)],
+    expected: &["aone:a0", "~bone:a1", "~pair:a2,a3"],
+})]
 #[case::version_rolls_one_group_at_a_time(Case {
     domains: &[4],
     models: &[("m", 2, 2, 1)],
