Publish on a report only when it changes something, wait on a lapse

A test slept 300 ms.

Ruled out: publishing once a period only (a group that is no longer whole must leave the request path at once; a changed outcome still publishes at once, loads follow with the next round of planning).

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -112,6 +112,10 @@
                 vm, sent, result, ..
             } => {
                 let outcome = self.zone.probed(vm, sent, result, now);
+                // A report that changes nothing but loads waits for the next round of planning.
+                if outcome.is_empty() {
+                    return Vec::new();
+                }
                 self.tell_departures(now, unix_millis);
                 self.follow(outcome, now, unix_millis)
             }
--- a/crates/control/src/state/zone.rs
+++ b/crates/control/src/state/zone.rs
@@ -48,6 +48,13 @@
     pub(crate) placed: bool,
 }
 
+impl Outcome {
+    /// Returns whether the step brought nothing about.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.actions.is_empty() && self.decisions.is_empty() && !self.placed
+    }
+}
+
 /// The availability zone as this node sees and, if it leads, changes it.
 #[derive(Debug)]
 pub(crate) struct Zone {
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -4,7 +4,7 @@
 
 use std::thread;
 
-use jackdaw_core::store::{Change, Store, Watch};
+use jackdaw_core::store::{Change, Store, Transaction, Watch, Write};
 use jackdaw_core::units::Millis;
 use jackdaw_policy::once::{PREFIX, Record, State};
 use jackdaw_standin::store::Fault;
@@ -22,6 +22,12 @@
 /// Calls after which a node that does not serve is given up.
 const MAX_CALLS: usize = 20_000;
 
+/// Dispatch window of the node that is frozen past it.
+const WINDOW: Millis = Millis(300);
+
+/// Key of the lease that measures the window.
+const LAPSE_KEY: &str = "/test/lapse";
+
 /// Two nodes in two availability zones, ready to serve, and a watch on the records.
 struct Bench {
     cluster: Cluster,
@@ -69,6 +75,34 @@
         executions.expect("the service is known").wait_for(KEY);
     }
 
+    /// Waits until a lease that is granted now has lapsed by the service's clock.
+    fn wait_for_lapse(&self, ttl: Millis) {
+        let memory = self.cluster.platform.memory();
+        let runtime = tokio::runtime::Runtime::new().expect("runtime");
+        runtime.block_on(async {
+            let lease = memory.grant(ttl).await.expect("granted");
+            let write = Write::Put {
+                key: LAPSE_KEY.into(),
+                value: Vec::new(),
+                lease: Some(lease),
+            };
+            let transaction = Transaction {
+                then: vec![write],
+                ..Transaction::default()
+            };
+            let mut watch = memory.watch(LAPSE_KEY, 0).await.expect("watch");
+            memory.commit(transaction).await.expect("committed");
+            let is_gone = |change: &Change| matches!(change, Change::Delete(..));
+            while !watch
+                .next()
+                .await
+                .expect("the watch goes on")
+                .iter()
+                .any(is_gone)
+            {}
+        });
+    }
+
     /// Waits until the call's record is in a state.
     fn wait_for_record(&mut self, label: &str) {
         let runtime = tokio::runtime::Runtime::new().expect("runtime");
@@ -266,8 +300,7 @@
     let call = bench.ship_beside();
     bench.wait_for_record("intended");
     bench.cluster.nodes[0].signal("STOP");
-    // The window is what is tested, so this much time has to pass by the clock.
-    thread::sleep(Millis(300).duration());
+    bench.wait_for_lapse(WINDOW);
     bench.set(Fault::None);
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), (409, "unknown", true), "{repeat:?}");
