Wait until a frozen daemon has stopped

The harness went on once the stop signal was sent; the daemon's threads ran on for a moment, got the held answer and dispatched.

Ruled out: the ledger dispatching for a second node (the repeat was told 409, and the one execution was the first node's own).

--- a/crates/daemon/tests/leader.rs
+++ b/crates/daemon/tests/leader.rs
@@ -107,11 +107,11 @@
 #[case::engines_are_not_known_to_check("")]
 fn leader_freezes_past_its_lease_and_wakes(#[case] timing: &'static str) {
     let mut bench = Bench::settled(timing);
-    bench.cluster.nodes[0].signal("STOP");
+    bench.cluster.nodes[0].freeze();
     let member = bench.kill_member();
     bench.cluster.nodes[1].wait_for_decision(ZONE, "this node leads");
     let fence = bench.wait_without(&member);
-    bench.cluster.nodes[0].signal("CONT");
+    bench.cluster.nodes[0].wake();
     let lost = bench.cluster.nodes[0].wait_for_decision(ZONE, "this node no longer leads");
     bench.cluster.nodes[0].wait_for_later(&lost, "group:east-a/", "group is whole");
     bench.complete(0);
--- a/crates/daemon/tests/once.rs
+++ b/crates/daemon/tests/once.rs
@@ -276,13 +276,13 @@
     bench.plan(Fault::HoldAnswer);
     let call = bench.ship_beside();
     bench.wait_for_record("intended");
-    bench.cluster.nodes[0].signal("STOP");
+    bench.cluster.nodes[0].freeze();
     bench.cluster.platform.memory().drop_plans();
     bench.set(Fault::None);
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), (409, "unknown", true), "{repeat:?}");
     assert_eq!(bench.executions(), 0);
-    bench.cluster.nodes[0].signal("CONT");
+    bench.cluster.nodes[0].wake();
     let answer = call.join().expect("caller");
     // A freeze longer than the dispatch window, on a very slow machine, is refused as not run.
     let ran = u64::from(answer.outcome == "completed");
@@ -299,12 +299,12 @@
     bench.plan(Fault::HoldAnswer);
     let call = bench.ship_beside();
     bench.wait_for_record("intended");
-    bench.cluster.nodes[0].signal("STOP");
+    bench.cluster.nodes[0].freeze();
     bench.wait_for_lapse(WINDOW);
     bench.set(Fault::None);
     let repeat = bench.ship(1, BOX);
     assert_eq!(shown(&repeat), (409, "unknown", true), "{repeat:?}");
-    bench.cluster.nodes[0].signal("CONT");
+    bench.cluster.nodes[0].wake();
     let answer = call.join().expect("caller");
     assert_eq!(shown(&answer), (503, "not-run", true), "{answer:?}");
     assert_eq!(bench.executions(), 0);
--- a/crates/daemon/tests/release.rs
+++ b/crates/daemon/tests/release.rs
@@ -137,10 +137,10 @@
 #[test]
 fn frozen_node_takes_the_note_when_it_wakes() {
     let cluster = cluster(3);
-    cluster.nodes[1].signal("STOP");
+    cluster.nodes[1].freeze();
     assert_eq!(apply(&cluster, 0, &note("two", 1)).status, 200);
     assert_eq!(apply(&cluster, 2, &note("three", 2)).status, 200);
-    cluster.nodes[1].signal("CONT");
+    cluster.nodes[1].wake();
     cluster.nodes[1].wait_for_decision("release:3", IN_FORCE);
     assert_eq!(status(&cluster, 1)["release"]["revision"], json!(3));
 }
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -135,6 +135,31 @@
         let _ = self.child.wait();
     }
 
+    /// Stops every thread of the process, as a pause of the VM does, until [`Node::wake`].
+    pub(crate) fn freeze(&self) {
+        self.signal("STOP");
+        // The signal is sent before it takes effect.
+        while !self.is_frozen() {
+            thread::yield_now();
+        }
+    }
+
+    /// Lets a frozen process go on.
+    pub(crate) fn wake(&self) {
+        self.signal("CONT");
+    }
+
+    /// Returns whether the kernel has stopped every thread of the process.
+    fn is_frozen(&self) -> bool {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("threads");
+        tasks.flatten().all(|task| {
+            let status = fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            // The state follows the name of the thread, which stands in brackets.
+            let state = status.rsplit(')').next().unwrap_or_default();
+            state.trim_start().starts_with('T')
+        })
+    }
+
     /// Sends a signal by name to this process alone.
     pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
