Keep one type of operator and role

Ruled out: moving both to core (only the port and the settings use them).

Before: two types and a mapping.

--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use jackdaw_control::admin::auth::{self, Operator};
 use jackdaw_control::admin::feed::Feed;
 use jackdaw_control::admin::handle::Handle as Operators;
 use jackdaw_control::admin::server::{Server as AdminServer, Site};
@@ -30,7 +29,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::recorder::Recorder;
-use crate::settings::{Role, Settings, Timing, Weights};
+use crate::settings::{Settings, Timing, Weights};
 
 /// Longest time for connecting to an engine or to the VM list.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -133,7 +132,7 @@
             .map_err(|error| Error::unreachable("bind callers' port", &peer, error))?;
         let site = Site {
             handle: Operators::new(control.events().clone(), feed),
-            operators: operators(settings),
+            operators: settings.operator_tokens.as_slice().into(),
             metrics,
         };
         let admin = AdminServer::start(settings.operators, site)?;
@@ -229,18 +228,6 @@
     }
 }
 
-fn operators(settings: &Settings) -> Arc<[Operator]> {
-    let operators = settings.operator_tokens.iter().map(|operator| Operator {
-        name: operator.name.clone(),
-        token: operator.token,
-        role: match operator.role {
-            Role::Read => auth::Role::Read,
-            Role::Write => auth::Role::Write,
-        },
-    });
-    operators.collect()
-}
-
 fn once_options(timing: Timing) -> once::Options {
     let default = once::Options::default();
     once::Options {
--- a/crates/jackdawstair/src/settings/mod.rs
+++ b/crates/jackdawstair/src/settings/mod.rs
@@ -8,32 +8,12 @@
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
 use slog::Level;
 
+pub use jackdaw_control::admin::auth::{Operator, Role};
 pub use reader::Problem;
 
-/// What an operator may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// May look at everything.
-    Read,
-    /// May look at everything and send release notes.
-    Write,
-}
-
-/// An operator's token.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Operator {
-    /// Name of the operator.
-    pub name: CompactString,
-    /// SHA-256 digest of the token.
-    pub token: Digest,
-    /// What the operator may do.
-    pub role: Role,
-}
-
 /// Where the platform is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
