--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -9,7 +9,6 @@
 use jackdaw_core::inventory::{State, Vm};
 use jackdaw_core::member::Load;
 use jackdaw_core::placement::{self, Group};
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::Generation;
 use jackdaw_entry::gauge::Gauge;
 use jackdaw_entry::snapshot::{Snapshot, Target};
@@ -51,7 +50,7 @@
         for team in &catalog.teams {
             let shared = Arc::new(team.clone());
             for digest in &team.token_sha256 {
-                snapshot.teams.insert(Digest(digest.0), Arc::clone(&shared));
+                snapshot.teams.insert(*digest, Arc::clone(&shared));
             }
         }
         for whole in groups {
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -32,12 +32,6 @@
     fn index(self) -> usize;
 }
 
-key!(Vm, "Names a VM.");
-key!(Group, "Names a replica group.");
-key!(Model, "Names a model.");
-key!(Team, "Names a team of callers.");
-key!(Zone, "Names an availability zone.");
-key!(Domain, "Names a fabric domain.");
 key!(
     Server,
     "Names a backend server or the head of a replica group on the request path."
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,6 @@
 //! decisions. Traits at the borders to outside systems live here; their implementations live in
 //! sibling crates.
 
-pub mod arena;
 pub mod catalog;
 pub mod decision;
 pub mod engine;
