--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,11 @@
 //! decisions. Traits at the borders to outside systems live here; their implementations live in
 //! sibling crates.
 
+pub mod backend;
 pub mod catalog;
+pub mod config;
 pub mod decision;
+pub mod dialect;
 pub mod engine;
 pub mod errors;
 pub mod inventory;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon of an entry VM.
 
+mod gateway;
+
 use std::fs;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -13,14 +15,16 @@
 use lexopt::Arg;
 
 /// Exit code for wrong usage or wrong settings.
-const EXIT_USAGE: u8 = 2;
+pub(crate) const EXIT_USAGE: u8 = 2;
 
 const HELP: &str = "\
 Usage: jackdawd run SETTINGS.yaml
        jackdawd check SETTINGS.yaml
+       jackdawd gateway
 
 run     starts a node and stops it gracefully on SIGTERM or SIGINT
 check   reports every problem of the settings and exits
+gateway starts a node on the users' platform, with the settings file that the platform names
 
 Exit codes: 0 fine or stopped as planned, 1 the node could not start,
 2 wrong usage or wrong settings.";
@@ -29,6 +33,7 @@
 enum Command {
     Run(String),
     Check(String),
+    Gateway,
     Help,
 }
 
@@ -45,6 +50,7 @@
             }
             Err(code) => code,
         },
+        Ok(Command::Gateway) => gateway::run(),
         Ok(Command::Run(path)) => match read(&path) {
             Ok(settings) => run(&settings),
             Err(code) => code,
@@ -67,8 +73,9 @@
     }
     match words.as_slice() {
         [verb, path] if verb == "run" => Ok(Command::Run(path.clone())),
+        [verb] if verb == "gateway" => Ok(Command::Gateway),
         [verb, path] if verb == "check" => Ok(Command::Check(path.clone())),
-        _ => Err("expected run or check and one settings file".into()),
+        _ => Err("expected gateway, or run or check and one settings file".into()),
     }
 }
 
@@ -120,7 +127,7 @@
     }
 }
 
-fn fail(error: &jackdawstair::core::errors::Error) -> ExitCode {
+pub(crate) fn fail(error: &jackdawstair::core::errors::Error) -> ExitCode {
     eprintln!("jackdawd: {error}");
     ExitCode::FAILURE
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,10 +1,8 @@
 //! Answers requests whose head or body breaks the rules of HTTP or the node's limits.
 
 use std::io;
-use std::pin::pin;
 use std::sync::Arc;
 
-use futures::future::{Either, select};
 use jackdaw_core::outcome::Step;
 use jackdaw_core::refusal::Reason as Refusal;
 use ntex::SharedCfg;
@@ -12,7 +10,7 @@
 use ntex::http::h1::control::Reason;
 use ntex::http::h1::{Control, ControlAck, ProtocolError};
 use ntex::http::{ConnectionType, ResponseError};
-use ntex::io::{Filter, IoRef};
+use ntex::io::Filter;
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 
 use crate::head;
@@ -33,7 +31,7 @@
     fn answer<F: Filter, E: ResponseError>(&self, control: Control<F, E>) -> ControlAck<F> {
         let error = match control {
             Control::Connect(connection) => {
-                self.follow(connection.get_ref().get_ref());
+                self.shared.drain.follow(connection.get_ref().get_ref());
                 return connection.ack();
             }
             Control::Disconnect(Reason::ProtocolError(error)) => error,
@@ -50,22 +48,6 @@
             .set_connection_type(ConnectionType::Close);
         error.fail_with(response)
     }
-
-    /// Counts a connection, and closes it once a planned stop has finished all requests.
-    fn follow(&self, io: IoRef) {
-        let drain = self.shared.drain.clone();
-        let link = drain.connect();
-        ntex::rt::spawn(async move {
-            let gone = io.on_disconnect();
-            let idle = pin!(drain.idle());
-            if let Either::Right((_, gone)) = select(gone, idle).await {
-                // What was written before is still sent to the caller.
-                io.close();
-                gone.await;
-            }
-            drop(link);
-        });
-    }
 }
 
 impl<F: Filter, E: ResponseError> ServiceFactory<Control<F, E>, SharedCfg> for Controller {
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use futures::future::{Either, select};
+use ntex::io::IoRef;
 use tokio::sync::Notify;
 
 #[derive(Debug, Default)]
@@ -66,6 +68,22 @@
         }
     }
 
+    /// Counts a connection, and closes it once a planned stop has finished all requests.
+    pub fn follow(&self, io: IoRef) {
+        let drain = self.clone();
+        let link = drain.connect();
+        ntex::rt::spawn(async move {
+            let gone = io.on_disconnect();
+            let idle = pin!(drain.idle());
+            if let Either::Right((_, gone)) = select(gone, idle).await {
+                // What was written before is still sent to the caller.
+                io.close();
+                gone.await;
+            }
+            drop(link);
+        });
+    }
+
     /// Refuses requests from now on.
     pub fn stop(&self) {
         self.state.stopping.store(true, Ordering::SeqCst);
--- /dev/null
+++ b/crates/gateway/src/arena.rs
@@ -0,0 +1,218 @@
+//! The places that requests can be sent to, with what is in progress there.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::balance::Load;
+use jackdaw_policy::fleet::Target;
+
+/// Time without progress after which a group gets new requests only if no other can take them.
+/// Passes that read several prompts take up to about 250 ms.
+const SUSPICION: Millis = Millis(300);
+/// Time for which a group that was found to stand still gets no new requests if others can take
+/// them; the engine breaks such work off after some seconds.
+const DISTRUST: Millis = Millis(5_000);
+/// Weight of a new observation in the mean of a group's slowness.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Names a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Key(u32);
+
+#[derive(Debug)]
+struct Slot {
+    target: Rc<Target>,
+    serving: bool,
+    own: u32,
+    unread: u64,
+    cached: u64,
+    slowness: f64,
+    progress: Instant,
+    distrusted_until: Option<Instant>,
+}
+
+/// All places; those that serve nothing and have nothing in progress are used again.
+#[derive(Debug, Default)]
+pub(crate) struct Arena {
+    slots: Vec<Slot>,
+    serving: HashMap<CompactString, Vec<Key>>,
+}
+
+fn is_same(left: &Target, right: &Target) -> bool {
+    left.server == right.server && left.born == right.born && left.group == right.group
+}
+
+impl Arena {
+    /// Replaces the places that serve.
+    pub(crate) fn update(&mut self, targets: Vec<Target>, now: Instant) {
+        self.serving.clear();
+        let mut kept: HashSet<usize> = HashSet::new();
+        for target in targets {
+            let service = target.service.clone();
+            let known = self
+                .slots
+                .iter()
+                .position(|slot| is_same(&slot.target, &target));
+            let number = match known {
+                Some(number) => {
+                    let slot = &mut self.slots[number];
+                    slot.target = Rc::new(target);
+                    number
+                }
+                None => self.add(target, &kept, now),
+            };
+            kept.insert(number);
+            let key = Key(u32::try_from(number).unwrap_or(u32::MAX));
+            self.serving.entry(service).or_default().push(key);
+        }
+        for (number, slot) in self.slots.iter_mut().enumerate() {
+            slot.serving = kept.contains(&number);
+        }
+    }
+
+    fn add(&mut self, target: Target, kept: &HashSet<usize>, now: Instant) -> usize {
+        let slot = Slot {
+            target: Rc::new(target),
+            serving: true,
+            own: 0,
+            unread: 0,
+            cached: 0,
+            slowness: 1.0,
+            progress: now,
+            distrusted_until: None,
+        };
+        let unused =
+            self.slots.iter().enumerate().position(|(number, slot)| {
+                !slot.serving && slot.own == 0 && !kept.contains(&number)
+            });
+        match unused {
+            Some(number) => {
+                self.slots[number] = slot;
+                number
+            }
+            None => {
+                self.slots.push(slot);
+                self.slots.len() - 1
+            }
+        }
+    }
+
+    fn slot(&self, key: Key) -> &Slot {
+        &self.slots[key.0 as usize]
+    }
+
+    fn slot_mut(&mut self, key: Key) -> &mut Slot {
+        &mut self.slots[key.0 as usize]
+    }
+
+    /// Gets the places that serve a service.
+    pub(crate) fn serving(&self, service: &str) -> &[Key] {
+        self.serving.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Gets a target.
+    pub(crate) fn target(&self, key: Key) -> Rc<Target> {
+        Rc::clone(&self.slot(key).target)
+    }
+
+    /// Returns whether a place still serves.
+    pub(crate) fn is_serving(&self, key: Key) -> bool {
+        self.slot(key).serving
+    }
+
+    /// Returns what is in progress at a place.
+    pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Load {
+        let slot = self.slot(key);
+        let is_distrusted = slot.distrusted_until.is_some_and(|until| now < until);
+        let is_still = slot.own > 0 && now.since(slot.progress) > SUSPICION;
+        Load {
+            own: slot.own,
+            others: 0,
+            unread: slot.unread,
+            cached: slot.cached,
+            slowness: slot.slowness,
+            suspect: is_distrusted || is_still,
+            remote: slot.target.zone != zone,
+        }
+    }
+
+    /// Returns the time of the last progress at a place.
+    pub(crate) fn progress(&self, key: Key) -> Instant {
+        self.slot(key).progress
+    }
+
+    /// Notes that a place has brought something.
+    pub(crate) fn advance(&mut self, key: Key, now: Instant) {
+        let slot = self.slot_mut(key);
+        slot.progress = now;
+        slot.distrusted_until = None;
+    }
+
+    /// Notes how much slower than estimated a place was.
+    pub(crate) fn observe(&mut self, key: Key, ratio: f64) {
+        let slot = self.slot_mut(key);
+        slot.slowness += (ratio - slot.slowness) * NEWEST_WEIGHT;
+    }
+
+    /// Sends new requests elsewhere for a while.
+    pub(crate) fn distrust(&mut self, key: Key, now: Instant) {
+        self.slot_mut(key).distrusted_until = Some(now + DISTRUST);
+    }
+}
+
+/// Counts one request at a place until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Pass {
+    arena: Rc<RefCell<Arena>>,
+    pub(crate) key: Key,
+    unread: u64,
+    cached: u64,
+}
+
+impl Pass {
+    /// Counts a request with its prompt and output tokens.
+    pub(crate) fn enter(
+        arena: &Rc<RefCell<Arena>>,
+        key: Key,
+        prompt: u64,
+        output: u64,
+        now: Instant,
+    ) -> Pass {
+        {
+            let mut arena = arena.borrow_mut();
+            let slot = arena.slot_mut(key);
+            if slot.own == 0 {
+                slot.progress = now;
+            }
+            slot.own += 1;
+            slot.unread += prompt;
+            slot.cached += prompt + output;
+        }
+        Pass {
+            arena: Rc::clone(arena),
+            key,
+            unread: prompt,
+            cached: prompt + output,
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub(crate) fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.arena.borrow_mut().slot_mut(self.key).unread -= unread;
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        let mut arena = self.arena.borrow_mut();
+        let slot = arena.slot_mut(self.key);
+        slot.own -= 1;
+        slot.unread -= self.unread;
+        slot.cached -= self.cached;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,32 @@
+//! Bodies of callers' requests.
+
+use bytes::{Bytes, BytesMut};
+use jackdaw_core::refusal::Reason;
+use jackdaw_core::units::Bytes as Size;
+use ntex::http::Payload;
+use ntex::util::stream_recv;
+
+use crate::refusal::Refusal;
+
+/// Largest body while no configuration states one.
+pub(crate) const DEFAULT_LIMIT: Size = Size(4 << 20);
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns a refusal if the body breaks off or is larger than the limit.
+pub(crate) async fn read(mut payload: Payload, limit: Size) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = stream_recv(&mut payload).await {
+        let chunk = chunk.map_err(|error| {
+            Refusal::not_run(Reason::Malformed, format!("the body broke off: {error}"))
+        })?;
+        if (body.len() + chunk.len()) as u64 > limit.0 {
+            let detail = format!("the body is larger than {limit}");
+            return Err(Refusal::not_run(Reason::TooLarge, detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,324 @@
+//! Follows the configuration and the servers' registrations in the store.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use jackdaw_core::backend::Server;
+use jackdaw_core::dialect::Changes;
+use jackdaw_core::errors::Result;
+use jackdaw_core::store::{Change, Entry};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+use slog::{debug, info, warn};
+use tokio::time;
+
+use crate::node::Node;
+
+/// Time that one call waits for changes; a connection that has gone silent is noticed after it.
+const WAIT: Millis = Millis(4_000);
+/// Pause after a failed call, and the longest one.
+const MIN_PAUSE: Millis = Millis(100);
+const MAX_PAUSE: Millis = Millis(1_000);
+/// Time after the store's return in which servers that lapsed meanwhile register again.
+const RETURN: Millis = Millis(2_200);
+/// Time without an answer from the store after which entries may have lapsed on its account.
+const AWAY: Millis = Millis(1_000);
+
+/// What a follower does with entries.
+pub(crate) trait Reader {
+    /// Gets the prefix of the keys.
+    fn prefix(&self) -> CompactString;
+
+    /// Gets the pause between two calls.
+    fn pause(&self) -> Millis;
+
+    /// Takes in all entries, as they were at a revision.
+    fn replace(&mut self, entries: Vec<Entry>, revision: u64);
+
+    /// Takes in changes.
+    fn apply(&mut self, changes: Vec<Change>);
+
+    /// Is told how long the store has not answered.
+    fn returned(&mut self, away: Millis);
+}
+
+/// Follows a prefix until the task is ended.
+pub(crate) async fn follow(node: Rc<Node>, mut reader: impl Reader) {
+    let prefix = reader.prefix();
+    let mut after: Option<u64> = None;
+    let mut pause = MIN_PAUSE;
+    let mut answered = node.now();
+    let mut is_away = false;
+    loop {
+        let sent = node.now();
+        let result = step(&node, &mut reader, &prefix, after).await;
+        match result {
+            Ok(next) => {
+                if is_away {
+                    let away = sent.since(answered);
+                    info!(node.logger(), "store answers again";
+                        "prefix" => %prefix, "away_ms" => away.0);
+                    is_away = false;
+                }
+                pause = MIN_PAUSE;
+                after = next;
+                answered = node.now();
+                time::sleep(reader.pause().duration()).await;
+            }
+            Err(error) => {
+                if !is_away {
+                    warn!(node.logger(), "store does not answer";
+                        "prefix" => %prefix, "error" => %error);
+                    is_away = true;
+                }
+                // Chance keeps the nodes from coming back all at once.
+                let spread = fastrand::u64(0..=pause.0);
+                time::sleep(Millis(pause.0 + spread).duration()).await;
+                pause = Millis((pause.0 * 2).min(MAX_PAUSE.0));
+                reader.returned(node.now().since(answered));
+            }
+        }
+    }
+}
+
+/// Reads everything or the changes since a revision, and returns the revision to go on from.
+async fn step(
+    node: &Node,
+    reader: &mut impl Reader,
+    prefix: &str,
+    after: Option<u64>,
+) -> Result<Option<u64>> {
+    let log = &node.parts.log;
+    let Some(after) = after else {
+        let mut entries = Vec::new();
+        let mut first = log.page(prefix, None).await?;
+        // Later pages may hold newer entries; the changes since the first page follow anyway.
+        let revision = first.revision;
+        let mut more = first.more;
+        entries.append(&mut first.entries);
+        while more {
+            let last = entries.last().map(|entry: &Entry| entry.key.clone());
+            let mut page = log.page(prefix, last.as_deref()).await?;
+            more = page.more && !page.entries.is_empty();
+            entries.append(&mut page.entries);
+        }
+        reader.replace(entries, revision);
+        return Ok(Some(revision));
+    };
+    match log.changes(prefix, after, WAIT).await? {
+        Changes::Some(changes, revision) => {
+            reader.apply(changes);
+            Ok(Some(revision))
+        }
+        Changes::Compacted => {
+            info!(node.logger(), "store has dropped its history; reading anew";
+                "prefix" => prefix, "after" => after);
+            Ok(None)
+        }
+    }
+}
+
+/// Puts configurations in force.
+struct Configurations {
+    node: Rc<Node>,
+}
+
+impl Configurations {
+    fn read(&self, entry: &Entry) {
+        if entry.key != self.node.parts.dialect.configuration_key() {
+            return;
+        }
+        match self.node.parts.dialect.configuration(&entry.value) {
+            Ok(configuration) => self.node.configure(configuration),
+            Err(error) => warn!(self.node.logger(), "configuration cannot be read";
+                "error" => %error),
+        }
+    }
+}
+
+impl Reader for Configurations {
+    fn prefix(&self) -> CompactString {
+        self.node.parts.dialect.configuration_key().into()
+    }
+
+    fn pause(&self) -> Millis {
+        Millis(0)
+    }
+
+    fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        for entry in &entries {
+            self.read(entry);
+        }
+    }
+
+    fn apply(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::Put(entry) => self.read(&entry),
+                Change::Delete(key, _) => {
+                    debug!(self.node.logger(), "key deleted"; "key" => %key);
+                }
+            }
+        }
+    }
+
+    fn returned(&mut self, _: Millis) {}
+}
+
+/// Keeps the fleet.
+struct Registrations {
+    node: Rc<Node>,
+    /// Servers whose entries lapsed while the store was away, with the time at which they count as
+    /// gone.
+    lapsed: HashMap<CompactString, Instant>,
+    /// End of the time in which a lapse may be the store's own doing.
+    lenient_until: Option<Instant>,
+}
+
+impl Registrations {
+    fn id<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.node.parts.dialect.servers_prefix())
+    }
+
+    fn decode(&self, entry: &Entry) -> Option<Server> {
+        match self.node.parts.dialect.server(entry) {
+            Ok(server) => Some(server),
+            Err(error) => {
+                debug!(self.node.logger(), "registration is passed over"; "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Takes in a server and returns whether anything changed.
+    fn put(&mut self, server: Server) -> bool {
+        self.lapsed.remove(&server.id);
+        self.node.fleet.borrow_mut().put(server)
+    }
+
+    /// Takes out a server, or waits for it if the store was away.
+    fn remove(&mut self, id: &str) -> bool {
+        let now = self.node.now();
+        let was_draining = self
+            .node
+            .fleet
+            .borrow()
+            .server(id)
+            .is_none_or(|server| server.draining);
+        if !was_draining && self.lenient_until.is_some_and(|until| now < until) {
+            let until = self.lenient_until.unwrap_or(now);
+            self.lapsed.entry(id.into()).or_insert(until);
+            return false;
+        }
+        self.lapsed.remove(id);
+        let removed = self.node.fleet.borrow_mut().remove(id);
+        if let Some(server) = &removed {
+            info!(self.node.logger(), "server is gone";
+                "server" => %server.id, "service" => %server.service,
+                "group" => server.membership.as_ref().map(|one| one.group.to_string()));
+        }
+        removed.is_some()
+    }
+
+    /// Takes out the servers that have not registered again in time.
+    fn expire(&mut self) -> bool {
+        let now = self.node.now();
+        let due: Vec<CompactString> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        if due.is_empty() {
+            return false;
+        }
+        self.lenient_until = None;
+        let mut changed = false;
+        for id in due {
+            changed |= self.remove(&id);
+        }
+        changed
+    }
+}
+
+impl Reader for Registrations {
+    fn prefix(&self) -> CompactString {
+        self.node.parts.dialect.servers_prefix().into()
+    }
+
+    fn pause(&self) -> Millis {
+        self.node.options.registration_pause
+    }
+
+    fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        let named: HashSet<CompactString> = entries
+            .iter()
+            .filter_map(|entry| self.id(&entry.key))
+            .map(CompactString::from)
+            .collect();
+        let known: Vec<CompactString> = self
+            .node
+            .fleet
+            .borrow()
+            .servers()
+            .map(|server| server.id.clone())
+            .collect();
+        for id in known.iter().filter(|id| !named.contains(*id)) {
+            self.remove(id);
+        }
+        let servers: Vec<Server> = entries
+            .iter()
+            .filter_map(|entry| self.decode(entry))
+            .collect();
+        for server in servers {
+            self.put(server);
+        }
+        self.node.refresh();
+    }
+
+    fn apply(&mut self, changes: Vec<Change>) {
+        let mut changed = self.expire();
+        for change in changes {
+            match change {
+                Change::Put(entry) => {
+                    if let Some(server) = self.decode(&entry) {
+                        changed |= self.put(server);
+                    } else if let Some(id) = self.id(&entry.key) {
+                        // An entry of another writer names no server to use.
+                        let id = CompactString::from(id);
+                        changed |= self.remove(&id);
+                    }
+                }
+                Change::Delete(key, _) => {
+                    if let Some(id) = self.id(&key) {
+                        changed |= self.remove(id);
+                    }
+                }
+            }
+        }
+        if changed {
+            self.node.refresh();
+        }
+    }
+
+    fn returned(&mut self, away: Millis) {
+        if away >= AWAY {
+            self.lenient_until = Some(self.node.now() + RETURN);
+        }
+    }
+}
+
+/// Starts to follow the store.
+pub(crate) fn start(node: &Rc<Node>) {
+    let configurations = Configurations {
+        node: Rc::clone(node),
+    };
+    ntex::rt::spawn(follow(Rc::clone(node), configurations));
+    let registrations = Registrations {
+        node: Rc::clone(node),
+        lapsed: HashMap::new(),
+        lenient_until: None,
+    };
+    ntex::rt::spawn(follow(Rc::clone(node), registrations));
+}
--- /dev/null
+++ b/crates/gateway/src/leader.rs
@@ -0,0 +1,323 @@
+//! Leads an availability zone: wins the lease and gives the planner's orders.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::backend::Order;
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::{Change, Committed, Compare, Entry, Lease, Transaction, Write};
+use jackdaw_core::units::{Fence, Millis};
+use jackdaw_policy::assembly::{self, Decided, Planner, View};
+use jackdaw_policy::lease::{Action, Election, Event, Options};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::follow::{self, Reader};
+use crate::node::Node;
+
+/// Prefix of the node's own keys in the store.
+const PREFIX: &str = "jackdawstair/";
+/// Longest pause between two looks at the servers.
+const TICK: Millis = Millis(100);
+/// Longest time by which a node waits before it runs for a free leadership.
+const MAX_STAGGER: u64 = 300;
+/// Bound on how far the clocks of the node and the store drift apart within one lease.
+const CLOCK_ERROR: Millis = Millis(100);
+/// Pause before a failed call of the election is repeated.
+const RETRY: Millis = Millis(300);
+
+/// The leadership of one zone, as this node takes part in it.
+struct Leader {
+    node: Rc<Node>,
+    key: CompactString,
+    election: Election,
+    planners: HashMap<CompactString, Planner>,
+    fence: Option<Fence>,
+}
+
+type Shared = Rc<RefCell<Leader>>;
+
+/// Follows the leader's key.
+struct Follower {
+    leader: Shared,
+    key: CompactString,
+}
+
+impl Reader for Follower {
+    fn prefix(&self) -> CompactString {
+        self.key.clone()
+    }
+
+    fn pause(&self) -> Millis {
+        Millis(0)
+    }
+
+    fn replace(&mut self, entries: Vec<Entry>, revision: u64) {
+        let entry = entries.into_iter().find(|entry| entry.key == self.key);
+        step(&self.leader, Event::Observed { entry, revision });
+    }
+
+    fn apply(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            let event = match change {
+                Change::Put(entry) if entry.key == self.key => {
+                    let revision = entry.mod_revision;
+                    Event::Observed {
+                        entry: Some(entry),
+                        revision,
+                    }
+                }
+                Change::Delete(key, revision) if key == self.key => Event::Observed {
+                    entry: None,
+                    revision,
+                },
+                Change::Put(_) | Change::Delete(..) => continue,
+            };
+            step(&self.leader, event);
+        }
+    }
+
+    fn returned(&mut self, _: Millis) {}
+}
+
+/// Starts to take part in the election of the node's zone.
+pub(crate) fn start(node: &Rc<Node>) -> Handle {
+    let zone = &node.options.zone;
+    let key = format_compact!("{PREFIX}leader/{zone}");
+    let options = Options {
+        node: node.options.node.clone(),
+        zone: zone.clone(),
+        ttl: node.options.lease,
+        clock_error: CLOCK_ERROR,
+        order_time: Millis(0),
+        retry: RETRY,
+        stagger: Millis(fastrand::u64(0..MAX_STAGGER)),
+        // Servers carry an order out only if they have accepted no other order since it was
+        // decided, so orders of a former leader need not be waited for.
+        engines_check: true,
+    };
+    let leader = Rc::new(RefCell::new(Leader {
+        node: Rc::clone(node),
+        key: key.clone(),
+        election: Election::new(options),
+        planners: HashMap::new(),
+        fence: None,
+    }));
+    let follower = Follower {
+        leader: Rc::clone(&leader),
+        key,
+    };
+    ntex::rt::spawn(follow::follow(Rc::clone(node), follower));
+    ntex::rt::spawn(run(Rc::clone(&leader)));
+    Handle { leader }
+}
+
+/// Hands the leadership over.
+pub(crate) struct Handle {
+    leader: Shared,
+}
+
+impl Handle {
+    /// Gives the leadership up, so that another node leads at once.
+    pub(crate) fn resign(&self) {
+        step(&self.leader, Event::Resign);
+    }
+}
+
+async fn run(leader: Shared) {
+    let node = Rc::clone(&leader.borrow().node);
+    loop {
+        let changed = node.changed.notified();
+        // A tick without news lets time-outs pass.
+        let _ = time::timeout(TICK.duration(), changed).await;
+        step(&leader, Event::Tick);
+        plan(&leader);
+    }
+}
+
+/// Lets the planner look at the servers while this node leads.
+fn plan(shared: &Shared) {
+    let mut leader = shared.borrow_mut();
+    let node = Rc::clone(&leader.node);
+    let now = node.now();
+    let (Some(authority), Some(index)) = (leader.election.authority(now), node.index()) else {
+        return;
+    };
+    if !authority.may_order(now) {
+        return;
+    }
+    for service in &index.configuration().services {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let planner = leader
+            .planners
+            .entry(service.name.clone())
+            .or_insert_with(|| {
+                let options = assembly::Options {
+                    zone: node.options.zone.clone(),
+                    zones: node.options.zones.len(),
+                    ..assembly::Options::default()
+                };
+                Planner::new(options, authority.fence.0)
+            });
+        let decided = {
+            let fleet = node.fleet.borrow();
+            let view = View {
+                fleet: &fleet,
+                service: &service.name,
+                engine,
+                in_service: node.in_service.get(),
+            };
+            planner.plan(&view, now)
+        };
+        for one in decided {
+            give(shared, &node, service.name.clone(), one);
+        }
+    }
+}
+
+fn give(shared: &Shared, node: &Rc<Node>, service: CompactString, decided: Decided) {
+    let (shared, node) = (Rc::clone(shared), Rc::clone(node));
+    ntex::rt::spawn(async move {
+        match decided {
+            Decided::Order { order, cause } => {
+                let sent = node.now();
+                let reply = node.parts.orders.order(&order).await;
+                let now = node.now();
+                log(&node, &order, cause, &reply, now.since(sent));
+                if let Some(planner) = shared.borrow_mut().planners.get_mut(&service) {
+                    planner.answered(&order, &reply, now);
+                }
+            }
+            Decided::Ask { server, address } => {
+                let report = node.parts.orders.report(&server, address).await;
+                if let Err(error) = &report {
+                    info!(node.logger(), "server does not report";
+                        "server" => %server, "error" => %error);
+                }
+                let now = node.now();
+                if let Some(planner) = shared.borrow_mut().planners.get_mut(&service) {
+                    planner.reported(&server, &report, now);
+                }
+                node.changed.notify_waiters();
+            }
+        }
+    });
+}
+
+fn log(
+    node: &Node,
+    order: &Order,
+    cause: &'static str,
+    reply: &Result<jackdaw_core::backend::Reply>,
+    took: Millis,
+) {
+    let outcome = match reply {
+        Ok(reply) => format!("{reply:?}"),
+        Err(error) => error.to_string(),
+    };
+    info!(node.logger(), "order given";
+        "server" => %order.server,
+        "after" => order.after,
+        "command" => order.command.label(),
+        "target" => ?order.command,
+        "cause" => cause,
+        "outcome" => outcome,
+        "took_ms" => took.0);
+}
+
+/// Takes an event in and carries out what follows.
+fn step(shared: &Shared, event: Event) {
+    let actions = {
+        let mut leader = shared.borrow_mut();
+        let now = leader.node.now();
+        leader.election.step(event, now)
+    };
+    for action in actions {
+        act(shared, action);
+    }
+}
+
+fn act(shared: &Shared, action: Action) {
+    let node = Rc::clone(&shared.borrow().node);
+    let key = shared.borrow().key.clone();
+    match action {
+        Action::Acquired(authority) => {
+            info!(node.logger(), "leadership won";
+                "zone" => %node.options.zone, "fence" => authority.fence.0);
+            let mut leader = shared.borrow_mut();
+            leader.planners.clear();
+            leader.fence = Some(authority.fence);
+            node.changed.notify_waiters();
+        }
+        Action::Lost(fence) => {
+            info!(node.logger(), "leadership lost";
+                "zone" => %node.options.zone, "fence" => fence.0);
+            let mut leader = shared.borrow_mut();
+            leader.planners.clear();
+            leader.fence = None;
+        }
+        Action::Explain(decision) => {
+            info!(node.logger(), "decision"; "what" => ?decision);
+        }
+        Action::Grant(_)
+        | Action::Create(_)
+        | Action::Read
+        | Action::Renew(_)
+        | Action::Revoke(_) => {
+            let shared = Rc::clone(shared);
+            ntex::rt::spawn(async move {
+                if let Some(event) = call(&node, &key, action).await {
+                    step(&shared, event);
+                }
+            });
+        }
+    }
+}
+
+/// Calls the store for the election.
+async fn call(node: &Node, key: &CompactString, action: Action) -> Option<Event> {
+    let store = &node.parts.store;
+    let sent = node.now();
+    let event = match action {
+        Action::Grant(ttl) => Event::Granted(sent, store.grant(ttl).await),
+        Action::Create(lease) => Event::Created(sent, create(node, key, lease).await),
+        Action::Read => Event::Read(sent, store.get(key).await),
+        Action::Renew(lease) => Event::Renewed(sent, store.renew(lease).await),
+        Action::Revoke(lease) => {
+            if let Err(error) = store.revoke(lease).await {
+                warn!(node.logger(), "lease was not ended and lapses by itself"; "error" => %error);
+            }
+            return None;
+        }
+        Action::Acquired(_) | Action::Lost(_) | Action::Explain(_) => return None,
+    };
+    if let Event::Granted(_, Err(error))
+    | Event::Created(_, Err(error))
+    | Event::Read(_, Err(error))
+    | Event::Renewed(_, Err(error)) = &event
+    {
+        warn_failed(node, error);
+    }
+    Some(event)
+}
+
+fn warn_failed(node: &Node, error: &Error) {
+    warn!(node.logger(), "call of the election failed"; "error" => %error);
+}
+
+async fn create(node: &Node, key: &CompactString, lease: Lease) -> Result<Committed> {
+    let transaction = Transaction {
+        when: vec![Compare::Absent(key.clone())],
+        then: vec![Write::Put {
+            key: key.clone(),
+            value: node.options.node.as_bytes().to_vec(),
+            lease: Some(lease),
+        }],
+        otherwise: vec![key.clone()],
+    };
+    node.parts.store.commit(transaction).await
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,151 @@
+//! What all parts of a node share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use jackdaw_core::config::{Configuration, Index};
+use jackdaw_core::dialect::{Dialect, Log, Orders};
+use jackdaw_core::store::Store;
+use jackdaw_core::time::{Clock, Instant};
+use jackdaw_entry::counter::Counters;
+use jackdaw_entry::drain::Drain;
+use jackdaw_link::pool::{self, Pool};
+use jackdaw_policy::fleet::Fleet;
+use jackdaw_policy::retry::Budget;
+use opentelemetry::metrics::Meter;
+use slog::{Logger, info};
+use tokio::sync::Notify;
+
+use crate::arena::Arena;
+use crate::options::Options;
+
+/// What a node is given from outside.
+#[derive(Clone)]
+pub struct Parts {
+    /// The platform's manner of speaking.
+    pub dialect: Arc<dyn Dialect>,
+    /// Follows the store's keys.
+    pub log: Arc<dyn Log>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Sends orders to model engines.
+    pub orders: Arc<dyn Orders>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Logger.
+    pub logger: Logger,
+    /// Meter of the node's counters.
+    pub meter: Meter,
+}
+
+impl fmt::Debug for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Parts").finish_non_exhaustive()
+    }
+}
+
+/// State of one node; everything runs on one thread.
+pub(crate) struct Node {
+    pub(crate) options: Options,
+    pub(crate) parts: Parts,
+    pub(crate) counters: Counters,
+    pub(crate) pool: Pool,
+    pub(crate) drain: Drain,
+    /// Whether the node was asked to stop.
+    pub(crate) stopping: Cell<bool>,
+    /// Whether a request has come.
+    pub(crate) in_service: Cell<bool>,
+    /// Told when the configuration or the servers have changed.
+    pub(crate) changed: Notify,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) arena: Rc<RefCell<Arena>>,
+    index: RefCell<Option<Rc<Index>>>,
+    budgets: RefCell<HashMap<CompactString, Rc<Budget>>>,
+}
+
+impl Node {
+    pub(crate) fn new(options: Options, parts: Parts) -> Self {
+        Node {
+            counters: Counters::new(&parts.meter),
+            options,
+            parts,
+            pool: Pool::new(pool::Options::default()),
+            drain: Drain::default(),
+            stopping: Cell::new(false),
+            in_service: Cell::new(false),
+            changed: Notify::new(),
+            fleet: RefCell::default(),
+            arena: Rc::default(),
+            index: RefCell::default(),
+            budgets: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.parts.logger
+    }
+
+    /// Gets the configuration in force.
+    pub(crate) fn index(&self) -> Option<Rc<Index>> {
+        self.index.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub(crate) fn configure(&self, configuration: Configuration) {
+        let current = self.index().map(|index| index.configuration().version);
+        if current.is_some_and(|version| version >= configuration.version) {
+            return;
+        }
+        info!(self.logger(), "configuration in force";
+            "version" => configuration.version,
+            "before" => current,
+            "routes" => configuration.routes.len(),
+            "teams" => configuration.teams.len());
+        *self.index.borrow_mut() = Some(Rc::new(Index::new(configuration)));
+        self.refresh();
+    }
+
+    /// Derives the places that requests can be sent to from what is known of the servers.
+    pub(crate) fn refresh(&self) {
+        if let Some(index) = self.index() {
+            let fleet = self.fleet.borrow();
+            let targets = index
+                .configuration()
+                .services
+                .iter()
+                .flat_map(|service| fleet.targets(&service.name, service.engine.as_ref()))
+                .collect();
+            self.arena.borrow_mut().update(targets, self.now());
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the retry budget of a service.
+    pub(crate) fn budget(&self, service: &str) -> Rc<Budget> {
+        if let Some(budget) = self.budgets.borrow().get(service) {
+            return Rc::clone(budget);
+        }
+        let budget = Rc::new(Budget::new(self.options.retries));
+        self.budgets
+            .borrow_mut()
+            .insert(service.into(), Rc::clone(&budget));
+        budget
+    }
+
+    /// Returns whether new connections are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.index.borrow().is_some() && !self.fleet_is_empty()
+    }
+
+    fn fleet_is_empty(&self) -> bool {
+        self.fleet.borrow().servers().next().is_none()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,35 @@
+//! Options of a node.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use jackdaw_core::units::{Bytes, Millis};
+
+/// Options of a node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Name of the node.
+    pub node: CompactString,
+    /// Availability zone.
+    pub zone: CompactString,
+    /// All availability zones.
+    pub zones: Vec<CompactString>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the platform's readiness checks.
+    pub readiness: SocketAddr,
+    /// Time between two registrations of a backend server.
+    pub heartbeat: Millis,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Millis,
+    /// Time after which an engine breaks off work that depends on a lost member.
+    pub stall: Millis,
+    /// Retries that this node may spend at once for one service.
+    pub retries: u32,
+    /// Time to live of the leader's lease.
+    pub lease: Millis,
+    /// Pause between two reads of the servers' registrations.
+    pub registration_pause: Millis,
+    /// Largest head of a request.
+    pub max_head: Bytes,
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,255 @@
+//! Relays streams event by event, and lets a stream go on at another replica group.
+
+use std::rc::Rc;
+
+use futures::stream;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use jackdaw_core::outcome::{Outcome, Step};
+use jackdaw_core::time::Instant;
+use jackdaw_entry::drain::Pass as InFlight;
+use jackdaw_policy::retry::Fault;
+use ntex::http::Response;
+use slog::info;
+use thiserror::Error as ThisError;
+
+use crate::dispatch::{Attempt, Broken, Dispatch, Opened};
+use crate::event::{Event, Splitter};
+use crate::header;
+use crate::refusal::Refusal;
+use crate::whole;
+
+/// A stream that ends before its last event; the connection to the caller is broken off, so that
+/// the answer does not look complete.
+#[derive(Debug, ThisError)]
+#[error("the stream broke off: {0}")]
+struct BrokenOff(String);
+
+/// An answer that streams.
+struct Relay {
+    dispatch: Dispatch,
+    opened: Option<Opened>,
+    splitter: Splitter,
+    last_sign: Instant,
+    has_event: bool,
+    in_flight: Option<InFlight>,
+}
+
+/// Exchanges a request for a stream.
+///
+/// # Errors
+///
+/// Returns a refusal if no group brought a first event.
+pub(crate) async fn exchange(
+    mut dispatch: Dispatch,
+    in_flight: InFlight,
+) -> Result<Response, Refusal> {
+    loop {
+        let opened = match dispatch.open().await {
+            Ok(opened) => opened,
+            Err(refusal) => match dispatch.fallback.take() {
+                Some(whole) => return Ok(whole.response()),
+                None => return Err(refusal),
+            },
+        };
+        if !is_stream(&opened) {
+            match whole::finish(&mut dispatch, opened).await? {
+                Some(whole) => return Ok(whole.response()),
+                None => continue,
+            }
+        }
+        let mut headers = opened.answer.headers().clone();
+        header::strip(&mut headers);
+        let status = opened.answer.status();
+        let mut relay = Relay {
+            last_sign: opened.sent,
+            dispatch,
+            opened: Some(opened),
+            splitter: Splitter::default(),
+            has_event: false,
+            in_flight: None,
+        };
+        let first = match relay.next().await {
+            Ok(first) => first,
+            Err(refusal) => match relay.dispatch.fallback.take() {
+                Some(whole) => return Ok(whole.response()),
+                None => return Err(refusal),
+            },
+        };
+        relay.in_flight = Some(in_flight);
+        let mut builder = whole::builder(status, &headers);
+        return Ok(builder.streaming(Box::pin(body(relay, first))));
+    }
+}
+
+fn is_stream(opened: &Opened) -> bool {
+    opened.answer.status().is_success()
+        && opened
+            .answer
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .is_none_or(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// Returns the body for the caller. Dropping it ends the work on the server.
+fn body(
+    relay: Relay,
+    first: Option<Event>,
+) -> impl futures::Stream<Item = Result<ntex::util::Bytes, BrokenOff>> {
+    let begin = (relay, first.map(Ok));
+    stream::unfold(Some(begin), |state| async move {
+        let (mut relay, ready) = state?;
+        let event = match ready {
+            Some(event) => event.map(Some),
+            None => relay.next().await,
+        };
+        match event {
+            Ok(Some(event)) => {
+                let bytes = ntex::util::Bytes::from(event.bytes.to_vec());
+                Some((Ok(bytes), Some((relay, None))))
+            }
+            Ok(None) => {
+                relay.dispatch.node.counters.outcome(Outcome::Completed);
+                None
+            }
+            Err(refusal) => {
+                relay.dispatch.node.counters.refusal(refusal.reason);
+                info!(relay.dispatch.node.logger(), "stream broken off";
+                    "request" => %relay.dispatch.call.head.id,
+                    "route" => %relay.dispatch.call.route.name,
+                    "reason" => refusal.reason.label(),
+                    "detail" => &refusal.detail,
+                    "delivered" => relay.dispatch.delivered);
+                Some((Err(BrokenOff(refusal.detail)), None))
+            }
+        }
+    })
+}
+
+impl Relay {
+    /// Returns the next event, or none at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the stream breaks off and cannot go on elsewhere.
+    async fn next(&mut self) -> Result<Option<Event>, Refusal> {
+        loop {
+            let mut opened = match self.opened.take() {
+                Some(opened) => opened,
+                None => self.reopen().await?,
+            };
+            let attempt = Attempt {
+                key: opened.pass.key,
+                target: Rc::clone(&opened.target),
+                is_new: opened.connection.is_new(),
+            };
+            match self.read(&mut opened).await {
+                Ok(Some(event)) => {
+                    self.opened = Some(opened);
+                    return Ok(Some(event));
+                }
+                Ok(None) => {
+                    let headers = opened.answer.headers().clone();
+                    self.dispatch.node.pool.put(opened.connection, &headers);
+                    return Ok(None);
+                }
+                Err(broken) => {
+                    drop(opened);
+                    self.splitter = Splitter::default();
+                    self.dispatch.failed(&broken, &attempt)?;
+                }
+            }
+        }
+    }
+
+    /// Lets the stream go on at another group.
+    async fn reopen(&mut self) -> Result<Opened, Refusal> {
+        loop {
+            let opened = self.dispatch.open().await?;
+            if is_stream(&opened) {
+                self.last_sign = opened.sent;
+                return Ok(opened);
+            }
+            let attempt = Attempt {
+                key: opened.pass.key,
+                target: Rc::clone(&opened.target),
+                is_new: opened.connection.is_new(),
+            };
+            let detail = format!("status {} in place of a stream", opened.answer.status());
+            let broken = Broken::new(Fault::Invalid, Step::Answering, detail);
+            drop(opened);
+            self.dispatch.failed(&broken, &attempt)?;
+        }
+    }
+
+    async fn read(&mut self, opened: &mut Opened) -> Result<Option<Event>, Broken> {
+        loop {
+            let next = self.splitter.next().map_err(|_| {
+                Broken::new(Fault::Invalid, Step::Answering, "an event is too large")
+            })?;
+            if let Some(event) = next {
+                if self.is_next(&event)? {
+                    return Ok(Some(event));
+                }
+                continue;
+            }
+            let patience = self.dispatch.next_patience();
+            let body = opened.answer.body_mut();
+            let frame = self
+                .dispatch
+                .guard(opened.pass.key, self.last_sign, patience, body.frame())
+                .await;
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(fault) => {
+                    return Err(Broken::new(fault, Step::Answering, "the stream stopped"));
+                }
+            };
+            let Some(frame) = frame else {
+                if self.splitter.is_empty() {
+                    return Ok(None);
+                }
+                let detail = "the stream ended within an event";
+                return Err(Broken::new(Fault::Closed, Step::Answering, detail));
+            };
+            let frame =
+                frame.map_err(|error| Broken::new(Fault::Closed, Step::Answering, error))?;
+            if let Ok(data) = frame.into_data() {
+                self.splitter.push(&data);
+                self.progress(opened);
+            }
+        }
+    }
+
+    /// Notes that the group has brought something.
+    fn progress(&mut self, opened: &mut Opened) {
+        let now = self.dispatch.node.now();
+        if !self.has_event {
+            opened.pass.read();
+            self.has_event = true;
+        }
+        self.last_sign = now;
+        let mut arena = self.dispatch.node.arena.borrow_mut();
+        arena.advance(opened.pass.key, now);
+    }
+
+    /// Returns whether an event is the next one for the caller; one that the caller has is passed
+    /// over.
+    fn is_next(&mut self, event: &Event) -> Result<bool, Broken> {
+        let Some(id) = event.id else {
+            return Ok(true);
+        };
+        if let Some(delivered) = self.dispatch.delivered {
+            if id <= delivered {
+                return Ok(false);
+            }
+            if id > delivered + 1 {
+                let detail = format!("event {id} came after event {delivered}");
+                return Err(Broken::new(Fault::Invalid, Step::Answering, detail));
+            }
+        }
+        self.dispatch.delivered = Some(id);
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,163 @@
+//! Runs a node: its listeners, its followers and its planned stop.
+
+use std::io;
+use std::rc::Rc;
+
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::units::Millis;
+use ntex::SharedCfg;
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::IoConfig;
+use ntex::rt::{DefaultRuntime, System};
+use ntex::service::{ServiceFactory, fn_service};
+use ntex::time::Seconds;
+use slog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time;
+
+use crate::follow;
+use crate::handler;
+use crate::leader;
+use crate::node::{Node, Parts};
+use crate::options::Options;
+
+/// Time after which an idle connection of a caller is closed; longer than callers keep theirs.
+const KEEP_ALIVE: Seconds = Seconds(75);
+/// Time for callers to read the last bytes of answers that were already finished.
+const READ_TIMEOUT: Seconds = Seconds(30);
+/// Time after the request to stop in which the platform still sends new connections; it asks for
+/// readiness each second and goes by two misses.
+const LAST_CONNECTIONS: Millis = Millis(3_000);
+/// Time before the process is killed at which the node ends by itself.
+const LAST_MOMENT: Millis = Millis(400);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis(10);
+
+/// Which port a connection came in on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Port {
+    Callers,
+    Readiness,
+}
+
+/// Runs a node until it is asked to stop and has finished what was in flight.
+///
+/// # Errors
+///
+/// Returns an error if a port cannot be bound or the signals cannot be received.
+pub fn run(options: Options, parts: Parts) -> Result<()> {
+    System::new("gateway", DefaultRuntime).block_on(serve(options, parts))
+}
+
+async fn serve(options: Options, parts: Parts) -> Result<()> {
+    let bind = |address: std::net::SocketAddr| async move {
+        TcpListener::bind(address)
+            .await
+            .map_err(|error| Error::unreachable("bind", &address.to_string(), error))
+    };
+    let callers = bind(options.callers).await?;
+    let readiness = bind(options.readiness).await?;
+    let install =
+        |kind| signal(kind).map_err(|error| Error::unreachable("install signals", "self", error));
+    let mut terminate = install(SignalKind::terminate())?;
+    let mut interrupt = install(SignalKind::interrupt())?;
+    let mut hangup = install(SignalKind::hangup())?;
+    let node = Rc::new(Node::new(options, parts));
+    info!(node.logger(), "node started";
+        "zone" => %node.options.zone, "callers" => %node.options.callers);
+    follow::start(&node);
+    let leadership = leader::start(&node);
+    ntex::rt::spawn(accept(Rc::clone(&node), readiness, Port::Readiness));
+    ntex::rt::spawn(accept(Rc::clone(&node), callers, Port::Callers));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            // Addresses cannot change while the process runs; all else comes from the store.
+            _ = hangup.recv() => info!(node.logger(), "reload: nothing to do"),
+        }
+    }
+    info!(node.logger(), "node stopping"; "in_flight" => node.drain.in_flight());
+    leadership.resign();
+    stop(&node).await;
+    info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
+    Ok(())
+}
+
+/// Finishes what is in flight and takes nothing new once the platform sends nothing more.
+async fn stop(node: &Node) {
+    node.stopping.set(true);
+    let grace = node.options.grace.0.saturating_sub(LAST_MOMENT.0);
+    let calm = LAST_CONNECTIONS.0.min(grace);
+    time::sleep(Millis(calm).duration()).await;
+    node.drain.stop();
+    let finished = async {
+        node.drain.idle().await;
+        node.drain.closed().await;
+    };
+    let rest = Millis(grace.saturating_sub(calm));
+    if time::timeout(rest.duration(), finished).await.is_err() {
+        warn!(node.logger(), "grace is over with requests in flight";
+            "in_flight" => node.drain.in_flight());
+    }
+}
+
+fn config(options: &Options) -> SharedCfg {
+    let head = usize::try_from(options.max_head.0).unwrap_or(usize::MAX);
+    let http = HttpServiceConfig::new()
+        .set_max_buf_size(head)
+        .set_keepalive_timeout(KEEP_ALIVE);
+    // An answer that was finished is not cut off while its caller still reads.
+    let io = IoConfig::new().set_disconnect_timeout(READ_TIMEOUT);
+    SharedCfg::new("CALLERS").add(http).add(io).into()
+}
+
+async fn accept(node: Rc<Node>, listener: TcpListener, port: Port) {
+    let config = config(&node.options);
+    let handler_node = Rc::clone(&node);
+    let requests = fn_service(move |request: Request| {
+        let node = Rc::clone(&handler_node);
+        async move {
+            let response = match port {
+                Port::Callers => handler::handle(node, request).await,
+                Port::Readiness => handler::readiness(&node, request.path()),
+            };
+            Ok::<Response, io::Error>(response)
+        }
+    });
+    let service = HttpService::h1(requests);
+    let pipeline = match service.pipeline(config.clone()).await {
+        Ok(pipeline) => pipeline,
+        Err(()) => {
+            warn!(node.logger(), "the HTTP service could not be started");
+            return;
+        }
+    };
+    loop {
+        let stream = match listener.accept().await.and_then(|(one, _)| one.into_std()) {
+            Ok(stream) => stream,
+            Err(error) => {
+                warn!(node.logger(), "connection was not accepted"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE.duration()).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            warn!(node.logger(), "connection delays small writes"; "error" => %error);
+        }
+        let io = match ntex::rt::from_tcp_stream(stream, config.clone()) {
+            Ok(io) => io,
+            Err(error) => {
+                warn!(node.logger(), "connection was not taken over"; "error" => %error);
+                continue;
+            }
+        };
+        if port == Port::Callers {
+            node.drain.follow(io.get_ref());
+        }
+        let pipeline = pipeline.clone();
+        // A connection that fails has been answered or cut off already.
+        ntex::rt::spawn(async move { drop(pipeline.call(io).await) });
+    }
+}
--- /dev/null
+++ b/crates/link/src/client.rs
@@ -0,0 +1,86 @@
+//! Exchanges of small whole messages.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use jackdaw_core::dialect::Exchange;
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::units::{Bytes as Size, Millis};
+use tokio::time;
+
+use crate::connection::Fault;
+use crate::pool::{Options, Pool};
+
+/// Largest answer; the store's pages hold about a megabyte.
+const MAX_ANSWER: Size = Size(8 << 20);
+
+/// Exchanges whole messages over pooled connections.
+#[derive(Debug)]
+pub struct Client {
+    pool: Pool,
+    step: &'static str,
+}
+
+impl Client {
+    /// Creates a client; `step` names what it does in errors.
+    #[must_use]
+    pub fn new(step: &'static str, options: Options) -> Self {
+        Client {
+            pool: Pool::new(options),
+            step,
+        }
+    }
+
+    async fn run(
+        &self,
+        peer: SocketAddr,
+        request: Request<Bytes>,
+    ) -> std::result::Result<Response<Bytes>, Fault> {
+        let mut connection = self.pool.take(peer).await?;
+        let answer = connection.send(request).await?;
+        let (head, body) = answer.into_parts();
+        let body = read(body, MAX_ANSWER).await?;
+        self.pool.put(connection, &head.headers);
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Returns [`Fault::Unanswered`] if the body is broken off or larger than `limit`.
+pub async fn read(body: Incoming, limit: Size) -> std::result::Result<Bytes, Fault> {
+    let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) => Err(Fault::Unanswered(error.to_string())),
+    }
+}
+
+#[async_trait]
+impl Exchange for Client {
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        request: Request<Bytes>,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        let name = peer.to_string();
+        match time::timeout(timeout.duration(), self.run(peer, request)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(Fault::NotSent(reason))) => Err(Error::unreachable(self.step, &name, reason)),
+            Ok(Err(fault @ Fault::Unanswered(_))) => {
+                Err(Error::indeterminate(self.step, &name, fault))
+            }
+            Err(_) => {
+                let reason = format!("no answer within {timeout}");
+                Err(Error::indeterminate(self.step, &name, reason))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,231 @@
+//! Knows the registered backend servers and derives which replica groups serve.
+//!
+//! The servers' own registrations are the only record of the groups: a group serves while its first
+//! member reports it open and every other rank reports the same name and epoch.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::backend::{Server, State};
+use jackdaw_core::config::Engine;
+
+/// Separates the parts of a group's name.
+const SEPARATOR: char = '.';
+
+/// Returns the name of a group. A leader numbers its groups, so that no name is used twice.
+#[must_use]
+pub fn group_name(model: &str, fence: u64, number: u64) -> CompactString {
+    format_compact!("{model}{SEPARATOR}{fence}{SEPARATOR}{number}")
+}
+
+/// Returns the model that a group's name states.
+#[must_use]
+pub fn model_of(group: &str) -> Option<&str> {
+    let mut parts = group.rsplitn(3, SEPARATOR);
+    let (Some(_), Some(_), model) = (parts.next(), parts.next(), parts.next()) else {
+        return None;
+    };
+    model
+}
+
+/// A replica group as its members report it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// Name.
+    pub name: CompactString,
+    /// Epoch.
+    pub epoch: u64,
+    /// Model.
+    pub model: CompactString,
+    /// Names of the members by rank; ranks that no server reports are empty.
+    pub members: Vec<Option<CompactString>>,
+}
+
+impl Group {
+    /// Gets the first member.
+    #[must_use]
+    pub fn head(&self) -> Option<&CompactString> {
+        self.members.first().and_then(Option::as_ref)
+    }
+
+    /// Returns whether every rank is reported.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.members.iter().all(Option::is_some)
+    }
+}
+
+/// Where requests can be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Server that takes the requests.
+    pub server: CompactString,
+    /// Address of that server.
+    pub address: SocketAddr,
+    /// Start of that server; tells incarnations apart.
+    pub born: u64,
+    /// Service.
+    pub service: CompactString,
+    /// Availability zone.
+    pub zone: CompactString,
+    /// Requests that are processed at once.
+    pub slots: u32,
+    /// Model, for a replica group.
+    pub model: Option<CompactString>,
+    /// Names of all members; the server alone for a plain service.
+    pub members: Vec<CompactString>,
+    /// Name of the replica group; empty for a plain service.
+    pub group: CompactString,
+}
+
+/// All registered servers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    servers: BTreeMap<CompactString, Server>,
+}
+
+impl Fleet {
+    /// Takes in a registration and returns whether it changed anything but counters.
+    pub fn put(&mut self, server: Server) -> bool {
+        let known = self.servers.get(&server.id);
+        let changed = known.is_none_or(|known| *known != server);
+        self.servers.insert(server.id.clone(), server);
+        changed
+    }
+
+    /// Takes out a server and returns what was known of it.
+    pub fn remove(&mut self, id: &str) -> Option<Server> {
+        self.servers.remove(id)
+    }
+
+    /// Keeps only the named servers and returns the others.
+    pub fn retain(&mut self, named: impl Fn(&str) -> bool) -> Vec<Server> {
+        let gone: Vec<CompactString> = self
+            .servers
+            .keys()
+            .filter(|id| !named(id))
+            .cloned()
+            .collect();
+        gone.iter()
+            .filter_map(|id| self.servers.remove(id))
+            .collect()
+    }
+
+    /// Gets a server by name.
+    #[must_use]
+    pub fn server(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Gets all servers in the order of their names.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Returns the groups that the servers of a service report, in the order of their names.
+    #[must_use]
+    pub fn groups(&self, service: &str, engine: &Engine) -> Vec<Group> {
+        let mut groups: BTreeMap<(&str, u64), Group> = BTreeMap::new();
+        for server in self.servers.values().filter(|one| one.service == service) {
+            let Some(membership) = &server.membership else {
+                continue;
+            };
+            let model = model_of(&membership.group).and_then(|name| engine.model(name));
+            let size = model.map_or(0, |model| model.size);
+            let group = groups
+                .entry((&membership.group, membership.epoch))
+                .or_insert_with(|| Group {
+                    name: membership.group.clone(),
+                    epoch: membership.epoch,
+                    model: model.map(|model| model.name.clone()).unwrap_or_default(),
+                    members: vec![None; size],
+                });
+            if let Some(member) = group.members.get_mut(membership.rank) {
+                *member = Some(server.id.clone());
+            }
+        }
+        groups.into_values().collect()
+    }
+
+    /// Returns where requests for a service can be sent now.
+    #[must_use]
+    pub fn targets(&self, service: &str, engine: Option<&Engine>) -> Vec<Target> {
+        match engine {
+            None => self.plain_targets(service),
+            Some(engine) => self
+                .groups(service, engine)
+                .iter()
+                .filter_map(|group| self.group_target(group, engine))
+                .collect(),
+        }
+    }
+
+    fn plain_targets(&self, service: &str) -> Vec<Target> {
+        self.servers
+            .values()
+            .filter(|server| server.service == service && !server.draining)
+            .map(|server| Target {
+                server: server.id.clone(),
+                address: server.address,
+                born: server.born,
+                service: server.service.clone(),
+                zone: server.zone.clone(),
+                slots: server.slots,
+                model: None,
+                members: vec![server.id.clone()],
+                group: CompactString::default(),
+            })
+            .collect()
+    }
+
+    /// Returns the target of a group that serves: whole, open, and with no member about to leave.
+    fn group_target(&self, group: &Group, engine: &Engine) -> Option<Target> {
+        let members: Option<Vec<CompactString>> = group.members.iter().cloned().collect();
+        let members = members?;
+        let head = self.servers.get(members.first()?)?;
+        let is_open = |server: &Server| {
+            server
+                .membership
+                .as_ref()
+                .is_some_and(|membership| membership.state == State::Open)
+        };
+        let is_staying = |id: &CompactString| {
+            self.servers.get(id).is_some_and(|server| {
+                let state = server
+                    .membership
+                    .as_ref()
+                    .map(|membership| membership.state);
+                !server.draining && !matches!(state, None | Some(State::Broken | State::Joining))
+            })
+        };
+        if !is_open(head) || !members.iter().all(is_staying) {
+            return None;
+        }
+        Some(Target {
+            server: head.id.clone(),
+            address: head.address,
+            born: head.born,
+            service: head.service.clone(),
+            zone: head.zone.clone(),
+            slots: engine.slots,
+            model: Some(group.model.clone()),
+            members,
+            group: group.name.clone(),
+        })
+    }
+}
+
+/// Counts the servers of a service by zone and domain.
+#[must_use]
+pub fn domains<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+) -> HashMap<(CompactString, CompactString), usize> {
+    let mut counts = HashMap::new();
+    for server in servers {
+        *counts
+            .entry((server.zone.clone(), server.domain.clone()))
+            .or_default() += 1;
+    }
+    counts
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,11 @@
 //! with its own rules: an event and the time go in, actions and explanations come out, and
 //! whatever is random comes from a seed. The crate can therefore be driven from a test bench alone.
 
+pub mod assembly;
 pub mod backoff;
+pub mod balance;
 pub mod fair;
+pub mod fleet;
 pub mod lease;
 pub mod member;
 pub mod once;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -27,23 +27,32 @@
 #[derive(Debug)]
 pub struct Budget {
     balance: AtomicU32,
+    max: u32,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget {
-            balance: AtomicU32::new(MAX_BALANCE),
-        }
+        Budget::new(MAX_BALANCE / RETRY_COST)
     }
 }
 
 impl Budget {
+    /// Creates a full budget that holds a number of retries at most.
+    #[must_use]
+    pub fn new(retries: u32) -> Self {
+        let max = retries * RETRY_COST;
+        Budget {
+            balance: AtomicU32::new(max),
+            max,
+        }
+    }
+
     /// Counts a request.
     pub fn deposit(&self) {
         let _ = self
             .balance
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                Some((balance + DEPOSIT).min(MAX_BALANCE))
+                Some((balance + DEPOSIT).min(self.max))
             });
     }
 
@@ -159,6 +168,8 @@
     idempotent: bool,
     deadline: Instant,
     attempts: u32,
+    sent: u32,
+    max_sent: u32,
     furthest: Step,
     tried: Vec<CompactString>,
     reconnected: Option<CompactString>,
@@ -173,6 +184,8 @@
             idempotent,
             deadline,
             attempts: 0,
+            sent: 0,
+            max_sent: MAX_ATTEMPTS,
             furthest: Step::Admitted,
             tried: Vec::new(),
             reconnected: None,
@@ -180,6 +193,19 @@
         }
     }
 
+    /// Limits the number of servers that are sent the request.
+    #[must_use]
+    pub fn with_limit(mut self, max_sent: u32) -> Self {
+        self.max_sent = max_sent;
+        self
+    }
+
+    /// Returns whether the request could be sent once more after the attempt in progress fails.
+    #[must_use]
+    pub fn has_spare(&self) -> bool {
+        self.sent + 1 < self.max_sent && self.attempts + 1 < MAX_ATTEMPTS
+    }
+
     /// Notes that the intent of the call is recorded.
     pub fn record(&mut self) {
         self.furthest = self.furthest.max(Step::Recorded);
@@ -223,6 +249,9 @@
     /// Takes in a failed attempt and returns what to do.
     pub fn judge(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
         self.attempts += 1;
+        if failure.fault != Fault::Unreachable {
+            self.sent += 1;
+        }
         self.furthest = self.furthest.max(failure.step);
         let reconnect =
             failure.may_be_connection() && self.reconnected.as_ref() != Some(&failure.server);
@@ -250,7 +279,8 @@
         if failure.fault == Fault::Deadline || now >= self.deadline {
             return Some(Cause::Deadline);
         }
-        (self.attempts >= MAX_ATTEMPTS).then_some(Cause::Attempts)
+        let is_spent = self.attempts >= MAX_ATTEMPTS || self.sent >= self.max_sent;
+        is_spent.then_some(Cause::Attempts)
     }
 }
 
