Close the caller's connection when a stream breaks off

Ruled out: garbled bytes of a server; the trace shows a run cut by the engine and the node's own bytes after it. Conclusion: a body that cannot go on closes the connection and stays pending.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -99,7 +99,10 @@
     let is_stream = call.route.kind.is_stream();
     let mut dispatch = Dispatch::new(Rc::clone(node), index, call);
     if is_stream {
-        return relay::exchange(dispatch, in_flight).await.map_err(failed);
+        let caller = request.io().cloned();
+        return relay::exchange(dispatch, in_flight, caller)
+            .await
+            .map_err(failed);
     }
     let whole = whole::exchange(&mut dispatch).await.map_err(failed)?;
     debug!(node.logger(), "request answered";
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays streams event by event, and lets a stream go on at another replica group.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 
 use futures::stream;
@@ -10,8 +11,9 @@
 use jackdaw_entry::drain::Pass as InFlight;
 use jackdaw_policy::retry::Fault;
 use ntex::http::Response;
+use ntex::io::IoRef;
+use ntex::util::Bytes;
 use slog::info;
-use thiserror::Error as ThisError;
 
 use crate::dispatch::{Attempt, Broken, Dispatch, Opened};
 use crate::event::{Event, Splitter};
@@ -19,12 +21,6 @@
 use crate::refusal::Refusal;
 use crate::whole;
 
-/// A stream that ends before its last event; the connection to the caller is broken off, so that
-/// the answer does not look complete.
-#[derive(Debug, ThisError)]
-#[error("the stream broke off: {0}")]
-struct BrokenOff(String);
-
 /// An answer that streams.
 struct Relay {
     dispatch: Dispatch,
@@ -43,6 +39,7 @@
 pub(crate) async fn exchange(
     mut dispatch: Dispatch,
     in_flight: InFlight,
+    caller: Option<IoRef>,
 ) -> Result<Response, Refusal> {
     loop {
         let opened = match dispatch.open().await {
@@ -78,7 +75,7 @@
         };
         relay.in_flight = Some(in_flight);
         let mut builder = whole::builder(status, &headers);
-        return Ok(builder.streaming(Box::pin(body(relay, first))));
+        return Ok(builder.streaming(Box::pin(body(relay, first, caller))));
     }
 }
 
@@ -96,38 +93,54 @@
 fn body(
     relay: Relay,
     first: Option<Event>,
-) -> impl futures::Stream<Item = Result<ntex::util::Bytes, BrokenOff>> {
-    let begin = (relay, first.map(Ok));
-    stream::unfold(Some(begin), |state| async move {
-        let (mut relay, ready) = state?;
-        let event = match ready {
-            Some(event) => event.map(Some),
+    caller: Option<IoRef>,
+) -> impl futures::Stream<Item = Result<Bytes, Infallible>> {
+    stream::unfold((relay, first, caller), |(mut relay, ready, caller)| async {
+        let next = match ready {
+            Some(event) => Ok(Some(event)),
             None => relay.next().await,
         };
-        match event {
+        match next {
             Ok(Some(event)) => {
-                let bytes = ntex::util::Bytes::from(event.bytes.to_vec());
-                Some((Ok(bytes), Some((relay, None))))
+                let bytes = Bytes::from(event.bytes.to_vec());
+                Some((Ok(bytes), (relay, None, caller)))
             }
             Ok(None) => {
                 relay.dispatch.node.counters.outcome(Outcome::Completed);
                 None
             }
             Err(refusal) => {
-                relay.dispatch.node.counters.refusal(refusal.reason);
-                info!(relay.dispatch.node.logger(), "stream broken off";
-                    "request" => %relay.dispatch.call.head.id,
-                    "route" => %relay.dispatch.call.route.name,
-                    "reason" => refusal.reason.label(),
-                    "detail" => &refusal.detail,
-                    "delivered" => relay.dispatch.delivered);
-                Some((Err(BrokenOff(refusal.detail)), None))
+                relay.report(&refusal);
+                drop(relay);
+                break_off(caller).await
             }
         }
     })
 }
 
+/// Closes the connection to the caller, so that an answer that ends early does not look complete.
+async fn break_off<T>(caller: Option<IoRef>) -> T {
+    if let Some(caller) = caller {
+        caller.close();
+    }
+    // The library drops the answer together with the connection.
+    std::future::pending().await
+}
+
 impl Relay {
+    /// Counts and logs a stream that is broken off.
+    fn report(&self, refusal: &Refusal) {
+        let node = &self.dispatch.node;
+        node.counters.refusal(refusal.reason);
+        node.counters.outcome(Outcome::Unknown);
+        info!(node.logger(), "stream broken off";
+            "request" => %self.dispatch.call.head.id,
+            "route" => %self.dispatch.call.route.name,
+            "reason" => refusal.reason.label(),
+            "detail" => &refusal.detail,
+            "delivered" => self.dispatch.delivered);
+    }
+
     /// Returns the next event, or none at the end of the stream.
     ///
     /// # Errors
