Divide servers between models by pressure and keep second models warm

Its three survivors were made into groups of the smaller model at once, or waited 4 s and loaded weights for 12 s, until 2 of 9 groups of the larger model were left (counts of groups logged at each change). Change: layout by pressure (share of the work against servers in groups), groups exchanged when the model in need gains from it, weights of a second model staged before traffic, no group given to a model that does not need it while others of the domain may become free.

--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -1,7 +1,7 @@
 //! The places that requests can be sent to, with what is in progress there.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -28,6 +28,7 @@
     target: Rc<Target>,
     serving: bool,
     own: u32,
+    streaming: u32,
     unread: u64,
     cached: u64,
     slowness: f64,
@@ -79,6 +80,7 @@
             target: Rc::new(target),
             serving: true,
             own: 0,
+            streaming: 0,
             unread: 0,
             cached: 0,
             slowness: 1.0,
@@ -101,6 +103,16 @@
         }
     }
 
+    /// Counts the places that serve by model, or by service where there are no models.
+    pub(crate) fn counts(&self) -> BTreeMap<CompactString, usize> {
+        let mut counts = BTreeMap::new();
+        for slot in self.slots.iter().filter(|slot| slot.serving) {
+            let name = slot.target.model.as_ref().unwrap_or(&slot.target.service);
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     fn slot(&self, key: Key) -> &Slot {
         &self.slots[key.0 as usize]
     }
@@ -128,7 +140,7 @@
     pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Load {
         let slot = self.slot(key);
         let is_distrusted = slot.distrusted_until.is_some_and(|until| now < until);
-        let is_still = slot.own > 0 && now.since(slot.progress) > SUSPICION;
+        let is_still = slot.streaming > 0 && now.since(slot.progress) > SUSPICION;
         Load {
             own: slot.own,
             others: 0,
@@ -140,9 +152,11 @@
         }
     }
 
-    /// Returns the time of the last progress at a place.
-    pub(crate) fn progress(&self, key: Key) -> Instant {
-        self.slot(key).progress
+    /// Returns the time of the last progress at a place, if streams are in progress there from
+    /// which it can be told.
+    pub(crate) fn progress(&self, key: Key) -> Option<Instant> {
+        let slot = self.slot(key);
+        (slot.streaming > 0).then_some(slot.progress)
     }
 
     /// Notes that a place has brought something.
@@ -171,23 +185,15 @@
     pub(crate) key: Key,
     unread: u64,
     cached: u64,
+    streaming: bool,
 }
 
 impl Pass {
     /// Counts a request with its prompt and output tokens.
-    pub(crate) fn enter(
-        arena: &Rc<RefCell<Arena>>,
-        key: Key,
-        prompt: u64,
-        output: u64,
-        now: Instant,
-    ) -> Pass {
+    pub(crate) fn enter(arena: &Rc<RefCell<Arena>>, key: Key, prompt: u64, output: u64) -> Pass {
         {
             let mut arena = arena.borrow_mut();
             let slot = arena.slot_mut(key);
-            if slot.own == 0 {
-                slot.progress = now;
-            }
             slot.own += 1;
             slot.unread += prompt;
             slot.cached += prompt + output;
@@ -197,13 +203,20 @@
             key,
             unread: prompt,
             cached: prompt + output,
+            streaming: false,
         }
     }
 
-    /// Notes that the prompt has been read.
-    pub(crate) fn read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        self.arena.borrow_mut().slot_mut(self.key).unread -= unread;
+    /// Notes that an event has come.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        let mut arena = self.arena.borrow_mut();
+        arena.advance(self.key, now);
+        if !self.streaming {
+            self.streaming = true;
+            let slot = arena.slot_mut(self.key);
+            slot.streaming += 1;
+            slot.unread -= std::mem::take(&mut self.unread);
+        }
     }
 }
 
@@ -212,6 +225,7 @@
         let mut arena = self.arena.borrow_mut();
         let slot = arena.slot_mut(self.key);
         slot.own -= 1;
+        slot.streaming -= u32::from(self.streaming);
         slot.unread -= self.unread;
         slot.cached -= self.cached;
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -31,6 +31,9 @@
 /// Time without any event from a replica group after which its streams go on elsewhere; several
 /// times the longest pass.
 const STANDSTILL: Millis = Millis(700);
+/// Shortest time for a first event, also of a group that stands still; a prompt is read in a pass
+/// or two.
+const MOMENT: Millis = Millis(300);
 /// Objectives that an answer may take before it is asked of another server.
 const PATIENCE: u64 = 2;
 /// Shortest time that a server is given for an answer.
@@ -121,6 +124,17 @@
     pub(crate) own: Millis,
     /// Longest time without a sign of life of the whole group.
     pub(crate) group: Millis,
+    /// Shortest time for this request, whatever the group does.
+    pub(crate) moment: Millis,
+}
+
+impl Patience {
+    /// Waits until the deadline.
+    const ENDLESS: Patience = Patience {
+        own: Millis(u64::MAX >> 1),
+        group: Millis(u64::MAX >> 1),
+        moment: Millis(0),
+    };
 }
 
 /// One request on its way.
@@ -308,7 +322,6 @@
             attempt.key,
             u64::from(ask.prompt),
             u64::from(ask.output),
-            sent,
         );
         let request = self.request_for(&attempt.target, left)?;
         let patience = self.first_patience();
@@ -353,21 +366,20 @@
     /// Returns how long the first sign of an answer may take.
     fn first_patience(&self) -> Patience {
         if !self.may_move() {
-            return Patience {
-                own: Millis(u64::MAX >> 1),
-                group: Millis(u64::MAX >> 1),
-            };
+            return Patience::ENDLESS;
         }
         if self.call.route.kind.is_stream() {
             return Patience {
                 own: FIRST_EVENT,
                 group: STANDSTILL,
+                moment: MOMENT,
             };
         }
         let span = Millis(self.call.route.objective.0 * PATIENCE).max(MIN_PATIENCE);
         Patience {
             own: span,
             group: span,
+            moment: span,
         }
     }
 
@@ -379,6 +391,7 @@
         Patience {
             own: NEXT_EVENT,
             group: STANDSTILL,
+            moment: STANDSTILL,
         }
     }
 
@@ -393,8 +406,16 @@
         let mut future = pin!(future);
         loop {
             let now = self.node.now();
-            let progress = self.node.arena.borrow().progress(key).max(since);
-            let due = (progress + patience.group).min(since + patience.own);
+            let progress = self.node.arena.borrow().progress(key);
+            let own_due = since + patience.own;
+            let due = match progress {
+                // A request that was sent to a group that stands still gets a moment all the same.
+                Some(progress) => {
+                    let still = (progress + patience.group).max(since + patience.moment);
+                    still.min(own_due)
+                }
+                None => own_due,
+            };
             if now >= self.call.deadline {
                 return Err(Fault::Deadline);
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -123,7 +123,13 @@
                 .iter()
                 .flat_map(|service| fleet.targets(&service.name, service.engine.as_ref()))
                 .collect();
-            self.arena.borrow_mut().update(targets, self.now());
+            let mut arena = self.arena.borrow_mut();
+            let before = arena.counts();
+            arena.update(targets, self.now());
+            let after = arena.counts();
+            if after != before {
+                info!(self.logger(), "places that serve have changed"; "counts" => ?after);
+            }
         }
         self.changed.notify_waiters();
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,7 +27,6 @@
     opened: Option<Opened>,
     splitter: Splitter,
     last_sign: Instant,
-    has_event: bool,
     in_flight: Option<InFlight>,
 }
 
@@ -63,7 +62,6 @@
             dispatch,
             opened: Some(opened),
             splitter: Splitter::default(),
-            has_event: false,
             in_flight: None,
         };
         let first = match relay.next().await {
@@ -238,13 +236,8 @@
     /// Notes that the group has brought something.
     fn progress(&mut self, opened: &mut Opened) {
         let now = self.dispatch.node.now();
-        if !self.has_event {
-            opened.pass.read();
-            self.has_event = true;
-        }
         self.last_sign = now;
-        let mut arena = self.dispatch.node.arena.borrow_mut();
-        arena.advance(opened.pass.key, now);
+        opened.pass.advance(now);
     }
 
     /// Returns whether an event is the next one for the caller; one that the caller has is passed
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -6,22 +6,23 @@
 //! serve. Every order states how many orders the server has accepted, so that one that is carried
 //! out late, or was sent by a former leader, does nothing.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use jackdaw_core::backend::{Command, Membership, Order, Reply, Report, Server, State};
-use jackdaw_core::config::{Engine, Model};
+use jackdaw_core::backend::{Command, Membership, Order, Reply, Report, Server};
+use jackdaw_core::config::Engine;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 
-use crate::fleet::{Fleet, Group, group_name, model_of};
+use crate::fleet::{Fleet, Group, model_of};
 
-mod demand;
+mod form;
+mod layout;
 mod loads;
+mod tend;
 
-pub use demand::targets;
 use loads::Loads;
 
 /// Times and limits of a planner.
@@ -52,7 +53,7 @@
             // milliseconds.
             order_time: Millis(2_000),
             // A server that crashed is back after some seconds.
-            patience: Millis(4_000),
+            patience: Millis(2_000),
             // Loads beyond the weight store's limit take proportionally longer.
             load_slack: 4,
         }
@@ -82,6 +83,10 @@
     orders: Option<u64>,
     /// Whether an order was given before.
     asked: bool,
+    /// Time of the first registration that this leader saw.
+    seen: Instant,
+    /// Model that is being loaded into the VM's memory, and when that should be done.
+    staging: Option<(CompactString, Instant)>,
 }
 
 /// A group on its way to serving.
@@ -127,7 +132,9 @@
     loads: Loads,
     known: usize,
     settled_at: Option<Instant>,
-    formed_any: bool,
+    /// Groups that give their servers to another model.
+    retiring: HashSet<CompactString>,
+    last_retired: Option<Instant>,
 }
 
 /// What a planner sees.
@@ -158,7 +165,8 @@
             loads: Loads::default(),
             known: 0,
             settled_at: None,
-            formed_any: false,
+            retiring: HashSet::new(),
+            last_retired: None,
         }
     }
 
@@ -175,6 +183,14 @@
         for group in &groups {
             self.tend(view, group, now, &mut decided);
         }
+        self.retiring
+            .retain(|name| groups.iter().any(|group| group.name == *name));
+        for group in groups.iter().filter(|group| group.is_whole()) {
+            if let Some(forming) = self.forming.get_mut(&group.name) {
+                // Members that leave from now on do so on purpose.
+                forming.join = None;
+            }
+        }
         self.enlist(view, now, &mut decided);
         let order_time = self.options.order_time;
         self.forming.retain(|name, forming| {
@@ -183,6 +199,7 @@
         });
         if self.is_settled(view, now) {
             self.form(view, &groups, now, &mut decided);
+            self.stage(view, now, &mut decided);
         }
         decided
     }
@@ -201,7 +218,12 @@
                 memory.orders = Some(order.after + 1);
                 self.options.order_time
             }
-            Ok(Reply::Done) => REFRESH,
+            Ok(Reply::Done) => {
+                // What is done at once counts as begun; if the state held already, the next order
+                // is refused and the server asked.
+                memory.orders = Some(order.after + 1);
+                REFRESH
+            }
             Ok(Reply::Conflict | Reply::OtherServer) => {
                 memory.orders = None;
                 REFRESH
@@ -288,13 +310,13 @@
     }
 
     fn observe(&mut self, view: &View<'_>, now: Instant) {
-        let mut count = 0;
+        let count = view.fleet.servers().count();
         for server in self.servers(view) {
-            count += 1;
             let memory = self.memory.entry(server.id.clone()).or_default();
             if memory.born != server.born {
                 *memory = Memory {
                     born: server.born,
+                    seen: now,
                     ..Memory::default()
                 };
             }
@@ -326,159 +348,7 @@
     }
 
     fn is_settled(&self, view: &View<'_>, now: Instant) -> bool {
-        view.in_service || self.formed_any || self.settled_at.is_some_and(|settled| settled <= now)
-    }
-
-    /// Opens, finishes or dissolves a group.
-    fn tend(&mut self, view: &View<'_>, group: &Group, now: Instant, out: &mut Vec<Decided>) {
-        let members: Vec<&Server> = group
-            .members
-            .iter()
-            .flatten()
-            .filter_map(|id| view.fleet.server(id))
-            .collect();
-        if group.members.is_empty() {
-            self.abandon(view, group, now, out);
-            return;
-        }
-        let state = |server: &Server| server.membership.as_ref().map(|one| one.state);
-        let head = group.head().and_then(|id| view.fleet.server(id));
-        let head_state = head.and_then(state);
-        let is_lost =
-            !group.is_whole() || members.iter().any(|one| state(one) == Some(State::Broken));
-        if is_lost {
-            if self.is_still_joining(view, group, now) {
-                return;
-            }
-            for server in members {
-                let cause = "the group has lost a member";
-                self.leave(server, group, now, cause, out);
-            }
-            return;
-        }
-        let Some(head) = head else {
-            return;
-        };
-        if members.iter().any(|server| server.draining) {
-            self.finish(head, &members, group, now, out);
-            return;
-        }
-        let is_ready = members.iter().all(|one| state(one) == Some(State::Ready));
-        if is_ready {
-            let command = Command::Open {
-                group: group.name.clone(),
-                epoch: group.epoch,
-            };
-            self.give(head, command, now, "every member is ready", out);
-            return;
-        }
-        if head_state == Some(State::Joining)
-            || members.iter().any(|one| state(one) == Some(State::Joining))
-        {
-            if self.is_still_joining(view, group, now) {
-                return;
-            }
-            for server in members {
-                let cause = "the group did not become ready in time";
-                self.leave(server, group, now, cause, out);
-            }
-        }
-    }
-
-    /// Dissolves a group of a model that is not configured.
-    fn abandon(&mut self, view: &View<'_>, group: &Group, now: Instant, out: &mut Vec<Decided>) {
-        let members: Vec<&Server> = self
-            .servers(view)
-            .filter(|server| {
-                server
-                    .membership
-                    .as_ref()
-                    .is_some_and(|one| one.group == group.name && one.epoch == group.epoch)
-            })
-            .collect();
-        for server in members {
-            self.leave(server, group, now, "the model is not configured", out);
-        }
-    }
-
-    /// Finishes the work of a group with a member that leaves, then dissolves it.
-    fn finish(
-        &mut self,
-        head: &Server,
-        members: &[&Server],
-        group: &Group,
-        now: Instant,
-        out: &mut Vec<Decided>,
-    ) {
-        match head.membership.as_ref().map(|one| one.state) {
-            Some(State::Open) => {
-                let command = Command::Close {
-                    group: group.name.clone(),
-                    epoch: group.epoch,
-                };
-                self.give(head, command, now, "a member is about to leave", out);
-            }
-            Some(State::Closing) => {}
-            Some(State::Ready | State::Joining | State::Broken) | None => {
-                for server in members {
-                    self.leave(server, group, now, "a member is about to leave", out);
-                }
-            }
-        }
-    }
-
-    /// Returns whether a group that is not whole or not ready may still become so.
-    fn is_still_joining(&mut self, view: &View<'_>, group: &Group, now: Instant) -> bool {
-        let head_has_opened = group
-            .head()
-            .and_then(|id| view.fleet.server(id))
-            .and_then(|server| server.membership.as_ref())
-            .is_some_and(|one| matches!(one.state, State::Open | State::Closing | State::Broken));
-        if head_has_opened {
-            return false;
-        }
-        let slack = self.options.load_slack;
-        let order_time = self.options.order_time;
-        let forming = self
-            .forming
-            .entry(group.name.clone())
-            .or_insert_with(|| Forming {
-                since: now,
-                loads: 0,
-                join: None,
-                members: Vec::new(),
-                given_up: false,
-            });
-        let load = view.engine.model(&group.model).map_or(Millis(0), |model| {
-            if forming.loads > 0 {
-                model.load
-            } else {
-                model.warm
-            }
-        });
-        // A member that has not reported the group by then has not taken the order.
-        let bound = if group.is_whole() {
-            Millis(load.0 * slack + order_time.0)
-        } else {
-            Millis(order_time.0 * 2)
-        };
-        forming.given_up |= now.since(forming.since) >= bound;
-        !forming.given_up
-    }
-
-    fn leave(
-        &mut self,
-        server: &Server,
-        group: &Group,
-        now: Instant,
-        cause: &'static str,
-        out: &mut Vec<Decided>,
-    ) {
-        let command = Command::Leave {
-            group: group.name.clone(),
-            epoch: group.epoch,
-        };
-        self.give(server, command, now, cause, out);
+        view.in_service || self.settled_at.is_some_and(|settled| settled <= now)
     }
 
     fn give(
@@ -530,217 +400,6 @@
         }
         memory.orders
     }
-
-    /// Returns the servers that may join a group, by domain.
-    fn free<'a>(
-        &self,
-        view: &View<'a>,
-        groups: &[Group],
-    ) -> BTreeMap<CompactString, Vec<&'a Server>> {
-        // The first member of a former group may still serve.
-        let enlisted: HashSet<&CompactString> = self
-            .forming
-            .values()
-            .filter(|forming| !forming.given_up)
-            .flat_map(|forming| &forming.members)
-            .collect();
-        let serving: HashSet<&str> = groups
-            .iter()
-            .filter(|group| group.head().is_some())
-            .map(|group| group.name.as_str())
-            .collect();
-        let mut free: BTreeMap<CompactString, Vec<&Server>> = BTreeMap::new();
-        for server in self.servers(view) {
-            let former = self
-                .memory
-                .get(&server.id)
-                .and_then(|one| one.group.as_deref());
-            if server.draining
-                || server.membership.is_some()
-                || self.pending.contains_key(&server.id)
-                || enlisted.contains(&server.id)
-                || former.is_some_and(|group| serving.contains(group))
-            {
-                continue;
-            }
-            free.entry(server.domain.clone()).or_default().push(server);
-        }
-        free
-    }
-
-    /// Forms groups out of free servers.
-    fn form(&mut self, view: &View<'_>, groups: &[Group], now: Instant, out: &mut Vec<Decided>) {
-        let mut free = self.free(view, groups);
-        let forming = self
-            .forming
-            .iter()
-            .filter(|(_, forming)| !forming.given_up)
-            .map(|(name, _)| name.as_str());
-        let mut counts = demand::count(groups, forming, view.engine);
-        let wanted = demand::targets(view, &self.options.zone);
-        let mut joining = groups
-            .iter()
-            .flat_map(|group| group.members.iter().flatten())
-            .filter_map(|id| view.fleet.server(id))
-            .filter(|server| {
-                server
-                    .membership
-                    .as_ref()
-                    .is_some_and(|one| one.state == State::Joining)
-            })
-            .count();
-        joining += self.pending.len();
-        loop {
-            let order = demand::by_deficit(view.engine, &counts, &wanted);
-            let Some((domain, model)) = self.next_group(view, &free, &order, now) else {
-                return;
-            };
-            let servers = free.entry(domain).or_default();
-            let loads = self.select(servers, model);
-            if !self.may_load(view, loads, joining, now) {
-                return;
-            }
-            let members: Vec<&Server> = servers.drain(..model.size).collect();
-            joining += members.len();
-            *counts.entry(model.name.clone()).or_default() += 1;
-            self.join(&members, model, loads, now, out);
-        }
-    }
-
-    /// Returns the domain and the model of the next group: warm servers go first, and servers that
-    /// would have to load weights wait for a while.
-    fn next_group<'a>(
-        &self,
-        view: &View<'a>,
-        free: &BTreeMap<CompactString, Vec<&Server>>,
-        order: &[usize],
-        now: Instant,
-    ) -> Option<(CompactString, &'a Model)> {
-        let models: Vec<&Model> = order
-            .iter()
-            .filter_map(|number| view.engine.models.get(*number))
-            .collect();
-        for model in &models {
-            for (domain, servers) in free {
-                let warm = servers
-                    .iter()
-                    .filter(|one| self.is_warm(one, model))
-                    .count();
-                if warm >= model.size {
-                    return Some((domain.clone(), model));
-                }
-            }
-        }
-        for model in &models {
-            // A domain with servers that are warm for the model has fewer weights to load.
-            let best = free
-                .iter()
-                .filter(|(_, servers)| servers.len() >= model.size)
-                .filter(|(_, servers)| {
-                    let is_patient = servers.iter().any(|one| self.is_waiting(one, now));
-                    !(view.in_service && is_patient)
-                })
-                .max_by_key(|(_, servers)| {
-                    let warm = servers
-                        .iter()
-                        .filter(|one| self.is_warm(one, model))
-                        .count();
-                    (warm, servers.len())
-                });
-            if let Some((domain, _)) = best {
-                return Some((domain.clone(), model));
-            }
-        }
-        None
-    }
-
-    fn is_waiting(&self, server: &Server, now: Instant) -> bool {
-        self.memory
-            .get(&server.id)
-            .and_then(|memory| memory.free_since)
-            .is_none_or(|since| now.since(since) < self.options.patience)
-    }
-
-    fn is_warm(&self, server: &Server, model: &Model) -> bool {
-        let last = self
-            .memory
-            .get(&server.id)
-            .and_then(|one| one.model.as_ref());
-        last == Some(&model.name) || server.staged.contains(&model.name)
-    }
-
-    /// Moves the servers that fit a model best to the front and returns how many have to load it.
-    fn select(&self, servers: &mut [&Server], model: &Model) -> usize {
-        servers.sort_by_key(|server| {
-            let last = self
-                .memory
-                .get(&server.id)
-                .and_then(|one| one.model.as_ref());
-            let rank = if last == Some(&model.name) {
-                0
-            } else if server.staged.contains(&model.name) {
-                1
-            } else if server.staged.is_empty() {
-                2
-            } else {
-                3
-            };
-            (rank, server.id.clone())
-        });
-        servers
-            .iter()
-            .take(model.size)
-            .filter(|server| !self.is_warm(server, model))
-            .count()
-    }
-
-    /// Returns whether weights may be loaded now, and counts them if so.
-    fn may_load(&mut self, view: &View<'_>, loads: usize, joining: usize, now: Instant) -> bool {
-        if loads == 0 {
-            return true;
-        }
-        let zones = self.options.zones.max(1);
-        if !view.in_service {
-            // Until requests come, loads are not limited in rate, but they share the weight store;
-            // a few at a time let the first groups serve early.
-            let concurrent = (view.engine.concurrent_loads as usize).div_ceil(zones);
-            return joining < concurrent * 2;
-        }
-        self.loads
-            .take(loads, view.engine.loads_per_second / zones as f64, now)
-    }
-
-    fn join(
-        &mut self,
-        members: &[&Server],
-        model: &Model,
-        loads: usize,
-        now: Instant,
-        out: &mut Vec<Decided>,
-    ) {
-        self.next_group += 1;
-        self.min_epoch += EPOCH_STEP;
-        self.formed_any = true;
-        let group = group_name(&model.name, self.fence, self.next_group);
-        let ids: Vec<CompactString> = members.iter().map(|one| one.id.clone()).collect();
-        let join = Command::Join {
-            group: group.clone(),
-            epoch: self.min_epoch,
-            model: model.name.clone(),
-            members: ids.clone(),
-        };
-        for server in members {
-            self.give(server, join.clone(), now, "the model lacks groups", out);
-        }
-        let forming = Forming {
-            since: now,
-            loads,
-            join: Some(join),
-            members: ids,
-            given_up: false,
-        };
-        self.forming.insert(group, forming);
-    }
 }
 
 /// Time in which a newer registration arrives after a refused order.
--- /dev/null
+++ b/crates/policy/src/assembly/tend.rs
@@ -0,0 +1,188 @@
+//! Opens, finishes and dissolves groups.
+
+use jackdaw_core::backend::{Command, Server, State};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+
+use super::{Decided, Forming, Planner, View};
+use crate::fleet::Group;
+
+impl Planner {
+    /// Opens, finishes or dissolves a group.
+    pub(super) fn tend(
+        &mut self,
+        view: &View<'_>,
+        group: &Group,
+        now: Instant,
+        out: &mut Vec<Decided>,
+    ) {
+        let members: Vec<&Server> = group
+            .members
+            .iter()
+            .flatten()
+            .filter_map(|id| view.fleet.server(id))
+            .collect();
+        if group.members.is_empty() {
+            self.abandon(view, group, now, out);
+            return;
+        }
+        let state = |server: &Server| server.membership.as_ref().map(|one| one.state);
+        let head = group.head().and_then(|id| view.fleet.server(id));
+        let head_state = head.and_then(state);
+        let is_lost =
+            !group.is_whole() || members.iter().any(|one| state(one) == Some(State::Broken));
+        if is_lost {
+            if self.is_still_joining(view, group, now) {
+                return;
+            }
+            for server in members {
+                let cause = "the group has lost a member";
+                self.leave(server, group, now, cause, out);
+            }
+            return;
+        }
+        let Some(head) = head else {
+            return;
+        };
+        if members.iter().any(|server| server.draining) {
+            self.finish(
+                head,
+                &members,
+                group,
+                now,
+                "a member is about to leave",
+                out,
+            );
+            return;
+        }
+        if self.retiring.contains(&group.name) {
+            self.finish(
+                head,
+                &members,
+                group,
+                now,
+                "another model lacks groups",
+                out,
+            );
+            return;
+        }
+        let is_ready = members.iter().all(|one| state(one) == Some(State::Ready));
+        if is_ready {
+            let command = Command::Open {
+                group: group.name.clone(),
+                epoch: group.epoch,
+            };
+            self.give(head, command, now, "every member is ready", out);
+            return;
+        }
+        if head_state == Some(State::Joining)
+            || members.iter().any(|one| state(one) == Some(State::Joining))
+        {
+            if self.is_still_joining(view, group, now) {
+                return;
+            }
+            for server in members {
+                let cause = "the group did not become ready in time";
+                self.leave(server, group, now, cause, out);
+            }
+        }
+    }
+
+    /// Dissolves a group of a model that is not configured.
+    fn abandon(&mut self, view: &View<'_>, group: &Group, now: Instant, out: &mut Vec<Decided>) {
+        let members: Vec<&Server> = self
+            .servers(view)
+            .filter(|server| {
+                server
+                    .membership
+                    .as_ref()
+                    .is_some_and(|one| one.group == group.name && one.epoch == group.epoch)
+            })
+            .collect();
+        for server in members {
+            self.leave(server, group, now, "the model is not configured", out);
+        }
+    }
+
+    /// Finishes the work of a group, then dissolves it.
+    fn finish(
+        &mut self,
+        head: &Server,
+        members: &[&Server],
+        group: &Group,
+        now: Instant,
+        cause: &'static str,
+        out: &mut Vec<Decided>,
+    ) {
+        match head.membership.as_ref().map(|one| one.state) {
+            Some(State::Open) => {
+                let command = Command::Close {
+                    group: group.name.clone(),
+                    epoch: group.epoch,
+                };
+                self.give(head, command, now, cause, out);
+            }
+            Some(State::Closing) => {}
+            Some(State::Ready | State::Joining | State::Broken) | None => {
+                for server in members {
+                    self.leave(server, group, now, cause, out);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a group that is not whole or not ready may still become so.
+    fn is_still_joining(&mut self, view: &View<'_>, group: &Group, now: Instant) -> bool {
+        let head_has_opened = group
+            .head()
+            .and_then(|id| view.fleet.server(id))
+            .and_then(|server| server.membership.as_ref())
+            .is_some_and(|one| matches!(one.state, State::Open | State::Closing | State::Broken));
+        if head_has_opened {
+            return false;
+        }
+        let slack = self.options.load_slack;
+        let order_time = self.options.order_time;
+        let forming = self
+            .forming
+            .entry(group.name.clone())
+            .or_insert_with(|| Forming {
+                since: now,
+                // What a former leader's members load is not known.
+                loads: 1,
+                join: None,
+                members: Vec::new(),
+                given_up: false,
+            });
+        let load = view.engine.model(&group.model).map_or(Millis(0), |model| {
+            if forming.loads > 0 {
+                model.load
+            } else {
+                model.warm
+            }
+        });
+        // A member that has not reported the group by then has not taken the order.
+        let bound = if group.is_whole() {
+            Millis(load.0 * slack + order_time.0)
+        } else {
+            Millis(order_time.0 * 2)
+        };
+        forming.given_up |= now.since(forming.since) >= bound;
+        !forming.given_up
+    }
+
+    fn leave(
+        &mut self,
+        server: &Server,
+        group: &Group,
+        now: Instant,
+        cause: &'static str,
+        out: &mut Vec<Decided>,
+    ) {
+        let command = Command::Leave {
+            group: group.name.clone(),
+            epoch: group.epoch,
+        };
+        self.give(server, command, now, cause, out);
+    }
+}
