Notice a silent store sooner and doubt servers that lapse at its return

Ruled out: a configuration that was decoded late (it is applied within 1 ms of the answer); a stale read.

--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -147,7 +147,7 @@
             unread: slot.unread,
             cached: slot.cached,
             slowness: slot.slowness,
-            suspect: is_distrusted || is_still,
+            suspect: is_distrusted || is_still || slot.target.doubtful,
             remote: slot.target.zone != zone,
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,13 +15,22 @@
 
 use crate::node::Node;
 
-/// Time that one call waits for changes; a connection that has gone silent is noticed after it.
-const WAIT: Millis = Millis(4_000);
+/// Time that one call waits for changes after the store was away; what the store may have had to
+/// tell since must be in force within the users' bound.
+const SHORT_WAIT: Millis = Millis(500);
+/// Time without a failed call after which calls wait longer again.
+const CALM: Millis = Millis(10_000);
+/// Time that a call waits for a new configuration.
+const CONFIGURATION_WAIT: Millis = Millis(2_000);
+/// Time that a call waits for registrations, which come several times a second.
+const REGISTRATION_WAIT: Millis = Millis(1_000);
 /// Pause after a failed call, and the longest one.
 const MIN_PAUSE: Millis = Millis(100);
 const MAX_PAUSE: Millis = Millis(1_000);
 /// Time after the store's return in which servers that lapsed meanwhile register again.
-const RETURN: Millis = Millis(2_200);
+const RETURN: Millis = Millis(1_900);
+/// Time after the store's return in which a lapse may be on its account.
+const RETURNING: Millis = Millis(300);
 /// Time without an answer from the store after which entries may have lapsed on its account.
 const AWAY: Millis = Millis(1_000);
 
@@ -33,13 +42,17 @@
     /// Gets the pause between two calls.
     fn pause(&self) -> Millis;
 
+    /// Gets the time that a call waits for changes; a connection that has gone silent is noticed
+    /// after it.
+    fn wait(&self) -> Millis;
+
     /// Takes in all entries, as they were at a revision.
     fn replace(&mut self, entries: Vec<Entry>, revision: u64);
 
     /// Takes in changes.
     fn apply(&mut self, changes: Vec<Change>);
 
-    /// Is told how long the store has not answered.
+    /// Is told that the store answers again after a time.
     fn returned(&mut self, away: Millis);
 }
 
@@ -49,18 +62,40 @@
     let mut after: Option<u64> = None;
     let mut pause = MIN_PAUSE;
     let mut answered = node.now();
+    let mut failed: Option<Instant> = None;
     let mut is_away = false;
     loop {
-        let sent = node.now();
-        let result = step(&node, &mut reader, &prefix, after).await;
+        let is_calm = failed.is_none_or(|failed| node.now().since(failed) >= CALM);
+        let wait = if is_calm {
+            reader.wait()
+        } else {
+            SHORT_WAIT.min(reader.wait())
+        };
+        let result = read(&node, &prefix, after, wait).await;
         match result {
-            Ok(next) => {
+            Ok(news) => {
                 if is_away {
-                    let away = sent.since(answered);
+                    let away = node.now().since(answered);
                     info!(node.logger(), "store answers again";
                         "prefix" => %prefix, "away_ms" => away.0);
+                    reader.returned(away);
                     is_away = false;
                 }
+                let next = match news {
+                    News::All(entries, revision) => {
+                        reader.replace(entries, revision);
+                        Some(revision)
+                    }
+                    News::Changes(changes, revision) => {
+                        reader.apply(changes);
+                        Some(revision)
+                    }
+                    News::Compacted => {
+                        info!(node.logger(), "store has dropped its history; reading anew";
+                            "prefix" => %prefix, "after" => after);
+                        None
+                    }
+                };
                 pause = MIN_PAUSE;
                 after = next;
                 answered = node.now();
@@ -76,47 +111,42 @@
                 let spread = fastrand::u64(0..=pause.0);
                 time::sleep(Millis(pause.0 + spread).duration()).await;
                 pause = Millis((pause.0 * 2).min(MAX_PAUSE.0));
-                reader.returned(node.now().since(answered));
+                failed = Some(node.now());
             }
         }
     }
 }
 
-/// Reads everything or the changes since a revision, and returns the revision to go on from.
-async fn step(
-    node: &Node,
-    reader: &mut impl Reader,
-    prefix: &str,
-    after: Option<u64>,
-) -> Result<Option<u64>> {
+/// What a call of the store has brought.
+enum News {
+    /// All entries as of a revision.
+    All(Vec<Entry>, u64),
+    /// The changes up to a revision.
+    Changes(Vec<Change>, u64),
+    /// The changes are no longer to be had.
+    Compacted,
+}
+
+/// Reads everything, or waits for the changes since a revision.
+async fn read(node: &Node, prefix: &str, after: Option<u64>, wait: Millis) -> Result<News> {
     let log = &node.parts.log;
-    let Some(after) = after else {
-        let mut entries = Vec::new();
-        let mut first = log.page(prefix, None).await?;
-        // Later pages may hold newer entries; the changes since the first page follow anyway.
-        let revision = first.revision;
-        let mut more = first.more;
-        entries.append(&mut first.entries);
-        while more {
-            let last = entries.last().map(|entry: &Entry| entry.key.clone());
-            let mut page = log.page(prefix, last.as_deref()).await?;
-            more = page.more && !page.entries.is_empty();
-            entries.append(&mut page.entries);
-        }
-        reader.replace(entries, revision);
-        return Ok(Some(revision));
-    };
-    match log.changes(prefix, after, WAIT).await? {
-        Changes::Some(changes, revision) => {
-            reader.apply(changes);
-            Ok(Some(revision))
-        }
-        Changes::Compacted => {
-            info!(node.logger(), "store has dropped its history; reading anew";
-                "prefix" => prefix, "after" => after);
-            Ok(None)
-        }
+    if let Some(after) = after {
+        return Ok(match log.changes(prefix, after, wait).await? {
+            Changes::Some(changes, revision) => News::Changes(changes, revision),
+            Changes::Compacted => News::Compacted,
+        });
     }
+    let mut page = log.page(prefix, None).await?;
+    // Later pages may hold newer entries; the changes since the first page follow anyway.
+    let revision = page.revision;
+    let mut entries = std::mem::take(&mut page.entries);
+    while page.more {
+        let last = entries.last().map(|entry| entry.key.clone());
+        page = log.page(prefix, last.as_deref()).await?;
+        page.more &= !page.entries.is_empty();
+        entries.append(&mut page.entries);
+    }
+    Ok(News::All(entries, revision))
 }
 
 /// Puts configurations in force.
@@ -146,6 +176,10 @@
         Millis(0)
     }
 
+    fn wait(&self) -> Millis {
+        CONFIGURATION_WAIT
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         for entry in &entries {
             self.read(entry);
@@ -172,8 +206,8 @@
     /// Servers whose entries lapsed while the store was away, with the time at which they count as
     /// gone.
     lapsed: HashMap<CompactString, Instant>,
-    /// End of the time in which a lapse may be the store's own doing.
-    lenient_until: Option<Instant>,
+    /// Time at which the store came back.
+    returned: Option<Instant>,
 }
 
 impl Registrations {
@@ -206,10 +240,13 @@
             .borrow()
             .server(id)
             .is_none_or(|server| server.draining);
-        if !was_draining && self.lenient_until.is_some_and(|until| now < until) {
-            let until = self.lenient_until.unwrap_or(now);
-            self.lapsed.entry(id.into()).or_insert(until);
-            return false;
+        let is_returning = self
+            .returned
+            .is_some_and(|returned| now.since(returned) < RETURNING);
+        if !was_draining && is_returning && !self.lapsed.contains_key(id) {
+            self.lapsed.insert(id.into(), now + RETURN);
+            self.node.fleet.borrow_mut().doubt(id);
+            return true;
         }
         self.lapsed.remove(id);
         let removed = self.node.fleet.borrow_mut().remove(id);
@@ -233,7 +270,6 @@
         if due.is_empty() {
             return false;
         }
-        self.lenient_until = None;
         let mut changed = false;
         for id in due {
             changed |= self.remove(&id);
@@ -251,6 +287,10 @@
         self.node.options.registration_pause
     }
 
+    fn wait(&self) -> Millis {
+        REGISTRATION_WAIT
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         let named: HashSet<CompactString> = entries
             .iter()
@@ -304,7 +344,7 @@
 
     fn returned(&mut self, away: Millis) {
         if away >= AWAY {
-            self.lenient_until = Some(self.node.now() + RETURN);
+            self.returned = Some(self.node.now());
         }
     }
 }
@@ -318,7 +358,7 @@
     let registrations = Registrations {
         node: Rc::clone(node),
         lapsed: HashMap::new(),
-        lenient_until: None,
+        returned: None,
     };
     ntex::rt::spawn(follow(Rc::clone(node), registrations));
 }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -19,6 +19,8 @@
 
 /// Prefix of the node's own keys in the store.
 const PREFIX: &str = "jackdawstair/";
+/// Time that a call waits for a change of the leader's key.
+const WAIT: Millis = Millis(4_000);
 /// Longest pause between two looks at the servers.
 const TICK: Millis = Millis(100);
 /// Longest time by which a node waits before it runs for a free leadership.
@@ -54,6 +56,10 @@
         Millis(0)
     }
 
+    fn wait(&self) -> Millis {
+        WAIT
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, revision: u64) {
         let entry = entries.into_iter().find(|entry| entry.key == self.key);
         step(&self.leader, Event::Observed { entry, revision });
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -3,7 +3,7 @@
 //! The servers' own registrations are the only record of the groups: a group serves while its first
 //! member reports it open and every other rank reports the same name and epoch.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use compact_str::{CompactString, format_compact};
@@ -77,41 +77,41 @@
     pub members: Vec<CompactString>,
     /// Name of the replica group; empty for a plain service.
     pub group: CompactString,
+    /// Whether a member is perhaps gone.
+    pub doubtful: bool,
 }
 
 /// All registered servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<CompactString, Server>,
+    /// Servers whose registrations lapsed, perhaps only because the store was away.
+    doubted: BTreeSet<CompactString>,
 }
 
 impl Fleet {
     /// Takes in a registration and returns whether it changed anything but counters.
     pub fn put(&mut self, server: Server) -> bool {
+        let was_doubted = self.doubted.remove(&server.id);
         let known = self.servers.get(&server.id);
         let changed = known.is_none_or(|known| *known != server);
         self.servers.insert(server.id.clone(), server);
-        changed
+        changed || was_doubted
+    }
+
+    /// Marks a server as perhaps gone: requests go elsewhere if they can.
+    pub fn doubt(&mut self, id: &str) {
+        if self.servers.contains_key(id) {
+            self.doubted.insert(id.into());
+        }
     }
 
     /// Takes out a server and returns what was known of it.
     pub fn remove(&mut self, id: &str) -> Option<Server> {
+        self.doubted.remove(id);
         self.servers.remove(id)
     }
 
-    /// Keeps only the named servers and returns the others.
-    pub fn retain(&mut self, named: impl Fn(&str) -> bool) -> Vec<Server> {
-        let gone: Vec<CompactString> = self
-            .servers
-            .keys()
-            .filter(|id| !named(id))
-            .cloned()
-            .collect();
-        gone.iter()
-            .filter_map(|id| self.servers.remove(id))
-            .collect()
-    }
-
     /// Gets a server by name.
     #[must_use]
     pub fn server(&self, id: &str) -> Option<&Server> {
@@ -175,6 +175,7 @@
                 model: None,
                 members: vec![server.id.clone()],
                 group: CompactString::default(),
+                doubtful: self.doubted.contains(&server.id),
             })
             .collect()
     }
@@ -210,22 +211,9 @@
             zone: head.zone.clone(),
             slots: engine.slots,
             model: Some(group.model.clone()),
+            doubtful: members.iter().any(|id| self.doubted.contains(id)),
             members,
             group: group.name.clone(),
         })
     }
 }
-
-/// Counts the servers of a service by zone and domain.
-#[must_use]
-pub fn domains<'a>(
-    servers: impl Iterator<Item = &'a Server>,
-) -> HashMap<(CompactString, CompactString), usize> {
-    let mut counts = HashMap::new();
-    for server in servers {
-        *counts
-            .entry((server.zone.clone(), server.domain.clone()))
-            .or_default() += 1;
-    }
-    counts
-}
