Lead on while the store is away, share loads between nodes, dissolve groups without delay

The last leader now goes on, reads the servers' reports and tells the other nodes what it sees; orders that cross a later leader's are refused by the count of accepted orders. - Each node saw its own sixth of the load only. Nodes now tell each other theirs. - A group whose first member had just left was taken for one that is still being formed, which held its other members for 4 s; cold members held warm ones for 12 to 16 s. Dissolving groups are remembered, and free servers load weights in the background.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -21,7 +21,7 @@
 use crate::{EXIT_USAGE, fail};
 
 /// Time to live of a leader's lease; a frozen leader is replaced after it.
-const LEASE: Millis = Millis(3_000);
+const LEASE: Millis = Millis(1_500);
 /// Pause between two reads of the servers' registrations, each of which the store counts; well
 /// under the time in which a leaving server must get no new work.
 const REGISTRATION_PAUSE: Millis = Millis(250);
@@ -80,6 +80,7 @@
         zones: settings.zones.clone(),
         callers: settings.callers,
         readiness: settings.readiness,
+        peers: settings.peers,
         heartbeat: settings.heartbeat,
         grace: settings.bounds.grace,
         stall: settings.bounds.stall,
--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -9,6 +9,8 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::balance::Load;
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::peers::{Board, Place, Share};
+use jackdaw_policy::route::prefix_hash;
 
 /// Time without progress after which a group gets new requests only if no other can take them.
 /// Passes that read several prompts take up to about 250 ms.
@@ -16,9 +18,6 @@
 /// Time for which a group that was found to stand still gets no new requests if others can take
 /// them; the engine breaks such work off after some seconds.
 const DISTRUST: Millis = Millis(5_000);
-/// Weight of a new observation in the mean of a group's slowness.
-const NEWEST_WEIGHT: f64 = 0.2;
-
 /// Names a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Key(u32);
@@ -26,6 +25,7 @@
 #[derive(Debug)]
 struct Slot {
     target: Rc<Target>,
+    place: Place,
     serving: bool,
     own: u32,
     streaming: u32,
@@ -36,11 +36,28 @@
     distrusted_until: Option<Instant>,
 }
 
+impl Slot {
+    /// Returns whether this node has found the place to stand still.
+    fn is_suspect(&self, now: Instant) -> bool {
+        let is_distrusted = self.distrusted_until.is_some_and(|until| now < until);
+        let is_still = self.streaming > 0 && now.since(self.progress) > SUSPICION;
+        is_distrusted || is_still
+    }
+}
+
 /// All places; those that serve nothing and have nothing in progress are used again.
 #[derive(Debug, Default)]
 pub(crate) struct Arena {
     slots: Vec<Slot>,
     serving: HashMap<CompactString, Vec<Key>>,
+    /// What the other nodes have in progress.
+    pub(crate) board: Rc<RefCell<Board>>,
+}
+
+/// Returns the name of a place that all nodes derive alike.
+fn place(target: &Target) -> Place {
+    let name = format!("{}/{}/{}", target.server, target.born, target.group);
+    prefix_hash(name.as_bytes())
 }
 
 fn is_same(left: &Target, right: &Target) -> bool {
@@ -77,6 +94,7 @@
 
     fn add(&mut self, target: Target, kept: &HashSet<usize>, now: Instant) -> usize {
         let slot = Slot {
+            place: place(&target),
             target: Rc::new(target),
             serving: true,
             own: 0,
@@ -139,19 +157,37 @@
     /// Returns what is in progress at a place.
     pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Load {
         let slot = self.slot(key);
-        let is_distrusted = slot.distrusted_until.is_some_and(|until| now < until);
-        let is_still = slot.streaming > 0 && now.since(slot.progress) > SUSPICION;
+        let others = self.board.borrow().others(slot.place, now);
+        // What this node sees itself goes before a warning of others.
+        let is_alive = slot.streaming > 0 && now.since(slot.progress) <= SUSPICION;
+        let is_suspect = slot.is_suspect(now) || (others.suspect && !is_alive);
         Load {
             own: slot.own,
-            others: 0,
-            unread: slot.unread,
+            others: others.requests,
+            unread: slot.unread + u64::from(others.unread),
             cached: slot.cached,
             slowness: slot.slowness,
-            suspect: is_distrusted || is_still || slot.target.doubtful,
+            suspect: is_suspect || slot.target.doubtful,
             remote: slot.target.zone != zone,
         }
     }
 
+    /// Returns what this node has in progress at each place.
+    pub(crate) fn shares(&self, now: Instant) -> Vec<(Place, Share)> {
+        self.slots
+            .iter()
+            .map(|slot| {
+                let share = Share {
+                    requests: slot.own,
+                    unread: u32::try_from(slot.unread).unwrap_or(u32::MAX),
+                    suspect: slot.serving && slot.is_suspect(now),
+                };
+                (slot.place, share)
+            })
+            .filter(|(_, share)| share.requests > 0 || share.suspect)
+            .collect()
+    }
+
     /// Returns the time of the last progress at a place, if streams are in progress there from
     /// which it can be told.
     pub(crate) fn progress(&self, key: Key) -> Option<Instant> {
@@ -166,12 +202,6 @@
         slot.distrusted_until = None;
     }
 
-    /// Notes how much slower than estimated a place was.
-    pub(crate) fn observe(&mut self, key: Key, ratio: f64) {
-        let slot = self.slot_mut(key);
-        slot.slowness += (ratio - slot.slowness) * NEWEST_WEIGHT;
-    }
-
     /// Sends new requests elsewhere for a while.
     pub(crate) fn distrust(&mut self, key: Key, now: Instant) {
         self.slot_mut(key).distrusted_until = Some(now + DISTRUST);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -228,7 +228,7 @@
     /// Takes in a server and returns whether anything changed.
     fn put(&mut self, server: Server) -> bool {
         self.lapsed.remove(&server.id);
-        self.node.fleet.borrow_mut().put(server)
+        self.node.fleet.borrow_mut().put(server, self.node.now())
     }
 
     /// Takes out a server, or waits for it if the store was away.
@@ -292,6 +292,7 @@
     }
 
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        self.node.heard_at.set(self.node.now());
         let named: HashSet<CompactString> = entries
             .iter()
             .filter_map(|entry| self.id(&entry.key))
@@ -318,6 +319,7 @@
     }
 
     fn apply(&mut self, changes: Vec<Change>) {
+        self.node.heard_at.set(self.node.now());
         let mut changed = self.expire();
         for change in changes {
             match change {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 
 use compact_str::{CompactString, format_compact};
-use jackdaw_core::backend::Order;
+use jackdaw_core::backend::{Command, Order, Reply, Report, Server};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::store::{Change, Committed, Compare, Entry, Lease, Transaction, Write};
+use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
 use jackdaw_policy::assembly::{self, Decided, Planner, View};
 use jackdaw_policy::lease::{Action, Election, Event, Options};
@@ -25,6 +26,12 @@
 const TICK: Millis = Millis(100);
 /// Longest time by which a node waits before it runs for a free leadership.
 const MAX_STAGGER: u64 = 300;
+/// Pause between two rounds of reports while the store is away.
+const LOOK: Millis = Millis(400);
+/// Reports in a row that a server may miss before it counts as gone.
+const MISSED_REPORTS: u32 = 2;
+/// Longest time for which a node leads on without the store.
+const CARETAKING: Millis = Millis(60_000);
 /// Bound on how far the clocks of the node and the store drift apart within one lease.
 const CLOCK_ERROR: Millis = Millis(100);
 /// Pause before a failed call of the election is repeated.
@@ -36,7 +43,12 @@
     key: CompactString,
     election: Election,
     planners: HashMap<CompactString, Planner>,
-    fence: Option<Fence>,
+    /// Leadership that lapsed because the store did not answer, and when.
+    caretaker: Option<(Fence, Instant)>,
+    /// Whether the last renewal was not answered.
+    unanswered: bool,
+    /// Consecutive reports that did not come, by server.
+    missed: HashMap<CompactString, u32>,
 }
 
 type Shared = Rc<RefCell<Leader>>;
@@ -109,7 +121,9 @@
         key: key.clone(),
         election: Election::new(options),
         planners: HashMap::new(),
-        fence: None,
+        caretaker: None,
+        unanswered: false,
+        missed: HashMap::new(),
     }));
     let follower = Follower {
         leader: Rc::clone(&leader),
@@ -117,6 +131,7 @@
     };
     ntex::rt::spawn(follow::follow(Rc::clone(node), follower));
     ntex::rt::spawn(run(Rc::clone(&leader)));
+    ntex::rt::spawn(look(Rc::clone(&leader)));
     Handle { leader }
 }
 
@@ -143,17 +158,95 @@
     }
 }
 
+impl Leader {
+    /// Returns the fencing number under which this node may give orders now, if it may.
+    ///
+    /// While the store answers nobody of the zone, the last leader goes on: no other one can be
+    /// elected, and orders that cross those of a later leader are refused by the servers.
+    fn fence(&self, now: Instant) -> Option<Fence> {
+        if let Some(authority) = self.election.authority(now) {
+            return authority.may_order(now).then_some(authority.fence);
+        }
+        let (fence, since) = self.caretaker?;
+        let node = &self.node;
+        let is_elected_anew = node.board().borrow().sees_store(&node.options.zone, now);
+        let is_alone = node.is_blind() && !is_elected_anew && now.since(since) < CARETAKING;
+        is_alone.then_some(fence)
+    }
+}
+
+/// Asks the servers of the zone for their reports while the store does not tell of them.
+async fn look(shared: Shared) {
+    let node = Rc::clone(&shared.borrow().node);
+    loop {
+        time::sleep(LOOK.duration()).await;
+        if !node.caretaking.get() {
+            shared.borrow_mut().missed.clear();
+            node.lost.borrow_mut().clear();
+            continue;
+        }
+        let servers: Vec<Server> = node
+            .fleet
+            .borrow()
+            .servers()
+            .filter(|server| server.zone == node.options.zone && !server.domain.is_empty())
+            .cloned()
+            .collect();
+        let reports = servers.iter().map(|server| {
+            let orders = &node.parts.orders;
+            async move { orders.report(&server.id, server.address).await }
+        });
+        let reports = futures::future::join_all(reports).await;
+        let mut changed = false;
+        for (server, report) in servers.iter().zip(reports) {
+            changed |= take_report(&shared, &node, server, report);
+        }
+        if changed {
+            node.refresh();
+        }
+    }
+}
+
+/// Takes in a report, or its absence, and returns whether anything changed.
+fn take_report(shared: &Shared, node: &Node, server: &Server, report: Result<Report>) -> bool {
+    let now = node.now();
+    match report {
+        Ok(report) => {
+            shared.borrow_mut().missed.remove(&server.id);
+            node.fleet
+                .borrow_mut()
+                .report(&server.id, report.membership, now)
+        }
+        Err(error) => {
+            let mut leader = shared.borrow_mut();
+            let missed = leader.missed.entry(server.id.clone()).or_default();
+            *missed += 1;
+            if *missed < MISSED_REPORTS {
+                return false;
+            }
+            info!(node.logger(), "server does not answer while the store is away";
+                "server" => %server.id, "error" => %error);
+            node.lost
+                .borrow_mut()
+                .insert(server.id.clone(), server.born);
+            node.fleet.borrow_mut().remove(&server.id).is_some()
+        }
+    }
+}
+
 /// Lets the planner look at the servers while this node leads.
 fn plan(shared: &Shared) {
     let mut leader = shared.borrow_mut();
     let node = Rc::clone(&leader.node);
     let now = node.now();
-    let (Some(authority), Some(index)) = (leader.election.authority(now), node.index()) else {
+    let Some(index) = node.index() else {
         return;
     };
-    if !authority.may_order(now) {
+    let Some(fence) = leader.fence(now) else {
+        node.caretaking.set(false);
         return;
-    }
+    };
+    node.caretaking.set(node.is_blind());
     for service in &index.configuration().services {
         let Some(engine) = &service.engine else {
             continue;
@@ -167,7 +260,7 @@
                     zones: node.options.zones.len(),
                     ..assembly::Options::default()
                 };
-                Planner::new(options, authority.fence.0)
+                Planner::new(options, fence.0)
             });
         let decided = {
             let fleet = node.fleet.borrow();
@@ -194,6 +287,11 @@
                 let reply = node.parts.orders.order(&order).await;
                 let now = node.now();
                 log(&node, &order, cause, &reply, now.since(sent));
+                if let (Command::Leave { .. }, Ok(Reply::Done)) = (&order.command, &reply) {
+                    // The order takes effect at once, whenever the registration tells of it.
+                    node.fleet.borrow_mut().see(&order.server, None, now);
+                    node.refresh();
+                }
                 if let Some(planner) = shared.borrow_mut().planners.get_mut(&service) {
                     planner.answered(&order, &reply, now);
                 }
@@ -214,13 +312,7 @@
     });
 }
 
-fn log(
-    node: &Node,
-    order: &Order,
-    cause: &'static str,
-    reply: &Result<jackdaw_core::backend::Reply>,
-    took: Millis,
-) {
+fn log(node: &Node, order: &Order, cause: &'static str, reply: &Result<Reply>, took: Millis) {
     let outcome = match reply {
         Ok(reply) => format!("{reply:?}"),
         Err(error) => error.to_string(),
@@ -240,6 +332,17 @@
     let actions = {
         let mut leader = shared.borrow_mut();
         let now = leader.node.now();
+        match &event {
+            Event::Renewed(_, result) => leader.unanswered = result.is_err(),
+            Event::Observed { .. } | Event::Granted(_, Ok(_)) => leader.caretaker = None,
+            Event::Tick
+            | Event::Granted(_, Err(_))
+            | Event::Created(..)
+            | Event::Read(..)
+            | Event::Superseded(_)
+            | Event::Resign
+            | Event::Rejoin => {}
+        }
         leader.election.step(event, now)
     };
     for action in actions {
@@ -255,16 +358,21 @@
             info!(node.logger(), "leadership won";
                 "zone" => %node.options.zone, "fence" => authority.fence.0);
             let mut leader = shared.borrow_mut();
-            leader.planners.clear();
-            leader.fence = Some(authority.fence);
+            leader.caretaker = None;
+            for planner in leader.planners.values_mut() {
+                planner.renew(authority.fence.0);
+            }
             node.changed.notify_waiters();
         }
         Action::Lost(fence) => {
             info!(node.logger(), "leadership lost";
                 "zone" => %node.options.zone, "fence" => fence.0);
             let mut leader = shared.borrow_mut();
-            leader.planners.clear();
-            leader.fence = None;
+            if leader.unanswered {
+                leader.caretaker = Some((fence, node.now()));
+            } else {
+                leader.planners.clear();
+            }
         }
         Action::Explain(decision) => {
             info!(node.logger(), "decision"; "what" => ?decision);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod handler;
 mod header;
 mod leader;
+mod peers;
 mod refusal;
 mod relay;
 mod whole;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,10 +11,12 @@
 use jackdaw_core::dialect::{Dialect, Log, Orders};
 use jackdaw_core::store::Store;
 use jackdaw_core::time::{Clock, Instant};
+use jackdaw_core::units::Millis;
 use jackdaw_entry::counter::Counters;
 use jackdaw_entry::drain::Drain;
 use jackdaw_link::pool::{self, Pool};
 use jackdaw_policy::fleet::Fleet;
+use jackdaw_policy::peers::Board;
 use jackdaw_policy::retry::Budget;
 use opentelemetry::metrics::Meter;
 use slog::{Logger, info};
@@ -23,6 +25,10 @@
 use crate::arena::Arena;
 use crate::options::Options;
 
+/// Time without registrations after which others' word on the servers is taken; a call waits a
+/// second at most.
+const BLIND: Millis = Millis(1_800);
+
 /// What a node is given from outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -59,6 +65,12 @@
     pub(crate) stopping: Cell<bool>,
     /// Whether a request has come.
     pub(crate) in_service: Cell<bool>,
+    /// Time of the last answer with registrations.
+    pub(crate) heard_at: Cell<Instant>,
+    /// Whether this node leads its zone on while the store is away.
+    pub(crate) caretaking: Cell<bool>,
+    /// Servers that were found dead while the store is away, with their starts.
+    pub(crate) lost: RefCell<HashMap<CompactString, u64>>,
     /// Told when the configuration or the servers have changed.
     pub(crate) changed: Notify,
     pub(crate) fleet: RefCell<Fleet>,
@@ -77,6 +89,9 @@
             drain: Drain::default(),
             stopping: Cell::new(false),
             in_service: Cell::new(false),
+            heard_at: Cell::default(),
+            caretaking: Cell::new(false),
+            lost: RefCell::default(),
             changed: Notify::new(),
             fleet: RefCell::default(),
             arena: Rc::default(),
@@ -85,6 +100,16 @@
         }
     }
 
+    /// Returns whether registrations have not come for a while.
+    pub(crate) fn is_blind(&self) -> bool {
+        self.now().since(self.heard_at.get()) > BLIND
+    }
+
+    /// Gets what the other nodes have said.
+    pub(crate) fn board(&self) -> Rc<RefCell<Board>> {
+        Rc::clone(&self.arena.borrow().board)
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.parts.clock.now()
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -18,6 +18,8 @@
     pub callers: SocketAddr,
     /// Address for the platform's readiness checks.
     pub readiness: SocketAddr,
+    /// Address for datagrams of other nodes.
+    pub peers: SocketAddr,
     /// Time between two registrations of a backend server.
     pub heartbeat: Millis,
     /// Time from the request to stop until the process is killed.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -21,6 +21,7 @@
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
+use crate::peers;
 
 /// Time after which an idle connection of a caller is closed; longer than callers keep theirs.
 const KEEP_ALIVE: Seconds = Seconds(75);
@@ -67,6 +68,7 @@
     info!(node.logger(), "node started";
         "zone" => %node.options.zone, "callers" => %node.options.callers);
     follow::start(&node);
+    peers::start(&node).await?;
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept(Rc::clone(&node), readiness, Port::Readiness));
     ntex::rt::spawn(accept(Rc::clone(&node), callers, Port::Callers));
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -132,9 +132,13 @@
     loads: Loads,
     known: usize,
     settled_at: Option<Instant>,
+    /// Groups whose members have been told to leave.
+    dissolving: HashSet<CompactString>,
     /// Groups that give their servers to another model.
     retiring: HashSet<CompactString>,
     last_retired: Option<Instant>,
+    /// Time since which one model's servers carry notably more than others'.
+    needy_since: Option<Instant>,
 }
 
 /// What a planner sees.
@@ -165,11 +169,18 @@
             loads: Loads::default(),
             known: 0,
             settled_at: None,
+            dissolving: HashSet::new(),
             retiring: HashSet::new(),
             last_retired: None,
+            needy_since: None,
         }
     }
 
+    /// Goes on under a new leadership of the same node.
+    pub fn renew(&mut self, fence: u64) {
+        self.fence = fence;
+    }
+
     /// Returns the orders to give now.
     pub fn plan(&mut self, view: &View<'_>, now: Instant) -> Vec<Decided> {
         let mut decided = Vec::new();
@@ -183,6 +194,8 @@
         for group in &groups {
             self.tend(view, group, now, &mut decided);
         }
+        self.dissolving
+            .retain(|name| groups.iter().any(|group| group.name == *name));
         self.retiring
             .retain(|name| groups.iter().any(|group| group.name == *name));
         for group in groups.iter().filter(|group| group.is_whole()) {
@@ -199,7 +212,7 @@
         });
         if self.is_settled(view, now) {
             self.form(view, &groups, now, &mut decided);
-            self.stage(view, now, &mut decided);
+            self.stage(view, &groups, now, &mut decided);
         }
         decided
     }
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -16,6 +16,9 @@
 /// Part of the pressure that has to remain at most for groups to be retired for another model;
 /// they serve nothing for some seconds meanwhile.
 const WORTHWHILE: f64 = 0.93;
+/// Time for which an imbalance has to last before several groups are retired for one: the zone that
+/// has free servers for the model in need goes first.
+const LARGE_EXCHANGE: Millis = Millis(4_000);
 /// Pause between two retirements, in which the registrations show the effect of the first.
 const RETIRE_PAUSE: Millis = Millis(4_000);
 
@@ -36,6 +39,8 @@
     domain: CompactString,
     given: Vec<CompactString>,
     pressure: f64,
+    /// Whether one group is enough, since free servers make up the rest.
+    is_small: bool,
 }
 
 impl Planner {
@@ -141,6 +146,13 @@
             }
             first
         });
+        let is_balanced =
+            capacity.pressure(view.engine) <= capacity.ideal(view.engine) / WORTHWHILE;
+        if is_balanced {
+            self.needy_since = None;
+        } else if self.needy_since.is_none() {
+            self.needy_since = Some(now);
+        }
         loop {
             let best = self.best(view, &free, &capacity, first.as_ref(), now);
             let exchange = self.exchange(view, groups, &free, &capacity, now);
@@ -201,11 +213,12 @@
                     .filter(|one| self.is_warm(one, model))
                     .count();
                 let loads = model.size.saturating_sub(warm);
-                // Weights are not loaded, nor servers given to a model that does not need them
-                // most, while others of the domain may become free.
+                // Free servers load weights in the background and join once they have them; until
+                // then they can still join what they have. Nor are they given to a model that does
+                // not need them most while others of the domain may become free.
                 let is_waiting = servers.iter().any(|one| self.is_waiting(one, now));
                 let is_relief = pressure < before;
-                if view.in_service && is_waiting && (loads > 0 || !is_relief) {
+                if view.in_service && (loads > 0 || (is_waiting && !is_relief)) {
                     continue;
                 }
                 let candidate = Candidate {
@@ -242,12 +255,16 @@
         }
         let needy = capacity.neediest(engine)?;
         let limit = capacity.pressure(engine) * WORTHWHILE;
+        let is_lasting = self
+            .needy_since
+            .is_some_and(|since| now.since(since) >= LARGE_EXCHANGE);
         let domains: BTreeSet<CompactString> =
             self.servers(view).map(|one| one.domain.clone()).collect();
         domains
             .into_iter()
             .filter_map(|domain| self.exchange_in(view, groups, free, capacity, needy, domain))
             .filter(|exchange| exchange.pressure < limit)
+            .filter(|exchange| exchange.is_small || is_lasting)
             .min_by(|left, right| left.pressure.total_cmp(&right.pressure))
     }
 
@@ -284,6 +301,7 @@
         Some(Exchange {
             pressure: after.with(engine, needy).pressure(engine),
             domain,
+            is_small: given.len() == 1,
             given,
         })
     }
@@ -388,23 +406,29 @@
     /// Lets servers hold the weights of a second model in memory, so that the survivors of a group
     /// can form a group of either model within seconds. The model of its last group is quick to
     /// join again in any case.
-    pub(super) fn stage(&mut self, view: &View<'_>, now: Instant, out: &mut Vec<Decided>) {
+    pub(super) fn stage(
+        &mut self,
+        view: &View<'_>,
+        groups: &[Group],
+        now: Instant,
+        out: &mut Vec<Decided>,
+    ) {
+        let capacity = self.capacity(view, groups);
         let servers: Vec<&Server> = self.servers(view).collect();
         for server in servers {
             if !self.may_stage(server, now) {
                 continue;
             }
-            let Some(model) = self.second_model(view, server) else {
+            let model = if view.in_service {
+                self.missing_model(view, server, &capacity, now)
+            } else {
+                self.second_model(view, server)
+            };
+            let Some(model) = model else {
                 continue;
             };
-            if view.in_service {
-                // A server that can join some group at once is not worth a load.
-                let is_useful = server.membership.is_none()
-                    && server.staged.is_empty()
-                    && self.last_model(server).is_none();
-                if !is_useful || !self.may_load(view, 1, now) {
-                    continue;
-                }
+            if !self.may_load(view, 1, now) {
+                continue;
             }
             let done = now + Millis(model.load.0 * self.options.load_slack);
             if let Some(memory) = self.memory.get_mut(&server.id) {
@@ -436,6 +460,30 @@
         is_settled && !is_staging && !server.draining && !self.pending.contains_key(&server.id)
     }
 
+    /// Returns the model that a server should load that has been free for a while: the one under
+    /// the highest pressure of those that it does not have.
+    fn missing_model<'a>(
+        &self,
+        view: &View<'a>,
+        server: &Server,
+        capacity: &Capacity,
+        now: Instant,
+    ) -> Option<&'a Model> {
+        let is_new = server.staged.is_empty() && self.last_model(server).is_none();
+        let is_idle = server.membership.is_none() && (is_new || !self.is_waiting(server, now));
+        if !is_idle {
+            return None;
+        }
+        let neediest = &view.engine.models[capacity.neediest(view.engine)?];
+        if !self.is_warm(server, neediest) {
+            return Some(neediest);
+        }
+        let others = view.engine.models.iter();
+        others
+            .filter(|model| !self.is_warm(server, model))
+            .max_by(|left, right| left.share.total_cmp(&right.share))
+    }
+
     /// Returns the model that a server should hold in memory beside the model of its last group.
     ///
     /// Every server can serve the model with the largest share of the work: in its last group, or
--- a/crates/policy/src/assembly/layout.rs
+++ b/crates/policy/src/assembly/layout.rs
@@ -62,6 +62,16 @@
         highest(engine, &self.fleet) + ZONE_WEIGHT * highest(engine, &self.zone)
     }
 
+    /// Returns the pressure if the servers in groups could be divided exactly by the models' shares.
+    pub(super) fn ideal(&self, engine: &Engine) -> f64 {
+        let share: f64 = engine.models.iter().map(|model| model.share).sum();
+        let even = |servers: &[usize]| {
+            let total: usize = servers.iter().sum();
+            share / (total as f64).max(NO_SERVERS)
+        };
+        even(&self.fleet) + ZONE_WEIGHT * even(&self.zone)
+    }
+
     /// Returns the model under the highest pressure.
     pub(super) fn neediest(&self, engine: &Engine) -> Option<usize> {
         (0..engine.models.len()).max_by(|left, right| {
--- a/crates/policy/src/assembly/tend.rs
+++ b/crates/policy/src/assembly/tend.rs
@@ -138,7 +138,7 @@
             .and_then(|id| view.fleet.server(id))
             .and_then(|server| server.membership.as_ref())
             .is_some_and(|one| matches!(one.state, State::Open | State::Closing | State::Broken));
-        if head_has_opened {
+        if head_has_opened || self.dissolving.contains(&group.name) {
             return false;
         }
         let slack = self.options.load_slack;
@@ -179,6 +179,7 @@
         cause: &'static str,
         out: &mut Vec<Decided>,
     ) {
+        self.dissolving.insert(group.name.clone());
         let command = Command::Leave {
             group: group.name.clone(),
             epoch: group.epoch,
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -7,9 +7,15 @@
 use std::net::SocketAddr;
 
 use compact_str::{CompactString, format_compact};
-use jackdaw_core::backend::{Server, State};
+use jackdaw_core::backend::{Membership, Server, State};
 use jackdaw_core::config::Engine;
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
 
+/// Time in which a registration from before a server's own word may still arrive.
+const OVERTAKEN: Millis = Millis(1_500);
+/// Time by which a server's report may be older than an order that it has carried out.
+const REPORT_LAG: Millis = Millis(800);
 /// Separates the parts of a group's name.
 const SEPARATOR: char = '.';
 
@@ -87,11 +93,28 @@
     servers: BTreeMap<CompactString, Server>,
     /// Servers whose registrations lapsed, perhaps only because the store was away.
     doubted: BTreeSet<CompactString>,
+    /// Memberships that were learnt from the servers themselves, ahead of their registrations.
+    sights: BTreeMap<CompactString, Sight>,
+}
+
+/// What a server's registration said when the server itself said something newer.
+#[derive(Clone, Debug)]
+struct Sight {
+    before: Option<Membership>,
+    at: Instant,
 }
 
 impl Fleet {
     /// Takes in a registration and returns whether it changed anything but counters.
-    pub fn put(&mut self, server: Server) -> bool {
+    pub fn put(&mut self, mut server: Server, now: Instant) -> bool {
+        if let (Some(sight), Some(known)) =
+            (self.sights.get(&server.id), self.servers.get(&server.id))
+        {
+            let is_recent = now.since(sight.at) < OVERTAKEN;
+            if is_recent && known.born == server.born && server.membership == sight.before {
+                server.membership = known.membership.clone();
+            }
+        }
         let was_doubted = self.doubted.remove(&server.id);
         let known = self.servers.get(&server.id);
         let changed = known.is_none_or(|known| *known != server);
@@ -99,6 +122,35 @@
         changed || was_doubted
     }
 
+    /// Takes in a server's report, which is somewhat old; returns whether it is news.
+    pub fn report(&mut self, id: &str, membership: Option<Membership>, now: Instant) -> bool {
+        let is_overtaken = self
+            .sights
+            .get(id)
+            .is_some_and(|sight| now.since(sight.at) < REPORT_LAG);
+        match self.servers.get_mut(id) {
+            Some(server) if !is_overtaken && server.membership != membership => {
+                server.membership = membership;
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    /// Takes in a membership that an answered order has brought about; returns whether that is
+    /// news.
+    pub fn see(&mut self, id: &str, membership: Option<Membership>, now: Instant) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        if server.membership == membership {
+            return false;
+        }
+        let before = std::mem::replace(&mut server.membership, membership);
+        self.sights.insert(id.into(), Sight { before, at: now });
+        true
+    }
+
     /// Marks a server as perhaps gone: requests go elsewhere if they can.
     pub fn doubt(&mut self, id: &str) {
         if self.servers.contains_key(id) {
@@ -109,6 +161,7 @@
     /// Takes out a server and returns what was known of it.
     pub fn remove(&mut self, id: &str) -> Option<Server> {
         self.doubted.remove(id);
+        self.sights.remove(id);
         self.servers.remove(id)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lease;
 pub mod member;
 pub mod once;
+pub mod peers;
 pub mod placement;
 pub mod plan;
 pub mod poison;
