Ask the store less often as nodes grow in number, divide the retries between them

Ruled out: relaying the raw registrations between nodes; the leaders' word on what changed is enough between two reads. Change: leaders read each 250 ms, others by their number, up to half the bound on draining; leaders tell all nodes what has changed; keep-alive probes find silent connections, so that the calls for configurations, nodes and leaders may wait 20 s. Each node holds its part of the users' bound on retries.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -22,16 +22,10 @@
 
 /// Time to live of a leader's lease; a frozen leader is replaced after it.
 const LEASE: Millis = Millis(1_500);
-/// Pause between two reads of the servers' registrations, each of which the store counts; well
-/// under the time in which a leaving server must get no new work.
-const REGISTRATION_PAUSE: Millis = Millis(250);
 /// Longest time for an order's answer; engines answer at once.
 const ORDER_TIMEOUT: Millis = Millis(600);
 /// Largest head of a request until the configuration is known.
 const MAX_HEAD: Bytes = Bytes(16 << 10);
-/// Retries that one node may spend at once; 6 to 8 nodes then keep the users' bound together.
-const RETRIES: u32 = 15;
-
 /// Runs a node with the settings file that the environment names.
 pub(crate) fn run() -> ExitCode {
     let settings = match read() {
@@ -84,9 +78,9 @@
         heartbeat: settings.heartbeat,
         grace: settings.bounds.grace,
         stall: settings.bounds.stall,
-        retries: RETRIES,
+        retries: settings.bounds.retry_slack,
         lease: LEASE.max(settings.min_lease),
-        registration_pause: REGISTRATION_PAUSE,
+        drain: settings.bounds.drain,
         max_head: MAX_HEAD,
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,8 +20,12 @@
 const SHORT_WAIT: Millis = Millis(500);
 /// Time without a failed call after which calls wait longer again.
 const CALM: Millis = Millis(10_000);
-/// Time that a call waits for a new configuration.
-const CONFIGURATION_WAIT: Millis = Millis(2_000);
+/// Time that a call waits for a new configuration; probes find a connection that has gone silent.
+const CONFIGURATION_WAIT: Millis = Millis(20_000);
+/// Pause of a leader between two reads of the registrations.
+const LEADER_PAUSE: Millis = Millis(250);
+/// Pause of other nodes between two reads of the registrations, for each node of the system.
+const PAUSE_PER_NODE: Millis = Millis(50);
 /// Time that a call waits for registrations, which come several times a second.
 const REGISTRATION_WAIT: Millis = Millis(1_000);
 /// Pause after a failed call, and the longest one.
@@ -228,7 +232,12 @@
     /// Takes in a server and returns whether anything changed.
     fn put(&mut self, server: Server) -> bool {
         self.lapsed.remove(&server.id);
-        self.node.fleet.borrow_mut().put(server, self.node.now())
+        let id = server.id.clone();
+        let changed = self.node.fleet.borrow_mut().put(server, self.node.now());
+        if changed {
+            self.node.note_change(&id);
+        }
+        changed
     }
 
     /// Takes out a server, or waits for it if the store was away.
@@ -284,7 +293,14 @@
     }
 
     fn pause(&self) -> Millis {
-        self.node.options.registration_pause
+        // The store counts each call, so the more nodes there are, the less often each one asks;
+        // leaders tell the others of changes meanwhile.
+        let longest = Millis(self.node.options.drain.0 / 2);
+        if self.node.leading.get() {
+            return LEADER_PAUSE;
+        }
+        let nodes = self.node.board().borrow().nodes() as u64;
+        Millis(nodes * PAUSE_PER_NODE.0).clamp(LEADER_PAUSE, longest)
     }
 
     fn wait(&self) -> Millis {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -21,7 +21,7 @@
 /// Prefix of the node's own keys in the store.
 const PREFIX: &str = "jackdawstair/";
 /// Time that a call waits for a change of the leader's key.
-const WAIT: Millis = Millis(4_000);
+const WAIT: Millis = Millis(20_000);
 /// Longest pause between two looks at the servers.
 const TICK: Millis = Millis(100);
 /// Longest time by which a node waits before it runs for a free leadership.
@@ -244,9 +244,11 @@
     };
     let Some(fence) = leader.fence(now) else {
         node.caretaking.set(false);
+        node.leading.set(false);
         return;
     };
     node.caretaking.set(node.is_blind());
+    node.leading.set(true);
     for service in &index.configuration().services {
         let Some(engine) = &service.engine else {
             continue;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,7 +1,7 @@
 //! What all parts of a node share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +29,15 @@
 /// second at most.
 const BLIND: Millis = Millis(1_800);
 
+/// Percent of the users' bound on retries that the nodes divide; the rest covers nodes that do not
+/// know of each other yet.
+const RETRY_PART: u32 = 80;
+/// Nodes among which retries are divided at least; a node that knows no others yet is not alone.
+const MIN_NODES: usize = 6;
+
+/// Time for which other nodes are told of a change; some rounds of datagrams, since any may be lost.
+const RECENT: Millis = Millis(800);
+
 /// What a node is given from outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -69,6 +78,10 @@
     pub(crate) heard_at: Cell<Instant>,
     /// Whether this node leads its zone on while the store is away.
     pub(crate) caretaking: Cell<bool>,
+    /// Whether this node leads its zone.
+    pub(crate) leading: Cell<bool>,
+    /// Servers whose state has changed, with the times.
+    pub(crate) changes: RefCell<HashMap<CompactString, Instant>>,
     /// Servers that were found dead while the store is away, with their starts.
     pub(crate) lost: RefCell<HashMap<CompactString, u64>>,
     /// Told when the configuration or the servers have changed.
@@ -91,6 +104,8 @@
             in_service: Cell::new(false),
             heard_at: Cell::default(),
             caretaking: Cell::new(false),
+            leading: Cell::new(false),
+            changes: RefCell::default(),
             lost: RefCell::default(),
             changed: Notify::new(),
             fleet: RefCell::default(),
@@ -100,6 +115,20 @@
         }
     }
 
+    /// Notes that a server's state has changed.
+    pub(crate) fn note_change(&self, server: &str) {
+        let now = self.now();
+        self.changes.borrow_mut().insert(server.into(), now);
+    }
+
+    /// Returns the servers whose state has changed lately.
+    pub(crate) fn recent_changes(&self) -> HashSet<CompactString> {
+        let now = self.now();
+        let mut changes = self.changes.borrow_mut();
+        changes.retain(|_, at| now.since(*at) < RECENT);
+        changes.keys().cloned().collect()
+    }
+
     /// Returns whether registrations have not come for a while.
     pub(crate) fn is_blind(&self) -> bool {
         self.now().since(self.heard_at.get()) > BLIND
@@ -159,12 +188,27 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns this node's part of the retries that all nodes together may spend at once.
+    fn retries(&self) -> u32 {
+        let nodes = self.board().borrow().nodes().max(MIN_NODES);
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        (self.options.retries * RETRY_PART / 100 / nodes).max(1)
+    }
+
+    /// Divides the retries anew after the number of nodes has changed.
+    pub(crate) fn divide_retries(&self) {
+        let retries = self.retries();
+        for budget in self.budgets.borrow().values() {
+            budget.limit(retries);
+        }
+    }
+
     /// Returns the retry budget of a service.
     pub(crate) fn budget(&self, service: &str) -> Rc<Budget> {
         if let Some(budget) = self.budgets.borrow().get(service) {
             return Rc::clone(budget);
         }
-        let budget = Rc::new(Budget::new(self.options.retries));
+        let budget = Rc::new(Budget::new(self.retries()));
         self.budgets
             .borrow_mut()
             .insert(service.into(), Rc::clone(&budget));
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -26,12 +26,12 @@
     pub grace: Millis,
     /// Time after which an engine breaks off work that depends on a lost member.
     pub stall: Millis,
-    /// Retries that this node may spend at once for one service.
+    /// Retries that all nodes together may spend at once for one service.
     pub retries: u32,
     /// Time to live of the leader's lease.
     pub lease: Millis,
-    /// Pause between two reads of the servers' registrations.
-    pub registration_pause: Millis,
+    /// Time from a server's announcement that it leaves until no new work may reach it.
+    pub drain: Millis,
     /// Largest head of a request.
     pub max_head: Bytes,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,7 +29,7 @@
 /// Pause between two renewals of a registration.
 const RENEWAL: Millis = Millis(4_000);
 /// Time that a call waits for changes of the registrations.
-const WAIT: Millis = Millis(10_000);
+const WAIT: Millis = Millis(20_000);
 /// Pause between two rounds of messages.
 const ROUND: Millis = Millis(250);
 /// Nodes that get a message in a round; with about 20 bytes a place this stays under 5 KB/s.
@@ -173,6 +173,7 @@
     fn count(&self) {
         let peers = self.addresses.borrow().len();
         self.node.board().borrow_mut().set_peers(peers);
+        self.node.divide_retries();
     }
 }
 
@@ -269,7 +270,7 @@
                 let sights = std::mem::take(&mut loads.sights);
                 if sights.is_empty() {
                     node.board().borrow_mut().hear(word(loads), node.now());
-                } else if node.is_blind() {
+                } else {
                     look(&node, sights);
                 }
             }
@@ -312,13 +313,17 @@
     }
 }
 
-/// Returns how this node sees the servers of its zone.
+/// Returns how this node sees the servers of its zone: those that have changed lately, or all while
+/// the store is away.
 fn sights(node: &Node) -> Vec<Sight> {
     let lost = node.lost.borrow();
     let fleet = node.fleet.borrow();
+    let changed = node.recent_changes();
+    let is_all = node.caretaking.get();
     let seen = fleet
         .servers()
         .filter(|server| server.zone == node.options.zone && !server.domain.is_empty())
+        .filter(|server| is_all || changed.contains(&server.id))
         .map(|server| {
             let membership = server.membership.as_ref();
             let state =
@@ -396,7 +401,7 @@
         let mut targets: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
         fastrand::shuffle(&mut targets);
         send(&node, &socket, &loads, targets.iter().take(FANOUT)).await;
-        if node.caretaking.get() {
+        if node.leading.get() {
             let seen = sights(&node);
             for part in seen.chunks(MAX_DATAGRAM / SIGHT_BYTES) {
                 sequence += 1;
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection that carries one request at a time.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use jackdaw_core::units::Millis;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error as ThisError;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -19,6 +20,22 @@
 /// Largest head of an answer in bytes; the HTTP library takes no smaller buffer than 8 KiB.
 const MAX_HEAD: usize = 64 << 10;
 
+/// Time without traffic after which a connection is probed, and the pause between two probes.
+const PROBE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+
+/// Lets the system end a connection whose peer is silent, also while nothing is sent.
+fn watch_over(stream: &TcpStream, silence: Millis) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(silence.duration()))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
+
 /// Why an exchange brought no answer.
 #[derive(Clone, Debug, PartialEq, Eq, ThisError)]
 pub enum Fault {
@@ -64,9 +81,7 @@
             .map_err(|_| Fault::NotSent(format!("no connection within {timeout}")))?
             .map_err(|error| refused(&error))?;
         stream.set_nodelay(true).map_err(|error| refused(&error))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(silence.duration()))
-            .map_err(|error| refused(&error))?;
+        watch_over(&stream, silence).map_err(|error| refused(&error))?;
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD)
             .handshake(TokioIo::new(stream))
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -70,6 +70,12 @@
         self.peers = peers;
     }
 
+    /// Gets the number of nodes, this one included.
+    #[must_use]
+    pub fn nodes(&self) -> usize {
+        self.peers + 1
+    }
+
     /// Takes in a node's word; a late one is passed over.
     pub fn hear(&mut self, word: Word, now: Instant) {
         let known = self.heard.get(&word.node);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 pub struct Budget {
     balance: AtomicU32,
-    max: u32,
+    max: AtomicU32,
 }
 
 impl Default for Budget {
@@ -43,16 +43,24 @@
         let max = retries * RETRY_COST;
         Budget {
             balance: AtomicU32::new(max),
-            max,
+            max: AtomicU32::new(max),
         }
     }
 
+    /// Sets the number of retries that the budget holds at most.
+    pub fn limit(&self, retries: u32) {
+        let max = retries * RETRY_COST;
+        self.max.store(max, Ordering::Relaxed);
+        self.balance.fetch_min(max, Ordering::Relaxed);
+    }
+
     /// Counts a request.
     pub fn deposit(&self) {
+        let max = self.max.load(Ordering::Relaxed);
         let _ = self
             .balance
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                Some((balance + DEPOSIT).min(self.max))
+                Some((balance + DEPOSIT).min(max))
             });
     }
 
