--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,6 +32,8 @@
 const WAIT: Millis = Millis(20_000);
 /// Pause between two rounds of messages.
 const ROUND: Millis = Millis(250);
+/// Time after a read of the registrations in which leaders have no news; they read as often.
+const FRESH: Millis = Millis(400);
 /// Nodes that get a message in a round; with about 20 bytes a place this stays under 5 KB/s.
 const FANOUT: usize = 4;
 /// Largest datagram; it is not fragmented.
@@ -270,7 +272,7 @@
                 let sights = std::mem::take(&mut loads.sights);
                 if sights.is_empty() {
                     node.board().borrow_mut().hear(word(loads), node.now());
-                } else {
+                } else if node.now().since(node.heard_at.get()) > FRESH {
                     look(&node, sights);
                 }
             }
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -486,15 +486,18 @@
 
     /// Returns the model that a server should hold in memory beside the model of its last group.
     ///
-    /// Every server can serve the model with the largest share of the work: in its last group, or
-    /// from memory. Of that model's members, those of odd rank hold the second model instead, so
-    /// that the survivors of a group can serve it, and enough servers of a domain that starts anew
-    /// still hold the first.
+    /// Every server can serve the model with the largest groups, which are the hardest to form: in
+    /// its last group, or from memory. Of that model's members, those of odd rank hold the second
+    /// model instead, so that the survivors of a group can serve it, and enough servers of a domain
+    /// that starts anew still hold the first.
     fn second_model<'a>(&self, view: &View<'a>, server: &Server) -> Option<&'a Model> {
         let last = self.last_model(server);
-        let by_share = |left: &&Model, right: &&Model| left.share.total_cmp(&right.share);
+        let by_need = |left: &&Model, right: &&Model| {
+            let by_size = left.size.cmp(&right.size);
+            by_size.then(left.share.total_cmp(&right.share))
+        };
         let models = &view.engine.models;
-        let largest = models.iter().max_by(by_share)?;
+        let largest = models.iter().max_by(by_need)?;
         let is_odd = server
             .membership
             .as_ref()
@@ -503,7 +506,7 @@
             largest
         } else if is_odd {
             let others = models.iter().filter(|model| model.name != largest.name);
-            others.max_by(by_share)?
+            others.max_by(by_need)?
         } else {
             return None;
         };
