--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -64,7 +64,9 @@
         logger,
         meter: metrics.meter("jackdaw-gateway"),
     };
-    server::run(options(settings), parts)
+    let options = options(settings);
+    let ports = server::Ports::bind(&options)?;
+    server::run(options, ports, parts, server::terminated())
 }
 
 fn options(settings: &Settings) -> Options {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::backend::{Membership, State};
-use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::errors::Result;
 use jackdaw_core::store::{Change, Entry, Lease, Transaction, Write};
 use jackdaw_core::units::Millis;
 use jackdaw_policy::peers::{Share, Word};
@@ -124,15 +124,7 @@
 type Addresses = Rc<RefCell<HashMap<CompactString, SocketAddr>>>;
 
 /// Starts to talk to the other nodes.
-///
-/// # Errors
-///
-/// Returns an error if the port cannot be bound.
-pub(crate) async fn start(node: &Rc<Node>) -> Result<()> {
-    let address = node.options.peers;
-    let socket = UdpSocket::bind(address)
-        .await
-        .map_err(|error| Error::unreachable("bind", &address.to_string(), error))?;
+pub(crate) fn start(node: &Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let addresses = Addresses::default();
     let members = Members {
@@ -143,7 +135,6 @@
     ntex::rt::spawn(register(Rc::clone(node)));
     ntex::rt::spawn(hear(Rc::clone(node), Rc::clone(&socket)));
     ntex::rt::spawn(tell(Rc::clone(node), socket, addresses));
-    Ok(())
 }
 
 /// Keeps the addresses of the other nodes.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,8 @@
 //! Runs a node: its listeners, its followers and its planned stop.
 
 use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use jackdaw_core::errors::{Error, Result};
@@ -12,7 +14,7 @@
 use ntex::service::{ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use slog::{info, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time;
 
@@ -21,7 +23,6 @@
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
-use crate::peers;
 
 /// Time after which an idle connection of a caller is closed; longer than callers keep theirs.
 const KEEP_ALIVE: Seconds = Seconds(75);
@@ -42,53 +43,108 @@
     Readiness,
 }
 
-/// Runs a node until it is asked to stop and has finished what was in flight.
+/// The bound ports of a node.
+#[derive(Debug)]
+pub struct Ports {
+    /// For callers.
+    pub callers: std::net::TcpListener,
+    /// For the platform's readiness checks.
+    pub readiness: std::net::TcpListener,
+    /// For datagrams of other nodes.
+    pub peers: std::net::UdpSocket,
+}
+
+impl Ports {
+    /// Binds the ports that a node's options name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound.
+    pub fn bind(options: &Options) -> Result<Ports> {
+        let failed = |address: SocketAddr| {
+            move |error: io::Error| Error::unreachable("bind", &address.to_string(), error)
+        };
+        let listen = |address| std::net::TcpListener::bind(address).map_err(failed(address));
+        Ok(Ports {
+            callers: listen(options.callers)?,
+            readiness: listen(options.readiness)?,
+            peers: std::net::UdpSocket::bind(options.peers).map_err(failed(options.peers))?,
+        })
+    }
+}
+
+/// Runs a node until `stop` resolves, then finishes what is in flight.
 ///
 /// # Errors
 ///
-/// Returns an error if a port cannot be bound or the signals cannot be received.
-pub fn run(options: Options, parts: Parts) -> Result<()> {
-    System::new("gateway", DefaultRuntime).block_on(serve(options, parts))
+/// Returns an error if the ports cannot be used or the signals cannot be received.
+pub fn run(
+    options: Options,
+    ports: Ports,
+    parts: Parts,
+    stop: impl Future<Output = ()> + 'static,
+) -> Result<()> {
+    System::new("gateway", DefaultRuntime).block_on(serve(options, ports, parts, stop))
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Panics
+///
+/// Panics if the signals cannot be received.
+pub async fn terminated() {
+    let mut terminate = signal(SignalKind::terminate()).expect("SIGTERM can be received");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("SIGINT can be received");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
 }
 
-async fn serve(options: Options, parts: Parts) -> Result<()> {
-    let bind = |address: std::net::SocketAddr| async move {
-        TcpListener::bind(address)
-            .await
-            .map_err(|error| Error::unreachable("bind", &address.to_string(), error))
+async fn serve(
+    options: Options,
+    ports: Ports,
+    parts: Parts,
+    stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let taken = |error: io::Error| Error::unreachable("listen", "self", error);
+    let listen = |listener: std::net::TcpListener| {
+        listener
+            .set_nonblocking(true)
+            .and_then(|()| TcpListener::from_std(listener))
+            .map_err(taken)
     };
-    let callers = bind(options.callers).await?;
-    let readiness = bind(options.readiness).await?;
-    let install =
-        |kind| signal(kind).map_err(|error| Error::unreachable("install signals", "self", error));
-    let mut terminate = install(SignalKind::terminate())?;
-    let mut interrupt = install(SignalKind::interrupt())?;
-    let mut hangup = install(SignalKind::hangup())?;
+    let callers = listen(ports.callers)?;
+    let readiness = listen(ports.readiness)?;
+    ports.peers.set_nonblocking(true).map_err(taken)?;
+    let peers = UdpSocket::from_std(ports.peers).map_err(taken)?;
+    let mut hangup = signal(SignalKind::hangup())
+        .map_err(|error| Error::unreachable("install signals", "self", error))?;
     let node = Rc::new(Node::new(options, parts));
     info!(node.logger(), "node started";
         "zone" => %node.options.zone, "callers" => %node.options.callers);
     follow::start(&node);
-    peers::start(&node).await?;
+    crate::peers::start(&node, peers);
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept(Rc::clone(&node), readiness, Port::Readiness));
     ntex::rt::spawn(accept(Rc::clone(&node), callers, Port::Callers));
+    let mut stop = pin!(stop);
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            () = &mut stop => break,
             // Addresses cannot change while the process runs; all else comes from the store.
             _ = hangup.recv() => info!(node.logger(), "reload: nothing to do"),
         }
     }
     info!(node.logger(), "node stopping"; "in_flight" => node.drain.in_flight());
     leadership.resign();
-    stop(&node).await;
+    finish(&node).await;
     info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
     Ok(())
 }
 
 /// Finishes what is in flight and takes nothing new once the platform sends nothing more.
-async fn stop(node: &Node) {
+async fn finish(node: &Node) {
     node.stopping.set(true);
     let grace = node.options.grace.0.saturating_sub(LAST_MOMENT.0);
     let calm = LAST_CONNECTIONS.0.min(grace);
