Explain a failed request from its id and the log lines alone

Cause: on the users' platform an on-call engineer has logs and metrics only; explain asked a running node. Lines of failed attempts lacked what had decided them. Ruled out: a line for every plain success (volume), and the metrics entry of the deploy file, whose port would have to be fixed while the platform draws them anew.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -28,11 +28,14 @@
 teams              shows the teams
 watch [SUBJECT]    follows decisions as they happen
 explain SUBJECT    explains decisions about a group, VM, request, release, node, team or zone
+explain --log FILE SUBJECT
+                   does so from nodes' log lines alone; --log may stand several times
 history            shows the last accepted release notes
 
 --address HOST:PORT  operators' port of a node (JACKDAW_ADDRESS, else 127.0.0.1:7401)
 --token TOKEN        operator's token (JACKDAW_TOKEN)
 --json               prints JSON instead of tables
+--log FILE           log of a node
 --id ID              identity of the note, to send again what may have been accepted
 --count N            number of notes that history shows (20)
 --help               prints this text
@@ -60,6 +63,13 @@
     Watch(Option<String>),
     /// Explain a subject.
     Explain(String),
+    /// Tell a subject's story from logs.
+    Story {
+        /// Logs.
+        logs: Vec<String>,
+        /// Subject.
+        subject: String,
+    },
     /// Show accepted notes.
     History(u64),
 }
@@ -95,6 +105,7 @@
         let mut count = DEFAULT_HISTORY;
         let mut json = false;
         let mut id = None;
+        let mut logs = Vec::new();
         let mut words = Vec::new();
         while let Some(arg) = parser.next()? {
             match arg {
@@ -103,15 +114,26 @@
                 Arg::Long("token") => token = Some(parser.value()?.string()?),
                 Arg::Long("json") => json = true,
                 Arg::Long("id") => id = Some(parser.value()?.string()?),
+                Arg::Long("log") => logs.push(parser.value()?.string()?),
                 Arg::Long("count") => count = parser.value()?.parse()?,
                 Arg::Value(value) => words.push(value.string()?),
                 Arg::Short(_) | Arg::Long(_) => return Err(arg.unexpected()),
             }
         }
+        let command = match (command(&words, count)?, logs.is_empty()) {
+            (Command::Explain(subject), false) => Command::Story { logs, subject },
+            (command, true) => command,
+            (_, false) => return Err("--log goes with explain".into()),
+        };
+        // Logs are read without asking a node.
+        let needs_token = !matches!(command, Command::Story { .. });
+        if needs_token && token.is_none() {
+            return Err("no token; use --token or JACKDAW_TOKEN".into());
+        }
         Ok(Parsed::Run(Args {
-            command: command(&words, count)?,
+            command,
             address: address.unwrap_or_else(|| DEFAULT_ADDRESS.to_owned()),
-            token: token.ok_or("no token; use --token or JACKDAW_TOKEN")?,
+            token: token.unwrap_or_default(),
             json,
             id,
         }))
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod note;
 mod print;
 mod run;
+mod story;
 mod table;
 
 use std::process::ExitCode;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, Result, conflicts};
 use crate::note;
 use crate::print;
+use crate::story;
 
 /// Times that a note is sent before its answer counts as unknown.
 const APPLY_ATTEMPTS: u32 = 5;
@@ -25,9 +26,13 @@
 
 /// Runs a command and prints its result.
 pub(crate) async fn run(args: Args) -> Result<()> {
-    let node = Node::new(args.address, args.token).await;
     let json = args.json;
+    if let Command::Story { logs, subject } = &args.command {
+        return tell(logs, subject, json);
+    }
+    let node = Node::new(args.address, args.token).await;
     match args.command {
+        Command::Story { .. } => Ok(()),
         Command::Plan(path) => plan(&node, &path, json).await,
         Command::Apply(path) => apply(&node, &path, args.id, json).await,
         Command::Status => show(&node, "/admin/v1/status", json, print::status).await,
@@ -46,6 +51,16 @@
     }
 }
 
+fn tell(logs: &[String], subject: &str, json: bool) -> Result<()> {
+    let story = story::read(logs, subject)?;
+    if json {
+        println!("{}", story.json()?);
+    } else {
+        print!("{}", story.text());
+    }
+    Ok(())
+}
+
 async fn show<T: DeserializeOwned>(
     node: &Node,
     path: &str,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use jackdaw_adapter::settings::{PATH_VARIABLE, Settings};
 use jackdaw_adapter::{Platform, order, store};
-use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server;
 use jackdaw_link::client::Client;
@@ -63,12 +63,22 @@
         clock: Arc::new(Machine::default()),
         logger,
         meter: metrics.meter("jackdaw-gateway"),
+        exporter: Arc::new(Text(metrics)),
     };
     let options = options(settings);
     let ports = server::Ports::bind(&options)?;
     server::run(options, ports, parts, server::terminated())
 }
 
+/// Metrics as text for Prometheus.
+struct Text(Metrics);
+
+impl Exporter for Text {
+    fn render(&self) -> Result<String> {
+        self.0.render()
+    }
+}
+
 fn options(settings: &Settings) -> Options {
     Options {
         node: settings.node.clone(),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -64,6 +64,9 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Time at which the request came.
+    pub(crate) arrived: Instant,
+    /// Time at which the caller must have an answer.
     pub(crate) deadline: Instant,
     /// Latest time for the deadline that servers are told.
     pub(crate) caller_deadline: Instant,
@@ -149,6 +152,10 @@
     /// A failure of a server, delivered if no other server does better.
     pub(crate) fallback: Option<Whole>,
     reconnect: Option<Key>,
+    /// Places that were weighed for the attempt in progress.
+    weighed: usize,
+    /// Failed attempts.
+    pub(crate) failures: u32,
 }
 
 impl Dispatch {
@@ -166,6 +173,8 @@
             budget,
             fallback: None,
             reconnect: None,
+            weighed: 0,
+            failures: 0,
         }
     }
 
@@ -197,6 +206,7 @@
         }
         let now = self.node.now();
         let candidates = self.candidates();
+        self.weighed = candidates.len();
         if candidates.is_empty() {
             let detail = match &self.call.head.model {
                 Some(model) => format!("no replica group of model {model} can take the request"),
@@ -468,6 +478,19 @@
         Ok(())
     }
 
+    /// Logs the good end of a request that had failed attempts; a plain success has no line.
+    pub(crate) fn answered(&self, status: u16) {
+        if self.failures == 0 {
+            return;
+        }
+        info!(self.node.logger(), "request answered";
+            "request" => %self.call.head.id,
+            "route" => %self.call.route.name,
+            "status" => status,
+            "failed_attempts" => self.failures,
+            "delivered" => self.delivered);
+    }
+
     /// Takes in a failed attempt; returns if another one is to be made.
     ///
     /// # Errors
@@ -475,6 +498,7 @@
     /// Returns the refusal for the caller if the request is given up.
     pub(crate) fn failed(&mut self, broken: &Broken, attempt: &Attempt) -> Result<(), Refusal> {
         let now = self.node.now();
+        self.failures += 1;
         let failure = Failure {
             server: attempt.target.server.clone(),
             step: broken.step,
@@ -499,6 +523,9 @@
             "step" => %broken.step,
             "detail" => &broken.detail,
             "new_connection" => attempt.is_new,
+            "configuration" => self.index.configuration().version,
+            "registrations_age_ms" => now.since(self.node.heard_at.get()).0,
+            "candidates" => self.weighed,
             "delivered" => self.delivered,
             "verdict" => ?verdict);
         match verdict {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -10,7 +10,7 @@
 use jackdaw_entry::drain::Pass;
 use ntex::http::header::HOST;
 use ntex::http::{ConnectionType, Request, Response};
-use slog::{debug, info};
+use slog::info;
 
 use crate::body;
 use crate::dispatch::{Call, Dispatch};
@@ -25,6 +25,9 @@
 /// Time that a caller is taken to wait if it states none.
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 
+/// Path of the metrics, on the port of the readiness checks.
+const METRICS: &str = "/metrics";
+
 /// Answers one request.
 pub(crate) async fn handle(node: Rc<Node>, request: Request) -> Response {
     node.in_service.set(true);
@@ -56,6 +59,9 @@
 
 /// Answers the platform's question whether new connections are welcome.
 pub(crate) fn readiness(node: &Node, path: &str) -> Response {
+    if path == METRICS {
+        return metrics(node);
+    }
     if path != node.parts.dialect.readiness_path() {
         return Response::NotFound().finish();
     }
@@ -65,6 +71,16 @@
     Response::ServiceUnavailable().finish()
 }
 
+fn metrics(node: &Node) -> Response {
+    match node.parts.exporter.render() {
+        Ok(text) => Response::Ok().content_type("text/plain").body(text),
+        Err(error) => {
+            info!(node.logger(), "metrics cannot be written"; "error" => %error);
+            Response::InternalServerError().finish()
+        }
+    }
+}
+
 type Failed = (compact_str::CompactString, Refusal);
 
 async fn answer(node: &Rc<Node>, mut request: Request) -> Result<Response, Failed> {
@@ -94,6 +110,7 @@
     let index = node.index().unwrap_or(index);
     let mut call = admit(&index, &request, head, headers).map_err(failed)?;
     call.body = body;
+    call.arrived = arrived;
     call.caller_deadline = arrived + call.head.deadline.unwrap_or(DEFAULT_DEADLINE);
     call.deadline = call.caller_deadline.min(arrived + call.route.timeout);
     let is_stream = call.route.kind.is_stream();
@@ -105,9 +122,9 @@
             .map_err(failed);
     }
     let whole = whole::exchange(&mut dispatch).await.map_err(failed)?;
-    debug!(node.logger(), "request answered";
-        "request" => %dispatch.call.head.id, "status" => whole.status.as_u16());
+    dispatch.answered(whole.status.as_u16());
     node.counters.outcome(Outcome::Completed);
+    node.times.answer(node.now().since(arrived));
     drop(in_flight);
     Ok(whole.response())
 }
@@ -155,6 +172,7 @@
         uri: target(request),
         headers,
         body: bytes::Bytes::new(),
+        arrived: jackdaw_core::time::Instant::default(),
         deadline: jackdaw_core::time::Instant::default(),
         caller_deadline: jackdaw_core::time::Instant::default(),
     })
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -289,6 +289,7 @@
                 let reply = node.parts.orders.order(&order).await;
                 let now = node.now();
                 log(&node, &order, cause, &reply, now.since(sent));
+                node.times.order(order.command.label(), now.since(sent));
                 if let (Command::Leave { .. }, Ok(Reply::Done)) = (&order.command, &reply) {
                     // The order takes effect at once, whenever the registration tells of it.
                     node.fleet.borrow_mut().see(&order.server, None, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! Routes callers' requests to replica groups and plain services.
 //!
-//! A [`node::Node`] runs on one thread: it follows the configuration and the servers'
+//! A node runs on one thread: it follows the configuration and the servers'
 //! registrations in the store, forms replica groups while it leads its availability zone, and
 //! relays requests over ntex on the callers' side and over [`jackdaw_link`] on the servers' side.
 
@@ -19,4 +19,5 @@
 mod peers;
 mod refusal;
 mod relay;
+mod times;
 mod whole;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use jackdaw_core::config::{Configuration, Index};
 use jackdaw_core::dialect::{Dialect, Log, Orders};
+use jackdaw_core::errors::Result;
 use jackdaw_core::store::Store;
 use jackdaw_core::time::{Clock, Instant};
 use jackdaw_core::units::Millis;
@@ -24,6 +25,7 @@
 
 use crate::arena::Arena;
 use crate::options::Options;
+use crate::times::Times;
 
 /// Time without registrations after which others' word on the servers is taken; a call waits a
 /// second at most.
@@ -38,6 +40,16 @@
 /// Time for which other nodes are told of a change; some rounds of datagrams, since any may be lost.
 const RECENT: Millis = Millis(800);
 
+/// Writes a node's metrics for the operators' collector.
+pub trait Exporter: Send + Sync {
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric cannot be encoded.
+    fn render(&self) -> Result<String>;
+}
+
 /// What a node is given from outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -55,6 +67,8 @@
     pub logger: Logger,
     /// Meter of the node's counters.
     pub meter: Meter,
+    /// Writes the metrics.
+    pub exporter: Arc<dyn Exporter>,
 }
 
 impl fmt::Debug for Parts {
@@ -68,6 +82,7 @@
     pub(crate) options: Options,
     pub(crate) parts: Parts,
     pub(crate) counters: Counters,
+    pub(crate) times: Times,
     pub(crate) pool: Pool,
     pub(crate) drain: Drain,
     /// Whether the node was asked to stop.
@@ -96,6 +111,7 @@
     pub(crate) fn new(options: Options, parts: Parts) -> Self {
         Node {
             counters: Counters::new(&parts.meter),
+            times: Times::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,9 @@
 use crate::refusal::Refusal;
 use crate::whole;
 
+/// Status of every stream that is relayed event by event.
+const SUCCESS: u16 = 200;
+
 /// An answer that streams.
 struct Relay {
     dispatch: Dispatch,
@@ -72,6 +75,9 @@
             },
         };
         relay.in_flight = Some(in_flight);
+        let node = &relay.dispatch.node;
+        node.times
+            .first_event(node.now().since(relay.dispatch.call.arrived));
         let mut builder = whole::builder(status, &headers);
         return Ok(builder.streaming(Box::pin(body(relay, first, caller))));
     }
@@ -105,6 +111,7 @@
             }
             Ok(None) => {
                 relay.dispatch.node.counters.outcome(Outcome::Completed);
+                relay.dispatch.answered(SUCCESS);
                 None
             }
             Err(refusal) => {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -6,7 +6,7 @@
 use jackdaw_core::units::Bytes as Size;
 use jackdaw_link::client;
 use jackdaw_policy::retry::Fault;
-use ntex::http::header::{HeaderName, HeaderValue};
+use ntex::http::header::HeaderValue;
 use ntex::http::{Response, ResponseBuilder};
 
 use crate::dispatch::{Attempt, Broken, Dispatch, Opened};
@@ -35,9 +35,8 @@
 pub(crate) fn builder(status: StatusCode, headers: &HeaderMap) -> ResponseBuilder {
     let mut builder = Response::build(status);
     for (name, value) in headers {
-        let name = HeaderName::from(name.clone());
         if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
-            builder.header(name, value);
+            builder.header(name.clone(), value);
         }
     }
     builder
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use jackdaw_core::store::{Committed, Entry, Lease, Store, Transaction, Watch};
 use jackdaw_core::time::Machine;
 use jackdaw_core::units::{Bytes, Millis};
-use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::{self, Ports};
 use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
@@ -152,6 +152,15 @@
     }
 }
 
+/// Has no metrics.
+struct Silent;
+
+impl Exporter for Silent {
+    fn render(&self) -> Result<String> {
+        Ok(String::new())
+    }
+}
+
 /// Takes no orders.
 struct Deaf;
 
@@ -342,6 +351,7 @@
             clock: Arc::new(Machine::default()),
             logger: Logger::root(slog::Discard, o!()),
             meter: NoopMeterProvider::new().meter("test"),
+            exporter: Arc::new(Silent),
         };
         let ports = Ports::bind(&options).expect("ports are free");
         let address = ports.callers.local_addr().expect("the port is bound");
--- a/crates/policy/tests/assembly/world.rs
+++ b/crates/policy/tests/assembly/world.rs
@@ -282,7 +282,7 @@
     fn send(&mut self, leader: usize, order: &Order) {
         self.sent += 1;
         let is_due = |every: Option<u64>| {
-            every.is_some_and(|every| (self.sent + self.trouble.seed) % every == 0)
+            every.is_some_and(|every| (self.sent + self.trouble.seed).is_multiple_of(every))
         };
         if is_due(self.trouble.late_every) {
             let delay = 2_000 + (self.sent * 1_337 + self.trouble.seed * 7_919) % 10_000;
