Keep fewer idle connections, avoid full servers, read nodes' registrations less often

Ruled out: reusing kept connections for requests that run at most once (a late extra answer or a closing server would end them unknown as well).

--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -202,9 +202,15 @@
         slot.distrusted_until = None;
     }
 
-    /// Sends new requests elsewhere for a while.
+    /// Sends new requests elsewhere for a while, since the place stands still.
     pub(crate) fn distrust(&mut self, key: Key, now: Instant) {
-        self.slot_mut(key).distrusted_until = Some(now + DISTRUST);
+        self.avoid(key, now + DISTRUST);
+    }
+
+    /// Sends new requests elsewhere until a time.
+    pub(crate) fn avoid(&mut self, key: Key, until: Instant) {
+        let slot = self.slot_mut(key);
+        slot.distrusted_until = slot.distrusted_until.max(Some(until));
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -48,6 +48,11 @@
 const NO_GROUP_RETRY: Millis = Millis(1_000);
 /// Time after which a caller is asked to come again if servers were full.
 const FULL_RETRY: Millis = Millis(500);
+/// Percent of the connections that a server accepts which all nodes together keep idle.
+const KEPT_PERCENT: usize = 40;
+/// Time for which a server that was full gets new requests only if no other can take them; some
+/// requests end meanwhile.
+const FULL: Millis = Millis(400);
 /// Part of the deadline that the first event may take, as a divisor; a request that would wait
 /// longer is rejected.
 const FIRST_EVENT_SHARE: f64 = 2.0;
@@ -451,10 +456,14 @@
                 return Err(Broken::new(Fault::Invalid, Step::Written, detail));
             }
             let detail = refusal_detail(status, &said);
+            let now = self.node.now();
+            let mut arena = self.node.arena.borrow_mut();
             if status == StatusCode::MISDIRECTED_REQUEST || said.culprit.is_some() {
-                let now = self.node.now();
-                self.node.arena.borrow_mut().distrust(attempt.key, now);
+                arena.distrust(attempt.key, now);
+            } else {
+                arena.avoid(attempt.key, now + FULL);
             }
+            drop(arena);
             return Err(Broken::new(Fault::Refused, Step::Routed, detail));
         }
         let invalid = |detail: &str| Err(Broken::new(Fault::Invalid, Step::Answering, detail));
@@ -491,6 +500,16 @@
             "delivered" => self.delivered);
     }
 
+    /// Keeps a connection that has carried a whole answer. All nodes together leave a server more
+    /// than half of the connections that it accepts; it resets those beyond.
+    pub(crate) fn keep(&self, connection: Connection, headers: &HeaderMap) {
+        let service = self.index.service(&self.call.service);
+        let accepted = service.map_or(0, |service| service.max_connections as usize);
+        let nodes = self.node.board().borrow().nodes();
+        let most = accepted * KEPT_PERCENT / 100 / nodes;
+        self.node.pool.put(connection, headers, most);
+    }
+
     /// Takes in a failed attempt; returns if another one is to be made.
     ///
     /// # Errors
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,7 +19,7 @@
 /// tell since must be in force within the users' bound.
 const SHORT_WAIT: Millis = Millis(500);
 /// Time without a failed call after which calls wait longer again.
-const CALM: Millis = Millis(10_000);
+const CALM: Millis = Millis(4_000);
 /// Time that a call waits for a new configuration; probes find a connection that has gone silent.
 const CONFIGURATION_WAIT: Millis = Millis(20_000);
 /// Pause of a leader between two reads of the registrations.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,9 @@
 const TTL: Millis = Millis(12_000);
 /// Pause between two renewals of a registration.
 const RENEWAL: Millis = Millis(4_000);
+/// Pause between two reads of the nodes' registrations; a node that is not known yet only gets no
+/// datagrams.
+const PAUSE: Millis = Millis(3_000);
 /// Time that a call waits for changes of the registrations.
 const WAIT: Millis = Millis(20_000);
 /// Pause between two rounds of messages.
@@ -176,7 +179,8 @@
     }
 
     fn pause(&self) -> Millis {
-        Millis(0)
+        // When many nodes start, each registration would end every node's call.
+        PAUSE
     }
 
     fn wait(&self) -> Millis {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -169,7 +169,7 @@
                 }
                 Ok(None) => {
                     let headers = opened.answer.headers().clone();
-                    self.dispatch.node.pool.put(opened.connection, &headers);
+                    self.dispatch.keep(opened.connection, &headers);
                     return Ok(None);
                 }
                 Err(broken) => {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -68,7 +68,7 @@
     let now = dispatch.node.now();
     dispatch.node.arena.borrow_mut().advance(pass.key, now);
     let mut headers = head.headers;
-    dispatch.node.pool.put(connection, &headers);
+    dispatch.keep(connection, &headers);
     header::strip(&mut headers);
     Ok(Whole {
         status: head.status,
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -44,7 +44,7 @@
         let answer = connection.send(request).await?;
         let (head, body) = answer.into_parts();
         let body = read(body, MAX_ANSWER).await?;
-        self.pool.put(connection, &head.headers);
+        self.pool.put(connection, &head.headers, usize::MAX);
         Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -80,8 +80,9 @@
         Connection::open(peer, self.options.connect, self.options.silence).await
     }
 
-    /// Keeps a connection whose last answer had these headers and has been read to its end.
-    pub fn put(&self, mut connection: Connection, headers: &HeaderMap) {
+    /// Keeps a connection whose last answer had these headers and has been read to its end, if
+    /// fewer than `most` to the peer are kept.
+    pub fn put(&self, mut connection: Connection, headers: &HeaderMap, most: usize) {
         let Some(span) = self.idle_time(headers) else {
             return;
         };
@@ -89,7 +90,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.entry(connection.peer()).or_default();
         kept.retain(Connection::is_reusable);
-        if kept.len() < self.options.kept {
+        if kept.len() < most.min(self.options.kept) {
             kept.push(connection);
         }
     }
