Compare groups by the node's own requests only

Cause: since nodes tell each other their loads, each compared groups by all requests as heard up to 0.25 s ago, so all chose the same group until they heard again. Change: the others' requests tell whether a request can be served in time, not which group is best.

--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -164,7 +164,8 @@
         Load {
             own: slot.own,
             others: others.requests,
-            unread: slot.unread + u64::from(others.unread),
+            unread: slot.unread,
+            others_unread: u64::from(others.unread),
             cached: slot.cached,
             slowness: slot.slowness,
             suspect: is_suspect || slot.target.doubtful,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -2,12 +2,12 @@
 //!
 //! The estimate follows the engine's stated figures: prompts are read one after the other, and each
 //! running request makes every token step a little longer. What the node cannot see, the requests
-//! of other nodes, comes as a number with a lag, and a little chance keeps nodes with the same view
-//! from choosing the same group.
+//! of other nodes, comes as a number with a lag: it tells whether a request can be served in time,
+//! but not which group is the best.
 
 use jackdaw_core::config::{Engine, Model};
 
-/// Relative width of the chance in an estimate.
+/// Relative width of the chance in a comparison.
 const CHANCE: f64 = 0.1;
 /// Token passes beyond the first one that count in a comparison; a longer pass delays all events.
 const PASSES: f64 = 4.0;
@@ -23,8 +23,10 @@
     pub own: u32,
     /// Requests of other nodes, as far as they are known.
     pub others: u32,
-    /// Prompt tokens of requests that have had no event yet.
+    /// Prompt tokens of this node's requests that have had no event yet.
     pub unread: u64,
+    /// Prompt tokens of other nodes' requests that have had no event yet, as far as they are known.
+    pub others_unread: u64,
     /// Tokens in the KV cache.
     pub cached: u64,
     /// Factor by which the group was lately slower than stated.
@@ -87,7 +89,8 @@
     let turn = gap * f64::from(engine.usual_output)
         / f64::from(engine.stride)
         / f64::from(engine.slots.max(1));
-    let first = prefill_ms(engine, load.unread as f64)
+    let unread = load.unread + load.others_unread;
+    let first = prefill_ms(engine, unread as f64)
         + prefill_ms(engine, f64::from(ask.prompt))
         + gap
         + beyond * turn;
@@ -98,9 +101,18 @@
 }
 
 /// Returns the cost by which groups are compared.
+///
+/// Only this node's own requests count. What is known of the others' is somewhat old: if every node
+/// went by it, all would choose the same group until they hear of each other again. Nodes that each
+/// spread their own requests evenly spread all of them evenly.
 #[must_use]
 pub fn cost(engine: &Engine, model: &Model, load: &Load, ask: Ask) -> f64 {
-    let estimate = estimate(engine, model, load, ask);
+    let own = Load {
+        others: 0,
+        others_unread: 0,
+        ..*load
+    };
+    let estimate = estimate(engine, model, &own, ask);
     let mut cost = estimate.first + PASSES * estimate.gap;
     if load.remote {
         cost += REMOTE_MS;
@@ -111,7 +123,7 @@
     cost
 }
 
-/// Returns the place of the cheapest candidate.
+/// Returns the place of the cheapest candidate; a little chance decides between like ones.
 pub fn choose(costs: &[f64], random: &mut dyn FnMut() -> f64) -> Option<usize> {
     let weighed = costs
         .iter()
