--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -20,12 +20,8 @@
     pub readiness: SocketAddr,
     /// Address for datagrams of other nodes.
     pub peers: SocketAddr,
-    /// Time between two registrations of a backend server.
-    pub heartbeat: Millis,
     /// Time from the request to stop until the process is killed.
     pub grace: Millis,
-    /// Time after which an engine breaks off work that depends on a lost member.
-    pub stall: Millis,
     /// Retries that all nodes together may spend at once for one service.
     pub retries: u32,
     /// Time to live of the leader's lease.
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -156,6 +156,18 @@
     pub in_service: bool,
 }
 
+impl<'a> View<'a> {
+    /// Returns the servers that report a group, by rank.
+    fn members(&self, group: &Group) -> Vec<&'a Server> {
+        group
+            .members
+            .iter()
+            .flatten()
+            .filter_map(|id| self.fleet.server(id))
+            .collect()
+    }
+}
+
 impl Planner {
     /// Creates the planner of a leader with a fencing number.
     #[must_use]
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -311,12 +311,7 @@
         if group.model == model.name || !group.is_whole() {
             return None;
         }
-        let members: Vec<&Server> = group
-            .members
-            .iter()
-            .flatten()
-            .filter_map(|id| view.fleet.server(id))
-            .collect();
+        let members = view.members(group);
         let is_open = members.first().is_some_and(|head| {
             head.membership
                 .as_ref()
--- a/crates/policy/src/assembly/tend.rs
+++ b/crates/policy/src/assembly/tend.rs
@@ -16,12 +16,7 @@
         now: Instant,
         out: &mut Vec<Decided>,
     ) {
-        let members: Vec<&Server> = group
-            .members
-            .iter()
-            .flatten()
-            .filter_map(|id| view.fleet.server(id))
-            .collect();
+        let members = view.members(group);
         if group.members.is_empty() {
             self.abandon(view, group, now, out);
             return;
