Let a stalled stream go on at another group instead of the same one

Cause: a stream that had stood still was first tried again at its own server on a new connection, to tell a lost connection from a dead server. Ruled out: a larger budget (it is the users' bound). Test: a_stream_that_stands_still_goes_on_at_another_server.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -549,8 +549,10 @@
             "verdict" => ?verdict);
         match verdict {
             Verdict::Reconnect => {
-                // An answer that has begun to stream goes on elsewhere at once.
-                if self.node.arena.borrow().is_serving(attempt.key) {
+                // A connection that is lost and a server that stands still look alike; if another
+                // server can take the request, it need not be found out.
+                if self.candidates().is_empty() && self.node.arena.borrow().is_serving(attempt.key)
+                {
                     self.reconnect = Some(attempt.key);
                 }
                 self.node.counters.retry(broken.fault, "reconnect");
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -103,6 +103,27 @@
     node.stop();
 }
 
+const ONE_THEN_SILENT: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
+
+#[test]
+fn a_stream_that_stands_still_goes_on_at_another_server() {
+    let node = Node::start(&[ONE_THEN_SILENT, TWO_THREE_END]);
+    let answer = node.call("POST", "/stream/x");
+    assert!(answer.contains("data: three"), "{answer}");
+    let servers: Vec<String> = node
+        .arrived()
+        .iter()
+        .map(|head| head["server"].clone())
+        .collect();
+    assert_eq!(
+        servers.len(),
+        2,
+        "one attempt each, and none at the silent server again"
+    );
+    assert_ne!(servers[0], servers[1], "the silent server was asked again");
+    node.stop();
+}
+
 #[test]
 fn a_refusal_tells_when_to_come_back() {
     let node = Node::start(&[NOT_RUN]);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -174,8 +174,11 @@
     }
 }
 
+/// Ends a script after which the server keeps the connection open and says nothing more.
+pub(crate) const HOLD: &str = "HOLD";
+
 /// What a scripted server writes for one request; `ID` stands for the request's identity. After
-/// that it closes the connection.
+/// that it closes the connection, unless the script ends with [`HOLD`].
 pub(crate) type Script = &'static str;
 
 /// Servers that take what comes in turn from one list of scripts.
@@ -194,17 +197,18 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let servers = servers.clone();
-                thread::spawn(move || servers.answer(stream));
+                thread::spawn(move || servers.answer(stream, address));
             }
         });
         address
     }
 
-    fn answer(&self, stream: TcpStream) {
+    fn answer(&self, stream: TcpStream, address: SocketAddr) {
         let mut reader = BufReader::new(stream);
-        let Some((head, _)) = read_message(&mut reader) else {
+        let Some((mut head, _)) = read_message(&mut reader) else {
             return;
         };
+        head.push_str(&format!("server: {address}\n"));
         let id = head
             .lines()
             .find_map(|line| line.strip_prefix("id: "))
@@ -219,11 +223,14 @@
                 scripts.remove(0)
             }
         };
-        let bytes = script.replace("ID", &id);
+        let is_held = script.ends_with(HOLD);
+        let bytes = script.trim_end_matches(HOLD).replace("ID", &id);
         let mut stream = reader.into_inner();
         // A caller that has left is part of some cases.
         let _ = stream.write_all(bytes.as_bytes());
-        let _ = stream.shutdown(std::net::Shutdown::Write);
+        if !is_held {
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+        }
         let _ = stream.read(&mut [0; 1]);
     }
 }
