--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -53,6 +54,8 @@
 /// Time for which a server that was full gets new requests only if no other can take them; some
 /// requests end meanwhile.
 const FULL: Millis = Millis(400);
+/// One step of the node's clock.
+const CLOCK_STEP: Duration = Duration::from_millis(1);
 /// Part of the deadline that the first event may take, as a divisor; a request that would wait
 /// longer is rejected.
 const FIRST_EVENT_SHARE: f64 = 2.0;
@@ -574,9 +577,6 @@
     }
 }
 
-/// One step of the node's clock.
-const CLOCK_STEP: std::time::Duration = std::time::Duration::from_millis(1);
-
 fn refusal_detail(status: StatusCode, said: &Answer) -> String {
     match &said.culprit {
         Some(culprit) => {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,10 +2,14 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderMap, Uri};
 use jackdaw_core::config::{Backend, Denial, Index, Route};
 use jackdaw_core::dialect::Head;
 use jackdaw_core::outcome::Outcome;
 use jackdaw_core::refusal::Reason;
+use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::drain::Pass;
 use ntex::http::header::HOST;
@@ -81,7 +85,8 @@
     }
 }
 
-type Failed = (compact_str::CompactString, Refusal);
+/// Identity of a request that failed, and how.
+type Failed = (CompactString, Refusal);
 
 async fn answer(node: &Rc<Node>, mut request: Request) -> Result<Response, Failed> {
     let arrived = node.now();
@@ -90,7 +95,7 @@
         Ok(head) => head,
         Err(error) => {
             let refusal = Refusal::not_run(Reason::Malformed, error);
-            return Err((compact_str::CompactString::default(), refusal));
+            return Err((CompactString::default(), refusal));
         }
     };
     let id = head.id.clone();
@@ -142,7 +147,7 @@
     index: &Index,
     request: &Request,
     head: Head,
-    mut headers: http::HeaderMap,
+    mut headers: HeaderMap,
 ) -> Result<Call, Refusal> {
     let host = headers
         .get(HOST)
@@ -171,10 +176,10 @@
         method: request.method().clone(),
         uri: target(request),
         headers,
-        body: bytes::Bytes::new(),
-        arrived: jackdaw_core::time::Instant::default(),
-        deadline: jackdaw_core::time::Instant::default(),
-        caller_deadline: jackdaw_core::time::Instant::default(),
+        body: Bytes::new(),
+        arrived: Instant::default(),
+        deadline: Instant::default(),
+        caller_deadline: Instant::default(),
     })
 }
 
@@ -182,12 +187,12 @@
 const MAX_PRIORITY: u8 = 9;
 
 /// Returns the path and the query of a request.
-fn target(request: &Request) -> http::Uri {
+fn target(request: &Request) -> Uri {
     let path = request
         .uri()
         .path_and_query()
         .map_or("/", |target| target.as_str());
-    path.parse().unwrap_or_else(|_| http::Uri::from_static("/"))
+    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
 }
 
 /// Picks one of a route's services by weight.
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -1,5 +1,7 @@
 //! Answers that are read to their end before the caller gets them.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::outcome::Step;
@@ -110,7 +112,7 @@
 ) -> Result<Option<Whole>, Refusal> {
     let attempt = Attempt {
         key: opened.pass.key,
-        target: std::rc::Rc::clone(&opened.target),
+        target: Rc::clone(&opened.target),
         is_new: opened.connection.is_new(),
     };
     let broken = match read(dispatch, opened).await {
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -11,7 +11,7 @@
 
 use super::layout::{self, Capacity};
 use super::{Decided, EPOCH_STEP, Forming, Planner, View};
-use crate::fleet::{Group, group_name};
+use crate::fleet::{Group, group_name, model_of};
 
 /// Part of the pressure that has to remain at most for groups to be retired for another model;
 /// they serve nothing for some seconds meanwhile.
@@ -116,7 +116,7 @@
             }
         }
         for (name, forming) in &self.forming {
-            let model = crate::fleet::model_of(name).and_then(number);
+            let model = model_of(name).and_then(number);
             if let Some(model) = model.filter(|_| !forming.given_up && !counted.contains(name)) {
                 capacity.add(engine, model, true);
             }
