Build a failed attempt's description in one place, drop state that nothing reads

Cause: the read-through found the same description of an attempt built in three places, a slowness that was never anything but 1, and two counts of a report that were decoded and not read. Conclusion: behaviour unchanged.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -136,10 +136,6 @@
     pub orders: u64,
     /// Replica group.
     pub membership: Option<Membership>,
-    /// Requests in progress.
-    pub running: u32,
-    /// Requests that wait.
-    pub queued: u32,
 }
 
 /// How a server answered an order.
--- a/crates/gateway/src/arena.rs
+++ b/crates/gateway/src/arena.rs
@@ -31,7 +31,6 @@
     streaming: u32,
     unread: u64,
     cached: u64,
-    slowness: f64,
     progress: Instant,
     distrusted_until: Option<Instant>,
 }
@@ -101,7 +100,6 @@
             streaming: 0,
             unread: 0,
             cached: 0,
-            slowness: 1.0,
             progress: now,
             distrusted_until: None,
         };
@@ -167,7 +165,8 @@
             unread: slot.unread,
             others_unread: u64::from(others.unread),
             cached: slot.cached,
-            slowness: slot.slowness,
+            // Slowness is not measured; groups go by the engine's stated figures.
+            slowness: 1.0,
             suspect: is_suspect || slot.target.doubtful,
             remote: slot.target.zone != zone,
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -128,6 +128,17 @@
     pub(crate) is_new: bool,
 }
 
+impl Opened {
+    /// Returns what the attempt was made with.
+    pub(crate) fn attempt(&self) -> Attempt {
+        Attempt {
+            key: self.pass.key,
+            target: Rc::clone(&self.target),
+            is_new: self.connection.is_new(),
+        }
+    }
+}
+
 /// How long an attempt may take.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,6 @@
 //! Relays streams event by event, and lets a stream go on at another replica group.
 
 use std::convert::Infallible;
-use std::rc::Rc;
 
 use futures::stream;
 use http::header::CONTENT_TYPE;
@@ -15,7 +14,7 @@
 use ntex::util::Bytes;
 use slog::info;
 
-use crate::dispatch::{Attempt, Broken, Dispatch, Opened};
+use crate::dispatch::{Broken, Dispatch, Opened};
 use crate::event::{Event, Splitter};
 use crate::header;
 use crate::refusal::Refusal;
@@ -157,11 +156,7 @@
                 Some(opened) => opened,
                 None => self.reopen().await?,
             };
-            let attempt = Attempt {
-                key: opened.pass.key,
-                target: Rc::clone(&opened.target),
-                is_new: opened.connection.is_new(),
-            };
+            let attempt = opened.attempt();
             match self.read(&mut opened).await {
                 Ok(Some(event)) => {
                     self.opened = Some(opened);
@@ -189,11 +184,7 @@
                 self.last_sign = opened.sent;
                 return Ok(opened);
             }
-            let attempt = Attempt {
-                key: opened.pass.key,
-                target: Rc::clone(&opened.target),
-                is_new: opened.connection.is_new(),
-            };
+            let attempt = opened.attempt();
             let detail = format!("status {} in place of a stream", opened.answer.status());
             let broken = Broken::new(Fault::Invalid, Step::Answering, detail);
             drop(opened);
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -1,7 +1,5 @@
 //! Answers that are read to their end before the caller gets them.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::outcome::Step;
@@ -11,7 +9,7 @@
 use ntex::http::header::HeaderValue;
 use ntex::http::{Response, ResponseBuilder};
 
-use crate::dispatch::{Attempt, Broken, Dispatch, Opened};
+use crate::dispatch::{Broken, Dispatch, Opened};
 use crate::header;
 use crate::refusal::Refusal;
 
@@ -110,11 +108,7 @@
     dispatch: &mut Dispatch,
     opened: Opened,
 ) -> Result<Option<Whole>, Refusal> {
-    let attempt = Attempt {
-        key: opened.pass.key,
-        target: Rc::clone(&opened.target),
-        is_new: opened.connection.is_new(),
-    };
+    let attempt = opened.attempt();
     let broken = match read(dispatch, opened).await {
         Ok(whole) if is_failure(whole.status) && dispatch.may_move() => {
             let detail = format!("the server answered with status {}", whole.status);
--- a/crates/policy/tests/assembly/world.rs
+++ b/crates/policy/tests/assembly/world.rs
@@ -269,7 +269,6 @@
                         Some(host) if host.dead_since.is_none() => Ok(Report {
                             orders: host.orders,
                             membership: host.membership.clone(),
-                            ..Report::default()
                         }),
                         _ => Err(Error::unreachable("read report", &server, "dead")),
                     };
