Spread the free servers of a domain over the models

Cause: at the start of traffic every free server, which had been given the larger model's weights, was ordered to load the model that came last among equally loaded ones. A host keeps one model, so each of these 27 loads threw the other model away, and for their 12 s the servers fitted none: groups of the larger model that lost a member could not be completed.

Ruled out: the pause between exchanges alone. In the trace, groups of the larger model that had seven members left waited for an eighth.

Now the free servers of a domain are spread over the models, from before the traffic on, and a model is replaced only if that makes the spread more even. The test counts loads without need (3 before, 0 now) and lets one member of each model be lost; the world's hosts finish a load before they join from memory, as engines do.

--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -1,6 +1,7 @@
 //! Forms groups out of free servers, lets groups give their servers to a model that needs them
 //! more, and keeps servers able to serve either model.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use compact_str::CompactString;
@@ -455,8 +456,7 @@
         is_settled && !is_staging && !server.draining && !self.pending.contains_key(&server.id)
     }
 
-    /// Returns the model that a server should load that has been free for a while: the one under
-    /// the highest pressure of those that it does not have.
+    /// Returns the model that a free server should load, if any.
     fn missing_model<'a>(
         &self,
         view: &View<'a>,
@@ -464,19 +464,66 @@
         capacity: &Capacity,
         now: Instant,
     ) -> Option<&'a Model> {
-        let is_new = server.staged.is_empty() && self.last_model(server).is_none();
-        let is_idle = server.membership.is_none() && (is_new || !self.is_waiting(server, now));
-        if !is_idle {
+        let last = self.last_model(server);
+        let is_new = server.staged.is_empty() && last.is_none();
+        if server.membership.is_some() || (!is_new && self.is_waiting(server, now)) {
             return None;
         }
-        let neediest = &view.engine.models[capacity.neediest(view.engine)?];
-        if !self.is_warm(server, neediest) {
-            return Some(neediest);
+        let models = &view.engine.models;
+        if last.is_none() {
+            let is_needy = self.needy_since.is_some();
+            let neediest = &models[capacity.neediest(view.engine)?];
+            return if is_new && is_needy {
+                Some(neediest)
+            } else {
+                self.spare_model(view, server)
+            };
+        }
+        // A server that has been in a group holds one more model than that group's.
+        if server.staged.iter().any(|model| Some(model) != last) {
+            return None;
         }
-        let others = view.engine.models.iter();
-        others
-            .filter(|model| !self.is_warm(server, model))
-            .max_by(|left, right| left.share.total_cmp(&right.share))
+        let missing = models.iter().filter(|model| !self.is_warm(server, model));
+        missing.max_by(by_size)
+    }
+
+    /// Returns the model that a server without a group should hold, unless it holds it.
+    ///
+    /// The free servers of a domain are spread over the models, so that any group of the domain
+    /// finds one to stand in for a lost member.
+    fn spare_model<'a>(&self, view: &View<'a>, server: &Server) -> Option<&'a Model> {
+        let others: Vec<&Server> = self
+            .servers(view)
+            .filter(|one| one.domain == server.domain && one.id != server.id)
+            .filter(|one| one.membership.is_none() && !one.draining && !self.is_enlisted(&one.id))
+            .collect();
+        let count = |model: &Model| {
+            let will_fit = |one: &&&Server| match self.staging(one) {
+                Some(staging) => {
+                    *staging == model.name || self.last_model(one) == Some(&model.name)
+                }
+                None => self.is_warm(one, model),
+            };
+            others.iter().filter(will_fit).count()
+        };
+        let models = view.engine.models.iter();
+        let rarest = models.min_by(|left, right| {
+            let order = count(left).cmp(&count(right));
+            order.then(by_size(right, left))
+        })?;
+        let held = view.engine.models.iter();
+        let held = held.filter(|model| server.staged.contains(&model.name));
+        // To replace what is held only pays if it makes the spread more even.
+        let is_even = held
+            .map(count)
+            .any(|count_held| count_held <= count(rarest));
+        (!is_even).then_some(rarest)
+    }
+
+    /// Returns the model that a server is loading into its memory.
+    fn staging(&self, server: &Server) -> Option<&CompactString> {
+        let (model, _) = self.memory.get(&server.id)?.staging.as_ref()?;
+        (!server.staged.contains(model)).then_some(model)
     }
 
     /// Returns the model that a server should hold in memory beside the model of its last group.
@@ -487,12 +534,11 @@
     /// that starts anew still hold the first.
     fn second_model<'a>(&self, view: &View<'a>, server: &Server) -> Option<&'a Model> {
         let last = self.last_model(server);
-        let by_need = |left: &&Model, right: &&Model| {
-            let by_size = left.size.cmp(&right.size);
-            by_size.then(left.share.total_cmp(&right.share))
-        };
+        if server.membership.is_none() && last.is_none() {
+            return self.spare_model(view, server);
+        }
         let models = &view.engine.models;
-        let largest = models.iter().max_by(by_need)?;
+        let largest = models.iter().max_by(by_size)?;
         let is_odd = server
             .membership
             .as_ref()
@@ -501,7 +547,7 @@
             largest
         } else if is_odd {
             let others = models.iter().filter(|model| model.name != largest.name);
-            others.max_by(by_need)?
+            others.max_by(by_size)?
         } else {
             return None;
         };
@@ -509,6 +555,12 @@
     }
 }
 
+/// Orders models by the size of their groups, then by their share of the work.
+fn by_size(left: &&Model, right: &&Model) -> Ordering {
+    let order = left.size.cmp(&right.size);
+    order.then(left.share.total_cmp(&right.share))
+}
+
 impl Candidate {
     /// Groups that serve within seconds go first, then those that relieve most, then those that
     /// leave fewest servers over.
@@ -519,9 +571,9 @@
             return is_warm;
         }
         match self.pressure.total_cmp(&other.pressure) {
-            std::cmp::Ordering::Less => true,
-            std::cmp::Ordering::Greater => false,
-            std::cmp::Ordering::Equal => (self.loads, self.left) < (other.loads, other.left),
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => (self.loads, self.left) < (other.loads, other.left),
         }
     }
 }
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -15,7 +15,10 @@
 const MADE_UP: Millis = Millis(7_000);
 
 fn settled(domains: &[usize], trouble: Trouble) -> World {
-    let mut world = World::new(domains, trouble);
+    settle(World::new(domains, trouble))
+}
+
+fn settle(mut world: World) -> World {
     world.run(Millis(8_000));
     world.in_service = true;
     world
@@ -217,3 +220,29 @@
         world.loads
     );
 }
+
+#[derive(Debug)]
+struct Repair {
+    what: &'static str,
+    model: &'static str,
+}
+
+#[rstest]
+#[case(Repair { what: "the larger model loses a member", model: LARGE })]
+#[case(Repair { what: "the smaller model loses a member", model: SMALL })]
+fn free_servers_stand_in_for_a_member_of_either_model(#[case] repair: Repair) {
+    let mut world = settle(World::with_large_groups(&[19]));
+    world.run(Millis(10_000));
+    assert_eq!(
+        world.loads, 0,
+        "{}: weights were loaded without need",
+        repair.what
+    );
+    let before = world.serving(repair.model);
+    let member = world.member(repair.model, 1);
+    world.kill(&member);
+    world.run(Millis(3_500));
+    let took = world.until(Millis(3_500), |world| world.serving(repair.model) == before);
+    assert!(took.is_some(), "{}: no free server stands in", repair.what);
+    assert_eq!(world.violations, [], "{}", repair.what);
+}
--- a/crates/policy/tests/assembly/world.rs
+++ b/crates/policy/tests/assembly/world.rs
@@ -139,6 +139,17 @@
         world
     }
 
+    /// Creates a world whose models have groups of eight and four servers and equal shares; three
+    /// servers of a domain of nineteen find no group.
+    pub(crate) fn with_large_groups(domains: &[usize]) -> Self {
+        let mut world = World::new(domains, Trouble::default());
+        for (model, size) in world.engine.models.iter_mut().zip([8, 4]) {
+            model.size = size;
+            model.share = 0.5;
+        }
+        world
+    }
+
     /// Adds an empty server.
     pub(crate) fn add(&mut self, id: &str, domain: &str) {
         let host = Host {
@@ -376,7 +387,10 @@
         let span = if host.last_model.as_ref() == Some(model) {
             Millis(200)
         } else if host.staged.as_ref() == Some(model) {
-            described.warm
+            // The host finishes the load that is under way first.
+            let staging = host.staging.as_ref();
+            let rest = staging.map_or(Millis(0), |(_, done)| done.since(self.now));
+            Millis(rest.0 + described.warm.0)
         } else if self.in_service {
             self.loads += 1;
             host.staged = Some(model.clone());
