Let others go before a server that did not become ready

Ruled out: a lost order; every member had accepted its order and reported the group.

A member that is still joining when its group is given up now comes last when members are chosen, for 10 s and each time twice as long, unless most members are late. A join from the VM's memory is not slowed by the weight store, so it gets its stated time and two orders' time.

Test: a free server that never becomes ready; before, its group never served again; now it does within the users' recovery time.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -87,6 +87,9 @@
     asked: bool,
     /// Time of the first registration that this leader saw.
     seen: Instant,
+    /// Time until which others go before the server, which did not become ready, and that span.
+    distrusted_until: Option<Instant>,
+    distrust: Millis,
     /// Model that is being loaded into the VM's memory, and when that should be done.
     staging: Option<(CompactString, Instant)>,
 }
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -173,7 +173,7 @@
             };
             let model = &view.engine.models[best.model];
             let servers = free.entry(best.domain).or_default();
-            self.sort_for(servers, model);
+            self.sort_for(servers, model, now);
             if !self.may_load(view, best.loads, now) {
                 return;
             }
@@ -335,6 +335,12 @@
         self.last_model(server) == Some(&model.name) || server.staged.contains(&model.name)
     }
 
+    fn is_distrusted(&self, server: &Server, now: Instant) -> bool {
+        let memory = self.memory.get(&server.id);
+        let until = memory.and_then(|one| one.distrusted_until);
+        until.is_some_and(|until| now < until)
+    }
+
     fn last_model(&self, server: &Server) -> Option<&CompactString> {
         self.memory
             .get(&server.id)
@@ -342,7 +348,7 @@
     }
 
     /// Moves the servers that fit a model best to the front.
-    fn sort_for(&self, servers: &mut [&Server], model: &Model) {
+    fn sort_for(&self, servers: &mut [&Server], model: &Model, now: Instant) {
         servers.sort_by_key(|server| {
             let rank = if self.last_model(server) == Some(&model.name) {
                 0
@@ -353,7 +359,7 @@
             } else {
                 3
             };
-            (rank, server.id.clone())
+            (self.is_distrusted(server, now), rank, server.id.clone())
         });
     }
 
--- a/crates/policy/src/assembly/tend.rs
+++ b/crates/policy/src/assembly/tend.rs
@@ -1,5 +1,6 @@
 //! Opens, finishes and dissolves groups.
 
+use compact_str::CompactString;
 use jackdaw_core::backend::{Command, Server, State};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
@@ -7,6 +8,11 @@
 use super::{Decided, Forming, Planner, View};
 use crate::fleet::Group;
 
+/// Time for which others go before a server that did not become ready: several attempts.
+const MIN_DISTRUST: Millis = Millis(10_000);
+/// Longest time for which others go before it.
+const MAX_DISTRUST: Millis = Millis(80_000);
+
 impl Planner {
     /// Opens, finishes or dissolves a group.
     pub(super) fn tend(
@@ -76,6 +82,7 @@
             if self.is_still_joining(view, group, now) {
                 return;
             }
+            self.distrust_late(&members, now);
             for server in members {
                 let cause = "the group did not become ready in time";
                 self.leave(server, group, now, cause, out);
@@ -126,6 +133,25 @@
         }
     }
 
+    /// Lets other servers go before the members that did not become ready for a while, each time for
+    /// longer, unless most did not: then the cause is not theirs.
+    fn distrust_late(&mut self, members: &[&Server], now: Instant) {
+        let is_late = |server: &&&Server| {
+            let state = server.membership.as_ref().map(|one| one.state);
+            state == Some(State::Joining)
+        };
+        let late: Vec<&CompactString> = members.iter().filter(is_late).map(|one| &one.id).collect();
+        if late.len() * 2 > members.len() {
+            return;
+        }
+        for id in late {
+            let memory = self.memory.entry(id.clone()).or_default();
+            let span = Millis((memory.distrust.0 * 2).clamp(MIN_DISTRUST.0, MAX_DISTRUST.0));
+            memory.distrust = span;
+            memory.distrusted_until = Some(now + span);
+        }
+    }
+
     /// Returns whether a group that is not whole or not ready may still become so.
     fn is_still_joining(&mut self, view: &View<'_>, group: &Group, now: Instant) -> bool {
         let head_has_opened = group
@@ -136,7 +162,6 @@
         if head_has_opened || self.dissolving.contains(&group.name) {
             return false;
         }
-        let slack = self.options.load_slack;
         let order_time = self.options.order_time;
         let forming = self
             .forming
@@ -151,16 +176,18 @@
             });
         let load = view.engine.model(&group.model).map_or(Millis(0), |model| {
             if forming.loads > 0 {
-                model.load
+                Millis(model.load.0 * self.options.load_slack)
             } else {
                 model.warm
             }
         });
-        // A member that has not reported the group by then has not taken the order.
+        // An order is given twice at most; a member that has not reported the group by then has not
+        // taken it.
+        let orders = order_time.0 * 2;
         let bound = if group.is_whole() {
-            Millis(load.0 * slack + order_time.0)
+            Millis(load.0 + orders)
         } else {
-            Millis(order_time.0 * 2)
+            Millis(orders)
         };
         forming.given_up |= now.since(forming.since) >= bound;
         !forming.given_up
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -13,6 +13,8 @@
 /// Time until a lost group has to be made up for: the registration lapses after 3 s, and warm
 /// servers join within 2 s.
 const MADE_UP: Millis = Millis(7_000);
+/// Time in which the users expect the service back after a failure.
+const RECOVERY: Millis = Millis(12_000);
 
 fn settled(domains: &[usize], trouble: Trouble) -> World {
     settle(World::new(domains, trouble))
@@ -246,3 +248,16 @@
     assert!(took.is_some(), "{}: no free server stands in", repair.what);
     assert_eq!(world.violations, [], "{}", repair.what);
 }
+
+#[test]
+fn a_server_that_does_not_become_ready_is_left_out() {
+    let mut world = settle(World::with_large_groups(&[19]));
+    let before = world.serving(LARGE);
+    world.stick_first_spare(LARGE);
+    let member = world.member(LARGE, 1);
+    world.kill(&member);
+    world.run(Millis(3_500));
+    let took = world.until(RECOVERY, |world| world.serving(LARGE) == before);
+    assert!(took.is_some(), "the group waits for the same server again");
+    assert_eq!(world.violations, []);
+}
--- a/crates/policy/tests/assembly/world.rs
+++ b/crates/policy/tests/assembly/world.rs
@@ -46,6 +46,8 @@
     staging: Option<(CompactString, Instant)>,
     dead_since: Option<Instant>,
     leaving: bool,
+    /// Whether it never becomes ready.
+    stuck: bool,
     /// Open or closing since; closing ends after a second.
     closed_at: Option<Instant>,
 }
@@ -163,6 +165,7 @@
             staging: None,
             dead_since: None,
             leaving: false,
+            stuck: false,
             closed_at: None,
         };
         self.hosts.insert(id.into(), host);
@@ -186,6 +189,15 @@
         }
     }
 
+    /// Keeps the free server that stands in first for a model from ever becoming ready.
+    pub(crate) fn stick_first_spare(&mut self, model: &str) {
+        let spare = self
+            .hosts
+            .values_mut()
+            .find(|host| host.membership.is_none() && host.staged.as_deref() == Some(model));
+        spare.expect("a free server holds the model").stuck = true;
+    }
+
     /// Announces that a server leaves.
     pub(crate) fn drain(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
@@ -485,7 +497,7 @@
             let Some(membership) = &mut host.membership else {
                 continue;
             };
-            if membership.state == State::Joining && host.ready_at <= now {
+            if membership.state == State::Joining && host.ready_at <= now && !host.stuck {
                 membership.state = State::Ready;
                 self.ever_ready
                     .insert((membership.group.clone(), id.clone()));
