Keep groups whose member is cut off from the store alone

A member whose registration lapses stays a member while the first one still serves and is registered. The leader asks it at once, and every 0.5 s, whether it is in the group, and dissolves the group if it does not answer within 0.4 s or says no. Other nodes send such a group requests only if no other can take them, until it has outlived the time in which the leader dissolves it. A first member that lapses gets no requests, as before; servers that were draining, or that are missing after the store's return, are gone.

A need that outlasts a load is now worth one.

Tests: a member that is cut off keeps its group through the cut and after it; a first member that is cut off gets no requests.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -240,7 +240,7 @@
         changed
     }
 
-    /// Takes out a server, or waits for it if the store was away.
+    /// Takes out a server whose registration lapsed, or waits for it if the store was away.
     fn remove(&mut self, id: &str) -> bool {
         let now = self.node.now();
         let was_draining = self
@@ -257,8 +257,15 @@
             self.node.fleet.borrow_mut().doubt(id);
             return true;
         }
-        self.lapsed.remove(id);
-        let removed = self.node.fleet.borrow_mut().remove(id);
+        let was_awaited = self.lapsed.remove(id).is_some();
+        let removed = {
+            let mut fleet = self.node.fleet.borrow_mut();
+            if was_awaited {
+                fleet.remove(id)
+            } else {
+                fleet.lapse(id, now)
+            }
+        };
         if let Some(server) = &removed {
             info!(self.node.logger(), "server is gone";
                 "server" => %server.id, "service" => %server.service,
@@ -337,6 +344,7 @@
     fn apply(&mut self, changes: Vec<Change>) {
         self.node.heard_at.set(self.node.now());
         let mut changed = self.expire();
+        changed |= self.node.fleet.borrow_mut().settle(self.node.now());
         for change in changes {
             match change {
                 Change::Put(entry) => {
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -94,6 +94,15 @@
     staging: Option<(CompactString, Instant)>,
 }
 
+/// What a member says whose registration has lapsed.
+#[derive(Clone, Debug)]
+struct Vouch {
+    group: CompactString,
+    asked: Instant,
+    /// Whether it has said that it is a member, if it has answered yet.
+    is_member: Option<bool>,
+}
+
 /// A group on its way to serving.
 #[derive(Clone, Debug)]
 struct Forming {
@@ -134,6 +143,8 @@
     pending: BTreeMap<CompactString, Pending>,
     memory: BTreeMap<CompactString, Memory>,
     forming: BTreeMap<CompactString, Forming>,
+    /// Members whose registrations have lapsed.
+    vouches: BTreeMap<CompactString, Vouch>,
     loads: Loads,
     known: usize,
     settled_at: Option<Instant>,
@@ -183,6 +194,7 @@
             pending: BTreeMap::new(),
             memory: BTreeMap::new(),
             forming: BTreeMap::new(),
+            vouches: BTreeMap::new(),
             loads: Loads::default(),
             known: 0,
             settled_at: None,
@@ -277,6 +289,10 @@
 
     /// Takes in a server's report.
     pub fn reported(&mut self, server: &str, report: &Result<Report>, now: Instant) {
+        if let Some(vouch) = self.vouches.get_mut(server) {
+            let membership = report.as_ref().ok().and_then(|one| one.membership.as_ref());
+            vouch.is_member = Some(membership.is_some_and(|one| one.group == vouch.group));
+        }
         match report {
             Ok(report) => {
                 self.pending.remove(server);
@@ -379,6 +395,7 @@
             })
         });
         self.memory.retain(|id, _| fleet.server(id).is_some());
+        self.vouches.retain(|id, _| fleet.absent(id).is_some());
     }
 
     fn is_settled(&self, view: &View<'_>, now: Instant) -> bool {
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -476,14 +476,15 @@
             return None;
         }
         let models = &view.engine.models;
+        let neediest = &models[capacity.neediest(view.engine)?];
+        let need = self.needy_since.map(|since| now.since(since));
+        // A need that outlasts a load is worth one, whatever the server holds.
+        let is_needed = need.is_some_and(|need| is_new || need >= neediest.load);
+        if is_needed && !self.is_warm(server, neediest) {
+            return Some(neediest);
+        }
         if last.is_none() {
-            let is_needy = self.needy_since.is_some();
-            let neediest = &models[capacity.neediest(view.engine)?];
-            return if is_new && is_needy {
-                Some(neediest)
-            } else {
-                self.spare_model(view, server)
-            };
+            return self.spare_model(view, server);
         }
         // A server that has been in a group holds one more model than that group's.
         if server.staged.iter().any(|model| Some(model) != last) {
--- a/crates/policy/src/assembly/tend.rs
+++ b/crates/policy/src/assembly/tend.rs
@@ -5,7 +5,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 
-use super::{Decided, Forming, Planner, View};
+use super::{Decided, Forming, Planner, View, Vouch};
 use crate::fleet::Group;
 
 /// Time for which others go before a server that did not become ready: several attempts.
@@ -13,6 +13,12 @@
 /// Longest time for which others go before it.
 const MAX_DISTRUST: Millis = Millis(80_000);
 
+/// Time in which a member whose registration has lapsed has to answer; a call takes a few
+/// milliseconds.
+const VOUCH_TIME: Millis = Millis(400);
+/// Pause until it is asked again.
+const VOUCH_PAUSE: Millis = Millis(500);
+
 impl Planner {
     /// Opens, finishes or dissolves a group.
     pub(super) fn tend(
@@ -30,8 +36,10 @@
         let state = |server: &Server| server.membership.as_ref().map(|one| one.state);
         let head = group.head().and_then(|id| view.fleet.server(id));
         let head_state = head.and_then(state);
-        let is_lost =
-            !group.is_whole() || members.iter().any(|one| state(one) == Some(State::Broken));
+        let is_serving = matches!(head_state, Some(State::Open | State::Closing));
+        let is_lost = !group.is_whole()
+            || members.iter().any(|one| state(one) == Some(State::Broken))
+            || !(group.absent.is_empty() || is_serving && self.vouched(view, group, now, out));
         if is_lost {
             if self.is_still_joining(view, group, now) {
                 return;
@@ -90,6 +98,51 @@
         }
     }
 
+    /// Returns whether the members whose registrations have lapsed still say that they are members, or
+    /// may still say so.
+    fn vouched(
+        &mut self,
+        view: &View<'_>,
+        group: &Group,
+        now: Instant,
+        out: &mut Vec<Decided>,
+    ) -> bool {
+        let mut is_sound = true;
+        for id in &group.absent {
+            let Some(server) = view.fleet.absent(id) else {
+                continue;
+            };
+            let vouch = self.vouches.get(id).filter(|one| one.group == group.name);
+            let is_due = match vouch {
+                None => true,
+                Some(vouch) => match vouch.is_member {
+                    Some(true) => now.since(vouch.asked) >= VOUCH_PAUSE,
+                    Some(false) => {
+                        is_sound = false;
+                        false
+                    }
+                    None => {
+                        is_sound &= now.since(vouch.asked) < VOUCH_TIME;
+                        false
+                    }
+                },
+            };
+            if is_due {
+                let vouch = Vouch {
+                    group: group.name.clone(),
+                    asked: now,
+                    is_member: None,
+                };
+                self.vouches.insert(id.clone(), vouch);
+                out.push(Decided::Ask {
+                    server: id.clone(),
+                    address: server.address,
+                });
+            }
+        }
+        is_sound
+    }
+
     /// Dissolves a group of a model that is not configured.
     fn abandon(&mut self, view: &View<'_>, group: &Group, now: Instant, out: &mut Vec<Decided>) {
         let members: Vec<&Server> = self
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -1,7 +1,8 @@
 //! Knows the registered backend servers and derives which replica groups serve.
 //!
 //! The servers' own registrations are the only record of the groups: a group serves while its first
-//! member reports it open and every other rank reports the same name and epoch.
+//! member reports it open and every other rank has reported the same name and epoch. A member whose
+//! registration lapses may be dead or only cut off from the store; the group's leader finds out.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,6 +17,9 @@
 const OVERTAKEN: Millis = Millis(1_500);
 /// Time by which a server's report may be older than an order that it has carried out.
 const REPORT_LAG: Millis = Millis(800);
+/// Time in which a leader dissolves a group after a member's registration lapsed, and nodes hear of
+/// it.
+const TRUST: Millis = Millis(1_500);
 /// Separates the parts of a group's name.
 const SEPARATOR: char = '.';
 
@@ -46,6 +50,8 @@
     pub model: CompactString,
     /// Names of the members by rank; ranks that no server reports are empty.
     pub members: Vec<Option<CompactString>>,
+    /// Names of the members whose registrations have lapsed.
+    pub absent: Vec<CompactString>,
 }
 
 impl Group {
@@ -55,7 +61,7 @@
         self.members.first().and_then(Option::as_ref)
     }
 
-    /// Returns whether every rank is reported.
+    /// Returns whether every rank is reported, or was until the member's registration lapsed.
     #[must_use]
     pub fn is_whole(&self) -> bool {
         self.members.iter().all(Option::is_some)
@@ -95,6 +101,17 @@
     doubted: BTreeSet<CompactString>,
     /// Memberships that were learnt from the servers themselves, ahead of their registrations.
     sights: BTreeMap<CompactString, Sight>,
+    /// Members of groups whose registrations lapsed.
+    absent: BTreeMap<CompactString, Absent>,
+}
+
+/// A member that does not register any more: it is dead, or cut off from the store alone.
+#[derive(Clone, Debug)]
+struct Absent {
+    server: Server,
+    since: Instant,
+    /// Whether its group has outlived the time in which a leader dissolves it.
+    is_trusted: bool,
 }
 
 /// What a server's registration said when the server itself said something newer.
@@ -116,10 +133,11 @@
             }
         }
         let was_doubted = self.doubted.remove(&server.id);
+        let was_absent = self.absent.remove(&server.id).is_some();
         let known = self.servers.get(&server.id);
         let changed = known.is_none_or(|known| *known != server);
         self.servers.insert(server.id.clone(), server);
-        changed || was_doubted
+        changed || was_doubted || was_absent
     }
 
     /// Takes in a server's report, which is somewhat old; returns whether it is news.
@@ -158,8 +176,61 @@
         }
     }
 
-    /// Takes out a server and returns what was known of it.
+    /// Takes out a server whose registration has lapsed and returns what was known of it. While the
+    /// first member of its group still serves, it counts as a member, perhaps a dead one.
+    pub fn lapse(&mut self, id: &str, now: Instant) -> Option<Server> {
+        if !self.servers.contains_key(id) {
+            return None;
+        }
+        let server = self.remove(id)?;
+        if server.membership.is_some() && !server.draining {
+            let absent = Absent {
+                server: server.clone(),
+                since: now,
+                is_trusted: false,
+            };
+            self.absent.insert(id.into(), absent);
+        }
+        Some(server)
+    }
+
+    /// Looks again at the members whose registrations lapsed and returns whether anything changed: a
+    /// group that its leader has not dissolved is sound, and one that does not serve has no members
+    /// beyond those that are registered.
+    pub fn settle(&mut self, now: Instant) -> bool {
+        let servers = &self.servers;
+        let serves = |membership: &Membership| {
+            servers.values().any(|server| {
+                server.membership.as_ref().is_some_and(|one| {
+                    one.group == membership.group
+                        && one.epoch == membership.epoch
+                        && one.rank == 0
+                        && matches!(one.state, State::Open | State::Closing)
+                })
+            })
+        };
+        let count = self.absent.len();
+        self.absent
+            .retain(|_, absent| absent.server.membership.as_ref().is_some_and(serves));
+        let mut changed = count != self.absent.len();
+        for absent in self.absent.values_mut() {
+            if !absent.is_trusted && now.since(absent.since) >= TRUST {
+                absent.is_trusted = true;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Gets a member whose registration has lapsed by name.
+    #[must_use]
+    pub fn absent(&self, id: &str) -> Option<&Server> {
+        self.absent.get(id).map(|absent| &absent.server)
+    }
+
+    /// Takes out a server that is gone and returns what was known of it.
     pub fn remove(&mut self, id: &str) -> Option<Server> {
+        self.absent.remove(id);
         self.doubted.remove(id);
         self.sights.remove(id);
         self.servers.remove(id)
@@ -193,11 +264,24 @@
                     epoch: membership.epoch,
                     model: model.map(|model| model.name.clone()).unwrap_or_default(),
                     members: vec![None; size],
+                    absent: Vec::new(),
                 });
             if let Some(member) = group.members.get_mut(membership.rank) {
                 *member = Some(server.id.clone());
             }
         }
+        for Absent { server, .. } in self.absent.values() {
+            let Some(membership) = &server.membership else {
+                continue;
+            };
+            let Some(group) = groups.get_mut(&(membership.group.as_str(), membership.epoch)) else {
+                continue;
+            };
+            if let Some(member @ None) = group.members.get_mut(membership.rank) {
+                *member = Some(server.id.clone());
+                group.absent.push(server.id.clone());
+            }
+        }
         groups.into_values().collect()
     }
 
@@ -214,6 +298,11 @@
         }
     }
 
+    fn is_doubtful(&self, id: &str) -> bool {
+        let is_unsure = self.absent.get(id).is_some_and(|absent| !absent.is_trusted);
+        is_unsure || self.doubted.contains(id)
+    }
+
     fn plain_targets(&self, service: &str) -> Vec<Target> {
         self.servers
             .values()
@@ -245,7 +334,8 @@
                 .is_some_and(|membership| membership.state == State::Open)
         };
         let is_staying = |id: &CompactString| {
-            self.servers.get(id).is_some_and(|server| {
+            let server = self.servers.get(id).or_else(|| self.absent(id));
+            server.is_some_and(|server| {
                 let state = server
                     .membership
                     .as_ref()
@@ -264,7 +354,7 @@
             zone: head.zone.clone(),
             slots: engine.slots,
             model: Some(group.model.clone()),
-            doubtful: members.iter().any(|id| self.doubted.contains(id)),
+            doubtful: members.iter().any(|id| self.is_doubtful(id)),
             members,
             group: group.name.clone(),
         })
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -261,3 +261,32 @@
     assert!(took.is_some(), "the group waits for the same server again");
     assert_eq!(world.violations, []);
 }
+
+#[test]
+fn a_member_that_is_cut_off_from_the_store_alone_stays_in_its_group() {
+    let mut world = settled(&[8, 8], Trouble::default());
+    let before = world.serving(LARGE);
+    let member = world.member(LARGE, 1);
+    world.cut(&member);
+    for _ in 0..80 {
+        world.run(Millis(100));
+        assert_eq!(world.serving(LARGE), before, "at {:?}", world.now);
+    }
+    world.heal(&member);
+    world.run(Millis(3_000));
+    assert_eq!(world.serving(LARGE), before, "after the cut");
+    assert_eq!(world.violations, []);
+}
+
+#[test]
+fn a_first_member_that_is_cut_off_from_the_store_gets_no_requests() {
+    let mut world = settled(&[8, 8], Trouble::default());
+    let head = world.member(LARGE, 0);
+    world.cut(&head);
+    world.run(Millis(3_500));
+    let targets = world.fleet.targets(world::SERVICE, Some(&world.engine));
+    assert!(targets.iter().all(|target| target.server != head));
+    world.heal(&head);
+    world.run(Millis(8_000));
+    assert_eq!(world.violations, []);
+}
--- a/crates/policy/tests/assembly/world.rs
+++ b/crates/policy/tests/assembly/world.rs
@@ -48,6 +48,8 @@
     leaving: bool,
     /// Whether it never becomes ready.
     stuck: bool,
+    /// Time since which neither the store nor orders are reached.
+    cut_since: Option<Instant>,
     /// Open or closing since; closing ends after a second.
     closed_at: Option<Instant>,
 }
@@ -166,6 +168,7 @@
             dead_since: None,
             leaving: false,
             stuck: false,
+            cut_since: None,
             closed_at: None,
         };
         self.hosts.insert(id.into(), host);
@@ -198,6 +201,21 @@
         spare.expect("a free server holds the model").stuck = true;
     }
 
+    /// Cuts a server off from the store and from orders; it goes on serving and answers questions.
+    pub(crate) fn cut(&mut self, id: &str) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.cut_since = Some(self.now);
+        }
+    }
+
+    /// Ends a cut.
+    pub(crate) fn heal(&mut self, id: &str) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.cut_since = None;
+        }
+        self.show(&id.into());
+    }
+
     /// Announces that a server leaves.
     pub(crate) fn drain(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
@@ -343,7 +361,7 @@
 
     fn carry_out(&mut self, order: &Order) -> Option<Reply> {
         let host = self.hosts.get(&order.server)?;
-        if host.dead_since.is_some() {
+        if host.dead_since.is_some() || host.cut_since.is_some() {
             return None;
         }
         if host.orders != order.after {
@@ -518,19 +536,20 @@
             .hosts
             .iter()
             .filter(|(_, host)| {
-                host.dead_since
-                    .is_some_and(|since| now.since(since) >= LAPSE)
+                let silent_since = host.dead_since.or(host.cut_since);
+                silent_since.is_some_and(|since| now.since(since) >= LAPSE)
             })
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            self.fleet.remove(&id);
+            self.fleet.lapse(&id, now);
         }
+        self.fleet.settle(now);
     }
 
     /// Registers a server's state, which shows after a lag.
     fn show(&mut self, id: &CompactString) {
-        let Some(host) = self.hosts.get(id) else {
+        let Some(host) = self.hosts.get(id).filter(|host| host.cut_since.is_none()) else {
             return;
         };
         let server = Server {
