Ask less often for what may wait after the store's return

Cause: calls to the store are the largest price of the grown deployments. For four seconds after each failed call, all four followers of a node waited 0.5 s a call, also those of the leader's key and of the nodes' addresses, which need not be in force within the users' bound.

Ruled out: registrations, which the nodes have to read often.

The leader's key is now asked for every 2 s at most in that time, the addresses every 4 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,8 +15,8 @@
 
 use crate::node::Node;
 
-/// Time that one call waits for changes after the store was away; what the store may have had to
-/// tell since must be in force within the users' bound.
+/// Time that one call waits for changes after the store was away, for what must be in force within
+/// the users' bound.
 const SHORT_WAIT: Millis = Millis(500);
 /// Time without a failed call after which calls wait longer again.
 const CALM: Millis = Millis(4_000);
@@ -50,6 +50,9 @@
     /// after it.
     fn wait(&self) -> Millis;
 
+    /// Gets the longest wait for changes after the store was away.
+    fn wait_after_absence(&self) -> Millis;
+
     /// Takes in all entries, as they were at a revision.
     fn replace(&mut self, entries: Vec<Entry>, revision: u64);
 
@@ -73,7 +76,7 @@
         let wait = if is_calm {
             reader.wait()
         } else {
-            SHORT_WAIT.min(reader.wait())
+            reader.wait_after_absence().min(reader.wait())
         };
         let result = read(&node, &prefix, after, wait).await;
         match result {
@@ -184,6 +187,10 @@
         CONFIGURATION_WAIT
     }
 
+    fn wait_after_absence(&self) -> Millis {
+        SHORT_WAIT
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         for entry in &entries {
             self.read(entry);
@@ -314,6 +321,10 @@
         REGISTRATION_WAIT
     }
 
+    fn wait_after_absence(&self) -> Millis {
+        SHORT_WAIT
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         self.node.heard_at.set(self.node.now());
         let named: HashSet<CompactString> = entries
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -22,6 +22,8 @@
 const PREFIX: &str = "jackdawstair/";
 /// Time that a call waits for a change of the leader's key.
 const WAIT: Millis = Millis(20_000);
+/// Longest wait after the store was away: a leadership that is free is taken within seconds.
+const WAIT_AFTER_ABSENCE: Millis = Millis(2_000);
 /// Longest pause between two looks at the servers.
 const TICK: Millis = Millis(100);
 /// Longest time by which a node waits before it runs for a free leadership.
@@ -72,6 +74,10 @@
         WAIT
     }
 
+    fn wait_after_absence(&self) -> Millis {
+        WAIT_AFTER_ABSENCE
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, revision: u64) {
         let entry = entries.into_iter().find(|entry| entry.key == self.key);
         step(&self.leader, Event::Observed { entry, revision });
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,8 @@
 const PAUSE: Millis = Millis(3_000);
 /// Time that a call waits for changes of the registrations.
 const WAIT: Millis = Millis(20_000);
+/// Longest wait after the store was away; nodes that are not known get no datagrams meanwhile.
+const WAIT_AFTER_ABSENCE: Millis = Millis(4_000);
 /// Pause between two rounds of messages.
 const ROUND: Millis = Millis(250);
 /// Time after a read of the registrations in which leaders have no news; they read as often.
@@ -187,6 +189,10 @@
         WAIT
     }
 
+    fn wait_after_absence(&self) -> Millis {
+        WAIT_AFTER_ABSENCE
+    }
+
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         self.addresses.borrow_mut().clear();
         for entry in &entries {
