--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,9 +26,6 @@
 const LEADER_PAUSE: Millis = Millis(250);
 /// Pause of other nodes between two reads of the registrations, for each node of the system.
 const PAUSE_PER_NODE: Millis = Millis(50);
-/// Longest pause as a part of the time after which a leaving server gets no new requests; the rest
-/// is for a slow answer and for requests on their way.
-const DRAIN_PART: (u64, u64) = (2, 3);
 /// Time that a call waits for registrations, which come several times a second.
 const REGISTRATION_WAIT: Millis = Millis(1_000);
 /// Pause after a failed call, and the longest one.
@@ -312,7 +309,7 @@
     fn pause(&self) -> Millis {
         // The store counts each call, so the more nodes there are, the less often each one asks;
         // leaders tell the others of changes meanwhile.
-        let longest = Millis(self.node.options.drain.0 * DRAIN_PART.0 / DRAIN_PART.1);
+        let longest = Millis(self.node.options.drain.0 / 2);
         if self.node.leading.get() {
             return LEADER_PAUSE;
         }
