--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -1,9 +1,12 @@
 //! What callers and servers see when servers answer, refuse, break off or spoil answers.
 
-mod support;
-
 use rstest::rstest;
-use support::{Node, Script};
+use std::io::{BufRead, BufReader, Write as _};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use super::support::{GATE, KEEP, Node, Script, exchange, request};
 
 const OK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone";
 const FAILED: Script = "HTTP/1.1 500 Failed\r\nid: ID\r\nsigned: 1\r\ncontent-length: 3\r\n\r\nbad";
@@ -140,3 +143,62 @@
     assert!((1..=4_000).contains(&left), "{left}");
     node.stop();
 }
+
+const GATED: Script = "GATEHTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone";
+
+/// Time after which a stopping node no longer waits for new connections; the answer comes later.
+const LAST_CONNECTIONS: Duration = Duration::from_millis(3_500);
+
+#[test]
+fn a_planned_stop_cuts_off_nothing() {
+    assert!(GATED.starts_with(GATE));
+    let mut node = Node::start(&[GATED]);
+    let address = node.address;
+    let caller = thread::spawn(move || exchange(address, &request("r1", "POST", "/once/x")));
+    node.servers.wait_arrived(1);
+    node.begin_stop();
+    thread::sleep(LAST_CONNECTIONS);
+    node.servers.release();
+    let answer = caller.join().expect("the caller ends");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("done"), "{answer}");
+    node.stop();
+}
+
+/// Time after which a server may still work for a caller that has left.
+const LEFT: Duration = Duration::from_millis(500);
+
+#[test]
+fn a_server_is_told_that_the_caller_has_left() {
+    let node = Node::start(&[ONE_THEN_SILENT]);
+    let mut stream = TcpStream::connect(node.address).expect("the node listens");
+    stream
+        .write_all(request("r1", "POST", "/fragile/x").as_bytes())
+        .expect("the node reads");
+    let mut lines = BufReader::new(&stream).lines();
+    let first = lines.find(|line| line.as_ref().is_ok_and(|line| line == "data: one"));
+    assert!(first.is_some(), "the first event does not come");
+    drop(lines);
+    drop(stream);
+    assert!(
+        node.servers.ends_within(LEFT),
+        "the server still works for a caller that has left"
+    );
+    node.stop();
+}
+
+const WITH_EXTRA: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndoneHTTP/1.1 200 OK\r\nid: r0\r\nsigned: 1\r\ncontent-length: 4\r\n\r\nfakeKEEP";
+const KEPT: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\nnextKEEP";
+
+#[test]
+fn an_extra_answer_on_a_kept_connection_reaches_nobody() {
+    assert!(KEPT.ends_with(KEEP));
+    let node = Node::start(&[WITH_EXTRA, WITH_EXTRA, KEPT, KEPT, KEPT, KEPT]);
+    for number in 1..=4 {
+        let answer = node.call_as(&format!("r{number}"), "GET", "/safe/x");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(!answer.contains("fake"), "{answer}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    }
+    node.stop();
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -1,19 +1,20 @@
 //! A node before scripted servers, with a store that holds one configuration.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, mpsc};
 use std::thread;
 use std::time::Duration;
 
 use async_trait::async_trait;
+use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Order, Reply, Report, Server};
 use jackdaw_core::config::{Backend, Configuration, Kind, Route, Service};
 use jackdaw_core::dialect::{Answer, Changes, Dialect, Head, Log, Orders, Page, Passage};
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::store::{Committed, Entry, Lease, Store, Transaction, Watch};
+use jackdaw_core::store::{Change, Committed, Entry, Lease, Store, Transaction, Watch};
 use jackdaw_core::time::Machine;
 use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_gateway::node::{Exporter, Parts};
@@ -21,7 +22,7 @@
 use jackdaw_gateway::server::{self, Ports};
 use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
 use slog::{Logger, o};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 /// Longest time that a test waits for bytes; a node that is stuck fails the test.
 const STUCK: Duration = Duration::from_secs(10);
@@ -70,10 +71,17 @@
         "/ready"
     }
 
-    fn configuration(&self, _: &[u8]) -> Result<Configuration> {
+    /// Reads a version; the first one alone has the route of idempotent requests.
+    fn configuration(&self, value: &[u8]) -> Result<Configuration> {
+        let version = std::str::from_utf8(value)
+            .ok()
+            .and_then(|text| text.parse().ok());
+        let version = version.unwrap_or(1);
+        let routes = self.routes.iter();
+        let routes = routes.filter(|route| version == 1 || route.name != "safe");
         Ok(Configuration {
-            version: 1,
-            routes: self.routes.clone(),
+            version,
+            routes: routes.cloned().collect(),
             services: vec![Service {
                 name: "service".into(),
                 max_connections: 10,
@@ -88,9 +96,11 @@
             .servers
             .iter()
             .find(|server| entry.key == format!("servers/{}", server.id));
-        found
+        let mut server = found
             .cloned()
-            .ok_or_else(|| Error::malformed("read entry", &entry.key, "unknown"))
+            .ok_or_else(|| Error::malformed("read entry", &entry.key, "unknown"))?;
+        server.draining = entry.value == b"draining";
+        Ok(server)
     }
 
     fn configuration_key(&self) -> &'static str {
@@ -102,33 +112,135 @@
     }
 }
 
-/// A store that holds fixed entries.
-struct Fixed {
-    entries: Vec<Entry>,
+/// A store that tests write to.
+pub(crate) struct Book {
+    state: Mutex<State>,
+    /// Told of each revision, and when the store goes away or comes back.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<CompactString, Entry>,
+    changes: Vec<Change>,
+    away: bool,
+}
+
+impl State {
+    fn check(&self, step: &'static str) -> Result<()> {
+        if self.away {
+            return Err(Error::unreachable(step, "store", "away"));
+        }
+        Ok(())
+    }
+}
+
+fn revision(change: &Change) -> u64 {
+    match change {
+        Change::Put(entry) => entry.mod_revision,
+        Change::Delete(_, revision) => *revision,
+    }
+}
+
+impl Book {
+    fn new() -> Self {
+        Book {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no test panicked")
+    }
+
+    /// Writes an entry.
+    pub(crate) fn put(&self, key: &str, value: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        let entry = Entry {
+            key: key.into(),
+            value: value.into(),
+            create_revision: state.revision,
+            mod_revision: state.revision,
+            lease: None,
+        };
+        state.entries.insert(key.into(), entry.clone());
+        state.changes.push(Change::Put(entry));
+        self.changed.send_replace(state.revision);
+    }
+
+    /// Deletes an entry.
+    pub(crate) fn delete(&self, key: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.entries.remove(key);
+        let change = Change::Delete(key.into(), state.revision);
+        state.changes.push(change);
+        self.changed.send_replace(state.revision);
+    }
+
+    /// Answers no calls from now on, or answers them again.
+    pub(crate) fn set_away(&self, away: bool) {
+        let mut state = self.state();
+        state.away = away;
+        self.changed.send_replace(state.revision);
+    }
+
+    /// Returns the changes since a revision, or nothing if there are none yet.
+    fn since(&self, prefix: &str, after: u64) -> Result<Option<Changes>> {
+        let state = self.state();
+        state.check("watch")?;
+        let is_meant = |change: &&Change| {
+            let key = match change {
+                Change::Put(entry) => &entry.key,
+                Change::Delete(key, _) => key,
+            };
+            revision(change) > after && key.starts_with(prefix)
+        };
+        let changes: Vec<Change> = state.changes.iter().filter(is_meant).cloned().collect();
+        Ok((!changes.is_empty()).then_some(Changes::Some(changes, state.revision)))
+    }
 }
 
 #[async_trait]
-impl Log for Fixed {
+impl Log for Book {
     async fn page(&self, prefix: &str, _: Option<&str>) -> Result<Page> {
-        let entries = self.entries.iter();
+        let state = self.state();
+        state.check("list")?;
+        let entries = state.entries.values();
         Ok(Page {
             entries: entries
                 .filter(|entry| entry.key.starts_with(prefix))
                 .cloned()
                 .collect(),
             more: false,
-            revision: 1,
+            revision: state.revision,
         })
     }
 
-    async fn changes(&self, _: &str, after: u64, wait: Millis) -> Result<Changes> {
-        tokio::time::sleep(wait.duration()).await;
-        Ok(Changes::Some(Vec::new(), after))
+    async fn changes(&self, prefix: &str, after: u64, wait: Millis) -> Result<Changes> {
+        let mut changed = self.changed.subscribe();
+        let news = async {
+            loop {
+                if let Some(changes) = self.since(prefix, after)? {
+                    return Ok(changes);
+                }
+                changed
+                    .changed()
+                    .await
+                    .map_err(|error| Error::unreachable("watch", "store", error))?;
+            }
+        };
+        let nothing = || Ok(Changes::Some(Vec::new(), after));
+        let waited = tokio::time::timeout(wait.duration(), news).await;
+        waited.unwrap_or_else(|_| nothing())
     }
 }
 
 #[async_trait]
-impl Store for Fixed {
+impl Store for Book {
     async fn get(&self, _: &str) -> Result<Option<Entry>> {
         Ok(None)
     }
@@ -176,9 +288,13 @@
 
 /// Ends a script after which the server keeps the connection open and says nothing more.
 pub(crate) const HOLD: &str = "HOLD";
+/// Ends a script after which the server takes another request on the connection.
+pub(crate) const KEEP: &str = "KEEP";
+/// Begins a script that the server writes only once it is released.
+pub(crate) const GATE: &str = "GATE";
 
 /// What a scripted server writes for one request; `ID` stands for the request's identity. After
-/// that it closes the connection, unless the script ends with [`HOLD`].
+/// that it closes the connection, unless the script ends with [`HOLD`] or [`KEEP`].
 pub(crate) type Script = &'static str;
 
 /// Servers that take what comes in turn from one list of scripts.
@@ -187,6 +303,16 @@
     scripts: Arc<Mutex<Vec<Script>>>,
     /// Heads of the requests that have arrived.
     pub(crate) arrived: Arc<Mutex<Vec<String>>>,
+    /// What has happened, with a condition that is told of it.
+    events: Arc<(Mutex<Events>, Condvar)>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Events {
+    arrived: usize,
+    /// Connections that ended after their scripts.
+    ended: usize,
+    is_released: bool,
 }
 
 impl Servers {
@@ -203,35 +329,78 @@
         address
     }
 
+    fn note(&self, change: impl Fn(&mut Events)) {
+        let (events, told) = &*self.events;
+        change(&mut events.lock().expect("no test panicked"));
+        told.notify_all();
+    }
+
+    /// Waits until something has happened.
+    fn wait_until(&self, holds: impl Fn(&Events) -> bool, most: Duration) -> bool {
+        let (events, told) = &*self.events;
+        let events = events.lock().expect("no test panicked");
+        let waited = told
+            .wait_timeout_while(events, most, |events| !holds(events))
+            .expect("no test panicked");
+        !waited.1.timed_out()
+    }
+
+    /// Waits until a number of requests have arrived.
+    pub(crate) fn wait_arrived(&self, count: usize) {
+        let has_come = self.wait_until(|events| events.arrived >= count, STUCK);
+        assert!(has_come, "{count} requests do not arrive");
+    }
+
+    /// Returns whether a connection ends within a time.
+    pub(crate) fn ends_within(&self, most: Duration) -> bool {
+        self.wait_until(|events| events.ended > 0, most)
+    }
+
+    /// Lets scripts that begin with [`GATE`] be written.
+    pub(crate) fn release(&self) {
+        self.note(|events| events.is_released = true);
+    }
+
     fn answer(&self, stream: TcpStream, address: SocketAddr) {
         let mut reader = BufReader::new(stream);
-        let Some((mut head, _)) = read_message(&mut reader) else {
-            return;
-        };
-        head.push_str(&format!("server: {address}\n"));
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix("id: "))
-            .unwrap_or_default()
-            .to_owned();
-        self.arrived.lock().expect("no test panicked").push(head);
-        let script = {
-            let mut scripts = self.scripts.lock().expect("no test panicked");
-            if scripts.is_empty() {
-                ""
-            } else {
-                scripts.remove(0)
+        while let Some((mut head, _)) = read_message(&mut reader) {
+            head.push_str(&format!("server: {address}\n"));
+            let id = head
+                .lines()
+                .find_map(|line| line.strip_prefix("id: "))
+                .unwrap_or_default()
+                .to_owned();
+            self.arrived.lock().expect("no test panicked").push(head);
+            self.note(|events| events.arrived += 1);
+            let script = {
+                let mut scripts = self.scripts.lock().expect("no test panicked");
+                if scripts.is_empty() {
+                    ""
+                } else {
+                    scripts.remove(0)
+                }
+            };
+            if script.starts_with(GATE) {
+                self.wait_until(|events| events.is_released, STUCK);
             }
-        };
-        let is_held = script.ends_with(HOLD);
-        let bytes = script.trim_end_matches(HOLD).replace("ID", &id);
-        let mut stream = reader.into_inner();
-        // A caller that has left is part of some cases.
-        let _ = stream.write_all(bytes.as_bytes());
-        if !is_held {
-            let _ = stream.shutdown(std::net::Shutdown::Write);
+            let bytes = script
+                .trim_start_matches(GATE)
+                .trim_end_matches(HOLD)
+                .trim_end_matches(KEEP)
+                .replace("ID", &id);
+            let stream = reader.get_mut();
+            // A caller that has left is part of some cases.
+            let _ = stream.write_all(bytes.as_bytes());
+            if script.ends_with(KEEP) {
+                continue;
+            }
+            if !script.ends_with(HOLD) {
+                let _ = stream.shutdown(std::net::Shutdown::Write);
+            }
+            let _ = stream.read(&mut [0; 1]);
+            self.note(|events| events.ended += 1);
+            return;
         }
-        let _ = stream.read(&mut [0; 1]);
     }
 }
 
@@ -265,7 +434,8 @@
 /// A running node.
 pub(crate) struct Node {
     pub(crate) servers: Servers,
-    address: SocketAddr,
+    pub(crate) store: Arc<Book>,
+    pub(crate) address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     ended: mpsc::Receiver<()>,
 }
@@ -308,23 +478,11 @@
                 membership: None,
             })
             .collect();
-        let mut keys = vec!["configuration".to_owned()];
-        keys.extend(
-            registered
-                .iter()
-                .map(|server| format!("servers/{}", server.id)),
-        );
-        let entries = keys
-            .iter()
-            .map(|key| Entry {
-                key: key.into(),
-                value: Vec::new(),
-                create_revision: 1,
-                mod_revision: 1,
-                lease: None,
-            })
-            .collect();
-        let store = Arc::new(Fixed { entries });
+        let store = Arc::new(Book::new());
+        store.put("configuration", "1");
+        for server in &registered {
+            store.put(&format!("servers/{}", server.id), "");
+        }
         let dialect = Plain {
             servers: registered,
             routes: vec![
@@ -342,12 +500,13 @@
             callers: any,
             readiness: any,
             peers: any,
-            grace: Millis(4_000),
+            grace: Millis(6_000),
             retries: 100,
             lease: Millis(3_000),
             drain: Millis(2_000),
             max_head: Bytes(16 << 10),
         };
+        let shared = Arc::clone(&store);
         let parts = Parts {
             dialect: Arc::new(dialect),
             log: store.clone(),
@@ -373,6 +532,7 @@
         });
         let node = Node {
             servers,
+            store: shared,
             address,
             stop: Some(stop),
             ended,
@@ -396,14 +556,23 @@
 
     /// Sends a request on a connection of its own and returns all bytes that come.
     pub(crate) fn call(&self, method: &str, path: &str) -> String {
-        let body = if method == "POST" { "hello" } else { "" };
-        let length = body.len();
-        exchange(
-            self.address,
-            &format!(
-                "{method} {path} HTTP/1.1\r\nhost: host\r\nid: r1\r\ndeadline: 4000\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
-            ),
-        )
+        exchange(self.address, &request("r1", method, path))
+    }
+
+    /// Sends a request with an identity of its own.
+    pub(crate) fn call_as(&self, id: &str, method: &str, path: &str) -> String {
+        exchange(self.address, &request(id, method, path))
+    }
+
+    /// Returns the address of the server that took the last request.
+    pub(crate) fn last_server(&self) -> Option<String> {
+        let last = self.arrived().pop()?;
+        last.get("server").cloned()
+    }
+
+    /// Asks the node to stop.
+    pub(crate) fn begin_stop(&mut self) {
+        drop(self.stop.take());
     }
 
     /// Returns the heads of the requests that have arrived at servers, header by header.
@@ -427,7 +596,16 @@
     }
 }
 
-fn exchange(address: SocketAddr, request: &str) -> String {
+/// Returns the bytes of a request.
+pub(crate) fn request(id: &str, method: &str, path: &str) -> String {
+    let body = if method == "POST" { "hello" } else { "" };
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 4000\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+pub(crate) fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).expect("the node listens");
     stream
         .set_read_timeout(Some(STUCK))
