Lead on without the store also if the last renewal is still unanswered

The store falls silent at 17.9 s, the leases lapse at 19.0 s and the renewals fail at 19.1 s. A leader went on only if its renewal had failed by the time its lease lapsed, so until the store's return at 26.6 s no zone had a leader, and groups that lost members stayed lost: 6 and 5 of 8 groups were 4 and 2.

Ruled out: the zones whose leader was stopped meanwhile; the third one's went on running and gave no order either.

A renewal now counts as unanswered from its sending on.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -11,6 +11,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
 use jackdaw_policy::assembly::{self, Decided, Planner, View};
+use jackdaw_policy::caretaker::Caretaker;
 use jackdaw_policy::lease::{Action, Election, Event, Options};
 use slog::{info, warn};
 use tokio::time;
@@ -32,8 +33,6 @@
 const LOOK: Millis = Millis(400);
 /// Reports in a row that a server may miss before it counts as gone.
 const MISSED_REPORTS: u32 = 2;
-/// Longest time for which a node leads on without the store.
-const CARETAKING: Millis = Millis(60_000);
 /// Bound on how far the clocks of the node and the store drift apart within one lease.
 const CLOCK_ERROR: Millis = Millis(100);
 /// Pause before a failed call of the election is repeated.
@@ -45,10 +44,7 @@
     key: CompactString,
     election: Election,
     planners: HashMap<CompactString, Planner>,
-    /// Leadership that lapsed because the store did not answer, and when.
-    caretaker: Option<(Fence, Instant)>,
-    /// Whether the last renewal was not answered.
-    unanswered: bool,
+    caretaker: Caretaker,
     /// Consecutive reports that did not come, by server.
     missed: HashMap<CompactString, u32>,
 }
@@ -127,8 +123,7 @@
         key: key.clone(),
         election: Election::new(options),
         planners: HashMap::new(),
-        caretaker: None,
-        unanswered: false,
+        caretaker: Caretaker::default(),
         missed: HashMap::new(),
     }));
     let follower = Follower {
@@ -173,11 +168,10 @@
         if let Some(authority) = self.election.authority(now) {
             return authority.may_order(now).then_some(authority.fence);
         }
-        let (fence, since) = self.caretaker?;
+        let fence = self.caretaker.fence(now)?;
         let node = &self.node;
         let is_elected_anew = node.board().borrow().sees_store(&node.options.zone, now);
-        let is_alone = node.is_blind() && !is_elected_anew && now.since(since) < CARETAKING;
-        is_alone.then_some(fence)
+        (node.is_blind() && !is_elected_anew).then_some(fence)
     }
 }
 
@@ -342,14 +336,15 @@
         let mut leader = shared.borrow_mut();
         let now = leader.node.now();
         match &event {
-            Event::Renewed(_, result) => leader.unanswered = result.is_err(),
-            Event::Observed { .. } | Event::Granted(_, Ok(_)) => leader.caretaker = None,
+            Event::Renewed(_, result) => leader.caretaker.renewed(result.is_ok()),
+            Event::Observed { .. } | Event::Granted(_, Ok(_)) | Event::Resign => {
+                leader.caretaker.end();
+            }
             Event::Tick
             | Event::Granted(_, Err(_))
             | Event::Created(..)
             | Event::Read(..)
             | Event::Superseded(_)
-            | Event::Resign
             | Event::Rejoin => {}
         }
         leader.election.step(event, now)
@@ -367,7 +362,7 @@
             info!(node.logger(), "leadership won";
                 "zone" => %node.options.zone, "fence" => authority.fence.0);
             let mut leader = shared.borrow_mut();
-            leader.caretaker = None;
+            leader.caretaker.end();
             for planner in leader.planners.values_mut() {
                 planner.renew(authority.fence.0);
             }
@@ -377,9 +372,7 @@
             info!(node.logger(), "leadership lost";
                 "zone" => %node.options.zone, "fence" => fence.0);
             let mut leader = shared.borrow_mut();
-            if leader.unanswered {
-                leader.caretaker = Some((fence, node.now()));
-            } else {
+            if !leader.caretaker.lost(fence, node.now()) {
                 leader.planners.clear();
             }
         }
@@ -391,6 +384,9 @@
         | Action::Read
         | Action::Renew(_)
         | Action::Revoke(_) => {
+            if let Action::Renew(_) = &action {
+                shared.borrow_mut().caretaker.renewing();
+            }
             let shared = Rc::clone(shared);
             ntex::rt::spawn(async move {
                 if let Some(event) = call(&node, &key, action).await {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod assembly;
 pub mod backoff;
 pub mod balance;
+pub mod caretaker;
 pub mod fair;
 pub mod fleet;
 pub mod lease;
