Let a stopping leader lead on until it ends

All nodes are restarted in turn; the leader of a zone of two nodes gave its leadership up at once at 7.0 s, while the other node was stopping too, and the zone had no leader until that one was back at 10.7 s. Groups that lost members meanwhile were not replaced.

Ruled out: the election; the first node that could run won within 0.4 s.

A stopping node now gives the leadership up when its requests are finished, and leaves the store 0.2 s to take that in. The test of the planned stop also looks at the lease; it failed before.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -33,6 +33,8 @@
 const LAST_CONNECTIONS: Millis = Millis(3_000);
 /// Time before the process is killed at which the node ends by itself.
 const LAST_MOMENT: Millis = Millis(400);
+/// Time for the store to take in that the leadership is given up; part of the last moment.
+const HANDOVER: Millis = Millis(200);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Millis = Millis(10);
 
@@ -137,8 +139,10 @@
         }
     }
     info!(node.logger(), "node stopping"; "in_flight" => node.drain.in_flight());
-    leadership.resign();
     finish(&node).await;
+    // Leading on until now leaves no gap while the other nodes of the zone stop as well.
+    leadership.resign();
+    time::sleep(HANDOVER.duration()).await;
     info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
     Ok(())
 }
--- a/crates/gateway/tests/node/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -158,11 +158,17 @@
     node.servers.wait_arrived(1);
     node.begin_stop();
     thread::sleep(LAST_CONNECTIONS);
+    assert!(
+        !node.store.has_revoked(),
+        "the zone has no leader while its last node stops"
+    );
     node.servers.release();
     let answer = caller.join().expect("the caller ends");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(answer.ends_with("done"), "{answer}");
+    let store = node.store.clone();
     node.stop();
+    assert!(store.has_revoked(), "the leadership is not handed over");
 }
 
 /// Time after which a server may still work for a caller that has left.
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -125,6 +125,7 @@
     entries: BTreeMap<CompactString, Entry>,
     changes: Vec<Change>,
     away: bool,
+    revoked: bool,
 }
 
 impl State {
@@ -181,6 +182,11 @@
         self.changed.send_replace(state.revision);
     }
 
+    /// Returns whether a lease was given up.
+    pub(crate) fn has_revoked(&self) -> bool {
+        self.state().revoked
+    }
+
     /// Answers no calls from now on, or answers them again.
     pub(crate) fn set_away(&self, away: bool) {
         let mut state = self.state();
@@ -257,6 +263,7 @@
         Ok(Millis(10_000))
     }
     async fn revoke(&self, _: Lease) -> Result<()> {
+        self.state().revoked = true;
         Ok(())
     }
     async fn watch(&self, prefix: &str, _: u64) -> Result<Box<dyn Watch>> {
