Say in fewer steps which weights a free server holds and who vouches for a group

The rarest model was found by a comparison that counted the free servers anew for each pair, and whether to keep what is held by counting again; now the fewest are counted once and the models at that count looked at. The answer of a lapsed member was read through two nested matches with a flag each.

Behaviour is the same: the storms and repairs of the planner's tests pass as they are, and ties between models go the same way.

--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -513,18 +513,17 @@
             };
             others.iter().filter(will_fit).count()
         };
-        let models = view.engine.models.iter();
-        let rarest = models.min_by(|left, right| {
-            let order = count(left).cmp(&count(right));
-            order.then(by_size(right, left))
-        })?;
-        let held = view.engine.models.iter();
-        let held = held.filter(|model| server.staged.contains(&model.name));
+        let models = &view.engine.models;
+        let fewest = models.iter().map(count).min()?;
         // To replace what is held only pays if it makes the spread more even.
-        let is_even = held
-            .map(count)
-            .any(|count_held| count_held <= count(rarest));
-        (!is_even).then_some(rarest)
+        let rare = models.iter().filter(|model| count(model) == fewest);
+        if rare
+            .clone()
+            .any(|model| server.staged.contains(&model.name))
+        {
+            return None;
+        }
+        rare.min_by(|left, right| by_size(right, left))
     }
 
     /// Returns the model that a server is loading into its memory.
--- a/crates/policy/src/assembly/tend.rs
+++ b/crates/policy/src/assembly/tend.rs
@@ -113,19 +113,17 @@
                 continue;
             };
             let vouch = self.vouches.get(id).filter(|one| one.group == group.name);
-            let is_due = match vouch {
+            let age = vouch.map_or(Millis(0), |one| now.since(one.asked));
+            let is_due = match vouch.map(|one| one.is_member) {
                 None => true,
-                Some(vouch) => match vouch.is_member {
-                    Some(true) => now.since(vouch.asked) >= VOUCH_PAUSE,
-                    Some(false) => {
-                        is_sound = false;
-                        false
-                    }
-                    None => {
-                        is_sound &= now.since(vouch.asked) < VOUCH_TIME;
-                        false
-                    }
-                },
+                Some(Some(is_member)) => {
+                    is_sound &= is_member;
+                    is_member && age >= VOUCH_PAUSE
+                }
+                Some(None) => {
+                    is_sound &= age < VOUCH_TIME;
+                    false
+                }
             };
             if is_due {
                 let vouch = Vouch {
