Describe a broken exchange once, weigh the groups once a request

The description of an exchange that broke stood in the gateway and in the entry crate alike; it is policy::retry::Broken now, with its shorthand for an answer that breaks the protocol, which the gateway spelt out five times.

On the request path, the time to the first event was estimated twice for each group, the places that may be tried were collected into a list for each event only to see whether there are two, and whether a request may move was asked twice for each event of one that may not.

Behaviour is the same; no test changed.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -9,14 +9,14 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::poison::CONVICTION;
-use jackdaw_policy::retry::{Cause, Connection, Failure, Fault, Request, Verdict};
+use jackdaw_policy::retry::{Broken, Cause, Connection, Failure, Fault, Request, Verdict};
 use ntex::client::{Client, ClientResponse};
 
 use crate::admit::Admission;
 use crate::alone::{self, Alone};
 use crate::call::{Call, Destination};
 use crate::event::Event;
-use crate::exchange::{self, Bound, Broken};
+use crate::exchange::{self, Bound};
 use crate::gauge::Guard;
 use crate::handler::Worker;
 use crate::link::Links;
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use jackdaw_core::outcome::Step;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::retry::{Connection, Fault};
+use jackdaw_policy::retry::{Broken, Connection, Fault};
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -24,28 +24,6 @@
 /// Header that carries the generation of that group.
 const GENERATION: &str = "x-jackdaw-generation";
 
-/// Why an exchange brought no whole answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Broken {
-    pub(crate) fault: Fault,
-    pub(crate) step: Step,
-    pub(crate) detail: String,
-}
-
-impl Broken {
-    pub(crate) fn new(fault: Fault, step: Step, detail: impl ToString) -> Self {
-        Broken {
-            fault,
-            step,
-            detail: detail.to_string(),
-        }
-    }
-
-    pub(crate) fn invalid(detail: impl ToString) -> Self {
-        Broken::new(Fault::Invalid, Step::Answering, detail)
-    }
-}
-
 /// How long to wait, and what it means when nothing came by then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Bound {
--- a/crates/entry/src/sequence.rs
+++ b/crates/entry/src/sequence.rs
@@ -3,11 +3,10 @@
 use std::borrow::Cow;
 
 use compact_str::CompactString;
+use jackdaw_policy::retry::Broken;
 use ntex::util::Bytes;
 use serde::Deserialize;
 
-use crate::exchange::Broken;
-
 /// The part of an event that ties it to its answer.
 #[derive(Debug, Deserialize)]
 struct Chunk<'a> {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,6 +7,7 @@
 use futures::stream;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
+use jackdaw_policy::retry::Broken;
 use ntex::http::header::CONTENT_TYPE;
 use ntex::time;
 use ntex::util::{Bytes, BytesMut};
@@ -15,7 +16,7 @@
 
 use crate::dispatch::{Dispatch, Opened};
 use crate::drain::Pass;
-use crate::exchange::{self, Broken};
+use crate::exchange;
 use crate::head;
 use crate::problem::Problem;
 use crate::sequence::Sequence;
--- a/crates/entry/src/whole.rs
+++ b/crates/entry/src/whole.rs
@@ -1,13 +1,14 @@
 //! Relays whole answers.
 
 use jackdaw_core::outcome::Outcome;
+use jackdaw_policy::retry::Broken;
 use ntex::http::HeaderMap;
 use ntex::http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::HttpResponse;
 
 use crate::dispatch::{Dispatch, Opened};
-use crate::exchange::{self, Broken};
+use crate::exchange;
 use crate::head;
 use crate::problem::Problem;
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,11 +21,11 @@
 use jackdaw_policy::admission::{self, Prospect};
 use jackdaw_policy::balance::{self, Ask, Load};
 use jackdaw_policy::fleet::Target;
-use jackdaw_policy::retry::{self, Budget, Cause, Failure, Fault, Verdict};
+use jackdaw_policy::retry::{self, Broken, Budget, Cause, Failure, Fault, Verdict};
 use slog::info;
 use tokio::time;
 
-use crate::arena::{Key, Pass};
+use crate::arena::{Arena, Key, Pass};
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::whole::Whole;
@@ -81,34 +81,13 @@
     pub(crate) caller_deadline: Instant,
 }
 
-/// Why an exchange brought no answer that can be used.
-#[derive(Clone, Debug)]
-pub(crate) struct Broken {
-    pub(crate) fault: Fault,
-    pub(crate) step: Step,
-    pub(crate) detail: String,
-}
-
-impl Broken {
-    pub(crate) fn new(fault: Fault, step: Step, detail: impl ToString) -> Self {
-        Broken {
-            fault,
-            step,
-            detail: detail.to_string(),
-        }
-    }
-}
-
-impl From<connection::Fault> for Broken {
-    fn from(fault: connection::Fault) -> Self {
-        match fault {
-            connection::Fault::NotSent(detail) => {
-                Broken::new(Fault::Unreachable, Step::Connecting, detail)
-            }
-            connection::Fault::Unanswered(detail) => {
-                Broken::new(Fault::Closed, Step::Written, detail)
-            }
+/// Describes a fault of a connection.
+fn broken(fault: connection::Fault) -> Broken {
+    match fault {
+        connection::Fault::NotSent(detail) => {
+            Broken::new(Fault::Unreachable, Step::Connecting, detail)
         }
+        connection::Fault::Unanswered(detail) => Broken::new(Fault::Closed, Step::Written, detail),
     }
 }
 
@@ -251,21 +230,19 @@
     }
 
     fn candidates(&self) -> Vec<Key> {
-        let arena = self.node.arena.borrow();
-        let has_engine = self
-            .index
-            .service(&self.call.service)
-            .is_some_and(|service| service.engine.is_some());
-        arena
-            .serving(&self.call.service)
-            .iter()
-            .copied()
-            .filter(|key| {
-                let target = arena.target(*key);
-                let fits = !has_engine || target.model == self.call.head.model;
-                fits && self.request.may_try(&target.server)
-            })
-            .collect()
+        self.fitting(&self.node.arena.borrow()).collect()
+    }
+
+    /// Returns the places that may be tried.
+    fn fitting<'a>(&'a self, arena: &'a Arena) -> impl Iterator<Item = Key> + 'a {
+        let service = self.index.service(&self.call.service);
+        let has_engine = service.is_some_and(|service| service.engine.is_some());
+        let keys = arena.serving(&self.call.service).iter().copied();
+        keys.filter(move |key| {
+            let target = arena.target(*key);
+            let fits = !has_engine || target.model == self.call.head.model;
+            fits && self.request.may_try(&target.server)
+        })
     }
 
     /// Returns the cost of each candidate, or refuses if none can answer in time.
@@ -285,16 +262,18 @@
         };
         let ask = self.ask();
         let first = |load: &Load| balance::estimate(engine, model, load, ask).first;
-        let soonest = loads.iter().map(first).fold(f64::INFINITY, f64::min);
+        let firsts: Vec<f64> = loads.iter().map(first).collect();
+        let soonest = firsts.iter().copied().fold(f64::INFINITY, f64::min);
         let left = self.call.deadline.since(self.node.now());
         if self.delivered.is_none() && soonest > left.0 as f64 / FIRST_EVENT_SHARE {
             let detail = format!("the first event would take {soonest:.0} ms of {left}");
             return Err(self.refuse(Reason::Overloaded, FULL_RETRY, detail));
         }
-        let sound: Vec<f64> = loads
-            .iter()
-            .filter(|load| !load.suspect)
-            .map(first)
+        let sound: Vec<f64> = firsts
+            .into_iter()
+            .zip(loads)
+            .filter(|(_, load)| !load.suspect)
+            .map(|(first, _)| first)
             .collect();
         if self.failures == 0 && self.delivered.is_none() && !sound.is_empty() {
             let prospect = Prospect {
@@ -349,7 +328,7 @@
         self.call.route.kind.is_repeatable()
             && self.request.has_spare()
             && self.budget.left() > 0
-            && self.candidates().len() > 1
+            && self.fitting(&self.node.arena.borrow()).nth(1).is_some()
     }
 
     async fn send(&mut self, attempt: &mut Attempt) -> Result<Opened, Broken> {
@@ -363,7 +342,7 @@
         } else {
             node.pool.take(address).await
         };
-        let mut connection = taken?;
+        let mut connection = taken.map_err(broken)?;
         let sent = node.now();
         let left = self.call.caller_deadline.since(sent);
         if left == Millis(0) || sent >= self.call.deadline {
@@ -385,7 +364,7 @@
         attempt.is_new = connection.is_new();
         let answer = match answer {
             Ok(Ok(answer)) => answer,
-            Ok(Err(fault)) => return Err(fault.into()),
+            Ok(Err(fault)) => return Err(broken(fault)),
             Err(fault) => return Err(Broken::new(fault, Step::Written, "no answer")),
         };
         self.check(&answer, attempt)?;
@@ -440,7 +419,7 @@
     /// Returns how long the next event of a stream may take.
     pub(crate) fn next_patience(&self) -> Patience {
         if !self.may_move() {
-            return self.first_patience();
+            return Patience::ENDLESS;
         }
         Patience {
             own: NEXT_EVENT,
@@ -505,7 +484,7 @@
             drop(arena);
             return Err(Broken::new(Fault::Refused, Step::Routed, detail));
         }
-        let invalid = |detail: &str| Err(Broken::new(Fault::Invalid, Step::Answering, detail));
+        let invalid = |detail: &str| Err(Broken::invalid(detail));
         if said.id.as_ref() != Some(&self.call.head.id) {
             return invalid("the answer belongs to another request");
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,13 +8,13 @@
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::time::Instant;
 use jackdaw_entry::drain::Pass as InFlight;
-use jackdaw_policy::retry::Fault;
+use jackdaw_policy::retry::{Broken, Fault};
 use ntex::http::Response;
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use slog::info;
 
-use crate::dispatch::{Broken, Dispatch, Opened};
+use crate::dispatch::{Dispatch, Opened};
 use crate::event::{Event, Splitter};
 use crate::header;
 use crate::refusal::Refusal;
@@ -186,7 +186,7 @@
             }
             let attempt = opened.attempt();
             let detail = format!("status {} in place of a stream", opened.answer.status());
-            let broken = Broken::new(Fault::Invalid, Step::Answering, detail);
+            let broken = Broken::invalid(detail);
             drop(opened);
             self.dispatch.failed(&broken, &attempt)?;
         }
@@ -194,9 +194,10 @@
 
     async fn read(&mut self, opened: &mut Opened) -> Result<Option<Event>, Broken> {
         loop {
-            let next = self.splitter.next().map_err(|_| {
-                Broken::new(Fault::Invalid, Step::Answering, "an event is too large")
-            })?;
+            let next = self
+                .splitter
+                .next()
+                .map_err(|_| Broken::invalid("an event is too large"))?;
             if let Some(event) = next {
                 if self.is_next(&event)? {
                     return Ok(Some(event));
@@ -250,7 +251,7 @@
             }
             if id > delivered + 1 {
                 let detail = format!("event {id} came after event {delivered}");
-                return Err(Broken::new(Fault::Invalid, Step::Answering, detail));
+                return Err(Broken::invalid(detail));
             }
         }
         self.dispatch.delivered = Some(id);
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -5,11 +5,11 @@
 use jackdaw_core::outcome::Step;
 use jackdaw_core::units::Bytes as Size;
 use jackdaw_link::client;
-use jackdaw_policy::retry::Fault;
+use jackdaw_policy::retry::{Broken, Fault};
 use ntex::http::header::HeaderValue;
 use ntex::http::{Response, ResponseBuilder};
 
-use crate::dispatch::{Broken, Dispatch, Opened};
+use crate::dispatch::{Dispatch, Opened};
 use crate::header;
 use crate::refusal::Refusal;
 
@@ -113,7 +113,7 @@
         Ok(whole) if is_failure(whole.status) && dispatch.may_move() => {
             let detail = format!("the server answered with status {}", whole.status);
             dispatch.fallback = Some(whole);
-            Broken::new(Fault::Invalid, Step::Answering, detail)
+            Broken::invalid(detail)
         }
         Ok(whole) => return Ok(Some(whole)),
         Err(broken) => broken,
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -106,6 +106,35 @@
     Deadline,
 }
 
+/// Why an exchange brought no answer that can be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// What went wrong.
+    pub fault: Fault,
+    /// Furthest step of the exchange.
+    pub step: Step,
+    /// What happened, for the log and the caller.
+    pub detail: String,
+}
+
+impl Broken {
+    /// Describes an exchange that went wrong.
+    #[must_use]
+    pub fn new(fault: Fault, step: Step, detail: impl ToString) -> Self {
+        Broken {
+            fault,
+            step,
+            detail: detail.to_string(),
+        }
+    }
+
+    /// Describes an answer that breaks the protocol.
+    #[must_use]
+    pub fn invalid(detail: impl ToString) -> Self {
+        Broken::new(Fault::Invalid, Step::Answering, detail)
+    }
+}
+
 /// A failed attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Failure {
