Pause after failed calls by the shared backoff, give followers defaults

The followers of the store doubled their pauses by hand beside policy::backoff, which the product's own followers use. The pauses are the same: 100 to 200 ms first, doubling, 1 to 2 s at most, the upper half by chance. What most followers answered alike is the trait's default, and a datagram with what a leader sees no longer copies the loads only to drop them.

Behaviour is the same but for which random numbers are drawn.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use jackdaw_core::store::{Change, Entry};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::backoff::Backoff;
 use slog::{debug, info, warn};
 use tokio::time;
 
@@ -31,9 +32,9 @@
 /// Changes in one answer after which the next call follows without a pause, since the store tells
 /// about 500 at once and more may be waiting.
 const MANY_CHANGES: usize = 400;
-/// Pause after a failed call, and the longest one.
-const MIN_PAUSE: Millis = Millis(100);
-const MAX_PAUSE: Millis = Millis(1_000);
+/// Shortest pause after a failed call, and the longest one.
+const RETRY: Millis = Millis(100);
+const LONGEST_RETRY: Millis = Millis(2_000);
 /// Time after the store's return in which servers that lapsed meanwhile register again.
 const RETURN: Millis = Millis(1_900);
 /// Time after the store's return in which a lapse may be on its account.
@@ -47,14 +48,18 @@
     fn prefix(&self) -> CompactString;
 
     /// Gets the pause between two calls.
-    fn pause(&self) -> Millis;
+    fn pause(&self) -> Millis {
+        Millis(0)
+    }
 
     /// Gets the time that a call waits for changes; a connection that has gone silent is noticed
     /// after it.
     fn wait(&self) -> Millis;
 
     /// Gets the longest wait for changes after the store was away.
-    fn wait_after_absence(&self) -> Millis;
+    fn wait_after_absence(&self) -> Millis {
+        SHORT_WAIT
+    }
 
     /// Takes in all entries, as they were at a revision.
     fn replace(&mut self, entries: Vec<Entry>, revision: u64);
@@ -63,14 +68,15 @@
     fn apply(&mut self, changes: Vec<Change>);
 
     /// Is told that the store answers again after a time.
-    fn returned(&mut self, away: Millis);
+    fn returned(&mut self, _away: Millis) {}
 }
 
 /// Follows a prefix until the task is ended.
 pub(crate) async fn follow(node: Rc<Node>, mut reader: impl Reader) {
     let prefix = reader.prefix();
     let mut after: Option<u64> = None;
-    let mut pause = MIN_PAUSE;
+    let mut random = fastrand::Rng::new();
+    let mut backoff = Backoff::new(RETRY, LONGEST_RETRY);
     let mut answered = node.now();
     let mut failed: Option<Instant> = None;
     let mut is_away = false;
@@ -108,7 +114,7 @@
                         None
                     }
                 };
-                pause = MIN_PAUSE;
+                backoff = Backoff::new(RETRY, LONGEST_RETRY);
                 after = next;
                 answered = node.now();
                 if !is_behind {
@@ -121,10 +127,7 @@
                         "prefix" => %prefix, "error" => %error);
                     is_away = true;
                 }
-                // Chance keeps the nodes from coming back all at once.
-                let spread = fastrand::u64(0..=pause.0);
-                time::sleep(Millis(pause.0 + spread).duration()).await;
-                pause = Millis((pause.0 * 2).min(MAX_PAUSE.0));
+                time::sleep(backoff.fail(&mut random).duration()).await;
                 failed = Some(node.now());
             }
         }
@@ -186,18 +189,10 @@
         self.node.parts.dialect.configuration_key().into()
     }
 
-    fn pause(&self) -> Millis {
-        Millis(0)
-    }
-
     fn wait(&self) -> Millis {
         CONFIGURATION_WAIT
     }
 
-    fn wait_after_absence(&self) -> Millis {
-        SHORT_WAIT
-    }
-
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         for entry in &entries {
             self.read(entry);
@@ -214,8 +209,6 @@
             }
         }
     }
-
-    fn returned(&mut self, _: Millis) {}
 }
 
 /// Keeps the fleet.
@@ -328,10 +321,6 @@
         REGISTRATION_WAIT
     }
 
-    fn wait_after_absence(&self) -> Millis {
-        SHORT_WAIT
-    }
-
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         self.node.heard_at.set(self.node.now());
         let named: HashSet<CompactString> = entries
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -62,10 +62,6 @@
         self.key.clone()
     }
 
-    fn pause(&self) -> Millis {
-        Millis(0)
-    }
-
     fn wait(&self) -> Millis {
         WAIT
     }
@@ -98,8 +94,6 @@
             step(&self.leader, event);
         }
     }
-
-    fn returned(&mut self, _: Millis) {}
 }
 
 /// Starts to take part in the election of the node's zone.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -214,8 +214,6 @@
         }
         self.count();
     }
-
-    fn returned(&mut self, _: Millis) {}
 }
 
 /// Keeps this node's registration.
@@ -384,12 +382,15 @@
         // The places with most in progress matter most.
         shares.sort_by_key(|(_, share)| std::cmp::Reverse((share.suspect, share.requests)));
         shares.truncate(MAX_DATAGRAM / PLACE_BYTES - 2);
-        let loads = Loads {
+        let sender = Loads {
             node: node.options.node.to_string(),
             incarnation,
-            sequence,
             zone: node.options.zone.to_string(),
             sees_store: !node.is_blind(),
+            ..Loads::default()
+        };
+        let loads = Loads {
+            sequence,
             places: shares
                 .into_iter()
                 .map(|(place, share)| Load {
@@ -399,7 +400,7 @@
                     suspect: share.suspect,
                 })
                 .collect(),
-            sights: Vec::new(),
+            ..sender.clone()
         };
         let mut targets: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
         fastrand::shuffle(&mut targets);
@@ -411,11 +412,7 @@
                 let loads = Loads {
                     sequence,
                     sights: part.to_vec(),
-                    ..loads.clone()
-                };
-                let loads = Loads {
-                    places: Vec::new(),
-                    ..loads
+                    ..sender.clone()
                 };
                 send(&node, &socket, &loads, targets.iter()).await;
             }
