Share the simulated nodes between tests, wait for events instead of times

The conditions of the followers' tests have names. No assertion changed; a stop that does not wait is still found.

--- a/crates/gateway/tests/node/follow.rs
+++ b/crates/gateway/tests/node/follow.rs
@@ -42,20 +42,30 @@
     answer.starts_with("HTTP/1.1 200")
 }
 
+fn serves(answer: &str, _: Option<&str>) -> bool {
+    is_served(answer)
+}
+
+fn has_no_route(answer: &str, _: Option<&str>) -> bool {
+    answer.starts_with("HTTP/1.1 404")
+}
+
+fn has_no_server(answer: &str, _: Option<&str>) -> bool {
+    answer.starts_with("HTTP/1.1 503")
+}
+
 #[test]
 fn a_configuration_is_in_force_in_time_and_never_reverts() {
     let node = node();
     assert!(is_served(&node.call("GET", "/safe/x")));
     node.store.put("configuration", "7");
-    let is_gone = |answer: &str, _: Option<&str>| answer.starts_with("HTTP/1.1 404");
     assert!(
-        comes_true(&node, APPLIED, is_gone),
+        comes_true(&node, APPLIED, has_no_route),
         "the new configuration is not in force"
     );
     node.store.put("configuration", "1");
-    let is_back = |answer: &str, _: Option<&str>| is_served(answer);
     assert!(
-        !comes_true(&node, APPLIED, is_back),
+        !comes_true(&node, APPLIED, serves),
         "an older configuration came back"
     );
     node.stop();
@@ -67,13 +77,12 @@
     node.store.set_away(true);
     node.store.put("configuration", "7");
     assert!(
-        comes_true(&node, APPLIED, |answer, _| is_served(answer)),
+        comes_true(&node, APPLIED, serves),
         "a node without the store does not serve on"
     );
     node.store.set_away(false);
-    let is_gone = |answer: &str, _: Option<&str>| answer.starts_with("HTTP/1.1 404");
     assert!(
-        comes_true(&node, APPLIED, is_gone),
+        comes_true(&node, APPLIED, has_no_route),
         "the new configuration is not in force"
     );
     node.stop();
@@ -106,24 +115,22 @@
     node.store.set_away(true);
     node.store.delete("servers/s0");
     node.store.delete("servers/s1");
-    let serves_on = |answer: &str, _: Option<&str>| is_served(answer);
     while away.elapsed() < AWAY {
-        assert!(comes_true(&node, APPLIED, serves_on), "without the store");
+        assert!(comes_true(&node, APPLIED, serves), "without the store");
     }
     node.store.set_away(false);
     let back = Instant::now();
     while back.elapsed() < RETURN / 2 {
-        assert!(comes_true(&node, APPLIED, serves_on), "after its return");
+        assert!(comes_true(&node, APPLIED, serves), "after its return");
     }
     node.store.put("servers/s0", "");
     while back.elapsed() < RETURN * 2 {
-        assert!(comes_true(&node, APPLIED, serves_on), "once one is back");
+        assert!(comes_true(&node, APPLIED, serves), "once one is back");
     }
     // The other one has not registered again in time.
     node.store.delete("servers/s0");
-    let is_refused = |answer: &str, _: Option<&str>| answer.starts_with("HTTP/1.1 503");
     assert!(
-        comes_true(&node, APPLIED, is_refused),
+        comes_true(&node, APPLIED, has_no_server),
         "a server that is gone still gets work"
     );
     node.stop();
@@ -139,9 +146,8 @@
     }
     node.store.delete("servers/s0");
     node.store.delete("servers/s1");
-    let is_refused = |answer: &str, _: Option<&str>| answer.starts_with("HTTP/1.1 503");
     assert!(
-        comes_true(&node, APPLIED, is_refused),
+        comes_true(&node, APPLIED, has_no_server),
         "the servers' leaving is not known in time"
     );
     node.stop();
--- a/crates/gateway/tests/node/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -146,9 +146,6 @@
 
 const GATED: Script = "GATEHTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone";
 
-/// Time after which a stopping node no longer waits for new connections; the answer comes later.
-const LAST_CONNECTIONS: Duration = Duration::from_millis(3_500);
-
 #[test]
 fn a_planned_stop_cuts_off_nothing() {
     assert!(GATED.starts_with(GATE));
@@ -157,7 +154,8 @@
     let caller = thread::spawn(move || exchange(address, &request("r1", "POST", "/once/x")));
     node.servers.wait_arrived(1);
     node.begin_stop();
-    thread::sleep(LAST_CONNECTIONS);
+    // The request is in flight when the node begins to refuse others.
+    node.wait_refusing();
     assert!(
         !node.store.has_revoked(),
         "the zone has no leader while its last node stops"
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, mpsc};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use compact_str::CompactString;
@@ -585,6 +585,14 @@
         last.get("server").cloned()
     }
 
+    /// Waits until the node refuses new requests.
+    pub(crate) fn wait_refusing(&self) {
+        let start = Instant::now();
+        while !self.call("GET", "/none/x").starts_with("HTTP/1.1 503") {
+            assert!(start.elapsed() < STUCK, "the node still takes requests");
+        }
+    }
+
     /// Asks the node to stop.
     pub(crate) fn begin_stop(&mut self) {
         drop(self.stop.take());
--- a/crates/jackdawstair/tests/log.rs
+++ b/crates/jackdawstair/tests/log.rs
@@ -3,8 +3,6 @@
 use std::env;
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::process::{Command, Stdio};
-use std::thread;
-use std::time::Duration;
 
 use jackdawstair::log;
 use slog::{Level, info};
@@ -13,8 +11,9 @@
 const WRITER: &str = "JACKDAWSTAIR_TEST_WRITER";
 /// Lines of the flood; many times what the queue and a pipe hold.
 const LINES: usize = 100_000;
-/// Lines after the flood, while the log is read.
-const LAST_LINES: usize = 50;
+/// Lines that are read before the last one is logged: fewer than the queue holds, and more than
+/// find room in the pipe again meanwhile.
+const READ_FIRST: usize = 1_800;
 /// What the writer says once all lines are logged.
 const DONE: &str = "all lines are logged";
 
@@ -34,10 +33,7 @@
     std::io::stdin()
         .read_line(&mut go)
         .expect("the reader says so");
-    for number in 0..LAST_LINES {
-        info!(logger, "request refused"; "request" => number);
-        thread::sleep(Duration::from_millis(10));
-    }
+    info!(logger, "request refused"; "request" => "last");
     // Waits for the rest of the queue.
     drop(logger);
 }
@@ -59,15 +55,14 @@
         .lines()
         .any(|line| line.is_ok_and(|line| line.contains(DONE)));
     assert!(is_done, "the writer has ended before its last line");
-    let mut log = child.stdout.take().expect("a pipe");
-    let reader = thread::spawn(move || {
-        let mut text = String::new();
-        log.read_to_string(&mut text).expect("the log is text");
-        text
-    });
+    let mut log = BufReader::new(child.stdout.take().expect("a pipe"));
+    let mut text = String::new();
+    for _ in 0..READ_FIRST {
+        log.read_line(&mut text).expect("the log is text");
+    }
     let mut words = child.stdin.take().expect("a pipe");
     words.write_all(b"go\n").expect("the writer listens");
-    let text = reader.join().expect("the log is read");
+    log.read_to_string(&mut text).expect("the log is text");
     child.wait().expect("the writer ends");
     let written = text.matches("request refused").count();
     assert!(written > 0 && written < LINES, "{written} lines");
@@ -80,7 +75,7 @@
             digits.parse::<usize>().ok()
         })
         .sum();
-    let all = LINES + LAST_LINES;
+    let all = LINES + 1;
     // The library counts its own notices as well if they find no room.
     assert!(
         written + dropped >= all,
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -2,18 +2,19 @@
 //!
 //! Load pattern: for half a minute, requests come faster than the replica groups can serve them.
 
+#[path = "support/nodes.rs"]
+mod nodes;
+
 use std::collections::VecDeque;
 
-use jackdaw_core::config::{Engine, Model};
+use jackdaw_core::config::Engine;
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Millis, Tokens};
+use jackdaw_core::units::Millis;
 use jackdaw_policy::admission::{Prospect, rejection_chance, retry_after};
 use jackdaw_policy::balance::{self, Ask, Load};
-use jackdaw_policy::peers::{Board, Share, Word};
+use nodes::{ROUND, boards, engine, speak};
 use rstest::rstest;
 
-/// Milliseconds between two words of a node; a quarter of a second as the nodes speak.
-const ROUND: u64 = 250;
 /// Milliseconds of the first event that the users ask for.
 const OBJECTIVE: u64 = 300;
 /// Milliseconds after which a caller gives up.
@@ -23,30 +24,13 @@
 /// Worth of a late answer against one in time, as the users value it.
 const LATE_WORTH: f64 = 0.25;
 
-fn engine() -> Engine {
-    Engine {
-        slots: 26,
-        kv_capacity: Tokens(1_400_000),
-        stride: 5,
-        step_ms: 6.07,
-        step_ms_per_request: 0.241,
-        step_ms_per_context: 0.005,
-        prefill_per_ms: 46.0,
-        prefill_ms_per_pairs: 0.7,
-        usual_prompt: 714,
-        usual_output: 115,
-        loads_per_second: 4.0,
-        concurrent_loads: 6,
-        form: Millis(300),
-        models: vec![Model {
-            name: "small".into(),
-            size: 2,
-            share: 1.0,
-            pace: 0.6,
-            load: Millis(12_000),
-            warm: Millis(1_100),
-        }],
-    }
+/// Returns engines of a model that serves shorter prompts faster.
+fn quick_engine() -> Engine {
+    let mut engine = engine();
+    engine.usual_prompt = ASK.prompt;
+    engine.usual_output = ASK.output;
+    engine.models[0].pace = 0.6;
+    engine
 }
 
 const ASK: Ask = Ask {
@@ -120,14 +104,11 @@
 }
 
 fn play(course: &Course, seed: u64) -> Seen {
-    let engine = engine();
+    let engine = quick_engine();
     let mut random = fastrand::Rng::with_seed(seed);
     let mut groups: Vec<Group> = (0..course.groups).map(|_| Group::default()).collect();
     let mut own = vec![vec![0_u32; course.nodes]; course.groups];
-    let mut boards = vec![Board::default(); course.nodes];
-    for board in &mut boards {
-        board.set_peers(course.nodes - 1);
-    }
+    let mut boards = boards(course.nodes);
     let mut returning: Vec<u64> = Vec::new();
     let mut seen = Seen::default();
     for now in 0..SPAN {
@@ -142,7 +123,12 @@
             }
         }
         if now % ROUND == 0 {
-            speak(&own, &mut boards, now);
+            speak(
+                |node, group| own[group][node],
+                course.groups,
+                &mut boards,
+                now,
+            );
         }
         let fresh = (0..course.groups).filter(|_| random.u64(0..course.gap) == 0);
         let mut arrivals = vec![false; fresh.count()];
@@ -188,30 +174,6 @@
     seen
 }
 
-fn speak(own: &[Vec<u32>], boards: &mut [Board], now: u64) {
-    for (hearer, board) in boards.iter_mut().enumerate() {
-        for speaker in 0..own[0].len() {
-            if speaker == hearer {
-                continue;
-            }
-            let share = |group: usize| Share {
-                requests: own[group][speaker],
-                ..Share::default()
-            };
-            let word = Word {
-                node: speaker.to_string().into(),
-                incarnation: 1,
-                sequence: now + 1,
-                places: (0..own.len())
-                    .map(|group| (group as u64, share(group)))
-                    .collect(),
-                ..Word::default()
-            };
-            board.hear(word, Instant(now));
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Overload {
     what: &'static str,
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -1,42 +1,18 @@
 //! Where requests go under load: estimates, and bursts that many nodes each see a part of.
 
+#[path = "support/nodes.rs"]
+mod nodes;
+
 use std::collections::BinaryHeap;
 
 use jackdaw_core::backend::{Membership, Server, State};
-use jackdaw_core::config::{Engine, Model};
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Millis, Tokens};
 use jackdaw_policy::balance::{self, Ask, Load};
 use jackdaw_policy::fleet::{Fleet, group_name, model_of};
 use jackdaw_policy::peers::{Board, Share, Word};
+use nodes::{ROUND, boards, engine, speak};
 use rstest::rstest;
 
-fn engine() -> Engine {
-    Engine {
-        slots: 26,
-        kv_capacity: Tokens(1_400_000),
-        stride: 5,
-        step_ms: 6.07,
-        step_ms_per_request: 0.241,
-        step_ms_per_context: 0.005,
-        prefill_per_ms: 46.0,
-        prefill_ms_per_pairs: 0.7,
-        usual_prompt: 1_076,
-        usual_output: 116,
-        loads_per_second: 4.0,
-        concurrent_loads: 6,
-        form: Millis(300),
-        models: vec![Model {
-            name: "large".into(),
-            size: 2,
-            share: 1.0,
-            pace: 1.0,
-            load: Millis(16_000),
-            warm: Millis(1_600),
-        }],
-    }
-}
-
 const ASK: Ask = Ask {
     prompt: 1_076,
     output: 116,
@@ -70,9 +46,6 @@
     by_hearsay: bool,
 }
 
-/// Milliseconds between two words of a node; a quarter of a second as the nodes speak.
-const ROUND: u64 = 250;
-
 /// Returns the largest number of requests that any group had at once.
 ///
 /// Load pattern: a burst of equal requests that is spread over many nodes, of which each sees a
@@ -82,10 +55,7 @@
     let model = &engine.models[0];
     let mut random = fastrand::Rng::with_seed(seed);
     let mut own = vec![vec![0_u32; burst.groups]; burst.nodes];
-    let mut boards = vec![Board::default(); burst.nodes];
-    for board in &mut boards {
-        board.set_peers(burst.nodes - 1);
-    }
+    let mut boards = boards(burst.nodes);
     // Ends of requests, the soonest first.
     let mut ends: BinaryHeap<std::cmp::Reverse<(u64, usize, usize)>> = BinaryHeap::new();
     let mut peak = 0;
@@ -98,7 +68,12 @@
             own[node][group] -= 1;
         }
         if now % ROUND == 0 {
-            speak(&own, &mut boards, now);
+            speak(
+                |node, group| own[node][group],
+                burst.groups,
+                &mut boards,
+                now,
+            );
         }
         // One request in fifty milliseconds for each group keeps 20 of 26 slots in use.
         for _ in 0..burst.groups {
@@ -130,31 +105,6 @@
     peak
 }
 
-fn speak(own: &[Vec<u32>], boards: &mut [Board], now: u64) {
-    for (speaker, places) in own.iter().enumerate() {
-        for (hearer, board) in boards.iter_mut().enumerate() {
-            if hearer == speaker {
-                continue;
-            }
-            let places = places.iter().enumerate().map(|(group, requests)| {
-                let share = Share {
-                    requests: *requests,
-                    ..Share::default()
-                };
-                (group as u64, share)
-            });
-            let word = Word {
-                node: speaker.to_string().into(),
-                incarnation: 1,
-                sequence: now + 1,
-                places: places.collect(),
-                ..Word::default()
-            };
-            board.hear(word, Instant(now));
-        }
-    }
-}
-
 #[rstest]
 #[case(8, 8)]
 #[case(24, 8)]
