--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -75,7 +75,6 @@
 pub(crate) async fn follow(node: Rc<Node>, mut reader: impl Reader) {
     let prefix = reader.prefix();
     let mut after: Option<u64> = None;
-    let mut random = fastrand::Rng::new();
     let mut backoff = Backoff::new(RETRY, LONGEST_RETRY);
     let mut answered = node.now();
     let mut failed: Option<Instant> = None;
@@ -127,6 +126,8 @@
                         "prefix" => %prefix, "error" => %error);
                     is_away = true;
                 }
+                // Drawn anew each time: generators of nodes that started together may be alike.
+                let mut random = fastrand::Rng::new();
                 time::sleep(backoff.fail(&mut random).duration()).await;
                 failed = Some(node.now());
             }
