Name the content of a request in the log when its server closes the connection

Change: a failed attempt whose connection closed has the field digest, which is the same for all repetitions by one caller. The digest was entry's; it moves to core::token, so that both data paths use it. The gateway computes it at the first use only, so requests that succeed pay nothing. Ruled out: logging it for each request, which costs a hash of the body on the hot path.

--- a/crates/core/src/token.rs
+++ b/crates/core/src/token.rs
@@ -1,4 +1,4 @@
-//! Digests of bearer tokens; the tokens themselves are not stored.
+//! Digests of bearer tokens, which are not stored themselves, and of requests.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use sha2::{Digest as _, Sha256};
 
+/// Number of bytes of a digest in logs and decisions.
+const PREFIX_BYTES: usize = 8;
+
 /// The SHA-256 digest of a token or of a request's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest(pub [u8; 32]);
@@ -17,6 +20,26 @@
     pub fn of(bytes: &[u8]) -> Self {
         Digest(Sha256::digest(bytes).into())
     }
+
+    /// Computes the digest by which repetitions of a request are recognized. The scope tells apart
+    /// requests of the same content, such as those of two callers.
+    #[must_use]
+    pub fn of_request(method: &str, scope: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(method);
+        hasher.update(b" ");
+        hasher.update(scope);
+        hasher.update(path);
+        hasher.update(b"\n");
+        hasher.update(body);
+        Digest(hasher.finalize().into())
+    }
+
+    /// Returns the first digits, which name the digest in logs and decisions.
+    #[must_use]
+    pub fn prefix(&self) -> CompactString {
+        CompactString::from(hex::encode(&self.0[..PREFIX_BYTES]))
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -27,18 +27,6 @@
     }
 }
 
-/// Returns the digest over method, destination, path and body, by which equal calls are recognized.
-pub(crate) fn compute_digest(method: &Method, name: &str, path: &str, body: &[u8]) -> Digest {
-    let mut input = Vec::with_capacity(body.len() + path.len() + name.len() + 16);
-    input.extend_from_slice(method.as_str().as_bytes());
-    input.push(b' ');
-    input.extend_from_slice(name.as_bytes());
-    input.extend_from_slice(path.as_bytes());
-    input.push(b'\n');
-    input.extend_from_slice(body);
-    Digest::of(&input)
-}
-
 /// A caller's request after it was read and authenticated.
 #[derive(Debug)]
 pub(crate) struct Call {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -4,6 +4,7 @@
 
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
+use jackdaw_core::token::Digest;
 use ntex::http::header::CONTENT_TYPE;
 use ntex::http::{Method, Payload};
 use ntex::web::{HttpRequest, HttpResponse, types};
@@ -11,7 +12,7 @@
 use crate::admit::{self, Admission};
 use crate::auth;
 use crate::buffered;
-use crate::call::{Call, Destination, compute_digest};
+use crate::call::{Call, Destination};
 use crate::dispatch::Dispatch;
 use crate::drain::RequestGuard;
 use crate::handler::{self, Worker};
@@ -65,7 +66,7 @@
         method: Method::POST,
         path: request.path().into(),
         headers: handler::select_headers(request.headers(), &[CONTENT_TYPE.as_str()]),
-        digest: compute_digest(request.method(), &completion.model, request.path(), &body),
+        digest: Digest::of_request(request.method().as_str(), &completion.model, request.path(), &body),
         cost: completion.cost(),
         body,
         deadline,
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -5,6 +5,7 @@
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
+use jackdaw_core::token::Digest;
 use ntex::http::header::{ACCEPT, CONTENT_TYPE};
 use ntex::http::{HeaderMap, Payload};
 use ntex::web::{HttpRequest, HttpResponse, types};
@@ -13,7 +14,7 @@
 use crate::at_most_once;
 use crate::auth;
 use crate::buffered;
-use crate::call::{Call, Destination, compute_digest};
+use crate::call::{Call, Destination};
 use crate::dispatch::Dispatch;
 use crate::handler::{self, Worker};
 use crate::head;
@@ -68,7 +69,7 @@
                 head::IDEMPOTENCY_KEY,
             ],
         ),
-        digest: compute_digest(request.method(), name, &path_and_query, &body),
+        digest: Digest::of_request(request.method().as_str(), name, &path_and_query, &body),
         path: path_and_query,
         cost: 1,
         body,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to the target with the lowest cost and retries it at others if that fails.
 
+use std::cell::OnceCell;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
@@ -16,6 +17,7 @@
 use jackdaw_core::protocol::{Answer, Forwarding, Head};
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
+use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::admission::{self, Latency};
@@ -73,6 +75,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) digest: OnceCell<Digest>,
     /// Time at which the request arrived.
     pub(crate) arrived: Instant,
     /// Time by which the caller must have an answer.
@@ -81,6 +84,18 @@
     pub(crate) caller_deadline: Instant,
 }
 
+impl Call {
+    /// Returns the digest by which repetitions of the request are recognized. It is computed only
+    /// when it is needed first, since few requests need it.
+    pub(crate) fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| {
+            let caller = self.team.as_deref().unwrap_or_default();
+            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+            Digest::of_request(self.method.as_str(), caller, path, &self.body)
+        })
+    }
+}
+
 /// Converts a connection's fault to a failed exchange.
 fn connection_failure(fault: connection::Fault) -> ExchangeFailure {
     match fault {
@@ -611,8 +626,11 @@
             self.node.targets.borrow_mut().avoid(attempt.key, now);
         }
         let verdict = self.request.record_failure(&failure, &self.budget, now);
+        // Tells whether a server was lost under a request that callers repeat.
+        let digest = (error.fault == Fault::Closed).then(|| self.call.digest().prefix());
         info!(self.node.logger(), "attempt failed";
             "request" => %self.call.head.id,
+            "digest" => digest.as_deref(),
             "route" => %self.call.route.name,
             "server" => %attempt.target.server,
             "group" => %attempt.target.group,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,5 +1,6 @@
 //! Admits callers' requests and answers readiness checks.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -189,6 +190,7 @@
         uri: server_uri(request),
         headers,
         body: Bytes::new(),
+        digest: OnceCell::new(),
         arrived: Instant::default(),
         deadline: Instant::default(),
         caller_deadline: Instant::default(),
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use compact_str::{CompactString, ToCompactString, format_compact};
+use compact_str::{CompactString, format_compact};
 use jackdaw_core::decision::{Decision, Subject};
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
@@ -20,8 +20,6 @@
 const MAX_CRASHES: u32 = 3;
 /// Largest number of suspects; the suspect with the oldest crash is dropped first.
 const MAX_SUSPECTS: usize = 4_096;
-/// Number of hexadecimal digits of a digest in decisions.
-const DIGEST_PREFIX_DIGITS: usize = 16;
 
 /// A request that was interrupted by a crash.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -179,9 +177,7 @@
 }
 
 fn request_subject(digest: &Digest) -> Subject {
-    let mut name = digest.to_compact_string();
-    name.truncate(DIGEST_PREFIX_DIGITS);
-    Subject::Request(format_compact!("digest-{name}"))
+    Subject::Request(format_compact!("digest-{}", digest.prefix()))
 }
 
 fn explain_suspicion(crash: &Crash, crashes: u32) -> Decision {
