--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -66,7 +66,12 @@
         method: Method::POST,
         path: request.path().into(),
         headers: handler::select_headers(request.headers(), &[CONTENT_TYPE.as_str()]),
-        digest: Digest::of_request(request.method().as_str(), &completion.model, request.path(), &body),
+        digest: Digest::of_request(
+            request.method().as_str(),
+            &completion.model,
+            request.path(),
+            &body,
+        ),
         cost: completion.cost(),
         body,
         deadline,
--- /dev/null
+++ b/crates/gateway/tests/node/cluster.rs
@@ -0,0 +1,365 @@
+//! Several nodes before servers that end under certain requests.
+
+use std::collections::HashSet;
+use std::io::{BufReader, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::Instant;
+
+use jackdaw_gateway::server::Ports;
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+
+use super::support::{
+    MemoryStore, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
+};
+
+/// Part of a path under which a server ends as soon as it begins to run the request.
+pub(crate) const ENDS_SERVERS: &str = "bad";
+/// Part of a path whose stream goes on only after [`Servers::release`].
+const HELD: &str = "held";
+/// Part of a path whose run calls a node with a request that ends servers.
+pub(crate) const CALLS: &str = "calls";
+
+/// What the servers have seen.
+#[derive(Debug, Default)]
+struct Events {
+    /// Times at which servers ended.
+    ended: Vec<Instant>,
+    /// Times at which requests arrived that end servers.
+    arrived: Vec<Instant>,
+    /// Number of streams that wait for their release.
+    held: usize,
+    is_released: bool,
+}
+
+/// State that all servers share.
+#[derive(Debug, Default)]
+pub(crate) struct Servers {
+    events: Mutex<Events>,
+    changed: Condvar,
+    /// Node that runs call.
+    callee: Mutex<Option<SocketAddr>>,
+}
+
+impl Servers {
+    fn events(&self) -> MutexGuard<'_, Events> {
+        self.events.lock().expect("no test panicked")
+    }
+
+    /// Returns the times at which servers ended.
+    pub(crate) fn ended(&self) -> Vec<Instant> {
+        self.events().ended.clone()
+    }
+
+    /// Returns how many requests that end servers arrived after a time.
+    pub(crate) fn arrived_after(&self, time: Instant) -> usize {
+        let events = self.events();
+        events.arrived.iter().filter(|at| **at > time).count()
+    }
+
+    /// Waits until a number of streams wait for their release.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they do not within [`TIMEOUT`].
+    pub(crate) fn wait_held(&self, count: usize) {
+        let events = self.events();
+        let waited = self
+            .changed
+            .wait_timeout_while(events, TIMEOUT, |events| events.held < count)
+            .expect("no test panicked");
+        assert!(!waited.1.timed_out(), "{count} streams do not wait");
+    }
+
+    /// Lets the held streams go on.
+    pub(crate) fn release(&self) {
+        self.events().is_released = true;
+        self.changed.notify_all();
+    }
+}
+
+/// A server that starts again at the same address right after it ended.
+struct Server {
+    id: String,
+    store: Arc<MemoryStore>,
+    shared: Arc<Servers>,
+    connections: Mutex<Vec<TcpStream>>,
+    starts: AtomicUsize,
+}
+
+impl Server {
+    fn listen(id: &str, store: &Arc<MemoryStore>, shared: &Arc<Servers>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("the port is bound");
+        let server = Arc::new(Server {
+            id: id.to_owned(),
+            store: Arc::clone(store),
+            shared: Arc::clone(shared),
+            connections: Mutex::default(),
+            starts: AtomicUsize::new(1),
+        });
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let clone = stream.try_clone().expect("a descriptor is free");
+                server.connections().push(clone);
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        address
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.connections.lock().expect("no test panicked")
+    }
+
+    /// Ends all connections and registers again as a new incarnation.
+    fn end(&self) {
+        for connection in self.connections().drain(..) {
+            // The other side may have closed the connection already.
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        let start = self.starts.fetch_add(1, Ordering::SeqCst) + 1;
+        self.store
+            .put(&format!("servers/{}", self.id), &start.to_string());
+        let mut events = self.shared.events();
+        events.ended.push(Instant::now());
+        drop(events);
+        self.shared.changed.notify_all();
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Some((head, _)) = read_message(&mut reader) {
+            let path = head.split(' ').nth(1).unwrap_or_default();
+            let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+            let id = field("id: ").unwrap_or_default();
+            if path.contains(ENDS_SERVERS) {
+                self.shared.events().arrived.push(Instant::now());
+                self.end();
+                return;
+            }
+            let answer = if path.contains(CALLS) {
+                self.call(id)
+            } else if path.contains(HELD) {
+                let resumed = field("last: ").is_some();
+                if self.stream_held(reader.get_mut(), id, resumed).is_err() {
+                    return;
+                }
+                continue;
+            } else {
+                answer("200 OK", id)
+            };
+            if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Runs a request that calls a node, and fails as the call does.
+    fn call(&self, id: &str) -> String {
+        let callee = *self.shared.callee.lock().expect("no test panicked");
+        let callee = callee.expect("the node that runs call is set");
+        let call = request(&format!("{id}-call"), "GET", "/safe/bad");
+        let answered = exchange(callee, &call);
+        let is_success = answered.starts_with("HTTP/1.1 200");
+        answer(if is_success { "200 OK" } else { "500 Failed" }, id)
+    }
+
+    /// Sends a stream of two events, the second after the release.
+    fn stream_held(&self, stream: &mut TcpStream, id: &str, resumed: bool) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nid: {id}\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        if !resumed {
+            stream.write_all(chunk("id: 1\ndata: a\n\n").as_bytes())?;
+        }
+        let starts = self.starts.load(Ordering::SeqCst);
+        let mut events = self.shared.events();
+        events.held += 1;
+        self.shared.changed.notify_all();
+        let is_waiting = |events: &mut Events| {
+            !events.is_released && self.starts.load(Ordering::SeqCst) == starts
+        };
+        let waited = self
+            .shared
+            .changed
+            .wait_timeout_while(events, TIMEOUT, is_waiting)
+            .expect("no test panicked");
+        drop(waited);
+        stream.write_all(chunk("id: 2\ndata: b\n\n").as_bytes())?;
+        stream.write_all(b"0\r\n\r\n")
+    }
+}
+
+fn answer(status: &str, id: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nid: {id}\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Keeps the messages that a node logs.
+#[derive(Clone, Debug, Default)]
+struct Messages(Arc<(Mutex<Vec<String>>, Condvar)>);
+
+impl Drain for Messages {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let (messages, changed) = &*self.0;
+        let mut messages = messages.lock().expect("no test panicked");
+        messages.push(record.msg().to_string());
+        changed.notify_all();
+        Ok(())
+    }
+}
+
+/// Addresses of the sockets whose datagrams are lost in both directions.
+type Cut = Arc<Mutex<HashSet<SocketAddr>>>;
+
+/// Forwards datagrams to a node, unless the node or the sender is cut off.
+fn forward_datagrams(node: SocketAddr, cut: Cut) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    let address = socket.local_addr().expect("the port is bound");
+    thread::spawn(move || {
+        let mut buf = [0; 2_048];
+        while let Ok((len, sender)) = socket.recv_from(&mut buf) {
+            let cut = cut.lock().expect("no test panicked");
+            if !cut.contains(&sender) && !cut.contains(&node) {
+                // The node may have stopped.
+                let _ = socket.send_to(&buf[..len], node);
+            }
+        }
+    });
+    address
+}
+
+/// One node of a [`Cluster`].
+pub(crate) struct Member {
+    process: Process,
+    peers: SocketAddr,
+    messages: Messages,
+}
+
+impl Member {
+    /// Sends a request on a new connection and returns all bytes of the answer.
+    pub(crate) fn call(&self, id: &str, path: &str) -> String {
+        exchange(self.process.callers, &request(id, "GET", path))
+    }
+
+    /// Gets the address for callers.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.process.callers
+    }
+
+    /// Waits until the node has logged a message.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not within [`TIMEOUT`].
+    pub(crate) fn wait_logged(&self, message: &str) {
+        let (messages, changed) = &*self.messages.0;
+        let messages = messages.lock().expect("no test panicked");
+        let waited = changed
+            .wait_timeout_while(messages, TIMEOUT, |messages| {
+                !messages.iter().any(|logged| logged == message)
+            })
+            .expect("no test panicked");
+        assert!(!waited.1.timed_out(), "{message:?} is not logged");
+    }
+
+    /// Stops the node.
+    pub(crate) fn stop(self) {
+        self.process.stop();
+    }
+}
+
+/// Nodes with a common store and common servers.
+pub(crate) struct Cluster {
+    pub(crate) nodes: Vec<Member>,
+    pub(crate) servers: Arc<Servers>,
+    store: Arc<MemoryStore>,
+    registered: Vec<jackdaw_core::backend::Server>,
+    cut: Cut,
+    started: usize,
+}
+
+impl Cluster {
+    /// Starts nodes and servers, and waits until all nodes are ready.
+    pub(crate) fn start(nodes: usize, servers: usize) -> Cluster {
+        let store = Arc::new(MemoryStore::new());
+        let shared = Arc::new(Servers::default());
+        store.put("configuration", "1");
+        let registered = (0..servers)
+            .map(|number| {
+                let id = format!("s{number}");
+                store.put(&format!("servers/{id}"), "1");
+                server(&id, Server::listen(&id, &store, &shared))
+            })
+            .collect();
+        let mut cluster = Cluster {
+            nodes: Vec::new(),
+            servers: shared,
+            store,
+            registered,
+            cut: Cut::default(),
+            started: 0,
+        };
+        for _ in 0..nodes {
+            cluster.add_node();
+        }
+        let first = cluster.nodes[0].address();
+        *cluster.servers.callee.lock().expect("no test panicked") = Some(first);
+        cluster
+    }
+
+    /// Starts another node and waits until it is ready.
+    pub(crate) fn add_node(&mut self) -> &Member {
+        let mut options = options(&format!("n{}", self.started));
+        self.started += 1;
+        let ports = Ports::bind(&options).expect("ports are free");
+        let peers = ports.peers.local_addr().expect("the port is bound");
+        options.peers = forward_datagrams(peers, Arc::clone(&self.cut));
+        let messages = Messages::default();
+        let logger = Logger::root(messages.clone(), o!());
+        let parts = parts(&self.store, self.registered.clone(), logger);
+        let process = Process::launch(options, ports, parts);
+        process.wait_ready();
+        self.nodes.push(Member {
+            process,
+            peers,
+            messages,
+        });
+        &self.nodes[self.nodes.len() - 1]
+    }
+
+    /// Stops all nodes.
+    pub(crate) fn stop_nodes(&mut self) {
+        // All nodes stop at the same time.
+        let stops: Vec<_> = self
+            .nodes
+            .drain(..)
+            .map(|node| thread::spawn(move || node.stop()))
+            .collect();
+        for stop in stops {
+            stop.join().expect("the node stops");
+        }
+    }
+
+    /// Cuts a node off from the datagrams of the others.
+    pub(crate) fn cut_off(&self, node: usize) {
+        let mut cut = self.cut.lock().expect("no test panicked");
+        cut.insert(self.nodes[node].peers);
+    }
+
+    /// Ends all cuts.
+    pub(crate) fn heal(&self) {
+        self.cut.lock().expect("no test panicked").clear();
+    }
+}
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -1,5 +1,7 @@
-//! Integration tests of a node with scripted servers and a store that the tests write to.
+//! Integration tests of nodes with stand-ins for the servers and a store that the tests write to.
 
+mod cluster;
 mod follow;
+mod poison;
 mod relay;
 mod support;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -16,7 +16,9 @@
 use jackdaw_core::protocol::{
     Answer, ChangeFeed, Changes, Forwarding, Head, Orders, Page, Protocol,
 };
-use jackdaw_core::store::{Change, Committed, Entry, Lease, Store, Transaction, Watch};
+use jackdaw_core::store::{
+    Change, Committed, Compare, Entry, Lease, Store, Transaction, Watch, Write,
+};
 use jackdaw_core::time::SystemClock;
 use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_gateway::node::{Exporter, Parts};
@@ -27,7 +29,7 @@
 use tokio::sync::{oneshot, watch};
 
 /// Longest wait for an event, after which a test fails.
-const TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Largest number of changes in one answer of the store.
 pub(crate) const MAX_CHANGES: usize = 500;
@@ -41,8 +43,9 @@
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
 
-/// Minimal protocol for these tests.
-struct TestProtocol {
+/// Minimal protocol for these tests. A registration holds nothing, `draining`, or the time at which
+/// the server started.
+pub(crate) struct TestProtocol {
     servers: Vec<Server>,
     routes: Vec<Route>,
 }
@@ -105,6 +108,10 @@
             .cloned()
             .ok_or_else(|| Error::malformed("read entry", &entry.key, "unknown"))?;
         server.draining = entry.value == b"draining";
+        let start = std::str::from_utf8(&entry.value).ok();
+        if let Some(start_unix_ms) = start.and_then(|text| text.parse().ok()) {
+            server.start_unix_ms = start_unix_ms;
+        }
         Ok(server)
     }
 
@@ -134,6 +141,40 @@
 }
 
 impl State {
+    /// Sets an entry at the current revision.
+    fn insert(&mut self, key: CompactString, value: Vec<u8>) {
+        let before = self.entries.get(&key);
+        let entry = Entry {
+            create_revision: before.map_or(self.revision, |entry| entry.create_revision),
+            mod_revision: self.revision,
+            key: key.clone(),
+            value,
+            lease: None,
+        };
+        self.entries.insert(key, entry.clone());
+        self.changes.push(Change::Put(entry));
+    }
+
+    /// Deletes an entry at the current revision.
+    fn remove(&mut self, key: &str) {
+        self.entries.remove(key);
+        self.changes.push(Change::Delete(key.into(), self.revision));
+    }
+
+    fn holds(&self, condition: &Compare) -> bool {
+        match condition {
+            Compare::Absent(key) => !self.entries.contains_key(key),
+            Compare::ModRevision(key, revision) => self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.mod_revision == *revision),
+            Compare::CreateRevision(key, revision) => self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.create_revision == *revision),
+        }
+    }
+
     fn check(&self, step: &'static str) -> Result<()> {
         if self.unavailable {
             return Err(Error::unreachable(step, "store", "unavailable"));
@@ -150,7 +191,7 @@
 }
 
 impl MemoryStore {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         MemoryStore {
             state: Mutex::default(),
             changed: watch::Sender::new(0),
@@ -165,15 +206,7 @@
     pub(crate) fn put(&self, key: &str, value: &str) {
         let mut state = self.state();
         state.revision += 1;
-        let entry = Entry {
-            key: key.into(),
-            value: value.into(),
-            create_revision: state.revision,
-            mod_revision: state.revision,
-            lease: None,
-        };
-        state.entries.insert(key.into(), entry.clone());
-        state.changes.push(Change::Put(entry));
+        state.insert(key.into(), value.into());
         self.changed.send_replace(state.revision);
     }
 
@@ -181,9 +214,7 @@
     pub(crate) fn delete(&self, key: &str) {
         let mut state = self.state();
         state.revision += 1;
-        state.entries.remove(key);
-        let change = Change::Delete(key.into(), state.revision);
-        state.changes.push(change);
+        state.remove(key);
         self.changed.send_replace(state.revision);
     }
 
@@ -267,8 +298,27 @@
     async fn list(&self, _: &str) -> Result<Vec<Entry>> {
         Ok(Vec::new())
     }
-    async fn commit(&self, _: Transaction) -> Result<Committed> {
-        Ok(Committed::Yes(1))
+    async fn commit(&self, transaction: Transaction) -> Result<Committed> {
+        let mut state = self.state();
+        state.check("commit")?;
+        if !transaction
+            .when
+            .iter()
+            .all(|condition| state.holds(condition))
+        {
+            let keys = transaction.otherwise.iter();
+            let entries = keys.filter_map(|key| state.entries.get(key)).cloned();
+            return Ok(Committed::No(entries.collect()));
+        }
+        state.revision += 1;
+        for write in transaction.then {
+            match write {
+                Write::Put { key, value, .. } => state.insert(key, value),
+                Write::Delete(key) => state.remove(&key),
+            }
+        }
+        self.changed.send_replace(state.revision);
+        Ok(Committed::Yes(state.revision))
     }
     async fn grant(&self, _: Millis) -> Result<Lease> {
         Ok(Lease(1))
@@ -434,7 +484,7 @@
 }
 
 /// Reads a head and a body of the length that the head states.
-fn read_message(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+pub(crate) fn read_message(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
     loop {
         let mut line = String::new();
@@ -460,13 +510,125 @@
     Some((head, body))
 }
 
-/// A running node.
+/// Returns the registration of a server of a plain service.
+pub(crate) fn server(id: &str, address: SocketAddr) -> Server {
+    Server {
+        id: id.into(),
+        service: "service".into(),
+        address,
+        zone: "zone".into(),
+        draining: false,
+        slots: 4,
+        start_unix_ms: 1,
+        domain: String::new().into(),
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+/// Returns the options of a node that listens on free ports.
+pub(crate) fn options(node: &str) -> Options {
+    let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+    Options {
+        node: node.into(),
+        zone: "zone".into(),
+        zones: vec!["zone".into()],
+        callers: any_port,
+        readiness: any_port,
+        peers: any_port,
+        grace: Millis(6_000),
+        retries: 100,
+        lease: Millis(3_000),
+        drain: Millis(2_000),
+        max_head: Bytes(16 << 10),
+    }
+}
+
+/// Returns the parts of a node before servers and a store.
+pub(crate) fn parts(store: &Arc<MemoryStore>, servers: Vec<Server>, logger: Logger) -> Parts {
+    let protocol = TestProtocol {
+        servers,
+        routes: vec![
+            route("/once/", RouteKind::NonIdempotent, 1),
+            route("/safe/", RouteKind::Idempotent, 2),
+            route("/stream/", RouteKind::Stream { resumable: true }, 2),
+            route("/fragile/", RouteKind::Stream { resumable: false }, 2),
+        ],
+    };
+    Parts {
+        protocol: Arc::new(protocol),
+        change_feed: store.clone(),
+        store: store.clone(),
+        orders: Arc::new(UnreachableOrders),
+        clock: Arc::new(SystemClock::default()),
+        logger,
+        meter: NoopMeterProvider::new().meter("test"),
+        exporter: Arc::new(EmptyExporter),
+    }
+}
+
+/// A node that runs on a thread of its own.
+pub(crate) struct Process {
+    pub(crate) callers: SocketAddr,
+    readiness: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    ended: mpsc::Receiver<()>,
+}
+
+impl Process {
+    /// Starts a node.
+    pub(crate) fn launch(options: Options, ports: Ports, parts: Parts) -> Process {
+        let callers = ports.callers.local_addr().expect("the port is bound");
+        let readiness = ports.readiness.local_addr().expect("the port is bound");
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (end, ended) = mpsc::channel();
+        thread::spawn(move || {
+            let stop = async move {
+                let _ = stopped.await;
+            };
+            let result = server::run(options, ports, parts, stop);
+            result.expect("the node runs");
+            let _ = end.send(());
+        });
+        Process {
+            callers,
+            readiness,
+            stop: Some(stop),
+            ended,
+        }
+    }
+
+    /// Waits until the node says that it is ready.
+    pub(crate) fn wait_ready(&self) {
+        loop {
+            let answer = exchange(
+                self.readiness,
+                "GET /ready HTTP/1.1\r\nhost: host\r\nconnection: close\r\n\r\n",
+            );
+            if answer.starts_with("HTTP/1.1 200") {
+                return;
+            }
+            thread::yield_now();
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        drop(self.stop.take());
+    }
+
+    /// Asks the node to stop and waits until it has.
+    pub(crate) fn stop(mut self) {
+        self.begin_stop();
+        self.ended.recv_timeout(TIMEOUT).expect("the node stops");
+    }
+}
+
+/// A running node before scripted servers.
 pub(crate) struct Node {
     pub(crate) servers: Servers,
     pub(crate) store: Arc<MemoryStore>,
     pub(crate) address: SocketAddr,
-    stop: Option<oneshot::Sender<()>>,
-    ended: mpsc::Receiver<()>,
+    process: Process,
 }
 
 fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
@@ -494,92 +656,23 @@
         let servers = Servers::default();
         *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
         let registered: Vec<Server> = (0..2)
-            .map(|number| Server {
-                id: format!("s{number}").into(),
-                service: "service".into(),
-                address: servers.listen(),
-                zone: "zone".into(),
-                draining: false,
-                slots: 4,
-                start_unix_ms: 1,
-                domain: String::new().into(),
-                staged: Vec::new(),
-                membership: None,
-            })
+            .map(|number| server(&format!("s{number}"), servers.listen()))
             .collect();
         let store = Arc::new(MemoryStore::new());
         store.put("configuration", "1");
         for server in &registered {
             store.put(&format!("servers/{}", server.id), "");
         }
-        let protocol = TestProtocol {
-            servers: registered,
-            routes: vec![
-                route("/once/", RouteKind::NonIdempotent, 1),
-                route("/safe/", RouteKind::Idempotent, 2),
-                route("/stream/", RouteKind::Stream { resumable: true }, 2),
-                route("/fragile/", RouteKind::Stream { resumable: false }, 2),
-            ],
-        };
-        let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let options = Options {
-            node: "node".into(),
-            zone: "zone".into(),
-            zones: vec!["zone".into()],
-            callers: any_port,
-            readiness: any_port,
-            peers: any_port,
-            grace: Millis(6_000),
-            retries: 100,
-            lease: Millis(3_000),
-            drain: Millis(2_000),
-            max_head: Bytes(16 << 10),
-        };
-        let store_handle = Arc::clone(&store);
-        let parts = Parts {
-            protocol: Arc::new(protocol),
-            change_feed: store.clone(),
-            store,
-            orders: Arc::new(UnreachableOrders),
-            clock: Arc::new(SystemClock::default()),
-            logger: Logger::root(slog::Discard, o!()),
-            meter: NoopMeterProvider::new().meter("test"),
-            exporter: Arc::new(EmptyExporter),
-        };
+        let parts = parts(&store, registered, Logger::root(slog::Discard, o!()));
+        let options = options("node");
         let ports = Ports::bind(&options).expect("ports are free");
-        let address = ports.callers.local_addr().expect("the port is bound");
-        let readiness = ports.readiness.local_addr().expect("the port is bound");
-        let (stop, stopped) = oneshot::channel::<()>();
-        let (end, ended) = mpsc::channel();
-        thread::spawn(move || {
-            let stop = async move {
-                let _ = stopped.await;
-            };
-            let result = server::run(options, ports, parts, stop);
-            result.expect("the node runs");
-            let _ = end.send(());
-        });
-        let node = Node {
+        let process = Process::launch(options, ports, parts);
+        process.wait_ready();
+        Node {
             servers,
-            store: store_handle,
-            address,
-            stop: Some(stop),
-            ended,
-        };
-        node.wait_ready(readiness);
-        node
-    }
-
-    fn wait_ready(&self, readiness: SocketAddr) {
-        loop {
-            let answer = exchange(
-                readiness,
-                "GET /ready HTTP/1.1\r\nhost: host\r\nconnection: close\r\n\r\n",
-            );
-            if answer.starts_with("HTTP/1.1 200") {
-                return;
-            }
-            thread::yield_now();
+            store,
+            address: process.callers,
+            process,
         }
     }
 
@@ -609,7 +702,7 @@
 
     /// Asks the node to stop.
     pub(crate) fn begin_stop(&mut self) {
-        drop(self.stop.take());
+        self.process.begin_stop();
     }
 
     /// Returns the heads of the requests that have arrived at servers, header by header.
@@ -627,9 +720,8 @@
     }
 
     /// Asks the node to stop and waits until it has.
-    pub(crate) fn stop(mut self) {
-        drop(self.stop.take());
-        self.ended.recv_timeout(TIMEOUT).expect("the node stops");
+    pub(crate) fn stop(self) {
+        self.process.stop();
     }
 }
 
