Count the crashes of a request by incarnation and over all nodes

What callers saw: on the product's path a caller who repeats a request at one node after the other costs each node three servers, as nodes exchanged bans only. A harmless request with three copies in flight at one crash was refused for ten minutes. Cause: a crash had no identity. The tracker counted events, so copies of a request counted as crashes, and two nodes' counts could not be added without counting one crash twice. Fix: a crash is identified by the server and its incarnation (generation, and the boot number of the VM that takes the requests). Nodes exchange evidence, a statement per request and crash; that a request is cleared outweighs that it was in flight, so nodes agree in whatever order they learn. The product's nodes gossip it as facts of their own. Rules that both data paths are to share stand beside it: suspects are kept apart, and a request under which two servers ended isn't sent to the last one for 10 s. New tables in policy/tests/poison.rs: nodes agree in 50 orders of arrival, circulating evidence ends, the last server is spared. The events of policy/tests/poison.rs name an incarnation each, since a crash is one now; the checks are those of before, and copies have cases of their own. Ruled out: counting events of one target within a time as one crash, which misses servers that are back at once.

--- a/crates/control/src/overlay.rs
+++ b/crates/control/src/overlay.rs
@@ -227,7 +227,9 @@
         let item = match &fact.key {
             Key::Catalog => Resource::Catalog(Revision(fact.version.major)),
             Key::Placement(zone) => Resource::Placement(zone.clone()),
-            Key::Member(_) | Key::Report(_) | Key::Leaving(_) | Key::Poison(_) => return None,
+            Key::Member(_) | Key::Report(_) | Key::Leaving(_) | Key::Poison(_) | Key::Crash(..) => {
+                return None;
+            }
         };
         let key = fetch_key(&item);
         let is_fetching = self
--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -9,6 +9,7 @@
 use jackdaw_core::units::{Fence, Generation, Revision};
 use jackdaw_policy::gossip::fact::{Fact, Key, Member, Value, Version};
 use jackdaw_policy::gossip::message::{Body, Bucket, Entry, Envelope, Exchange, Lag, Summary};
+use jackdaw_policy::poison::CrashId;
 use jackdaw_wire::peer as wire;
 
 const OPERATION: &str = "decode peer message";
@@ -215,6 +216,13 @@
         (Key::Report(_), Value::Report(report)) => wire::fact::Value::Report(encode_report(report)),
         (Key::Leaving(vm), Value::Leaving) => wire::fact::Value::LeavingVm(vm.to_string()),
         (Key::Poison(digest), Value::Poison) => wire::fact::Value::Convicted(digest.0.to_vec()),
+        (Key::Crash(digest, crash), Value::Crash { at_unix_ms }) => {
+            wire::fact::Value::Crash(wire::Crash {
+                digest: digest.0.to_vec(),
+                crash: crash.0,
+                at_unix_ms: *at_unix_ms,
+            })
+        }
         _ => return None,
     })
 }
@@ -263,13 +271,23 @@
         }
         wire::fact::Value::LeavingVm(vm) => (Key::Leaving(vm.into()), Value::Leaving),
         wire::fact::Value::Convicted(digest) => {
-            let digest = <[u8; 32]>::try_from(digest.as_slice())
-                .map_err(|_| Error::malformed(OPERATION, peer, "digest of another length"))?;
-            (Key::Poison(Digest(digest)), Value::Poison)
+            (Key::Poison(decode_digest(&digest, peer)?), Value::Poison)
+        }
+        wire::fact::Value::Crash(crash) => {
+            let key = Key::Crash(decode_digest(&crash.digest, peer)?, CrashId(crash.crash));
+            let at_unix_ms = crash.at_unix_ms;
+            (key, Value::Crash { at_unix_ms })
         }
     })
 }
 
+fn decode_digest(digest: &[u8], peer: &str) -> Result<Digest> {
+    let digest = <[u8; 32]>::try_from(digest);
+    digest
+        .map(Digest)
+        .map_err(|_| Error::malformed(OPERATION, peer, "digest of another length"))
+}
+
 fn encode_report(report: &Report) -> wire::Report {
     let membership = report
         .membership
--- a/crates/control/src/state/inputs.rs
+++ b/crates/control/src/state/inputs.rs
@@ -189,7 +189,7 @@
                     actions.extend(self.adopt_placement(placement, now, unix_ms));
                 }
                 Effect::Learned(fact) => {
-                    if self.adopt_ban_fact(&fact, now, unix_ms) {
+                    if self.adopt_poison_fact(&fact, now, unix_ms) {
                         actions.push(Action::PublishSnapshot);
                     }
                     actions.extend(self.adopt_departure(&fact, now, unix_ms));
--- a/crates/control/src/state/request_path.rs
+++ b/crates/control/src/state/request_path.rs
@@ -8,9 +8,10 @@
 use jackdaw_core::units::{Generation, Millis};
 use jackdaw_entry::event::Event;
 use jackdaw_entry::snapshot::Snapshot;
-use jackdaw_policy::gossip::fact::{Fact, Key, Member};
+use jackdaw_policy::gossip::fact::{Fact, Key, Member, Value};
+use jackdaw_policy::gossip::hash;
 use jackdaw_policy::member;
-use jackdaw_policy::poison::{Ban, Crash};
+use jackdaw_policy::poison::{Ban, Crash, Evidence};
 
 use super::{Action, State};
 
@@ -36,11 +37,14 @@
                 let crash = Crash {
                     digest,
                     server: target.clone(),
+                    incarnation: self.incarnation(&target, generation),
                     alone,
                 };
-                let decision = self.poison.record_crash(&crash, now);
-                self.record(decision, unix_ms);
-                self.publish_ban(&digest, now, unix_ms);
+                if let Some(decision) = self.poison.record_crash(&crash, now) {
+                    self.record(decision, unix_ms);
+                    self.publish_evidence(&digest, now, unix_ms);
+                    self.publish_ban(&digest, now, unix_ms);
+                }
                 self.suspend_group(target, generation, now, unix_ms)
             }
             Event::Answered { digest, .. } => {
@@ -48,6 +52,7 @@
                     return Vec::new();
                 };
                 self.record(decision, unix_ms);
+                self.publish_evidence(&digest, now, unix_ms);
                 vec![Action::PublishSnapshot]
             }
             Event::ConnectFailed { target, generation } => {
@@ -69,16 +74,31 @@
         self.apply_outcome(outcome, now, unix_ms)
     }
 
-    /// Adopts a poison ban that another node published; returns whether the snapshot changes.
-    pub(super) fn adopt_ban_fact(&mut self, fact: &Fact, now: Instant, unix_ms: u64) -> bool {
-        let Key::Poison(digest) = &fact.key else {
-            return false;
-        };
-        let ban = Ban {
-            digest: *digest,
-            remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
+    /// Adopts a poison ban or the evidence of a crash that another node published; returns whether
+    /// the snapshot changes.
+    pub(super) fn adopt_poison_fact(&mut self, fact: &Fact, now: Instant, unix_ms: u64) -> bool {
+        let decision = match (&fact.key, &fact.value) {
+            (Key::Poison(digest), _) => {
+                let ban = Ban {
+                    digest: *digest,
+                    remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
+                };
+                self.poison.adopt_ban(ban, now)
+            }
+            (Key::Crash(digest, crash), Value::Crash { at_unix_ms }) => {
+                let evidence = Evidence {
+                    digest: *digest,
+                    crash: *crash,
+                    is_cleared: fact.version.minor > 0,
+                    age: Millis(unix_ms.saturating_sub(*at_unix_ms)),
+                };
+                let decision = self.poison.adopt_evidence(evidence, now);
+                self.publish_ban(digest, now, unix_ms);
+                decision
+            }
+            _ => None,
         };
-        let Some(decision) = self.poison.adopt_ban(ban, now) else {
+        let Some(decision) = decision else {
             return false;
         };
         self.record(decision, unix_ms);
@@ -96,6 +116,30 @@
         snapshot.zone_nodes = count_members(self.overlay.members().filter(is_in_zone)).max(1);
     }
 
+    /// Returns the number that distinguishes the incarnations of a target: the boot number of the VM
+    /// that takes its requests, if this node observes it, and the generation of a group.
+    fn incarnation(&self, target: &str, generation: Generation) -> u64 {
+        let table = &self.zone.table;
+        let groups = &table.placement().groups;
+        let group = groups.iter().find(|group| group.name == target);
+        let vm = group.and_then(|group| group.members.first());
+        let observation = table.observation(vm.map_or(target, CompactString::as_str));
+        let boot = observation.map_or(0, |observation| observation.report.boot);
+        hash::mix(boot) ^ generation.0
+    }
+
+    /// Publishes what is known of a suspect to other nodes.
+    fn publish_evidence(&mut self, digest: &Digest, now: Instant, unix_ms: u64) {
+        for evidence in self.poison.evidence_on(digest, now) {
+            let at_unix_ms = unix_ms.saturating_sub(evidence.age.0);
+            let Evidence {
+                crash, is_cleared, ..
+            } = evidence;
+            let fact = Fact::crash(*digest, crash, is_cleared, at_unix_ms);
+            self.overlay.publish(fact, now);
+        }
+    }
+
     /// Publishes the ban of a digest to other nodes, if the digest is banned.
     fn publish_ban(&mut self, digest: &Digest, now: Instant, unix_ms: u64) {
         if let Some(ban) = self.poison.current_ban(digest, now) {
--- a/crates/entry/tests/poison.rs
+++ b/crates/entry/tests/poison.rs
@@ -26,13 +26,14 @@
         match event {
             Event::ConnectionLost {
                 target,
+                generation,
                 digest,
                 alone,
-                ..
             } => {
                 let crash = Crash {
                     digest,
                     server: target,
+                    incarnation: generation.0,
                     alone,
                 };
                 tracker.record_crash(&crash, Instant(0));
@@ -105,6 +106,7 @@
     let crash = Crash {
         digest,
         server: "target-0".into(),
+        incarnation: 1,
         alone: false,
     };
     tracker.record_crash(&crash, Instant(0));
--- a/crates/policy/src/gossip/fact.rs
+++ b/crates/policy/src/gossip/fact.rs
@@ -8,6 +8,7 @@
 use jackdaw_core::units::{Fence, Millis, Revision};
 
 use super::hash;
+use crate::poison::{CrashId, EVIDENCE_LIFETIME};
 
 /// Time for which a removed node, a VM's report and a leaving mark are kept.
 pub const RETENTION: Millis = Millis::from_secs(3_600);
@@ -27,6 +28,8 @@
     Leaving(CompactString),
     /// Digest of a request that crashes backend servers.
     Poison(Digest),
+    /// A request that was in flight at a crash.
+    Crash(Digest, CrashId),
 }
 
 impl Key {
@@ -40,6 +43,9 @@
             Key::Report(vm) => hash::hash_strings(&["report", vm]),
             Key::Leaving(vm) => hash::hash_strings(&["leaving", vm]),
             Key::Poison(digest) => hash::hash_strings(&["convicted", &digest.to_string()]),
+            Key::Crash(digest, CrashId(crash)) => {
+                hash::mix(hash::hash_strings(&["crash", &digest.to_string()]) ^ crash)
+            }
         }
     }
 
@@ -49,7 +55,9 @@
     pub fn is_announcement(&self) -> bool {
         match self {
             Key::Catalog | Key::Placement(_) => true,
-            Key::Member(_) | Key::Report(_) | Key::Leaving(_) | Key::Poison(_) => false,
+            Key::Member(_) | Key::Report(_) | Key::Leaving(_) | Key::Poison(_) | Key::Crash(..) => {
+                false
+            }
         }
     }
 }
@@ -89,6 +97,12 @@
     Leaving,
     /// Requests with the digest are refused until the time in the version's major number.
     Poison,
+    /// The request was in flight at the crash, or is cleared of it if the version's minor number is
+    /// not zero. The major number is zero, so that a clearance always wins.
+    Crash {
+        /// Wall-clock time of the crash in milliseconds since the Unix epoch.
+        at_unix_ms: u64,
+    },
 }
 
 /// Key, version and value.
@@ -155,6 +169,19 @@
         }
     }
 
+    /// Creates the fact that a request was in flight at a crash at a wall-clock time.
+    #[must_use]
+    pub fn crash(digest: Digest, crash: CrashId, is_cleared: bool, at_unix_ms: u64) -> Self {
+        Fact {
+            key: Key::Crash(digest, crash),
+            version: Version {
+                major: 0,
+                minor: u64::from(is_cleared),
+            },
+            value: Value::Crash { at_unix_ms },
+        }
+    }
+
     /// Returns the name and the member if the fact is about a node.
     #[must_use]
     pub fn as_member(&self) -> Option<(&CompactString, &Member)> {
@@ -174,6 +201,7 @@
             Value::Catalog(_) | Value::Placement(_) => None,
             Value::Report(_) | Value::Leaving => Some(self.version.major + RETENTION.0),
             Value::Poison => Some(self.version.major),
+            Value::Crash { at_unix_ms } => Some(at_unix_ms + EVIDENCE_LIFETIME.0),
         }
     }
 }
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -5,7 +5,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::poison::{Crash, Tracker, Verdict};
+use jackdaw_policy::poison::{Crash, Evidence, Tracker, Verdict};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
@@ -16,6 +16,8 @@
 enum Event {
     /// A crash with other requests in flight.
     Shared(u8),
+    /// A crash of always the same incarnation, with other requests in flight.
+    Repeated(u8),
     /// A crash while the request ran alone.
     Alone(u8),
     /// A complete answer.
@@ -24,26 +26,34 @@
     Minutes(u64),
 }
 
-use Event::{Alone, Answered, Minutes, Shared};
+use Event::{Alone, Answered, Minutes, Repeated, Shared};
 
 fn digest(number: u8) -> Digest {
     Digest::of(&[number])
 }
 
-fn crash(number: u8, alone: bool) -> Crash {
+/// Returns the crash of an incarnation of a server.
+fn crash(number: u8, incarnation: u64, alone: bool) -> Crash {
     Crash {
         digest: digest(number),
         server: "group".into(),
+        incarnation,
         alone,
     }
 }
 
 fn apply_events(tracker: &mut Tracker, events: &[Event]) -> Instant {
     let mut now = Instant(0);
-    for event in events {
+    for (step, event) in events.iter().enumerate() {
+        let incarnation = step as u64;
         match event {
-            Shared(number) => drop(tracker.record_crash(&crash(*number, false), now)),
-            Alone(number) => drop(tracker.record_crash(&crash(*number, true), now)),
+            Shared(number) => {
+                drop(tracker.record_crash(&crash(*number, incarnation, false), now));
+            }
+            Repeated(number) => {
+                drop(tracker.record_crash(&crash(*number, u64::MAX, false), now));
+            }
+            Alone(number) => drop(tracker.record_crash(&crash(*number, incarnation, true), now)),
             Answered(number) => drop(tracker.record_answer(&digest(*number))),
             Minutes(count) => {
                 now = now + Millis(MINUTE.0 * count);
@@ -67,6 +77,8 @@
 #[case::banned_at_first_crash_alone(&[Alone(1)], banned(10))]
 #[case::suspect_again(&[Shared(1), Shared(1)], Verdict::Suspect)]
 #[case::too_many_crashes(&[Shared(1), Shared(1), Shared(1)], banned(10))]
+#[case::copies_in_flight_at_one_crash(&[Repeated(1), Repeated(1), Repeated(1)], Verdict::Suspect)]
+#[case::copy_after_the_request_is_cleared(&[Repeated(1), Answered(1), Repeated(1)], Verdict::Clear)]
 #[case::crash_count_restarts_when_cleared(&[Shared(1), Shared(1), Answered(1), Shared(1)], Verdict::Suspect)]
 #[case::ban_expires(&[Alone(1), Minutes(10)], Verdict::Clear)]
 #[case::ban_in_force(&[Alone(1), Minutes(9)], banned(1))]
@@ -82,8 +94,8 @@
 fn ban_from_another_node_is_adopted_and_never_prolonged() {
     let mut first = Tracker::default();
     let mut second = Tracker::default();
-    first.record_crash(&crash(1, true), Instant(0));
-    second.record_crash(&crash(1, false), Instant(0));
+    first.record_crash(&crash(1, 1, true), Instant(0));
+    second.record_crash(&crash(1, 1, false), Instant(0));
     let later = Instant(0) + MINUTE;
     let published = first.current_ban(&digest(1), later).expect("a ban");
     assert!(second.adopt_ban(published, later).is_some());
@@ -101,6 +113,7 @@
         let crash = Crash {
             digest: Digest::of(&number.to_be_bytes()),
             server: "group".into(),
+            incarnation: 1,
             alone: false,
         };
         tracker.record_crash(&crash, Instant(number));
@@ -137,7 +150,7 @@
                         Verdict::Clear => drop(concurrent.insert(*number)),
                         Verdict::Suspect if *number == CRASHING => {
                             crashes += 1;
-                            tracker.record_crash(&crash(CRASHING, true), now);
+                            tracker.record_crash(&crash(CRASHING, step as u64, true), now);
                         }
                         Verdict::Suspect => drop(tracker.record_answer(&digest(*number))),
                         Verdict::Banned(_) => prop_assert_eq!(*number, CRASHING),
@@ -147,7 +160,7 @@
                 crashes += u32::from(crashed);
                 for number in concurrent {
                     if crashed {
-                        tracker.record_crash(&crash(number, false), now);
+                        tracker.record_crash(&crash(number, step as u64, false), now);
                     } else {
                         tracker.record_answer(&digest(number));
                     }
@@ -158,3 +171,93 @@
         })
         .expect("at most three crashes and no harmless request refused");
 }
+
+/// Evidence that reaches another node in some order.
+#[derive(Clone, Copy, Debug)]
+struct Exchange {
+    /// Incarnations that crash on the first and on the second node.
+    crashes: [&'static [u64]; 2],
+    /// Number of the crashes after which the first node sees a complete answer.
+    answered_after: Option<usize>,
+    is_banned: bool,
+}
+
+// Guards against nodes that count the crashes of one request each on its own.
+#[rstest]
+#[case::three_crashes_on_two_nodes(Exchange { crashes: [&[1, 2], &[3]], answered_after: None, is_banned: true })]
+#[case::one_crash_seen_by_both(Exchange { crashes: [&[1, 2], &[2]], answered_after: None, is_banned: false })]
+#[case::cleared_before_the_third(Exchange { crashes: [&[1, 2], &[3]], answered_after: Some(2), is_banned: false })]
+#[case::cleared_before_the_second(Exchange { crashes: [&[1, 2], &[3, 4]], answered_after: Some(1), is_banned: true })]
+fn nodes_agree_in_whatever_order_evidence_arrives(#[case] case: Exchange) {
+    let now = Instant(1_000);
+    let mut trackers = [Tracker::default(), Tracker::default()];
+    for (node, tracker) in trackers.iter_mut().enumerate() {
+        for (count, incarnation) in case.crashes[node].iter().enumerate() {
+            tracker.record_crash(&crash(1, *incarnation, false), now);
+            if node == 0 && case.answered_after == Some(count + 1) {
+                tracker.record_answer(&digest(1));
+            }
+        }
+    }
+    let evidence: Vec<Evidence> = trackers
+        .iter()
+        .flat_map(|tracker| tracker.evidence_on(&digest(1), now))
+        .collect();
+    for seed in 0..50 {
+        let mut shuffled = evidence.clone();
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        let mut third = Tracker::default();
+        for _ in 0..2 {
+            for evidence in &shuffled {
+                third.adopt_evidence(*evidence, now);
+            }
+        }
+        let is_banned = matches!(third.verdict(&digest(1), now), Verdict::Banned(_));
+        assert_eq!(is_banned, case.is_banned, "{case:?}, order {seed}");
+    }
+}
+
+// Guards against evidence that circulates between nodes without an end.
+#[test]
+fn evidence_does_not_outlive_its_crash_by_circulating() {
+    let mut first = Tracker::default();
+    let mut second = Tracker::default();
+    first.record_crash(&crash(1, 1, false), Instant(0));
+    for minute in 0..20 {
+        let now = Instant(0) + Millis(MINUTE.0 * minute);
+        for evidence in first.evidence_on(&digest(1), now) {
+            second.adopt_evidence(evidence, now);
+        }
+        for evidence in second.evidence_on(&digest(1), now) {
+            first.adopt_evidence(evidence, now);
+        }
+        first.expire(now);
+        second.expire(now);
+    }
+    assert!(first.is_empty() && second.is_empty());
+}
+
+/// A probable suspect and the servers that could take it.
+#[derive(Clone, Copy, Debug)]
+struct Spared {
+    crashes: u64,
+    sound_servers: usize,
+    waited: Millis,
+    may_run: bool,
+}
+
+// Guards against a suspect that costs a service its last server while the others are down.
+#[rstest]
+#[case::first_crash(Spared { crashes: 1, sound_servers: 1, waited: Millis(0), may_run: true })]
+#[case::last_server(Spared { crashes: 2, sound_servers: 1, waited: Millis(0), may_run: false })]
+#[case::another_server(Spared { crashes: 2, sound_servers: 2, waited: Millis(0), may_run: true })]
+#[case::after_the_others_had_time_to_return(Spared { crashes: 2, sound_servers: 1, waited: Millis::from_secs(10), may_run: true })]
+fn probable_suspect_is_kept_from_the_last_server(#[case] case: Spared) {
+    let mut tracker = Tracker::default();
+    for incarnation in 0..case.crashes {
+        tracker.record_crash(&crash(1, incarnation, false), Instant(0));
+    }
+    let suspicion = tracker.suspicion(&digest(1)).expect("a suspect");
+    let now = Instant(0) + case.waited;
+    assert_eq!(suspicion.may_run(case.sound_servers, now), case.may_run);
+}
