Refuse requests that end servers on the platform's path, on all nodes

What callers saw: a request that ends each server that runs it was forwarded anew for each of the caller's attempts, at every node, without an end; each time the requests beside it were cut off and the servers were away for seconds. Cause: the data path on the users' platform never asked policy::poison, which the product's own path has used since it was built. Class: a safeguard that is wired into one of two data paths only. Fix: the gateway records a closed connection before the first 0.2 s of output as a crash of that incarnation, looks up the verdict before each attempt, keeps suspects apart from each other, and refuses a banned request with the truth about whether it ran. Evidence and bans travel in datagrams of their own while there are any: news with each round, and at once from the second crash on; everything else once a second, for nodes that were cut off. Bans lie in the store under a lease of their length, written by a node that saw one of the crashes, and a node reads them before it says that it is ready. A node introduces itself in its first datagrams, since its peers read the registrations every 3 s only. The digest of a request is computed only while any request is suspected or banned. Ruled out: running a suspect alone at a group as entry does (a group serves the requests of all nodes, and holding 26 places free for one request refuses others); counting a crash after output has settled (requests beside the bad one would be refused).

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -128,7 +128,11 @@
     exchange: Exchange,
 ) -> Result<Option<BufferedAnswer>, Refusal> {
     let attempt = exchange.attempt();
-    let error = match read_answer(dispatch, exchange).await {
+    let answered = read_answer(dispatch, exchange).await;
+    if answered.is_ok() {
+        dispatch.record_survival();
+    }
+    let error = match answered {
         Ok(buffered) if is_retryable(buffered.status) && dispatch.can_fail_over() => {
             let detail = format!("the server answered with status {}", buffered.status);
             dispatch.fallback = Some(buffered);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,6 +23,7 @@
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Demand, Load};
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::poison::{self, Crash, OUTPUT_SETTLE_TIME, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
 use tokio::time;
@@ -57,6 +58,9 @@
 /// Time for which a target that was full gets new requests only if no other can take them; some of
 /// its requests end within that time.
 const FULL_AVOIDANCE_TIME: Millis = Millis(400);
+/// Delay after which a caller is asked to retry if no server can be spared for a request under which
+/// others ended; servers that ended are back after some seconds.
+const SPARED_RETRY_AFTER: Millis = Millis(2_000);
 /// Resolution of the node's clock.
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
@@ -172,6 +176,10 @@
     candidate_count: usize,
     /// Number of failed attempts.
     pub(crate) failures: u32,
+    /// Suspicion that the request ends servers.
+    suspicion: Option<Suspicion>,
+    /// Time of the first output of the attempt in progress.
+    output_since: Option<Instant>,
 }
 
 impl Dispatch {
@@ -191,6 +199,8 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
+            suspicion: None,
+            output_since: None,
         }
     }
 
@@ -201,6 +211,7 @@
     /// Returns a refusal if no further attempt is allowed or no server is available.
     pub(crate) async fn open(&mut self) -> Result<Exchange, Refusal> {
         loop {
+            self.check_poison()?;
             let key = self.choose_target()?;
             let target = self.node.targets.borrow().target(key);
             let mut attempt = Attempt {
@@ -215,13 +226,73 @@
         }
     }
 
+    /// Looks up whether the request ends servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if it does.
+    fn check_poison(&mut self) -> Result<(), Refusal> {
+        self.suspicion = None;
+        if self.node.poison.is_empty() {
+            return Ok(());
+        }
+        let digest = self.call.digest();
+        match self.node.poison.verdict(&digest, self.node.now()) {
+            poison::Verdict::Clear => Ok(()),
+            poison::Verdict::Suspect => {
+                self.suspicion = self.node.poison.suspicion(&digest);
+                Ok(())
+            }
+            poison::Verdict::Banned(remaining) => {
+                let detail = "servers ended under the same request".to_owned();
+                Err(self.refuse(Reason::Poison, remaining, detail))
+            }
+        }
+    }
+
+    /// Records output of the server, after which its end says nothing about this request.
+    pub(crate) fn record_output(&mut self) {
+        let now = self.node.now();
+        let since = *self.output_since.get_or_insert(now);
+        if now.since(since) >= OUTPUT_SETTLE_TIME {
+            self.record_survival();
+        }
+    }
+
+    /// Records that the server survived the request.
+    pub(crate) fn record_survival(&mut self) {
+        if self.suspicion.take().is_some() {
+            let digest = self.call.digest();
+            self.node.record_survival(&self.call.head.id, &digest);
+        }
+    }
+
+    /// Records a failed attempt as a crash if its server may have ended under the request.
+    fn record_crash(&self, error: &ExchangeFailure, attempt: &Attempt) {
+        let now = self.node.now();
+        let is_settled = self
+            .output_since
+            .is_some_and(|since| now.since(since) >= OUTPUT_SETTLE_TIME);
+        if error.fault != Fault::Closed || is_settled {
+            return;
+        }
+        let crash = Crash {
+            digest: self.call.digest(),
+            server: attempt.target.server.clone(),
+            incarnation: attempt.target.born,
+            // Engines batch the requests of all nodes, so a request is hardly ever alone.
+            alone: false,
+        };
+        self.node.record_crash(&self.call.head.id, &crash);
+    }
+
     /// Returns the target for the next attempt.
     fn choose_target(&mut self) -> Result<Key, Refusal> {
         if let Some(key) = self.reconnect_key.take() {
             return Ok(key);
         }
         let now = self.node.now();
-        let candidates = self.candidates();
+        let candidates = self.keep_apart(self.candidates());
         self.candidate_count = candidates.len();
         if candidates.is_empty() {
             let detail = match &self.call.head.model {
@@ -238,6 +309,14 @@
                 .map(|key| targets.load(*key, zone, now))
                 .collect()
         };
+        let sound = loads.iter().filter(|load| !load.suspect).count();
+        if self
+            .suspicion
+            .is_some_and(|suspicion| !suspicion.may_run(sound, now))
+        {
+            let detail = "servers ended under the same request, and no other can be spared";
+            return Err(self.refuse(Reason::Poison, SPARED_RETRY_AFTER, detail.to_owned()));
+        }
         let costs = self.costs(&loads)?;
         let mut random = fastrand::f64;
         match balance::choose(&costs, &mut random) {
@@ -254,6 +333,19 @@
         self.eligible_keys(&self.node.targets.borrow()).collect()
     }
 
+    /// Removes the targets where a suspect is in flight from which the request is to be kept apart,
+    /// unless none is left.
+    fn keep_apart(&self, candidates: Vec<Key>) -> Vec<Key> {
+        let targets = self.node.targets.borrow();
+        let own_crashes = self.suspicion.map_or(0, |suspicion| suspicion.crashes);
+        let apart: Vec<Key> = candidates
+            .iter()
+            .copied()
+            .filter(|key| !poison::is_kept_apart(own_crashes, targets.suspect_crashes(*key)))
+            .collect();
+        if apart.is_empty() { candidates } else { apart }
+    }
+
     /// Returns the targets that serve the request's model and may still be tried.
     fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
         let service = self.index.service(&self.call.service);
@@ -365,6 +457,7 @@
     }
 
     async fn send(&mut self, attempt: &mut Attempt) -> Result<Exchange, ExchangeFailure> {
+        self.output_since = None;
         let node = Rc::clone(&self.node);
         let is_once = !self.call.route.kind.is_repeatable();
         let address = attempt.target.address;
@@ -393,6 +486,7 @@
             attempt.key,
             u64::from(demand.prompt),
             u64::from(demand.output),
+            self.suspicion.map(|suspicion| suspicion.crashes),
         );
         let request = self.build_request(&attempt.target, left)?;
         let timeouts = self.first_timeouts();
@@ -643,6 +737,7 @@
             "candidates" => self.candidate_count,
             "delivered" => self.last_delivered,
             "verdict" => ?verdict);
+        self.record_crash(error, attempt);
         match verdict {
             Verdict::Reconnect => {
                 // A lost connection cannot be told from a stalled server, so the same server is
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod histograms;
 mod leader;
 mod peers;
+mod poison;
 mod refusal;
 mod relay;
 mod targets;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,6 +25,7 @@
 
 use crate::histograms::Histograms;
 use crate::options::Options;
+use crate::poison::Poison;
 use crate::targets::Targets;
 
 /// Age after which the registrations count as stale; a call for them waits for one second at most.
@@ -105,6 +106,7 @@
     pub(crate) state_changed: Notify,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) targets: Rc<RefCell<Targets>>,
+    pub(crate) poison: Poison,
     index: RefCell<Option<Rc<Index>>>,
     retry_budgets: RefCell<HashMap<CompactString, Rc<Budget>>>,
 }
@@ -114,6 +116,7 @@
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
+            poison: Poison::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
@@ -235,7 +238,10 @@
 
     /// Returns whether the node accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.index.borrow().is_some() && !self.is_fleet_empty()
+        !self.is_stopping.get()
+            && self.index.borrow().is_some()
+            && !self.is_fleet_empty()
+            && self.poison.is_restored()
     }
 
     fn is_fleet_empty(&self) -> bool {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use jackdaw_core::backend::{Membership, State};
 use jackdaw_core::errors::Result;
 use jackdaw_core::store::{Change, Entry, Lease, Transaction, Write};
+use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::peers::{LoadReport, Share};
 use prost::Message;
@@ -22,6 +23,7 @@
 
 use crate::follow::{self, Subscriber};
 use crate::node::Node;
+use crate::poison;
 
 /// Prefix of the nodes' registrations.
 const PREFIX: &str = "jackdawstair/nodes/";
@@ -42,6 +44,9 @@
 /// Time after a read of the servers' registrations in which server states from leaders are ignored;
 /// leaders read at about that interval and have nothing newer.
 const REGISTRATIONS_FRESH_FOR: Millis = Millis(400);
+/// Time after its start in which a node tells its address itself; the others read the registrations
+/// within that time.
+const INTRODUCTION_TIME: Millis = Millis(4_000);
 /// Number of nodes that get the loads in a round; at about 20 bytes per target a node sends less
 /// than 5 KB/s.
 const FANOUT: usize = 4;
@@ -76,6 +81,12 @@
     /// States of servers as known to the sender, which leads its zone.
     #[prost(message, repeated, tag = "7")]
     server_states: Vec<ServerState>,
+    /// Requests that end servers.
+    #[prost(message, optional, tag = "8")]
+    poison: Option<poison::Report>,
+    /// Address for datagrams to the sender; empty once the others know it from the store.
+    #[prost(string, tag = "9")]
+    address: String,
 }
 
 /// The state of a server as known to its zone's leader.
@@ -142,8 +153,20 @@
     };
     ntex::rt::spawn(follow::follow(Rc::clone(node), peer_addresses));
     ntex::rt::spawn(keep_registered(Rc::clone(node)));
-    ntex::rt::spawn(receive(Rc::clone(node), Rc::clone(&socket)));
-    ntex::rt::spawn(broadcast(Rc::clone(node), socket, addresses));
+    let peer_addresses = PeerAddresses {
+        node: Rc::clone(node),
+        addresses: Rc::clone(&addresses),
+    };
+    ntex::rt::spawn(receive(peer_addresses, Rc::clone(&socket)));
+    let sender = Sender {
+        node: Rc::clone(node),
+        socket,
+        addresses,
+        incarnation: fastrand::u64(..),
+        sequence: 0,
+        started_at: node.now(),
+    };
+    ntex::rt::spawn(broadcast(sender));
 }
 
 /// Keeps the addresses of the other nodes up to date with their registrations.
@@ -172,6 +195,22 @@
         }
     }
 
+    /// Adds a node that introduces itself and is not known from the store yet.
+    fn introduce(&self, name: &str, address: &str) {
+        let is_known = self.addresses.borrow().contains_key(name);
+        if is_known || name == self.node.options.node {
+            return;
+        }
+        match address.parse() {
+            Ok(address) => {
+                self.addresses.borrow_mut().insert(name.into(), address);
+                self.update_peer_count();
+            }
+            Err(error) => debug!(self.node.logger(), "address in a datagram cannot be parsed";
+                "peer" => name, "error" => %error),
+        }
+    }
+
     fn update_peer_count(&self) {
         let peers = self.addresses.borrow().len();
         self.node.peer_loads().borrow_mut().set_peer_count(peers);
@@ -260,7 +299,8 @@
     Ok(lease)
 }
 
-async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+async fn receive(peer_addresses: PeerAddresses, socket: Rc<UdpSocket>) {
+    let node = &peer_addresses.node;
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
         let len = match socket.recv(&mut buf).await {
@@ -273,15 +313,20 @@
         };
         match Datagram::decode(&buf[..len]) {
             Ok(mut datagram) => {
+                if !datagram.address.is_empty() {
+                    peer_addresses.introduce(&datagram.node, &datagram.address);
+                }
                 let server_states = std::mem::take(&mut datagram.server_states);
-                if server_states.is_empty() {
+                if let Some(report) = datagram.poison.take() {
+                    node.adopt_poison_report(&report);
+                } else if server_states.is_empty() {
                     node.peer_loads()
                         .borrow_mut()
                         .record(load_report(datagram), node.now());
                 } else if node.now().since(node.registrations_read_at.get())
                     > REGISTRATIONS_FRESH_FOR
                 {
-                    apply_server_states(&node, server_states);
+                    apply_server_states(node, server_states);
                 }
             }
             Err(error) => debug!(node.logger(), "datagram could not be decoded"; "error" => %error),
@@ -383,65 +428,108 @@
     }
 }
 
-async fn broadcast(node: Rc<Node>, socket: Rc<UdpSocket>, addresses: Addresses) {
-    let incarnation = fastrand::u64(..);
-    let mut sequence = 0;
-    loop {
-        time::sleep(SEND_INTERVAL.duration()).await;
-        sequence += 1;
-        let mut shares = node.targets.borrow().shares(node.now());
+/// Sends this node's datagrams, numbered in the order of sending.
+struct Sender {
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    addresses: Addresses,
+    incarnation: u64,
+    sequence: u64,
+    started_at: Instant,
+}
+
+impl Sender {
+    /// Returns the other nodes' addresses in random order.
+    fn recipients(&self) -> Vec<SocketAddr> {
+        let mut recipients: Vec<SocketAddr> = self.addresses.borrow().values().copied().collect();
+        fastrand::shuffle(&mut recipients);
+        recipients
+    }
+
+    /// Sends a datagram to recipients after it is completed with the sender's fields.
+    async fn send(&mut self, datagram: Datagram, recipients: &[SocketAddr]) {
+        self.sequence += 1;
+        let is_new = self.node.now().since(self.started_at) < INTRODUCTION_TIME;
+        let datagram = Datagram {
+            address: if is_new {
+                self.node.options.peers.to_string()
+            } else {
+                String::new()
+            },
+            node: self.node.options.node.to_string(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            zone: self.node.options.zone.to_string(),
+            sees_store: !self.node.has_stale_registrations(),
+            ..datagram
+        };
+        let bytes = datagram.encode_to_vec();
+        for recipient in recipients {
+            if let Err(error) = self.socket.send_to(&bytes, recipient).await {
+                debug!(self.node.logger(), "datagram could not be sent";
+                    "peer" => %recipient, "error" => %error);
+            }
+        }
+    }
+
+    async fn send_loads(&mut self, recipients: &[SocketAddr]) {
+        let mut shares = self.node.targets.borrow().shares(self.node.now());
         // Suspected targets and those with most requests are kept if not all fit.
         shares.sort_by_key(|(_, share)| std::cmp::Reverse((share.suspect, share.requests)));
         shares.truncate(MAX_DATAGRAM / MAX_LOAD_BYTES - 2);
-        let header = Datagram {
-            node: node.options.node.to_string(),
-            incarnation,
-            zone: node.options.zone.to_string(),
-            sees_store: !node.has_stale_registrations(),
-            ..Datagram::default()
-        };
+        let loads = shares.into_iter().map(|(target, share)| Load {
+            target,
+            requests: share.requests,
+            pending_prefill: share.unread,
+            suspect: share.suspect,
+        });
         let datagram = Datagram {
-            sequence,
-            loads: shares
-                .into_iter()
-                .map(|(target, share)| Load {
-                    target,
-                    requests: share.requests,
-                    pending_prefill: share.unread,
-                    suspect: share.suspect,
-                })
-                .collect(),
-            ..header.clone()
+            loads: loads.collect(),
+            ..Datagram::default()
         };
-        let mut recipients: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
-        fastrand::shuffle(&mut recipients);
-        send(&node, &socket, &datagram, recipients.iter().take(FANOUT)).await;
-        if node.is_leading.get() {
-            let server_states = server_states(&node);
-            for chunk in server_states.chunks(MAX_DATAGRAM / MAX_SERVER_STATE_BYTES) {
-                sequence += 1;
-                let datagram = Datagram {
-                    sequence,
-                    server_states: chunk.to_vec(),
-                    ..header.clone()
-                };
-                send(&node, &socket, &datagram, recipients.iter()).await;
-            }
+        self.send(datagram, recipients).await;
+    }
+
+    async fn send_server_states(&mut self, recipients: &[SocketAddr]) {
+        let server_states = server_states(&self.node);
+        for chunk in server_states.chunks(MAX_DATAGRAM / MAX_SERVER_STATE_BYTES) {
+            let datagram = Datagram {
+                server_states: chunk.to_vec(),
+                ..Datagram::default()
+            };
+            self.send(datagram, recipients).await;
+        }
+    }
+
+    async fn send_poison_report(&mut self, recipients: &[SocketAddr]) {
+        if let Some(report) = self.node.poison_report() {
+            let datagram = Datagram {
+                poison: Some(report),
+                ..Datagram::default()
+            };
+            self.send(datagram, recipients).await;
         }
     }
 }
 
-async fn send(
-    node: &Node,
-    socket: &UdpSocket,
-    datagram: &Datagram,
-    recipients: impl Iterator<Item = &SocketAddr>,
-) {
-    let bytes = datagram.encode_to_vec();
-    for recipient in recipients {
-        if let Err(error) = socket.send_to(&bytes, recipient).await {
-            debug!(node.logger(), "datagram could not be sent";
-                "peer" => %recipient, "error" => %error);
+async fn broadcast(mut sender: Sender) {
+    let node = Rc::clone(&sender.node);
+    let mut next_round = node.now() + SEND_INTERVAL;
+    loop {
+        let pause = next_round.since(node.now()).duration();
+        let urgent = node.poison.has_urgent_news.notified();
+        if time::timeout(pause, urgent).await.is_ok() {
+            let recipients = sender.recipients();
+            sender.send_poison_report(&recipients).await;
+            continue;
+        }
+        next_round = node.now() + SEND_INTERVAL;
+        let recipients = sender.recipients();
+        let few = &recipients[..recipients.len().min(FANOUT)];
+        sender.send_loads(few).await;
+        sender.send_poison_report(few).await;
+        if node.is_leading.get() {
+            sender.send_server_states(&recipients).await;
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/poison.rs
@@ -0,0 +1,472 @@
+//! Requests that end servers: what this node saw of them, and what the other nodes and the store tell.
+//!
+//! Evidence and bans travel with the datagrams between nodes. Bans are also kept in the store, so that
+//! they outlast all nodes; each node reads them once at its start.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::decision::Decision;
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::{Entry, Transaction, Write};
+use jackdaw_core::time::Instant;
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::backoff::Backoff;
+use jackdaw_policy::poison::{
+    BAN_DURATION, Ban, Crash, CrashId, Evidence, Suspicion, Tracker, Verdict,
+};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+use prost::Message;
+use slog::{info, warn};
+use tokio::sync::Notify;
+use tokio::time;
+
+use crate::node::Node;
+
+/// Prefix of the bans in the store.
+const PREFIX: &str = "jackdawstair/bans/";
+/// Shortest pause after a failed call of the store.
+const MIN_RETRY_DELAY: Millis = Millis(100);
+/// Longest pause after a failed call of the store.
+const MAX_RETRY_DELAY: Millis = Millis(2_000);
+/// Time for which a change is passed on with each round of datagrams; a round reaches few nodes, and
+/// those pass it on.
+const NEWS_TIME: Millis = Millis(1_500);
+/// Pause between two rounds that repeat what is not new, for nodes that have missed it.
+const REPEAT_INTERVAL: Millis = Millis(1_000);
+/// Largest number of suspects' crashes in a datagram with news.
+const MAX_NEWS: usize = 18;
+/// Largest number of suspects' crashes in a datagram without news.
+const MAX_REPEATED: usize = 6;
+/// Largest number of bans in a datagram.
+const MAX_BANS: usize = 8;
+/// Number of crashes from which all nodes are told at once.
+const URGENT_CRASHES: u32 = 2;
+
+/// Evidence on the wire.
+#[derive(Clone, PartialEq, Message)]
+struct EvidenceRecord {
+    /// Digest of the request.
+    #[prost(bytes, tag = "1")]
+    digest: Vec<u8>,
+    /// Identity of the crash.
+    #[prost(fixed64, tag = "2")]
+    crash: u64,
+    /// Whether the request is cleared of the crash.
+    #[prost(bool, tag = "3")]
+    is_cleared: bool,
+    /// Time since the crash in milliseconds.
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+}
+
+/// A ban on the wire.
+#[derive(Clone, PartialEq, Message)]
+struct BanRecord {
+    /// Digest of the request.
+    #[prost(bytes, tag = "1")]
+    digest: Vec<u8>,
+    /// Time in milliseconds for which the request is still refused.
+    #[prost(uint64, tag = "2")]
+    remaining_ms: u64,
+}
+
+/// What a node tells the others.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Report {
+    #[prost(message, repeated, tag = "1")]
+    evidence: Vec<EvidenceRecord>,
+    #[prost(message, repeated, tag = "2")]
+    bans: Vec<BanRecord>,
+}
+
+fn decode_digest(bytes: &[u8]) -> Option<Digest> {
+    bytes.try_into().ok().map(Digest)
+}
+
+impl From<Evidence> for EvidenceRecord {
+    fn from(evidence: Evidence) -> Self {
+        EvidenceRecord {
+            digest: evidence.digest.0.to_vec(),
+            crash: evidence.crash.0,
+            is_cleared: evidence.is_cleared,
+            age_ms: evidence.age.0,
+        }
+    }
+}
+
+impl EvidenceRecord {
+    fn decode(&self) -> Option<Evidence> {
+        Some(Evidence {
+            digest: decode_digest(&self.digest)?,
+            crash: CrashId(self.crash),
+            is_cleared: self.is_cleared,
+            age: Millis(self.age_ms),
+        })
+    }
+}
+
+impl From<Ban> for BanRecord {
+    fn from(ban: Ban) -> Self {
+        BanRecord {
+            digest: ban.digest.0.to_vec(),
+            remaining_ms: ban.remaining.0,
+        }
+    }
+}
+
+impl BanRecord {
+    fn decode(&self) -> Option<Ban> {
+        Some(Ban {
+            digest: decode_digest(&self.digest)?,
+            remaining: Millis(self.remaining_ms),
+        })
+    }
+}
+
+/// Where a node learned that a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Crashes,
+    Peer,
+    Store,
+}
+
+impl Source {
+    fn label(self) -> &'static str {
+        match self {
+            Source::Crashes => "crashes",
+            Source::Peer => "peer",
+            Source::Store => "store",
+        }
+    }
+}
+
+/// What a node knows of requests that end servers.
+pub(crate) struct Poison {
+    tracker: RefCell<Tracker>,
+    /// Digests of which something changed lately, with the times.
+    news: RefCell<HashMap<Digest, Instant>>,
+    repeated_at: Cell<Instant>,
+    /// Bans that are not in the store yet.
+    unsaved: RefCell<Vec<Digest>>,
+    has_unsaved: Notify,
+    /// Notified when all nodes are to be told at once.
+    pub(crate) has_urgent_news: Notify,
+    is_restored: Cell<bool>,
+    crashes: Counter<u64>,
+    bans: Counter<u64>,
+}
+
+impl fmt::Debug for Poison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Poison").finish_non_exhaustive()
+    }
+}
+
+impl Poison {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Poison {
+            tracker: RefCell::default(),
+            news: RefCell::default(),
+            repeated_at: Cell::default(),
+            unsaved: RefCell::default(),
+            has_unsaved: Notify::new(),
+            has_urgent_news: Notify::new(),
+            is_restored: Cell::new(false),
+            crashes: meter
+                .u64_counter("jackdawstair_crashes")
+                .with_description("Requests whose server ended before it began to answer them.")
+                .build(),
+            bans: meter
+                .u64_counter("jackdawstair_bans")
+                .with_description("Requests refused from then on, by how the node learned it.")
+                .build(),
+        }
+    }
+
+    /// Returns whether the bans in the store have been read.
+    pub(crate) fn is_restored(&self) -> bool {
+        self.is_restored.get()
+    }
+
+    /// Returns whether no request has a verdict, so that no digest need be computed.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tracker.borrow().is_empty()
+    }
+
+    /// Returns the verdict on a request.
+    pub(crate) fn verdict(&self, digest: &Digest, now: Instant) -> Verdict {
+        self.tracker.borrow().verdict(digest, now)
+    }
+
+    /// Returns the suspicion of a request, if it is a suspect.
+    pub(crate) fn suspicion(&self, digest: &Digest) -> Option<Suspicion> {
+        self.tracker.borrow().suspicion(digest)
+    }
+
+    /// Returns what the other nodes are to be told in this round, or `None` if there is nothing.
+    fn report(&self, now: Instant) -> Option<Report> {
+        let tracker = self.tracker.borrow();
+        let mut news = self.news.borrow_mut();
+        news.retain(|_, changed_at| now.since(*changed_at) < NEWS_TIME);
+        let is_repeating = now.since(self.repeated_at.get()) >= REPEAT_INTERVAL;
+        if news.is_empty() && !is_repeating {
+            return None;
+        }
+        self.repeated_at.set(now);
+        let (mut digests, limit): (Vec<Digest>, usize) = if news.is_empty() {
+            (tracker.open_suspects().copied().collect(), MAX_REPEATED)
+        } else {
+            (news.keys().copied().collect(), MAX_NEWS)
+        };
+        fastrand::shuffle(&mut digests);
+        let crashes = |digest: &Digest| {
+            let suspicion = tracker.suspicion(digest);
+            suspicion.map_or(0, |suspicion| suspicion.crashes)
+        };
+        digests.sort_by_key(|digest| std::cmp::Reverse(crashes(digest)));
+        let evidence = digests
+            .iter()
+            .flat_map(|digest| tracker.evidence_on(digest, now));
+        let mut bans: Vec<Ban> = tracker.bans(now).collect();
+        fastrand::shuffle(&mut bans);
+        bans.sort_by_key(|ban| !news.contains_key(&ban.digest));
+        let report = Report {
+            evidence: evidence.take(limit).map(EvidenceRecord::from).collect(),
+            bans: bans
+                .into_iter()
+                .take(MAX_BANS)
+                .map(BanRecord::from)
+                .collect(),
+        };
+        (report != Report::default()).then_some(report)
+    }
+}
+
+impl Node {
+    /// Records that a server ended before it began to answer a request.
+    pub(crate) fn record_crash(&self, request: &str, crash: &Crash) {
+        let poison = &self.poison;
+        poison.crashes.add(1, &[]);
+        let now = self.now();
+        let decision = poison.tracker.borrow_mut().record_crash(crash, now);
+        let Some(decision) = decision else {
+            return;
+        };
+        info!(self.logger(), "server ended under a request";
+            "request" => request,
+            "digest" => %crash.digest.prefix(),
+            "server" => %crash.server,
+            "incarnation" => crash.incarnation,
+            "cause" => %decision.cause,
+            "outcome" => %decision.taken);
+        poison.news.borrow_mut().insert(crash.digest, now);
+        let suspicion = poison.suspicion(&crash.digest);
+        if suspicion.is_some_and(|suspicion| suspicion.crashes >= URGENT_CRASHES) {
+            poison.has_urgent_news.notify_one();
+        }
+        self.handle_ban(&crash.digest, Source::Crashes);
+    }
+
+    /// Records that a server answered a request.
+    pub(crate) fn record_survival(&self, request: &str, digest: &Digest) {
+        let decision = self.poison.tracker.borrow_mut().record_answer(digest);
+        if let Some(decision) = decision {
+            info!(self.logger(), "request is no longer suspected";
+                "request" => request,
+                "digest" => %digest.prefix(),
+                "cause" => %decision.cause);
+            self.poison.news.borrow_mut().insert(*digest, self.now());
+        }
+    }
+
+    /// Returns what the other nodes are to be told in this round, or `None` if there is nothing.
+    pub(crate) fn poison_report(&self) -> Option<Report> {
+        let now = self.now();
+        self.poison.tracker.borrow_mut().expire(now);
+        self.poison.report(now)
+    }
+
+    /// Adopts what another node told.
+    pub(crate) fn adopt_poison_report(&self, report: &Report) {
+        for ban in report.bans.iter().filter_map(BanRecord::decode) {
+            self.adopt_ban(ban, Source::Peer);
+        }
+        for evidence in report.evidence.iter().filter_map(EvidenceRecord::decode) {
+            let now = self.now();
+            let decision = {
+                let mut tracker = self.poison.tracker.borrow_mut();
+                tracker.adopt_evidence(evidence, now)
+            };
+            if let Some(decision) = decision {
+                self.record_learned(&evidence.digest, &decision);
+                self.handle_ban(&evidence.digest, Source::Crashes);
+            }
+        }
+    }
+
+    fn adopt_ban(&self, ban: Ban, source: Source) {
+        let now = self.now();
+        let decision = self.poison.tracker.borrow_mut().adopt_ban(ban, now);
+        if decision.is_some() {
+            self.record_ban(&ban, source);
+        }
+    }
+
+    fn record_learned(&self, digest: &Digest, decision: &Decision) {
+        info!(self.logger(), "another node tells of a request and a server's end";
+            "digest" => %digest.prefix(),
+            "cause" => %decision.cause,
+            "outcome" => %decision.taken);
+        self.poison.news.borrow_mut().insert(*digest, self.now());
+    }
+
+    /// Records a ban that follows from crashes, and has it saved by the nodes that saw one of them.
+    fn handle_ban(&self, digest: &Digest, source: Source) {
+        let poison = &self.poison;
+        let ban = poison.tracker.borrow().current_ban(digest, self.now());
+        let Some(ban) = ban else {
+            return;
+        };
+        self.record_ban(&ban, source);
+        if poison.tracker.borrow().is_seen_here(digest) {
+            poison.unsaved.borrow_mut().push(*digest);
+            poison.has_unsaved.notify_one();
+        }
+        poison.has_urgent_news.notify_one();
+    }
+
+    fn record_ban(&self, ban: &Ban, source: Source) {
+        let label = KeyValue::new("source", source.label());
+        self.poison.bans.add(1, &[label]);
+        self.poison.news.borrow_mut().insert(ban.digest, self.now());
+        warn!(self.logger(), "request is refused from now on: servers ended under it";
+            "digest" => %ban.digest.prefix(),
+            "source" => source.label(),
+            "remaining_ms" => ban.remaining.0);
+    }
+}
+
+/// Starts the tasks that read the bans from the store and write new ones to it.
+pub(crate) fn start(node: &Rc<Node>) {
+    ntex::rt::spawn(restore(Rc::clone(node)));
+    ntex::rt::spawn(save(Rc::clone(node)));
+}
+
+/// Reads the bans that are in the store.
+async fn restore(node: Rc<Node>) {
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    let mut random = fastrand::Rng::new();
+    loop {
+        match read_bans(&node).await {
+            Ok(bans) => {
+                for ban in bans {
+                    node.adopt_ban(ban, Source::Store);
+                }
+                node.poison.is_restored.set(true);
+                return;
+            }
+            Err(error) => {
+                warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
+                time::sleep(backoff.next_pause(&mut random).duration()).await;
+            }
+        }
+    }
+}
+
+async fn read_bans(node: &Node) -> Result<Vec<Ban>> {
+    let mut entries: Vec<Entry> = Vec::new();
+    loop {
+        let last = entries.last().map(|entry| entry.key.clone());
+        let page = node.parts.change_feed.page(PREFIX, last.as_deref()).await?;
+        let has_more = page.more && !page.entries.is_empty();
+        entries.extend(page.entries);
+        if !has_more {
+            break;
+        }
+    }
+    let unix_ms = node.parts.clock.unix_millis();
+    let bans = entries
+        .iter()
+        .filter_map(|entry| match decode_ban(entry, unix_ms) {
+            Ok(ban) => Some(ban),
+            Err(error) => {
+                warn!(node.logger(), "ban in the store cannot be decoded"; "error" => %error);
+                None
+            }
+        });
+    Ok(bans.collect())
+}
+
+fn decode_ban(entry: &Entry, unix_ms: u64) -> Result<Ban> {
+    let malformed = |reason: &str| Error::malformed("read ban", &entry.key, reason);
+    let digest = entry
+        .key
+        .strip_prefix(PREFIX)
+        .and_then(|digest| digest.parse().ok())
+        .ok_or_else(|| malformed("the key holds no digest"))?;
+    let until_unix_ms: u64 = std::str::from_utf8(&entry.value)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| malformed("the value is no time"))?;
+    Ok(Ban {
+        digest,
+        remaining: Millis(until_unix_ms.saturating_sub(unix_ms)),
+    })
+}
+
+/// Writes new bans to the store until the node stops.
+async fn save(node: Rc<Node>) {
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    let mut random = fastrand::Rng::new();
+    loop {
+        let next = node.poison.unsaved.borrow().first().copied();
+        let Some(digest) = next else {
+            node.poison.has_unsaved.notified().await;
+            continue;
+        };
+        let ban = {
+            let tracker = node.poison.tracker.borrow();
+            tracker.current_ban(&digest, node.now())
+        };
+        let result = match ban {
+            Some(ban) => write_ban(&node, &ban).await,
+            None => Ok(()),
+        };
+        match result {
+            Ok(()) => {
+                node.poison.unsaved.borrow_mut().remove(0);
+                backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+            }
+            Err(error) => {
+                warn!(node.logger(), "ban cannot be written to the store"; "error" => %error);
+                time::sleep(backoff.next_pause(&mut random).duration()).await;
+            }
+        }
+    }
+}
+
+/// Writes a ban under a lease that removes it when it has ended.
+async fn write_ban(node: &Node, ban: &Ban) -> Result<()> {
+    let store = &node.parts.store;
+    let lease = store.grant(BAN_DURATION).await?;
+    let until_unix_ms = node.parts.clock.unix_millis() + ban.remaining.0;
+    let key: CompactString = format_compact!("{PREFIX}{}", ban.digest);
+    let put = Write::Put {
+        key,
+        value: until_unix_ms.to_string().into_bytes(),
+        lease: Some(lease),
+    };
+    let transaction = Transaction {
+        then: vec![put],
+        ..Transaction::default()
+    };
+    store.commit(transaction).await?;
+    Ok(())
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -171,6 +171,7 @@
                     return Ok(Some(event));
                 }
                 Ok(None) => {
+                    self.dispatch.record_survival();
                     let headers = exchange.answer.headers().clone();
                     self.dispatch.keep_connection(exchange.connection, &headers);
                     return Ok(None);
@@ -261,6 +262,7 @@
         let now = self.dispatch.node.now();
         self.last_activity = now;
         exchange.reservation.advance(now);
+        self.dispatch.record_output();
     }
 
     /// Records an event as delivered and returns whether it is new to the caller.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -131,6 +131,7 @@
         "zone" => %node.options.zone, "callers" => %node.options.callers);
     follow::start(&node);
     crate::peers::start(&node, peers);
+    crate::poison::start(&node);
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept_connections(
         Rc::clone(&node),
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -33,6 +33,8 @@
     cached_tokens: u64,
     last_progress: Instant,
     avoided_until: Option<Instant>,
+    /// Numbers of crashes of the suspects in flight that have not begun to be answered.
+    suspect_crashes: Vec<u32>,
 }
 
 impl Slot {
@@ -102,6 +104,7 @@
             cached_tokens: 0,
             last_progress: now,
             avoided_until: None,
+            suspect_crashes: Vec::new(),
         };
         let unused =
             self.slots.iter().enumerate().position(|(idx, slot)| {
@@ -152,6 +155,13 @@
         self.slot(key).is_serving
     }
 
+    /// Returns the largest number of crashes among the suspects that this node has in flight at a
+    /// target and that have not begun to be answered.
+    pub(crate) fn suspect_crashes(&self, key: Key) -> u32 {
+        let crashes = self.slot(key).suspect_crashes.iter();
+        crashes.max().copied().unwrap_or_default()
+    }
+
     /// Returns a target's load from this node and the others.
     pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Load {
         let slot = self.slot(key);
@@ -222,19 +232,24 @@
     pending_prefill: u64,
     cached_tokens: u64,
     is_streaming: bool,
+    /// Number of crashes of a suspect that has not begun to be answered.
+    suspect_crashes: Option<u32>,
 }
 
 impl Reservation {
-    /// Adds a request with its prompt and output tokens to a target's load.
+    /// Adds a request with its prompt and output tokens to a target's load; a suspect states its
+    /// number of crashes.
     pub(crate) fn acquire(
         targets: &Rc<RefCell<Targets>>,
         key: Key,
         prompt: u64,
         output: u64,
+        suspect_crashes: Option<u32>,
     ) -> Reservation {
         {
             let mut targets = targets.borrow_mut();
             let slot = targets.slot_mut(key);
+            slot.suspect_crashes.extend(suspect_crashes);
             slot.requests += 1;
             slot.pending_prefill += prompt;
             slot.cached_tokens += prompt + output;
@@ -245,6 +260,7 @@
             pending_prefill: prompt,
             cached_tokens: prompt + output,
             is_streaming: false,
+            suspect_crashes,
         }
     }
 
@@ -257,10 +273,22 @@
             let slot = targets.slot_mut(self.key);
             slot.streams += 1;
             slot.pending_prefill -= std::mem::take(&mut self.pending_prefill);
+            release_suspect(slot, self.suspect_crashes.take());
         }
     }
 }
 
+/// Removes a suspect from a target's suspects in flight.
+fn release_suspect(slot: &mut Slot, crashes: Option<u32>) {
+    let position = crashes.and_then(|crashes| {
+        let mut suspects = slot.suspect_crashes.iter();
+        suspects.position(|suspect| *suspect == crashes)
+    });
+    if let Some(position) = position {
+        slot.suspect_crashes.swap_remove(position);
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut targets = self.targets.borrow_mut();
@@ -269,5 +297,6 @@
         slot.streams -= u32::from(self.is_streaming);
         slot.pending_prefill -= self.pending_prefill;
         slot.cached_tokens -= self.cached_tokens;
+        release_suspect(slot, self.suspect_crashes);
     }
 }
