Do not count servers that ended against a stream's attempts

What callers saw: a stream that had run on two servers that ended under another request was broken off, although other servers could resume it. Fix: if a connection closes after the second event, the node looks whether the server's incarnation is still registered and accepts a connection; if not, the attempt doesn't count. A server that ends earlier still counts: the request may be to blame. Output settles with the second event, no longer after 0.2 s, since time says nothing about the number of steps that a server has run. Ruled out: exempting each closed connection, since a server that resets connections or breaks answers off lives.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -141,7 +141,7 @@
         Ok(buffered) => return Ok(Some(buffered)),
         Err(error) => error,
     };
-    match dispatch.record_failure(&error, &attempt) {
+    match dispatch.record_failure(&error, &attempt).await {
         Ok(()) => Ok(None),
         Err(refusal) => match dispatch.fallback.take() {
             Some(buffered) => Ok(Some(buffered)),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,7 +23,7 @@
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Demand, Load};
 use jackdaw_policy::fleet::Target;
-use jackdaw_policy::poison::{self, Crash, OUTPUT_SETTLE_TIME, Suspicion};
+use jackdaw_policy::poison::{self, Crash, SETTLED_EVENTS, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
 use tokio::time;
@@ -178,8 +178,8 @@
     pub(crate) failures: u32,
     /// Suspicion that the request ends servers.
     suspicion: Option<Suspicion>,
-    /// Time of the first output of the attempt in progress.
-    output_since: Option<Instant>,
+    /// Number of events that the server of the attempt in progress has sent.
+    events: u32,
 }
 
 impl Dispatch {
@@ -200,7 +200,7 @@
             candidate_count: 0,
             failures: 0,
             suspicion: None,
-            output_since: None,
+            events: 0,
         }
     }
 
@@ -221,7 +221,7 @@
             };
             match self.send(&mut attempt).await {
                 Ok(exchange) => return Ok(exchange),
-                Err(error) => self.record_failure(&error, &attempt)?,
+                Err(error) => self.record_failure(&error, &attempt).await?,
             }
         }
     }
@@ -250,15 +250,19 @@
         }
     }
 
-    /// Records output of the server, after which its end says nothing about this request.
-    pub(crate) fn record_output(&mut self) {
-        let now = self.node.now();
-        let since = *self.output_since.get_or_insert(now);
-        if now.since(since) >= OUTPUT_SETTLE_TIME {
+    /// Records an event of the server.
+    pub(crate) fn record_event(&mut self) {
+        self.events = self.events.saturating_add(1);
+        if self.is_settled() {
             self.record_survival();
         }
     }
 
+    /// Returns whether the end of the server would say nothing about this request.
+    fn is_settled(&self) -> bool {
+        self.events >= SETTLED_EVENTS
+    }
+
     /// Records that the server survived the request.
     pub(crate) fn record_survival(&mut self) {
         if self.suspicion.take().is_some() {
@@ -269,11 +273,7 @@
 
     /// Records a failed attempt as a crash if its server may have ended under the request.
     fn record_crash(&self, error: &ExchangeFailure, attempt: &Attempt) {
-        let now = self.node.now();
-        let is_settled = self
-            .output_since
-            .is_some_and(|since| now.since(since) >= OUTPUT_SETTLE_TIME);
-        if error.fault != Fault::Closed || is_settled {
+        if error.fault != Fault::Closed || self.is_settled() {
             return;
         }
         let crash = Crash {
@@ -286,6 +286,16 @@
         self.node.record_crash(&self.call.head.id, &crash);
     }
 
+    /// Returns whether the server of a failed attempt has ended after it had begun to answer; if its
+    /// registration does not tell, it is asked for a connection.
+    async fn has_server_ended(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
+        if error.fault != Fault::Closed || !self.is_settled() {
+            return false;
+        }
+        let is_replaced = !self.node.targets.borrow().is_listed(&attempt.target);
+        is_replaced || self.node.pool.open(attempt.target.address).await.is_err()
+    }
+
     /// Returns the target for the next attempt.
     fn choose_target(&mut self) -> Result<Key, Refusal> {
         if let Some(key) = self.reconnect_key.take() {
@@ -457,7 +467,7 @@
     }
 
     async fn send(&mut self, attempt: &mut Attempt) -> Result<Exchange, ExchangeFailure> {
-        self.output_since = None;
+        self.events = 0;
         let node = Rc::clone(&self.node);
         let is_once = !self.call.route.kind.is_repeatable();
         let address = attempt.target.address;
@@ -698,11 +708,12 @@
     /// # Errors
     ///
     /// Returns the refusal for the caller if the request is given up.
-    pub(crate) fn record_failure(
+    pub(crate) async fn record_failure(
         &mut self,
         error: &ExchangeFailure,
         attempt: &Attempt,
     ) -> Result<(), Refusal> {
+        let has_server_ended = self.has_server_ended(error, attempt).await;
         let now = self.node.now();
         self.failures += 1;
         let failure = Failure {
@@ -714,6 +725,7 @@
             } else {
                 retry::Connection::Used
             },
+            has_server_ended,
         };
         if matches!(error.fault, Fault::Silent | Fault::Unreachable) {
             self.node.pool.close_idle(attempt.target.address);
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -259,16 +259,18 @@
         let Some(decision) = decision else {
             return;
         };
+        let crashes = poison
+            .suspicion(&crash.digest)
+            .map_or(0, |suspicion| suspicion.crashes);
         info!(self.logger(), "server ended under a request";
             "request" => request,
             "digest" => %crash.digest.prefix(),
             "server" => %crash.server,
             "incarnation" => crash.incarnation,
             "cause" => %decision.cause,
-            "outcome" => %decision.taken);
+            "crashes" => crashes);
         poison.news.borrow_mut().insert(crash.digest, now);
-        let suspicion = poison.suspicion(&crash.digest);
-        if suspicion.is_some_and(|suspicion| suspicion.crashes >= URGENT_CRASHES) {
+        if crashes >= URGENT_CRASHES {
             poison.has_urgent_news.notify_one();
         }
         self.handle_ban(&crash.digest, Source::Crashes);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -179,7 +179,7 @@
                 Err(error) => {
                     drop(exchange);
                     self.splitter = Splitter::default();
-                    self.dispatch.record_failure(&error, &attempt)?;
+                    self.dispatch.record_failure(&error, &attempt).await?;
                 }
             }
         }
@@ -201,7 +201,7 @@
             let detail = format!("status {} in place of a stream", exchange.answer.status());
             let error = ExchangeFailure::invalid(detail);
             drop(exchange);
-            self.dispatch.record_failure(&error, &attempt)?;
+            self.dispatch.record_failure(&error, &attempt).await?;
         }
     }
 
@@ -215,6 +215,7 @@
                 .next()
                 .map_err(|_| ExchangeFailure::invalid("an event is too large"))?;
             if let Some(event) = next {
+                self.dispatch.record_event();
                 if self.accept_event(&event)? {
                     return Ok(Some(event));
                 }
@@ -262,7 +263,6 @@
         let now = self.dispatch.node.now();
         self.last_activity = now;
         exchange.reservation.advance(now);
-        self.dispatch.record_output();
     }
 
     /// Records an event as delivered and returns whether it is new to the caller.
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -150,6 +150,13 @@
         Rc::clone(&self.slot(key).target)
     }
 
+    /// Returns whether a target of this incarnation is registered.
+    pub(crate) fn is_listed(&self, target: &Target) -> bool {
+        self.slots
+            .iter()
+            .any(|slot| slot.is_serving && is_same_target(&slot.target, target))
+    }
+
     /// Returns whether a target still serves.
     pub(crate) fn is_serving(&self, key: Key) -> bool {
         self.slot(key).is_serving
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -22,9 +22,9 @@
 pub const BAN_DURATION: Millis = Millis::from_secs(10 * 60);
 /// Time for which a crash counts as evidence.
 pub const EVIDENCE_LIFETIME: Millis = Millis::from_secs(10 * 60);
-/// Time from a server's first output on, after which its crash says nothing about the request: a
-/// request that crashes servers does so when it begins to run.
-pub const OUTPUT_SETTLE_TIME: Millis = Millis(200);
+/// Number of events from which a server's crash says nothing about the request: a request that
+/// crashes servers does so when it begins to run, and the server has run it for several steps.
+pub const SETTLED_EVENTS: u32 = 2;
 /// Number of crashes after which a digest is banned even if it never ran alone.
 const MAX_CRASHES: u32 = 3;
 /// Number of crashes from which a suspect is kept away from the last server of a service, and all
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -146,6 +146,9 @@
     pub fault: Fault,
     /// Kind of the connection.
     pub connection: Connection,
+    /// Whether the server has ended after it had begun to answer. Such an attempt does not count
+    /// against the number of servers, since the request is not to blame for it.
+    pub has_server_ended: bool,
 }
 
 impl Failure {
@@ -289,7 +292,7 @@
     /// A retry is taken from the budget.
     pub fn record_failure(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
         self.attempts += 1;
-        if failure.fault != Fault::Unreachable {
+        if failure.fault != Fault::Unreachable && !failure.has_server_ended {
             self.sent += 1;
         }
         self.furthest = self.furthest.max(failure.step);
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -56,6 +56,7 @@
         step,
         fault,
         connection,
+        has_server_ended: false,
     }
 }
 
@@ -218,6 +219,28 @@
     assert!(retries <= 1_000 / 5 + reserve as usize, "{retries}");
 }
 
+// Guards against a stream that is given up because servers ended beside it.
+#[rstest]
+#[case::two_servers_ended(true, Verdict::Elsewhere)]
+#[case::two_servers_failed_it(false, Verdict::GiveUp(Cause::Attempts))]
+fn servers_that_ended_do_not_count_against_the_limit(
+    #[case] has_server_ended: bool,
+    #[case] verdict: Verdict,
+) {
+    let mut request = Request::new(true, DEADLINE).with_limit(2);
+    let budget = Budget::default();
+    for server in ["a", "b"] {
+        let failure = Failure {
+            has_server_ended,
+            ..failure(server, Step::Answering, Fault::Closed, Connection::New)
+        };
+        let last = request.record_failure(&failure, &budget, Instant(0));
+        if server == "b" {
+            assert_eq!(last, verdict);
+        }
+    }
+}
+
 fn failures() -> impl Strategy<Value = Vec<Failure>> {
     let steps = prop::sample::select(vec![Step::Connecting, Step::Written, Step::Answering]);
     let faults = prop::sample::select(Fault::ALL.to_vec());
