Begin each node's retry budget with a part that all nodes can afford

Cause: each start began with a full budget, also where the node had just spent one, and a node that knew no others divided the allowance by six. Class: a limit for all nodes that is kept per process. Fix: nodes share 70% of the allowance for their run and 15% for each start, and a node that has not read its peers' registrations begins with nothing. Two starts of all nodes and what they held before fit the allowance. Ruled out: an empty budget at each start, which refuses the first failures of services with few requests.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,7 +18,7 @@
 use jackdaw_link::pool::{self, Pool};
 use jackdaw_policy::fleet::Fleet;
 use jackdaw_policy::peers::PeerLoads;
-use jackdaw_policy::retry::Budget;
+use jackdaw_policy::retry::{self, Budget};
 use opentelemetry::metrics::Meter;
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -31,12 +31,8 @@
 /// Age after which the registrations count as stale; a call for them waits for one second at most.
 const REGISTRATIONS_STALE_AFTER: Millis = Millis(1_800);
 
-/// Percentage of the configured retry limit that the nodes divide among them; the rest covers nodes
-/// that do not know each other yet.
-const RETRY_SHARE_PERCENT: u32 = 80;
-/// Smallest number of nodes by which the retry limit is divided; a node that knows no others yet is
-/// usually not the only one.
-const MIN_RETRY_NODES: usize = 6;
+/// Retries that each request allows beyond the limit.
+const RETRY_RATIO: f64 = 0.2;
 
 /// Time for which a change is sent to other nodes; several rounds of datagrams, since any of them
 /// may be lost.
@@ -95,6 +91,8 @@
     pub(crate) registrations_read_at: Cell<Instant>,
     /// Whether this node leads its zone while the store is unavailable.
     pub(crate) in_grace_period: Cell<bool>,
+    /// Whether the registrations of the other nodes have been read.
+    pub(crate) knows_peers: Cell<bool>,
     /// Whether this node leads its zone.
     pub(crate) is_leading: Cell<bool>,
     /// Servers whose state has changed, with the times of the changes.
@@ -125,6 +123,7 @@
             has_traffic: Cell::new(false),
             registrations_read_at: Cell::default(),
             in_grace_period: Cell::new(false),
+            knows_peers: Cell::new(false),
             is_leading: Cell::new(false),
             changed_servers: RefCell::default(),
             dead_servers: RefCell::default(),
@@ -209,18 +208,20 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Returns this node's share of the retry limit that applies to all nodes together.
-    fn retry_limit(&self) -> u32 {
-        let nodes = self.peer_loads().borrow().node_count().max(MIN_RETRY_NODES);
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-        (self.options.retries * RETRY_SHARE_PERCENT / 100 / nodes).max(1)
+    /// Returns this node's share of the retries that all nodes together may make.
+    fn retry_share(&self) -> retry::Share {
+        let nodes = self.peer_loads().borrow().node_count();
+        retry::Share::new(
+            self.options.retries,
+            self.knows_peers.get().then_some(nodes),
+        )
     }
 
     /// Adjusts all retry budgets to a changed number of nodes.
     pub(crate) fn update_retry_limits(&self) {
-        let limit = self.retry_limit();
+        let share = self.retry_share();
         for budget in self.retry_budgets.borrow().values() {
-            budget.set_limit(limit);
+            budget.set_limit(share.limit);
         }
     }
 
@@ -229,7 +230,7 @@
         if let Some(budget) = self.retry_budgets.borrow().get(service) {
             return Rc::clone(budget);
         }
-        let budget = Rc::new(Budget::new(self.retry_limit()));
+        let budget = Rc::new(Budget::new(self.retry_share(), RETRY_RATIO));
         self.retry_budgets
             .borrow_mut()
             .insert(service.into(), Rc::clone(&budget));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -238,6 +238,7 @@
     }
 
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        self.node.knows_peers.set(true);
         self.addresses.borrow_mut().clear();
         for entry in &entries {
             self.insert(entry);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -13,54 +13,94 @@
 
 /// Largest number of attempts for one request.
 const MAX_ATTEMPTS: u32 = 4;
-/// Cost of one retry, in tenths of a retry.
-const RETRY_COST: u32 = 10;
-/// Amount that each request adds to the budget, in tenths of a retry: one retry per five requests.
-const DEPOSIT: u32 = 2;
-/// Largest balance, in tenths of a retry: 20 retries at once.
-const MAX_BALANCE: u32 = 20 * RETRY_COST;
-
-/// Retry budget of a team.
+/// Cost of one retry, in thousandths of a retry.
+const RETRY_COST: u32 = 1_000;
+/// Retries that each request adds to the budget if nothing else is configured.
+const DEFAULT_RATIO: f64 = 0.2;
+/// Largest number of retries at once if nothing else is configured.
+const DEFAULT_LIMIT: u32 = 20;
+/// Percentage of a limit for all nodes that the nodes divide among them for their whole run.
+const RUNNING_PERCENT: u32 = 70;
+/// Percentage of a limit for all nodes that the nodes divide among them for each of their starts; two
+/// starts of all nodes and what they held before stay within the limit.
+const STARTING_PERCENT: u32 = 15;
+/// Smallest number of nodes by which a limit is divided; a node that knows no others yet is usually
+/// not the only one.
+const MIN_NODES: usize = 6;
+
+/// One node's share of the retries that all nodes together may make at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Largest number of retries at once.
+    pub limit: u32,
+    /// Number of retries with which a budget begins.
+    pub initial: u32,
+}
+
+impl Share {
+    /// Returns the share of a node that knows how many nodes there are, or does not know it yet.
+    ///
+    /// A node does not know what it spent before its start, and nodes that start together would
+    /// exceed their common limit if each began with its whole share.
+    #[must_use]
+    pub fn new(retries: u32, nodes: Option<usize>) -> Self {
+        let divisor = nodes.unwrap_or_default().max(MIN_NODES);
+        let divisor = u32::try_from(divisor).unwrap_or(u32::MAX);
+        let part = |percent: u32| retries.saturating_mul(percent) / 100 / divisor;
+        Share {
+            limit: part(RUNNING_PERCENT).max(1),
+            initial: nodes.map_or(0, |_| part(STARTING_PERCENT)),
+        }
+    }
+}
+
+/// Retry budget of a team or service.
 ///
-/// Each request adds a fifth of a retry, so that retries stay a bounded share of the load however
+/// Each request adds a part of a retry, so that retries stay a bounded share of the load however
 /// many requests fail.
 #[derive(Debug)]
 pub struct Budget {
     balance: AtomicU32,
     max: AtomicU32,
+    deposit: u32,
 }
 
 impl Default for Budget {
+    /// Creates a full budget.
     fn default() -> Self {
-        Budget::new(MAX_BALANCE / RETRY_COST)
+        let share = Share {
+            limit: DEFAULT_LIMIT,
+            initial: DEFAULT_LIMIT,
+        };
+        Budget::new(share, DEFAULT_RATIO)
     }
 }
 
 impl Budget {
-    /// Creates a full budget that holds at most a number of retries.
+    /// Creates a budget to which each request adds `ratio` of a retry.
     #[must_use]
-    pub fn new(retries: u32) -> Self {
-        let max = retries * RETRY_COST;
+    pub fn new(share: Share, ratio: f64) -> Self {
         Budget {
-            balance: AtomicU32::new(max),
-            max: AtomicU32::new(max),
+            balance: AtomicU32::new(share.initial.saturating_mul(RETRY_COST)),
+            max: AtomicU32::new(share.limit.saturating_mul(RETRY_COST)),
+            deposit: (ratio.max(0.0) * f64::from(RETRY_COST)) as u32,
         }
     }
 
     /// Sets the largest number of retries that the budget holds.
     pub fn set_limit(&self, retries: u32) {
-        let max = retries * RETRY_COST;
+        let max = retries.saturating_mul(RETRY_COST);
         self.max.store(max, Ordering::Relaxed);
         self.balance.fetch_min(max, Ordering::Relaxed);
     }
 
-    /// Adds the share of a retry that a request earns.
+    /// Adds the part of a retry that a request earns.
     pub fn deposit(&self) {
         let max = self.max.load(Ordering::Relaxed);
         let _ = self
             .balance
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                Some((balance + DEPOSIT).min(max))
+                Some(balance.saturating_add(self.deposit).min(max))
             });
     }
 
