Take the ratio of retries to requests from the platform's settings

What callers see: nothing today, since all deployments set 0.2. A deployment that sets a smaller ratio got more retries than it allows. Found by reading each BUDGET line of the users' rules against the code. The window of the rule needs no setting: a token bucket keeps its bound in a window of any length.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -97,6 +97,7 @@
         peers: settings.peers,
         grace: settings.bounds.grace,
         retries: settings.bounds.retry_slack,
+        retry_ratio: settings.bounds.retry_ratio,
         lease: LEADER_LEASE.max(settings.min_lease),
         drain: settings.bounds.drain,
         max_head: MAX_REQUEST_HEAD,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,9 +31,6 @@
 /// Age after which the registrations count as stale; a call for them waits for one second at most.
 const REGISTRATIONS_STALE_AFTER: Millis = Millis(1_800);
 
-/// Retries that each request allows beyond the limit.
-const RETRY_RATIO: f64 = 0.2;
-
 /// Time for which a change is sent to other nodes; several rounds of datagrams, since any of them
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
@@ -230,7 +227,7 @@
         if let Some(budget) = self.retry_budgets.borrow().get(service) {
             return Rc::clone(budget);
         }
-        let budget = Rc::new(Budget::new(self.retry_share(), RETRY_RATIO));
+        let budget = Rc::new(Budget::new(self.retry_share(), self.options.retry_ratio));
         self.retry_budgets
             .borrow_mut()
             .insert(service.into(), Rc::clone(&budget));
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -24,6 +24,8 @@
     pub grace: Millis,
     /// Limit of the retries that all nodes together may make at once for one service.
     pub retries: u32,
+    /// Retries that each request allows beyond that limit.
+    pub retry_ratio: f64,
     /// Time to live of the leader's lease.
     pub lease: Millis,
     /// Time after a server's announcement that it drains by which it must get no new work.
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -538,6 +538,7 @@
         peers: any_port,
         grace: Millis(6_000),
         retries: 1_000,
+        retry_ratio: 0.2,
         lease: Millis(3_000),
         drain: Millis(2_000),
         max_head: Bytes(16 << 10),
