Take a retry from the budget only if an attempt reached a server

What callers saw: after servers ended, each connection that was refused cost a retry, until none was left and requests that had not reached any server were refused. Cause: the budget was charged for each failed attempt. What it limits is arrivals beyond the first; an attempt without a connection is none. Evidence: only_attempts_that_reached_a_server_cost_a_retry, first case, failed before (cost 1).

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -329,7 +329,8 @@
 
     /// Records a failed attempt and returns what to do next.
     ///
-    /// A retry is taken from the budget.
+    /// A retry is taken from the budget, unless the attempt reached no server: the next one is then
+    /// no repetition.
     pub fn record_failure(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
         self.attempts += 1;
         if failure.fault != Fault::Unreachable && !failure.has_server_ended {
@@ -344,7 +345,7 @@
         if let Some(cause) = self.give_up_cause(failure, now) {
             return Verdict::GiveUp(cause);
         }
-        if !budget.withdraw() {
+        if failure.fault != Fault::Unreachable && !budget.withdraw() {
             return Verdict::GiveUp(Cause::Budget);
         }
         if can_reconnect {
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -287,6 +287,28 @@
     );
 }
 
+// Guards against callers who are refused because servers that are down used up the retries.
+#[rstest]
+#[case::no_connection(Step::Connecting, Fault::Unreachable, 0)]
+#[case::closed(Step::Written, Fault::Closed, 1)]
+#[case::refused_by_the_server(Step::Written, Fault::Refused, 1)]
+fn only_attempts_that_reached_a_server_cost_a_retry(
+    #[case] step: Step,
+    #[case] fault: Fault,
+    #[case] cost: u32,
+) {
+    let mut request = Request::new(true, DEADLINE);
+    let budget = Budget::default();
+    let before = budget.remaining();
+    let verdict = request.record_failure(
+        &failure("a", step, fault, Connection::New),
+        &budget,
+        Instant(0),
+    );
+    assert_eq!(verdict, Verdict::Elsewhere);
+    assert_eq!(before - budget.remaining(), cost);
+}
+
 fn failures() -> impl Strategy<Value = Vec<Failure>> {
     let steps = prop::sample::select(vec![Step::Connecting, Step::Written, Step::Answering]);
     let faults = prop::sample::select(Fault::ALL.to_vec());
