Learn of a newer configuration from peers, suspensions and short calls

Cause: its call for changes stood on a connection that lived and was told nothing; freshness rested on the store's promise to speak. Fix, decided in policy::freshness: each datagram between nodes tells the version in force, and a node that hears a newer one gets it from that peer, or from the store if the peer does not give it; a node that finds a gap between two ticks, by the steady or the wall clock, reads all that it follows anew; a leader, and a node that hears no peer, waits 1 s in place of 20 s. A node that is behind logs both versions and the peer; jackdawstair_configuration_age is the time since the store or a peer last confirmed the version. Ruled out: a short wait for all nodes, 370 calls a second at the target's size, against some 10 for leaders; reading the configuration from the store on each suspicion, which a node that the store turns away cannot.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use jackdaw_core::backend::Server;
 use jackdaw_core::errors::Result;
@@ -12,6 +13,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
 use slog::{debug, info, warn};
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::node::Node;
@@ -21,8 +23,6 @@
 const WAIT_AFTER_OUTAGE: Millis = Millis(500);
 /// Time without a failed call after which calls wait for their full time again.
 const FAILURE_FREE_TIME: Millis = Millis(4_000);
-/// Longest wait of a call for a new configuration; probes detect a dead connection meanwhile.
-const CONFIGURATION_WAIT: Millis = Millis(20_000);
 /// Pause of a leader between two calls for the registrations.
 const LEADER_PAUSE: Millis = Millis(250);
 /// Pause of other nodes between two calls for the registrations, multiplied by the number of nodes.
@@ -63,6 +63,12 @@
         WAIT_AFTER_OUTAGE
     }
 
+    /// Returns a receiver that changes when the entries are to be read anew, beside the reasons that
+    /// hold for all that is followed.
+    fn rereads(&self) -> Option<watch::Receiver<u64>> {
+        None
+    }
+
     /// Replaces all entries by those at a revision.
     fn replace(&mut self, entries: Vec<Entry>, revision: u64);
 
@@ -81,6 +87,8 @@
     let mut last_success = node.now();
     let mut last_failure: Option<Instant> = None;
     let mut is_unavailable = false;
+    let mut all_rereads = node.freshness.all_rereads();
+    let mut own_rereads = subscriber.rereads();
     loop {
         let is_stable =
             last_failure.is_none_or(|failure| node.now().since(failure) >= FAILURE_FREE_TIME);
@@ -89,7 +97,19 @@
         } else {
             subscriber.wait_after_outage().min(subscriber.wait())
         };
-        let result = read(&node, &prefix, after, wait).await;
+        let result = tokio::select! {
+            biased;
+            // The senders live as long as the node.
+            Ok(()) = all_rereads.changed() => {
+                after = None;
+                continue;
+            }
+            () = wait_changed(own_rereads.as_mut()) => {
+                after = None;
+                continue;
+            }
+            result = read(&node, &prefix, after, wait) => result,
+        };
         match result {
             Ok(update) => {
                 if is_unavailable {
@@ -140,6 +160,17 @@
     }
 }
 
+/// Waits for a change, or for ever if there is no receiver.
+async fn wait_changed(rereads: Option<&mut watch::Receiver<u64>>) {
+    let has_changed = match rereads {
+        Some(rereads) => rereads.changed().await.is_ok(),
+        None => false,
+    };
+    if !has_changed {
+        std::future::pending().await
+    }
+}
+
 /// Result of one read of the store.
 enum Update {
     /// All entries as of a revision.
@@ -187,10 +218,9 @@
         if entry.key != self.node.parts.protocol.configuration_key() {
             return;
         }
-        match self.node.parts.protocol.decode_configuration(&entry.value) {
-            Ok(configuration) => self.node.apply_configuration(configuration),
-            Err(error) => warn!(self.node.logger(), "configuration cannot be decoded";
-                "error" => %error),
+        let value = Bytes::from(entry.value.clone());
+        if let Err(error) = self.node.apply_configuration(value) {
+            warn!(self.node.logger(), "configuration cannot be decoded"; "error" => %error);
         }
     }
 }
@@ -201,16 +231,22 @@
     }
 
     fn wait(&self) -> Millis {
-        CONFIGURATION_WAIT
+        self.node.freshness.wait()
+    }
+
+    fn rereads(&self) -> Option<watch::Receiver<u64>> {
+        Some(self.node.freshness.configuration_rereads())
     }
 
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        self.node.confirm_configuration();
         for entry in &entries {
             self.apply_entry(entry);
         }
     }
 
     fn apply(&mut self, changes: Vec<Change>) {
+        self.node.confirm_configuration();
         for change in changes {
             match change {
                 Change::Put(entry) => self.apply_entry(&entry),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod event;
 mod follow;
+mod freshness;
 mod handler;
 mod header;
 mod histograms;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
-use jackdaw_core::config::{Configuration, Index};
+use jackdaw_core::config::Index;
 use jackdaw_core::errors::Result;
 use jackdaw_core::protocol::{ChangeFeed, Orders, Protocol};
 use jackdaw_core::store::Store;
@@ -23,6 +24,7 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
+use crate::freshness::Freshness;
 use crate::histograms::Histograms;
 use crate::options::Options;
 use crate::poison::Poison;
@@ -102,6 +104,7 @@
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) targets: Rc<RefCell<Targets>>,
     pub(crate) poison: Poison,
+    pub(crate) freshness: Freshness,
     index: RefCell<Option<Rc<Index>>>,
     retry_budgets: RefCell<HashMap<CompactString, Rc<Budget>>>,
 }
@@ -112,6 +115,7 @@
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
             poison: Poison::new(&parts.meter),
+            freshness: Freshness::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
@@ -169,19 +173,32 @@
         self.index.borrow().clone()
     }
 
-    /// Puts a configuration in force unless the current one is at least as new.
-    pub(crate) fn apply_configuration(&self, configuration: Configuration) {
-        let current = self.index().map(|index| index.configuration().version);
+    /// Returns the version of the configuration in force.
+    pub(crate) fn version(&self) -> Option<u64> {
+        let index = self.index.borrow();
+        index.as_ref().map(|index| index.configuration().version)
+    }
+
+    /// Decodes a configuration and puts it in force unless the current one is at least as new.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a valid configuration.
+    pub(crate) fn apply_configuration(&self, value: Bytes) -> Result<()> {
+        let configuration = self.parts.protocol.decode_configuration(&value)?;
+        let current = self.version();
         if current.is_some_and(|version| version >= configuration.version) {
-            return;
+            return Ok(());
         }
         info!(self.logger(), "configuration in force";
             "version" => configuration.version,
             "before" => current,
             "routes" => configuration.routes.len(),
             "teams" => configuration.teams.len());
+        self.record_configuration(configuration.version, value);
         *self.index.borrow_mut() = Some(Rc::new(Index::new(configuration)));
         self.update_targets();
+        Ok(())
     }
 
     /// Recomputes the targets of requests from the configuration and the fleet.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -87,6 +87,9 @@
     /// Address for datagrams to the sender; empty once the others know it from the store.
     #[prost(string, tag = "9")]
     address: String,
+    /// Version of the configuration that the sender has in force; zero for none.
+    #[prost(uint64, tag = "10")]
+    configuration: u64,
 }
 
 /// The state of a server as known to its zone's leader.
@@ -211,6 +214,10 @@
         }
     }
 
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.addresses.borrow().get(name).copied()
+    }
+
     fn update_peer_count(&self) {
         let peers = self.addresses.borrow().len();
         self.node.peer_loads().borrow_mut().set_peer_count(peers);
@@ -317,6 +324,10 @@
                 if !datagram.address.is_empty() {
                     peer_addresses.introduce(&datagram.node, &datagram.address);
                 }
+                if datagram.configuration > 0 {
+                    let address = peer_addresses.address(&datagram.node);
+                    node.hear_version(&datagram.node, address, datagram.configuration);
+                }
                 let server_states = std::mem::take(&mut datagram.server_states);
                 if let Some(report) = datagram.poison.take() {
                     node.adopt_poison_report(&report);
@@ -462,6 +473,7 @@
             sequence: self.sequence,
             zone: self.node.options.zone.to_string(),
             sees_store: !self.node.has_stale_registrations(),
+            configuration: self.node.version().unwrap_or_default(),
             ..datagram
         };
         let bytes = datagram.encode_to_vec();
@@ -525,6 +537,7 @@
             continue;
         }
         next_round = node.now() + SEND_INTERVAL;
+        node.tick_freshness();
         let recipients = sender.recipients();
         let few = &recipients[..recipients.len().min(FANOUT)];
         sender.send_loads(few).await;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::follow;
+use crate::freshness;
 use crate::handler;
 use crate::leader;
 use crate::node::{Node, Parts};
@@ -44,6 +45,7 @@
 enum Port {
     Callers,
     Readiness,
+    Peers,
 }
 
 /// Bound sockets of a node.
@@ -55,6 +57,8 @@
     pub readiness: std::net::TcpListener,
     /// Socket for datagrams of other nodes.
     pub peers: std::net::UdpSocket,
+    /// Listener for requests of other nodes, at the address of their datagrams.
+    pub exchange: std::net::TcpListener,
 }
 
 impl Ports {
@@ -72,6 +76,7 @@
             callers: listen(options.callers)?,
             readiness: listen(options.readiness)?,
             peers: std::net::UdpSocket::bind(options.peers).map_err(bind_failed(options.peers))?,
+            exchange: listen(options.peers)?,
         })
     }
 }
@@ -122,6 +127,7 @@
     };
     let callers = listen(ports.callers)?;
     let readiness = listen(ports.readiness)?;
+    let exchange = listen(ports.exchange)?;
     ports.peers.set_nonblocking(true).map_err(listen_failed)?;
     let peers = UdpSocket::from_std(ports.peers).map_err(listen_failed)?;
     let mut hangup = signal(SignalKind::hangup())
@@ -139,6 +145,7 @@
         Port::Readiness,
     ));
     ntex::rt::spawn(accept_connections(Rc::clone(&node), callers, Port::Callers));
+    ntex::rt::spawn(accept_connections(Rc::clone(&node), exchange, Port::Peers));
     let mut stop = pin!(stop);
     loop {
         tokio::select! {
@@ -194,6 +201,7 @@
             let response = match port {
                 Port::Callers => handler::handle(node, request).await,
                 Port::Readiness => handler::handle_readiness(&node, request.path()),
+                Port::Peers => freshness::handle_peer(&node, request.path()),
             };
             Ok::<Response, io::Error>(response)
         }
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -8,12 +8,13 @@
 use std::thread;
 use std::time::Instant;
 
+use jackdaw_gateway::node::Parts;
 use jackdaw_gateway::server::Ports;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use socket2::{Domain, Socket, Type};
 
 use super::support::{
-    MemoryStore, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
+    Feed, MemoryStore, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
 };
 
 /// Part of a path under which a server ends as soon as it begins to run the request.
@@ -318,6 +319,7 @@
     process: Process,
     peers: SocketAddr,
     messages: Messages,
+    pub(crate) feed: Arc<Feed>,
 }
 
 impl Member {
@@ -396,18 +398,30 @@
     pub(crate) fn add_node(&mut self) -> &Member {
         let mut options = options(&format!("n{}", self.started));
         self.started += 1;
-        let ports = Ports::bind(&options).expect("ports are free");
+        let mut ports = Ports::bind(&options).expect("ports are free");
         let peers = ports.peers.local_addr().expect("the port is bound");
-        options.peers = forward_datagrams(peers, Arc::clone(&self.cut));
+        loop {
+            options.peers = forward_datagrams(peers, Arc::clone(&self.cut));
+            // The port of the datagrams may be taken for connections.
+            if let Ok(listener) = TcpListener::bind(options.peers) {
+                ports.exchange = listener;
+                break;
+            }
+        }
         let messages = Messages::default();
         let logger = Logger::root(messages.clone(), o!());
-        let parts = parts(&self.store, self.registered.clone(), logger);
+        let feed = Feed::new(&self.store);
+        let parts = Parts {
+            change_feed: feed.clone(),
+            ..parts(&self.store, self.registered.clone(), logger)
+        };
         let process = Process::launch(options, ports, parts);
         process.wait_ready();
         self.nodes.push(Member {
             process,
             peers,
             messages,
+            feed,
         });
         &self.nodes[self.nodes.len() - 1]
     }
@@ -431,6 +445,11 @@
         cut.insert(self.nodes[node].peers);
     }
 
+    /// Writes an entry to the store.
+    pub(crate) fn put(&self, key: &str, value: &str) {
+        self.store.put(key, value);
+    }
+
     /// Ends all cuts.
     pub(crate) fn heal(&self) {
         self.cut.lock().expect("no test panicked").clear();
--- /dev/null
+++ b/crates/gateway/tests/node/freshness.rs
@@ -0,0 +1,61 @@
+//! Tests of nodes whose calls for changes of the store hear of none.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::cluster::{Cluster, Member};
+
+/// Time within which a configuration must be in force.
+const APPLIED: Duration = Duration::from_secs(2);
+/// Nodes of a cluster; the last one is the one that is looked at.
+const NODES: usize = 3;
+
+/// What keeps the last node from hearing of a new configuration.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    name: &'static str,
+    /// Whether the calls of all nodes hear of no change, and not only those of the last one.
+    is_common: bool,
+    /// Whether the store fails the last node's other calls.
+    is_cut_from_store: bool,
+    /// Whether no datagram reaches the last node.
+    is_cut_from_peers: bool,
+}
+
+/// Waits until a node has a configuration without the route in force, and returns the time it took.
+fn time_until_applied(node: &Member, since: Instant) -> Duration {
+    loop {
+        let answer = node.call("r", "/safe/x");
+        if answer.starts_with("HTTP/1.1 404") || since.elapsed() > 2 * APPLIED {
+            return since.elapsed();
+        }
+        std::thread::yield_now();
+    }
+}
+
+// Guards against a node that serves an old configuration because its call for changes, on a connection
+// that lives, hears of none.
+#[rstest]
+#[case(Silence { name: "one node", is_common: false, is_cut_from_store: false, is_cut_from_peers: false })]
+#[case(Silence { name: "one node that the store turns away", is_common: false, is_cut_from_store: true, is_cut_from_peers: false })]
+#[case(Silence { name: "one node that hears no peer", is_common: false, is_cut_from_store: false, is_cut_from_peers: true })]
+#[case(Silence { name: "all nodes", is_common: true, is_cut_from_store: false, is_cut_from_peers: false })]
+fn configuration_is_in_force_in_time_although_the_store_says_nothing(#[case] case: Silence) {
+    let cluster = Cluster::start(NODES, 2);
+    let node = &cluster.nodes[NODES - 1];
+    for other in &cluster.nodes {
+        other.feed.is_deaf.store(case.is_common, Ordering::SeqCst);
+    }
+    node.feed.is_deaf.store(true, Ordering::SeqCst);
+    node.feed
+        .is_cut
+        .store(case.is_cut_from_store, Ordering::SeqCst);
+    if case.is_cut_from_peers {
+        cluster.cut_off(NODES - 1);
+    }
+    cluster.put("configuration", "7");
+    let took = time_until_applied(node, Instant::now());
+    assert!(took <= APPLIED, "{}: took {took:?}", case.name);
+}
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod follow;
+mod freshness;
 mod poison;
 mod relay;
 mod support;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -545,6 +546,55 @@
     }
 }
 
+/// One node's connection to the store.
+pub(crate) struct Feed {
+    store: Arc<MemoryStore>,
+    /// Whether calls that wait for changes hear of none until their wait ends, although their
+    /// connection lives; the store has compacted its history then.
+    pub(crate) is_deaf: AtomicBool,
+    /// Whether calls fail.
+    pub(crate) is_cut: AtomicBool,
+}
+
+impl Feed {
+    pub(crate) fn new(store: &Arc<MemoryStore>) -> Arc<Feed> {
+        Arc::new(Feed {
+            store: Arc::clone(store),
+            is_deaf: AtomicBool::new(false),
+            is_cut: AtomicBool::new(false),
+        })
+    }
+
+    fn check(&self, step: &'static str) -> Result<()> {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return Err(Error::unreachable(step, "store", "cut off"));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ChangeFeed for Feed {
+    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        self.check("list")?;
+        self.store.page(prefix, after).await
+    }
+
+    async fn changes(&self, prefix: &str, after: u64, wait: Millis) -> Result<Changes> {
+        self.check("watch")?;
+        let started = tokio::time::Instant::now();
+        let changes = self.store.changes(prefix, after, wait).await?;
+        if !self.is_deaf.load(Ordering::SeqCst) {
+            return Ok(changes);
+        }
+        tokio::time::sleep(wait.duration().saturating_sub(started.elapsed())).await;
+        Ok(match changes {
+            Changes::Some(changes, _) if changes.is_empty() => Changes::Some(changes, after),
+            Changes::Some(..) | Changes::Compacted => Changes::Compacted,
+        })
+    }
+}
+
 /// Returns the parts of a node before servers and a store.
 pub(crate) fn parts(store: &Arc<MemoryStore>, servers: Vec<Server>, logger: Logger) -> Parts {
     let protocol = TestProtocol {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod fair;
 pub mod fleet;
+pub mod freshness;
 pub mod gossip;
 pub mod grace_period;
 pub mod lease;
