Tell apart revisions and leases that the store gave out twice

Cause: a revision was a bare number. After the store comes back from a copy, a number names another content, and a lease may be another node's. Ruled out: resetting followers alone, which leaves leases, conditions and fencing numbers. Left: a transaction that the store carries out seconds after it came back, under a lease number given out again; the type is a number and the compiler does not find places that compare revisions with other numbers.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -10,7 +10,7 @@
 use crate::backend::{Order, Reply, Report, Server};
 use crate::config::Configuration;
 use crate::errors::Result;
-use crate::store::{Change, Entry};
+use crate::store::{Change, Entry, EraReport};
 use crate::units::Millis;
 
 /// The decoded head of a caller's request.
@@ -131,6 +131,11 @@
     /// Returns an error if the store does not answer.
     async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page>;
 
+    /// Returns what the answers have told of the store's era.
+    fn era(&self) -> EraReport {
+        EraReport::default()
+    }
+
     /// Waits for changes after a revision, at most for the given time.
     ///
     /// # Errors
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -6,6 +6,46 @@
 use crate::errors::Result;
 use crate::units::Millis;
 
+/// Bits of a revision below those of its era.
+const NUMBER_BITS: u32 = 40;
+
+/// History of a store since it was created or came back from a copy.
+///
+/// A store that comes back from a copy gives out numbers of revisions and leases a second time. So all
+/// revisions and leases above a store's client hold the era in their upper bits: no two are the same,
+/// and those of a later era are higher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era(pub u64);
+
+impl Era {
+    /// Returns the era in which a revision or lease was given out.
+    #[must_use]
+    pub fn of(revision: u64) -> Era {
+        Era(revision >> NUMBER_BITS)
+    }
+
+    /// Returns the revision or lease that the store calls by a number in this era.
+    #[must_use]
+    pub fn with(self, number: u64) -> u64 {
+        (self.0 << NUMBER_BITS) | (number & ((1 << NUMBER_BITS) - 1))
+    }
+
+    /// Returns the number by which the store calls a revision or lease.
+    #[must_use]
+    pub fn number(revision: u64) -> u64 {
+        revision & ((1 << NUMBER_BITS) - 1)
+    }
+}
+
+/// What a store's client knows of the store's era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EraReport {
+    /// Latest era that an answer stated.
+    pub era: Era,
+    /// Number of answers that did not state their era, although others did.
+    pub unstated: u64,
+}
+
 /// Identifies a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Lease(pub i64);
