Read all anew when the store has come back from a copy

What callers saw: a node waited up to 20 s on a call of the earlier era; until then it knew nothing of the new one. Cause: nothing above the store's client looked at the era. Fix: a node looks at the era after each answer and several times a second; when it rises, the node logs both eras, counts jackdawstair_store_eras and reads all that it follows anew. Test: gateway/tests/node/restore.rs, a store that comes back from copies, three in a row, while its counter passes the revisions that nodes have seen. The next configuration is in force in time after each, one that the nodes have does not revert, and a node that starts in that window gets it from its peers.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -110,6 +110,7 @@
             }
             result = read(&node, &prefix, after, wait) => result,
         };
+        node.check_era();
         match result {
             Ok(update) => {
                 if is_unavailable {
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -1,6 +1,6 @@
 //! Keeps the configuration up to date where the store's answers do not.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,12 +12,13 @@
 use http::header::HOST;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::Exchange as _;
+use jackdaw_core::store::{Era, EraReport};
 use jackdaw_core::units::Millis;
 use jackdaw_link::client::Client;
 use jackdaw_link::pool;
 use jackdaw_policy::freshness::{self, Finding};
 use ntex::http::Response;
-use opentelemetry::metrics::{Meter, ObservableGauge};
+use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
 use slog::{info, warn};
 use tokio::sync::watch;
 
@@ -40,6 +41,11 @@
     configuration_rereads: watch::Sender<u64>,
     /// Changed when the zone's leader is to be looked up anew.
     leader_rereads: watch::Sender<u64>,
+    /// Era of the store that this node goes by.
+    era: Cell<Era>,
+    /// Whether the warning of answers without an era was given.
+    has_warned: Cell<bool>,
+    eras: Counter<u64>,
     age_ms: Arc<AtomicU64>,
     _age: ObservableGauge<f64>,
 }
@@ -69,6 +75,12 @@
             all_rereads: watch::Sender::new(0),
             configuration_rereads: watch::Sender::new(0),
             leader_rereads: watch::Sender::new(0),
+            era: Cell::default(),
+            has_warned: Cell::new(false),
+            eras: meter
+                .u64_counter("jackdawstair_store_eras")
+                .with_description("Times that the store came back from a copy.")
+                .build(),
             age_ms,
             _age: age,
         }
@@ -89,6 +101,11 @@
         self.leader_rereads.subscribe()
     }
 
+    /// Returns the era of the store that this node goes by.
+    pub(crate) fn era(&self) -> Era {
+        self.era.get()
+    }
+
     /// Returns the longest wait of the next call for a new configuration.
     pub(crate) fn wait(&self) -> Millis {
         self.state.borrow().wait()
@@ -144,8 +161,31 @@
         self.freshness.state.borrow_mut().hear_leader(self.now());
     }
 
+    /// Notices whether the store has come back from a copy; called after each answer that is followed.
+    pub(crate) fn check_era(&self) {
+        let EraReport { era, unstated } = self.parts.change_feed.era();
+        let freshness = &self.freshness;
+        if unstated > 0 && !freshness.has_warned.replace(true) {
+            warn!(self.logger(), "answer of the store does not state its era"; "era" => era.0);
+        }
+        let before = freshness.era.get();
+        if era <= before {
+            return;
+        }
+        freshness.era.set(era);
+        // The first era that a node sees is none that began while it ran.
+        if freshness.state.borrow().version().is_none() {
+            return;
+        }
+        freshness.eras.add(1, &[]);
+        warn!(self.logger(), "store has come back from a copy";
+            "era" => era.0, "before" => before.0, "configuration" => self.version());
+        trigger(&freshness.all_rereads);
+    }
+
     /// Notices whether the node was suspended, leads, or hears no peer; called several times a second.
     pub(crate) fn tick_freshness(&self) {
+        self.check_era();
         let now = self.now();
         let unix_ms = self.parts.clock.unix_millis();
         let mut state = self.freshness.state.borrow_mut();
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -40,6 +40,8 @@
     ended: Vec<Instant>,
     /// Times at which requests arrived that end servers.
     arrived: Vec<Instant>,
+    /// Servers that answered other requests.
+    answered: Vec<String>,
     /// Number of streams that wait for their release.
     held: usize,
     is_released: bool,
@@ -72,6 +74,11 @@
         events.arrived.iter().filter(|at| **at > time).count()
     }
 
+    /// Returns the servers that have answered requests since the last call.
+    pub(crate) fn take_answered(&self) -> Vec<String> {
+        std::mem::take(&mut self.events().answered)
+    }
+
     /// Waits until a condition holds, and returns whether it does within [`TIMEOUT`].
     fn wait_until(&self, holds: impl Fn(&Events) -> bool) -> bool {
         let waited = self
@@ -227,6 +234,7 @@
                 }
                 continue;
             } else {
+                self.shared.events().answered.push(self.id.clone());
                 answer("200 OK", id)
             };
             if reader.get_mut().write_all(answer.as_bytes()).is_err() {
@@ -359,7 +367,7 @@
 pub(crate) struct Cluster {
     pub(crate) nodes: Vec<Member>,
     pub(crate) servers: Arc<Servers>,
-    store: Arc<MemoryStore>,
+    pub(crate) store: Arc<MemoryStore>,
     registered: Vec<jackdaw_core::backend::Server>,
     cut: Cut,
     started: usize,
@@ -445,11 +453,6 @@
         cut.insert(self.nodes[node].peers);
     }
 
-    /// Writes an entry to the store.
-    pub(crate) fn put(&self, key: &str, value: &str) {
-        self.store.put(key, value);
-    }
-
     /// Ends all cuts.
     pub(crate) fn heal(&self) {
         self.cut.lock().expect("no test panicked").clear();
--- a/crates/gateway/tests/node/freshness.rs
+++ b/crates/gateway/tests/node/freshness.rs
@@ -55,7 +55,7 @@
     if case.is_cut_from_peers {
         cluster.cut_off(NODES - 1);
     }
-    cluster.put("configuration", "7");
+    cluster.store.put("configuration", "7");
     let took = time_until_applied(node, Instant::now());
     assert!(took <= APPLIED, "{}: took {took:?}", case.name);
 }
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -5,4 +5,5 @@
 mod freshness;
 mod poison;
 mod relay;
+mod restore;
 mod support;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -18,7 +18,7 @@
     Answer, ChangeFeed, Changes, Forwarding, Head, Orders, Page, Protocol,
 };
 use jackdaw_core::store::{
-    Change, Committed, Compare, Entry, Lease, Store, Transaction, Watch, Write,
+    Change, Committed, Compare, Entry, Era, EraReport, Lease, Store, Transaction, Watch, Write,
 };
 use jackdaw_core::time::SystemClock;
 use jackdaw_core::units::{Bytes, Millis};
@@ -132,8 +132,16 @@
     changed: watch::Sender<u64>,
 }
 
+/// A copy of a store's entries.
+#[derive(Clone)]
+pub(crate) struct Copy {
+    revision: u64,
+    entries: BTreeMap<CompactString, Entry>,
+}
+
 #[derive(Default)]
 struct State {
+    era: Era,
     revision: u64,
     entries: BTreeMap<CompactString, Entry>,
     changes: Vec<Change>,
@@ -142,12 +150,17 @@
 }
 
 impl State {
+    /// Returns the current revision with its era.
+    fn current(&self) -> u64 {
+        self.era.with(self.revision)
+    }
+
     /// Sets an entry at the current revision.
     fn insert(&mut self, key: CompactString, value: Vec<u8>) {
         let before = self.entries.get(&key);
         let entry = Entry {
-            create_revision: before.map_or(self.revision, |entry| entry.create_revision),
-            mod_revision: self.revision,
+            create_revision: before.map_or(self.current(), |entry| entry.create_revision),
+            mod_revision: self.current(),
             key: key.clone(),
             value,
             lease: None,
@@ -159,7 +172,8 @@
     /// Deletes an entry at the current revision.
     fn remove(&mut self, key: &str) {
         self.entries.remove(key);
-        self.changes.push(Change::Delete(key.into(), self.revision));
+        self.changes
+            .push(Change::Delete(key.into(), self.current()));
     }
 
     fn holds(&self, condition: &Compare) -> bool {
@@ -219,6 +233,38 @@
         self.changed.send_replace(state.revision);
     }
 
+    /// Returns a copy of all entries.
+    pub(crate) fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy {
+            revision: state.revision,
+            entries: state.entries.clone(),
+        }
+    }
+
+    /// Comes back from a copy in the next era: what was written since is gone, and its revisions are
+    /// given out again.
+    pub(crate) fn restore(&self, copy: &Copy) {
+        let mut state = self.state();
+        let era = Era(state.era.0 + 1);
+        let rename = |revision: u64| era.with(Era::number(revision));
+        state.era = era;
+        state.revision = copy.revision;
+        state.changes.clear();
+        state.entries = copy.entries.clone();
+        for entry in state.entries.values_mut() {
+            entry.create_revision = rename(entry.create_revision);
+            entry.mod_revision = rename(entry.mod_revision);
+        }
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Returns whether an entry's key begins with a prefix.
+    pub(crate) fn has_prefix(&self, prefix: &str) -> bool {
+        let state = self.state();
+        state.entries.keys().any(|key| key.starts_with(prefix))
+    }
+
     /// Returns whether a lease was revoked.
     pub(crate) fn has_revoked(&self) -> bool {
         self.state().revoked
@@ -239,6 +285,9 @@
     fn changes_since(&self, prefix: &str, after: u64) -> Result<Option<Changes>> {
         let state = self.state();
         state.check("watch")?;
+        if Era::of(after) != state.era {
+            return Ok(Some(Changes::Compacted));
+        }
         let is_relevant = |change: &&Change| {
             let key = match change {
                 Change::Put(entry) => &entry.key,
@@ -247,7 +296,7 @@
             revision(change) > after && key.starts_with(prefix)
         };
         let mut changes: Vec<Change> = state.changes.iter().filter(is_relevant).cloned().collect();
-        let mut until = state.revision;
+        let mut until = state.current();
         if changes.len() > MAX_CHANGES {
             changes.truncate(MAX_CHANGES);
             until = changes.last().map_or(until, revision);
@@ -258,6 +307,13 @@
 
 #[async_trait]
 impl ChangeFeed for MemoryStore {
+    fn era(&self) -> EraReport {
+        EraReport {
+            era: self.state().era,
+            unstated: 0,
+        }
+    }
+
     async fn page(&self, prefix: &str, _: Option<&str>) -> Result<Page> {
         let state = self.state();
         state.check("list")?;
@@ -268,7 +324,7 @@
                 .cloned()
                 .collect(),
             more: false,
-            revision: state.revision,
+            revision: state.current(),
         })
     }
 
@@ -319,13 +375,14 @@
             }
         }
         self.changed.send_replace(state.revision);
-        Ok(Committed::Yes(state.revision))
+        Ok(Committed::Yes(state.current()))
     }
     async fn grant(&self, _: Millis) -> Result<Lease> {
-        Ok(Lease(1))
+        Ok(Lease(self.state().era.with(1) as i64))
     }
-    async fn renew(&self, _: Lease) -> Result<Millis> {
-        Ok(Millis(10_000))
+    async fn renew(&self, lease: Lease) -> Result<Millis> {
+        let is_known = Era::of(lease.0 as u64) == self.state().era;
+        Ok(Millis(if is_known { 10_000 } else { 0 }))
     }
     async fn revoke(&self, _: Lease) -> Result<()> {
         self.state().revoked = true;
@@ -575,6 +632,10 @@
 
 #[async_trait]
 impl ChangeFeed for Feed {
+    fn era(&self) -> EraReport {
+        self.store.era()
+    }
+
     async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
         self.check("list")?;
         self.store.page(prefix, after).await
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -64,6 +64,12 @@
 }
 
 impl Freshness {
+    /// Returns the version in force.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// Records the version in force.
     pub fn apply(&mut self, version: u64, now: Instant) {
         self.version = Some(version);
