Keep what is known of servers over a copy whose entries are older

What callers saw, with a store of our own: after the store came back from a copy, a draining server got new work, as its old entry said ready; a server that had ended got requests, as its entry was back; and callers got 503 for the second in which living servers that the copy lacked registered again. Cause: the registrations of the copy were taken for news. Fix: when the era rises, a node remembers which incarnations were draining, and they stay so; an entry of an incarnation whose end it saw in the last two minutes makes the server a suspect, which gets requests only if no other can take them, until the server itself writes or 10 s have passed without a lapse; servers that the copy lacks are kept as after an outage, for 1.9 s. Ruled out: leaving out servers that had ended (one that lives but was cut off from the store would get nothing).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::memory::Memory;
 use crate::node::Node;
 
 /// Longest wait of a call for changes after an outage of the store, for entries that must take
@@ -77,6 +78,9 @@
 
     /// Handles the end of an outage of the store, which took a time.
     fn handle_recovery(&mut self, _outage: Millis) {}
+
+    /// Handles that the store has come back from a copy, before the entries of the copy.
+    fn handle_restoration(&mut self) {}
 }
 
 /// Reads the entries of a prefix, then polls for changes until the task is cancelled.
@@ -89,6 +93,7 @@
     let mut is_unavailable = false;
     let mut all_rereads = node.freshness.all_rereads();
     let mut own_rereads = subscriber.rereads();
+    let mut era = node.freshness.era();
     loop {
         let is_stable =
             last_failure.is_none_or(|failure| node.now().since(failure) >= FAILURE_FREE_TIME);
@@ -113,6 +118,10 @@
         node.check_era();
         match result {
             Ok(update) => {
+                if node.freshness.era() > era {
+                    era = node.freshness.era();
+                    subscriber.handle_restoration();
+                }
                 if is_unavailable {
                     let outage = node.now().since(last_success);
                     info!(node.logger(), "store answers again";
@@ -267,6 +276,8 @@
     lapsed: HashMap<CompactString, Instant>,
     /// Time at which the last outage of the store ended.
     outage_ended_at: Option<Instant>,
+    /// What this node knew of servers before the store came back from a copy.
+    memory: Memory,
 }
 
 impl Registrations {
@@ -284,15 +295,21 @@
         }
     }
 
-    /// Adds or updates a server and returns whether anything changed.
-    fn register(&mut self, server: Server) -> bool {
+    /// Adds or updates a server and returns whether anything changed. A change comes from the server
+    /// itself, an entry that was read may be one of a copy.
+    fn register(&mut self, mut server: Server, is_own_write: bool) -> bool {
         self.lapsed.remove(&server.id);
         let id = server.id.clone();
-        let changed = self
-            .node
-            .fleet
-            .borrow_mut()
-            .register(server, self.node.now());
+        server.draining |= self.memory.is_draining(&server);
+        self.memory.record_registration(&server, is_own_write);
+        let has_ended = self.memory.has_ended(&server);
+        let mut fleet = self.node.fleet.borrow_mut();
+        let mut changed = fleet.register(server, self.node.now());
+        if has_ended {
+            fleet.mark_suspect(&id);
+            changed = true;
+        }
+        drop(fleet);
         if changed {
             self.node.record_change(&id);
         }
@@ -327,6 +344,7 @@
             }
         };
         if let Some(server) = &removed {
+            self.memory.record_end(server, now);
             info!(self.node.logger(), "server is gone";
                 "server" => %server.id, "service" => %server.service,
                 "group" => server.membership.as_ref()
@@ -335,6 +353,20 @@
         removed.is_some()
     }
 
+    /// Trusts the servers whose entries were taken for the copy's but have not lapsed, and returns
+    /// whether there are any.
+    fn trust_living(&mut self) -> bool {
+        let living = self.memory.take_living(self.node.now());
+        let mut fleet = self.node.fleet.borrow_mut();
+        let mut changed = false;
+        for id in living {
+            if let Some(server) = fleet.server(&id).cloned() {
+                changed |= fleet.register(server, self.node.now());
+            }
+        }
+        changed
+    }
+
     /// Removes the servers that have not registered again in time, and returns whether anything
     /// changed.
     fn remove_overdue(&mut self) -> bool {
@@ -390,15 +422,20 @@
             .servers()
             .map(|server| server.id.clone())
             .collect();
-        for id in known.iter().filter(|id| !registered.contains(*id)) {
-            self.remove(id);
+        self.remove_overdue();
+        let is_missing = |id: &&CompactString| !registered.contains(*id);
+        for id in known.iter().filter(is_missing) {
+            // A server that is expected to register again keeps its time to do so.
+            if !self.lapsed.contains_key(id) {
+                self.remove(id);
+            }
         }
         let servers: Vec<Server> = entries
             .iter()
             .filter_map(|entry| self.decode(entry))
             .collect();
         for server in servers {
-            self.register(server);
+            self.register(server, false);
         }
         self.node.update_targets();
     }
@@ -406,12 +443,13 @@
     fn apply(&mut self, changes: Vec<Change>) {
         self.node.registrations_read_at.set(self.node.now());
         let mut changed = self.remove_overdue();
+        changed |= self.trust_living();
         changed |= self.node.fleet.borrow_mut().refresh_absent(self.node.now());
         for change in changes {
             match change {
                 Change::Put(entry) => {
                     if let Some(server) = self.decode(&entry) {
-                        changed |= self.register(server);
+                        changed |= self.register(server, true);
                     } else if let Some(id) = self.server_id(&entry.key) {
                         // An entry that cannot be decoded replaces the server's valid entry.
                         let id = CompactString::from(id);
@@ -435,6 +473,13 @@
             self.outage_ended_at = Some(self.node.now());
         }
     }
+
+    fn handle_restoration(&mut self) {
+        // The copy may lack servers that live; they register again as after an outage.
+        self.outage_ended_at = Some(self.node.now());
+        let now = self.node.now();
+        self.memory.begin_era(&self.node.fleet.borrow(), now);
+    }
 }
 
 /// Starts the tasks that follow the configuration and the registrations.
@@ -447,6 +492,7 @@
         node: Rc::clone(node),
         lapsed: HashMap::new(),
         outage_ended_at: None,
+        memory: Memory::default(),
     };
     ntex::rt::spawn(follow(Rc::clone(node), registrations));
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod header;
 mod histograms;
 mod leader;
+mod memory;
 mod peers;
 mod poison;
 mod refusal;
--- a/crates/gateway/tests/node/restore.rs
+++ b/crates/gateway/tests/node/restore.rs
@@ -9,6 +9,8 @@
 const APPLIED: Duration = Duration::from_secs(2);
 /// Time within which the nodes write again what the store has lost.
 const REWRITTEN: Duration = Duration::from_secs(8);
+/// Number of calls after which a server that got none is surely not chosen at random.
+const MANY_CALLS: usize = 64;
 /// Message of a node that has noticed the copy.
 const NOTICED: &str = "store has come back from a copy";
 
@@ -47,7 +49,7 @@
     cluster.store.put("servers/s0", "draining");
     let is_drained = holds_within(APPLIED, || {
         cluster.servers.take_answered();
-        (0..8).for_each(|_| drop(node.call("r", "/safe/x")));
+        (0..MANY_CALLS).for_each(|_| drop(node.call("r", "/safe/x")));
         !cluster.servers.take_answered().contains(&"s0".to_owned())
     });
     assert!(is_drained, "the server still gets work");
@@ -98,7 +100,7 @@
     cluster.store.delete("servers/s0");
     let is_gone = holds_within(APPLIED, || {
         cluster.servers.take_answered();
-        (0..8).for_each(|_| drop(node.call("r", "/safe/x")));
+        (0..MANY_CALLS).for_each(|_| drop(node.call("r", "/safe/x")));
         !cluster.servers.take_answered().contains(&"s0".to_owned())
     });
     assert!(is_gone, "the server still gets work");
