Write the bans again that the store has lost with a copy

Cause: a ban was written once, by a node that had seen one of the crashes; a store that came back from an older copy lacked it, and nodes that started later sent the request on once their peers had ended. Fix: after the era has risen, each node that knows a ban looks which ones the store lacks, at a random time of 0.3 to 3.5 s, and writes those; whoever comes first writes for all. jackdawstair_records_rewritten counts them.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -20,7 +20,7 @@
 use ntex::http::Response;
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
 use slog::{info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::node::Node;
 
@@ -46,6 +46,8 @@
     /// Whether the warning of answers without an era was given.
     has_warned: Cell<bool>,
     eras: Counter<u64>,
+    /// Notified when the store has come back from a copy.
+    pub(crate) has_new_era: Notify,
     age_ms: Arc<AtomicU64>,
     _age: ObservableGauge<f64>,
 }
@@ -81,6 +83,7 @@
                 .u64_counter("jackdawstair_store_eras")
                 .with_description("Times that the store came back from a copy.")
                 .build(),
+            has_new_era: Notify::new(),
             age_ms,
             _age: age,
         }
@@ -181,6 +184,7 @@
         warn!(self.logger(), "store has come back from a copy";
             "era" => era.0, "before" => before.0, "configuration" => self.version());
         trigger(&freshness.all_rereads);
+        freshness.has_new_era.notify_one();
     }
 
     /// Notices whether the node was suspended, leads, or hears no peer; called several times a second.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -4,7 +4,7 @@
 //! they outlast all nodes; each node reads them once at its start.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,6 +35,10 @@
 const MIN_RETRY_DELAY: Millis = Millis(100);
 /// Longest pause after a failed call of the store.
 const MAX_RETRY_DELAY: Millis = Millis(2_000);
+/// Shortest time after the store has come back from a copy until a node writes what it lacks.
+const MIN_REWRITE_DELAY: Millis = Millis(300);
+/// Longest time until then; at the target's size about a hundred nodes a second come to look.
+const MAX_REWRITE_DELAY: Millis = Millis(3_500);
 /// Time for which a change is passed on with each round of datagrams; a round reaches few nodes, and
 /// those pass it on.
 const NEWS_TIME: Millis = Millis(1_500);
@@ -177,6 +181,7 @@
     is_restored: Cell<bool>,
     crashes: Counter<u64>,
     bans: Counter<u64>,
+    rewritten: Counter<u64>,
 }
 
 impl fmt::Debug for Poison {
@@ -204,6 +209,10 @@
                 .u64_counter("jackdawstair_bans")
                 .with_description("Requests refused from then on, by how the node learned it.")
                 .build(),
+            rewritten: meter
+                .u64_counter("jackdawstair_records_rewritten")
+                .with_description("Records written again after the store came back from a copy.")
+                .build(),
         }
     }
 
@@ -418,6 +427,43 @@
 pub(crate) fn start(node: &Rc<Node>) {
     ntex::rt::spawn(restore(Rc::clone(node)));
     ntex::rt::spawn(save(Rc::clone(node)));
+    ntex::rt::spawn(rewrite(Rc::clone(node)));
+}
+
+/// Writes the bans that the store lacks each time it has come back from a copy.
+async fn rewrite(node: Rc<Node>) {
+    loop {
+        node.freshness.has_new_era.notified().await;
+        // Whoever comes first writes for all, so nodes do not come at the same time.
+        let pause = Millis(fastrand::u64(MIN_REWRITE_DELAY.0..MAX_REWRITE_DELAY.0));
+        time::sleep(pause.duration()).await;
+        let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        let mut random = fastrand::Rng::new();
+        while let Err(error) = rewrite_missing(&node).await {
+            warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
+            time::sleep(backoff.next_pause(&mut random).duration()).await;
+        }
+    }
+}
+
+async fn rewrite_missing(node: &Node) -> Result<()> {
+    let known: Vec<Ban> = node.poison.tracker.borrow().bans(node.now()).collect();
+    if known.is_empty() {
+        return Ok(());
+    }
+    let stored: HashSet<Digest> = read_bans(node)
+        .await?
+        .iter()
+        .map(|ban| ban.digest)
+        .collect();
+    let missing = known.iter().filter(|ban| !stored.contains(&ban.digest));
+    for ban in missing {
+        info!(node.logger(), "ban is written again"; "digest" => %ban.digest.prefix());
+        node.poison.rewritten.add(1, &[]);
+        node.poison.unsaved.borrow_mut().push(ban.digest);
+    }
+    node.poison.has_unsaved.notify_one();
+    Ok(())
 }
 
 /// Reads the bans that are in the store.
