--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows prefixes of the store: the configuration and the servers' registrations.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -12,11 +12,11 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
+use jackdaw_policy::registry::{Registry, Removal, Source};
 use slog::{debug, info, warn};
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::memory::Memory;
 use crate::node::Node;
 
 /// Longest wait of a call for changes after an outage of the store, for entries that must take
@@ -37,13 +37,6 @@
 const MIN_RETRY_DELAY: Millis = Millis(100);
 /// Longest pause after a failed call.
 const MAX_RETRY_DELAY: Millis = Millis(2_000);
-/// Time in which a server whose entry lapsed during an outage of the store is expected to register
-/// again.
-const REREGISTRATION_TIME: Millis = Millis(1_900);
-/// Time after an outage of the store in which lapses are attributed to it.
-const OUTAGE_LAPSE_WINDOW: Millis = Millis(300);
-/// Shortest outage of the store during which entries may lapse because of it.
-const MIN_OUTAGE: Millis = Millis(1_000);
 
 /// Receives the entries below a prefix and their changes.
 pub(crate) trait Subscriber {
@@ -271,13 +264,7 @@
 /// Keeps the fleet up to date with the servers' registrations.
 struct Registrations {
     node: Rc<Node>,
-    /// Servers whose entries lapsed because of an outage of the store, with the times at which they
-    /// are removed.
-    lapsed: HashMap<CompactString, Instant>,
-    /// Time at which the last outage of the store ended.
-    outage_ended_at: Option<Instant>,
-    /// What this node knew of servers before the store came back from a copy.
-    memory: Memory,
+    registry: Registry,
 }
 
 impl Registrations {
@@ -295,20 +282,13 @@
         }
     }
 
-    /// Adds or updates a server and returns whether anything changed. A change comes from the server
-    /// itself, an entry that was read may be one of a copy.
-    fn register(&mut self, mut server: Server, is_own_write: bool) -> bool {
-        self.lapsed.remove(&server.id);
+    /// Adds or updates a server and returns whether anything changed.
+    fn register(&mut self, server: Server, source: Source) -> bool {
         let id = server.id.clone();
-        server.draining |= self.memory.is_draining(&server);
-        self.memory.record_registration(&server, is_own_write);
-        let has_ended = self.memory.has_ended(&server);
         let mut fleet = self.node.fleet.borrow_mut();
-        let mut changed = fleet.register(server, self.node.now());
-        if has_ended {
-            fleet.mark_suspect(&id);
-            changed = true;
-        }
+        let changed = self
+            .registry
+            .register(&mut fleet, server, source, self.node.now());
         drop(fleet);
         if changed {
             self.node.record_change(&id);
@@ -316,74 +296,34 @@
         changed
     }
 
-    /// Removes a server whose entry is gone, or marks it suspect for [`REREGISTRATION_TIME`] if the
-    /// entry lapsed because of an outage of the store. Returns whether anything changed.
+    /// Removes a server whose entry is gone and returns whether anything changed.
     fn remove(&mut self, id: &str) -> bool {
-        let now = self.node.now();
-        let was_draining = self
-            .node
-            .fleet
-            .borrow()
-            .server(id)
-            .is_none_or(|server| server.draining);
-        let is_outage_lapse = self
-            .outage_ended_at
-            .is_some_and(|ended_at| now.since(ended_at) < OUTAGE_LAPSE_WINDOW);
-        if !was_draining && is_outage_lapse && !self.lapsed.contains_key(id) {
-            self.lapsed.insert(id.into(), now + REREGISTRATION_TIME);
-            self.node.fleet.borrow_mut().mark_suspect(id);
-            return true;
-        }
-        let was_lapsed = self.lapsed.remove(id).is_some();
-        let removed = {
-            let mut fleet = self.node.fleet.borrow_mut();
-            if was_lapsed {
-                fleet.remove(id)
-            } else {
-                fleet.expire(id, now)
-            }
-        };
-        if let Some(server) = &removed {
-            self.memory.record_end(server, now);
-            info!(self.node.logger(), "server is gone";
-                "server" => %server.id, "service" => %server.service,
-                "group" => server.membership.as_ref()
-                    .map(|membership| membership.group.to_string()));
-        }
-        removed.is_some()
-    }
-
-    /// Trusts the servers whose entries were taken for the copy's but have not lapsed, and returns
-    /// whether there are any.
-    fn trust_living(&mut self) -> bool {
-        let living = self.memory.take_living(self.node.now());
         let mut fleet = self.node.fleet.borrow_mut();
-        let mut changed = false;
-        for id in living {
-            if let Some(server) = fleet.server(&id).cloned() {
-                changed |= fleet.register(server, self.node.now());
+        let removal = self.registry.remove(&mut fleet, id, self.node.now());
+        drop(fleet);
+        match removal {
+            Removal::None => false,
+            Removal::Suspected => true,
+            Removal::Removed(server) => {
+                info!(self.node.logger(), "server is gone";
+                    "server" => %server.id, "service" => %server.service,
+                    "group" => server.membership.as_ref()
+                        .map(|membership| membership.group.to_string()));
+                true
             }
         }
-        changed
     }
 
-    /// Removes the servers that have not registered again in time, and returns whether anything
-    /// changed.
-    fn remove_overdue(&mut self) -> bool {
+    /// Does what is due by the passing of time, and returns whether anything changed.
+    fn refresh(&mut self) -> bool {
         let now = self.node.now();
-        let overdue: Vec<CompactString> = self
-            .lapsed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        if overdue.is_empty() {
-            return false;
-        }
         let mut changed = false;
-        for id in overdue {
+        for id in self.registry.overdue(now) {
             changed |= self.remove(&id);
         }
+        let mut fleet = self.node.fleet.borrow_mut();
+        changed |= self.registry.trust_living(&mut fleet, now);
+        changed |= fleet.refresh_absent(now);
         changed
     }
 }
@@ -410,46 +350,34 @@
 
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         self.node.registrations_read_at.set(self.node.now());
-        let registered: HashSet<CompactString> = entries
+        self.refresh();
+        let listed: HashSet<CompactString> = entries
             .iter()
             .filter_map(|entry| self.server_id(&entry.key))
             .map(CompactString::from)
             .collect();
-        let known: Vec<CompactString> = self
-            .node
-            .fleet
-            .borrow()
-            .servers()
-            .map(|server| server.id.clone())
-            .collect();
-        self.remove_overdue();
-        let is_missing = |id: &&CompactString| !registered.contains(*id);
-        for id in known.iter().filter(is_missing) {
-            // A server that is expected to register again keeps its time to do so.
-            if !self.lapsed.contains_key(id) {
-                self.remove(id);
-            }
+        let missing = self.registry.missing(&self.node.fleet.borrow(), &listed);
+        for id in missing {
+            self.remove(&id);
         }
         let servers: Vec<Server> = entries
             .iter()
             .filter_map(|entry| self.decode(entry))
             .collect();
         for server in servers {
-            self.register(server, false);
+            self.register(server, Source::Snapshot);
         }
         self.node.update_targets();
     }
 
     fn apply(&mut self, changes: Vec<Change>) {
         self.node.registrations_read_at.set(self.node.now());
-        let mut changed = self.remove_overdue();
-        changed |= self.trust_living();
-        changed |= self.node.fleet.borrow_mut().refresh_absent(self.node.now());
+        let mut changed = self.refresh();
         for change in changes {
             match change {
                 Change::Put(entry) => {
                     if let Some(server) = self.decode(&entry) {
-                        changed |= self.register(server, true);
+                        changed |= self.register(server, Source::Change);
                     } else if let Some(id) = self.server_id(&entry.key) {
                         // An entry that cannot be decoded replaces the server's valid entry.
                         let id = CompactString::from(id);
@@ -469,16 +397,12 @@
     }
 
     fn handle_recovery(&mut self, outage: Millis) {
-        if outage >= MIN_OUTAGE {
-            self.outage_ended_at = Some(self.node.now());
-        }
+        self.registry.end_outage(outage, self.node.now());
     }
 
     fn handle_restoration(&mut self) {
-        // The copy may lack servers that live; they register again as after an outage.
-        self.outage_ended_at = Some(self.node.now());
         let now = self.node.now();
-        self.memory.begin_era(&self.node.fleet.borrow(), now);
+        self.registry.begin_era(&self.node.fleet.borrow(), now);
     }
 }
 
@@ -490,9 +414,7 @@
     ntex::rt::spawn(follow(Rc::clone(node), configurations));
     let registrations = Registrations {
         node: Rc::clone(node),
-        lapsed: HashMap::new(),
-        outage_ended_at: None,
-        memory: Memory::default(),
+        registry: Registry::default(),
     };
     ntex::rt::spawn(follow(Rc::clone(node), registrations));
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,6 @@
 mod header;
 mod histograms;
 mod leader;
-mod memory;
 mod peers;
 mod poison;
 mod refusal;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod plan;
 pub mod poison;
+pub mod registry;
 pub mod release;
 pub mod remote;
 pub mod retry;
