Pass on news of a zone's leader in place of asking the store

Cause: on 58 to 72 nodes a node hears its leader's datagrams only every few seconds, so most nodes looked its key up again and again and waited 4 s in place of 20 s: many more calls of the store, which are priced. Fix: datagrams carry the age of the sender's news of its zone's leader, zero for the leader itself; news up to 6 s old is passed on. A node looks the key up once it has had no news for 6 s.

--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -159,9 +159,15 @@
         }
     }
 
-    /// Records a message of the leader of this node's zone.
-    pub(crate) fn hear_leader(&self) {
-        self.freshness.state.borrow_mut().hear_leader(self.now());
+    /// Records that a node of this node's zone has news of the zone's leader.
+    pub(crate) fn hear_of_leader(&self, age: Millis) {
+        let mut state = self.freshness.state.borrow_mut();
+        state.hear_of_leader(age, self.now());
+    }
+
+    /// Returns the age of this node's news of the zone's leader, for other nodes.
+    pub(crate) fn leader_age(&self) -> Option<Millis> {
+        self.freshness.state.borrow().leader_age(self.now())
     }
 
     /// Notices whether the store has come back from a copy; called after each answer that is followed.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -90,9 +90,9 @@
     /// Version of the configuration that the sender has in force; zero for none.
     #[prost(uint64, tag = "10")]
     configuration: u64,
-    /// Whether the sender leads its zone.
-    #[prost(bool, tag = "11")]
-    is_leading: bool,
+    /// Age in milliseconds of the sender's news of its zone's leader; zero for the leader itself.
+    #[prost(uint64, optional, tag = "11")]
+    leader_age_ms: Option<u64>,
 }
 
 /// The state of a server as known to its zone's leader.
@@ -327,8 +327,9 @@
                 if !datagram.address.is_empty() {
                     peer_addresses.introduce(&datagram.node, &datagram.address);
                 }
-                if datagram.is_leading && datagram.zone == node.options.zone.as_str() {
-                    node.hear_leader();
+                let is_of_zone = datagram.zone == node.options.zone.as_str();
+                if let Some(age) = datagram.leader_age_ms.filter(|_| is_of_zone) {
+                    node.hear_of_leader(Millis(age));
                 }
                 if datagram.configuration > 0 {
                     let address = peer_addresses.address(&datagram.node);
@@ -480,7 +481,7 @@
             zone: self.node.options.zone.to_string(),
             sees_store: !self.node.has_stale_registrations(),
             configuration: self.node.version().unwrap_or_default(),
-            is_leading: self.node.is_leading.get(),
+            leader_age_ms: self.node.leader_age().map(|age| age.0),
             ..datagram
         };
         let bytes = datagram.encode_to_vec();
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -14,11 +14,11 @@
 /// Longest wait of a call for changes of a node that the others rely on, or that has nobody to rely on;
 /// half of the time within which a configuration must be in force.
 pub const SHORT_WAIT: Millis = Millis(1_000);
-/// Longest wait of a call for changes of the leader of a zone, for nodes that do not hear it; their
-/// calls grow with their number.
+/// Longest wait of a call for changes of the leader of a zone, for nodes that hear nothing of it.
 pub const LEADER_WAIT: Millis = Millis(4_000);
-/// Time without a message of the zone's leader after which it may have ended.
-const LEADER_SILENCE: Millis = Millis(2_000);
+/// Age of the last news of the zone's leader from which it may have ended. News passes from node to
+/// node and takes some seconds in a large zone.
+const LEADER_SILENCE: Millis = Millis(6_000);
 /// Time without a message of any peer after which a node relies on none.
 const PEER_SILENCE: Millis = Millis(1_500);
 /// Time between two ticks from which a node counts as suspended in between; ticks follow each other by
@@ -137,9 +137,23 @@
         None
     }
 
-    /// Records a message of the leader of the node's zone.
-    pub fn hear_leader(&mut self, now: Instant) {
-        self.leader_heard_at = Some(now);
+    /// Records that a node of the zone has news of the zone's leader, which is of an age; the leader's
+    /// own news is of age zero.
+    pub fn hear_of_leader(&mut self, age: Millis, now: Instant) {
+        let at = now - age;
+        if age < LEADER_SILENCE && self.leader_heard_at.is_none_or(|heard_at| heard_at < at) {
+            self.leader_heard_at = Some(at);
+        }
+    }
+
+    /// Returns the age of this node's news of the zone's leader, for other nodes.
+    #[must_use]
+    pub fn leader_age(&self, now: Instant) -> Option<Millis> {
+        if self.is_leading {
+            return Some(Millis(0));
+        }
+        let age = now.since(self.leader_heard_at?);
+        (age < LEADER_SILENCE).then_some(age)
     }
 
     /// Returns the longest wait of the next call for a change of the zone's leader.
