--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -11,26 +11,26 @@
 
 /// History of a store since it was created or came back from a copy.
 ///
-/// A store that comes back from a copy gives out numbers of revisions and leases a second time. So all
-/// revisions and leases above a store's client hold the era in their upper bits: no two are the same,
-/// and those of a later era are higher.
+/// A store that comes back from a copy gives out numbers of revisions a second time. So all revisions
+/// above a store's client hold the era in their upper bits: no two are the same, and those of a later
+/// era are higher.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Era(pub u64);
 
 impl Era {
-    /// Returns the era in which a revision or lease was given out.
+    /// Returns the era in which a revision was given out.
     #[must_use]
     pub fn of(revision: u64) -> Era {
         Era(revision >> NUMBER_BITS)
     }
 
-    /// Returns the revision or lease that the store calls by a number in this era.
+    /// Returns the revision that the store calls by a number in this era.
     #[must_use]
     pub fn with(self, number: u64) -> u64 {
         (self.0 << NUMBER_BITS) | (number & ((1 << NUMBER_BITS) - 1))
     }
 
-    /// Returns the number by which the store calls a revision or lease.
+    /// Returns the number by which the store calls a revision.
     #[must_use]
     pub fn number(revision: u64) -> u64 {
         revision & ((1 << NUMBER_BITS) - 1)
