Test that a zone has a leader with a higher fencing number after each copy

The stand-in's leases bind entries and end, so that the key of an earlier leader is back with a copy or is missing. The case passes with the eras in revisions; with bare numbers the second copy, which is empty, gives a smaller one.

--- a/crates/gateway/tests/node/restore.rs
+++ b/crates/gateway/tests/node/restore.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::cluster::Cluster;
+use super::support::Copy;
 
 /// Time within which a configuration must be in force.
 const APPLIED: Duration = Duration::from_secs(2);
@@ -178,3 +179,28 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert_eq!(cluster.servers.ended().len(), before);
 }
+
+// Guards against a leader whose lease is gone, and a fencing number that comes back smaller.
+#[test]
+fn zone_has_a_leader_with_a_higher_fencing_number_after_each_copy() {
+    const KEY: &str = "jackdawstair/leader/zone";
+    let cluster = Cluster::start(3, 2);
+    let fence = || cluster.store.entry(KEY).map(|entry| entry.create_revision);
+    assert!(holds_within(REWRITTEN, || fence().is_some()), "no leader");
+    let mut last = fence().expect("the key exists");
+    for has_leader in [true, false] {
+        let copy = if has_leader {
+            cluster.store.copy()
+        } else {
+            Copy::default()
+        };
+        cluster.store.restore(&copy);
+        cluster.store.end_earlier_leases();
+        cluster.store.put("configuration", "1");
+        let is_elected = holds_within(REWRITTEN, || fence().is_some());
+        assert!(is_elected, "no leader after the copy");
+        let next = fence().expect("the key exists");
+        assert!(next > last, "{next} after {last}");
+        last = next;
+    }
+}
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -133,7 +133,7 @@
 }
 
 /// A copy of a store's entries.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(crate) struct Copy {
     revision: u64,
     entries: BTreeMap<CompactString, Entry>,
@@ -143,6 +143,8 @@
 struct State {
     era: Era,
     revision: u64,
+    /// Number of leases that were granted.
+    granted: u64,
     entries: BTreeMap<CompactString, Entry>,
     changes: Vec<Change>,
     unavailable: bool,
@@ -156,19 +158,32 @@
     }
 
     /// Sets an entry at the current revision.
-    fn insert(&mut self, key: CompactString, value: Vec<u8>) {
+    fn insert(&mut self, key: CompactString, value: Vec<u8>, lease: Option<Lease>) {
         let before = self.entries.get(&key);
         let entry = Entry {
             create_revision: before.map_or(self.current(), |entry| entry.create_revision),
             mod_revision: self.current(),
             key: key.clone(),
             value,
-            lease: None,
+            lease,
         };
         self.entries.insert(key, entry.clone());
         self.changes.push(Change::Put(entry));
     }
 
+    /// Deletes the entries whose leases have ended.
+    fn end_leases(&mut self, has_ended: impl Fn(Lease) -> bool) {
+        let entries = self.entries.values();
+        let ended: Vec<CompactString> = entries
+            .filter(|entry| entry.lease.is_some_and(&has_ended))
+            .map(|entry| entry.key.clone())
+            .collect();
+        for key in ended {
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
     /// Deletes an entry at the current revision.
     fn remove(&mut self, key: &str) {
         self.entries.remove(key);
@@ -221,7 +236,7 @@
     pub(crate) fn put(&self, key: &str, value: &str) {
         let mut state = self.state();
         state.revision += 1;
-        state.insert(key.into(), value.into());
+        state.insert(key.into(), value.into(), None);
         self.changed.send_replace(state.revision);
     }
 
@@ -259,6 +274,19 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Ends the leases of earlier eras, which nobody renews.
+    pub(crate) fn end_earlier_leases(&self) {
+        let mut state = self.state();
+        let era = state.era;
+        state.end_leases(|lease| Era::of(lease.0 as u64) < era);
+        self.changed.send_replace(state.revision);
+    }
+
+    /// Returns an entry.
+    pub(crate) fn entry(&self, key: &str) -> Option<Entry> {
+        self.state().entries.get(key).cloned()
+    }
+
     /// Returns whether an entry's key begins with a prefix.
     pub(crate) fn has_prefix(&self, prefix: &str) -> bool {
         let state = self.state();
@@ -370,7 +398,7 @@
         state.revision += 1;
         for write in transaction.then {
             match write {
-                Write::Put { key, value, .. } => state.insert(key, value),
+                Write::Put { key, value, lease } => state.insert(key, value, lease),
                 Write::Delete(key) => state.remove(&key),
             }
         }
@@ -378,14 +406,19 @@
         Ok(Committed::Yes(state.current()))
     }
     async fn grant(&self, _: Millis) -> Result<Lease> {
-        Ok(Lease(self.state().era.with(1) as i64))
+        let mut state = self.state();
+        state.granted += 1;
+        Ok(Lease(state.era.with(state.granted) as i64))
     }
     async fn renew(&self, lease: Lease) -> Result<Millis> {
         let is_known = Era::of(lease.0 as u64) == self.state().era;
         Ok(Millis(if is_known { 10_000 } else { 0 }))
     }
-    async fn revoke(&self, _: Lease) -> Result<()> {
-        self.state().revoked = true;
+    async fn revoke(&self, lease: Lease) -> Result<()> {
+        let mut state = self.state();
+        state.revoked = true;
+        state.end_leases(|ended| ended == lease);
+        self.changed.send_replace(state.revision);
         Ok(())
     }
     async fn watch(&self, prefix: &str, _: u64) -> Result<Box<dyn Watch>> {
