Split what has grown: bans, exposure of a request, the tests' store

Read as a newcomer: bans in the store move out of gateway/poison.rs, what an attempt has done to its server out of dispatch.rs into exposure.rs, the store of the tests out of support.rs; two scenes of restore.rs share their waits. One fault found by reading: a datagram's lists were cut to 1,400 bytes without the fields beside them, which have grown by an address, a version and an age; a full one could have passed what a node reads. 160 bytes are left for them. No test showed it; behaviour is otherwise unchanged.

--- /dev/null
+++ b/crates/gateway/src/bans.rs
@@ -0,0 +1,174 @@
+//! Keeps the bans of requests that end servers in the store, so that they outlast all nodes.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use compact_str::{CompactString, format_compact};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::{Entry, Transaction, Write};
+use jackdaw_core::token::Digest;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::backoff::Backoff;
+use jackdaw_policy::poison::{BAN_DURATION, Ban};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::node::Node;
+
+/// Prefix of the bans in the store.
+const PREFIX: &str = "jackdawstair/bans/";
+/// Shortest pause after a failed call of the store.
+const MIN_RETRY_DELAY: Millis = Millis(100);
+/// Longest pause after a failed call of the store.
+const MAX_RETRY_DELAY: Millis = Millis(2_000);
+/// Shortest time after the store has come back from a copy until a node writes what it lacks.
+const MIN_REWRITE_DELAY: Millis = Millis(300);
+/// Longest time until then; at the target's size about a hundred nodes a second come to look.
+const MAX_REWRITE_DELAY: Millis = Millis(3_500);
+
+/// Starts the tasks that read the bans from the store and write new ones to it.
+pub(crate) fn start(node: &Rc<Node>) {
+    ntex::rt::spawn(restore(Rc::clone(node)));
+    ntex::rt::spawn(save(Rc::clone(node)));
+    ntex::rt::spawn(rewrite(Rc::clone(node)));
+}
+
+/// Writes the bans that the store lacks each time it has come back from a copy.
+async fn rewrite(node: Rc<Node>) {
+    loop {
+        node.freshness.has_new_era.notified().await;
+        // Whoever comes first writes for all, so nodes do not come at the same time.
+        let pause = Millis(fastrand::u64(MIN_REWRITE_DELAY.0..MAX_REWRITE_DELAY.0));
+        time::sleep(pause.duration()).await;
+        let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+        let mut random = fastrand::Rng::new();
+        while let Err(error) = rewrite_missing(&node).await {
+            warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
+            time::sleep(backoff.next_pause(&mut random).duration()).await;
+        }
+    }
+}
+
+async fn rewrite_missing(node: &Node) -> Result<()> {
+    let known = node.poison.bans(node.now());
+    if known.is_empty() {
+        return Ok(());
+    }
+    let stored: HashSet<Digest> = read_bans(node)
+        .await?
+        .iter()
+        .map(|ban| ban.digest)
+        .collect();
+    let missing = known.iter().filter(|ban| !stored.contains(&ban.digest));
+    for ban in missing {
+        info!(node.logger(), "ban is written again"; "digest" => %ban.digest.prefix());
+        node.poison.save_again(ban.digest);
+    }
+    Ok(())
+}
+
+/// Reads the bans that are in the store.
+async fn restore(node: Rc<Node>) {
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    let mut random = fastrand::Rng::new();
+    loop {
+        match read_bans(&node).await {
+            Ok(bans) => {
+                node.restore_bans(bans);
+                return;
+            }
+            Err(error) => {
+                warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
+                time::sleep(backoff.next_pause(&mut random).duration()).await;
+            }
+        }
+    }
+}
+
+async fn read_bans(node: &Node) -> Result<Vec<Ban>> {
+    let mut entries: Vec<Entry> = Vec::new();
+    loop {
+        let last = entries.last().map(|entry| entry.key.clone());
+        let page = node.parts.change_feed.page(PREFIX, last.as_deref()).await?;
+        let has_more = page.more && !page.entries.is_empty();
+        entries.extend(page.entries);
+        if !has_more {
+            break;
+        }
+    }
+    let unix_ms = node.parts.clock.unix_millis();
+    let bans = entries
+        .iter()
+        .filter_map(|entry| match decode_ban(entry, unix_ms) {
+            Ok(ban) => Some(ban),
+            Err(error) => {
+                warn!(node.logger(), "ban in the store cannot be decoded"; "error" => %error);
+                None
+            }
+        });
+    Ok(bans.collect())
+}
+
+fn decode_ban(entry: &Entry, unix_ms: u64) -> Result<Ban> {
+    let malformed = |reason: &str| Error::malformed("read ban", &entry.key, reason);
+    let digest = entry
+        .key
+        .strip_prefix(PREFIX)
+        .and_then(|digest| digest.parse().ok())
+        .ok_or_else(|| malformed("the key holds no digest"))?;
+    let until_unix_ms: u64 = std::str::from_utf8(&entry.value)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| malformed("the value is no time"))?;
+    Ok(Ban {
+        digest,
+        remaining: Millis(until_unix_ms.saturating_sub(unix_ms)),
+    })
+}
+
+/// Writes new bans to the store until the node stops.
+async fn save(node: Rc<Node>) {
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    let mut random = fastrand::Rng::new();
+    loop {
+        let next = node.poison.next_unsaved();
+        let Some(digest) = next else {
+            node.poison.has_unsaved.notified().await;
+            continue;
+        };
+        let ban = node.poison.ban(&digest, node.now());
+        let result = match ban {
+            Some(ban) => write_ban(&node, &ban).await,
+            None => Ok(()),
+        };
+        match result {
+            Ok(()) => {
+                node.poison.finish_saving();
+                backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+            }
+            Err(error) => {
+                warn!(node.logger(), "ban cannot be written to the store"; "error" => %error);
+                time::sleep(backoff.next_pause(&mut random).duration()).await;
+            }
+        }
+    }
+}
+
+/// Writes a ban under a lease that removes it when it has ended.
+async fn write_ban(node: &Node, ban: &Ban) -> Result<()> {
+    let store = &node.parts.store;
+    let lease = store.grant(BAN_DURATION).await?;
+    let until_unix_ms = node.parts.clock.unix_millis() + ban.remaining.0;
+    let key: CompactString = format_compact!("{PREFIX}{}", ban.digest);
+    let put = Write::Put {
+        key,
+        value: until_unix_ms.to_string().into_bytes(),
+        lease: Some(lease),
+    };
+    let transaction = Transaction {
+        then: vec![put],
+        ..Transaction::default()
+    };
+    store.commit(transaction).await?;
+    Ok(())
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,12 +23,13 @@
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Demand, Load};
 use jackdaw_policy::fleet::Target;
-use jackdaw_policy::poison::{self, Crash, SETTLED_EVENTS, Suspicion};
+use jackdaw_policy::poison::{self, Crash};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
 use tokio::time;
 
 use crate::buffered::BufferedAnswer;
+use crate::exposure::Exposure;
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::targets::{Key, Reservation, Targets};
@@ -176,12 +177,7 @@
     candidate_count: usize,
     /// Number of failed attempts.
     pub(crate) failures: u32,
-    /// Suspicion that the request ends servers.
-    suspicion: Option<Suspicion>,
-    /// Number of events that the server of the attempt in progress has sent.
-    events: u32,
-    /// Whether the server of the attempt in progress is recorded as having survived the request.
-    has_survived: bool,
+    exposure: Exposure,
 }
 
 impl Dispatch {
@@ -201,9 +197,7 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
-            suspicion: None,
-            events: 0,
-            has_survived: false,
+            exposure: Exposure::default(),
         }
     }
 
@@ -235,7 +229,7 @@
     ///
     /// Returns a refusal if it does.
     fn check_poison(&mut self) -> Result<(), Refusal> {
-        self.suspicion = None;
+        self.exposure = Exposure::default();
         if self.node.poison.is_empty() {
             return Ok(());
         }
@@ -243,7 +237,7 @@
         match self.node.poison.verdict(&digest, self.node.now()) {
             poison::Verdict::Clear => Ok(()),
             poison::Verdict::Suspect => {
-                self.suspicion = self.node.poison.suspicion(&digest);
+                self.exposure = Exposure::begin(self.node.poison.suspicion(&digest));
                 Ok(())
             }
             poison::Verdict::Banned(remaining) => {
@@ -255,31 +249,23 @@
 
     /// Records an event of the server.
     pub(crate) fn record_event(&mut self) {
-        self.events = self.events.saturating_add(1);
-        if self.is_settled() {
+        if self.exposure.record_event() {
             self.record_survival();
         }
     }
 
-    /// Returns whether the end of the server would say nothing about this request.
-    fn is_settled(&self) -> bool {
-        self.events >= SETTLED_EVENTS
-    }
-
     /// Records that the server survived the request.
     pub(crate) fn record_survival(&mut self) {
-        let may_be_suspect = self.suspicion.is_some() || self.failures > 0;
-        if self.has_survived || !may_be_suspect {
-            return;
+        let may_be_suspect = self.exposure.suspicion().is_some() || self.failures > 0;
+        if may_be_suspect && self.exposure.record_survival() {
+            let digest = self.call.digest();
+            self.node.record_survival(&self.call.head.id, &digest);
         }
-        self.has_survived = true;
-        let digest = self.call.digest();
-        self.node.record_survival(&self.call.head.id, &digest);
     }
 
     /// Records a failed attempt as a crash if its server may have ended under the request.
     fn record_crash(&self, error: &ExchangeFailure, attempt: &Attempt) {
-        if self.is_settled() {
+        if self.exposure.is_settled() {
             return;
         }
         let crash = |digest| Crash {
@@ -307,7 +293,7 @@
     /// Returns whether the server of a failed attempt has ended after it had begun to answer; if its
     /// registration does not tell, it is asked for a connection.
     async fn has_server_ended(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
-        if error.fault != Fault::Closed || !self.is_settled() {
+        if error.fault != Fault::Closed || !self.exposure.is_settled() {
             return false;
         }
         let is_replaced = !self.node.targets.borrow().is_listed(&attempt.target);
@@ -338,10 +324,8 @@
                 .collect()
         };
         let sound = loads.iter().filter(|load| !load.suspect).count();
-        if self
-            .suspicion
-            .is_some_and(|suspicion| !suspicion.may_run(sound, now))
-        {
+        let suspicion = self.exposure.suspicion();
+        if suspicion.is_some_and(|suspicion| !suspicion.may_run(sound, now)) {
             let detail = "servers ended under the same request, and no other can be spared";
             return Err(self.refuse(Reason::Poison, SPARED_RETRY_AFTER, detail.to_owned()));
         }
@@ -365,7 +349,8 @@
     /// unless none is left.
     fn keep_apart(&self, candidates: Vec<Key>) -> Vec<Key> {
         let targets = self.node.targets.borrow();
-        let own_crashes = self.suspicion.map_or(0, |suspicion| suspicion.crashes);
+        let suspicion = self.exposure.suspicion();
+        let own_crashes = suspicion.map_or(0, |suspicion| suspicion.crashes);
         let apart: Vec<Key> = candidates
             .iter()
             .copied()
@@ -485,8 +470,6 @@
     }
 
     async fn send(&mut self, attempt: &mut Attempt) -> Result<Exchange, ExchangeFailure> {
-        self.events = 0;
-        self.has_survived = false;
         let node = Rc::clone(&self.node);
         let is_once = !self.call.route.kind.is_repeatable();
         let address = attempt.target.address;
@@ -515,7 +498,7 @@
             attempt.key,
             u64::from(demand.prompt),
             u64::from(demand.output),
-            self.suspicion.map(|suspicion| suspicion.crashes),
+            self.exposure.suspicion().map(|suspicion| suspicion.crashes),
         );
         let request = self.build_request(&attempt.target, left)?;
         let timeouts = self.first_timeouts();
--- /dev/null
+++ b/crates/gateway/src/exposure.rs
@@ -0,0 +1,46 @@
+//! What one request has done to the server of its attempt in progress, as far as its answer tells.
+
+use jackdaw_policy::poison::{SETTLED_EVENTS, Suspicion};
+
+/// Suspicion that a request ends servers, and what speaks against it.
+#[derive(Debug, Default)]
+pub(crate) struct Exposure {
+    /// Suspicion with which the attempt began.
+    suspicion: Option<Suspicion>,
+    /// Number of events that the server has sent.
+    events: u32,
+    /// Whether the server is recorded as having survived the request.
+    has_survived: bool,
+}
+
+impl Exposure {
+    /// Begins an attempt.
+    pub(crate) fn begin(suspicion: Option<Suspicion>) -> Self {
+        Exposure {
+            suspicion,
+            ..Exposure::default()
+        }
+    }
+
+    /// Gets the suspicion with which the attempt began.
+    pub(crate) fn suspicion(&self) -> Option<Suspicion> {
+        self.suspicion
+    }
+
+    /// Counts an event of the server and returns whether its end would say nothing about the request
+    /// from now on.
+    pub(crate) fn record_event(&mut self) -> bool {
+        self.events = self.events.saturating_add(1);
+        self.is_settled()
+    }
+
+    /// Returns whether the end of the server would say nothing about the request.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.events >= SETTLED_EVENTS
+    }
+
+    /// Records that the server survived the request and returns whether that is new.
+    pub(crate) fn record_survival(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_survived, true)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod options;
 pub mod server;
 
+mod bans;
 mod body;
 mod buffered;
 mod dispatch;
 mod event;
+mod exposure;
 mod follow;
 mod freshness;
 mod handler;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -52,6 +52,8 @@
 const FANOUT: usize = 4;
 /// Largest datagram in bytes, which is not fragmented.
 const MAX_DATAGRAM: usize = 1_400;
+/// Largest encoded size of a datagram's fields beside its lists in bytes.
+const MAX_HEADER_BYTES: usize = 160;
 /// Largest encoded size of one target's load in bytes.
 const MAX_LOAD_BYTES: usize = 24;
 /// Largest encoded size of one server's state in bytes.
@@ -497,7 +499,7 @@
         let mut shares = self.node.targets.borrow().shares(self.node.now());
         // Suspected targets and those with most requests are kept if not all fit.
         shares.sort_by_key(|(_, share)| std::cmp::Reverse((share.suspect, share.requests)));
-        shares.truncate(MAX_DATAGRAM / MAX_LOAD_BYTES - 2);
+        shares.truncate((MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_LOAD_BYTES);
         let loads = shares.into_iter().map(|(target, share)| Load {
             target,
             requests: share.requests,
@@ -513,7 +515,8 @@
 
     async fn send_server_states(&mut self, recipients: &[SocketAddr]) {
         let server_states = server_states(&self.node);
-        for chunk in server_states.chunks(MAX_DATAGRAM / MAX_SERVER_STATE_BYTES) {
+        let max_states = (MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_SERVER_STATE_BYTES;
+        for chunk in server_states.chunks(max_states) {
             let datagram = Datagram {
                 server_states: chunk.to_vec(),
                 ..Datagram::default()
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -1,44 +1,26 @@
 //! Requests that end servers: what this node saw of them, and what the other nodes and the store tell.
 //!
-//! Evidence and bans travel with the datagrams between nodes. Bans are also kept in the store, so that
-//! they outlast all nodes; each node reads them once at its start.
+//! Evidence and bans travel with the datagrams between nodes; `bans` keeps bans in the store as well.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use jackdaw_core::decision::Decision;
-use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::store::{Entry, Transaction, Write};
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::backoff::Backoff;
-use jackdaw_policy::poison::{
-    BAN_DURATION, Ban, Crash, CrashId, Evidence, Suspicion, Tracker, Verdict,
-};
+use jackdaw_policy::poison::{Ban, Crash, CrashId, Evidence, Suspicion, Tracker, Verdict};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use prost::Message;
 use slog::{info, warn};
 use tokio::sync::Notify;
-use tokio::time;
 
 use crate::node::Node;
 
-/// Prefix of the bans in the store.
-const PREFIX: &str = "jackdawstair/bans/";
-/// Shortest pause after a failed call of the store.
-const MIN_RETRY_DELAY: Millis = Millis(100);
-/// Longest pause after a failed call of the store.
-const MAX_RETRY_DELAY: Millis = Millis(2_000);
-/// Shortest time after the store has come back from a copy until a node writes what it lacks.
-const MIN_REWRITE_DELAY: Millis = Millis(300);
-/// Longest time until then; at the target's size about a hundred nodes a second come to look.
-const MAX_REWRITE_DELAY: Millis = Millis(3_500);
 /// Time for which a change is passed on with each round of datagrams; a round reaches few nodes, and
 /// those pass it on.
 const NEWS_TIME: Millis = Millis(1_500);
@@ -175,7 +157,8 @@
     silences: RefCell<Vec<Silence>>,
     /// Bans that are not in the store yet.
     unsaved: RefCell<Vec<Digest>>,
-    has_unsaved: Notify,
+    /// Notified when a ban is to be written to the store.
+    pub(crate) has_unsaved: Notify,
     /// Notified when all nodes are to be told at once.
     pub(crate) has_urgent_news: Notify,
     is_restored: Cell<bool>,
@@ -236,6 +219,37 @@
         self.tracker.borrow().suspicion(digest)
     }
 
+    /// Returns the ban of a request, if it is banned.
+    pub(crate) fn ban(&self, digest: &Digest, now: Instant) -> Option<Ban> {
+        self.tracker.borrow().current_ban(digest, now)
+    }
+
+    /// Returns all bans.
+    pub(crate) fn bans(&self, now: Instant) -> Vec<Ban> {
+        self.tracker.borrow().bans(now).collect()
+    }
+
+    /// Returns the next request whose ban is to be written to the store.
+    pub(crate) fn next_unsaved(&self) -> Option<Digest> {
+        self.unsaved.borrow().first().copied()
+    }
+
+    /// Records that the ban of the request returned by [`Poison::next_unsaved`] needs no writing.
+    pub(crate) fn finish_saving(&self) {
+        self.unsaved.borrow_mut().remove(0);
+    }
+
+    /// Has a ban written to the store that has lost it.
+    pub(crate) fn save_again(&self, digest: Digest) {
+        self.rewritten.add(1, &[]);
+        self.save(digest);
+    }
+
+    fn save(&self, digest: Digest) {
+        self.unsaved.borrow_mut().push(digest);
+        self.has_unsaved.notify_one();
+    }
+
     /// Returns what the other nodes are to be told in this round, or `None` if there is nothing.
     fn report(&self, now: Instant) -> Option<Report> {
         let tracker = self.tracker.borrow();
@@ -381,6 +395,14 @@
         }
     }
 
+    /// Adopts the bans that were in the store at the node's start.
+    pub(crate) fn restore_bans(&self, bans: Vec<Ban>) {
+        for ban in bans {
+            self.adopt_ban(ban, Source::Store);
+        }
+        self.poison.is_restored.set(true);
+    }
+
     fn adopt_ban(&self, ban: Ban, source: Source) {
         let now = self.now();
         let decision = self.poison.tracker.borrow_mut().adopt_ban(ban, now);
@@ -400,14 +422,12 @@
     /// Records a ban that follows from crashes, and has it saved by the nodes that saw one of them.
     fn handle_ban(&self, digest: &Digest, source: Source) {
         let poison = &self.poison;
-        let ban = poison.tracker.borrow().current_ban(digest, self.now());
-        let Some(ban) = ban else {
+        let Some(ban) = poison.ban(digest, self.now()) else {
             return;
         };
         self.record_ban(&ban, source);
         if poison.tracker.borrow().is_seen_here(digest) {
-            poison.unsaved.borrow_mut().push(*digest);
-            poison.has_unsaved.notify_one();
+            poison.save(*digest);
         }
         poison.has_urgent_news.notify_one();
     }
@@ -422,158 +442,3 @@
             "remaining_ms" => ban.remaining.0);
     }
 }
-
-/// Starts the tasks that read the bans from the store and write new ones to it.
-pub(crate) fn start(node: &Rc<Node>) {
-    ntex::rt::spawn(restore(Rc::clone(node)));
-    ntex::rt::spawn(save(Rc::clone(node)));
-    ntex::rt::spawn(rewrite(Rc::clone(node)));
-}
-
-/// Writes the bans that the store lacks each time it has come back from a copy.
-async fn rewrite(node: Rc<Node>) {
-    loop {
-        node.freshness.has_new_era.notified().await;
-        // Whoever comes first writes for all, so nodes do not come at the same time.
-        let pause = Millis(fastrand::u64(MIN_REWRITE_DELAY.0..MAX_REWRITE_DELAY.0));
-        time::sleep(pause.duration()).await;
-        let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-        let mut random = fastrand::Rng::new();
-        while let Err(error) = rewrite_missing(&node).await {
-            warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
-            time::sleep(backoff.next_pause(&mut random).duration()).await;
-        }
-    }
-}
-
-async fn rewrite_missing(node: &Node) -> Result<()> {
-    let known: Vec<Ban> = node.poison.tracker.borrow().bans(node.now()).collect();
-    if known.is_empty() {
-        return Ok(());
-    }
-    let stored: HashSet<Digest> = read_bans(node)
-        .await?
-        .iter()
-        .map(|ban| ban.digest)
-        .collect();
-    let missing = known.iter().filter(|ban| !stored.contains(&ban.digest));
-    for ban in missing {
-        info!(node.logger(), "ban is written again"; "digest" => %ban.digest.prefix());
-        node.poison.rewritten.add(1, &[]);
-        node.poison.unsaved.borrow_mut().push(ban.digest);
-    }
-    node.poison.has_unsaved.notify_one();
-    Ok(())
-}
-
-/// Reads the bans that are in the store.
-async fn restore(node: Rc<Node>) {
-    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-    let mut random = fastrand::Rng::new();
-    loop {
-        match read_bans(&node).await {
-            Ok(bans) => {
-                for ban in bans {
-                    node.adopt_ban(ban, Source::Store);
-                }
-                node.poison.is_restored.set(true);
-                return;
-            }
-            Err(error) => {
-                warn!(node.logger(), "bans cannot be read from the store"; "error" => %error);
-                time::sleep(backoff.next_pause(&mut random).duration()).await;
-            }
-        }
-    }
-}
-
-async fn read_bans(node: &Node) -> Result<Vec<Ban>> {
-    let mut entries: Vec<Entry> = Vec::new();
-    loop {
-        let last = entries.last().map(|entry| entry.key.clone());
-        let page = node.parts.change_feed.page(PREFIX, last.as_deref()).await?;
-        let has_more = page.more && !page.entries.is_empty();
-        entries.extend(page.entries);
-        if !has_more {
-            break;
-        }
-    }
-    let unix_ms = node.parts.clock.unix_millis();
-    let bans = entries
-        .iter()
-        .filter_map(|entry| match decode_ban(entry, unix_ms) {
-            Ok(ban) => Some(ban),
-            Err(error) => {
-                warn!(node.logger(), "ban in the store cannot be decoded"; "error" => %error);
-                None
-            }
-        });
-    Ok(bans.collect())
-}
-
-fn decode_ban(entry: &Entry, unix_ms: u64) -> Result<Ban> {
-    let malformed = |reason: &str| Error::malformed("read ban", &entry.key, reason);
-    let digest = entry
-        .key
-        .strip_prefix(PREFIX)
-        .and_then(|digest| digest.parse().ok())
-        .ok_or_else(|| malformed("the key holds no digest"))?;
-    let until_unix_ms: u64 = std::str::from_utf8(&entry.value)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .ok_or_else(|| malformed("the value is no time"))?;
-    Ok(Ban {
-        digest,
-        remaining: Millis(until_unix_ms.saturating_sub(unix_ms)),
-    })
-}
-
-/// Writes new bans to the store until the node stops.
-async fn save(node: Rc<Node>) {
-    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-    let mut random = fastrand::Rng::new();
-    loop {
-        let next = node.poison.unsaved.borrow().first().copied();
-        let Some(digest) = next else {
-            node.poison.has_unsaved.notified().await;
-            continue;
-        };
-        let ban = {
-            let tracker = node.poison.tracker.borrow();
-            tracker.current_ban(&digest, node.now())
-        };
-        let result = match ban {
-            Some(ban) => write_ban(&node, &ban).await,
-            None => Ok(()),
-        };
-        match result {
-            Ok(()) => {
-                node.poison.unsaved.borrow_mut().remove(0);
-                backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
-            }
-            Err(error) => {
-                warn!(node.logger(), "ban cannot be written to the store"; "error" => %error);
-                time::sleep(backoff.next_pause(&mut random).duration()).await;
-            }
-        }
-    }
-}
-
-/// Writes a ban under a lease that removes it when it has ended.
-async fn write_ban(node: &Node, ban: &Ban) -> Result<()> {
-    let store = &node.parts.store;
-    let lease = store.grant(BAN_DURATION).await?;
-    let until_unix_ms = node.parts.clock.unix_millis() + ban.remaining.0;
-    let key: CompactString = format_compact!("{PREFIX}{}", ban.digest);
-    let put = Write::Put {
-        key,
-        value: until_unix_ms.to_string().into_bytes(),
-        lease: Some(lease),
-    };
-    let transaction = Transaction {
-        then: vec![put],
-        ..Transaction::default()
-    };
-    store.commit(transaction).await?;
-    Ok(())
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time;
 
+use crate::bans;
 use crate::follow;
 use crate::freshness;
 use crate::handler;
@@ -137,7 +138,7 @@
         "zone" => %node.options.zone, "callers" => %node.options.callers);
     follow::start(&node);
     crate::peers::start(&node, peers);
-    crate::poison::start(&node);
+    bans::start(&node);
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept_connections(
         Rc::clone(&node),
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -13,9 +13,8 @@
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use socket2::{Domain, Socket, Type};
 
-use super::support::{
-    Feed, MemoryStore, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
-};
+use super::store::{Feed, MemoryStore};
+use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, request, server};
 
 /// Part of a path under which a server ends as soon as it begins to run the request.
 pub(crate) const ENDS_SERVERS: &str = "bad";
--- a/crates/gateway/tests/node/follow.rs
+++ b/crates/gateway/tests/node/follow.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::support::{KEEP, MAX_CHANGES, Node, Script};
+use super::store::MAX_CHANGES;
+use super::support::{KEEP, Node, Script};
 
 const OK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndoneKEEP";
 /// Time within which a configuration must be in force and a draining server must get no new work.
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -6,4 +6,5 @@
 mod poison;
 mod relay;
 mod restore;
+mod store;
 mod support;
--- a/crates/gateway/tests/node/restore.rs
+++ b/crates/gateway/tests/node/restore.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::cluster::Cluster;
-use super::support::Copy;
+use super::store::Copy;
 
 /// Time within which a configuration must be in force.
 const APPLIED: Duration = Duration::from_secs(2);
@@ -41,27 +41,37 @@
     }
 }
 
-// Guards against a draining server that gets new work again because its old entry is back.
-#[test]
-fn draining_server_stays_draining_when_its_entry_says_ready_again() {
-    let cluster = Cluster::start(1, 2);
+/// Waits until a server gets no work of the first node.
+fn wait_without_work(cluster: &Cluster, server: &str) {
     let node = &cluster.nodes[0];
-    let copy = cluster.store.copy();
-    cluster.store.put("servers/s0", "draining");
-    let is_drained = holds_within(APPLIED, || {
+    let is_without = holds_within(APPLIED, || {
         cluster.servers.take_answered();
         (0..MANY_CALLS).for_each(|_| drop(node.call("r", "/safe/x")));
-        !cluster.servers.take_answered().contains(&"s0".to_owned())
+        !cluster.servers.take_answered().contains(&server.to_owned())
     });
-    assert!(is_drained, "the server still gets work");
-    cluster.store.restore(&copy);
-    wait_noticed(&cluster);
+    assert!(is_without, "the server still gets work");
+}
+
+/// Checks that for a while callers are served and a server gets no work.
+fn assert_without_work(cluster: &Cluster, server: &str) {
     let start = Instant::now();
     while start.elapsed() < APPLIED {
-        assert!(is_served(&node.call("r", "/safe/x")));
+        assert!(is_served(&cluster.nodes[0].call("r", "/safe/x")));
     }
     let answered = cluster.servers.take_answered();
-    assert!(!answered.contains(&"s0".to_owned()), "it got work again");
+    assert!(!answered.contains(&server.to_owned()), "it got work again");
+}
+
+// Guards against a draining server that gets new work again because its old entry is back.
+#[test]
+fn draining_server_stays_draining_when_its_entry_says_ready_again() {
+    let cluster = Cluster::start(1, 2);
+    let copy = cluster.store.copy();
+    cluster.store.put("servers/s0", "draining");
+    wait_without_work(&cluster, "s0");
+    cluster.store.restore(&copy);
+    wait_noticed(&cluster);
+    assert_without_work(&cluster, "s0");
 }
 
 // Guards against callers who are refused because the copy lacks the servers that live.
@@ -96,23 +106,12 @@
 #[test]
 fn server_that_has_ended_since_the_copy_gets_requests_only_if_no_other_can() {
     let cluster = Cluster::start(1, 2);
-    let node = &cluster.nodes[0];
     let copy = cluster.store.copy();
     cluster.store.delete("servers/s0");
-    let is_gone = holds_within(APPLIED, || {
-        cluster.servers.take_answered();
-        (0..MANY_CALLS).for_each(|_| drop(node.call("r", "/safe/x")));
-        !cluster.servers.take_answered().contains(&"s0".to_owned())
-    });
-    assert!(is_gone, "the server still gets work");
+    wait_without_work(&cluster, "s0");
     cluster.store.restore(&copy);
     wait_noticed(&cluster);
-    let start = Instant::now();
-    while start.elapsed() < APPLIED {
-        assert!(is_served(&node.call("r", "/safe/x")));
-    }
-    let answered = cluster.servers.take_answered();
-    assert!(!answered.contains(&"s0".to_owned()), "it got work again");
+    assert_without_work(&cluster, "s0");
 }
 
 // Guards against a configuration that reverts, and a node that starts with the copy's.
