--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -16,7 +16,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use prost::Message;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::sync::Notify;
 
 use crate::node::Node;
@@ -412,7 +412,7 @@
     }
 
     fn record_learned(&self, digest: &Digest, decision: &Decision) {
-        info!(self.logger(), "another node tells of a request and a server's end";
+        debug!(self.logger(), "another node tells of a request and a server's end";
             "digest" => %digest.prefix(),
             "cause" => %decision.cause,
             "outcome" => %decision.taken);
