--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -63,7 +63,7 @@
         let age_ms = Arc::new(AtomicU64::new(0));
         let observed = Arc::clone(&age_ms);
         let age = meter
-            .f64_observable_gauge("jackdawstair_configuration_age")
+            .f64_observable_gauge("jackdawstair_version_age")
             .with_unit("s")
             .with_description("Time since the store or a peer last confirmed the configuration.")
             .with_callback(move |observer| {
