Go on with a stream under way after a server that did not run it

Cause: the group of the first server stood still, the stream went to a second server, and that one stated that it did not run it (503 when full, or 421); with max_attempts 2 the stream was given up, though other groups could take it. Fix: while a caller has part of a stream, a server that did not run the rest doesn't count against the route's number of servers; the rule counts servers that ran it. Before the first event it counts as before, so that overload doesn't multiply attempts. Test: a_stream_under_way_goes_on_after_a_server_that_did_not_run_it failed before; a second one keeps the limit before the first event.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -126,7 +126,7 @@
             step: exchange_failure.step,
             fault: exchange_failure.fault,
             connection: attempt.connection,
-            has_server_ended: false,
+            is_uncounted: false,
         };
         if matches!(exchange_failure.fault, Fault::Closed | Fault::Silent) {
             self.clients.discard_idle(target.address);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -290,6 +290,11 @@
         }
     }
 
+    /// Returns whether a server did not run what is left of a stream of which the caller has a part.
+    fn is_refused_midway(&self, error: &ExchangeFailure) -> bool {
+        error.fault == Fault::Refused && self.last_delivered > self.call.head.last_event
+    }
+
     /// Returns whether the server of a failed attempt has ended after it had begun to answer; if its
     /// registration does not tell, it is asked for a connection.
     async fn has_server_ended(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
@@ -715,7 +720,8 @@
         error: &ExchangeFailure,
         attempt: &Attempt,
     ) -> Result<(), Refusal> {
-        let has_server_ended = self.has_server_ended(error, attempt).await;
+        let is_uncounted =
+            self.is_refused_midway(error) || self.has_server_ended(error, attempt).await;
         let now = self.node.now();
         self.failures += 1;
         let failure = Failure {
@@ -727,7 +733,7 @@
             } else {
                 retry::Connection::Used
             },
-            has_server_ended,
+            is_uncounted,
         };
         if matches!(error.fault, Fault::Silent | Fault::Unreachable) {
             self.node.pool.close_idle(attempt.target.address);
--- a/crates/gateway/tests/node/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -118,6 +118,27 @@
     node.stop();
 }
 
+// Guards against a stream under way that is given up although the last server did not run it.
+#[test]
+fn a_stream_under_way_goes_on_after_a_server_that_did_not_run_it() {
+    let node = Node::start_before(3, &[ONE_TWO, NOT_RUN, TWO_THREE_END]);
+    let answer = node.call("POST", "/stream/x");
+    assert!(answer.contains("data: three"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(node.arrived().len(), 3);
+    node.stop();
+}
+
+// Guards against requests that ask more servers than their route allows under overload.
+#[test]
+fn a_request_that_no_server_has_begun_is_sent_to_as_many_servers_as_its_route_allows() {
+    let node = Node::start_before(3, &[NOT_RUN, NOT_RUN, ONE_TWO_END]);
+    let answer = node.call("POST", "/stream/x");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(node.arrived().len(), 2);
+    node.stop();
+}
+
 const ONE_THEN_STALL: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
 
 #[test]
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -441,9 +441,14 @@
 impl Node {
     /// Starts a node with two servers that share the scripts, and waits until it is ready.
     pub(crate) fn start(scripts: &[Script]) -> Node {
+        Node::start_before(2, scripts)
+    }
+
+    /// Starts a node with a number of servers that share the scripts, and waits until it is ready.
+    pub(crate) fn start_before(count: usize, scripts: &[Script]) -> Node {
         let servers = Servers::default();
         *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
-        let registered: Vec<Server> = (0..2)
+        let registered: Vec<Server> = (0..count)
             .map(|number| server(&format!("s{number}"), servers.listen()))
             .collect();
         let store = Arc::new(MemoryStore::new());
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -186,9 +186,9 @@
     pub fault: Fault,
     /// Kind of the connection.
     pub connection: Connection,
-    /// Whether the server has ended after it had begun to answer. Such an attempt does not count
-    /// against the number of servers, since the request is not to blame for it.
-    pub has_server_ended: bool,
+    /// Whether the attempt does not count against the number of servers: its server has ended after it
+    /// had begun to answer, or did not run what is left of a stream under way.
+    pub is_uncounted: bool,
 }
 
 impl Failure {
@@ -333,7 +333,7 @@
     /// no repetition.
     pub fn record_failure(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
         self.attempts += 1;
-        if failure.fault != Fault::Unreachable && !failure.has_server_ended {
+        if failure.fault != Fault::Unreachable && !failure.is_uncounted {
             self.sent += 1;
         }
         self.furthest = self.furthest.max(failure.step);
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -56,7 +56,7 @@
         step,
         fault,
         connection,
-        has_server_ended: false,
+        is_uncounted: false,
     }
 }
 
@@ -224,14 +224,14 @@
 #[case::two_servers_ended(true, Verdict::Elsewhere)]
 #[case::two_servers_failed_it(false, Verdict::GiveUp(Cause::Attempts))]
 fn servers_that_ended_do_not_count_against_the_limit(
-    #[case] has_server_ended: bool,
+    #[case] is_uncounted: bool,
     #[case] verdict: Verdict,
 ) {
     let mut request = Request::new(true, DEADLINE).with_limit(2);
     let budget = Budget::default();
     for server in ["a", "b"] {
         let failure = Failure {
-            has_server_ended,
+            is_uncounted,
             ..failure(server, Step::Answering, Fault::Closed, Connection::New)
         };
         let last = request.record_failure(&failure, &budget, Instant(0));
