Call what stands already, and drop what repeats itself

Found by reading the whole change once more; behaviour is the same. - gateway/bans.rs paged through the store by itself; the store's client lists a prefix. The tests' store answers the listing now. - The conversion of bytes to a digest stood in the datagrams and in the gossip codec; it is Digest::try_from. - handle_ban had a parameter with one value. - Registry::begin_era went through the fleet for draining servers, all of which it has recorded before; the explorer (32,768 sequences) passes without it.

--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -282,9 +282,7 @@
 }
 
 fn decode_digest(digest: &[u8], peer: &str) -> Result<Digest> {
-    let digest = <[u8; 32]>::try_from(digest);
-    digest
-        .map(Digest)
+    Digest::try_from(digest)
         .map_err(|_| Error::malformed(OPERATION, peer, "digest of another length"))
 }
 
--- a/crates/core/src/token.rs
+++ b/crates/core/src/token.rs
@@ -1,5 +1,6 @@
 //! Digests of bearer tokens, which are not stored themselves, and of requests.
 
+use std::array::TryFromSliceError;
 use std::fmt;
 use std::str::FromStr;
 
@@ -48,6 +49,14 @@
     }
 }
 
+impl TryFrom<&[u8]> for Digest {
+    type Error = TryFromSliceError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        bytes.try_into().map(Digest)
+    }
+}
+
 impl FromStr for Digest {
     type Err = hex::FromHexError;
 
--- a/crates/gateway/src/bans.rs
+++ b/crates/gateway/src/bans.rs
@@ -86,16 +86,7 @@
 }
 
 async fn read_bans(node: &Node) -> Result<Vec<Ban>> {
-    let mut entries: Vec<Entry> = Vec::new();
-    loop {
-        let last = entries.last().map(|entry| entry.key.clone());
-        let page = node.parts.change_feed.page(PREFIX, last.as_deref()).await?;
-        let has_more = page.more && !page.entries.is_empty();
-        entries.extend(page.entries);
-        if !has_more {
-            break;
-        }
-    }
+    let entries = node.parts.store.list(PREFIX).await?;
     let unix_ms = node.parts.clock.unix_millis();
     let bans = entries
         .iter()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -401,8 +401,7 @@
     }
 
     fn handle_restoration(&mut self) {
-        let now = self.node.now();
-        self.registry.begin_era(&self.node.fleet.borrow(), now);
+        self.registry.begin_era(self.node.now());
     }
 }
 
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -77,10 +77,6 @@
     bans: Vec<BanRecord>,
 }
 
-fn decode_digest(bytes: &[u8]) -> Option<Digest> {
-    bytes.try_into().ok().map(Digest)
-}
-
 impl From<Evidence> for EvidenceRecord {
     fn from(evidence: Evidence) -> Self {
         EvidenceRecord {
@@ -95,7 +91,7 @@
 impl EvidenceRecord {
     fn decode(&self) -> Option<Evidence> {
         Some(Evidence {
-            digest: decode_digest(&self.digest)?,
+            digest: Digest::try_from(self.digest.as_slice()).ok()?,
             crash: CrashId(self.crash),
             is_cleared: self.is_cleared,
             age: Millis(self.age_ms),
@@ -115,7 +111,7 @@
 impl BanRecord {
     fn decode(&self) -> Option<Ban> {
         Some(Ban {
-            digest: decode_digest(&self.digest)?,
+            digest: Digest::try_from(self.digest.as_slice()).ok()?,
             remaining: Millis(self.remaining_ms),
         })
     }
@@ -313,7 +309,7 @@
         if crashes >= URGENT_CRASHES {
             poison.has_urgent_news.notify_one();
         }
-        self.handle_ban(&crash.digest, Source::Crashes);
+        self.handle_ban(&crash.digest);
     }
 
     /// Records that a server fell silent before it began to answer a request.
@@ -390,7 +386,7 @@
             };
             if let Some(decision) = decision {
                 self.record_learned(&evidence.digest, &decision);
-                self.handle_ban(&evidence.digest, Source::Crashes);
+                self.handle_ban(&evidence.digest);
             }
         }
     }
@@ -420,12 +416,12 @@
     }
 
     /// Records a ban that follows from crashes, and has it saved by the nodes that saw one of them.
-    fn handle_ban(&self, digest: &Digest, source: Source) {
+    fn handle_ban(&self, digest: &Digest) {
         let poison = &self.poison;
         let Some(ban) = poison.ban(digest, self.now()) else {
             return;
         };
-        self.record_ban(&ban, source);
+        self.record_ban(&ban, Source::Crashes);
         if poison.tracker.borrow().is_seen_here(digest) {
             poison.save(*digest);
         }
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -402,7 +402,7 @@
     }
 
     /// Starts another node and waits until it is ready.
-    pub(crate) fn add_node(&mut self) -> &Member {
+    pub(crate) fn add_node(&mut self) {
         let mut options = options(&format!("n{}", self.started));
         self.started += 1;
         let mut ports = Ports::bind(&options).expect("ports are free");
@@ -430,7 +430,18 @@
             messages,
             feed,
         });
-        &self.nodes[self.nodes.len() - 1]
+    }
+
+    /// Checks that the node started last refuses a request, and that no server has ended beyond those
+    /// that had before.
+    ///
+    /// # Panics
+    ///
+    /// Panics otherwise.
+    pub(crate) fn assert_refused_by_last(&self, path: &str, before: usize) {
+        let answer = self.nodes[self.nodes.len() - 1].call("late", path);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert_eq!(self.servers.ended().len(), before);
     }
 
     /// Stops all nodes.
--- a/crates/gateway/tests/node/poison.rs
+++ b/crates/gateway/tests/node/poison.rs
@@ -85,10 +85,8 @@
     let mut cluster = Cluster::start(3, 8);
     repeat_past_window(&cluster, "/safe/bad");
     let before = cluster.servers.ended().len();
-    let node = cluster.add_node();
-    let answer = node.call("late", "/safe/bad");
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert_eq!(cluster.servers.ended().len(), before);
+    cluster.add_node();
+    cluster.assert_refused_by_last("/safe/bad", before);
 }
 
 // Guards against the loss of what all nodes knew when all of them end.
@@ -98,10 +96,8 @@
     repeat_past_window(&cluster, "/safe/bad");
     let before = cluster.servers.ended().len();
     cluster.stop_nodes();
-    let node = cluster.add_node();
-    let answer = node.call("late", "/safe/bad");
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert_eq!(cluster.servers.ended().len(), before);
+    cluster.add_node();
+    cluster.assert_refused_by_last("/safe/bad", before);
 }
 
 // Guards against a node that was cut off while its peers lost the servers.
@@ -119,9 +115,7 @@
     cluster.nodes[2].wait_logged(REFUSED);
     assert!(third.elapsed() <= STABLE_WINDOW, "learned too late");
     let before = cluster.servers.ended().len();
-    let answer = cluster.nodes[2].call("late", "/safe/bad");
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert_eq!(cluster.servers.ended().len(), before);
+    cluster.assert_refused_by_last("/safe/bad", before);
 }
 
 // Guards against callers who lose their answers, or are refused, beside such a request.
--- a/crates/gateway/tests/node/restore.rs
+++ b/crates/gateway/tests/node/restore.rs
@@ -129,7 +129,8 @@
     for node in &cluster.nodes {
         assert!(has_no_route(&node.call("r", "/safe/x")), "it reverted");
     }
-    let node = cluster.add_node();
+    cluster.add_node();
+    let node = &cluster.nodes[3];
     let is_applied = holds_within(APPLIED, || has_no_route(&node.call("r", "/safe/x")));
     assert!(is_applied, "the new node goes by the copy");
 }
@@ -174,9 +175,8 @@
     assert!(is_rewritten, "the ban or the address is lost");
     let before = cluster.servers.ended().len();
     cluster.stop_nodes();
-    let answer = cluster.add_node().call("late", "/safe/bad");
-    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert_eq!(cluster.servers.ended().len(), before);
+    cluster.add_node();
+    cluster.assert_refused_by_last("/safe/bad", before);
 }
 
 // Guards against a leader whose lease is gone, and a fencing number that comes back smaller.
--- a/crates/gateway/tests/node/store.rs
+++ b/crates/gateway/tests/node/store.rs
@@ -272,8 +272,8 @@
     async fn get(&self, _: &str) -> Result<Option<Entry>> {
         Ok(None)
     }
-    async fn list(&self, _: &str) -> Result<Vec<Entry>> {
-        Ok(Vec::new())
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        Ok(self.page(prefix, None).await?.entries)
     }
     async fn commit(&self, transaction: Transaction) -> Result<Committed> {
         let mut state = self.state();
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -85,15 +85,11 @@
     }
 
     /// Records that the store has come back from a copy, before the entries of the copy are applied.
-    pub fn begin_era(&mut self, fleet: &Fleet, now: Instant) {
+    pub fn begin_era(&mut self, now: Instant) {
         self.outage_ended_at = Some(now);
         for until in self.lapsed.values_mut() {
             *until = now + REREGISTRATION_TIME;
         }
-        let draining = fleet.servers().filter(|server| server.draining);
-        for server in draining {
-            insert_latest(&mut self.draining, &server.id, server.start_unix_ms);
-        }
         for (id, start) in std::mem::take(&mut self.seen_draining) {
             insert_latest(&mut self.draining, &id, start);
         }
@@ -119,7 +115,11 @@
         let known = fleet.server(&id).map(|known| known.start_unix_ms);
         if is_of_copy && known.is_some_and(|known| known > start) {
             // The entry of a later incarnation is lost and is written again if the server lives.
-            return self.expect_registration(fleet, &id, now);
+            if self.lapsed.contains_key(&id) {
+                return false;
+            }
+            self.expect_registration(fleet, &id, now);
+            return true;
         }
         if !is_of_copy {
             self.ended.remove(&id);
@@ -147,14 +147,10 @@
         changed || has_ended
     }
 
-    /// Suspects a server until it has had time to register again, and returns whether that is new.
-    fn expect_registration(&mut self, fleet: &mut Fleet, id: &CompactString, now: Instant) -> bool {
-        if self.lapsed.contains_key(id) {
-            return false;
-        }
-        self.lapsed.insert(id.clone(), now + REREGISTRATION_TIME);
+    /// Suspects a server until it has had time to register again.
+    fn expect_registration(&mut self, fleet: &mut Fleet, id: &str, now: Instant) {
+        self.lapsed.insert(id.into(), now + REREGISTRATION_TIME);
         fleet.mark_suspect(id);
-        true
     }
 
     /// Returns the known servers that a snapshot lacks, without those that still have time to register
@@ -174,8 +170,7 @@
             .outage_ended_at
             .is_some_and(|ended_at| now.since(ended_at) < OUTAGE_LAPSE_WINDOW);
         if !was_draining && is_outage_lapse {
-            self.lapsed.insert(id.into(), now + REREGISTRATION_TIME);
-            fleet.mark_suspect(id);
+            self.expect_registration(fleet, id, now);
             return Removal::Suspected;
         }
         let removed = if self.lapsed.remove(id).is_some() {
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -202,7 +202,7 @@
                     .collect();
                 let copy = self.copies.len().saturating_sub(age);
                 self.stored = self.copies[copy.min(self.copies.len() - 1)].clone();
-                self.registry.begin_era(&self.fleet, self.now);
+                self.registry.begin_era(self.now);
                 self.read();
             }
             Step::Rewrite => self.rewrite(),
