Log each request whose answer was not handed over whole

What operators saw: when the HTTP server drops the future of a request or the body of an answer, no line names the request. A stream that was cut around a restart left nothing in the node's log, so a connection that the caller ended, one that was reset, one that the node closed and a process that ended could not be told apart.

Cause: the code after an await point does not run when the future is dropped, and ntex drops futures and bodies without telling the handler.

Change: a guard is created with the admission of a request and moves from the handler's future into the body of the response. Dropping it before the body's end was polled on an open connection logs `answer abandoned` with request, route, stage, cause, server, group, events, age, time left, unsent bytes of the connection and time since the node was asked to stop, and adds to `jackdawstair_abandoned` by stage and cause. Requests that are still in flight when the process ends get the line before the runtime is taken down. The stage is kept in a registry of requests in flight (`jackdaw_entry::in_flight`: keys into an arena), which also exports `jackdawstair_in_flight` by stage and tells the latest deadline.

No decision changes: the drain still counts requests with its own guard, which is released at the same points as before.

Result: the table in tests/node/abandoned.rs covers five stages against an end by the caller, a reset and the end of the process, and a stream that the node breaks off. A complete answer adds no line.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod drain;
 pub mod event;
 pub mod gauge;
+pub mod in_flight;
 pub mod once;
 pub mod route;
 pub mod server;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,6 +19,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::in_flight;
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Demand, Load};
@@ -165,6 +166,7 @@
 pub(crate) struct Dispatch {
     pub(crate) node: Rc<Node>,
     pub(crate) call: Call,
+    key: in_flight::Key,
     index: Rc<Index>,
     request: retry::Request,
     budget: Rc<Budget>,
@@ -181,7 +183,7 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(node: Rc<Node>, index: Rc<Index>, call: Call) -> Self {
+    pub(crate) fn new(node: Rc<Node>, index: Rc<Index>, call: Call, key: in_flight::Key) -> Self {
         let budget = node.retry_budget(&call.service);
         budget.deposit();
         let repeatable = call.route.kind.is_repeatable();
@@ -191,6 +193,7 @@
             last_delivered: call.head.last_event,
             node,
             call,
+            key,
             index,
             budget,
             fallback: None,
@@ -201,6 +204,11 @@
         }
     }
 
+    /// Changes the request's entry in the registry of requests in flight.
+    pub(crate) fn track(&self, change: impl FnOnce(&mut in_flight::Request)) {
+        self.node.in_flight.registry.update(self.key, change);
+    }
+
     /// Sends the request until a server answers and returns the exchange after the answer's head.
     ///
     /// # Errors
@@ -506,6 +514,10 @@
             self.exposure.suspicion().map(|suspicion| suspicion.crashes),
         );
         let request = self.build_request(&attempt.target, left)?;
+        self.track(|tracked| {
+            tracked.server = attempt.target.server.clone();
+            tracked.group = attempt.target.group.clone();
+        });
         let timeouts = self.first_timeouts();
         let answer = self
             .wait_with_timeouts(attempt.key, sent, timeouts, connection.send(request))
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -13,6 +13,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::drain::RequestGuard;
+use jackdaw_entry::in_flight::{self, Stage};
 use ntex::http::header::HOST;
 use ntex::http::{ConnectionType, Request, Response};
 use slog::info;
@@ -21,6 +22,7 @@
 use crate::buffered;
 use crate::dispatch::{Call, Dispatch};
 use crate::header;
+use crate::in_flight::Guard;
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::relay;
@@ -37,7 +39,9 @@
 /// Answers one request of a caller.
 pub(crate) async fn handle(node: Rc<Node>, request: Request) -> Response {
     node.has_traffic.set(true);
-    let mut response = match process(&node, request).await {
+    // The guard is dropped with this future, or with the response's body.
+    let mut guard = None;
+    let mut response = match process(&node, request, &mut guard).await {
         Ok(response) => response,
         Err((id, refusal)) => {
             node.counters.count_refusal(refusal.reason);
@@ -60,7 +64,10 @@
             .head_mut()
             .set_connection_type(ConnectionType::Close);
     }
-    response
+    match guard {
+        Some(guard) => guard.attach(response),
+        None => response,
+    }
 }
 
 /// Answers a request on the readiness port: a readiness check of the platform or a scrape of the
@@ -91,7 +98,12 @@
 /// Identity of a failed request and the refusal for its caller.
 type Failure = (CompactString, Refusal);
 
-async fn process(node: &Rc<Node>, mut request: Request) -> Result<Response, Failure> {
+/// Answers a request; the guard is set once it is admitted.
+async fn process(
+    node: &Rc<Node>,
+    mut request: Request,
+    guard: &mut Option<Guard>,
+) -> Result<Response, Failure> {
     let arrived = node.now();
     let headers = header::convert(request.headers());
     let head = match node.parts.protocol.decode_request(&headers) {
@@ -104,6 +116,7 @@
     let id = head.id.clone();
     let failed = |refusal: Refusal| (id.clone(), refusal);
     let in_flight = enter(node).map_err(failed)?;
+    let key = guard.insert(track(node, &request, &head, arrived)).key();
     let Some(index) = node.index() else {
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
@@ -122,7 +135,12 @@
     call.caller_deadline = arrived + call.head.deadline.unwrap_or(DEFAULT_DEADLINE);
     call.deadline = call.caller_deadline.min(arrived + call.route.timeout);
     let is_stream = call.route.kind.is_stream();
-    let mut dispatch = Dispatch::new(Rc::clone(node), index, call);
+    node.in_flight.registry.update(key, |tracked| {
+        tracked.route = call.route.name.clone();
+        tracked.deadline = call.deadline;
+        tracked.stage = Stage::Server;
+    });
+    let mut dispatch = Dispatch::new(Rc::clone(node), index, call, key);
     if is_stream {
         let caller = request.io().cloned();
         return relay::exchange(dispatch, in_flight, caller)
@@ -137,6 +155,23 @@
     Ok(buffered.into_response())
 }
 
+/// Adds an admitted request to the registry.
+fn track(node: &Rc<Node>, request: &Request, head: &Head, arrived: Instant) -> Guard {
+    let tracked = in_flight::Request {
+        id: head.id.clone(),
+        route: CompactString::default(),
+        stage: Stage::Body,
+        server: CompactString::default(),
+        group: CompactString::default(),
+        events: 0,
+        delivered: None,
+        arrived,
+        deadline: arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE),
+        is_closed_by_node: false,
+    };
+    Guard::new(node, tracked, request.io().cloned())
+}
+
 /// Counts a request as in flight.
 ///
 /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod handler;
 mod header;
 mod histograms;
+mod in_flight;
 mod leader;
 mod peers;
 mod poison;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,6 +26,7 @@
 
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
+use crate::in_flight::InFlight;
 use crate::options::Options;
 use crate::poison::Poison;
 use crate::targets::Targets;
@@ -80,10 +81,13 @@
     pub(crate) parts: Parts,
     pub(crate) counters: Counters,
     pub(crate) histograms: Histograms,
+    pub(crate) in_flight: InFlight,
     pub(crate) pool: Pool,
     pub(crate) drain: Drain,
     /// Whether the node was asked to stop.
     pub(crate) is_stopping: Cell<bool>,
+    /// Time at which the node was asked to stop.
+    pub(crate) stopping_since: Cell<Option<Instant>>,
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
     /// Time of the store's last answer with registrations or their changes.
@@ -114,6 +118,7 @@
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
+            in_flight: InFlight::new(&parts.meter),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
             options,
@@ -121,6 +126,7 @@
             pool: Pool::new(pool::Options::default()),
             drain: Drain::default(),
             is_stopping: Cell::new(false),
+            stopping_since: Cell::default(),
             has_traffic: Cell::new(false),
             registrations_read_at: Cell::default(),
             in_grace_period: Cell::new(false),
@@ -136,6 +142,12 @@
         }
     }
 
+    /// Returns the time since the node was asked to stop, or none if it was not.
+    pub(crate) fn stopping_for(&self) -> Option<Millis> {
+        let since = self.stopping_since.get()?;
+        Some(self.now().since(since))
+    }
+
     /// Records that a server's state has changed now.
     pub(crate) fn record_change(&self, server: &str) {
         let now = self.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::time::Instant;
 use jackdaw_entry::drain::RequestGuard as InFlight;
+use jackdaw_entry::in_flight::Stage;
 use jackdaw_policy::retry::{ExchangeFailure, Fault};
 use ntex::http::Response;
 use ntex::io::IoRef;
@@ -58,6 +59,7 @@
                 None => continue,
             }
         }
+        dispatch.track(|tracked| tracked.stage = Stage::FirstEvent);
         let mut headers = exchange.answer.headers().clone();
         header::strip_hop_by_hop(&mut headers);
         let status = exchange.answer.status();
@@ -76,6 +78,9 @@
             },
         };
         relay.in_flight = Some(in_flight);
+        relay
+            .dispatch
+            .track(|tracked| tracked.stage = Stage::Streaming);
         let node = &relay.dispatch.node;
         node.histograms
             .record_first_event(node.now().since(relay.dispatch.call.arrived));
@@ -108,6 +113,7 @@
         };
         match next {
             Ok(Some(event)) => {
+                relay.record_delivery();
                 let bytes = Bytes::from(event.bytes.to_vec());
                 Some((Ok(bytes), (relay, None, caller)))
             }
@@ -141,6 +147,8 @@
 impl Relay {
     /// Counts and logs a stream that is aborted.
     fn record_abort(&self, refusal: &Refusal) {
+        self.dispatch
+            .track(|tracked| tracked.is_closed_by_node = true);
         let node = &self.dispatch.node;
         node.counters.count_refusal(refusal.reason);
         node.counters.count_outcome(Outcome::Unknown);
@@ -152,6 +160,14 @@
             "delivered" => self.dispatch.last_delivered);
     }
 
+    /// Records that an event is handed to the caller's connection.
+    fn record_delivery(&self) {
+        self.dispatch.track(|tracked| {
+            tracked.events += 1;
+            tracked.delivered = self.dispatch.last_delivered;
+        });
+    }
+
     /// Returns the next event, or none at the end of the stream. Resumes the stream at another
     /// group if it is interrupted.
     ///
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,6 +22,7 @@
 use crate::follow;
 use crate::freshness;
 use crate::handler;
+use crate::in_flight;
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
@@ -161,6 +162,7 @@
     leadership.resign();
     time::sleep(LEASE_RELEASE_TIME.duration()).await;
     info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
+    in_flight::abandon_all(&node);
     Ok(())
 }
 
@@ -168,6 +170,7 @@
 /// flight, at most until [`EXIT_MARGIN`] before the end of the grace period.
 async fn drain(node: &Node) {
     node.is_stopping.set(true);
+    node.stopping_since.set(Some(node.now()));
     let grace = node.options.grace.0.saturating_sub(EXIT_MARGIN.0);
     let accepting = LAST_CONNECTIONS_TIME.0.min(grace);
     time::sleep(Millis(accepting).duration()).await;
--- /dev/null
+++ b/crates/gateway/tests/node/abandoned.rs
@@ -0,0 +1,282 @@
+//! Tests of the log lines that name requests whose answer was not handed over whole.
+
+use std::io::{BufRead, BufReader, Read as _, Write as _};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use jackdaw_core::units::Millis;
+use jackdaw_gateway::options::Options;
+use rstest::rstest;
+use slog::Level;
+use socket2::{Domain, SockAddr, Socket, Type};
+
+use super::lines::{Line, Lines};
+use super::support::{HOLD, Node, Script, TIMEOUT, exchange, options, request};
+
+const ABANDONED: &str = "answer abandoned";
+
+const HEAD_HOLD: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nHOLD";
+const ONE_HOLD: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
+const ONE: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n";
+const ONE_END: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n";
+const OK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone";
+const EMPTY: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Size of an answer that does not fit into the buffers of the sockets between node and caller.
+const LARGE_ANSWER: usize = 12 << 20;
+/// Size of the receive buffer of a caller that does not read.
+const SMALL_BUFFER: usize = 8 << 10;
+
+/// Grace period of a node that does not wait for its requests when it stops.
+const SHORT_GRACE: Millis = Millis(500);
+
+/// The stage at which a request is abandoned.
+#[derive(Clone, Copy, Debug)]
+enum At {
+    Body,
+    Server,
+    FirstEvent,
+    Streaming,
+    Answer,
+}
+
+/// What ends the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    CallerCloses,
+    CallerResets,
+    ServerBreaksOff,
+    ProcessEnds,
+}
+
+#[derive(Debug)]
+struct Case {
+    at: At,
+    end: End,
+    stage: &'static str,
+    cause: &'static str,
+    /// Whether the line names a route and a server.
+    is_passed_on: bool,
+    events: &'static str,
+}
+
+/// Returns a script with a large answer.
+fn large_answer() -> Script {
+    let body = "x".repeat(LARGE_ANSWER);
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: {LARGE_ANSWER}\r\n\r\n{body}"
+    );
+    Box::leak(text.into_boxed_str())
+}
+
+fn scripts(at: At, end: End) -> Vec<Script> {
+    match (at, end) {
+        (At::Body, _) => Vec::new(),
+        (At::Server, _) => vec![HOLD],
+        (At::FirstEvent, _) => vec![HEAD_HOLD, HOLD],
+        (At::Streaming, End::ServerBreaksOff) => vec![ONE],
+        (At::Streaming, _) => vec![ONE_HOLD],
+        (At::Answer, _) => vec![large_answer()],
+    }
+}
+
+fn connect(node: &Node) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket can be made");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER)
+        .expect("the size is valid");
+    socket
+        .connect(&SockAddr::from(node.address))
+        .expect("the node listens");
+    let stream = TcpStream::from(socket);
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("the time-out is valid");
+    stream
+}
+
+/// Reads until a line that begins with a text has arrived; reads no byte beyond it.
+fn read_until(stream: &mut TcpStream, start: &str) {
+    let mut line = Vec::new();
+    let mut byte = [0];
+    loop {
+        stream.read_exact(&mut byte).expect("the node answers");
+        if byte != *b"\n" {
+            line.push(byte[0]);
+            continue;
+        }
+        if line.starts_with(start.as_bytes()) {
+            return;
+        }
+        line.clear();
+    }
+}
+
+/// Sends a request and waits until it has come to a stage.
+fn send(node: &Node, at: At) -> TcpStream {
+    let mut stream = connect(node);
+    let text = match at {
+        At::Body => "POST /once/x HTTP/1.1\r\nhost: host\r\nid: r1\r\nexpect: 100-continue\r\ncontent-length: 5\r\n\r\n".to_owned(),
+        At::Server | At::Answer => request("r1", "POST", "/once/x"),
+        At::FirstEvent => request("r1", "POST", "/stream/x"),
+        At::Streaming => request("r1", "POST", "/fragile/x"),
+    };
+    stream.write_all(text.as_bytes()).expect("the node reads");
+    match at {
+        // The node asks for the body once it has admitted the request.
+        At::Body => read_until(&mut stream, "HTTP/1.1 100"),
+        At::Server => node.servers.wait_arrived(1),
+        // The first server's silence has the request sent to the second one.
+        At::FirstEvent => node.servers.wait_arrived(2),
+        At::Streaming => read_until(&mut stream, "data: one"),
+        At::Answer => read_until(&mut stream, "HTTP/1.1 200"),
+    }
+    stream
+}
+
+/// Resets a connection.
+fn reset(stream: TcpStream) {
+    let socket = Socket::from(stream);
+    socket
+        .set_linger(Some(Duration::ZERO))
+        .expect("the option is valid");
+}
+
+fn is_abandoned(line: &Line) -> bool {
+    line.message == ABANDONED
+}
+
+#[rstest]
+#[case(Case { at: At::Body, end: End::CallerCloses, stage: "reading-body", cause: "closed-by-caller", is_passed_on: false, events: "0" })]
+#[case(Case { at: At::Body, end: End::CallerResets, stage: "reading-body", cause: "connection-failed", is_passed_on: false, events: "0" })]
+#[case(Case { at: At::Body, end: End::ProcessEnds, stage: "reading-body", cause: "process-ending", is_passed_on: false, events: "0" })]
+#[case(Case { at: At::Server, end: End::CallerCloses, stage: "waiting-for-server", cause: "closed-by-caller", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::Server, end: End::CallerResets, stage: "waiting-for-server", cause: "connection-failed", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::Server, end: End::ProcessEnds, stage: "waiting-for-server", cause: "process-ending", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::FirstEvent, end: End::CallerCloses, stage: "waiting-for-first-event", cause: "closed-by-caller", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::FirstEvent, end: End::CallerResets, stage: "waiting-for-first-event", cause: "connection-failed", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::FirstEvent, end: End::ProcessEnds, stage: "waiting-for-first-event", cause: "process-ending", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::Streaming, end: End::CallerCloses, stage: "streaming", cause: "closed-by-caller", is_passed_on: true, events: "1" })]
+#[case(Case { at: At::Streaming, end: End::CallerResets, stage: "streaming", cause: "connection-failed", is_passed_on: true, events: "1" })]
+#[case(Case { at: At::Streaming, end: End::ServerBreaksOff, stage: "streaming", cause: "closed-by-node", is_passed_on: true, events: "1" })]
+#[case(Case { at: At::Streaming, end: End::ProcessEnds, stage: "streaming", cause: "process-ending", is_passed_on: true, events: "1" })]
+#[case(Case { at: At::Answer, end: End::CallerCloses, stage: "buffered-answer", cause: "closed-by-caller", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::Answer, end: End::CallerResets, stage: "buffered-answer", cause: "connection-failed", is_passed_on: true, events: "0" })]
+#[case(Case { at: At::Answer, end: End::ProcessEnds, stage: "buffered-answer", cause: "process-ending", is_passed_on: true, events: "0" })]
+// Guards against answers that are dropped without a line that names the request and the cause.
+fn a_request_whose_answer_is_dropped_is_named_with_its_stage_and_the_cause(#[case] case: Case) {
+    let lines = Lines::default();
+    let options = Options {
+        grace: SHORT_GRACE,
+        ..options("node")
+    };
+    let scripts = scripts(case.at, case.end);
+    let mut node = Node::start_with(2, &scripts, lines.logger(), options);
+    let stream = send(&node, case.at);
+    let kept = match case.end {
+        End::CallerCloses => {
+            stream
+                .shutdown(Shutdown::Write)
+                .expect("the connection is open");
+            Some(stream)
+        }
+        End::CallerResets => {
+            reset(stream);
+            None
+        }
+        End::ServerBreaksOff => Some(stream),
+        End::ProcessEnds => {
+            node.begin_stop();
+            Some(stream)
+        }
+    };
+    let line = lines.wait_for(is_abandoned);
+    node.stop();
+    drop(kept);
+    assert_eq!(lines.with_message(ABANDONED).len(), 1, "{case:?}");
+    assert_eq!(line.level, Level::Info, "{line:?}");
+    assert_eq!(line.field("request"), "r1", "{line:?}");
+    assert_eq!(line.field("stage"), case.stage, "{line:?}");
+    assert_eq!(line.field("cause"), case.cause, "{line:?}");
+    assert_eq!(line.field("events"), case.events, "{line:?}");
+    assert_eq!(
+        !line.field("route").is_empty(),
+        case.is_passed_on,
+        "{line:?}"
+    );
+    assert_eq!(
+        !line.field("server").is_empty(),
+        case.is_passed_on,
+        "{line:?}"
+    );
+    let is_stopping = case.end == End::ProcessEnds;
+    assert_eq!(
+        line.number("stopping_ms").is_some(),
+        is_stopping,
+        "{line:?}"
+    );
+    assert!(line.number("age_ms").is_some(), "{line:?}");
+    assert!(line.number("left_ms").is_some(), "{line:?}");
+}
+
+#[derive(Debug)]
+struct WholeCase {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    script: Script,
+    status: &'static str,
+}
+
+#[rstest]
+#[case(WholeCase { name: "a buffered answer", method: "POST", path: "/once/x", script: OK, status: "200" })]
+#[case(WholeCase { name: "an answer without a body", method: "POST", path: "/once/x", script: EMPTY, status: "200" })]
+#[case(WholeCase { name: "an answer to HEAD", method: "HEAD", path: "/once/x", script: EMPTY, status: "200" })]
+#[case(WholeCase { name: "a stream", method: "POST", path: "/stream/x", script: ONE_END, status: "200" })]
+#[case(WholeCase { name: "a refusal", method: "POST", path: "/none/x", script: OK, status: "404" })]
+#[case(WholeCase { name: "a failure of the server", method: "POST", path: "/once/x", script: "", status: "502" })]
+// Guards against lines that call a complete answer abandoned.
+fn a_complete_answer_adds_no_line(#[case] case: WholeCase) {
+    let lines = Lines::default();
+    let node = Node::start_with(2, &[case.script], lines.logger(), options("node"));
+    let answer = exchange(node.address, &request("r1", case.method, case.path));
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(answer.starts_with(&status), "{}: {answer}", case.name);
+    node.stop();
+    assert!(
+        lines.with_message(ABANDONED).is_empty(),
+        "{}: {lines:?}",
+        case.name
+    );
+}
+
+// Guards against guards of a kept connection that are confused with one another.
+#[test]
+fn complete_answers_on_a_kept_connection_add_no_line_beside_an_abandoned_one() {
+    let lines = Lines::default();
+    let scripts = [OK, OK, HOLD];
+    let node = Node::start_with(1, &scripts, lines.logger(), options("node"));
+    let mut stream = connect(&node);
+    for (id, is_answered) in [("r1", true), ("r2", true), ("r3", false)] {
+        let text = request(id, "POST", "/once/x").replace("connection: close\r\n", "");
+        stream.write_all(text.as_bytes()).expect("the node reads");
+        if is_answered {
+            let mut body = [0; 4];
+            let mut reader = BufReader::with_capacity(1, &stream);
+            let mut head = String::new();
+            while head != "\r\n" {
+                head.clear();
+                reader.read_line(&mut head).expect("the node answers");
+            }
+            reader.read_exact(&mut body).expect("the node answers");
+        }
+    }
+    node.servers.wait_arrived(3);
+    stream
+        .shutdown(Shutdown::Write)
+        .expect("the connection is open");
+    let line = lines.wait_for(is_abandoned);
+    node.stop();
+    assert_eq!(line.field("request"), "r3", "{line:?}");
+    assert_eq!(lines.with_message(ABANDONED).len(), 1, "{lines:?}");
+}
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -1,8 +1,10 @@
 //! Integration tests of nodes with stand-ins for the servers and a store that the tests write to.
 
+mod abandoned;
 mod cluster;
 mod follow;
 mod freshness;
+mod lines;
 mod poison;
 mod relay;
 mod restore;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -446,6 +446,17 @@
 
     /// Starts a node with a number of servers that share the scripts, and waits until it is ready.
     pub(crate) fn start_before(count: usize, scripts: &[Script]) -> Node {
+        let logger = Logger::root(slog::Discard, o!());
+        Node::start_with(count, scripts, logger, options("node"))
+    }
+
+    /// Starts a node like [`Node::start_before`] with a logger and options.
+    pub(crate) fn start_with(
+        count: usize,
+        scripts: &[Script],
+        logger: Logger,
+        options: Options,
+    ) -> Node {
         let servers = Servers::default();
         *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
         let registered: Vec<Server> = (0..count)
@@ -456,8 +467,7 @@
         for server in &registered {
             store.put(&format!("servers/{}", server.id), "");
         }
-        let parts = parts(&store, registered, Logger::root(slog::Discard, o!()));
-        let options = options("node");
+        let parts = parts(&store, registered, logger);
         let ports = Ports::bind(&options).expect("ports are free");
         let process = Process::launch(options, ports, parts);
         process.wait_ready();
