--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -6,5 +6,6 @@
 mod poison;
 mod relay;
 mod restore;
+mod stop;
 mod store;
 mod support;
