--- a/crates/gateway/tests/node/abandoned.rs
+++ b/crates/gateway/tests/node/abandoned.rs
@@ -171,7 +171,7 @@
         ..options("node")
     };
     let scripts = scripts(case.at, case.end);
-    let mut node = Node::start_with(2, &scripts, lines.logger(), options);
+    let mut node = Node::start_with(2, &scripts, options, lines.logger());
     let stream = send(&node, case.at);
     let kept = match case.end {
         End::CallerCloses => {
@@ -238,7 +238,7 @@
 // Guards against lines that call a complete answer abandoned.
 fn a_complete_answer_adds_no_line(#[case] case: WholeCase) {
     let lines = Lines::default();
-    let node = Node::start_with(2, &[case.script], lines.logger(), options("node"));
+    let node = Node::start_with(2, &[case.script], options("node"), lines.logger());
     let answer = exchange(node.address, &request("r1", case.method, case.path));
     let status = format!("HTTP/1.1 {}", case.status);
     assert!(answer.starts_with(&status), "{}: {answer}", case.name);
@@ -255,7 +255,7 @@
 fn complete_answers_on_a_kept_connection_add_no_line_beside_an_abandoned_one() {
     let lines = Lines::default();
     let scripts = [OK, OK, HOLD];
-    let node = Node::start_with(1, &scripts, lines.logger(), options("node"));
+    let node = Node::start_with(1, &scripts, options("node"), lines.logger());
     let mut stream = connect(&node);
     for (id, is_answered) in [("r1", true), ("r2", true), ("r3", false)] {
         let text = request(id, "POST", "/once/x").replace("connection: close\r\n", "");
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -8,5 +8,6 @@
 mod poison;
 mod relay;
 mod restore;
+mod stop;
 mod store;
 mod support;
