Keep callers' connections after streams on the platform's path

What callers saw: a node closed a kept connection right after a stream's last chunk, without having said so in the head; a request sent at that moment met the close and got no answer.

Cause: the HTTP library starts one timer a connection, for its first head, and removes only its flags when the head is complete. An expiry during the answer's body is found after the answer and taken for an idle connection. With the timer's expiry the library also uses up the waker that would tell it of a closed connection while a body is sent.

The timer is stopped when a head has been read, as on the product's path; the library starts it again, for the idle time, after the answer.

stop::connection_is_kept_after_a_stream_with_a_pause, two cases, failed before and passes now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,6 +7,7 @@
 
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::units::Millis;
+use jackdaw_entry::connection;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
 use ntex::io::IoConfig;
@@ -201,6 +202,7 @@
     let handler_node = Rc::clone(&node);
     let requests = fn_service(move |request: Request| {
         let node = Rc::clone(&handler_node);
+        connection::stop_timer(&request);
         async move {
             let response = match port {
                 Port::Callers => handler::handle(node, request).await,
