End a stream that is broken off at its caller, whatever its connection waits for

What callers saw: a stream that the node broke off later than a second after the connection had been opened did not end; the connection stayed open and silent until the node's process ended.

Cause: the node closed the connection and left the answer's body pending for ever, in the belief that the HTTP library drops the body with the connection. The library waits for the body alone by then: nothing wakes it when the connection is closed, so it never ends.

The body now ends with an error after the connection has been closed. The library drops whatever it would write to a closed connection, so the caller sees the close and no byte of an error.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,6 @@
 //! Relays streams event by event and resumes interrupted streams at another replica group.
 
-use std::convert::Infallible;
+use std::io;
 
 use futures::stream;
 use http::header::CONTENT_TYPE;
@@ -105,8 +105,10 @@
     relay: Relay,
     first: Option<Event>,
     caller: Option<IoRef>,
-) -> impl futures::Stream<Item = Result<Bytes, Infallible>> {
-    stream::unfold((relay, first, caller), |(mut relay, ready, caller)| async {
+) -> impl futures::Stream<Item = Result<Bytes, io::Error>> {
+    let state = Some((relay, first, caller));
+    stream::unfold(state, |state| async {
+        let (mut relay, ready, caller) = state?;
         let next = match ready {
             Some(event) => Ok(Some(event)),
             None => relay.next_event().await,
@@ -115,7 +117,7 @@
             Ok(Some(event)) => {
                 relay.record_delivery();
                 let bytes = Bytes::from(event.bytes.to_vec());
-                Some((Ok(bytes), (relay, None, caller)))
+                Some((Ok(bytes), Some((relay, None, caller))))
             }
             Ok(None) => {
                 relay
@@ -129,19 +131,21 @@
             Err(refusal) => {
                 relay.record_abort(&refusal);
                 drop(relay);
-                abort_connection(caller).await
+                Some((Err(abort_connection(caller).await), None))
             }
         }
     })
 }
 
-/// Closes the connection to the caller, so that an interrupted answer does not look complete.
-async fn abort_connection<T>(caller: Option<IoRef>) -> T {
-    if let Some(caller) = caller {
-        caller.close();
+/// Closes the connection to the caller, so that an interrupted answer does not look complete, and
+/// returns the error that ends the answer's body.
+async fn abort_connection(caller: Option<IoRef>) -> io::Error {
+    match caller {
+        // Nothing is written to a closed connection, so the server does not send the error.
+        Some(caller) => caller.close(),
+        None => std::future::pending().await,
     }
-    // ntex drops the body together with the connection.
-    std::future::pending().await
+    io::Error::other("the stream was broken off")
 }
 
 impl Relay {
