Count a request in flight until its answer has been handed to the connection

What callers saw: once the last request in flight was answered, a stopping node answered nobody any more. Requests on new connections, requests that had arrived on kept connections, and pipelined ones ended without an answer, though the log said "request refused"; a large buffered answer was cut off at the end of the grace period while the log said that nothing was in flight.

Cause: the count of requests in flight fell when a handler returned, or a stream's last event was read, and requests that a stopping node refuses were not counted. As soon as it was zero all connections were closed, and the HTTP library silently drops what is written to a connection after its close. New connections were accepted all the same and closed at once.

The count now belongs to the guard that the answer's body holds until the library has taken its last byte, for refusals as well. A connection is closed only when nothing is in flight, no bytes of a further request lie in it, and a new one has had time to bring its first. The listener is closed at the same time, so that callers are refused by the operating system and connect elsewhere.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -3,11 +3,17 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use futures::future::{Either, select};
 use ntex::io::IoRef;
 use tokio::sync::Notify;
 
+/// Time for a new connection to bring its first request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
+/// Time to read what has arrived on a connection before it is closed.
+const READ_TIME: Duration = Duration::from_millis(5);
+
 #[derive(Debug, Default)]
 struct State {
     requests: AtomicUsize,
@@ -59,6 +65,15 @@
         Some(guard)
     }
 
+    /// Counts a request until the guard is dropped, also while the node is stopping.
+    #[must_use]
+    pub fn track_request(&self) -> RequestGuard {
+        self.state.requests.fetch_add(1, Ordering::SeqCst);
+        RequestGuard {
+            state: Arc::clone(&self.state),
+        }
+    }
+
     /// Counts a connection until the guard is dropped.
     #[must_use]
     pub fn begin_connection(&self) -> ConnectionGuard {
@@ -68,15 +83,16 @@
         }
     }
 
-    /// Counts a connection, and closes it once a stopping node has no request in flight.
+    /// Counts a connection, and closes it once a stopping node has no request in flight and the
+    /// caller has sent no further request.
     pub fn track_connection(&self, io: IoRef) {
         let drain = self.clone();
         let guard = drain.begin_connection();
         ntex::rt::spawn(async move {
             let disconnected = io.on_disconnect();
-            let idle = pin!(drain.wait_idle());
-            if let Either::Right((_, disconnected)) = select(disconnected, idle).await {
-                // Closing still sends the caller what was written before.
+            let unused = pin!(drain.wait_unused(&io));
+            if let Either::Right((_, disconnected)) = select(disconnected, unused).await {
+                // Closing still sends the caller what was written before, and nothing else.
                 io.close();
                 disconnected.await;
             }
@@ -84,6 +100,21 @@
         });
     }
 
+    /// Waits until the node is stopping, no request is in flight, and a connection has had time to
+    /// bring a request that was sent before.
+    async fn wait_unused(&self, io: &IoRef) {
+        let opened = std::time::Instant::now();
+        loop {
+            self.wait_idle().await;
+            let new_for = FIRST_REQUEST_TIME.saturating_sub(opened.elapsed());
+            tokio::time::sleep(new_for.max(READ_TIME)).await;
+            let has_unread = io.with_read_buf(|bytes| !bytes.is_empty());
+            if self.in_flight() == 0 && !has_unread {
+                return;
+            }
+        }
+    }
+
     /// Refuses new requests from now on.
     pub fn stop(&self) {
         self.state.stopping.store(true, Ordering::SeqCst);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -12,7 +12,6 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
-use jackdaw_entry::drain::RequestGuard;
 use jackdaw_entry::in_flight::{self, Stage};
 use ntex::http::header::HOST;
 use ntex::http::{ConnectionType, Request, Response};
@@ -98,7 +97,7 @@
 /// Identity of a failed request and the refusal for its caller.
 type Failure = (CompactString, Refusal);
 
-/// Answers a request; the guard is set once it is admitted.
+/// Answers a request; the guard is set once its head has been read.
 async fn process(
     node: &Rc<Node>,
     mut request: Request,
@@ -109,14 +108,15 @@
     let head = match node.parts.protocol.decode_request(&headers) {
         Ok(head) => head,
         Err(error) => {
+            *guard = Some(track(node, &request, &Head::default(), arrived));
             let refusal = Refusal::not_run(Reason::Malformed, error);
             return Err((CompactString::default(), refusal));
         }
     };
     let id = head.id.clone();
     let failed = |refusal: Refusal| (id.clone(), refusal);
-    let in_flight = enter(node).map_err(failed)?;
     let key = guard.insert(track(node, &request, &head, arrived)).key();
+    check_accepting(node).map_err(failed)?;
     let Some(index) = node.index() else {
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
@@ -143,19 +143,16 @@
     let mut dispatch = Dispatch::new(Rc::clone(node), index, call, key);
     if is_stream {
         let caller = request.io().cloned();
-        return relay::exchange(dispatch, in_flight, caller)
-            .await
-            .map_err(failed);
+        return relay::exchange(dispatch, caller).await.map_err(failed);
     }
     let buffered = buffered::exchange(&mut dispatch).await.map_err(failed)?;
     dispatch.log_answered(buffered.status.as_u16());
     node.counters.count_outcome(Outcome::Completed);
     node.histograms.record_answer(node.now().since(arrived));
-    drop(in_flight);
     Ok(buffered.into_response())
 }
 
-/// Adds an admitted request to the registry.
+/// Adds a request to the registry.
 fn track(node: &Rc<Node>, request: &Request, head: &Head, arrived: Instant) -> Guard {
     let tracked = in_flight::Request {
         id: head.id.clone(),
@@ -172,16 +169,17 @@
     Guard::new(node, tracked, request.io().cloned())
 }
 
-/// Counts a request as in flight.
+/// Checks that the node takes new requests.
 ///
 /// # Errors
 ///
-/// Returns a refusal if the node is stopping.
-fn enter(node: &Node) -> Result<RequestGuard, Refusal> {
-    node.drain.begin_request().ok_or_else(|| {
-        // The caller may retry at once, since its next connection goes to another node.
-        Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0))
-    })
+/// Returns a refusal if the node is stopping and takes none.
+fn check_accepting(node: &Node) -> Result<(), Refusal> {
+    if !node.drain.is_stopping() {
+        return Ok(());
+    }
+    // The caller may retry at once, since its next connection goes to another node.
+    Err(Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0)))
 }
 
 /// Authenticates a request, finds its route and picks its service.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use jackdaw_entry::drain::RequestGuard;
 use jackdaw_entry::in_flight::{Cause, Key, Registry, Request, Stage};
 use ntex::http::Response;
 use ntex::http::body::{Body, BodySize, MessageBody, ResponseBody};
@@ -71,6 +72,7 @@
     node: Rc<Node>,
     key: Key,
     caller: Option<IoRef>,
+    _in_flight: RequestGuard,
 }
 
 impl Guard {
@@ -80,6 +82,7 @@
             key: node.in_flight.registry.insert(request),
             node: Rc::clone(node),
             caller,
+            _in_flight: node.drain.track_request(),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use http_body_util::BodyExt;
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::time::Instant;
-use jackdaw_entry::drain::RequestGuard as InFlight;
 use jackdaw_entry::in_flight::Stage;
 use jackdaw_policy::retry::{ExchangeFailure, Fault};
 use ntex::http::Response;
@@ -30,7 +29,6 @@
     exchange: Option<Exchange>,
     splitter: Splitter,
     last_activity: Instant,
-    in_flight: Option<InFlight>,
 }
 
 /// Sends a request and streams the answer to the caller.
@@ -42,7 +40,6 @@
 /// Returns a refusal if no server sent a first event or another answer.
 pub(crate) async fn exchange(
     mut dispatch: Dispatch,
-    in_flight: InFlight,
     caller: Option<IoRef>,
 ) -> Result<Response, Refusal> {
     loop {
@@ -68,7 +65,6 @@
             dispatch,
             exchange: Some(exchange),
             splitter: Splitter::default(),
-            in_flight: None,
         };
         let first = match relay.next_event().await {
             Ok(first) => first,
@@ -77,7 +73,6 @@
                 None => return Err(refusal),
             },
         };
-        relay.in_flight = Some(in_flight);
         relay
             .dispatch
             .track(|tracked| tracked.stage = Stage::Streaming);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -221,11 +221,14 @@
         }
     };
     loop {
-        let stream = match listener
-            .accept()
-            .await
-            .and_then(|(stream, _)| stream.into_std())
-        {
+        // A stopping node with nothing in flight takes no further connections, so that callers
+        // connect elsewhere.
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = node.drain.wait_idle(), if port == Port::Callers => return,
+        };
+        let stream = match accepted.and_then(|(stream, _)| stream.into_std()) {
             Ok(stream) => stream,
             Err(error) => {
                 warn!(node.logger(), "connection could not be accepted"; "error" => %error);
