Count the times of a planned stop from the signal

What callers saw: a node whose event loop was late passed on streams that were sent more than 3 s after SIGTERM and cut them off, and was killed by the platform before its own end, without a line in its log.

Cause: the node took its times (new requests for 3 s, exit 0.4 s before the end of the grace period) from the moment in which its event loop saw the signal; the platform counts from its sending. Every lag of the loop prolonged the time in which work was taken by as much as it shortened the time to finish it.

A thread of its own receives the signals and notes the time. Whether a request is taken is decided from that time when the request is there, not by a task that has to run first. What is taken and until when is `policy::shutdown`, without clock or network.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,7 @@
 use jackdaw_adapter::{Platform, order, store};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
-use jackdaw_gateway::server;
+use jackdaw_gateway::{server, stop};
 use jackdaw_link::client::Client;
 use jackdaw_link::pool;
 use jackdawstair::control::metrics::Metrics;
@@ -74,7 +74,8 @@
     };
     let options = node_options(settings);
     let ports = server::Ports::bind(&options)?;
-    server::run(options, ports, parts, server::wait_for_termination())
+    let stop = stop::on_termination(Arc::clone(&parts.clock))?;
+    server::run(options, ports, parts, stop)
 }
 
 /// Renders the metrics in the text format of Prometheus.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -58,7 +58,7 @@
             refusal.to_response()
         }
     };
-    if node.is_stopping.get() {
+    if node.is_stopping() {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
@@ -175,7 +175,8 @@
 ///
 /// Returns a refusal if the node is stopping and takes none.
 fn check_accepting(node: &Node) -> Result<(), Refusal> {
-    if !node.drain.is_stopping() {
+    let shutdown = node.shutdown();
+    if shutdown.is_none_or(|shutdown| shutdown.is_accepting(node.now())) {
         return Ok(());
     }
     // The caller may retry at once, since its next connection goes to another node.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod node;
 pub mod options;
 pub mod server;
+pub mod stop;
 
 mod bans;
 mod body;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -20,6 +21,7 @@
 use jackdaw_policy::fleet::Fleet;
 use jackdaw_policy::peers::PeerLoads;
 use jackdaw_policy::retry::{self, Budget};
+use jackdaw_policy::shutdown::{Limits, Shutdown};
 use opentelemetry::metrics::Meter;
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -29,6 +31,7 @@
 use crate::in_flight::InFlight;
 use crate::options::Options;
 use crate::poison::Poison;
+use crate::stop;
 use crate::targets::Targets;
 
 /// Age after which the registrations count as stale; a call for them waits for one second at most.
@@ -38,6 +41,9 @@
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
 
+/// Resolution of the node's clock, which counts whole milliseconds.
+const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
+
 /// Encodes a node's metrics for the operators' collector.
 pub trait Exporter: Send + Sync {
     /// Returns all metrics as text.
@@ -84,10 +90,8 @@
     pub(crate) in_flight: InFlight,
     pub(crate) pool: Pool,
     pub(crate) drain: Drain,
-    /// Whether the node was asked to stop.
-    pub(crate) is_stopping: Cell<bool>,
-    /// Time at which the node was asked to stop.
-    pub(crate) stopping_since: Cell<Option<Instant>>,
+    /// Request to stop the node.
+    pub(crate) stop: stop::Request,
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
     /// Time of the store's last answer with registrations or their changes.
@@ -114,7 +118,7 @@
 }
 
 impl Node {
-    pub(crate) fn new(options: Options, parts: Parts) -> Self {
+    pub(crate) fn new(options: Options, parts: Parts, stop: stop::Request) -> Self {
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
@@ -125,8 +129,7 @@
             parts,
             pool: Pool::new(pool::Options::default()),
             drain: Drain::default(),
-            is_stopping: Cell::new(false),
-            stopping_since: Cell::default(),
+            stop,
             has_traffic: Cell::new(false),
             registrations_read_at: Cell::default(),
             in_grace_period: Cell::new(false),
@@ -144,7 +147,7 @@
 
     /// Returns the time since the node was asked to stop, or none if it was not.
     pub(crate) fn stopping_for(&self) -> Option<Millis> {
-        let since = self.stopping_since.get()?;
+        let since = self.stop.made_at()?;
         Some(self.now().since(since))
     }
 
@@ -176,6 +179,14 @@
         self.parts.clock.now()
     }
 
+    /// Returns the time to sleep until a point in time has come; zero if it has.
+    pub(crate) fn until(&self, due: Instant) -> Duration {
+        match due.since(self.now()) {
+            Millis(0) => Duration::ZERO,
+            left => left.duration() + CLOCK_RESOLUTION,
+        }
+    }
+
     pub(crate) fn logger(&self) -> &Logger {
         &self.parts.logger
     }
@@ -264,9 +275,25 @@
         budget
     }
 
+    /// Returns whether the node was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop.made_at().is_some()
+    }
+
+    /// Returns the planned stop, once it has been requested.
+    pub(crate) fn shutdown(&self) -> Option<Shutdown> {
+        let requested_at = self.stop.made_at()?;
+        Some(Shutdown::new(requested_at, self.stop_limits()))
+    }
+
+    /// Returns the times of a planned stop.
+    pub(crate) fn stop_limits(&self) -> Limits {
+        Limits::new(self.options.grace)
+    }
+
     /// Returns whether the node accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.get()
+        !self.is_stopping()
             && self.index.borrow().is_some()
             && !self.is_fleet_empty()
             && self.poison.is_restored()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -276,7 +276,7 @@
 /// Registers this node and renews its lease until the node stops.
 async fn keep_registered(node: Rc<Node>) {
     let mut lease: Option<Lease> = None;
-    while !node.is_stopping.get() {
+    while !node.is_stopping() {
         let result = match lease {
             Some(lease) => node.parts.store.renew(lease).await,
             None => Ok(Millis(0)),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,18 +27,14 @@
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
+use crate::stop;
 
 /// Time after which an idle connection of a caller is closed; longer than callers keep idle
 /// connections, so that they close them first.
 const IDLE_TIMEOUT: Seconds = Seconds(75);
 /// Time for callers to read the last bytes of completed answers.
 const DISCONNECT_TIMEOUT: Seconds = Seconds(30);
-/// Time after the request to stop in which the platform still sends new connections; it checks
-/// readiness each second and acts on two failed checks.
-const LAST_CONNECTIONS_TIME: Millis = Millis(3_000);
-/// Time before the end of the grace period at which the node stops waiting for requests.
-const EXIT_MARGIN: Millis = Millis(400);
-/// Time to release the leader's lease in the store; part of [`EXIT_MARGIN`].
+/// Time to release the leader's lease in the store, before the supervisor ends the grace period.
 const LEASE_RELEASE_TIME: Millis = Millis(200);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Millis = Millis(10);
@@ -84,43 +80,17 @@
     }
 }
 
-/// Runs a node until `stop` resolves, then waits for the requests in flight.
+/// Runs a node until it is requested to stop, then waits for the requests in flight.
 ///
 /// # Errors
 ///
 /// Returns an error if the sockets cannot be registered with the runtime or the handler of SIGHUP
 /// cannot be installed.
-pub fn run(
-    options: Options,
-    ports: Ports,
-    parts: Parts,
-    stop: impl Future<Output = ()> + 'static,
-) -> Result<()> {
+pub fn run(options: Options, ports: Ports, parts: Parts, stop: stop::Request) -> Result<()> {
     System::new("gateway", DefaultRuntime).block_on(serve(options, ports, parts, stop))
 }
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Panics
-///
-/// Panics if the signal handlers cannot be installed.
-pub async fn wait_for_termination() {
-    let mut terminate =
-        signal(SignalKind::terminate()).expect("the handler of SIGTERM can be installed");
-    let mut interrupt =
-        signal(SignalKind::interrupt()).expect("the handler of SIGINT can be installed");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
-
-async fn serve(
-    options: Options,
-    ports: Ports,
-    parts: Parts,
-    stop: impl Future<Output = ()>,
-) -> Result<()> {
+async fn serve(options: Options, ports: Ports, parts: Parts, stop: stop::Request) -> Result<()> {
     let listen_failed = |error: io::Error| Error::unreachable("listen", "self", error);
     let listen = |listener: std::net::TcpListener| {
         listener
@@ -135,7 +105,7 @@
     let peers = UdpSocket::from_std(ports.peers).map_err(listen_failed)?;
     let mut hangup = signal(SignalKind::hangup())
         .map_err(|error| Error::unreachable("install signals", "self", error))?;
-    let node = Rc::new(Node::new(options, parts));
+    let node = Rc::new(Node::new(options, parts, stop.clone()));
     info!(node.logger(), "node started";
         "zone" => %node.options.zone, "callers" => %node.options.callers);
     follow::start(&node);
@@ -149,10 +119,10 @@
     ));
     ntex::rt::spawn(accept_connections(Rc::clone(&node), callers, Port::Callers));
     ntex::rt::spawn(accept_connections(Rc::clone(&node), exchange, Port::Peers));
-    let mut stop = pin!(stop);
+    let mut requested = pin!(stop.wait());
     loop {
         tokio::select! {
-            () = &mut stop => break,
+            _ = &mut requested => break,
             // The addresses are fixed at the start, and all other settings come from the store.
             _ = hangup.recv() => info!(node.logger(), "SIGHUP ignored: no settings to reload"),
         }
@@ -168,20 +138,19 @@
 }
 
 /// Accepts requests until the platform sends no new connections, then waits for the requests in
-/// flight, at most until [`EXIT_MARGIN`] before the end of the grace period.
+/// flight until the process has to end.
 async fn drain(node: &Node) {
-    node.is_stopping.set(true);
-    node.stopping_since.set(Some(node.now()));
-    let grace = node.options.grace.0.saturating_sub(EXIT_MARGIN.0);
-    let accepting = LAST_CONNECTIONS_TIME.0.min(grace);
-    time::sleep(Millis(accepting).duration()).await;
+    let Some(shutdown) = node.shutdown() else {
+        return;
+    };
+    time::sleep(node.until(shutdown.accepts_until())).await;
     node.drain.stop();
     let finished = async {
         node.drain.wait_idle().await;
         node.drain.wait_closed().await;
     };
-    let remaining = Millis(grace.saturating_sub(accepting));
-    if time::timeout(remaining.duration(), finished).await.is_err() {
+    let remaining = node.until(shutdown.exits_at());
+    if time::timeout(remaining, finished).await.is_err() {
         warn!(node.logger(), "grace period ended with requests in flight";
             "in_flight" => node.drain.in_flight());
     }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -15,14 +15,14 @@
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Orders, Protocol};
 use jackdaw_core::store::Entry;
-use jackdaw_core::time::SystemClock;
+use jackdaw_core::time::{Clock, SystemClock};
 use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::{self, Ports};
+use jackdaw_gateway::stop;
 use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
 use slog::{Drain, KV as _, Logger, Never, OwnedKVList, Record, o};
-use tokio::sync::oneshot;
 
 use super::store::MemoryStore;
 
@@ -500,7 +500,8 @@
 pub(crate) struct Process {
     pub(crate) callers: SocketAddr,
     readiness: SocketAddr,
-    stop: Option<oneshot::Sender<()>>,
+    stop: stop::Request,
+    clock: Arc<dyn Clock>,
     ended: mpsc::Receiver<()>,
 }
 
@@ -509,20 +510,20 @@
     pub(crate) fn launch(options: Options, ports: Ports, parts: Parts) -> Process {
         let callers = ports.callers.local_addr().expect("the port is bound");
         let readiness = ports.readiness.local_addr().expect("the port is bound");
-        let (stop, stopped) = oneshot::channel::<()>();
+        let stop = stop::Request::default();
+        let clock = Arc::clone(&parts.clock);
+        let requested = stop.clone();
         let (end, ended) = mpsc::channel();
         thread::spawn(move || {
-            let stop = async move {
-                let _ = stopped.await;
-            };
-            let result = server::run(options, ports, parts, stop);
+            let result = server::run(options, ports, parts, requested);
             result.expect("the node runs");
             let _ = end.send(());
         });
         Process {
             callers,
             readiness,
-            stop: Some(stop),
+            stop,
+            clock,
             ended,
         }
     }
@@ -545,7 +546,7 @@
 
     /// Asks the node to stop and returns the time.
     fn begin_stop(&mut self) -> Instant {
-        drop(self.stop.take());
+        self.stop.make(self.clock.now());
         Instant::now()
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod remote;
 pub mod retry;
 pub mod route;
+pub mod shutdown;
--- /dev/null
+++ b/crates/policy/src/shutdown.rs
@@ -0,0 +1,86 @@
+//! Decides what a node that was asked to stop still takes, and until when it answers.
+//!
+//! All times count from the signal, as the supervisor's do, and not from the moment in which the
+//! node notices it.
+
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+
+/// Time after the signal in which new requests are taken. A load balancer that checks readiness each
+/// second and acts on two failed checks sends new connections for more than 2 s.
+const ACCEPT_TIME: Millis = Millis(3_000);
+/// Time before the end of the grace period at which the process ends by itself.
+const EXIT_MARGIN: Millis = Millis(400);
+/// Time before the process ends at which requests in flight are given up, so that their callers
+/// still get an answer.
+const ANSWER_MARGIN: Millis = Millis(300);
+
+/// Times of a planned stop after the signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Time until which new requests are taken.
+    pub accept: Millis,
+    /// Time at which requests in flight are given up.
+    pub answer: Millis,
+    /// Time at which the process ends.
+    pub exit: Millis,
+}
+
+impl Limits {
+    /// Returns the times for a grace period, after which the supervisor kills the process.
+    #[must_use]
+    pub fn new(grace: Millis) -> Self {
+        let exit = Millis(grace.0.saturating_sub(EXIT_MARGIN.0));
+        let answer = Millis(exit.0.saturating_sub(ANSWER_MARGIN.0));
+        Limits {
+            accept: ACCEPT_TIME.min(answer),
+            answer,
+            exit,
+        }
+    }
+}
+
+/// A planned stop that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    signalled: Instant,
+    limits: Limits,
+}
+
+impl Shutdown {
+    /// Creates the state after a signal.
+    #[must_use]
+    pub fn new(signalled: Instant, limits: Limits) -> Self {
+        Shutdown { signalled, limits }
+    }
+
+    /// Returns whether new requests are still taken.
+    #[must_use]
+    pub fn is_accepting(&self, now: Instant) -> bool {
+        now < self.accepts_until()
+    }
+
+    /// Returns the time until which new requests are taken.
+    #[must_use]
+    pub fn accepts_until(&self) -> Instant {
+        self.signalled + self.limits.accept
+    }
+
+    /// Returns whether a request is taken that is expected to be answered at a time.
+    #[must_use]
+    pub fn can_take(&self, now: Instant, answered: Instant) -> bool {
+        self.is_accepting(now) && answered <= self.answers_until()
+    }
+
+    /// Returns the time at which requests in flight are given up.
+    #[must_use]
+    pub fn answers_until(&self) -> Instant {
+        self.signalled + self.limits.answer
+    }
+
+    /// Returns the time at which the process ends.
+    #[must_use]
+    pub fn exits_at(&self) -> Instant {
+        self.signalled + self.limits.exit
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/shutdown.rs
@@ -0,0 +1,51 @@
+//! Cases of what a stopping node still takes.
+
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::shutdown::{Limits, Shutdown};
+use rstest::rstest;
+
+/// Time of the signal.
+const SIGNALLED: Instant = Instant(1_000_000);
+/// Time after the signal until which the supervisor excuses work that it then kills.
+const EXCUSED: Millis = Millis(3_000);
+
+struct Case {
+    grace: Millis,
+    /// Time of arrival after the signal.
+    arrived: Millis,
+    /// Expected time of the answer after the signal.
+    answered: Millis,
+    is_taken: bool,
+}
+
+// Guards against work that a stopping node cannot finish before it ends.
+#[rstest]
+#[case::ends_in_time(Case { grace: Millis(8_000), arrived: Millis(100), answered: Millis(5_000), is_taken: true })]
+#[case::last_moment(Case { grace: Millis(8_000), arrived: Millis(2_999), answered: Millis(5_000), is_taken: true })]
+#[case::too_late(Case { grace: Millis(8_000), arrived: Millis(3_000), answered: Millis(3_100), is_taken: false })]
+#[case::as_long_as_the_grace_period(Case { grace: Millis(8_000), arrived: Millis(100), answered: Millis(8_100), is_taken: false })]
+#[case::ends_with_the_process(Case { grace: Millis(8_000), arrived: Millis(100), answered: Millis(7_600), is_taken: false })]
+#[case::short_grace_period(Case { grace: Millis(1_000), arrived: Millis(350), answered: Millis(400), is_taken: false })]
+#[case::no_grace_period(Case { grace: Millis(0), arrived: Millis(0), answered: Millis(0), is_taken: false })]
+fn a_stopping_node_takes_only_what_it_can_finish(#[case] case: Case) {
+    let shutdown = Shutdown::new(SIGNALLED, Limits::new(case.grace));
+    let taken = shutdown.can_take(SIGNALLED + case.arrived, SIGNALLED + case.answered);
+    assert_eq!(taken, case.is_taken);
+}
+
+// Guards against a process that is killed before it has answered.
+#[rstest]
+#[case::usual(Millis(8_000))]
+#[case::short(Millis(1_000))]
+#[case::none(Millis(0))]
+#[case::long(Millis(600_000))]
+fn requests_are_given_up_before_the_process_ends_and_that_before_it_is_killed(
+    #[case] grace: Millis,
+) {
+    let shutdown = Shutdown::new(SIGNALLED, Limits::new(grace));
+    assert!(shutdown.accepts_until() <= shutdown.answers_until());
+    assert!(shutdown.answers_until() <= shutdown.exits_at());
+    assert!(shutdown.exits_at() <= SIGNALLED + grace);
+    assert!(shutdown.accepts_until() <= SIGNALLED + EXCUSED);
+}
