Do not pass on a request whose body ends after a stopping node takes no more

Cause: whether the node still takes requests was asked when the head was there; the body was read after that, without any time limit, and the request was then passed on, however late.

It is asked again when the body is complete, and a request whose body is still on its way when the node takes no more is refused at once. A body that has not come by the caller's deadline is refused too.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -16,9 +16,9 @@
 /// # Errors
 ///
 /// Returns a refusal if the body is incomplete or larger than the limit.
-pub(crate) async fn read(mut payload: Payload, limit: Size) -> Result<Bytes, Refusal> {
+pub(crate) async fn read(payload: &mut Payload, limit: Size) -> Result<Bytes, Refusal> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = stream_recv(&mut payload).await {
+    while let Some(chunk) = stream_recv(payload).await {
         let chunk = chunk.map_err(|error| {
             Refusal::not_run(Reason::Malformed, format!("the body broke off: {error}"))
         })?;
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,21 +1,24 @@
 //! Admits callers' requests and answers readiness checks.
 
 use std::cell::OnceCell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures::future::{Either, select};
 use http::{HeaderMap, Uri};
 use jackdaw_core::config::{Backend, Denial, Index, Route};
 use jackdaw_core::outcome::Outcome;
 use jackdaw_core::protocol::Head;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::Millis;
+use jackdaw_core::units::{Bytes as Size, Millis};
 use jackdaw_entry::in_flight::{self, Stage};
 use ntex::http::header::HOST;
-use ntex::http::{ConnectionType, Request, Response};
+use ntex::http::{ConnectionType, Payload, Request, Response};
 use slog::info;
+use tokio::time;
 
 use crate::body;
 use crate::buffered;
@@ -36,11 +39,12 @@
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers one request of a caller.
-pub(crate) async fn handle(node: Rc<Node>, request: Request) -> Response {
+pub(crate) async fn handle(node: Rc<Node>, mut request: Request) -> Response {
     node.has_traffic.set(true);
     // The guard is dropped with this future, or with the response's body.
     let mut guard = None;
-    let mut response = match process(&node, request, &mut guard).await {
+    let mut payload = request.take_payload();
+    let mut response = match process(&node, &request, &mut payload, &mut guard).await {
         Ok(response) => response,
         Err((id, refusal)) => {
             node.counters.count_refusal(refusal.reason);
@@ -100,7 +104,8 @@
 /// Answers a request; the guard is set once its head has been read.
 async fn process(
     node: &Rc<Node>,
-    mut request: Request,
+    request: &Request,
+    payload: &mut Payload,
     guard: &mut Option<Guard>,
 ) -> Result<Response, Failure> {
     let arrived = node.now();
@@ -108,28 +113,28 @@
     let head = match node.parts.protocol.decode_request(&headers) {
         Ok(head) => head,
         Err(error) => {
-            *guard = Some(track(node, &request, &Head::default(), arrived));
+            *guard = Some(track(node, request, &Head::default(), arrived));
             let refusal = Refusal::not_run(Reason::Malformed, error);
             return Err((CompactString::default(), refusal));
         }
     };
     let id = head.id.clone();
     let failed = |refusal: Refusal| (id.clone(), refusal);
-    let key = guard.insert(track(node, &request, &head, arrived)).key();
+    let key = guard.insert(track(node, request, &head, arrived)).key();
     check_accepting(node).map_err(failed)?;
     let Some(index) = node.index() else {
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
-    let payload = request.take_payload();
     let limit = index
         .configuration()
         .limits
         .map_or(body::DEFAULT_MAX_BODY, |limits| limits.body);
-    let body = body::read(payload, limit).await.map_err(failed)?;
+    let due = arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let body = read_body(node, payload, limit, due).await.map_err(failed)?;
     // The configuration may have changed while the body was read.
     let index = node.index().unwrap_or(index);
-    let mut call = admit(&index, &request, head, headers).map_err(failed)?;
+    let mut call = admit(&index, request, head, headers).map_err(failed)?;
     call.body = body;
     call.arrived = arrived;
     call.caller_deadline = arrived + call.head.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -183,6 +188,41 @@
     Err(Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0)))
 }
 
+/// Reads a request's body while the node takes new requests, at most until the request is due.
+///
+/// # Errors
+///
+/// Returns a refusal if the body is incomplete, too large or late, or the node is stopping.
+async fn read_body(
+    node: &Node,
+    payload: &mut Payload,
+    limit: Size,
+    due: Instant,
+) -> Result<Bytes, Refusal> {
+    let mut body = pin!(body::read(payload, limit));
+    loop {
+        check_accepting(node)?;
+        let now = node.now();
+        if now >= due {
+            let detail = "the deadline passed before the request had been read";
+            return Err(Refusal::not_run(Reason::Deadline, detail));
+        }
+        // A stop that is requested meanwhile ends the acceptance no earlier than this.
+        let accepted = node.shutdown().map_or_else(
+            || now + node.stop_limits().accept,
+            |shutdown| shutdown.accepts_until(),
+        );
+        let timeout = pin!(time::sleep(node.until(due.min(accepted))));
+        match select(body.as_mut(), timeout).await {
+            Either::Left((body, _)) => {
+                check_accepting(node)?;
+                return body;
+            }
+            Either::Right(_) => {}
+        }
+    }
+}
+
 /// Authenticates a request, finds its route and picks its service.
 ///
 /// # Errors
