Read the body of a request that is refused before it was read

What callers saw: a refusal that was sent before the request's body had been read could be lost. The node closed the connection with unread bytes, which resets it, and a caller that is still sending sees the reset in place of the 503 that would let it try elsewhere.

The rest of the body is read and dropped in the background, for a second at most.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use jackdaw_core::refusal::Reason;
-use jackdaw_core::units::Bytes as Size;
+use jackdaw_core::units::{Bytes as Size, Millis};
 use ntex::http::Payload;
 use ntex::util::stream_recv;
 
@@ -11,6 +11,16 @@
 /// Largest body if the configuration states no limit.
 pub(crate) const DEFAULT_MAX_BODY: Size = Size(4 << 20);
 
+/// Longest time for which the body of a refused request is read.
+const DISCARD_TIME: Millis = Millis(1_000);
+
+/// Reads what is left of the body of a refused request in the background. A connection that is
+/// closed with unread bytes is reset, and its caller may lose the refusal.
+pub(crate) fn discard(mut payload: Payload) {
+    let discarded = async move { while let Some(Ok(_)) = stream_recv(&mut payload).await {} };
+    ntex::rt::spawn(tokio::time::timeout(DISCARD_TIME.duration(), discarded));
+}
+
 /// Reads a complete body.
 ///
 /// # Errors
