Let a stopping node take only what it can finish

What callers saw: streams with more time than a stopping node has left were taken up to 3 s after SIGTERM and cut off at its end, though another node could have served them whole.

A request is taken if its answer is due before the node gives requests up: at its deadline, or earlier if the engine's figures say how long its largest answer takes, with half as much again. Else it is refused at once as not run, to be sent again without delay.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -398,6 +398,7 @@
             .zip(head.model.as_deref())
             .and_then(|(engine, name)| engine.model(name));
         let Some((engine, model)) = engine.zip(model) else {
+            self.check_stop(None)?;
             let suspect_penalty = |load: &Load| if load.suspect { 1_000.0 } else { 0.0 };
             return Ok(loads
                 .iter()
@@ -405,7 +406,10 @@
                 .collect());
         };
         let demand = self.demand();
-        let first_event = |load: &Load| balance::estimate(engine, model, load, demand).first_event;
+        let estimate = |load: &Load| balance::estimate(engine, model, load, demand);
+        let first_event = |load: &Load| estimate(load).first_event;
+        let last_event = |load: &Load| estimate(load).last_event(engine, head.max_output);
+        self.check_stop(loads.iter().map(last_event).min_by(f64::total_cmp))?;
         let first_events: Vec<f64> = loads.iter().map(first_event).collect();
         let soonest = first_events.iter().copied().fold(f64::INFINITY, f64::min);
         let left = self.call.deadline.since(self.node.now());
@@ -433,6 +437,22 @@
             .collect())
     }
 
+    /// Rejects a new request that a stopping node cannot finish before it ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request is rejected.
+    fn check_stop(&self, estimate_ms: Option<f64>) -> Result<(), Refusal> {
+        let Some(shutdown) = self.node.shutdown().filter(|_| self.failures == 0) else {
+            return Ok(());
+        };
+        if shutdown.can_finish(self.node.now(), self.call.deadline, estimate_ms) {
+            return Ok(());
+        }
+        let detail = "the node is stopping and ends before the answer would".to_owned();
+        Err(self.refuse(Reason::NotReady, Millis(0), detail))
+    }
+
     /// Rejects the request with a probability that grows with the expected latency.
     ///
     /// # Errors
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -64,6 +64,15 @@
     pub event_gap: f64,
 }
 
+impl Estimate {
+    /// Returns the time to the last event of an answer of a number of tokens, in milliseconds.
+    #[must_use]
+    pub fn last_event(&self, engine: &Engine, tokens: u32) -> f64 {
+        let events = tokens.div_ceil(engine.steps_per_pass.max(1));
+        self.first_event + self.event_gap * f64::from(events.saturating_sub(1))
+    }
+}
+
 /// Returns the milliseconds in which an engine prefills a prompt of a number of tokens.
 #[must_use]
 pub fn prefill_ms(engine: &Engine, prompt: f64) -> f64 {
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -14,6 +14,8 @@
 /// Time before the process ends at which requests in flight are given up, so that their callers
 /// still get an answer.
 const ANSWER_MARGIN: Millis = Millis(300);
+/// Factor by which an answer may take longer than estimated.
+const ESTIMATE_MARGIN: f64 = 1.5;
 
 /// Times of a planned stop after the signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +74,20 @@
         self.is_accepting(now) && answered <= self.answers_until()
     }
 
+    /// Returns whether a request is taken whose answer is due at its deadline, and earlier if the
+    /// milliseconds that it takes can be estimated.
+    #[must_use]
+    pub fn can_finish(&self, now: Instant, deadline: Instant, estimate_ms: Option<f64>) -> bool {
+        let answered = match estimate_ms {
+            Some(estimate) => {
+                let longest = Millis((estimate * ESTIMATE_MARGIN).ceil() as u64);
+                deadline.min(now + longest)
+            }
+            None => deadline,
+        };
+        self.can_take(now, answered)
+    }
+
     /// Returns the time at which requests in flight are given up.
     #[must_use]
     pub fn answers_until(&self) -> Instant {
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -49,3 +49,25 @@
     assert!(shutdown.exits_at() <= SIGNALLED + grace);
     assert!(shutdown.accepts_until() <= SIGNALLED + EXCUSED);
 }
+
+struct EstimateCase {
+    /// Deadline after the signal.
+    deadline: Millis,
+    estimate_ms: Option<f64>,
+    is_taken: bool,
+}
+
+// Guards against refusals of all streams with long deadlines, and against streams that cannot end.
+#[rstest]
+#[case::short(EstimateCase { deadline: Millis(9_000), estimate_ms: Some(2_000.0), is_taken: true })]
+#[case::long(EstimateCase { deadline: Millis(9_000), estimate_ms: Some(5_000.0), is_taken: false })]
+#[case::short_deadline(EstimateCase { deadline: Millis(6_000), estimate_ms: Some(5_000.0), is_taken: true })]
+#[case::unknown(EstimateCase { deadline: Millis(9_000), estimate_ms: None, is_taken: false })]
+#[case::unknown_short_deadline(EstimateCase { deadline: Millis(6_000), estimate_ms: None, is_taken: true })]
+#[case::infinite(EstimateCase { deadline: Millis(9_000), estimate_ms: Some(f64::INFINITY), is_taken: false })]
+fn a_stopping_node_takes_a_request_by_its_estimate_or_its_deadline(#[case] case: EstimateCase) {
+    let shutdown = Shutdown::new(SIGNALLED, Limits::new(Millis(8_000)));
+    let deadline = SIGNALLED + case.deadline;
+    let taken = shutdown.can_finish(SIGNALLED + Millis(1_000), deadline, case.estimate_ms);
+    assert_eq!(taken, case.is_taken);
+}
