Answer requests that a stop ends before the process ends

What callers saw: whatever was in flight at the end of the grace period ended with a closed connection, also if no byte of an answer had been sent; the log gave a count.

A caller without a part of the answer gets 502, or 503 if no server has run the request; a stream under way is broken off with its line. The waits are never longer than the time from a signal to that moment, so a stop needs no wake-up of its own.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -63,8 +62,6 @@
 /// Delay after which a caller is asked to retry if no server can be spared for a request under which
 /// others ended; servers that ended are back after some seconds.
 const SPARED_RETRY_AFTER: Millis = Millis(2_000);
-/// Resolution of the node's clock.
-const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
@@ -453,6 +450,14 @@
         Err(self.refuse(Reason::NotReady, Millis(0), detail))
     }
 
+    /// Returns the time at which the request is given up: its deadline, or the end of a stopping
+    /// node if that is earlier.
+    fn due(&self) -> Instant {
+        let deadline = self.call.deadline;
+        let shutdown = self.node.shutdown();
+        shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.answers_until()))
+    }
+
     /// Rejects the request with a probability that grows with the expected latency.
     ///
     /// # Errors
@@ -517,7 +522,7 @@
         let mut connection = connection_result.map_err(connection_failure)?;
         let sent = node.now();
         let left = self.call.caller_deadline.since(sent);
-        if left == Millis(0) || sent >= self.call.deadline {
+        if left == Millis(0) || sent >= self.due() {
             let detail = "the deadline passed before the request was sent";
             return Err(ExchangeFailure::new(
                 Fault::Deadline,
@@ -642,14 +647,16 @@
                 }
                 None => request_due,
             };
-            if now >= self.call.deadline {
+            let given_up = self.due();
+            if now >= given_up {
                 return Err(Fault::Deadline);
             }
             if now >= due {
                 return Err(Fault::Silent);
             }
-            // The clock counts whole milliseconds, so one step is added to sleep past the due time.
-            let span = due.min(self.call.deadline).since(now).duration() + CLOCK_RESOLUTION;
+            // A stop that is requested meanwhile ends the request no earlier than this.
+            let stopped = now + self.node.stop_limits().answer;
+            let span = self.node.until(due.min(given_up).min(stopped));
             match select(future.as_mut(), pin!(time::sleep(span))).await {
                 Either::Left((value, _)) => return Ok(value),
                 Either::Right(_) => {}
@@ -806,6 +813,10 @@
                 self.node.counters.count_retry(error.fault, "elsewhere");
                 Ok(())
             }
+            Verdict::GiveUp(_) if error.fault == Fault::Deadline && now < self.call.deadline => {
+                let detail = format!("the node is stopping: {}", error.detail);
+                Err(self.refuse(Reason::NotReady, Millis(0), detail))
+            }
             Verdict::GiveUp(cause) => {
                 let reason = match cause {
                     Cause::Deadline => Reason::Deadline,
