Reproduce streams whose end does not reach the other side, failing

What callers saw: a stream that the node broke off (deadline, budget, gap) more than a second after its connection was opened left the connection open and silent, until the caller gave up or the process exited.

Cause: while a body is sent, the HTTP library's dispatcher waits for the body alone. The waker that it left with the connection when it waited for the answer is taken by the timer for heads, a second after the connection was opened. After that neither IoRef::close() nor the end of the caller's connection wakes it, so the socket isn't closed and the relay isn't dropped before the server's next event.

--- a/crates/gateway/tests/node/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -202,7 +202,7 @@
 }
 
 /// Time within which a server's connection must end after its caller has disconnected.
-const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 #[test]
 fn the_connection_to_the_server_ends_when_the_caller_disconnects() {
--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
 
+use super::relay::DISCONNECT_TIMEOUT;
 use super::support::{Log, Node, Script, TIMEOUT, exchange, options, read_message};
 
 /// Time after the request to stop from which no request may be passed on.
@@ -25,6 +26,7 @@
 const GATE_ONE_TWO: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nGATE11\r\nid: 1\ndata: one\n\n\r\n11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
 const ONE_TWO_GATE: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n11\r\nid: 2\ndata: two\n\n\r\nGATE0\r\n\r\n";
 const ONE_HOLD: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
+const ONE_GATE_BREAK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE";
 const FILLED_STREAM: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nFILL0\r\n\r\n";
 const FILLED_LENGTH: Script =
     "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4194304\r\n\r\nFILL";
@@ -577,3 +579,76 @@
     );
     node.stop();
 }
+
+/// A stream that ends early, before or after the HTTP library's timer for heads.
+#[derive(Debug)]
+struct BreakCase {
+    name: &'static str,
+    is_after_timer: bool,
+}
+
+/// Starts a stream of a caller that keeps its connection, and reads its first event.
+fn begin_stream(node: &Node, case: &BreakCase) -> BufReader<TcpStream> {
+    let mut caller = connect(node.address);
+    send(&mut caller, &kept("r1", "POST", "/long/x", "", "hello"));
+    let mut reader = BufReader::new(caller);
+    let mut lines = reader.by_ref().lines();
+    let first = lines.find(|line| line.as_ref().is_ok_and(|line| line == "data: one"));
+    assert!(first.is_some(), "{}: no first event", case.name);
+    if case.is_after_timer {
+        wait_for_head_timers(node.address);
+    }
+    reader
+}
+
+// Guards against a caller that waits on an open connection for the rest of a stream that the node
+// has broken off.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn connection_ends_when_the_node_breaks_off_a_stream(#[case] case: BreakCase) {
+    let (node, log) = start(&[ONE_GATE_BREAK], GRACE);
+    let mut reader = begin_stream(&node, &case);
+    node.servers.release();
+    let (rest, error) = read_rest(&mut reader);
+    assert_eq!(log.find("stream broken off").len(), 1, "{}", case.name);
+    assert_eq!(
+        error, None,
+        "{}: the connection stays open: {rest}",
+        case.name
+    );
+    assert!(!rest.ends_with("0\r\n\r\n"), "{}: {rest}", case.name);
+    node.stop();
+}
+
+// Guards against a server that goes on with a stream whose caller has disconnected.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn connection_to_the_server_ends_when_the_caller_disconnects_in_a_stream(#[case] case: BreakCase) {
+    let (node, _) = start(&[ONE_HOLD], GRACE);
+    let reader = begin_stream(&node, &case);
+    drop(reader);
+    assert!(
+        node.servers.ends_within(DISCONNECT_TIMEOUT),
+        "{}: the connection to the server stays open",
+        case.name
+    );
+    node.stop();
+}
+
+// Guards against a node that waits until the end of the grace period, and answers nobody meanwhile,
+// because the connection of a stream that was broken off has not ended.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn node_ends_when_its_last_stream_has_been_broken_off(#[case] case: BreakCase) {
+    let (mut node, log) = start(&[ONE_GATE_BREAK], GRACE);
+    let reader = begin_stream(&node, &case);
+    node.servers.release();
+    node.begin_stop();
+    node.process.wait_ended();
+    let lines = log.find("grace period ended with requests in flight");
+    assert!(lines.is_empty(), "{}: {lines:?}", case.name);
+    drop(reader);
+}
