Reproduce requests without any answer at the end of a node, failing

What callers saw: a request that waited for its first event, or its answer, when the node ended got no status at all, only the end of its connection, although it had been passed on. A stream whose deadline is as long as the grace period cannot even get the refusal at its deadline, as shorter ones do.

Cause: at the end of the grace period serve() returns, and the runtime drops the handlers with their connections.

Failing in all three cases (a stream, a buffered answer, a body that is incomplete), in 1 s each.

--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -245,6 +245,39 @@
     );
 }
 
+/// A request that waits for its answer at the end of the grace period.
+#[derive(Debug)]
+struct WaitingCase {
+    name: &'static str,
+    path: &'static str,
+    body: &'static str,
+    attempts: usize,
+    status: &'static str,
+}
+
+// Guards against requests that get no answer at all because the node ends while they wait for one.
+#[rstest]
+#[case::stream(WaitingCase { name: "for the first event of a stream", path: "/fragile/x", body: "hello", attempts: 1, status: "502" })]
+#[case::answer(WaitingCase { name: "for a whole answer", path: "/once/x", body: "hello", attempts: 1, status: "502" })]
+#[case::body(WaitingCase { name: "for the end of its body", path: "/once/x", body: "hell", attempts: 0, status: "503" })]
+fn request_that_waits_at_the_end_of_the_grace_period_is_answered(#[case] case: WaitingCase) {
+    let (mut node, _) = start(&[GATE_ONE_TWO], Millis(1_000));
+    let mut caller = connect(node.address);
+    let request = kept("r1", "POST", case.path, "", "hello");
+    let request = request.replace("hello", case.body);
+    send(&mut caller, &request);
+    node.servers.wait_arrived(case.attempts);
+    node.begin_stop();
+    let (answer, error) = read_rest(&mut caller);
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(
+        answer.starts_with(&status),
+        "{}: ended with {error:?}: {answer}",
+        case.name
+    );
+    node.process.wait_ended();
+}
+
 /// A request whose deadline lies after the end of the grace period.
 #[derive(Debug)]
 struct LongCase {
