Cover short requests beside a stop

New and kept connections before the stop, while the node still takes requests and when it refuses them: each gets its answer, or a refusal, and every answer of a stopping node announces the end of its connection.

--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -278,6 +278,70 @@
     node.process.wait_ended();
 }
 
+/// When a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Moment {
+    BeforeStop,
+    Unready,
+    Refusing,
+}
+
+/// A short request beside a stop.
+#[derive(Debug)]
+struct MomentCase {
+    name: &'static str,
+    moment: Moment,
+    is_kept: bool,
+    status: &'static str,
+    is_closing: bool,
+}
+
+// Guards against short requests that get no answer beside a stop, and against callers that keep a
+// connection to a stopping node because nothing announced its end.
+#[rstest]
+#[case::new_before(MomentCase { name: "new connection before the stop", moment: Moment::BeforeStop, is_kept: false, status: "200", is_closing: false })]
+#[case::new_unready(MomentCase { name: "new connection after the stop", moment: Moment::Unready, is_kept: false, status: "200", is_closing: true })]
+#[case::new_refusing(MomentCase { name: "new connection when requests are refused", moment: Moment::Refusing, is_kept: false, status: "503", is_closing: true })]
+#[case::kept_unready(MomentCase { name: "kept connection after the stop", moment: Moment::Unready, is_kept: true, status: "200", is_closing: true })]
+#[case::kept_refusing(MomentCase { name: "kept connection when requests are refused", moment: Moment::Refusing, is_kept: true, status: "503", is_closing: true })]
+fn short_request_beside_a_stop_is_answered(#[case] case: MomentCase) {
+    // The first server to be asked holds a stream, so that the node does not end early.
+    let (mut node, _) = start(&[ONE_GATE_TWO, EMPTY, EMPTY], GRACE);
+    let mut in_flight = connect(node.address);
+    send(&mut in_flight, &kept("r1", "POST", "/long/x", "", "hello"));
+    node.servers.wait_arrived(1);
+    let mut caller = BufReader::new(connect(node.address));
+    if case.is_kept {
+        send(
+            caller.get_mut(),
+            &kept("r2", "POST", "/once/x", "", "hello"),
+        );
+        let answer = read_message(&mut caller);
+        assert!(answer.is_some(), "{}", case.name);
+    }
+    if case.moment != Moment::BeforeStop {
+        node.begin_stop();
+        node.wait_unready();
+    }
+    if case.moment == Moment::Refusing {
+        node.wait_refusing();
+    }
+    if !case.is_kept {
+        caller = BufReader::new(connect(node.address));
+    }
+    send(
+        caller.get_mut(),
+        &kept("r3", "POST", "/once/x", "", "hello"),
+    );
+    let (head, _) = read_message(&mut caller).expect("an answer");
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(head.starts_with(&status), "{}: {head}", case.name);
+    let is_closing = head.contains("connection: close\n");
+    assert_eq!(is_closing, case.is_closing, "{}: {head}", case.name);
+    node.servers.release();
+    node.stop();
+}
+
 /// A request whose deadline lies after the end of the grace period.
 #[derive(Debug)]
 struct LongCase {
