--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
 
+use super::relay::DISCONNECT_TIMEOUT;
 use super::support::{Log, Node, Script, TIMEOUT, exchange, options, read_message};
 
 /// Time after the request to stop from which no request may be passed on.
@@ -25,6 +26,7 @@
 const GATE_ONE_TWO: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nGATE11\r\nid: 1\ndata: one\n\n\r\n11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
 const ONE_TWO_GATE: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n11\r\nid: 2\ndata: two\n\n\r\nGATE0\r\n\r\n";
 const ONE_HOLD: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
+const ONE_GATE_BREAK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE";
 const FILLED_STREAM: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nFILL0\r\n\r\n";
 const FILLED_LENGTH: Script =
     "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4194304\r\n\r\nFILL";
@@ -214,7 +216,7 @@
 #[case::no_event(CutCase { name: "without a first event", script: GATE_ONE_TWO, is_begun: false })]
 #[case::no_last_chunk(CutCase { name: "without its last chunk", script: ONE_TWO_GATE, is_begun: true })]
 fn stream_that_outlasts_the_grace_period_ends_without_a_last_chunk(#[case] case: CutCase) {
-    let (mut node, log) = start(&[case.script], Millis(4_000));
+    let (mut node, log) = start(&[case.script], Millis(1_000));
     let mut caller = connect(node.address);
     send(&mut caller, &kept("r1", "POST", "/fragile/x", "", "hello"));
     node.servers.wait_arrived(1);
@@ -238,6 +240,103 @@
     );
 }
 
+/// A request that waits for its answer at the end of the grace period.
+#[derive(Debug)]
+struct WaitingCase {
+    name: &'static str,
+    path: &'static str,
+    body: &'static str,
+    attempts: usize,
+    status: &'static str,
+}
+
+// Guards against requests that get no answer at all because the node ends while they wait for one.
+#[rstest]
+#[case::stream(WaitingCase { name: "for the first event of a stream", path: "/fragile/x", body: "hello", attempts: 1, status: "502" })]
+#[case::answer(WaitingCase { name: "for a whole answer", path: "/once/x", body: "hello", attempts: 1, status: "502" })]
+#[case::body(WaitingCase { name: "for the end of its body", path: "/once/x", body: "hell", attempts: 0, status: "503" })]
+fn request_that_waits_at_the_end_of_the_grace_period_is_answered(#[case] case: WaitingCase) {
+    let (mut node, _) = start(&[GATE_ONE_TWO], Millis(1_000));
+    let mut caller = connect(node.address);
+    let request = kept("r1", "POST", case.path, "", "hello");
+    let request = request.replace("hello", case.body);
+    send(&mut caller, &request);
+    node.servers.wait_arrived(case.attempts);
+    node.begin_stop();
+    let (answer, error) = read_rest(&mut caller);
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(
+        answer.starts_with(&status),
+        "{}: ended with {error:?}: {answer}",
+        case.name
+    );
+    node.process.wait_ended();
+}
+
+/// When a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Moment {
+    BeforeStop,
+    Unready,
+    Refusing,
+}
+
+/// A short request beside a stop.
+#[derive(Debug)]
+struct MomentCase {
+    name: &'static str,
+    moment: Moment,
+    is_kept: bool,
+    status: &'static str,
+    is_closing: bool,
+}
+
+// Guards against short requests that get no answer beside a stop, and against callers that keep a
+// connection to a stopping node because nothing announced its end.
+#[rstest]
+#[case::new_before(MomentCase { name: "new connection before the stop", moment: Moment::BeforeStop, is_kept: false, status: "200", is_closing: false })]
+#[case::new_unready(MomentCase { name: "new connection after the stop", moment: Moment::Unready, is_kept: false, status: "200", is_closing: true })]
+#[case::new_refusing(MomentCase { name: "new connection when requests are refused", moment: Moment::Refusing, is_kept: false, status: "503", is_closing: true })]
+#[case::kept_unready(MomentCase { name: "kept connection after the stop", moment: Moment::Unready, is_kept: true, status: "200", is_closing: true })]
+#[case::kept_refusing(MomentCase { name: "kept connection when requests are refused", moment: Moment::Refusing, is_kept: true, status: "503", is_closing: true })]
+fn short_request_beside_a_stop_is_answered(#[case] case: MomentCase) {
+    // The first server to be asked holds a stream, so that the node does not end early.
+    let (mut node, _) = start(&[ONE_GATE_TWO, EMPTY, EMPTY], GRACE);
+    let mut in_flight = connect(node.address);
+    send(&mut in_flight, &kept("r1", "POST", "/long/x", "", "hello"));
+    node.servers.wait_arrived(1);
+    let mut caller = BufReader::new(connect(node.address));
+    if case.is_kept {
+        send(
+            caller.get_mut(),
+            &kept("r2", "POST", "/once/x", "", "hello"),
+        );
+        let answer = read_message(&mut caller);
+        assert!(answer.is_some(), "{}", case.name);
+    }
+    if case.moment != Moment::BeforeStop {
+        node.begin_stop();
+        node.wait_unready();
+    }
+    if case.moment == Moment::Refusing {
+        node.wait_refusing();
+    }
+    if !case.is_kept {
+        caller = BufReader::new(connect(node.address));
+    }
+    send(
+        caller.get_mut(),
+        &kept("r3", "POST", "/once/x", "", "hello"),
+    );
+    let (head, _) = read_message(&mut caller).expect("an answer");
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(head.starts_with(&status), "{}: {head}", case.name);
+    let is_closing = head.contains("connection: close\n");
+    assert_eq!(is_closing, case.is_closing, "{}: {head}", case.name);
+    node.servers.release();
+    node.stop();
+}
+
 /// A request whose deadline lies after the end of the grace period.
 #[derive(Debug)]
 struct LongCase {
@@ -572,3 +671,76 @@
     );
     node.stop();
 }
+
+/// A stream that ends early, before or after the HTTP library's timer for heads.
+#[derive(Debug)]
+struct BreakCase {
+    name: &'static str,
+    is_after_timer: bool,
+}
+
+/// Starts a stream of a caller that keeps its connection, and reads its first event.
+fn begin_stream(node: &Node, case: &BreakCase) -> BufReader<TcpStream> {
+    let mut caller = connect(node.address);
+    send(&mut caller, &kept("r1", "POST", "/long/x", "", "hello"));
+    let mut reader = BufReader::new(caller);
+    let mut lines = reader.by_ref().lines();
+    let first = lines.find(|line| line.as_ref().is_ok_and(|line| line == "data: one"));
+    assert!(first.is_some(), "{}: no first event", case.name);
+    if case.is_after_timer {
+        wait_for_head_timers(node.address);
+    }
+    reader
+}
+
+// Guards against a caller that waits on an open connection for the rest of a stream that the node
+// has broken off.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn connection_ends_when_the_node_breaks_off_a_stream(#[case] case: BreakCase) {
+    let (node, log) = start(&[ONE_GATE_BREAK], GRACE);
+    let mut reader = begin_stream(&node, &case);
+    node.servers.release();
+    let (rest, error) = read_rest(&mut reader);
+    assert_eq!(log.find("stream broken off").len(), 1, "{}", case.name);
+    assert_eq!(
+        error, None,
+        "{}: the connection stays open: {rest}",
+        case.name
+    );
+    assert!(!rest.ends_with("0\r\n\r\n"), "{}: {rest}", case.name);
+    node.stop();
+}
+
+// Guards against a server that goes on with a stream whose caller has disconnected.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn connection_to_the_server_ends_when_the_caller_disconnects_in_a_stream(#[case] case: BreakCase) {
+    let (node, _) = start(&[ONE_HOLD], GRACE);
+    let reader = begin_stream(&node, &case);
+    drop(reader);
+    assert!(
+        node.servers.ends_within(DISCONNECT_TIMEOUT),
+        "{}: the connection to the server stays open",
+        case.name
+    );
+    node.stop();
+}
+
+// Guards against a node that waits until the end of the grace period, and answers nobody meanwhile,
+// because the connection of a stream that was broken off has not ended.
+#[rstest]
+#[case::early(BreakCase { name: "soon after the connection was opened", is_after_timer: false })]
+#[case::late(BreakCase { name: "after the timer for heads", is_after_timer: true })]
+fn node_ends_when_its_last_stream_has_been_broken_off(#[case] case: BreakCase) {
+    let (mut node, log) = start(&[ONE_GATE_BREAK], GRACE);
+    let reader = begin_stream(&node, &case);
+    node.servers.release();
+    node.begin_stop();
+    node.process.wait_ended();
+    let lines = log.find("grace period ended with requests in flight");
+    assert!(lines.is_empty(), "{}: {lines:?}", case.name);
+    drop(reader);
+}
