Log the phases of a node's stop, and what is lost at its end

What operators saw: of a stop the log held one count of requests at the signal, one at the end and one if the grace period ended with requests in flight. Neither the requests nor how late the node had handled the signal was told, and an answer that was complete but not yet taken by the operating system when the process ended left no trace.

Change: - `node stopping`, `new requests are refused`, `grace period ended ...` and `node stopped` state requests in flight by stage, open connections, time since the signal was handled and the longest lag of the event loop; the first one also the time until the latest deadline and the lag at the signal, the second how late it comes, the last two the unsent bytes. - At the end of the grace period a WARN line names each request that is still in flight, at most 50, and the rest is counted. - `answer not sent whole` names the last answered request of a connection that ends with unsent bytes. - A probe measures each 100 ms how late the event loop runs its timers. - Metrics: jackdawstair_connections, jackdawstair_loop_lag, jackdawstair_stop_refusals, jackdawstair_unsent_answers.

No decision changes. A stop adds one INFO line (`new requests are refused`) and, only if something is lost, the lines that name it.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -102,6 +102,12 @@
         self.state.requests.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
     /// Waits until the node is stopping and no request is in flight.
     pub async fn wait_idle(&self) {
         let idle = |state: &State| {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -179,6 +179,7 @@
 /// Returns a refusal if the node is stopping.
 fn enter(node: &Node) -> Result<RequestGuard, Refusal> {
     node.drain.begin_request().ok_or_else(|| {
+        node.in_flight.stop_refusals.add(1, &[]);
         // The caller may retry at once, since its next connection goes to another node.
         Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0))
     })
--- a/crates/gateway/src/histograms.rs
+++ b/crates/gateway/src/histograms.rs
@@ -16,6 +16,7 @@
     first_event: Histogram<f64>,
     answer: Histogram<f64>,
     order: Histogram<f64>,
+    lag: Histogram<f64>,
 }
 
 fn seconds(duration: Millis) -> f64 {
@@ -45,6 +46,10 @@
                 "jackdawstair_order",
                 "Time of an order's round trip, by command.",
             ),
+            lag: histogram(
+                "jackdawstair_loop_lag",
+                "Lateness of a timer of the event loop.",
+            ),
         }
     }
 
@@ -56,6 +61,10 @@
         self.answer.record(seconds(duration), &[]);
     }
 
+    pub(crate) fn record_lag(&self, duration: Millis) {
+        self.lag.record(seconds(duration), &[]);
+    }
+
     pub(crate) fn record_order(&self, command: &'static str, duration: Millis) {
         let label = KeyValue::new("command", command);
         self.order.record(seconds(duration), &[label]);
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -12,14 +12,17 @@
 use ntex::util::Bytes;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
-use slog::info;
+use slog::{info, warn};
 
+use crate::connections::unsent_bytes;
 use crate::node::Node;
 
 /// The registry of a node's requests and its metrics.
 #[derive(Debug)]
 pub(crate) struct InFlight {
     pub(crate) registry: Registry,
+    /// Counts the requests that are refused because the node is stopping.
+    pub(crate) stop_refusals: Counter<u64>,
     abandoned: Counter<u64>,
     _in_flight: ObservableGauge<u64>,
 }
@@ -39,6 +42,11 @@
                 }
             })
             .build();
+        let stop_refusals = meter
+            .u64_counter("jackdawstair_stop_refusals")
+            .with_description("Requests refused because the node is stopping.")
+            .build();
+        stop_refusals.add(0, &[]);
         let abandoned = meter
             .u64_counter("jackdawstair_abandoned")
             .with_description(
@@ -52,6 +60,7 @@
         }
         InFlight {
             registry,
+            stop_refusals,
             abandoned,
             _in_flight: in_flight,
         }
@@ -109,8 +118,12 @@
 
     /// Records that the answer has been handed over whole, unless the connection is closed.
     fn complete(&self) {
-        if !self.is_caller_gone() {
-            self.node.in_flight.registry.remove(self.key);
+        if self.is_caller_gone() {
+            return;
+        }
+        let removed = self.node.in_flight.registry.remove(self.key);
+        if let Some((request, caller)) = removed.zip(self.caller.as_ref()) {
+            self.node.connections.record_answer(caller, request.id);
         }
     }
 
@@ -168,9 +181,20 @@
         "stopping_ms" => node.stopping_for().map(|time| time.0));
 }
 
-/// Returns the number of bytes of a connection that the operating system has not taken yet.
-fn unsent_bytes(connection: &IoRef) -> usize {
-    connection.with_write_dst_buf(|buffer| buffer.len())
+/// Logs a request that is still in flight at the end of the grace period.
+pub(crate) fn log_late(node: &Node, request: &Request) {
+    let now = node.now();
+    warn!(node.logger(), "request in flight at the end of the grace period";
+        "request" => %request.id,
+        "route" => %request.route,
+        "stage" => request.stage.label(),
+        "server" => %request.server,
+        "group" => %request.group,
+        "events" => request.events,
+        "delivered" => request.delivered,
+        "age_ms" => now.since(request.arrived).0,
+        "left_ms" => request.deadline.since(now).0,
+        "stopping_ms" => node.stopping_for().map(|time| time.0));
 }
 
 /// Logs and counts the requests that are still in flight when the process ends.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,9 +24,11 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
+use crate::connections::Connections;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
 use crate::in_flight::InFlight;
+use crate::lag::Lag;
 use crate::options::Options;
 use crate::poison::Poison;
 use crate::targets::Targets;
@@ -82,6 +84,8 @@
     pub(crate) counters: Counters,
     pub(crate) histograms: Histograms,
     pub(crate) in_flight: InFlight,
+    pub(crate) lag: Lag,
+    pub(crate) connections: Connections,
     pub(crate) pool: Pool,
     pub(crate) drain: Drain,
     /// Whether the node was asked to stop.
@@ -115,16 +119,19 @@
 
 impl Node {
     pub(crate) fn new(options: Options, parts: Parts) -> Self {
+        let drain = Drain::default();
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
             in_flight: InFlight::new(&parts.meter),
+            lag: Lag::default(),
+            connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
-            drain: Drain::default(),
+            drain,
             is_stopping: Cell::new(false),
             stopping_since: Cell::default(),
             has_traffic: Cell::new(false),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,13 +19,16 @@
 use tokio::time;
 
 use crate::bans;
+use crate::connections;
 use crate::follow;
 use crate::freshness;
 use crate::handler;
 use crate::in_flight;
+use crate::lag;
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
+use crate::stop;
 
 /// Time after which an idle connection of a caller is closed; longer than callers keep idle
 /// connections, so that they close them first.
@@ -140,6 +143,7 @@
     follow::start(&node);
     crate::peers::start(&node, peers);
     bans::start(&node);
+    lag::start(&node);
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept_connections(
         Rc::clone(&node),
@@ -156,13 +160,14 @@
             _ = hangup.recv() => info!(node.logger(), "SIGHUP ignored: no settings to reload"),
         }
     }
-    info!(node.logger(), "node stopping"; "in_flight" => node.drain.in_flight());
+    stop::log_begin(&node);
     drain(&node).await;
     // The node leads until now, so that the zone keeps a leader while its other nodes stop as well.
     leadership.resign();
     time::sleep(LEASE_RELEASE_TIME.duration()).await;
-    info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
+    stop::log_end(&node);
     in_flight::abandon_all(&node);
+    connections::end_all(&node);
     Ok(())
 }
 
@@ -175,14 +180,14 @@
     let accepting = LAST_CONNECTIONS_TIME.0.min(grace);
     time::sleep(Millis(accepting).duration()).await;
     node.drain.stop();
+    stop::log_refusing(node, Millis(accepting));
     let finished = async {
         node.drain.wait_idle().await;
         node.drain.wait_closed().await;
     };
     let remaining = Millis(grace.saturating_sub(accepting));
     if time::timeout(remaining.duration(), finished).await.is_err() {
-        warn!(node.logger(), "grace period ended with requests in flight";
-            "in_flight" => node.drain.in_flight());
+        stop::log_grace_ended(node);
     }
 }
 
@@ -242,11 +247,15 @@
                 continue;
             }
         };
-        if port == Port::Callers {
+        let guard = (port == Port::Callers).then(|| {
             node.drain.track_connection(io.get_ref());
-        }
+            connections::Guard::new(&node, io.get_ref())
+        });
         let pipeline = pipeline.clone();
-        // A connection that failed has been answered or closed already, so its error is dropped.
-        ntex::rt::spawn(async move { drop(pipeline.call(io).await) });
+        ntex::rt::spawn(async move {
+            // A connection that failed has been answered or closed already, so its error is dropped.
+            drop(pipeline.call(io).await);
+            drop(guard);
+        });
     }
 }
--- a/crates/gateway/tests/node/abandoned.rs
+++ b/crates/gateway/tests/node/abandoned.rs
@@ -6,9 +6,10 @@
 
 use jackdaw_core::units::Millis;
 use jackdaw_gateway::options::Options;
+use jackdaw_gateway::server::Ports;
 use rstest::rstest;
 use slog::Level;
-use socket2::{Domain, SockAddr, Socket, Type};
+use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 
 use super::lines::{Line, Lines};
 use super::support::{HOLD, Node, Script, TIMEOUT, exchange, options, request};
@@ -24,8 +25,8 @@
 
 /// Size of an answer that does not fit into the buffers of the sockets between node and caller.
 const LARGE_ANSWER: usize = 12 << 20;
-/// Size of the receive buffer of a caller that does not read.
-const SMALL_BUFFER: usize = 8 << 10;
+/// Size of the buffers of sockets that take little; the system raises it to its least size.
+const SMALL_BUFFER: usize = 1;
 
 /// Grace period of a node that does not wait for its requests when it stops.
 const SHORT_GRACE: Millis = Millis(500);
@@ -280,3 +281,137 @@
     assert_eq!(line.field("request"), "r3", "{line:?}");
     assert_eq!(lines.with_message(ABANDONED).len(), 1, "{lines:?}");
 }
+
+/// Sends requests that no server answers, and waits until they have arrived.
+fn send_unanswered(node: &Node, count: usize) -> Vec<TcpStream> {
+    let streams = (0..count).map(|number| {
+        let mut stream = connect(node);
+        let text = request(&format!("r{number}"), "POST", "/once/x");
+        stream.write_all(text.as_bytes()).expect("the node reads");
+        stream
+    });
+    let streams = streams.collect();
+    node.servers.wait_arrived(count);
+    streams
+}
+
+const STOPPING: &str = "node stopping";
+const REFUSING: &str = "new requests are refused";
+const GRACE_ENDED: &str = "grace period ended with requests in flight";
+const LATE: &str = "request in flight at the end of the grace period";
+const UNNAMED: &str = "more requests in flight at the end of the grace period";
+const STOPPED: &str = "node stopped";
+
+#[derive(Debug)]
+struct StopCase {
+    name: &'static str,
+    requests: usize,
+    stages: &'static str,
+    /// Requests that are named at the end of the grace period.
+    named: usize,
+    /// Requests that are only counted.
+    unnamed: Option<u64>,
+}
+
+#[rstest]
+#[case(StopCase { name: "nothing in flight", requests: 0, stages: "", named: 0, unnamed: None })]
+#[case(StopCase { name: "two requests", requests: 2, stages: "waiting-for-server 2", named: 2, unnamed: None })]
+#[case(StopCase { name: "more requests than are named", requests: 53, stages: "waiting-for-server 53", named: 50, unnamed: Some(3) })]
+// Guards against a stop that loses requests without a line that names them.
+fn a_stop_logs_its_phases_and_the_requests_that_outlast_the_grace_period(#[case] case: StopCase) {
+    let lines = Lines::default();
+    let options = Options {
+        grace: SHORT_GRACE,
+        ..options("node")
+    };
+    let scripts = vec![HOLD; case.requests];
+    let mut node = Node::start_with(2, &scripts, lines.logger(), options);
+    let streams = send_unanswered(&node, case.requests);
+    node.begin_stop();
+    node.stop();
+    drop(streams);
+    let count = case.requests.to_string();
+    for message in [STOPPING, REFUSING, STOPPED] {
+        let logged = lines.with_message(message);
+        assert_eq!(logged.len(), 1, "{}: {message}", case.name);
+        let line = &logged[0];
+        assert_eq!(line.level, Level::Info, "{}: {line:?}", case.name);
+        assert_eq!(line.field("in_flight"), count, "{}: {line:?}", case.name);
+        assert_eq!(line.field("stages"), case.stages, "{}: {line:?}", case.name);
+        assert_eq!(line.field("connections"), count, "{}: {line:?}", case.name);
+    }
+    let stopping = &lines.with_message(STOPPING)[0];
+    let has_deadline = stopping.number("last_deadline_ms").is_some();
+    assert_eq!(has_deadline, case.requests > 0, "{stopping:?}");
+    assert!(stopping.number("lag_ms").is_some(), "{stopping:?}");
+    let refusing = &lines.with_message(REFUSING)[0];
+    assert!(refusing.number("late_ms").is_some(), "{refusing:?}");
+    let late = lines.with_message(LATE);
+    assert_eq!(late.len(), case.named, "{}", case.name);
+    for line in &late {
+        assert_eq!(line.level, Level::Warning, "{line:?}");
+        assert!(line.field("request").starts_with('r'), "{line:?}");
+        assert!(!line.field("server").is_empty(), "{line:?}");
+        assert_eq!(line.field("stage"), "waiting-for-server", "{line:?}");
+        assert!(line.number("left_ms").is_some(), "{line:?}");
+    }
+    let ended = lines.with_message(GRACE_ENDED);
+    assert_eq!(ended.len(), usize::from(case.requests > 0), "{}", case.name);
+    let unnamed = lines.with_message(UNNAMED);
+    let unnamed = unnamed.first().and_then(|line| line.number("requests"));
+    assert_eq!(unnamed, case.unnamed, "{}", case.name);
+    // Each request is named once more when the process ends.
+    assert_eq!(lines.with_message(ABANDONED).len(), case.requests);
+}
+
+/// Number of events of a stream that fits into a connection's buffer within the node, but not into
+/// the small buffers of its sockets.
+const UNSENT_EVENTS: usize = 15;
+/// Size of the data of each of these events.
+const UNSENT_EVENT_SIZE: usize = 1 << 10;
+
+/// Returns a script with a complete stream.
+fn unsent_stream() -> Script {
+    let mut text = HEAD_HOLD.trim_end_matches(HOLD).to_owned();
+    for number in 1..=UNSENT_EVENTS {
+        let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(UNSENT_EVENT_SIZE));
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    text.push_str("0\r\n\r\n");
+    Box::leak(text.into_boxed_str())
+}
+
+// Guards against a complete answer that is lost with the process without a line that names it.
+#[test]
+fn an_answer_that_is_not_sent_whole_when_the_process_ends_is_named() {
+    let lines = Lines::default();
+    let options = Options {
+        grace: SHORT_GRACE,
+        ..options("node")
+    };
+    let ports = Ports::bind(&options).expect("ports are free");
+    // Accepted connections inherit the size.
+    SockRef::from(&ports.callers)
+        .set_send_buffer_size(SMALL_BUFFER)
+        .expect("the size is valid");
+    // The node logs the end of a stream that had a failed attempt.
+    let scripts = ["", unsent_stream()];
+    let mut node = Node::start_on(ports, 2, &scripts, lines.logger(), options);
+    let mut stream = connect(&node);
+    let text = request("r1", "POST", "/stream/x");
+    stream.write_all(text.as_bytes()).expect("the node reads");
+    lines.wait_for(|line| line.message == "request answered");
+    node.begin_stop();
+    node.stop();
+    drop(stream);
+    assert!(lines.with_message(ABANDONED).is_empty(), "{lines:?}");
+    let unsent = lines.with_message("answer not sent whole");
+    assert_eq!(unsent.len(), 1, "{lines:?}");
+    assert_eq!(unsent[0].field("request"), "r1", "{unsent:?}");
+    let stopped = &lines.with_message(STOPPED)[0];
+    assert_eq!(stopped.field("in_flight"), "0", "{stopped:?}");
+    assert_eq!(stopped.field("connections"), "1", "{stopped:?}");
+    let left = stopped.number("unsent_bytes").unwrap_or_default();
+    assert!(left > 0, "{stopped:?}");
+    assert_eq!(unsent[0].number("unsent_bytes"), Some(left), "{unsent:?}");
+}
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -456,6 +456,18 @@
         scripts: &[Script],
         logger: Logger,
         options: Options,
+    ) -> Node {
+        let ports = Ports::bind(&options).expect("ports are free");
+        Node::start_on(ports, count, scripts, logger, options)
+    }
+
+    /// Starts a node like [`Node::start_with`] on bound ports.
+    pub(crate) fn start_on(
+        ports: Ports,
+        count: usize,
+        scripts: &[Script],
+        logger: Logger,
+        options: Options,
     ) -> Node {
         let servers = Servers::default();
         *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
@@ -468,7 +480,6 @@
             store.put(&format!("servers/{}", server.id), "");
         }
         let parts = parts(&store, registered, logger);
-        let ports = Ports::bind(&options).expect("ports are free");
         let process = Process::launch(options, ports, parts);
         process.wait_ready();
         Node {
