Name the requests that may outlast the grace period before a kill can hit

What operators saw: a run of a node that was killed while it stopped named none of the requests that were in flight (a run of the stop's lines with SIGKILL 3.5 s after the signal: the log ends with `new requests are refused` and a count).

Cause: a killed process cannot log, and requests were named only at the end of the grace period.

Change: when new requests begin to be refused, `request may outlast the grace period` names each request whose deadline lies after the node's planned exit, at most 50; the others are counted. The fields of a request are written by one type for all three lines.

Result: the table of stops in tests/node/abandoned.rs checks the lines and their bound; a request that ends before the exit is not named.

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight::{Cause, Key, Registry, Request, Stage};
 use ntex::http::Response;
 use ntex::http::body::{Body, BodySize, MessageBody, ResponseBody};
@@ -12,7 +14,7 @@
 use ntex::util::Bytes;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
-use slog::{info, warn};
+use slog::{KV, Record, Serializer, Value, info};
 
 use crate::connections::unsent_bytes;
 use crate::node::Node;
@@ -154,6 +156,41 @@
     }
 }
 
+/// Fields of a log line about a request in flight.
+#[derive(Debug)]
+pub(crate) struct Fields<'a> {
+    request: &'a Request,
+    now: Instant,
+    stopping_for: Option<Millis>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn new(node: &Node, request: &'a Request) -> Self {
+        Fields {
+            request,
+            now: node.now(),
+            stopping_for: node.stopping_for(),
+        }
+    }
+}
+
+impl KV for Fields<'_> {
+    fn serialize(&self, record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let request = self.request;
+        serializer.emit_str("request", &request.id)?;
+        serializer.emit_str("route", &request.route)?;
+        serializer.emit_str("stage", request.stage.label())?;
+        serializer.emit_str("server", &request.server)?;
+        serializer.emit_str("group", &request.group)?;
+        serializer.emit_u64("events", request.events)?;
+        Value::serialize(&request.delivered, record, "delivered", serializer)?;
+        serializer.emit_u64("age_ms", self.now.since(request.arrived).0)?;
+        serializer.emit_u64("left_ms", request.deadline.since(self.now).0)?;
+        let stopping_ms = self.stopping_for.map(|time| time.0);
+        Value::serialize(&stopping_ms, record, "stopping_ms", serializer)
+    }
+}
+
 /// Logs and counts a request whose answer was not handed over whole.
 fn record_abandoned(
     node: &Node,
@@ -162,39 +199,13 @@
     error: Option<io::Error>,
     caller: Option<&IoRef>,
 ) {
-    let now = node.now();
     let labels = abandoned_labels(request.stage, cause);
     node.in_flight.abandoned.add(1, &labels);
     info!(node.logger(), "answer abandoned";
-        "request" => %request.id,
-        "route" => %request.route,
-        "stage" => request.stage.label(),
+        Fields::new(node, request),
         "cause" => cause.label(),
         "detail" => error.map(|error| error.to_string()),
-        "server" => %request.server,
-        "group" => %request.group,
-        "events" => request.events,
-        "delivered" => request.delivered,
-        "unsent_bytes" => caller.map(unsent_bytes),
-        "age_ms" => now.since(request.arrived).0,
-        "left_ms" => request.deadline.since(now).0,
-        "stopping_ms" => node.stopping_for().map(|time| time.0));
-}
-
-/// Logs a request that is still in flight at the end of the grace period.
-pub(crate) fn log_late(node: &Node, request: &Request) {
-    let now = node.now();
-    warn!(node.logger(), "request in flight at the end of the grace period";
-        "request" => %request.id,
-        "route" => %request.route,
-        "stage" => request.stage.label(),
-        "server" => %request.server,
-        "group" => %request.group,
-        "events" => request.events,
-        "delivered" => request.delivered,
-        "age_ms" => now.since(request.arrived).0,
-        "left_ms" => request.deadline.since(now).0,
-        "stopping_ms" => node.stopping_for().map(|time| time.0));
+        "unsent_bytes" => caller.map(unsent_bytes));
 }
 
 /// Logs and counts the requests that are still in flight when the process ends.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -180,7 +180,7 @@
     let accepting = LAST_CONNECTIONS_TIME.0.min(grace);
     time::sleep(Millis(accepting).duration()).await;
     node.drain.stop();
-    stop::log_refusing(node, Millis(accepting));
+    stop::log_refusing(node, Millis(accepting), Millis(grace));
     let finished = async {
         node.drain.wait_idle().await;
         node.drain.wait_closed().await;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,10 +3,10 @@
 use jackdaw_core::units::Millis;
 use slog::{info, warn};
 
-use crate::in_flight;
+use crate::in_flight::Fields;
 use crate::node::Node;
 
-/// Largest number of requests that are named at the end of the grace period.
+/// Largest number of requests that are named in a phase of the stop.
 const MAX_NAMED_REQUESTS: usize = 50;
 
 /// Logs that the node was asked to stop, and what is in flight.
@@ -26,8 +26,9 @@
     node.lag.take_longest(now);
 }
 
-/// Logs that new requests are refused from now on, and how much later than was planned.
-pub(crate) fn log_refusing(node: &Node, planned: Millis) {
+/// Logs that new requests are refused from now on, and how much later than was planned. Names the
+/// requests that may be in flight when the node exits, since a process that is killed cannot.
+pub(crate) fn log_refusing(node: &Node, planned: Millis, exit: Millis) {
     let now = node.now();
     let stopping = node.stopping_for().unwrap_or_default();
     info!(node.logger(), "new requests are refused";
@@ -37,6 +38,13 @@
         "stopping_ms" => stopping.0,
         "late_ms" => stopping.0.saturating_sub(planned.0),
         "longest_lag_ms" => node.lag.take_longest(now).0);
+    let exit_at = now - stopping + exit;
+    let mut requests = node.in_flight.registry.requests();
+    requests.retain(|request| request.deadline > exit_at);
+    for request in requests.iter().take(MAX_NAMED_REQUESTS) {
+        info!(node.logger(), "request may outlast the grace period"; Fields::new(node, request));
+    }
+    log_unnamed(node, requests.len());
 }
 
 /// Logs that the node waits no longer, and names the requests that are still in flight.
@@ -50,12 +58,17 @@
         "longest_lag_ms" => node.lag.take_longest(node.now()).0);
     let requests = node.in_flight.registry.requests();
     for request in requests.iter().take(MAX_NAMED_REQUESTS) {
-        in_flight::log_late(node, request);
+        warn!(node.logger(), "request in flight at the end of the grace period";
+            Fields::new(node, request));
     }
-    let unnamed = requests.len().saturating_sub(MAX_NAMED_REQUESTS);
+    log_unnamed(node, requests.len());
+}
+
+/// Logs how many requests are not named.
+fn log_unnamed(node: &Node, requests: usize) {
+    let unnamed = requests.saturating_sub(MAX_NAMED_REQUESTS);
     if unnamed > 0 {
-        warn!(node.logger(), "more requests in flight at the end of the grace period";
-            "requests" => unnamed);
+        info!(node.logger(), "more requests than are named"; "unnamed" => unnamed);
     }
 }
 
--- a/crates/gateway/tests/node/abandoned.rs
+++ b/crates/gateway/tests/node/abandoned.rs
@@ -299,7 +299,8 @@
 const REFUSING: &str = "new requests are refused";
 const GRACE_ENDED: &str = "grace period ended with requests in flight";
 const LATE: &str = "request in flight at the end of the grace period";
-const UNNAMED: &str = "more requests in flight at the end of the grace period";
+const OUTLASTING: &str = "request may outlast the grace period";
+const UNNAMED: &str = "more requests than are named";
 const STOPPED: &str = "node stopped";
 
 #[derive(Debug)]
@@ -307,16 +308,16 @@
     name: &'static str,
     requests: usize,
     stages: &'static str,
-    /// Requests that are named at the end of the grace period.
+    /// Requests that are named when new ones are refused and at the end of the grace period.
     named: usize,
-    /// Requests that are only counted.
-    unnamed: Option<u64>,
+    /// Numbers of the requests that are only counted at these times.
+    unnamed: &'static [u64],
 }
 
 #[rstest]
-#[case(StopCase { name: "nothing in flight", requests: 0, stages: "", named: 0, unnamed: None })]
-#[case(StopCase { name: "two requests", requests: 2, stages: "waiting-for-server 2", named: 2, unnamed: None })]
-#[case(StopCase { name: "more requests than are named", requests: 53, stages: "waiting-for-server 53", named: 50, unnamed: Some(3) })]
+#[case(StopCase { name: "nothing in flight", requests: 0, stages: "", named: 0, unnamed: &[] })]
+#[case(StopCase { name: "two requests", requests: 2, stages: "waiting-for-server 2", named: 2, unnamed: &[] })]
+#[case(StopCase { name: "more requests than are named", requests: 53, stages: "waiting-for-server 53", named: 50, unnamed: &[3, 3] })]
 // Guards against a stop that loses requests without a line that names them.
 fn a_stop_logs_its_phases_and_the_requests_that_outlast_the_grace_period(#[case] case: StopCase) {
     let lines = Lines::default();
@@ -346,20 +347,25 @@
     assert!(stopping.number("lag_ms").is_some(), "{stopping:?}");
     let refusing = &lines.with_message(REFUSING)[0];
     assert!(refusing.number("late_ms").is_some(), "{refusing:?}");
-    let late = lines.with_message(LATE);
-    assert_eq!(late.len(), case.named, "{}", case.name);
-    for line in &late {
-        assert_eq!(line.level, Level::Warning, "{line:?}");
-        assert!(line.field("request").starts_with('r'), "{line:?}");
-        assert!(!line.field("server").is_empty(), "{line:?}");
-        assert_eq!(line.field("stage"), "waiting-for-server", "{line:?}");
-        assert!(line.number("left_ms").is_some(), "{line:?}");
+    for (message, level) in [(OUTLASTING, Level::Info), (LATE, Level::Warning)] {
+        let named = lines.with_message(message);
+        assert_eq!(named.len(), case.named, "{}: {message}", case.name);
+        for line in &named {
+            assert_eq!(line.level, level, "{line:?}");
+            assert!(line.field("request").starts_with('r'), "{line:?}");
+            assert!(!line.field("server").is_empty(), "{line:?}");
+            assert_eq!(line.field("stage"), "waiting-for-server", "{line:?}");
+            assert!(line.number("left_ms").is_some(), "{line:?}");
+        }
     }
-    let ended = lines.with_message(GRACE_ENDED);
-    assert_eq!(ended.len(), usize::from(case.requests > 0), "{}", case.name);
     let unnamed = lines.with_message(UNNAMED);
-    let unnamed = unnamed.first().and_then(|line| line.number("requests"));
+    let unnamed: Vec<u64> = unnamed
+        .iter()
+        .filter_map(|line| line.number("unnamed"))
+        .collect();
     assert_eq!(unnamed, case.unnamed, "{}", case.name);
+    let ended = lines.with_message(GRACE_ENDED);
+    assert_eq!(ended.len(), usize::from(case.requests > 0), "{}", case.name);
     // Each request is named once more when the process ends.
     assert_eq!(lines.with_message(ABANDONED).len(), case.requests);
 }
@@ -415,3 +421,18 @@
     assert!(left > 0, "{stopped:?}");
     assert_eq!(unsent[0].number("unsent_bytes"), Some(left), "{unsent:?}");
 }
+
+// Guards against lines that warn of requests whose deadline passes before the node exits.
+#[test]
+fn a_request_that_ends_within_the_grace_period_is_not_named_at_the_stop() {
+    let lines = Lines::default();
+    let mut node = Node::start_with(2, &[ONE_HOLD], lines.logger(), options("node"));
+    let mut stream = connect(&node);
+    let text = request("r1", "POST", "/fragile/x").replace("4000", "1000");
+    stream.write_all(text.as_bytes()).expect("the node reads");
+    read_until(&mut stream, "data: one");
+    node.begin_stop();
+    node.stop();
+    assert!(lines.with_message(OUTLASTING).is_empty(), "{lines:?}");
+    assert!(lines.with_message(LATE).is_empty(), "{lines:?}");
+}
