Explain abandoned answers and killed nodes from logs

Change: the cause of a request is the last of its end lines, now also `answer abandoned`, `answer not sent whole` and `request in flight at the end of the grace period`, with stage, events, unsent bytes and time since the stop. Where the node closed the connection, the line before that gives the reason is taken. A request whose last line is `request may outlast the grace period` was on a node that was killed. For a node, the cause tells whether its log breaks off within a stop.

--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -9,8 +9,29 @@
 
 /// Fields that every log line has; they are not listed among the other fields.
 const COMMON_FIELDS: [&str; 4] = ["ts", "node", "msg", "level"];
+/// Message that reports a request whose answer was not handed over whole.
+const ABANDONED_MESSAGE: &str = "answer abandoned";
+/// Message that names a request while a node stops; a line that reports its end follows.
+const OUTLASTING_MESSAGE: &str = "request may outlast the grace period";
 /// Messages that report the end of a request.
-const END_MESSAGES: [&str; 3] = ["request refused", "stream broken off", "request answered"];
+const END_MESSAGES: [&str; 6] = [
+    "request refused",
+    "stream broken off",
+    "request answered",
+    ABANDONED_MESSAGE,
+    "answer not sent whole",
+    "request in flight at the end of the grace period",
+];
+/// Message that reports the start of a node's process.
+const STARTED_MESSAGE: &str = "node started";
+/// Messages that report the stop of a node's process before its end.
+const STOPPING_MESSAGES: [&str; 3] = [
+    "node stopping",
+    "new requests are refused",
+    "grace period ended with requests in flight",
+];
+/// Message that reports the end of a node's process.
+const STOPPED_MESSAGE: &str = "node stopped";
 
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -53,7 +74,12 @@
         );
     }
     lines.sort_by(|left, right| left.ts.cmp(&right.ts));
-    let cause = lines.iter().rev().find_map(Line::end_cause);
+    let is_node = lines.iter().any(|line| line.node == subject);
+    let cause = if is_node {
+        kill_cause(&lines, subject)
+    } else {
+        end_cause(&lines)
+    };
     Ok(Timeline {
         subject: subject.to_owned(),
         lines,
@@ -61,6 +87,54 @@
     })
 }
 
+/// Returns how a request ended according to the last line that tells it.
+fn end_cause(lines: &[Line]) -> Option<String> {
+    let mut ends = lines.iter().rev().filter(|line| line.is_end());
+    let Some(last) = ends.next() else {
+        let is_outlasting = |line: &&Line| line.msg == OUTLASTING_MESSAGE;
+        let line = lines.iter().rev().find(is_outlasting)?;
+        return Some(format!(
+            "no end is logged after `{OUTLASTING_MESSAGE}`: {} was killed, or its log is cut",
+            line.node
+        ));
+    };
+    // A node closes a connection for a reason that another line gives.
+    let reason = if last.is_closed_by_node() {
+        ends.next()
+    } else {
+        None
+    };
+    Some(reason.unwrap_or(last).end_cause())
+}
+
+/// Returns that a node was killed if its log breaks off within a stop, or if it starts anew there.
+fn kill_cause(lines: &[Line], node: &str) -> Option<String> {
+    let mut last_line = None;
+    let mut phase = None;
+    let mut cause = None;
+    for line in lines.iter().filter(|line| line.node == node) {
+        let message = line.msg.as_str();
+        if message == STARTED_MESSAGE {
+            cause = describe_kill(phase.take(), last_line).or(cause);
+        } else if message == STOPPED_MESSAGE {
+            phase = None;
+        } else if STOPPING_MESSAGES.contains(&message) {
+            phase = Some(line);
+        }
+        last_line = Some(line);
+    }
+    describe_kill(phase, last_line).or(cause)
+}
+
+/// Describes a stop by its last phase and the last line of the process.
+fn describe_kill(phase: Option<&Line>, last_line: Option<&Line>) -> Option<String> {
+    let (phase, last_line) = phase.zip(last_line)?;
+    Some(format!(
+        "the process logs nothing from {} on, after `{}` and without `{STOPPED_MESSAGE}`: it was killed, or its log is cut",
+        last_line.ts, phase.msg
+    ))
+}
+
 /// Parses a log line. Log collectors may put a prefix before the first brace, which is skipped.
 fn parse_line(text: &str) -> Option<Line> {
     let json = &text[text.find('{')?..];
@@ -101,18 +175,39 @@
             })
     }
 
-    /// Returns the message, reason and detail if this line reports the end of a request.
-    fn end_cause(&self) -> Option<String> {
-        if !END_MESSAGES.contains(&self.msg.as_str()) {
-            return None;
+    /// Returns whether the line reports the end of a request.
+    fn is_end(&self) -> bool {
+        END_MESSAGES.contains(&self.msg.as_str())
+    }
+
+    /// Returns whether the line reports an answer that was dropped since the node closed the
+    /// connection.
+    fn is_closed_by_node(&self) -> bool {
+        self.msg == ABANDONED_MESSAGE && self.text("cause").as_deref() == Some("closed-by-node")
+    }
+
+    /// Returns a field as text, if the line has it.
+    fn text(&self, name: &str) -> Option<String> {
+        let value = self.fields.get(name)?;
+        (!value.is_null()).then(|| format_value(value))
+    }
+
+    /// Returns the message, cause or reason, and detail of a line that reports the end of a request.
+    fn end_cause(&self) -> String {
+        let mut parts = vec![self.msg.clone()];
+        parts.extend(self.text("cause").or_else(|| self.text("reason")));
+        parts.extend(self.text("detail"));
+        if let Some(stage) = self.text("stage") {
+            let events = self.text("events").unwrap_or_default();
+            parts.push(format!("{stage}, {events} events delivered"));
+        }
+        if let Some(bytes) = self.text("unsent_bytes").filter(|bytes| bytes != "0") {
+            parts.push(format!("{bytes} bytes unsent"));
         }
-        let reason = self.fields.get("reason").map(format_value);
-        let detail = self.fields.get("detail").map(format_value);
-        match (reason, detail) {
-            (Some(reason), Some(detail)) => Some(format!("{}: {reason}: {detail}", self.msg)),
-            (Some(reason), None) => Some(format!("{}: {reason}", self.msg)),
-            (None, _) => Some(self.msg.clone()),
+        if let Some(time) = self.text("stopping_ms") {
+            parts.push(format!("the node had been stopping for {time} ms"));
         }
+        parts.join(": ")
     }
 }
 
