--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,7 @@
 use jackdaw_adapter::{Platform, order, store};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
-use jackdaw_gateway::{server, stop};
+use jackdaw_gateway::{server, termination};
 use jackdaw_link::client::Client;
 use jackdaw_link::pool;
 use jackdawstair::control::metrics::Metrics;
@@ -74,7 +74,7 @@
     };
     let options = node_options(settings);
     let ports = server::Ports::bind(&options)?;
-    let stop = stop::on_termination(Arc::clone(&parts.clock))?;
+    let stop = termination::on_signal(Arc::clone(&parts.clock))?;
     server::run(options, ports, parts, stop)
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -185,6 +185,7 @@
     if shutdown.is_none_or(|shutdown| shutdown.is_accepting(node.now())) {
         return Ok(());
     }
+    node.in_flight.stop_refusals.add(1, &[]);
     // The caller may retry at once, since its next connection goes to another node.
     Err(Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0)))
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
 use jackdaw_entry::drain::RequestGuard;
 use jackdaw_entry::in_flight::{Cause, Key, Registry, Request, Stage};
 use ntex::http::Response;
@@ -13,14 +15,17 @@
 use ntex::util::Bytes;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
-use slog::info;
+use slog::{KV, Record, Serializer, Value, info};
 
+use crate::connections::unsent_bytes;
 use crate::node::Node;
 
 /// The registry of a node's requests and its metrics.
 #[derive(Debug)]
 pub(crate) struct InFlight {
     pub(crate) registry: Registry,
+    /// Counts the requests that are refused because the node is stopping.
+    pub(crate) stop_refusals: Counter<u64>,
     abandoned: Counter<u64>,
     _in_flight: ObservableGauge<u64>,
 }
@@ -40,6 +45,11 @@
                 }
             })
             .build();
+        let stop_refusals = meter
+            .u64_counter("jackdawstair_stop_refusals")
+            .with_description("Requests refused because the node is stopping.")
+            .build();
+        stop_refusals.add(0, &[]);
         let abandoned = meter
             .u64_counter("jackdawstair_abandoned")
             .with_description(
@@ -53,6 +63,7 @@
         }
         InFlight {
             registry,
+            stop_refusals,
             abandoned,
             _in_flight: in_flight,
         }
@@ -112,8 +123,12 @@
 
     /// Records that the answer has been handed over whole, unless the connection is closed.
     fn complete(&self) {
-        if !self.is_caller_gone() {
-            self.node.in_flight.registry.remove(self.key);
+        if self.is_caller_gone() {
+            return;
+        }
+        let removed = self.node.in_flight.registry.remove(self.key);
+        if let Some((request, caller)) = removed.zip(self.caller.as_ref()) {
+            self.node.connections.record_answer(caller, request.id);
         }
     }
 
@@ -144,6 +159,41 @@
     }
 }
 
+/// Fields of a log line about a request in flight.
+#[derive(Debug)]
+pub(crate) struct Fields<'a> {
+    request: &'a Request,
+    now: Instant,
+    stopping_for: Option<Millis>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn new(node: &Node, request: &'a Request) -> Self {
+        Fields {
+            request,
+            now: node.now(),
+            stopping_for: node.stopping_for(),
+        }
+    }
+}
+
+impl KV for Fields<'_> {
+    fn serialize(&self, record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let request = self.request;
+        serializer.emit_str("request", &request.id)?;
+        serializer.emit_str("route", &request.route)?;
+        serializer.emit_str("stage", request.stage.label())?;
+        serializer.emit_str("server", &request.server)?;
+        serializer.emit_str("group", &request.group)?;
+        serializer.emit_u64("events", request.events)?;
+        Value::serialize(&request.delivered, record, "delivered", serializer)?;
+        serializer.emit_u64("age_ms", self.now.since(request.arrived).0)?;
+        serializer.emit_u64("left_ms", request.deadline.since(self.now).0)?;
+        let stopping_ms = self.stopping_for.map(|time| time.0);
+        Value::serialize(&stopping_ms, record, "stopping_ms", serializer)
+    }
+}
+
 /// Logs and counts a request whose answer was not handed over whole.
 fn record_abandoned(
     node: &Node,
@@ -152,28 +202,13 @@
     error: Option<io::Error>,
     caller: Option<&IoRef>,
 ) {
-    let now = node.now();
     let labels = abandoned_labels(request.stage, cause);
     node.in_flight.abandoned.add(1, &labels);
     info!(node.logger(), "answer abandoned";
-        "request" => %request.id,
-        "route" => %request.route,
-        "stage" => request.stage.label(),
+        Fields::new(node, request),
         "cause" => cause.label(),
         "detail" => error.map(|error| error.to_string()),
-        "server" => %request.server,
-        "group" => %request.group,
-        "events" => request.events,
-        "delivered" => request.delivered,
-        "unsent_bytes" => caller.map(unsent_bytes),
-        "age_ms" => now.since(request.arrived).0,
-        "left_ms" => request.deadline.since(now).0,
-        "stopping_ms" => node.stopping_for().map(|time| time.0));
-}
-
-/// Returns the number of bytes of a connection that the operating system has not taken yet.
-fn unsent_bytes(connection: &IoRef) -> usize {
-    connection.with_write_dst_buf(|buffer| buffer.len())
+        "unsent_bytes" => caller.map(unsent_bytes));
 }
 
 /// Logs and counts the requests that are still in flight when the process ends.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,11 +7,12 @@
 pub mod node;
 pub mod options;
 pub mod server;
-pub mod stop;
+pub mod termination;
 
 mod bans;
 mod body;
 mod buffered;
+mod connections;
 mod dispatch;
 mod event;
 mod exposure;
@@ -21,9 +22,11 @@
 mod header;
 mod histograms;
 mod in_flight;
+mod lag;
 mod leader;
 mod peers;
 mod poison;
 mod refusal;
 mod relay;
+mod stop;
 mod targets;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,13 +26,15 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
+use crate::connections::Connections;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
 use crate::in_flight::InFlight;
+use crate::lag::Lag;
 use crate::options::Options;
 use crate::poison::Poison;
-use crate::stop;
 use crate::targets::Targets;
+use crate::termination;
 
 /// Age after which the registrations count as stale; a call for them waits for one second at most.
 const REGISTRATIONS_STALE_AFTER: Millis = Millis(1_800);
@@ -88,10 +90,12 @@
     pub(crate) counters: Counters,
     pub(crate) histograms: Histograms,
     pub(crate) in_flight: InFlight,
+    pub(crate) lag: Lag,
+    pub(crate) connections: Connections,
     pub(crate) pool: Pool,
     pub(crate) drain: Drain,
     /// Request to stop the node.
-    pub(crate) stop: stop::Request,
+    pub(crate) stop: termination::Request,
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
     /// Time of the store's last answer with registrations or their changes.
@@ -118,17 +122,20 @@
 }
 
 impl Node {
-    pub(crate) fn new(options: Options, parts: Parts, stop: stop::Request) -> Self {
+    pub(crate) fn new(options: Options, parts: Parts, stop: termination::Request) -> Self {
+        let drain = Drain::default();
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
             in_flight: InFlight::new(&parts.meter),
+            lag: Lag::default(),
+            connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
-            drain: Drain::default(),
+            drain,
             stop,
             has_traffic: Cell::new(false),
             registrations_read_at: Cell::default(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,14 +20,17 @@
 use tokio::time;
 
 use crate::bans;
+use crate::connections;
 use crate::follow;
 use crate::freshness;
 use crate::handler;
 use crate::in_flight;
+use crate::lag;
 use crate::leader;
 use crate::node::{Node, Parts};
 use crate::options::Options;
 use crate::stop;
+use crate::termination;
 
 /// Time after which an idle connection of a caller is closed; longer than callers keep idle
 /// connections, so that they close them first.
@@ -86,11 +89,16 @@
 ///
 /// Returns an error if the sockets cannot be registered with the runtime or the handler of SIGHUP
 /// cannot be installed.
-pub fn run(options: Options, ports: Ports, parts: Parts, stop: stop::Request) -> Result<()> {
+pub fn run(options: Options, ports: Ports, parts: Parts, stop: termination::Request) -> Result<()> {
     System::new("gateway", DefaultRuntime).block_on(serve(options, ports, parts, stop))
 }
 
-async fn serve(options: Options, ports: Ports, parts: Parts, stop: stop::Request) -> Result<()> {
+async fn serve(
+    options: Options,
+    ports: Ports,
+    parts: Parts,
+    stop: termination::Request,
+) -> Result<()> {
     let listen_failed = |error: io::Error| Error::unreachable("listen", "self", error);
     let listen = |listener: std::net::TcpListener| {
         listener
@@ -111,6 +119,7 @@
     follow::start(&node);
     crate::peers::start(&node, peers);
     bans::start(&node);
+    lag::start(&node);
     let leadership = leader::start(&node);
     ntex::rt::spawn(accept_connections(
         Rc::clone(&node),
@@ -127,13 +136,14 @@
             _ = hangup.recv() => info!(node.logger(), "SIGHUP ignored: no settings to reload"),
         }
     }
-    info!(node.logger(), "node stopping"; "in_flight" => node.drain.in_flight());
+    stop::log_begin(&node);
     drain(&node).await;
     // The node leads until now, so that the zone keeps a leader while its other nodes stop as well.
     leadership.resign();
     time::sleep(LEASE_RELEASE_TIME.duration()).await;
-    info!(node.logger(), "node stopped"; "in_flight" => node.drain.in_flight());
+    stop::log_end(&node);
     in_flight::abandon_all(&node);
+    connections::end_all(&node);
     Ok(())
 }
 
@@ -145,14 +155,14 @@
     };
     time::sleep(node.until(shutdown.accepts_until())).await;
     node.drain.stop();
+    stop::log_refusing(node);
     let finished = async {
         node.drain.wait_idle().await;
         node.drain.wait_closed().await;
     };
     let remaining = node.until(shutdown.exits_at());
     if time::timeout(remaining, finished).await.is_err() {
-        warn!(node.logger(), "grace period ended with requests in flight";
-            "in_flight" => node.drain.in_flight());
+        stop::log_grace_ended(node);
     }
 }
 
@@ -216,11 +226,15 @@
                 continue;
             }
         };
-        if port == Port::Callers {
+        let guard = (port == Port::Callers).then(|| {
             node.drain.track_connection(io.get_ref());
-        }
+            connections::Guard::new(&node, io.get_ref())
+        });
         let pipeline = pipeline.clone();
-        // A connection that failed has been answered or closed already, so its error is dropped.
-        ntex::rt::spawn(async move { drop(pipeline.call(io).await) });
+        ntex::rt::spawn(async move {
+            // A connection that failed has been answered or closed already, so its error is dropped.
+            drop(pipeline.call(io).await);
+            drop(guard);
+        });
     }
 }
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -35,7 +35,8 @@
         let exit = Millis(grace.0.saturating_sub(EXIT_MARGIN.0));
         let answer = Millis(exit.0.saturating_sub(ANSWER_MARGIN.0));
         Limits {
-            accept: ACCEPT_TIME.min(answer),
+            // At least half of the time is left to finish what is in flight.
+            accept: ACCEPT_TIME.min(Millis(answer.0 / 2)),
             answer,
             exit,
         }
