--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,282 @@
+//! Callers that send requests over new and kept connections.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use socket2::SockRef;
+use tokio::net::TcpSocket;
+use tokio::time;
+
+use crate::http::{Connection, Head};
+use crate::record::{Attempt, End, Received, Record};
+use crate::server::{EVENTS, PAUSE, SIZE, event, whole};
+
+/// Time for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Receive buffer of a slow reader in bytes.
+const SLOW_BUFFER: usize = 4 << 10;
+/// Pause of a slow reader after each byte, and of a slow sender after each piece.
+const SLOW_PAUSE: Duration = Duration::from_millis(1);
+/// Pieces in which a slow sender writes its body.
+const SLOW_PIECES: usize = 50;
+
+/// What one request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Name of the route, which is also its prefix.
+    pub route: CompactString,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Time that the caller waits.
+    pub deadline: Duration,
+    /// Number of events; 0 for a whole answer.
+    pub events: u32,
+    /// Time before each event, or before the whole answer.
+    pub pause: Duration,
+    /// Size of an event or of the whole answer.
+    pub size: usize,
+    /// Size of the request's body.
+    pub body: usize,
+    /// Whether the connection may be a kept one and is kept afterwards.
+    pub keeps: bool,
+    /// Whether the caller reads byte by byte into a small buffer.
+    pub reads_slowly: bool,
+    /// Whether the caller writes its body in pieces.
+    pub writes_slowly: bool,
+}
+
+/// A connection between two requests.
+#[derive(Debug)]
+pub struct Kept {
+    connection: Connection,
+    node: CompactString,
+    requests: u32,
+}
+
+/// Picks the node for a new connection.
+pub trait Pick: Send + Sync {
+    /// Returns the name and the address of a node.
+    fn pick(&self) -> (CompactString, SocketAddr);
+}
+
+/// All callers, which share the kept connections.
+pub struct Callers {
+    record: Record,
+    entry: Box<dyn Pick>,
+    kept: Mutex<Vec<Kept>>,
+    last_id: AtomicU64,
+}
+
+impl Callers {
+    /// Creates callers that connect to the nodes that an entry picks.
+    #[must_use]
+    pub fn new(record: Record, entry: Box<dyn Pick>) -> Self {
+        Callers {
+            record,
+            entry,
+            kept: Mutex::default(),
+            last_id: AtomicU64::new(0),
+        }
+    }
+
+    /// Opens connections ahead of the requests that use them.
+    pub async fn open_kept(&self, count: usize) {
+        for _ in 0..count {
+            if let Some(kept) = self.connect(false).await {
+                self.keep(kept);
+            }
+        }
+    }
+
+    /// Sends a request, and again after each answer that says that it has not run.
+    pub async fn call(&self, order: &Order) {
+        let due = time::Instant::now() + order.deadline;
+        let mut order = order.clone();
+        loop {
+            let is_refused = self.attempt(&order).await;
+            let left = due.saturating_duration_since(time::Instant::now());
+            if !is_refused || left < order.pause {
+                return;
+            }
+            order.deadline = left;
+            order.keeps = false;
+        }
+    }
+
+    /// Makes one attempt and returns whether it was refused as not run.
+    async fn attempt(&self, order: &Order) -> bool {
+        let id = format_compact!("r{:07x}", self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
+        let taken = if order.keeps { self.take() } else { None };
+        let taken = match taken {
+            Some(kept) => Some(kept),
+            None => self.connect(order.reads_slowly).await,
+        };
+        let Some(mut kept) = taken else {
+            return false;
+        };
+        kept.requests += 1;
+        if order.reads_slowly {
+            kept.connection.set_read_size(1);
+        }
+        let now = self.record.now();
+        let mut attempt = Attempt {
+            id: id.clone(),
+            route: order.route.clone(),
+            is_repeatable: order.is_repeatable,
+            node: kept.node.clone(),
+            nth: kept.requests,
+            deadline: order.deadline,
+            events: order.events,
+            first_byte: now,
+            last_byte: now,
+            ended: now,
+            received: Received::default(),
+            end: End::TimedOut,
+        };
+        let exchange = self.exchange(order, &mut kept, &mut attempt);
+        let is_reusable = match time::timeout(order.deadline, exchange).await {
+            Ok(Ok(is_reusable)) => is_reusable,
+            Ok(Err(_)) => {
+                attempt.end = End::Cut;
+                false
+            }
+            Err(_) => false,
+        };
+        attempt.ended = self.record.now();
+        let is_refused = attempt.end == End::Complete { status: 503 };
+        self.record.seen().attempts.push(attempt);
+        if is_reusable && order.keeps {
+            self.keep(kept);
+        }
+        is_refused
+    }
+
+    /// Sends a request and reads its answer; returns whether the connection can be used again.
+    async fn exchange(
+        &self,
+        order: &Order,
+        kept: &mut Kept,
+        attempt: &mut Attempt,
+    ) -> std::io::Result<bool> {
+        let connection = &mut kept.connection;
+        self.send(order, connection, attempt).await?;
+        let head = connection.read_head(false).await?;
+        let Some(head) = head else {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        };
+        attempt.received.status = head.status();
+        let mut body = Vec::new();
+        while let Some(piece) = connection.read_piece().await? {
+            body.extend_from_slice(&piece);
+            if order.events > 0 && head.status() == Some(200) {
+                let events = body.windows(2).filter(|window| window == b"\n\n").count();
+                attempt.received.events = events as u32;
+            }
+            if order.reads_slowly {
+                time::sleep(SLOW_PAUSE).await;
+            }
+        }
+        attempt.end = verify(order, &attempt.id, &head, &body);
+        Ok(!head.is_last() && attempt.end == End::Complete { status: 200 })
+    }
+
+    async fn send(
+        &self,
+        order: &Order,
+        connection: &mut Connection,
+        attempt: &mut Attempt,
+    ) -> std::io::Result<()> {
+        let body = vec![b'x'; order.body];
+        let shape = if order.events > 0 {
+            format!("{EVENTS}: {}\r\n", order.events)
+        } else {
+            String::new()
+        };
+        let head = format!(
+            "POST /{}/p HTTP/1.1\r\nHost: soak.example\r\nX-Jackdawstair-Request-Id: {}\r\n\
+             X-Jackdawstair-Deadline-Ms: {}\r\n{shape}{PAUSE}: {}\r\n{SIZE}: {}\r\n\
+             Content-Length: {}\r\n\r\n",
+            order.route,
+            attempt.id,
+            order.deadline.as_millis(),
+            order.pause.as_millis(),
+            order.size,
+            body.len(),
+        );
+        if order.writes_slowly {
+            connection.write(head.as_bytes()).await?;
+            for piece in body.chunks(order.body.div_ceil(SLOW_PIECES).max(1)) {
+                time::sleep(SLOW_PAUSE).await;
+                connection.write(piece).await?;
+            }
+        } else {
+            let mut message = head.into_bytes();
+            message.extend_from_slice(&body);
+            connection.write(&message).await?;
+        }
+        attempt.last_byte = self.record.now();
+        Ok(())
+    }
+
+    async fn connect(&self, is_slow: bool) -> Option<Kept> {
+        let (node, address) = self.entry.pick();
+        let socket = TcpSocket::new_v4().ok()?;
+        if is_slow {
+            SockRef::from(&socket)
+                .set_recv_buffer_size(SLOW_BUFFER)
+                .ok()?;
+        }
+        let connecting = time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
+        Some(Kept {
+            connection: Connection::new(connecting.ok()?.ok()?),
+            node,
+            requests: 0,
+        })
+    }
+
+    /// Takes any kept connection that its node has not closed yet.
+    fn take(&self) -> Option<Kept> {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        while !kept.is_empty() {
+            let idx = fastrand::usize(..kept.len());
+            let taken = kept.swap_remove(idx);
+            if !taken.connection.is_stale() {
+                return Some(taken);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: Kept) {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.push(connection);
+    }
+}
+
+/// Compares an answer with what a server writes.
+fn verify(order: &Order, id: &str, head: &Head, body: &[u8]) -> End {
+    let status = head.status().unwrap_or_default();
+    if status != 200 {
+        return End::Complete { status };
+    }
+    let wrong = |detail: &str| End::Wrong {
+        detail: detail.into(),
+    };
+    if head.get("x-jackdawstair-request-id") != Some(id) {
+        return wrong("an answer of another request");
+    }
+    let expected = match order.events {
+        0 => whole(id, order.size),
+        events => (1..=events)
+            .map(|number| event(id, number, order.size))
+            .collect(),
+    };
+    if body != expected.as_bytes() {
+        return wrong("another body than the server's");
+    }
+    End::Complete { status }
+}
--- /dev/null
+++ b/crates/soak/src/check.rs
@@ -0,0 +1,188 @@
+//! Decides which answers count as lost, from what was seen outside the nodes.
+
+use std::time::Duration;
+
+use crate::record::{Attempt, End, Moment, Run, RunEnd, Seen, Stop};
+
+/// Time after SIGTERM until which requests may be sent to a node that is to end before they do.
+pub const LAST_REQUESTS_TIME: Duration = Duration::from_secs(3);
+/// Time after a request's last byte in which a connection may end without an answer if the request
+/// was not passed on.
+pub const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Time after the grace period that belongs to the stop.
+const AFTER_GRACE: Duration = Duration::from_secs(1);
+
+/// Why a cut answer does not count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Excuse {
+    /// The request's deadline was reached.
+    Deadline,
+    /// The server broke off.
+    Server,
+    /// The server was at work in the last sixth of the grace period on a request that was sent in
+    /// time.
+    LastSixth,
+    /// The request crossed the close and was not passed on.
+    Crossed,
+    /// An unplanned disruption of the node.
+    Disruption,
+}
+
+/// What became of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Verdict {
+    /// The caller got a whole answer.
+    Answered,
+    /// The caller left at its deadline, or never sent the request.
+    Left,
+    /// The answer was cut, which is allowed.
+    Allowed(Excuse),
+    /// The answer was cut around a planned stop, which is not allowed.
+    Lost,
+    /// The answer was cut without a stop or a disruption, which is not allowed.
+    CutOutside,
+    /// The answer looks complete but is not the server's.
+    Wrong,
+}
+
+impl Verdict {
+    /// Returns whether the verdict is a violation.
+    #[must_use]
+    pub fn is_violation(self) -> bool {
+        matches!(self, Verdict::Lost | Verdict::CutOutside | Verdict::Wrong)
+    }
+}
+
+/// Judges one attempt.
+#[must_use]
+pub fn judge(seen: &Seen, attempt: &Attempt, grace: Duration) -> Verdict {
+    match attempt.end {
+        End::Complete { .. } => return Verdict::Answered,
+        End::TimedOut | End::NotSent => return Verdict::Left,
+        End::Wrong { .. } => return Verdict::Wrong,
+        End::Cut => {}
+    }
+    let run = last_run(seen, attempt);
+    let stop = stop_of(seen, attempt, grace);
+    if let Some(excuse) = excuse(seen, attempt, run, stop, grace) {
+        return Verdict::Allowed(excuse);
+    }
+    match stop {
+        Some(_) => Verdict::Lost,
+        None => Verdict::CutOutside,
+    }
+}
+
+/// Returns the last run of an attempt.
+#[must_use]
+pub fn last_run<'a>(seen: &'a Seen, attempt: &Attempt) -> Option<&'a Run> {
+    seen.runs.get(&attempt.id)?.last()
+}
+
+/// Returns the last planned stop of the attempt's node before the cut, if it still counts then.
+#[must_use]
+pub fn stop_of<'a>(seen: &'a Seen, attempt: &Attempt, grace: Duration) -> Option<&'a Stop> {
+    let stops = seen.stops.iter().filter(|stop| {
+        stop.node == attempt.node
+            && stop.at <= attempt.ended
+            && attempt.ended <= stop.at + grace + AFTER_GRACE
+    });
+    stops.max_by_key(|stop| stop.at)
+}
+
+fn excuse(
+    seen: &Seen,
+    attempt: &Attempt,
+    run: Option<&Run>,
+    stop: Option<&Stop>,
+    grace: Duration,
+) -> Option<Excuse> {
+    let run_end = run.and_then(|run| run.end);
+    if attempt.ended >= attempt.first_byte + attempt.deadline
+        || matches!(run_end, Some((_, RunEnd::Deadline)))
+    {
+        return Some(Excuse::Deadline);
+    }
+    if matches!(run_end, Some((_, RunEnd::Broken))) {
+        return Some(Excuse::Server);
+    }
+    if run.is_none() && attempt.ended.saturating_sub(attempt.last_byte) <= LOSS_SLACK {
+        return Some(Excuse::Crossed);
+    }
+    let is_disrupted = seen.disruptions.iter().any(|(node, from, to)| {
+        *node == attempt.node && *from <= attempt.ended && attempt.first_byte <= *to
+    });
+    if is_disrupted {
+        return Some(Excuse::Disruption);
+    }
+    let stop = stop?;
+    let was_sent_in_time = attempt.last_byte <= stop.at + LAST_REQUESTS_TIME;
+    if was_sent_in_time && is_at_work_after(run, stop.at + grace * 5 / 6) {
+        return Some(Excuse::LastSixth);
+    }
+    None
+}
+
+fn is_at_work_after(run: Option<&Run>, moment: Moment) -> bool {
+    run.is_some_and(|run| run.end.is_none_or(|(end, _)| end >= moment))
+}
+
+/// Describes a violation.
+#[must_use]
+pub fn describe(seen: &Seen, attempt: &Attempt, verdict: Verdict, grace: Duration) -> String {
+    let ms = |moment: Moment| moment.as_secs_f64() * 1_000.0;
+    let run = match last_run(seen, attempt) {
+        Some(run) => {
+            let end = match run.end {
+                Some((at, end)) => format!("{:.0} {end:?}", ms(at)),
+                None => "open".into(),
+            };
+            format!("{} from {:.0} to {end}", run.server, ms(run.from))
+        }
+        None => "no run".into(),
+    };
+    let stop = match stop_of(seen, attempt, grace) {
+        Some(stop) => {
+            let since =
+                |moment: Moment| (moment.as_secs_f64() - stop.at.as_secs_f64()) * 1_000.0;
+            let exit = match stop.exit {
+                Some((at, true)) => format!("killed {:+.0}", since(at)),
+                Some((at, false)) => format!("exited {:+.0}", since(at)),
+                None => "still up".into(),
+            };
+            format!(
+                "SIGTERM at {:.0}: sent {:+.1}, cut {:+.1}, run ended {}, node {exit}",
+                ms(stop.at),
+                since(attempt.last_byte),
+                since(attempt.ended),
+                last_run(seen, attempt)
+                    .and_then(|run| run.end)
+                    .map_or_else(|| "never".into(), |(at, _)| format!("{:+.1}", since(at))),
+            )
+        }
+        None => "no SIGTERM".into(),
+    };
+    let stage = match attempt.received.status {
+        None => "no head".into(),
+        Some(status) if attempt.events > 0 => format!(
+            "status {status}, event {} of {}",
+            attempt.received.events, attempt.events
+        ),
+        Some(status) => format!("status {status}, within the body"),
+    };
+    let connection = match attempt.nth {
+        1 => "new connection".into(),
+        nth => format!("kept connection, request {nth}"),
+    };
+    format!(
+        "{verdict:?}: {} {} at {}; {connection}; sent {:.1}..{:.1}, cut {:.1}, deadline {:.0}; \
+         {stage}; {run}; {stop}",
+        attempt.id,
+        attempt.route,
+        attempt.node,
+        ms(attempt.first_byte),
+        ms(attempt.last_byte),
+        ms(attempt.ended),
+        ms(attempt.deadline),
+    )
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,331 @@
+//! Plays: plans of arrivals and faults, each fixed by a seed.
+
+use std::collections::BTreeMap;
+use std::io::Result;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fastrand::Rng;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::{self, Instant};
+
+use crate::caller::Order;
+use crate::check::{self, Verdict};
+use crate::proxy::Link;
+use crate::site::{self, Options, Route, Site};
+
+/// Time from SIGTERM to SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(8);
+/// Time after the first arrival at which the first fault begins.
+const CALM: Duration = Duration::from_secs(3);
+/// Most events of a stream.
+const MAX_EVENTS: u32 = 67;
+/// Median number of events of a stream.
+const MEDIAN_EVENTS: f64 = 27.0;
+/// Spread of the logarithm of the number of events.
+const EVENTS_SPREAD: f64 = 0.9;
+
+/// In which order the nodes are stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sequence {
+    /// One node.
+    One,
+    /// One node after the other.
+    Series,
+    /// Each node while the one before is still stopping.
+    Overlapping,
+    /// All nodes at once.
+    All,
+}
+
+/// A play.
+#[derive(Clone, Copy, Debug)]
+pub struct Play {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Number of nodes.
+    pub nodes: u8,
+    /// Requests in a second per node.
+    pub rate: f64,
+    /// Processor time of a node in each tenth of a second, in milliseconds.
+    pub quota_ms: Option<u64>,
+    /// Delay in milliseconds and window in bytes of the link between callers and nodes.
+    pub link: Option<(u64, usize)>,
+    /// Order of the stops.
+    pub stops: Sequence,
+    /// Whether a second SIGTERM and SIGHUPs come beside each stop.
+    pub repeats_signals: bool,
+    /// Whether configurations are written beside the stops.
+    pub writes_configurations: bool,
+    /// Share of streams that last until their deadline.
+    pub long_share: f64,
+    /// Share of callers that read or write slowly.
+    pub slow_share: f64,
+    /// Kept connections per node at the start.
+    pub kept: usize,
+    /// Number of rounds of stops.
+    pub rounds: u32,
+}
+
+const PLAIN: Play = Play {
+    name: "one",
+    nodes: 3,
+    rate: 30.0,
+    quota_ms: None,
+    link: None,
+    stops: Sequence::One,
+    repeats_signals: false,
+    writes_configurations: false,
+    long_share: 0.0,
+    slow_share: 0.0,
+    kept: 50,
+    rounds: 1,
+};
+
+/// All plays.
+pub const PLAYS: &[Play] = &[
+    PLAIN,
+    Play { name: "series", stops: Sequence::Series, ..PLAIN },
+    Play { name: "overlapping", stops: Sequence::Overlapping, ..PLAIN },
+    Play { name: "all", stops: Sequence::All, rounds: 2, ..PLAIN },
+    Play {
+        name: "signals",
+        stops: Sequence::Overlapping,
+        repeats_signals: true,
+        ..PLAIN
+    },
+    Play {
+        name: "configurations",
+        stops: Sequence::Overlapping,
+        writes_configurations: true,
+        ..PLAIN
+    },
+    Play { name: "deadlines", stops: Sequence::All, long_share: 0.5, ..PLAIN },
+    Play { name: "slow-callers", stops: Sequence::All, slow_share: 0.3, ..PLAIN },
+    Play {
+        name: "links",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        ..PLAIN
+    },
+    Play {
+        name: "quota",
+        stops: Sequence::All,
+        quota_ms: Some(25),
+        ..PLAIN
+    },
+    Play {
+        name: "quota-series",
+        stops: Sequence::Series,
+        quota_ms: Some(25),
+        rate: 25.0,
+        ..PLAIN
+    },
+    Play {
+        name: "many",
+        nodes: 4,
+        stops: Sequence::All,
+        rate: 50.0,
+        kept: 300,
+        rounds: 2,
+        ..PLAIN
+    },
+];
+
+/// Result of a play.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Number of attempts by route and verdict.
+    pub counts: BTreeMap<(CompactString, Verdict), usize>,
+    /// Description of each violation, with the nodes' log lines on it.
+    pub violations: Vec<String>,
+    /// Times from SIGTERM to the end of the processes.
+    pub exits: Vec<String>,
+}
+
+fn routes() -> Vec<Route> {
+    let route = |name: &str, kind, millis| Route {
+        name: name.into(),
+        kind,
+        timeout: Duration::from_millis(millis),
+    };
+    vec![
+        route("tile-match", "stream", 8_000),
+        route("brief", "stream", 6_000),
+        route("lookup", "safe", 1_500),
+    ]
+}
+
+/// Runs a play.
+///
+/// # Errors
+///
+/// Returns an error if the site cannot be started.
+pub async fn run(play: &Play, seed: u64, program: &Path, directory: &Path) -> Result<Report> {
+    let directory = site::create_directory(directory, &format!("{}-{seed}", play.name))?;
+    let options = Options {
+        program: program.into(),
+        directory,
+        nodes: play.nodes,
+        servers: 6,
+        link: play.link.map(|(delay, window)| Link {
+            delay: Duration::from_millis(delay),
+            window,
+        }),
+        quota: play.quota_ms.map(Duration::from_millis),
+        grace: GRACE,
+        routes: routes(),
+    };
+    let site = Arc::new(Site::start(options).await?);
+    let mut random = Rng::with_seed(seed);
+    let arrivals_seed = random.u64(..);
+    site.callers
+        .open_kept(play.kept * usize::from(play.nodes))
+        .await;
+    let arrivals = tokio::spawn(send(Arc::clone(&site), *play, arrivals_seed));
+    time::sleep(CALM).await;
+    for _ in 0..play.rounds {
+        stop_nodes(&site, play, &mut random).await?;
+        time::sleep(Duration::from_millis(random.u64(1_500..3_000))).await;
+    }
+    arrivals.abort();
+    // Callers leave at their deadlines at the latest.
+    time::sleep(GRACE).await;
+    Ok(report(&site))
+}
+
+async fn stop_nodes(site: &Arc<Site>, play: &Play, random: &mut Rng) -> Result<()> {
+    let numbers: Vec<usize> = match play.stops {
+        Sequence::One => vec![random.usize(..usize::from(play.nodes))],
+        Sequence::Series | Sequence::Overlapping | Sequence::All => {
+            let mut numbers: Vec<usize> = (0..usize::from(play.nodes)).collect();
+            random.shuffle(&mut numbers);
+            numbers
+        }
+    };
+    let mut stopping = JoinSet::new();
+    for number in numbers {
+        let stopped = Arc::clone(site);
+        stopping.spawn(async move { stopped.restart(number).await });
+        disturb(site, play, number, random);
+        match play.stops {
+            Sequence::One | Sequence::Series => {
+                while stopping.join_next().await.transpose()?.is_some() {}
+            }
+            Sequence::Overlapping => {
+                time::sleep(Duration::from_millis(random.u64(500..5_000))).await;
+            }
+            Sequence::All => time::sleep(Duration::from_millis(random.u64(..20))).await,
+        }
+    }
+    while let Some(stopped) = stopping.join_next().await {
+        stopped??;
+    }
+    Ok(())
+}
+
+/// Sends signals and writes configurations beside the stop of a node.
+fn disturb(site: &Arc<Site>, play: &Play, number: usize, random: &mut Rng) {
+    if play.repeats_signals {
+        for signal in [Signal::HUP, Signal::TERM, Signal::HUP] {
+            let site = Arc::clone(site);
+            let delay = Duration::from_millis(random.u64(..6_000));
+            tokio::spawn(async move {
+                time::sleep(delay).await;
+                site.members[number].signal(signal);
+            });
+        }
+    }
+    if play.writes_configurations {
+        let delays: Vec<u64> = (0..6).map(|_| random.u64(..7_000)).collect();
+        for delay in delays {
+            let site = Arc::clone(site);
+            tokio::spawn(async move {
+                time::sleep(Duration::from_millis(delay)).await;
+                site.write_configuration().await;
+            });
+        }
+    }
+}
+
+/// Sends requests at random intervals until the task is cancelled.
+async fn send(site: Arc<Site>, play: Play, seed: u64) {
+    let mut random = Rng::with_seed(seed);
+    let rate = play.rate * f64::from(play.nodes);
+    let mut due = Instant::now();
+    loop {
+        due += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / rate);
+        time::sleep_until(due).await;
+        let order = draw_order(&play, &mut random);
+        let callers = Arc::clone(&site.callers);
+        tokio::spawn(async move { callers.call(&order).await });
+    }
+}
+
+fn draw_order(play: &Play, random: &mut Rng) -> Order {
+    let (route, deadline) = match random.u32(..151) {
+        0..29 => ("tile-match", 8_000),
+        29..116 => ("brief", 6_000),
+        _ => ("lookup", 1_500),
+    };
+    let is_stream = route != "lookup";
+    let mut pause = random.u64(36..150);
+    let mut events = if is_stream { draw_events(random) } else { 0 };
+    if is_stream && random.f64() < play.long_share {
+        // Ends shortly before the deadline.
+        pause = 100;
+        events = (deadline / pause) as u32 - 2;
+    }
+    let is_slow = random.f64() < play.slow_share;
+    Order {
+        route: route.into(),
+        is_repeatable: !is_stream,
+        deadline: Duration::from_millis(deadline),
+        events,
+        pause: Duration::from_millis(pause),
+        size: if is_stream { 80 } else { 2_000 },
+        body: 300,
+        keeps: random.f64() < 0.7,
+        reads_slowly: is_slow && random.bool(),
+        writes_slowly: is_slow && random.bool(),
+    }
+}
+
+fn draw_events(random: &mut Rng) -> u32 {
+    let normal = (-2.0 * (1.0 - random.f64()).ln()).sqrt()
+        * (2.0 * std::f64::consts::PI * random.f64()).cos();
+    let events = MEDIAN_EVENTS * (EVENTS_SPREAD * normal).exp();
+    (events as u32).clamp(1, MAX_EVENTS)
+}
+
+fn report(site: &Site) -> Report {
+    let mut report = Report::default();
+    let seen = site.record.seen();
+    for attempt in &seen.attempts {
+        let verdict = check::judge(&seen, attempt, GRACE);
+        *report
+            .counts
+            .entry((attempt.route.clone(), verdict))
+            .or_default() += 1;
+        if verdict.is_violation() {
+            let mut text = check::describe(&seen, attempt, verdict, GRACE);
+            for line in site.log_lines(&attempt.id) {
+                text.push_str("\n    ");
+                text.push_str(&line);
+            }
+            report.violations.push(text);
+        }
+    }
+    for stop in &seen.stops {
+        let exit = stop.exit.map(|(at, is_killed)| (at.saturating_sub(stop.at), is_killed));
+        report.exits.push(match exit {
+            Some((time, true)) => format!("{} killed after {time:.1?}", stop.node),
+            Some((time, false)) => format!("{} exited after {time:.1?}", stop.node),
+            None => format!("{} still up", stop.node),
+        });
+    }
+    report
+}
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,171 @@
+//! What callers, backend servers and the platform have seen.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+
+/// Time since the start of the soak.
+pub type Moment = Duration;
+
+/// How an attempt of a caller ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer has arrived.
+    Complete {
+        /// Status of the answer.
+        status: u16,
+    },
+    /// The connection has ended before the whole answer.
+    Cut,
+    /// The caller has left at its deadline.
+    TimedOut,
+    /// The request could not be sent.
+    NotSent,
+    /// The answer is complete by its framing, but not the server's.
+    Wrong {
+        /// What is wrong.
+        detail: CompactString,
+    },
+}
+
+/// What a caller had received of an answer at its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// Status of the head, if it has arrived.
+    pub status: Option<u16>,
+    /// Number of whole events, or 0 for whole answers.
+    pub events: u32,
+}
+
+/// One attempt of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Identity of the attempt.
+    pub id: CompactString,
+    /// Name of the route.
+    pub route: CompactString,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Node to which the request was sent.
+    pub node: CompactString,
+    /// Number of the request on its connection, from 1.
+    pub nth: u32,
+    /// Time that the caller waits.
+    pub deadline: Duration,
+    /// Number of events that the request asks for; 0 for a whole answer.
+    pub events: u32,
+    /// When the first byte was written.
+    pub first_byte: Moment,
+    /// When the last byte was written.
+    pub last_byte: Moment,
+    /// When the attempt ended.
+    pub ended: Moment,
+    /// What had arrived by then.
+    pub received: Received,
+    /// How it ended.
+    pub end: End,
+}
+
+/// How a server's work on a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The whole answer was written.
+    Complete,
+    /// The deadline that the server had received was reached.
+    Deadline,
+    /// The sender of the request closed the connection.
+    Abandoned,
+    /// The server broke off or was ended.
+    Broken,
+}
+
+/// A server's work on one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Name of the server.
+    pub server: CompactString,
+    /// When the work began.
+    pub from: Moment,
+    /// When the work ended, and how; none while it goes on.
+    pub end: Option<(Moment, RunEnd)>,
+}
+
+/// A planned stop of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// Name of the node.
+    pub node: CompactString,
+    /// When SIGTERM was sent.
+    pub at: Moment,
+    /// When the process ended, and whether it was killed.
+    pub exit: Option<(Moment, bool)>,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Ended attempts.
+    pub attempts: Vec<Attempt>,
+    /// Runs by the identities of the attempts.
+    pub runs: HashMap<CompactString, Vec<Run>>,
+    /// Planned stops.
+    pub stops: Vec<Stop>,
+    /// Unplanned disruptions of nodes: name, begin and end.
+    pub disruptions: Vec<(CompactString, Moment, Moment)>,
+}
+
+/// Shared record of one soak.
+#[derive(Clone, Debug)]
+pub struct Record {
+    start: Instant,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Record {
+            start: Instant::now(),
+            seen: Arc::default(),
+        }
+    }
+}
+
+impl Record {
+    /// Gets the time since the start.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.start.elapsed()
+    }
+
+    /// Locks what was seen.
+    #[must_use]
+    pub fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a server begins to work on a request, and returns the number of the run.
+    #[must_use]
+    pub fn begin_run(&self, id: &str, server: &str) -> usize {
+        let from = self.now();
+        let mut seen = self.seen();
+        let runs = seen.runs.entry(id.into()).or_default();
+        runs.push(Run {
+            server: server.into(),
+            from,
+            end: None,
+        });
+        runs.len() - 1
+    }
+
+    /// Records the end of a run.
+    pub fn end_run(&self, id: &str, number: usize, end: RunEnd) {
+        let now = self.now();
+        let mut seen = self.seen();
+        let runs = seen.runs.get_mut(id);
+        if let Some(run) = runs.and_then(|runs| runs.get_mut(number)) {
+            run.end = Some((now, end));
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/server.rs
@@ -0,0 +1,243 @@
+//! Backend servers that answer as the request's headers ask.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{self, Instant};
+
+use crate::http::{Connection, Head};
+use crate::record::{Record, RunEnd};
+use crate::store::Store;
+
+/// Header with the number of events; without it the answer is whole.
+pub const EVENTS: &str = "x-soak-events";
+/// Header with the milliseconds before each event, or before the whole answer.
+pub const PAUSE: &str = "x-soak-pause-ms";
+/// Header with the number of bytes of each event, or of the whole answer.
+pub const SIZE: &str = "x-soak-size";
+
+/// Returns the text of an event.
+#[must_use]
+pub fn event(id: &str, number: u32, size: usize) -> String {
+    format!("id: {number}\ndata: {id}-{number}-{:.>size$}\n\n", "")
+}
+
+/// Returns the body of a whole answer.
+#[must_use]
+pub fn whole(id: &str, size: usize) -> String {
+    format!("{id}-{:.>size$}", "")
+}
+
+/// Identity and place of a backend server.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name in the store.
+    pub id: CompactString,
+    /// Name of the service.
+    pub service: CompactString,
+    /// Availability zone.
+    pub zone: CompactString,
+    /// Address on which the server listens.
+    pub address: SocketAddr,
+}
+
+/// A running backend server.
+#[derive(Debug)]
+pub struct Server {
+    options: Options,
+    store: Store,
+    acceptor: JoinHandle<()>,
+    connections: Arc<std::sync::Mutex<Vec<JoinHandle<()>>>>,
+}
+
+impl Server {
+    /// Starts a server and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start(options: Options, store: Store, record: Record) -> std::io::Result<Server> {
+        let listener = TcpListener::bind(options.address).await?;
+        let connections = Arc::new(std::sync::Mutex::new(Vec::new()));
+        let id = options.id.clone();
+        let tracked = Arc::clone(&connections);
+        let acceptor = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let session = Session {
+                    server: id.clone(),
+                    record: record.clone(),
+                };
+                let task = tokio::spawn(async move {
+                    // A connection that failed has no caller to report to.
+                    drop(session.converse(Connection::new(stream)).await);
+                });
+                let mut tasks = tracked
+                    .lock()
+                    .unwrap_or_else(std::sync::PoisonError::into_inner);
+                tasks.retain(|task: &JoinHandle<()>| !task.is_finished());
+                tasks.push(task);
+            }
+        });
+        let server = Server {
+            options,
+            store,
+            acceptor,
+            connections,
+        };
+        server.register("ready").await;
+        Ok(server)
+    }
+
+    /// Writes the registration with a state.
+    pub async fn register(&self, state: &str) {
+        let options = &self.options;
+        let registration = json!({
+            "service": options.service.as_str(),
+            "address": options.address.to_string(),
+            "zone": options.zone.as_str(),
+            "version": 1,
+            "slots": 64,
+            "state": state,
+            "warmup_left_ms": 0,
+            "seq": 1,
+            "born": 1,
+        });
+        self.store.put(&self.key(), &registration).await;
+    }
+
+    /// Deletes the registration.
+    pub async fn unregister(&self) {
+        self.store.delete(&self.key()).await;
+    }
+
+    /// Ends the server at once, with all its connections.
+    pub fn crash(&self) {
+        self.acceptor.abort();
+        let tasks = self.connections.lock();
+        for task in tasks
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .drain(..)
+        {
+            task.abort();
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.options.id)
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+/// One connection to a server.
+struct Session {
+    server: CompactString,
+    record: Record,
+}
+
+/// Ends a run as broken if its connection's task is aborted.
+struct Work<'a> {
+    record: &'a Record,
+    id: CompactString,
+    number: usize,
+    end: RunEnd,
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.record.end_run(&self.id, self.number, self.end);
+    }
+}
+
+impl Session {
+    async fn converse(&self, mut connection: Connection) -> std::io::Result<()> {
+        while let Some(head) = connection.read_head(true).await? {
+            connection.read_body().await?;
+            let id = CompactString::from(head.get("x-jackdawstair-request-id").unwrap_or_default());
+            let expected = head.get("x-jackdawstair-expect-instance");
+            if expected.is_some_and(|expected| expected != self.server) {
+                let headers = format!(
+                    "X-Jackdawstair-Request-Id: {id}\r\nX-Jackdawstair-Not-Executed: 1\r\n"
+                );
+                connection.respond(421, &headers, b"").await?;
+                continue;
+            }
+            let number = self.record.begin_run(&id, &self.server);
+            let mut work = Work {
+                record: &self.record,
+                id: id.clone(),
+                number,
+                end: RunEnd::Broken,
+            };
+            let end = run(&mut connection, &head, &id).await;
+            work.end = end;
+            drop(work);
+            if end != RunEnd::Complete {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn run(connection: &mut Connection, head: &Head, id: &str) -> RunEnd {
+    let left = head.number("x-jackdawstair-deadline-ms").unwrap_or(30_000);
+    let deadline = Instant::now() + Duration::from_millis(left);
+    let answered = time::timeout_at(deadline, answer(connection, head, id)).await;
+    match answered {
+        Ok(Ok(true)) => RunEnd::Complete,
+        Ok(Ok(false) | Err(_)) => RunEnd::Abandoned,
+        Err(_) => RunEnd::Deadline,
+    }
+}
+
+/// Writes an answer; returns false if the peer has left.
+async fn answer(connection: &mut Connection, head: &Head, id: &str) -> std::io::Result<bool> {
+    let pause = Duration::from_millis(head.number(PAUSE).unwrap_or(0));
+    let size = head.number(SIZE).unwrap_or(16) as usize;
+    let headers =
+        format!("X-Jackdawstair-Request-Id: {id}\r\nX-Jackdawstair-Response-Stamp: {id}\r\n");
+    let Some(events) = head.number(EVENTS) else {
+        if !wait(connection, pause).await {
+            return Ok(false);
+        }
+        connection
+            .respond(200, &headers, whole(id, size).as_bytes())
+            .await?;
+        return Ok(true);
+    };
+    for number in 1..=events as u32 {
+        if !wait(connection, pause).await {
+            return Ok(false);
+        }
+        let event = event(id, number, size);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if number == 1 {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                 Transfer-Encoding: chunked\r\n{headers}\r\n"
+            );
+            connection.write(head.as_bytes()).await?;
+        }
+        connection.write(chunk.as_bytes()).await?;
+    }
+    connection.write(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+/// Waits; returns false as soon as the peer has closed the connection.
+async fn wait(connection: &Connection, pause: Duration) -> bool {
+    tokio::select! {
+        () = time::sleep(pause) => true,
+        () = connection.wait_closed() => false,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,357 @@
+//! A whole site: store, backend servers, nodes, entry and callers.
+
+use std::io::Result;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::caller::{Callers, Pick};
+use crate::http::Connection;
+use crate::node::{Options as NodeOptions, Process};
+use crate::proxy::{self, Link};
+use crate::record::{Record, Stop};
+use crate::server::{Options as ServerOptions, Server};
+use crate::store::Store;
+
+/// Port for callers on each node's own address.
+const NODE_PORT: u16 = 8_300;
+/// Port of the proxy before each node.
+const PROXY_PORT: u16 = 8_200;
+/// Port of the servers and the store.
+const SERVER_PORT: u16 = 8_100;
+/// Last byte of the store's address; the servers and the nodes have smaller ones.
+const STORE_HOST: u8 = 250;
+/// Last byte of the first server's address.
+const FIRST_SERVER_HOST: u8 = 150;
+/// Time between two readiness checks, and for an answer to one.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Failed checks in a row after which a node gets no new connections.
+const MAX_MISSES: u32 = 2;
+/// Time between the end of a process and the start of the next one.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Pause between two looks at a process that is to end.
+const EXIT_POLL: Duration = Duration::from_millis(2);
+/// Time for all nodes to become ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A route of the site.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name and prefix.
+    pub name: CompactString,
+    /// Type in the platform's words.
+    pub kind: &'static str,
+    /// Longest time for an answer.
+    pub timeout: Duration,
+}
+
+/// Size and properties of a site.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Program of the nodes.
+    pub program: PathBuf,
+    /// Directory for settings and logs.
+    pub directory: PathBuf,
+    /// Number of nodes.
+    pub nodes: u8,
+    /// Number of backend servers.
+    pub servers: u8,
+    /// Link between callers and nodes; none for a direct connection.
+    pub link: Option<Link>,
+    /// Processor time of a node in each tenth of a second.
+    pub quota: Option<Duration>,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Routes.
+    pub routes: Vec<Route>,
+}
+
+/// One node with its current process.
+#[derive(Debug)]
+pub struct Member {
+    options: NodeOptions,
+    front: SocketAddr,
+    process: Mutex<Option<Process>>,
+    in_rotation: AtomicBool,
+}
+
+impl Member {
+    /// Gets the node's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.options.name
+    }
+
+    fn process(&self) -> MutexGuard<'_, Option<Process>> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a signal to the current process, if there is one.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(process) = self.process().as_ref() {
+            // Fails only if the process has just ended.
+            let _ = process.signal(signal);
+        }
+    }
+
+    /// Returns whether the process has ended.
+    fn has_exited(&self) -> bool {
+        match self.process().as_mut() {
+            Some(process) => !matches!(process.try_wait(), Ok(None)),
+            None => true,
+        }
+    }
+}
+
+/// The platform's entry, which picks nodes for new connections.
+struct Entry {
+    members: Vec<Arc<Member>>,
+}
+
+impl Pick for Entry {
+    fn pick(&self) -> (CompactString, SocketAddr) {
+        let in_rotation = |member: &&Arc<Member>| member.in_rotation.load(Ordering::SeqCst);
+        let usable: Vec<&Arc<Member>> = self.members.iter().filter(in_rotation).collect();
+        let member = if usable.len() * 2 < self.members.len() {
+            &self.members[fastrand::usize(..self.members.len())]
+        } else {
+            usable[fastrand::usize(..usable.len())]
+        };
+        (member.options.name.clone(), member.front)
+    }
+}
+
+/// A running site.
+pub struct Site {
+    options: Options,
+    /// What was seen.
+    pub record: Record,
+    /// The platform's store.
+    pub store: Store,
+    /// Backend servers.
+    pub servers: Vec<Server>,
+    /// Nodes.
+    pub members: Vec<Arc<Member>>,
+    /// Callers.
+    pub callers: Arc<Callers>,
+    version: AtomicU64,
+}
+
+impl Site {
+    /// Starts a site and waits until all nodes are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound, a process cannot be started or a node does
+    /// not become ready.
+    pub async fn start(options: Options) -> Result<Site> {
+        let record = Record::default();
+        let store = Store::default();
+        let address = SocketAddr::from((host(STORE_HOST), SERVER_PORT));
+        store.clone().serve(address).await?;
+        let mut servers = Vec::new();
+        for number in 0..options.servers {
+            let server = ServerOptions {
+                id: format_compact!("i-{number}"),
+                service: "service".into(),
+                zone: "a".into(),
+                address: SocketAddr::from((host(FIRST_SERVER_HOST + number), SERVER_PORT)),
+            };
+            servers.push(Server::start(server, store.clone(), record.clone()).await?);
+        }
+        let mut members = Vec::new();
+        for number in 1..=options.nodes {
+            members.push(Arc::new(start_member(&options, number, address).await?));
+        }
+        let entry = Entry {
+            members: members.clone(),
+        };
+        let site = Site {
+            callers: Arc::new(Callers::new(record.clone(), Box::new(entry))),
+            options,
+            record,
+            store,
+            servers,
+            members,
+            version: AtomicU64::new(1),
+        };
+        site.write_configuration().await;
+        for member in &site.members {
+            tokio::spawn(check_readiness(Arc::clone(member)));
+        }
+        let ready = async {
+            for member in &site.members {
+                while !member.in_rotation.load(Ordering::SeqCst) {
+                    time::sleep(EXIT_POLL).await;
+                }
+            }
+        };
+        let waited = time::timeout(START_TIMEOUT, ready).await;
+        waited.map_err(|_| std::io::Error::other("a node did not become ready"))?;
+        Ok(site)
+    }
+
+    /// Writes the configuration with a higher version.
+    pub async fn write_configuration(&self) {
+        let version = self.version.fetch_add(3, Ordering::SeqCst);
+        let routes = self.options.routes.iter().map(|route| {
+            json!({
+                "name": route.name.as_str(),
+                "hostname": "soak.example",
+                "prefix": format!("/{}/", route.name),
+                "route_type": route.kind,
+                "timeout_ms": route.timeout.as_millis() as u64,
+                "target_latency_ms": 1_000,
+                "max_attempts": 3,
+                "service": "service",
+            })
+        });
+        let configuration = json!({
+            "version": version,
+            "routes": routes.collect::<Vec<_>>(),
+            "services": [{ "name": "service", "max_connections": 1_000 }],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 4_194_304,
+                "header_timeout_ms": 10_000,
+                "idle_timeout_ms": 60_000,
+            },
+        });
+        self.store.put("op/config", &configuration).await;
+    }
+
+    /// Stops a node as the platform does, and starts its next process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the next process cannot be started.
+    pub async fn restart(&self, number: usize) -> Result<()> {
+        let member = &self.members[number];
+        let at = self.record.now();
+        let stop = {
+            let mut seen = self.record.seen();
+            seen.stops.push(Stop {
+                node: member.options.name.clone(),
+                at,
+                exit: None,
+            });
+            seen.stops.len() - 1
+        };
+        member.signal(Signal::TERM);
+        let due = at + self.options.grace;
+        while !member.has_exited() && self.record.now() < due {
+            time::sleep(EXIT_POLL).await;
+        }
+        let is_killed = !member.has_exited();
+        // Dropping a process kills it.
+        drop(member.process().take());
+        self.record.seen().stops[stop].exit = Some((self.record.now(), is_killed));
+        time::sleep(RESTART_DELAY).await;
+        *member.process() = Some(start_process(&self.options, &member.options)?);
+        Ok(())
+    }
+
+    /// Returns the lines of all nodes' logs that name a request.
+    #[must_use]
+    pub fn log_lines(&self, id: &str) -> Vec<String> {
+        let quoted = format!("\"{id}\"");
+        let mut lines = Vec::new();
+        for member in &self.members {
+            let path = crate::node::log_path(&self.options.directory, member.name());
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            lines.extend(
+                text.lines()
+                    .filter(|line| line.contains(&quoted))
+                    .map(String::from),
+            );
+        }
+        lines
+    }
+}
+
+fn start_process(options: &Options, node: &NodeOptions) -> Result<Process> {
+    let mut process = Process::start(&options.program, &options.directory, node)?;
+    if let Some(quota) = options.quota {
+        process.set_quota(quota)?;
+    }
+    Ok(process)
+}
+
+async fn start_member(options: &Options, number: u8, store: SocketAddr) -> Result<Member> {
+    let node = NodeOptions {
+        name: format_compact!("node-{number}"),
+        zone: "a".into(),
+        zones: vec!["a".into()],
+        ip: host(number),
+        port: NODE_PORT,
+        store,
+        grace: options.grace,
+    };
+    let mut front = node.callers();
+    if let Some(link) = options.link {
+        front = SocketAddr::from((node.ip, PROXY_PORT));
+        proxy::forward(front, node.callers(), link).await?;
+    }
+    let process = start_process(options, &node)?;
+    Ok(Member {
+        options: node,
+        front,
+        process: Mutex::new(Some(process)),
+        in_rotation: AtomicBool::new(false),
+    })
+}
+
+/// Returns a loopback address that belongs to this process.
+fn host(last: u8) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 0x3f), low, last)
+}
+
+async fn check_readiness(member: Arc<Member>) {
+    let mut misses = 0;
+    let mut ticks = time::interval(CHECK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let checked = time::timeout(CHECK_INTERVAL, is_ready(member.options.readiness())).await;
+        if matches!(checked, Ok(Ok(true))) {
+            misses = 0;
+            member.in_rotation.store(true, Ordering::SeqCst);
+            continue;
+        }
+        misses += 1;
+        if misses >= MAX_MISSES {
+            member.in_rotation.store(false, Ordering::SeqCst);
+        }
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> Result<bool> {
+    let mut connection = Connection::new(TcpStream::connect(address).await?);
+    connection
+        .write(b"GET /jackdawstair/readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")
+        .await?;
+    let head = connection.read_head(false).await?;
+    Ok(head.is_some_and(|head| head.status() == Some(200)))
+}
+
+/// Creates an empty directory for a run.
+///
+/// # Errors
+///
+/// Returns an error if the directory cannot be created.
+pub fn create_directory(parent: &Path, name: &str) -> Result<PathBuf> {
+    let path = parent.join(name);
+    if path.exists() {
+        std::fs::remove_dir_all(&path)?;
+    }
+    std::fs::create_dir_all(&path)?;
+    Ok(path)
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,259 @@
+//! The platform's store over HTTP, in front of the in-memory key-value service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use compact_str::CompactString;
+use jackdaw_core::store::{
+    Change, Committed, Compare, Entry, Lease, Store as _, Transaction, Write,
+};
+use jackdaw_core::units::Millis;
+use jackdaw_standin::store::Memory;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time;
+
+use crate::http::{Connection, Head};
+
+/// Entries on one page.
+const PAGE_SIZE: usize = 500;
+/// Headers of each answer.
+const HEADERS: &str = "Content-Type: application/json\r\nStore-Era: 1\r\n";
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Body {
+    expected: Vec<Expected>,
+    puts: Vec<Put>,
+    delete: Vec<CompactString>,
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    key: CompactString,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    key: CompactString,
+    value: String,
+    #[serde(default)]
+    lease: i64,
+}
+
+/// Status and body of an answer.
+type Answer = (u16, Value);
+
+/// The platform's store.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    memory: Memory,
+}
+
+impl Store {
+    /// Gets the key-value service behind the interface, which also takes its faults.
+    #[must_use]
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
+    /// Writes a value as the operator or a backend server does.
+    pub async fn put(&self, key: &str, value: &Value) {
+        let write = Write::Put {
+            key: key.into(),
+            value: value.to_string().into_bytes(),
+            lease: None,
+        };
+        self.write(write).await;
+    }
+
+    /// Deletes a key as a backend server does.
+    pub async fn delete(&self, key: &str) {
+        self.write(Write::Delete(key.into())).await;
+    }
+
+    async fn write(&self, write: Write) {
+        let transaction = Transaction {
+            then: vec![write],
+            ..Transaction::default()
+        };
+        // Fails only by an injected fault, under which the writer has no answer either.
+        let _ = self.memory.commit(transaction).await;
+    }
+
+    /// Serves the interface until the task is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn serve(self, address: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = self.clone();
+                // A connection that failed has no caller to report to.
+                tokio::spawn(async move { drop(store.converse(Connection::new(stream)).await) });
+            }
+        });
+        Ok(())
+    }
+
+    async fn converse(&self, mut connection: Connection) -> std::io::Result<()> {
+        while let Some(head) = connection.read_head(true).await? {
+            let body = connection.read_body().await?;
+            // A call without an answer ends its connection.
+            let Some((status, answer)) = self.answer(&head, &body).await else {
+                return Ok(());
+            };
+            let text = answer.to_string();
+            connection
+                .respond(status, HEADERS, text.as_bytes())
+                .await?;
+        }
+        Ok(())
+    }
+
+    async fn answer(&self, head: &Head, body: &[u8]) -> Option<Answer> {
+        let (_, target) = head.request_line();
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let body: Body = serde_json::from_slice(body).unwrap_or_default();
+        let call = path.strip_prefix("/jackdawstair/").unwrap_or_default();
+        match call.split_once('/').unwrap_or((call, "")) {
+            ("kv-key", _) => self.read_key(&parameter(query, "key")?).await,
+            ("kv-range", _) => {
+                let after = parameter(query, "after").unwrap_or_default();
+                self.read_range(&parameter(query, "prefix")?, &after).await
+            }
+            ("kv-watch", _) => self.wait_for_changes(query).await,
+            ("kv-txn", _) => self.commit(body).await,
+            ("kv-lease", _) => {
+                let lease = self.memory.grant(Millis(body.ttl_ms)).await.ok()?;
+                Some((200, json!({ "lease": lease.0, "ttl_ms": body.ttl_ms })))
+            }
+            ("kv-keep", lease) => {
+                let left = self.memory.renew(Lease(lease.parse().ok()?)).await.ok()?;
+                match left {
+                    Millis(0) => Some((404, json!({}))),
+                    Millis(left) => Some((200, json!({ "ttl_ms": left }))),
+                }
+            }
+            ("kv-lease-end", lease) => {
+                self.memory.revoke(Lease(lease.parse().ok()?)).await.ok()?;
+                Some((200, json!({})))
+            }
+            _ => Some((404, json!({}))),
+        }
+    }
+
+    async fn read_key(&self, key: &str) -> Option<Answer> {
+        let entry = self.memory.get(key).await.ok()?;
+        Some(match entry {
+            Some(entry) => (200, item(&entry)),
+            None => (404, json!({})),
+        })
+    }
+
+    async fn read_range(&self, prefix: &str, after: &str) -> Option<Answer> {
+        // The revision is read first, so that no change is skipped by a watch from there.
+        let revision = self.memory.revision();
+        let mut entries = self.memory.list(prefix).await.ok()?;
+        entries.retain(|entry| entry.key.as_str() > after);
+        let has_more = entries.len() > PAGE_SIZE;
+        let items: Vec<Value> = entries.iter().take(PAGE_SIZE).map(item).collect();
+        let body = json!({ "items": items, "more_pages": has_more, "current_rev": revision });
+        Some((200, body))
+    }
+
+    async fn wait_for_changes(&self, query: &str) -> Option<Answer> {
+        let prefix = parameter(query, "prefix")?;
+        let after: u64 = parameter(query, "after")?.parse().ok()?;
+        let wait: u64 = parameter(query, "wait_ms")?.parse().ok()?;
+        let mut watch = self.memory.watch(&prefix, after + 1).await.ok()?;
+        let changes = match time::timeout(Duration::from_millis(wait), watch.next()).await {
+            Ok(changes) => changes?,
+            Err(_) => Vec::new(),
+        };
+        let events: Vec<Value> = changes.iter().map(event).collect();
+        let revision = changes.iter().map(revision).max().unwrap_or(after);
+        Some((200, json!({ "events": events, "current_rev": revision })))
+    }
+
+    async fn commit(&self, body: Body) -> Option<Answer> {
+        let when = body.expected.into_iter().map(|row| match row.revision {
+            0 => Compare::Absent(row.key),
+            revision => Compare::ModRevision(row.key, revision),
+        });
+        let mut then = Vec::new();
+        for put in body.puts {
+            then.push(Write::Put {
+                key: put.key,
+                value: STANDARD.decode(&put.value).ok()?,
+                lease: (put.lease != 0).then_some(Lease(put.lease)),
+            });
+        }
+        then.extend(body.delete.into_iter().map(Write::Delete));
+        let transaction = Transaction {
+            when: when.collect(),
+            then,
+            otherwise: Vec::new(),
+        };
+        match self.memory.commit(transaction).await {
+            Ok(Committed::Yes(revision)) => Some((200, json!({ "revision": revision }))),
+            Ok(Committed::No(entries)) => {
+                let items: Vec<Value> = entries.iter().map(item).collect();
+                Some((412, json!({ "items": items })))
+            }
+            Err(error) if error.to_string().contains("lease") => Some((404, json!({}))),
+            Err(_) => None,
+        }
+    }
+}
+
+fn item(entry: &Entry) -> Value {
+    json!({
+        "key": entry.key.as_str(),
+        "value": STANDARD.encode(&entry.value),
+        "revision": entry.mod_revision,
+        "created_rev": entry.create_revision,
+        "lease": entry.lease.map_or(0, |lease| lease.0),
+    })
+}
+
+fn event(change: &Change) -> Value {
+    match change {
+        Change::Put(entry) => item(entry),
+        Change::Delete(key, revision) => {
+            json!({ "key": key.as_str(), "revision": revision, "tombstone": true })
+        }
+    }
+}
+
+fn revision(change: &Change) -> u64 {
+    match change {
+        Change::Put(entry) => entry.mod_revision,
+        Change::Delete(_, revision) => *revision,
+    }
+}
+
+/// Reads a parameter of a query; all callers encode with `%XX` only.
+fn parameter(query: &str, name: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(own, _)| *own == name)?;
+    let mut decoded = Vec::new();
+    let mut bytes = value.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte != b'%' {
+            decoded.push(byte);
+            continue;
+        }
+        let digits = [bytes.next()?, bytes.next()?];
+        let digits = std::str::from_utf8(&digits).ok()?;
+        decoded.push(u8::from_str_radix(digits, 16).ok()?);
+    }
+    String::from_utf8(decoded).ok()
+}
