--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -17,6 +17,10 @@
 
 /// Time for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts that a caller makes while it is told that its request has not run.
+const MAX_ATTEMPTS: u32 = 4;
+/// Pause before the next attempt.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Receive buffer of a slow reader in bytes.
 const SLOW_BUFFER: usize = 4 << 10;
 /// Pause of a slow reader after each byte, and of a slow sender after each piece.
@@ -96,13 +100,12 @@
     pub async fn call(&self, order: &Order) {
         let due = time::Instant::now() + order.deadline;
         let mut order = order.clone();
-        loop {
-            let is_refused = self.attempt(&order).await;
-            let left = due.saturating_duration_since(time::Instant::now());
-            if !is_refused || left < order.pause {
+        for _ in 0..MAX_ATTEMPTS {
+            if !self.attempt(&order).await {
                 return;
             }
-            order.deadline = left;
+            time::sleep(RETRY_DELAY).await;
+            order.deadline = due.saturating_duration_since(time::Instant::now());
             order.keeps = false;
         }
     }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -86,6 +86,7 @@
         stop.node == attempt.node
             && stop.at <= attempt.ended
             && attempt.ended <= stop.at + grace + AFTER_GRACE
+            && stop.exit.is_none_or(|(exit, _)| attempt.first_byte <= exit)
     });
     stops.max_by_key(|stop| stop.at)
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -142,6 +142,8 @@
     pub counts: BTreeMap<(CompactString, Verdict), usize>,
     /// Description of each violation, with the nodes' log lines on it.
     pub violations: Vec<String>,
+    /// Latest time after SIGTERM at which a request was sent that the node passed on.
+    pub last_passed_on: Duration,
     /// Times from SIGTERM to the end of the processes.
     pub exits: Vec<String>,
 }
@@ -310,6 +312,13 @@
             .counts
             .entry((attempt.route.clone(), verdict))
             .or_default() += 1;
+        if let (Some(stop), true) = (
+            check::stop_of(&seen, attempt, GRACE),
+            seen.runs.contains_key(&attempt.id),
+        ) {
+            let sent = attempt.last_byte.saturating_sub(stop.at);
+            report.last_passed_on = report.last_passed_on.max(sent);
+        }
         if verdict.is_violation() {
             let mut text = check::describe(&seen, attempt, verdict, GRACE);
             for line in site.log_lines(&attempt.id) {
