Reproduce answers that a stopping node loses, with real processes

Callers saw streams end without a complete answer when their node was stopped as planned. The play slow-bodies stops three nodes at once and sends streams whose request bodies take 1 s and end 3.0 to 3.4 s after SIGTERM. The node admits a request at its head and passes it on when its body is complete, also if it takes no more requests by then; the stream is cut off at the node's exit.

--- /dev/null
+++ b/crates/daemon/tests/soak.rs
@@ -0,0 +1,31 @@
+//! Short seeded plays of the fault soak with the real program.
+
+use std::path::Path;
+
+use jackdaw_soak::play::{self, PLAYS};
+
+fn check_play(name: &str, seed: u64) {
+    let play = PLAYS.iter().find(|play| play.name == name);
+    let play = play.expect("the play exists");
+    let program = Path::new(env!("CARGO_BIN_EXE_jackdawd"));
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let report = runtime.block_on(play::run(play, seed, program, &directory));
+    let report = report.expect("the site starts");
+    let violations = report.violations.join("\n");
+    assert!(report.violations.is_empty(), "seed {seed}\n{violations}");
+}
+
+/// Guards against a stopping node that passes on requests whose bodies end after the last moment
+/// at which it takes requests, and cuts off their answers at the end of its grace period.
+#[test]
+fn request_whose_body_ends_late_in_a_stop_is_not_passed_on() {
+    check_play("slow-bodies", 1);
+}
+
+/// Guards against a stopping node that passes on requests that were sent just after the last moment
+/// at which it takes requests, and cuts off their answers at the end of its grace period.
+#[test]
+fn request_that_is_sent_late_in_a_stop_is_not_passed_on() {
+    check_play("boundary", 4);
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -23,10 +23,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Receive buffer of a slow reader in bytes.
 const SLOW_BUFFER: usize = 4 << 10;
-/// Pause of a slow reader after each byte, and of a slow sender after each piece.
+/// Pause of a slow reader after each byte.
 const SLOW_PAUSE: Duration = Duration::from_millis(1);
-/// Pieces in which a slow sender writes its body.
-const SLOW_PIECES: usize = 50;
+/// Pieces in which a slow body is written.
+const SLOW_PIECES: u32 = 20;
 
 /// What one request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,8 +49,8 @@
     pub keeps: bool,
     /// Whether the caller reads byte by byte into a small buffer.
     pub reads_slowly: bool,
-    /// Whether the caller writes its body in pieces.
-    pub writes_slowly: bool,
+    /// Time over which the caller writes its body in pieces.
+    pub body_time: Duration,
 }
 
 /// A connection between two requests.
@@ -210,14 +210,14 @@
             order.size,
             body.len(),
         );
-        if order.writes_slowly {
-            connection.write(head.as_bytes()).await?;
-            for piece in body.chunks(order.body.div_ceil(SLOW_PIECES).max(1)) {
-                time::sleep(SLOW_PAUSE).await;
+        let mut message = head.into_bytes();
+        if order.body_time > Duration::ZERO {
+            connection.write(&message).await?;
+            for piece in body.chunks(order.body.div_ceil(SLOW_PIECES as usize).max(1)) {
+                time::sleep(order.body_time / SLOW_PIECES).await;
                 connection.write(piece).await?;
             }
         } else {
-            let mut message = head.into_bytes();
             message.extend_from_slice(&body);
             connection.write(&message).await?;
         }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -24,6 +24,8 @@
     LastSixth,
     /// The request crossed the close and was not passed on.
     Crossed,
+    /// The request was not passed on, and the node's log does not show that it was read.
+    Unread,
     /// An unplanned disruption of the node.
     Disruption,
 }
@@ -110,6 +112,9 @@
     if run.is_none() && attempt.ended.saturating_sub(attempt.last_byte) <= LOSS_SLACK {
         return Some(Excuse::Crossed);
     }
+    if run.is_none() && attempt.received.status.is_none() && !seen.logged.contains(&attempt.id) {
+        return Some(Excuse::Unread);
+    }
     let is_disrupted = seen.disruptions.iter().any(|(node, from, to)| {
         *node == attempt.node && *from <= attempt.ended && attempt.first_byte <= *to
     });
@@ -144,8 +149,7 @@
     };
     let stop = match stop_of(seen, attempt, grace) {
         Some(stop) => {
-            let since =
-                |moment: Moment| (moment.as_secs_f64() - stop.at.as_secs_f64()) * 1_000.0;
+            let since = |moment: Moment| (moment.as_secs_f64() - stop.at.as_secs_f64()) * 1_000.0;
             let exit = match stop.exit {
                 Some((at, true)) => format!("killed {:+.0}", since(at)),
                 Some((at, false)) => format!("exited {:+.0}", since(at)),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -76,7 +76,10 @@
     for ((route, verdict), count) in &report.counts {
         println!("  {route:<12} {verdict:?}: {count}");
     }
-    println!("  passed on until {:.3?} after SIGTERM", report.last_passed_on);
+    println!(
+        "  passed on until {:.3?} after SIGTERM",
+        report.last_passed_on
+    );
     println!("  {}", report.exits.join(", "));
     for violation in &report.violations {
         println!("  {violation}");
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,6 +1,6 @@
 //! What callers, backend servers and the platform have seen.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -112,6 +112,8 @@
     pub runs: HashMap<CompactString, Vec<Run>>,
     /// Planned stops.
     pub stops: Vec<Stop>,
+    /// Identities of the attempts that the nodes' logs name.
+    pub logged: HashSet<CompactString>,
     /// Unplanned disruptions of nodes: name, begin and end.
     pub disruptions: Vec<(CompactString, Moment, Moment)>,
 }
@@ -140,7 +142,6 @@
     }
 
     /// Locks what was seen.
-    #[must_use]
     pub fn seen(&self) -> MutexGuard<'_, Seen> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,6 +1,7 @@
 //! A whole site: store, backend servers, nodes, entry and callers.
 
-use std::io::Result;
+use std::collections::HashMap;
+use std::io::{Error, ErrorKind, Result};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +16,7 @@
 
 use crate::caller::{Callers, Pick};
 use crate::http::Connection;
-use crate::node::{Options as NodeOptions, Process};
+use crate::node::{Options as NodeOptions, Process, log_path};
 use crate::proxy::{self, Link};
 use crate::record::{Record, Stop};
 use crate::server::{Options as ServerOptions, Server};
@@ -155,21 +156,20 @@
     pub async fn start(options: Options) -> Result<Site> {
         let record = Record::default();
         let store = Store::default();
-        let address = SocketAddr::from((host(STORE_HOST), SERVER_PORT));
-        store.clone().serve(address).await?;
+        let network = Network::claim(&store).await?;
         let mut servers = Vec::new();
         for number in 0..options.servers {
             let server = ServerOptions {
                 id: format_compact!("i-{number}"),
                 service: "service".into(),
                 zone: "a".into(),
-                address: SocketAddr::from((host(FIRST_SERVER_HOST + number), SERVER_PORT)),
+                address: SocketAddr::from((network.host(FIRST_SERVER_HOST + number), SERVER_PORT)),
             };
             servers.push(Server::start(server, store.clone(), record.clone()).await?);
         }
         let mut members = Vec::new();
         for number in 1..=options.nodes {
-            members.push(Arc::new(start_member(&options, number, address).await?));
+            members.push(Arc::new(start_member(&options, number, network).await?));
         }
         let entry = Entry {
             members: members.clone(),
@@ -195,7 +195,7 @@
             }
         };
         let waited = time::timeout(START_TIMEOUT, ready).await;
-        waited.map_err(|_| std::io::Error::other("a node did not become ready"))?;
+        waited.map_err(|_| Error::other("a node did not become ready"))?;
         Ok(site)
     }
 
@@ -259,24 +259,30 @@
         Ok(())
     }
 
-    /// Returns the lines of all nodes' logs that name a request.
+    /// Returns the lines of all nodes' logs by the attempts that they name.
     #[must_use]
-    pub fn log_lines(&self, id: &str) -> Vec<String> {
-        let quoted = format!("\"{id}\"");
-        let mut lines = Vec::new();
+    pub fn log_lines(&self) -> HashMap<CompactString, Vec<String>> {
+        let mut lines: HashMap<CompactString, Vec<String>> = HashMap::new();
         for member in &self.members {
-            let path = crate::node::log_path(&self.options.directory, member.name());
+            let path = log_path(&self.options.directory, member.name());
             let text = std::fs::read_to_string(path).unwrap_or_default();
-            lines.extend(
-                text.lines()
-                    .filter(|line| line.contains(&quoted))
-                    .map(String::from),
-            );
+            for line in text.lines() {
+                if let Some(id) = named_request(line) {
+                    lines.entry(id.into()).or_default().push(line.into());
+                }
+            }
         }
         lines
     }
 }
 
+/// Returns the request that a line of a log names.
+fn named_request(line: &str) -> Option<&str> {
+    let (_, rest) = line.split_once("\"request\":\"")?;
+    let (id, _) = rest.split_once('"')?;
+    Some(id)
+}
+
 fn start_process(options: &Options, node: &NodeOptions) -> Result<Process> {
     let mut process = Process::start(&options.program, &options.directory, node)?;
     if let Some(quota) = options.quota {
@@ -285,14 +291,14 @@
     Ok(process)
 }
 
-async fn start_member(options: &Options, number: u8, store: SocketAddr) -> Result<Member> {
+async fn start_member(options: &Options, number: u8, network: Network) -> Result<Member> {
     let node = NodeOptions {
         name: format_compact!("node-{number}"),
         zone: "a".into(),
         zones: vec!["a".into()],
-        ip: host(number),
+        ip: network.host(number),
         port: NODE_PORT,
-        store,
+        store: network.store(),
         grace: options.grace,
     };
     let mut front = node.callers();
@@ -309,10 +315,33 @@
     })
 }
 
-/// Returns a loopback address that belongs to this process.
-fn host(last: u8) -> Ipv4Addr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 64 | (high & 0x3f), low, last)
+/// Loopback network of a site.
+#[derive(Clone, Copy, Debug)]
+struct Network([u8; 3]);
+
+impl Network {
+    /// Finds a network that no other site uses and starts the store in it.
+    async fn claim(store: &Store) -> Result<Network> {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        for offset in 0..u8::MAX {
+            let network = Network([127, 64 | (high & 0x3f), low.wrapping_add(offset)]);
+            match store.clone().serve(network.store()).await {
+                Ok(()) => return Ok(network),
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Err(Error::other("no loopback network is free"))
+    }
+
+    fn host(self, last: u8) -> Ipv4Addr {
+        let [first, second, third] = self.0;
+        Ipv4Addr::new(first, second, third, last)
+    }
+
+    fn store(self) -> SocketAddr {
+        SocketAddr::from((self.host(STORE_HOST), SERVER_PORT))
+    }
 }
 
 async fn check_readiness(member: Arc<Member>) {
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -111,9 +111,7 @@
                 return Ok(());
             };
             let text = answer.to_string();
-            connection
-                .respond(status, HEADERS, text.as_bytes())
-                .await?;
+            connection.respond(status, HEADERS, text.as_bytes()).await?;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/soak/tests/check.rs
@@ -0,0 +1,184 @@
+//! Feeds the checker violations and allowed cases.
+
+use std::time::Duration;
+
+use jackdaw_soak::check::{Excuse, Verdict, judge};
+use jackdaw_soak::record::{Attempt, End, Received, Run, RunEnd, Seen, Stop};
+use rstest::rstest;
+
+/// Grace period of all cases.
+const GRACE: Duration = Duration::from_secs(8);
+/// When SIGTERM was sent in all cases, in milliseconds.
+const STOP_MS: u64 = 10_000;
+
+/// One attempt at a node that was sent SIGTERM at 10 s, in milliseconds.
+struct Case {
+    sent: u64,
+    cut: u64,
+    deadline: u64,
+    /// Begin and end of the server's work.
+    run: Option<(u64, u64, RunEnd)>,
+    end: End,
+    is_logged: bool,
+    /// An unplanned disruption of the node.
+    disruption: Option<(u64, u64)>,
+    verdict: Verdict,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Case {
+            sent: STOP_MS + 500,
+            cut: STOP_MS + 5_000,
+            deadline: 8_000,
+            run: Some((STOP_MS + 500, STOP_MS + 5_000, RunEnd::Abandoned)),
+            end: End::Cut,
+            is_logged: false,
+            disruption: None,
+            verdict: Verdict::Lost,
+        }
+    }
+}
+
+/// Guards against a checker that passes over a lost answer or counts an allowed one.
+#[rstest]
+#[case::cut_before_the_last_sixth(Case::default())]
+#[case::run_ended_before_the_last_sixth(Case {
+    cut: STOP_MS + 7_000,
+    run: Some((STOP_MS + 500, STOP_MS + 6_600, RunEnd::Complete)),
+    ..Case::default()
+})]
+#[case::sent_too_late_and_passed_on(Case {
+    sent: STOP_MS + 3_010,
+    cut: STOP_MS + 7_900,
+    run: Some((STOP_MS + 3_020, STOP_MS + 7_900, RunEnd::Abandoned)),
+    ..Case::default()
+})]
+#[case::sent_before_the_stop(Case {
+    sent: STOP_MS - 1_000,
+    run: Some((STOP_MS - 990, STOP_MS + 5_000, RunEnd::Abandoned)),
+    ..Case::default()
+})]
+#[case::read_and_not_answered(Case {
+    run: None,
+    is_logged: true,
+    ..Case::default()
+})]
+#[case::no_stop_near(Case {
+    sent: STOP_MS - 5_000,
+    cut: STOP_MS - 1_000,
+    run: Some((STOP_MS - 4_990, STOP_MS - 1_000, RunEnd::Abandoned)),
+    verdict: Verdict::CutOutside,
+    ..Case::default()
+})]
+#[case::after_the_stop(Case {
+    sent: STOP_MS + 8_900,
+    cut: STOP_MS + 9_100,
+    run: Some((STOP_MS + 8_900, STOP_MS + 9_100, RunEnd::Abandoned)),
+    verdict: Verdict::CutOutside,
+    ..Case::default()
+})]
+#[case::wrong_answer(Case {
+    end: End::Wrong { detail: "another body".into() },
+    verdict: Verdict::Wrong,
+    ..Case::default()
+})]
+#[case::whole_answer(Case {
+    end: End::Complete { status: 200 },
+    verdict: Verdict::Answered,
+    ..Case::default()
+})]
+#[case::refused(Case {
+    end: End::Complete { status: 503 },
+    run: None,
+    verdict: Verdict::Answered,
+    ..Case::default()
+})]
+#[case::left_at_the_deadline(Case {
+    end: End::TimedOut,
+    verdict: Verdict::Left,
+    ..Case::default()
+})]
+#[case::deadline_reached(Case {
+    cut: STOP_MS + 2_500,
+    deadline: 2_000,
+    verdict: Verdict::Allowed(Excuse::Deadline),
+    ..Case::default()
+})]
+#[case::server_reached_its_deadline(Case {
+    run: Some((STOP_MS + 500, STOP_MS + 5_000, RunEnd::Deadline)),
+    verdict: Verdict::Allowed(Excuse::Deadline),
+    ..Case::default()
+})]
+#[case::server_broke_off(Case {
+    run: Some((STOP_MS + 500, STOP_MS + 5_000, RunEnd::Broken)),
+    verdict: Verdict::Allowed(Excuse::Server),
+    ..Case::default()
+})]
+#[case::at_work_in_the_last_sixth(Case {
+    sent: STOP_MS + 3_000,
+    cut: STOP_MS + 7_000,
+    run: Some((STOP_MS + 3_000, STOP_MS + 7_000, RunEnd::Abandoned)),
+    verdict: Verdict::Allowed(Excuse::LastSixth),
+    ..Case::default()
+})]
+#[case::crossed_the_close(Case {
+    cut: STOP_MS + 600,
+    run: None,
+    verdict: Verdict::Allowed(Excuse::Crossed),
+    ..Case::default()
+})]
+#[case::not_read(Case {
+    run: None,
+    verdict: Verdict::Allowed(Excuse::Unread),
+    ..Case::default()
+})]
+#[case::disrupted(Case {
+    disruption: Some((STOP_MS + 4_000, STOP_MS + 4_500)),
+    verdict: Verdict::Allowed(Excuse::Disruption),
+    ..Case::default()
+})]
+fn lost_answer_is_told_from_an_allowed_cut(#[case] case: Case) {
+    let ms = Duration::from_millis;
+    let attempt = Attempt {
+        id: "r1".into(),
+        route: "stream".into(),
+        is_repeatable: false,
+        node: "node-1".into(),
+        nth: 1,
+        deadline: ms(case.deadline),
+        events: 10,
+        first_byte: ms(case.sent),
+        last_byte: ms(case.sent),
+        ended: ms(case.cut),
+        received: Received::default(),
+        end: case.end,
+    };
+    let mut seen = Seen::default();
+    seen.stops.push(Stop {
+        node: "node-1".into(),
+        at: ms(STOP_MS),
+        exit: Some((ms(STOP_MS) + GRACE, true)),
+    });
+    // A stop of another node excuses and counts nothing.
+    seen.stops.push(Stop {
+        node: "node-2".into(),
+        at: ms(0),
+        exit: None,
+    });
+    if case.is_logged {
+        seen.logged.insert("r1".into());
+    }
+    if let Some((from, to)) = case.disruption {
+        seen.disruptions.push(("node-1".into(), ms(from), ms(to)));
+    }
+    if let Some((from, to, end)) = case.run {
+        let run = Run {
+            server: "i-0".into(),
+            from: ms(from),
+            end: Some((ms(to), end)),
+        };
+        seen.runs.insert("r1".into(), vec![run]);
+    }
+    assert_eq!(judge(&seen, &attempt, GRACE), case.verdict);
+}
