Inject faults of nodes, store and servers in the soak

Nodes are killed and paused, the store fails or loses answers, servers crash and leave. Checked beside lost answers: a request that may run once runs once, one refused as not run has not run, a leaving server gets no work after the bound, and no process forgets a configuration. Each check has a test that feeds it violations and allowed cases.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,7 +1,9 @@
 //! Decides which answers count as lost, from what was seen outside the nodes.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::fault::DRAIN;
 use crate::record::{Attempt, End, Moment, Run, RunEnd, Seen, Stop};
 
 /// Time after SIGTERM until which requests may be sent to a node that is to end before they do.
@@ -9,6 +11,8 @@
 /// Time after a request's last byte in which a connection may end without an answer if the request
 /// was not passed on.
 pub const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Time from the acknowledgement of a configuration until it must be in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// Time after the grace period that belongs to the stop.
 const AFTER_GRACE: Duration = Duration::from_secs(1);
 
@@ -84,15 +88,24 @@
 /// Returns the last planned stop of the attempt's node before the cut, if it still counts then.
 #[must_use]
 pub fn stop_of<'a>(seen: &'a Seen, attempt: &Attempt, grace: Duration) -> Option<&'a Stop> {
+    let cut = cut_at(seen, attempt);
     let stops = seen.stops.iter().filter(|stop| {
         stop.node == attempt.node
-            && stop.at <= attempt.ended
-            && attempt.ended <= stop.at + grace + AFTER_GRACE
+            && stop.at <= cut
+            && cut <= stop.at + grace + AFTER_GRACE
             && stop.exit.is_none_or(|(exit, _)| attempt.first_byte <= exit)
     });
     stops.max_by_key(|stop| stop.at)
 }
 
+/// Returns when the node cut an answer: the caller may read what is under way for some time after.
+fn cut_at(seen: &Seen, attempt: &Attempt) -> Moment {
+    match last_run(seen, attempt).and_then(|run| run.end) {
+        Some((at, RunEnd::Abandoned)) => at.min(attempt.ended),
+        _ => attempt.ended,
+    }
+}
+
 fn excuse(
     seen: &Seen,
     attempt: &Attempt,
@@ -133,6 +146,98 @@
     run.is_some_and(|run| run.end.is_none_or(|(end, _)| end >= moment))
 }
 
+/// Returns every violation of the rules on single runs and on the configuration.
+#[must_use]
+pub fn audit(seen: &Seen) -> Vec<String> {
+    let mut violations = Vec::new();
+    for attempt in &seen.attempts {
+        check_runs(seen, attempt, &mut violations);
+    }
+    check_probes(seen, &mut violations);
+    violations
+}
+
+/// Checks that a request runs at most once, not after it was refused, and at no leaving server.
+fn check_runs(seen: &Seen, attempt: &Attempt, violations: &mut Vec<String>) {
+    let runs = seen.runs.get(&attempt.id).map_or(&[][..], Vec::as_slice);
+    let id = &attempt.id;
+    if !attempt.is_repeatable && runs.len() > 1 {
+        violations.push(format!("Twice: {id} ran {} times", runs.len()));
+    }
+    let promises = [408, 421, 429, 503].map(|status| End::Complete { status });
+    if !attempt.is_repeatable && promises.contains(&attempt.end) && !runs.is_empty() {
+        violations.push(format!(
+            "Refused: {id} was answered {:?} and ran",
+            attempt.end
+        ));
+    }
+    for run in runs {
+        let mut leaves = seen.leaves.iter();
+        let Some(leave) = leaves.find(|leave| leave.server == run.server) else {
+            continue;
+        };
+        let is_late = run.from > leave.at + DRAIN;
+        if is_late && is_in_touch(seen, &attempt.node, leave.at, run.from) {
+            let late = run.from.saturating_sub(leave.at);
+            violations.push(format!(
+                "Drain: {id} reached {} {late:.3?} after it announced that it drains",
+                run.server
+            ));
+        }
+    }
+}
+
+/// Returns whether a node was without disruption and the store stable for a whole span.
+fn is_in_touch(seen: &Seen, node: &str, from: Moment, to: Moment) -> bool {
+    let overlaps = |begin: Moment, end: Moment| begin <= to && from <= end;
+    let is_disrupted = seen
+        .disruptions
+        .iter()
+        .any(|(name, begin, end)| name == node && overlaps(*begin, *end));
+    let is_stopped = seen
+        .stops
+        .iter()
+        .any(|stop| stop.node == node && overlaps(stop.at, stop.exit.map_or(to, |(exit, _)| exit)));
+    let is_store_down = seen
+        .outages
+        .iter()
+        .any(|(begin, end)| overlaps(*begin, *end));
+    !is_disrupted && !is_stopped && !is_store_down
+}
+
+/// Checks that no process forgets a configuration, and that each one is in force in time.
+fn check_probes(seen: &Seen, violations: &mut Vec<String>) {
+    let mut latest: HashMap<(&str, u32), (u64, Moment)> = HashMap::new();
+    for probe in &seen.probes {
+        let process = (probe.node.as_str(), probe.process);
+        let known = latest.get(&process).copied();
+        if probe.is_known {
+            if known.is_none_or(|(version, _)| probe.version > version) {
+                latest.insert(process, (probe.version, probe.sent));
+            }
+            continue;
+        }
+        if let Some((version, _)) = known.filter(|(version, _)| *version >= probe.version) {
+            violations.push(format!(
+                "Reverted: {} did not know version {} at {:.3?} after it knew {version}",
+                probe.node, probe.version, probe.sent
+            ));
+        }
+        let acknowledged = seen.versions.iter().find(|(own, _)| *own == probe.version);
+        let Some((version, at)) = acknowledged else {
+            continue;
+        };
+        let from = at.saturating_sub(CONFIG_APPLY);
+        if probe.sent > *at + CONFIG_APPLY && is_in_touch(seen, &probe.node, from, probe.sent) {
+            violations.push(format!(
+                "Config: {} did not know version {version} {:.3?} after its acknowledgement",
+                probe.node,
+                probe.sent.saturating_sub(*at)
+            ));
+        }
+    }
+}
+
 /// Describes a violation.
 #[must_use]
 pub fn describe(seen: &Seen, attempt: &Attempt, verdict: Verdict, grace: Duration) -> String {
--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,87 @@
+//! Unplanned faults: processes killed and paused, a store that fails, servers that crash and leave.
+
+use std::io::Result;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use jackdaw_standin::store::Fault as StoreFault;
+use tokio::time;
+
+use crate::record::Leave;
+use crate::site::Site;
+
+/// Time from a server's announcement that it drains until it may end.
+pub const DRAIN: Duration = Duration::from_secs(2);
+/// Time that a draining server serves on after that.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which the registration of a silent server is removed.
+const SILENCE: Duration = Duration::from_millis(3_600);
+
+/// A fault and when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A node's process is killed and started again.
+    Kill,
+    /// A node's process is stopped for a time and continued.
+    Pause(Duration),
+    /// The store fails for a time.
+    Store(StoreFault, Duration),
+    /// A server ends without a word and starts again as another instance.
+    Crash,
+    /// A server announces that it drains, ends and starts again as another instance.
+    Leave,
+}
+
+impl Fault {
+    /// Draws a fault.
+    pub fn draw(random: &mut Rng) -> Fault {
+        let time = Duration::from_millis(random.u64(200..3_000));
+        match random.u32(..6) {
+            0 => Fault::Kill,
+            1 => Fault::Pause(time),
+            2 => Fault::Store(StoreFault::Down, time),
+            3 => Fault::Store(StoreFault::LoseAnswer, time),
+            4 => Fault::Crash,
+            _ => Fault::Leave,
+        }
+    }
+
+    /// Injects the fault at a node or server with a number and waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process or server cannot be started again.
+    pub async fn inject(self, site: Arc<Site>, number: usize) -> Result<()> {
+        match self {
+            Fault::Kill => site.kill(number % site.members.len()).await?,
+            Fault::Pause(span) => site.pause(number % site.members.len(), span).await,
+            Fault::Store(fault, span) => site.fail_store(fault, span).await,
+            Fault::Crash => {
+                let Some(server) = site.take_server(number) else {
+                    return Ok(());
+                };
+                server.crash();
+                time::sleep(SILENCE).await;
+                server.unregister().await;
+                site.start_server(number).await?;
+            }
+            Fault::Leave => {
+                let Some(server) = site.take_server(number) else {
+                    return Ok(());
+                };
+                server.register("draining").await;
+                let leave = Leave {
+                    server: server.id().into(),
+                    at: site.record.now(),
+                };
+                site.record.seen().leaves.push(leave);
+                time::sleep(DRAIN + DRAIN_MARGIN).await;
+                server.unregister().await;
+                server.finish().await;
+                site.start_server(number).await?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -14,6 +14,7 @@
 
 use crate::caller::Order;
 use crate::check::{self, Verdict};
+use crate::fault::Fault;
 use crate::proxy::Link;
 use crate::site::{self, Options, Route, Site};
 
@@ -26,6 +27,8 @@
 const BURST_TIME: Duration = Duration::from_millis(500);
 /// Time that the bodies of slow callers take.
 const SLOW_BODY_TIME: Duration = Duration::from_millis(400);
+/// Number of backend servers.
+const SERVERS: usize = 6;
 /// Most events of a stream.
 const MAX_EVENTS: u32 = 67;
 /// Median number of events of a stream.
@@ -81,6 +84,12 @@
     pub burst: f64,
     /// Time in milliseconds that the bodies of a burst take.
     pub burst_body_ms: u64,
+    /// Size of a request's body in bytes.
+    pub body: usize,
+    /// Size of a stream's event in bytes.
+    pub event: usize,
+    /// Number of unplanned faults in a round.
+    pub faults: u32,
     /// Number of rounds of stops.
     pub rounds: u32,
 }
@@ -99,6 +108,9 @@
     kept: 50,
     burst: 0.0,
     burst_body_ms: 0,
+    body: 300,
+    event: 80,
+    faults: 0,
     rounds: 1,
 };
 
@@ -164,6 +176,22 @@
         rate: 25.0,
         ..PLAIN
     },
+    Play {
+        name: "large-bodies",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        rate: 10.0,
+        body: 200 << 10,
+        ..PLAIN
+    },
+    Play {
+        name: "large-answers",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        rate: 10.0,
+        event: 10 << 10,
+        ..PLAIN
+    },
     Play {
         name: "slow-bodies",
         stops: Sequence::All,
@@ -185,6 +213,17 @@
         burst: 60.0,
         ..PLAIN
     },
+    Play {
+        name: "faults",
+        stops: Sequence::One,
+        rate: 15.0,
+        repeats_signals: true,
+        writes_configurations: true,
+        slow_share: 0.1,
+        faults: 8,
+        rounds: 2,
+        ..PLAIN
+    },
     Play {
         name: "many",
         nodes: 4,
@@ -205,6 +244,8 @@
     pub violations: Vec<String>,
     /// Latest time after SIGTERM at which a request was sent that the node passed on.
     pub last_passed_on: Duration,
+    /// Number of answers to probes of the configuration.
+    pub probes: usize,
     /// Times from SIGTERM to the end of the processes.
     pub exits: Vec<String>,
 }
@@ -233,7 +274,7 @@
         program: program.into(),
         directory,
         nodes: play.nodes,
-        servers: 6,
+        servers: SERVERS as u8,
         link: play.link.map(|(delay, window)| Link {
             delay: Duration::from_millis(delay),
             window,
@@ -249,12 +290,22 @@
         .open_kept(play.kept * usize::from(play.nodes))
         .await;
     let arrivals = tokio::spawn(send(Arc::clone(&site), *play, arrivals_seed));
+    let probes = Rng::with_seed(random.u64(..));
+    let probed = Arc::clone(&site);
+    let probing = tokio::spawn(async move { probed.probe(probes).await });
     time::sleep(CALM).await;
     for _ in 0..play.rounds {
+        let faults = tokio::spawn(inject_faults(
+            Arc::clone(&site),
+            play.faults,
+            random.u64(..),
+        ));
         stop_nodes(&site, play, &mut random).await?;
+        faults.await??;
         time::sleep(Duration::from_millis(random.u64(1_500..3_000))).await;
     }
     arrivals.abort();
+    probing.abort();
     // Callers leave at their deadlines at the latest.
     time::sleep(GRACE).await;
     Ok(report(&site))
@@ -318,6 +369,21 @@
     }
 }
 
+/// Injects faults, of which each begins while the ones before may still go on.
+async fn inject_faults(site: Arc<Site>, count: u32, seed: u64) -> Result<()> {
+    let mut random = Rng::with_seed(seed);
+    let mut injected = JoinSet::new();
+    for _ in 0..count {
+        time::sleep(Duration::from_millis(random.u64(..2_000))).await;
+        let fault = Fault::draw(&mut random);
+        injected.spawn(fault.inject(Arc::clone(&site), random.usize(..SERVERS)));
+    }
+    while let Some(ended) = injected.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
+
 /// Sends signals and writes configurations beside the stop of a node.
 fn disturb(site: &Arc<Site>, play: &Play, number: usize, random: &mut Rng) {
     if play.repeats_signals {
@@ -377,8 +443,8 @@
         deadline: Duration::from_millis(deadline),
         events,
         pause: Duration::from_millis(pause),
-        size: if is_stream { 80 } else { 2_000 },
-        body: 300,
+        size: if is_stream { play.event } else { 2_000 },
+        body: play.body,
         keeps: random.f64() < 0.7,
         reads_slowly: is_slow && random.bool(),
         body_time: match is_slow && random.bool() {
@@ -422,6 +488,8 @@
             report.violations.push(text);
         }
     }
+    report.violations.extend(check::audit(&seen));
+    report.probes = seen.probes.len();
     for stop in &seen.stops {
         let exit = stop
             .exit
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -103,6 +103,30 @@
     pub exit: Option<(Moment, bool)>,
 }
 
+/// A server's acknowledged announcement that it drains.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leave {
+    /// Name of the server.
+    pub server: CompactString,
+    /// When the store acknowledged it.
+    pub at: Moment,
+}
+
+/// A request on a route that one version of the configuration has added.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Node that was asked.
+    pub node: CompactString,
+    /// Number of the node's process.
+    pub process: u32,
+    /// Version that added the route.
+    pub version: u64,
+    /// When the request was sent.
+    pub sent: Moment,
+    /// Whether the node knew the route.
+    pub is_known: bool,
+}
+
 /// Everything that was seen.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -114,6 +138,14 @@
     pub stops: Vec<Stop>,
     /// Identities of the attempts that the nodes' logs name.
     pub logged: HashSet<CompactString>,
+    /// Announcements of leaving servers.
+    pub leaves: Vec<Leave>,
+    /// Answers to probes, in their order at each node.
+    pub probes: Vec<Probe>,
+    /// Versions of the configuration, with the time of their acknowledgement.
+    pub versions: Vec<(u64, Moment)>,
+    /// Disruptions of the store: begin and end.
+    pub outages: Vec<(Moment, Moment)>,
     /// Unplanned disruptions of nodes: name, begin and end.
     pub disruptions: Vec<(CompactString, Moment, Moment)>,
 }
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -1,7 +1,8 @@
 //! Backend servers that answer as the request's headers ask.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -21,6 +22,11 @@
 /// Header with the number of bytes of each event, or of the whole answer.
 pub const SIZE: &str = "x-soak-size";
 
+/// Time that a leaving server gives its requests.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause between two looks at the running requests.
+const IDLE_POLL: Duration = Duration::from_millis(10);
+
 /// Returns the text of an event.
 #[must_use]
 pub fn event(id: &str, number: u32, size: usize) -> String {
@@ -52,7 +58,8 @@
     options: Options,
     store: Store,
     acceptor: JoinHandle<()>,
-    connections: Arc<std::sync::Mutex<Vec<JoinHandle<()>>>>,
+    connections: Arc<Mutex<Vec<JoinHandle<()>>>>,
+    busy: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -63,22 +70,23 @@
     /// Returns an error if the address cannot be bound.
     pub async fn start(options: Options, store: Store, record: Record) -> std::io::Result<Server> {
         let listener = TcpListener::bind(options.address).await?;
-        let connections = Arc::new(std::sync::Mutex::new(Vec::new()));
+        let connections = Arc::new(Mutex::new(Vec::new()));
         let id = options.id.clone();
         let tracked = Arc::clone(&connections);
+        let busy = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&busy);
         let acceptor = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let session = Session {
                     server: id.clone(),
                     record: record.clone(),
+                    busy: Arc::clone(&counted),
                 };
                 let task = tokio::spawn(async move {
                     // A connection that failed has no caller to report to.
                     drop(session.converse(Connection::new(stream)).await);
                 });
-                let mut tasks = tracked
-                    .lock()
-                    .unwrap_or_else(std::sync::PoisonError::into_inner);
+                let mut tasks = tracked.lock().unwrap_or_else(PoisonError::into_inner);
                 tasks.retain(|task: &JoinHandle<()>| !task.is_finished());
                 tasks.push(task);
             }
@@ -88,6 +96,7 @@
             store,
             acceptor,
             connections,
+            busy,
         };
         server.register("ready").await;
         Ok(server)
@@ -115,14 +124,30 @@
         self.store.delete(&self.key()).await;
     }
 
+    /// Gets the name in the store.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.options.id
+    }
+
+    /// Takes no more connections and ends once no request is running.
+    pub async fn finish(&self) {
+        self.acceptor.abort();
+        let idle = async {
+            while self.busy.load(Ordering::SeqCst) > 0 {
+                time::sleep(IDLE_POLL).await;
+            }
+        };
+        // Requests that take longer are broken off.
+        let _ = time::timeout(FINISH_TIMEOUT, idle).await;
+        self.crash();
+    }
+
     /// Ends the server at once, with all its connections.
     pub fn crash(&self) {
         self.acceptor.abort();
         let tasks = self.connections.lock();
-        for task in tasks
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .drain(..)
-        {
+        for task in tasks.unwrap_or_else(PoisonError::into_inner).drain(..) {
             task.abort();
         }
     }
@@ -142,11 +167,13 @@
 struct Session {
     server: CompactString,
     record: Record,
+    busy: Arc<AtomicUsize>,
 }
 
 /// Ends a run as broken if its connection's task is aborted.
 struct Work<'a> {
     record: &'a Record,
+    busy: &'a AtomicUsize,
     id: CompactString,
     number: usize,
     end: RunEnd,
@@ -155,6 +182,7 @@
 impl Drop for Work<'_> {
     fn drop(&mut self) {
         self.record.end_run(&self.id, self.number, self.end);
+        self.busy.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -171,9 +199,11 @@
                 connection.respond(421, &headers, b"").await?;
                 continue;
             }
+            self.busy.fetch_add(1, Ordering::SeqCst);
             let number = self.record.begin_run(&id, &self.server);
             let mut work = Work {
                 record: &self.record,
+                busy: &self.busy,
                 id: id.clone(),
                 number,
                 end: RunEnd::Broken,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,11 +4,13 @@
 use std::io::{Error, ErrorKind, Result};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use compact_str::{CompactString, format_compact};
+use fastrand::Rng;
+use jackdaw_standin::store::Fault;
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -18,7 +20,7 @@
 use crate::http::Connection;
 use crate::node::{Options as NodeOptions, Process, log_path};
 use crate::proxy::{self, Link};
-use crate::record::{Record, Stop};
+use crate::record::{Moment, Probe, Record, Stop};
 use crate::server::{Options as ServerOptions, Server};
 use crate::store::Store;
 
@@ -40,6 +42,12 @@
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Pause between two looks at a process that is to end.
 const EXIT_POLL: Duration = Duration::from_millis(2);
+/// Time after a disruption until its node is in touch again.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time for an answer to a probe of the configuration.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause between two rounds of probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// Time for all nodes to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -82,6 +90,9 @@
     front: SocketAddr,
     process: Mutex<Option<Process>>,
     in_rotation: AtomicBool,
+    process_number: AtomicU32,
+    /// Held while the process is ended, started or paused.
+    lifecycle: tokio::sync::Mutex<()>,
 }
 
 impl Member {
@@ -137,13 +148,14 @@
     pub record: Record,
     /// The platform's store.
     pub store: Store,
-    /// Backend servers.
-    pub servers: Vec<Server>,
+    servers: Mutex<Vec<Option<Server>>>,
+    network: Network,
+    last_instance: AtomicU64,
     /// Nodes.
     pub members: Vec<Arc<Member>>,
     /// Callers.
     pub callers: Arc<Callers>,
-    version: AtomicU64,
+    version: tokio::sync::Mutex<u64>,
 }
 
 impl Site {
@@ -157,16 +169,6 @@
         let record = Record::default();
         let store = Store::default();
         let network = Network::claim(&store).await?;
-        let mut servers = Vec::new();
-        for number in 0..options.servers {
-            let server = ServerOptions {
-                id: format_compact!("i-{number}"),
-                service: "service".into(),
-                zone: "a".into(),
-                address: SocketAddr::from((network.host(FIRST_SERVER_HOST + number), SERVER_PORT)),
-            };
-            servers.push(Server::start(server, store.clone(), record.clone()).await?);
-        }
         let mut members = Vec::new();
         for number in 1..=options.nodes {
             members.push(Arc::new(start_member(&options, number, network).await?));
@@ -179,10 +181,16 @@
             options,
             record,
             store,
-            servers,
+            servers: Mutex::default(),
+            network,
+            last_instance: AtomicU64::new(0),
             members,
-            version: AtomicU64::new(1),
+            version: tokio::sync::Mutex::new(0),
         };
+        for number in 0..usize::from(site.options.servers) {
+            site.servers().push(None);
+            site.start_server(number).await?;
+        }
         site.write_configuration().await;
         for member in &site.members {
             tokio::spawn(check_readiness(Arc::clone(member)));
@@ -199,10 +207,60 @@
         Ok(site)
     }
 
-    /// Writes the configuration with a higher version.
+    fn servers(&self) -> MutexGuard<'_, Vec<Option<Server>>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a server that is running, so that it can be ended.
+    #[must_use]
+    pub fn take_server(&self, number: usize) -> Option<Server> {
+        let mut servers = self.servers();
+        let count = servers.len();
+        servers.get_mut(number % count)?.take()
+    }
+
+    /// Starts a new instance of a server at its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start_server(&self, number: usize) -> Result<()> {
+        let number = number % usize::from(self.options.servers);
+        let instance = self.last_instance.fetch_add(1, Ordering::SeqCst);
+        let host = self.network.host(FIRST_SERVER_HOST + number as u8);
+        let options = ServerOptions {
+            id: format_compact!("i-{number}-{instance}"),
+            service: "service".into(),
+            zone: "a".into(),
+            address: SocketAddr::from((host, SERVER_PORT)),
+        };
+        let server = loop {
+            let record = self.record.clone();
+            match Server::start(options.clone(), self.store.clone(), record).await {
+                Ok(server) => break server,
+                // The listener of the instance before is about to be closed.
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                    time::sleep(EXIT_POLL).await;
+                }
+                Err(error) => return Err(error),
+            }
+        };
+        self.servers()[number] = Some(server);
+        Ok(())
+    }
+
+    /// Writes the configuration with a higher version, which adds one route and keeps all others.
     pub async fn write_configuration(&self) {
-        let version = self.version.fetch_add(3, Ordering::SeqCst);
-        let routes = self.options.routes.iter().map(|route| {
+        let mut latest = self.version.lock().await;
+        *latest += 1;
+        let version = *latest;
+        let probes = (1..=version).map(|version| Route {
+            name: format_compact!("v{version}"),
+            kind: "safe",
+            timeout: PROBE_TIMEOUT,
+        });
+        let routes = self.options.routes.iter().cloned().chain(probes);
+        let routes = routes.map(|route| {
             json!({
                 "name": route.name.as_str(),
                 "hostname": "soak.example",
@@ -226,6 +284,37 @@
             },
         });
         self.store.put("op/config", &configuration).await;
+        let acknowledged = (version, self.record.now());
+        self.record.seen().versions.push(acknowledged);
+    }
+
+    /// Asks each node on the routes of random versions until the task is cancelled.
+    pub async fn probe(&self, mut random: Rng) {
+        loop {
+            for member in &self.members {
+                let versions = self.record.seen().versions.len() as u64;
+                // Cannot be zero, since the first version is written at the start.
+                let version = random.u64(0..versions) + 1;
+                let process = member.process_number.load(Ordering::SeqCst);
+                let sent = self.record.now();
+                let path = format!("/v{version}/p");
+                let answer = time::timeout(PROBE_TIMEOUT, ask(member.options.callers(), &path));
+                let Ok(Ok(Some(status))) = answer.await else {
+                    continue;
+                };
+                let is_same = process == member.process_number.load(Ordering::SeqCst);
+                if is_same && (status == 200 || status == 404) {
+                    self.record.seen().probes.push(Probe {
+                        node: member.options.name.clone(),
+                        process,
+                        version,
+                        sent,
+                        is_known: status == 200,
+                    });
+                }
+            }
+            time::sleep(PROBE_PAUSE).await;
+        }
     }
 
     /// Stops a node as the platform does, and starts its next process.
@@ -235,6 +324,7 @@
     /// Returns an error if the next process cannot be started.
     pub async fn restart(&self, number: usize) -> Result<()> {
         let member = &self.members[number];
+        let _lifecycle = member.lifecycle.lock().await;
         let at = self.record.now();
         let stop = {
             let mut seen = self.record.seen();
@@ -254,8 +344,61 @@
         // Dropping a process kills it.
         drop(member.process().take());
         self.record.seen().stops[stop].exit = Some((self.record.now(), is_killed));
+        self.start_again(number).await
+    }
+
+    /// Kills a node, and starts its next process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the next process cannot be started.
+    pub async fn kill(&self, number: usize) -> Result<()> {
+        let _lifecycle = self.members[number].lifecycle.lock().await;
+        let from = self.record.now();
+        // Dropping a process kills it.
+        drop(self.members[number].process().take());
+        self.start_again(number).await?;
+        self.record_disruption(number, from);
+        Ok(())
+    }
+
+    /// Stops a node's process for a time and continues it.
+    pub async fn pause(&self, number: usize, span: Duration) {
+        let _lifecycle = self.members[number].lifecycle.lock().await;
+        let from = self.record.now();
+        self.members[number].signal(Signal::STOP);
+        time::sleep(span).await;
+        self.members[number].signal(Signal::CONT);
+        self.record_disruption(number, from);
+    }
+
+    fn record_disruption(&self, number: usize, from: Moment) {
+        let to = self.record.now() + STABLE_WINDOW;
+        let name = self.members[number].options.name.clone();
+        self.record.seen().disruptions.push((name, from, to));
+    }
+
+    /// Lets the store fail for a time.
+    pub async fn fail_store(&self, fault: Fault, span: Duration) {
+        let from = self.record.now();
+        self.store.memory().set(fault);
+        time::sleep(span).await;
+        self.store.memory().set(Fault::None);
+        let to = self.record.now() + STABLE_WINDOW;
+        self.record.seen().outages.push((from, to));
+    }
+
+    /// Starts a node's next process after the platform's delay.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    async fn start_again(&self, number: usize) -> Result<()> {
+        let member = &self.members[number];
         time::sleep(RESTART_DELAY).await;
-        *member.process() = Some(start_process(&self.options, &member.options)?);
+        let process = start_process(&self.options, &member.options)?;
+        member.process_number.fetch_add(1, Ordering::SeqCst);
+        *member.process() = Some(process);
         Ok(())
     }
 
@@ -312,6 +455,8 @@
         front,
         process: Mutex::new(Some(process)),
         in_rotation: AtomicBool::new(false),
+        process_number: AtomicU32::new(0),
+        lifecycle: tokio::sync::Mutex::default(),
     })
 }
 
@@ -363,12 +508,21 @@
 }
 
 async fn is_ready(address: SocketAddr) -> Result<bool> {
+    let status = ask(address, "/jackdawstair/readyz").await?;
+    Ok(status == Some(200))
+}
+
+/// Sends a request without a body on a new connection and returns the answer's status.
+async fn ask(address: SocketAddr, path: &str) -> Result<Option<u16>> {
     let mut connection = Connection::new(TcpStream::connect(address).await?);
-    connection
-        .write(b"GET /jackdawstair/readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")
-        .await?;
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: soak.example\r\nX-Jackdawstair-Request-Id: probe\r\n\
+         X-Jackdawstair-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
+        PROBE_TIMEOUT.as_millis()
+    );
+    connection.write(request.as_bytes()).await?;
     let head = connection.read_head(false).await?;
-    Ok(head.is_some_and(|head| head.status() == Some(200)))
+    Ok(head.and_then(|head| head.status()))
 }
 
 /// Creates an empty directory for a run.
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -20,6 +20,8 @@
 
 /// Entries on one page.
 const PAGE_SIZE: usize = 500;
+/// Pause of a writer before it repeats a call.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Headers of each answer.
 const HEADERS: &str = "Content-Type: application/json\r\nStore-Era: 1\r\n";
 
@@ -82,8 +84,10 @@
             then: vec![write],
             ..Transaction::default()
         };
-        // Fails only by an injected fault, under which the writer has no answer either.
-        let _ = self.memory.commit(transaction).await;
+        while self.memory.commit(transaction.clone()).await.is_err() {
+            // An injected fault; the writer repeats the call until it is acknowledged.
+            time::sleep(WRITE_RETRY_DELAY).await;
+        }
     }
 
     /// Serves the interface until the task is cancelled.
