Send large bodies over links with small windows in the soak

Requests that were not wholly sent no longer count as read, and callers before a link have send buffers of its window, so that a written byte has almost been sent.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -71,17 +71,19 @@
 pub struct Callers {
     record: Record,
     entry: Box<dyn Pick>,
+    window: Option<usize>,
     kept: Mutex<Vec<Kept>>,
     last_id: AtomicU64,
 }
 
 impl Callers {
-    /// Creates callers that connect to the nodes that an entry picks.
+    /// Creates callers that connect to the nodes that an entry picks, with send buffers of a size.
     #[must_use]
-    pub fn new(record: Record, entry: Box<dyn Pick>) -> Self {
+    pub fn new(record: Record, entry: Box<dyn Pick>, window: Option<usize>) -> Self {
         Callers {
             record,
             entry,
+            window,
             kept: Mutex::default(),
             last_id: AtomicU64::new(0),
         }
@@ -135,7 +137,7 @@
             deadline: order.deadline,
             events: order.events,
             first_byte: now,
-            last_byte: now,
+            last_byte: None,
             ended: now,
             received: Received::default(),
             end: End::TimedOut,
@@ -221,17 +223,20 @@
             message.extend_from_slice(&body);
             connection.write(&message).await?;
         }
-        attempt.last_byte = self.record.now();
+        attempt.last_byte = Some(self.record.now());
         Ok(())
     }
 
     async fn connect(&self, is_slow: bool) -> Option<Kept> {
         let (node, address) = self.entry.pick();
         let socket = TcpSocket::new_v4().ok()?;
+        let buffers = SockRef::from(&socket);
+        if let Some(window) = self.window {
+            // What is written has then almost been sent.
+            buffers.set_send_buffer_size(window).ok()?;
+        }
         if is_slow {
-            SockRef::from(&socket)
-                .set_recv_buffer_size(SLOW_BUFFER)
-                .ok()?;
+            buffers.set_recv_buffer_size(SLOW_BUFFER).ok()?;
         }
         let connecting = time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
         Some(Kept {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -26,6 +26,8 @@
     /// The server was at work in the last sixth of the grace period on a request that was sent in
     /// time.
     LastSixth,
+    /// The request was not wholly sent.
+    Unsent,
     /// The request crossed the close and was not passed on.
     Crossed,
     /// The request was not passed on, and the node's log does not show that it was read.
@@ -122,7 +124,10 @@
     if matches!(run_end, Some((_, RunEnd::Broken))) {
         return Some(Excuse::Server);
     }
-    if run.is_none() && attempt.ended.saturating_sub(attempt.last_byte) <= LOSS_SLACK {
+    let Some(last_byte) = attempt.last_byte else {
+        return Some(Excuse::Unsent);
+    };
+    if run.is_none() && attempt.ended.saturating_sub(last_byte) <= LOSS_SLACK {
         return Some(Excuse::Crossed);
     }
     if run.is_none() && attempt.received.status.is_none() && !seen.logged.contains(&attempt.id) {
@@ -135,7 +140,7 @@
         return Some(Excuse::Disruption);
     }
     let stop = stop?;
-    let was_sent_in_time = attempt.last_byte <= stop.at + LAST_REQUESTS_TIME;
+    let was_sent_in_time = last_byte <= stop.at + LAST_REQUESTS_TIME;
     if was_sent_in_time && is_at_work_after(run, stop.at + grace * 5 / 6) {
         return Some(Excuse::LastSixth);
     }
@@ -263,7 +268,7 @@
             format!(
                 "SIGTERM at {:.0}: sent {:+.1}, cut {:+.1}, run ended {}, node {exit}",
                 ms(stop.at),
-                since(attempt.last_byte),
+                since(attempt.last_byte.unwrap_or(attempt.ended)),
                 since(attempt.ended),
                 last_run(seen, attempt)
                     .and_then(|run| run.end)
@@ -291,7 +296,7 @@
         attempt.route,
         attempt.node,
         ms(attempt.first_byte),
-        ms(attempt.last_byte),
+        ms(attempt.last_byte.unwrap_or(attempt.ended)),
         ms(attempt.ended),
         ms(attempt.deadline),
     )
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -169,6 +169,12 @@
         quota_ms: Some(25),
         ..PLAIN
     },
+    Play {
+        name: "starved",
+        stops: Sequence::All,
+        quota_ms: Some(5),
+        ..PLAIN
+    },
     Play {
         name: "quota-series",
         stops: Sequence::Series,
@@ -476,7 +482,8 @@
             check::stop_of(&seen, attempt, GRACE),
             seen.runs.contains_key(&attempt.id),
         ) {
-            let sent = attempt.last_byte.saturating_sub(stop.at);
+            let last_byte = attempt.last_byte.unwrap_or(attempt.first_byte);
+            let sent = last_byte.saturating_sub(stop.at);
             report.last_passed_on = report.last_passed_on.max(sent);
         }
         if verdict.is_violation() {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -58,8 +58,8 @@
     pub events: u32,
     /// When the first byte was written.
     pub first_byte: Moment,
-    /// When the last byte was written.
-    pub last_byte: Moment,
+    /// When the last byte was written, if it was.
+    pub last_byte: Option<Moment>,
     /// When the attempt ended.
     pub ended: Moment,
     /// What had arrived by then.
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -177,7 +177,11 @@
             members: members.clone(),
         };
         let site = Site {
-            callers: Arc::new(Callers::new(record.clone(), Box::new(entry))),
+            callers: Arc::new(Callers::new(
+                record.clone(),
+                Box::new(entry),
+                options.link.map(|link| link.window),
+            )),
             options,
             record,
             store,
