--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,511 @@
+//! Plays: plans of arrivals and faults, each fixed by a seed.
+
+use std::collections::BTreeMap;
+use std::io::Result;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fastrand::Rng;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::{self, Instant};
+
+use crate::caller::Order;
+use crate::check::{self, Verdict};
+use crate::fault::Fault;
+use crate::proxy::Link;
+use crate::site::{self, Options, Route, Site};
+
+/// Time from SIGTERM to SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(8);
+/// Time after the first arrival at which the first fault begins.
+const CALM: Duration = Duration::from_secs(3);
+/// Time from the stops to the first request of a burst, and the length of the burst.
+const BURST_START: Duration = Duration::from_millis(2_800);
+const BURST_TIME: Duration = Duration::from_millis(500);
+/// Time that the bodies of slow callers take.
+const SLOW_BODY_TIME: Duration = Duration::from_millis(400);
+/// Number of backend servers.
+const SERVERS: usize = 6;
+/// Most events of a stream.
+const MAX_EVENTS: u32 = 67;
+/// Median number of events of a stream.
+const MEDIAN_EVENTS: f64 = 27.0;
+/// Spread of the logarithm of the number of events.
+const EVENTS_SPREAD: f64 = 0.9;
+
+/// Routes with their time-outs in milliseconds: two of streams and one of whole answers.
+const TILES: (&str, u64) = ("tile-match", 8_000);
+const BRIEFS: (&str, u64) = ("brief", 6_000);
+const LOOKUPS: (&str, u64) = ("lookup", 1_500);
+
+/// In which order the nodes are stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sequence {
+    /// One node.
+    One,
+    /// One node after the other.
+    Series,
+    /// Each node while the one before is still stopping.
+    Overlapping,
+    /// All nodes at once.
+    All,
+}
+
+/// A play.
+#[derive(Clone, Copy, Debug)]
+pub struct Play {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Number of nodes.
+    pub nodes: u8,
+    /// Requests in a second per node.
+    pub rate: f64,
+    /// Processor time of a node in each tenth of a second, in milliseconds.
+    pub quota_ms: Option<u64>,
+    /// Delay in milliseconds and window in bytes of the link between callers and nodes.
+    pub link: Option<(u64, usize)>,
+    /// Order of the stops.
+    pub stops: Sequence,
+    /// Whether a second SIGTERM and SIGHUPs come beside each stop.
+    pub repeats_signals: bool,
+    /// Whether configurations are written beside the stops.
+    pub writes_configurations: bool,
+    /// Share of streams that last until their deadline.
+    pub long_share: f64,
+    /// Share of callers that read or write slowly.
+    pub slow_share: f64,
+    /// Kept connections per node at the start.
+    pub kept: usize,
+    /// Long streams in a second per node around the last moment at which a stopping node takes
+    /// requests.
+    pub burst: f64,
+    /// Time in milliseconds that the bodies of a burst take.
+    pub burst_body_ms: u64,
+    /// Size of a request's body in bytes.
+    pub body: usize,
+    /// Size of a stream's event in bytes.
+    pub event: usize,
+    /// Number of unplanned faults in a round.
+    pub faults: u32,
+    /// Number of rounds of stops.
+    pub rounds: u32,
+}
+
+const PLAIN: Play = Play {
+    name: "one",
+    nodes: 3,
+    rate: 30.0,
+    quota_ms: None,
+    link: None,
+    stops: Sequence::One,
+    repeats_signals: false,
+    writes_configurations: false,
+    long_share: 0.0,
+    slow_share: 0.0,
+    kept: 50,
+    burst: 0.0,
+    burst_body_ms: 0,
+    body: 300,
+    event: 80,
+    faults: 0,
+    rounds: 1,
+};
+
+/// All plays.
+pub const PLAYS: &[Play] = &[
+    PLAIN,
+    Play {
+        name: "series",
+        stops: Sequence::Series,
+        ..PLAIN
+    },
+    Play {
+        name: "overlapping",
+        stops: Sequence::Overlapping,
+        ..PLAIN
+    },
+    Play {
+        name: "all",
+        stops: Sequence::All,
+        rounds: 2,
+        ..PLAIN
+    },
+    Play {
+        name: "signals",
+        stops: Sequence::Overlapping,
+        repeats_signals: true,
+        ..PLAIN
+    },
+    Play {
+        name: "configurations",
+        stops: Sequence::Overlapping,
+        writes_configurations: true,
+        ..PLAIN
+    },
+    Play {
+        name: "deadlines",
+        stops: Sequence::All,
+        long_share: 0.5,
+        ..PLAIN
+    },
+    Play {
+        name: "slow-callers",
+        stops: Sequence::All,
+        slow_share: 0.3,
+        ..PLAIN
+    },
+    Play {
+        name: "links",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        ..PLAIN
+    },
+    Play {
+        name: "quota",
+        stops: Sequence::All,
+        quota_ms: Some(25),
+        ..PLAIN
+    },
+    Play {
+        name: "starved",
+        stops: Sequence::All,
+        quota_ms: Some(5),
+        ..PLAIN
+    },
+    Play {
+        name: "quota-series",
+        stops: Sequence::Series,
+        quota_ms: Some(25),
+        rate: 25.0,
+        ..PLAIN
+    },
+    Play {
+        name: "large-bodies",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        rate: 10.0,
+        body: 200 << 10,
+        ..PLAIN
+    },
+    Play {
+        name: "large-answers",
+        stops: Sequence::All,
+        link: Some((8, 4 << 10)),
+        rate: 10.0,
+        event: 10 << 10,
+        ..PLAIN
+    },
+    Play {
+        name: "slow-bodies",
+        stops: Sequence::All,
+        rate: 5.0,
+        burst: 30.0,
+        burst_body_ms: 1_000,
+        ..PLAIN
+    },
+    Play {
+        name: "boundary",
+        stops: Sequence::All,
+        burst: 60.0,
+        ..PLAIN
+    },
+    Play {
+        name: "boundary-quota",
+        stops: Sequence::All,
+        quota_ms: Some(25),
+        burst: 60.0,
+        ..PLAIN
+    },
+    Play {
+        name: "faults",
+        stops: Sequence::One,
+        rate: 15.0,
+        repeats_signals: true,
+        writes_configurations: true,
+        slow_share: 0.1,
+        faults: 8,
+        rounds: 2,
+        ..PLAIN
+    },
+    Play {
+        name: "many",
+        nodes: 4,
+        stops: Sequence::All,
+        rate: 50.0,
+        kept: 300,
+        rounds: 2,
+        ..PLAIN
+    },
+];
+
+/// Result of a play.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Number of attempts by route and verdict.
+    pub counts: BTreeMap<(CompactString, Verdict), usize>,
+    /// Description of each violation, with the nodes' log lines on it.
+    pub violations: Vec<String>,
+    /// Latest time after SIGTERM at which a request was sent that the node passed on.
+    pub last_passed_on: Duration,
+    /// Number of answers to probes of the configuration.
+    pub probes: usize,
+    /// Times from SIGTERM to the end of the processes.
+    pub exits: Vec<String>,
+}
+
+fn routes() -> Vec<Route> {
+    let route = |(name, millis): (&str, u64), kind| Route {
+        name: name.into(),
+        kind,
+        timeout: Duration::from_millis(millis),
+    };
+    vec![
+        route(TILES, "stream"),
+        route(BRIEFS, "stream"),
+        route(LOOKUPS, "safe"),
+    ]
+}
+
+/// Runs a play.
+///
+/// # Errors
+///
+/// Returns an error if the site cannot be started.
+pub async fn run(play: &Play, seed: u64, program: &Path, directory: &Path) -> Result<Report> {
+    let directory = site::create_directory(directory, &format!("{}-{seed}", play.name))?;
+    let options = Options {
+        program: program.into(),
+        directory,
+        nodes: play.nodes,
+        servers: SERVERS as u8,
+        link: play.link.map(|(delay, window)| Link {
+            delay: Duration::from_millis(delay),
+            window,
+        }),
+        quota: play.quota_ms.map(Duration::from_millis),
+        grace: GRACE,
+        routes: routes(),
+    };
+    let site = Arc::new(Site::start(options).await?);
+    let mut random = Rng::with_seed(seed);
+    let arrivals_seed = random.u64(..);
+    site.callers
+        .open_kept(play.kept * usize::from(play.nodes))
+        .await;
+    let arrivals = tokio::spawn(send(Arc::clone(&site), *play, arrivals_seed));
+    let probes = Rng::with_seed(random.u64(..));
+    let probed = Arc::clone(&site);
+    let probing = tokio::spawn(async move { probed.probe(probes).await });
+    time::sleep(CALM).await;
+    for _ in 0..play.rounds {
+        let faults = tokio::spawn(inject_faults(
+            Arc::clone(&site),
+            play.faults,
+            random.u64(..),
+        ));
+        stop_nodes(&site, play, &mut random).await?;
+        faults.await??;
+        time::sleep(Duration::from_millis(random.u64(1_500..3_000))).await;
+    }
+    arrivals.abort();
+    probing.abort();
+    // Callers leave at their deadlines at the latest.
+    time::sleep(GRACE).await;
+    Ok(report(&site))
+}
+
+async fn stop_nodes(site: &Arc<Site>, play: &Play, random: &mut Rng) -> Result<()> {
+    let numbers: Vec<usize> = match play.stops {
+        Sequence::One => vec![random.usize(..usize::from(play.nodes))],
+        Sequence::Series | Sequence::Overlapping | Sequence::All => {
+            let mut numbers: Vec<usize> = (0..usize::from(play.nodes)).collect();
+            random.shuffle(&mut numbers);
+            numbers
+        }
+    };
+    let mut stopping = JoinSet::new();
+    if play.burst > 0.0 {
+        tokio::spawn(burst(Arc::clone(site), *play, random.u64(..)));
+    }
+    for number in numbers {
+        let stopped = Arc::clone(site);
+        stopping.spawn(async move { stopped.restart(number).await });
+        disturb(site, play, number, random);
+        match play.stops {
+            Sequence::One | Sequence::Series => {
+                while stopping.join_next().await.transpose()?.is_some() {}
+            }
+            Sequence::Overlapping => {
+                time::sleep(Duration::from_millis(random.u64(500..5_000))).await;
+            }
+            Sequence::All => time::sleep(Duration::from_millis(random.u64(..20))).await,
+        }
+    }
+    while let Some(stopped) = stopping.join_next().await {
+        stopped??;
+    }
+    Ok(())
+}
+
+/// Sends long streams around the moment after which a stopping node takes no more requests.
+async fn burst(site: Arc<Site>, play: Play, seed: u64) {
+    let mut random = Rng::with_seed(seed);
+    let rate = play.burst * f64::from(play.nodes);
+    let body_time = Duration::from_millis(play.burst_body_ms);
+    let mut due = Instant::now() + BURST_START.saturating_sub(body_time);
+    let end = due + BURST_TIME;
+    while due < end {
+        due += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / rate);
+        time::sleep_until(due).await;
+        let (route, deadline) = if random.bool() { TILES } else { BRIEFS };
+        let order = Order {
+            route: route.into(),
+            is_repeatable: false,
+            deadline: Duration::from_millis(deadline),
+            events: MAX_EVENTS,
+            pause: Duration::from_millis(random.u64(80..110)),
+            body_time,
+            ..draw_order(&play, &mut random)
+        };
+        let callers = Arc::clone(&site.callers);
+        tokio::spawn(async move { callers.call(&order).await });
+    }
+}
+
+/// Injects faults, of which each begins while the ones before may still go on.
+async fn inject_faults(site: Arc<Site>, count: u32, seed: u64) -> Result<()> {
+    let mut random = Rng::with_seed(seed);
+    let mut injected = JoinSet::new();
+    for _ in 0..count {
+        time::sleep(Duration::from_millis(random.u64(..2_000))).await;
+        let fault = Fault::draw(&mut random);
+        injected.spawn(fault.inject(Arc::clone(&site), random.usize(..SERVERS)));
+    }
+    while let Some(ended) = injected.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
+
+/// Sends signals and writes configurations beside the stop of a node.
+fn disturb(site: &Arc<Site>, play: &Play, number: usize, random: &mut Rng) {
+    if play.repeats_signals {
+        for signal in [Signal::HUP, Signal::TERM, Signal::HUP] {
+            let site = Arc::clone(site);
+            let delay = Duration::from_millis(random.u64(..6_000));
+            tokio::spawn(async move {
+                time::sleep(delay).await;
+                site.members[number].signal(signal);
+            });
+        }
+    }
+    if play.writes_configurations {
+        let delays: Vec<u64> = (0..6).map(|_| random.u64(..7_000)).collect();
+        for delay in delays {
+            let site = Arc::clone(site);
+            tokio::spawn(async move {
+                time::sleep(Duration::from_millis(delay)).await;
+                site.write_configuration().await;
+            });
+        }
+    }
+}
+
+/// Sends requests at random intervals until the task is cancelled.
+async fn send(site: Arc<Site>, play: Play, seed: u64) {
+    let mut random = Rng::with_seed(seed);
+    let rate = play.rate * f64::from(play.nodes);
+    let mut due = Instant::now();
+    loop {
+        due += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / rate);
+        time::sleep_until(due).await;
+        let order = draw_order(&play, &mut random);
+        let callers = Arc::clone(&site.callers);
+        tokio::spawn(async move { callers.call(&order).await });
+    }
+}
+
+fn draw_order(play: &Play, random: &mut Rng) -> Order {
+    let (route, deadline) = match random.u32(..151) {
+        0..29 => TILES,
+        29..116 => BRIEFS,
+        _ => LOOKUPS,
+    };
+    let is_stream = route != LOOKUPS.0;
+    let mut pause = random.u64(36..150);
+    let mut events = if is_stream { draw_events(random) } else { 0 };
+    if is_stream && random.f64() < play.long_share {
+        // Ends shortly before the deadline.
+        pause = 100;
+        events = (deadline / pause) as u32 - 2;
+    }
+    let is_slow = random.f64() < play.slow_share;
+    Order {
+        route: route.into(),
+        is_repeatable: !is_stream,
+        deadline: Duration::from_millis(deadline),
+        events,
+        pause: Duration::from_millis(pause),
+        size: if is_stream { play.event } else { 2_000 },
+        body: play.body,
+        keeps: random.f64() < 0.7,
+        reads_slowly: is_slow && random.bool(),
+        body_time: match is_slow && random.bool() {
+            true => SLOW_BODY_TIME,
+            false => Duration::ZERO,
+        },
+    }
+}
+
+fn draw_events(random: &mut Rng) -> u32 {
+    let normal = (-2.0 * (1.0 - random.f64()).ln()).sqrt()
+        * (2.0 * std::f64::consts::PI * random.f64()).cos();
+    let events = MEDIAN_EVENTS * (EVENTS_SPREAD * normal).exp();
+    (events as u32).clamp(1, MAX_EVENTS)
+}
+
+fn report(site: &Site) -> Report {
+    let mut report = Report::default();
+    let lines = site.log_lines();
+    let mut seen = site.record.seen();
+    seen.logged = lines.keys().cloned().collect();
+    for attempt in &seen.attempts {
+        let verdict = check::judge(&seen, attempt, GRACE);
+        *report
+            .counts
+            .entry((attempt.route.clone(), verdict))
+            .or_default() += 1;
+        if let (Some(stop), true) = (
+            check::stop_of(&seen, attempt, GRACE),
+            seen.runs.contains_key(&attempt.id),
+        ) {
+            let last_byte = attempt.last_byte.unwrap_or(attempt.first_byte);
+            let sent = last_byte.saturating_sub(stop.at);
+            report.last_passed_on = report.last_passed_on.max(sent);
+        }
+        if verdict.is_violation() {
+            let mut text = check::describe(&seen, attempt, verdict, GRACE);
+            for line in lines.get(&attempt.id).into_iter().flatten() {
+                text.push_str("\n    ");
+                text.push_str(line);
+            }
+            report.violations.push(text);
+        }
+    }
+    report.violations.extend(check::audit(&seen));
+    report.probes = seen.probes.len();
+    for stop in &seen.stops {
+        let exit = stop
+            .exit
+            .map(|(at, is_killed)| (at.saturating_sub(stop.at), is_killed));
+        report.exits.push(match exit {
+            Some((time, true)) => format!("{} killed after {time:.1?}", stop.node),
+            Some((time, false)) => format!("{} exited after {time:.1?}", stop.node),
+            None => format!("{} still up", stop.node),
+        });
+    }
+    report
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,544 @@
+//! A whole site: store, backend servers, nodes, entry and callers.
+
+use std::collections::HashMap;
+use std::io::{Error, ErrorKind, Result};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use fastrand::Rng;
+use jackdaw_standin::store::Fault;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::caller::{Callers, Pick};
+use crate::http::Connection;
+use crate::node::{Options as NodeOptions, Process, log_path};
+use crate::proxy::{self, Link};
+use crate::record::{Moment, Probe, Record, Stop};
+use crate::server::{Options as ServerOptions, Server};
+use crate::store::Store;
+
+/// Port for callers on each node's own address.
+const NODE_PORT: u16 = 8_300;
+/// Port of the proxy before each node.
+const PROXY_PORT: u16 = 8_200;
+/// Port of the servers and the store.
+const SERVER_PORT: u16 = 8_100;
+/// Last byte of the store's address; the servers and the nodes have smaller ones.
+const STORE_HOST: u8 = 250;
+/// Last byte of the first server's address.
+const FIRST_SERVER_HOST: u8 = 150;
+/// Time between two readiness checks, and for an answer to one.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Failed checks in a row after which a node gets no new connections.
+const MAX_MISSES: u32 = 2;
+/// Time between the end of a process and the start of the next one.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Pause between two looks at a process that is to end.
+const EXIT_POLL: Duration = Duration::from_millis(2);
+/// Time after a disruption until its node is in touch again.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time for an answer to a probe of the configuration.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause between two rounds of probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
+/// Time for all nodes to become ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A route of the site.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name and prefix.
+    pub name: CompactString,
+    /// Type in the platform's words.
+    pub kind: &'static str,
+    /// Longest time for an answer.
+    pub timeout: Duration,
+}
+
+/// Size and properties of a site.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Program of the nodes.
+    pub program: PathBuf,
+    /// Directory for settings and logs.
+    pub directory: PathBuf,
+    /// Number of nodes.
+    pub nodes: u8,
+    /// Number of backend servers.
+    pub servers: u8,
+    /// Link between callers and nodes; none for a direct connection.
+    pub link: Option<Link>,
+    /// Processor time of a node in each tenth of a second.
+    pub quota: Option<Duration>,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Routes.
+    pub routes: Vec<Route>,
+}
+
+/// One node with its current process.
+#[derive(Debug)]
+pub struct Member {
+    options: NodeOptions,
+    front: SocketAddr,
+    process: Mutex<Option<Process>>,
+    in_rotation: AtomicBool,
+    process_number: AtomicU32,
+    /// Held while the process is ended, started or paused.
+    lifecycle: tokio::sync::Mutex<()>,
+}
+
+impl Member {
+    /// Gets the node's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.options.name
+    }
+
+    fn process(&self) -> MutexGuard<'_, Option<Process>> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a signal to the current process, if there is one.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(process) = self.process().as_ref() {
+            // Fails only if the process has just ended.
+            let _ = process.signal(signal);
+        }
+    }
+
+    /// Returns whether the process has ended.
+    fn has_exited(&self) -> bool {
+        match self.process().as_mut() {
+            Some(process) => !matches!(process.try_wait(), Ok(None)),
+            None => true,
+        }
+    }
+}
+
+/// The platform's entry, which picks nodes for new connections.
+struct Entry {
+    members: Vec<Arc<Member>>,
+}
+
+impl Pick for Entry {
+    fn pick(&self) -> (CompactString, SocketAddr) {
+        let in_rotation = |member: &&Arc<Member>| member.in_rotation.load(Ordering::SeqCst);
+        let usable: Vec<&Arc<Member>> = self.members.iter().filter(in_rotation).collect();
+        let member = if usable.len() * 2 < self.members.len() {
+            &self.members[fastrand::usize(..self.members.len())]
+        } else {
+            usable[fastrand::usize(..usable.len())]
+        };
+        (member.options.name.clone(), member.front)
+    }
+}
+
+/// A running site.
+pub struct Site {
+    options: Options,
+    /// What was seen.
+    pub record: Record,
+    /// The platform's store.
+    pub store: Store,
+    servers: Mutex<Vec<Option<Server>>>,
+    network: Network,
+    last_instance: AtomicU64,
+    /// Nodes.
+    pub members: Vec<Arc<Member>>,
+    /// Callers.
+    pub callers: Arc<Callers>,
+    version: tokio::sync::Mutex<u64>,
+}
+
+impl Site {
+    /// Starts a site and waits until all nodes are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound, a process cannot be started or a node does
+    /// not become ready.
+    pub async fn start(options: Options) -> Result<Site> {
+        let record = Record::default();
+        let store = Store::default();
+        let network = Network::claim(&store).await?;
+        let mut members = Vec::new();
+        for number in 1..=options.nodes {
+            members.push(Arc::new(start_member(&options, number, network).await?));
+        }
+        let entry = Entry {
+            members: members.clone(),
+        };
+        let site = Site {
+            callers: Arc::new(Callers::new(
+                record.clone(),
+                Box::new(entry),
+                options.link.map(|link| link.window),
+            )),
+            options,
+            record,
+            store,
+            servers: Mutex::default(),
+            network,
+            last_instance: AtomicU64::new(0),
+            members,
+            version: tokio::sync::Mutex::new(0),
+        };
+        for number in 0..usize::from(site.options.servers) {
+            site.servers().push(None);
+            site.start_server(number).await?;
+        }
+        site.write_configuration().await;
+        for member in &site.members {
+            tokio::spawn(check_readiness(Arc::clone(member)));
+        }
+        let ready = async {
+            for member in &site.members {
+                while !member.in_rotation.load(Ordering::SeqCst) {
+                    time::sleep(EXIT_POLL).await;
+                }
+            }
+        };
+        let waited = time::timeout(START_TIMEOUT, ready).await;
+        waited.map_err(|_| Error::other("a node did not become ready"))?;
+        Ok(site)
+    }
+
+    fn servers(&self) -> MutexGuard<'_, Vec<Option<Server>>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a server that is running, so that it can be ended.
+    #[must_use]
+    pub fn take_server(&self, number: usize) -> Option<Server> {
+        let mut servers = self.servers();
+        let count = servers.len();
+        servers.get_mut(number % count)?.take()
+    }
+
+    /// Starts a new instance of a server at its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start_server(&self, number: usize) -> Result<()> {
+        let number = number % usize::from(self.options.servers);
+        let instance = self.last_instance.fetch_add(1, Ordering::SeqCst);
+        let host = self.network.host(FIRST_SERVER_HOST + number as u8);
+        let options = ServerOptions {
+            id: format_compact!("i-{number}-{instance}"),
+            service: "service".into(),
+            zone: "a".into(),
+            address: SocketAddr::from((host, SERVER_PORT)),
+        };
+        let server = loop {
+            let record = self.record.clone();
+            match Server::start(options.clone(), self.store.clone(), record).await {
+                Ok(server) => break server,
+                // The listener of the instance before is about to be closed.
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {
+                    time::sleep(EXIT_POLL).await;
+                }
+                Err(error) => return Err(error),
+            }
+        };
+        self.servers()[number] = Some(server);
+        Ok(())
+    }
+
+    /// Writes the configuration with a higher version, which adds one route and keeps all others.
+    pub async fn write_configuration(&self) {
+        let mut latest = self.version.lock().await;
+        *latest += 1;
+        let version = *latest;
+        let probes = (1..=version).map(|version| Route {
+            name: format_compact!("v{version}"),
+            kind: "safe",
+            timeout: PROBE_TIMEOUT,
+        });
+        let routes = self.options.routes.iter().cloned().chain(probes);
+        let routes = routes.map(|route| {
+            json!({
+                "name": route.name.as_str(),
+                "hostname": "soak.example",
+                "prefix": format!("/{}/", route.name),
+                "route_type": route.kind,
+                "timeout_ms": route.timeout.as_millis() as u64,
+                "target_latency_ms": 1_000,
+                "max_attempts": 3,
+                "service": "service",
+            })
+        });
+        let configuration = json!({
+            "version": version,
+            "routes": routes.collect::<Vec<_>>(),
+            "services": [{ "name": "service", "max_connections": 1_000 }],
+            "limits": {
+                "max_header_bytes": 16_384,
+                "max_body_bytes": 4_194_304,
+                "header_timeout_ms": 10_000,
+                "idle_timeout_ms": 60_000,
+            },
+        });
+        self.store.put("op/config", &configuration).await;
+        let acknowledged = (version, self.record.now());
+        self.record.seen().versions.push(acknowledged);
+    }
+
+    /// Asks each node on the routes of random versions until the task is cancelled.
+    pub async fn probe(&self, mut random: Rng) {
+        loop {
+            for member in &self.members {
+                let versions = self.record.seen().versions.len() as u64;
+                // Cannot be zero, since the first version is written at the start.
+                let version = random.u64(0..versions) + 1;
+                let process = member.process_number.load(Ordering::SeqCst);
+                let sent = self.record.now();
+                let path = format!("/v{version}/p");
+                let answer = time::timeout(PROBE_TIMEOUT, ask(member.options.callers(), &path));
+                let Ok(Ok(Some(status))) = answer.await else {
+                    continue;
+                };
+                let is_same = process == member.process_number.load(Ordering::SeqCst);
+                if is_same && (status == 200 || status == 404) {
+                    self.record.seen().probes.push(Probe {
+                        node: member.options.name.clone(),
+                        process,
+                        version,
+                        sent,
+                        is_known: status == 200,
+                    });
+                }
+            }
+            time::sleep(PROBE_PAUSE).await;
+        }
+    }
+
+    /// Stops a node as the platform does, and starts its next process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the next process cannot be started.
+    pub async fn restart(&self, number: usize) -> Result<()> {
+        let member = &self.members[number];
+        let _lifecycle = member.lifecycle.lock().await;
+        let at = self.record.now();
+        let stop = {
+            let mut seen = self.record.seen();
+            seen.stops.push(Stop {
+                node: member.options.name.clone(),
+                at,
+                exit: None,
+            });
+            seen.stops.len() - 1
+        };
+        member.signal(Signal::TERM);
+        let due = at + self.options.grace;
+        while !member.has_exited() && self.record.now() < due {
+            time::sleep(EXIT_POLL).await;
+        }
+        let is_killed = !member.has_exited();
+        // Dropping a process kills it.
+        drop(member.process().take());
+        self.record.seen().stops[stop].exit = Some((self.record.now(), is_killed));
+        self.start_again(number).await
+    }
+
+    /// Kills a node, and starts its next process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the next process cannot be started.
+    pub async fn kill(&self, number: usize) -> Result<()> {
+        let _lifecycle = self.members[number].lifecycle.lock().await;
+        let from = self.record.now();
+        // Dropping a process kills it.
+        drop(self.members[number].process().take());
+        self.start_again(number).await?;
+        self.record_disruption(number, from);
+        Ok(())
+    }
+
+    /// Stops a node's process for a time and continues it.
+    pub async fn pause(&self, number: usize, span: Duration) {
+        let _lifecycle = self.members[number].lifecycle.lock().await;
+        let from = self.record.now();
+        self.members[number].signal(Signal::STOP);
+        time::sleep(span).await;
+        self.members[number].signal(Signal::CONT);
+        self.record_disruption(number, from);
+    }
+
+    fn record_disruption(&self, number: usize, from: Moment) {
+        let to = self.record.now() + STABLE_WINDOW;
+        let name = self.members[number].options.name.clone();
+        self.record.seen().disruptions.push((name, from, to));
+    }
+
+    /// Lets the store fail for a time.
+    pub async fn fail_store(&self, fault: Fault, span: Duration) {
+        let from = self.record.now();
+        self.store.memory().set(fault);
+        time::sleep(span).await;
+        self.store.memory().set(Fault::None);
+        let to = self.record.now() + STABLE_WINDOW;
+        self.record.seen().outages.push((from, to));
+    }
+
+    /// Starts a node's next process after the platform's delay.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    async fn start_again(&self, number: usize) -> Result<()> {
+        let member = &self.members[number];
+        time::sleep(RESTART_DELAY).await;
+        let process = start_process(&self.options, &member.options)?;
+        member.process_number.fetch_add(1, Ordering::SeqCst);
+        *member.process() = Some(process);
+        Ok(())
+    }
+
+    /// Returns the lines of all nodes' logs by the attempts that they name.
+    #[must_use]
+    pub fn log_lines(&self) -> HashMap<CompactString, Vec<String>> {
+        let mut lines: HashMap<CompactString, Vec<String>> = HashMap::new();
+        for member in &self.members {
+            let path = log_path(&self.options.directory, member.name());
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            for line in text.lines() {
+                if let Some(id) = named_request(line) {
+                    lines.entry(id.into()).or_default().push(line.into());
+                }
+            }
+        }
+        lines
+    }
+}
+
+/// Returns the request that a line of a log names.
+fn named_request(line: &str) -> Option<&str> {
+    let (_, rest) = line.split_once("\"request\":\"")?;
+    let (id, _) = rest.split_once('"')?;
+    Some(id)
+}
+
+fn start_process(options: &Options, node: &NodeOptions) -> Result<Process> {
+    let mut process = Process::start(&options.program, &options.directory, node)?;
+    if let Some(quota) = options.quota {
+        process.set_quota(quota)?;
+    }
+    Ok(process)
+}
+
+async fn start_member(options: &Options, number: u8, network: Network) -> Result<Member> {
+    let node = NodeOptions {
+        name: format_compact!("node-{number}"),
+        zone: "a".into(),
+        zones: vec!["a".into()],
+        ip: network.host(number),
+        port: NODE_PORT,
+        store: network.store(),
+        grace: options.grace,
+    };
+    let mut front = node.callers();
+    if let Some(link) = options.link {
+        front = SocketAddr::from((node.ip, PROXY_PORT));
+        proxy::forward(front, node.callers(), link).await?;
+    }
+    let process = start_process(options, &node)?;
+    Ok(Member {
+        options: node,
+        front,
+        process: Mutex::new(Some(process)),
+        in_rotation: AtomicBool::new(false),
+        process_number: AtomicU32::new(0),
+        lifecycle: tokio::sync::Mutex::default(),
+    })
+}
+
+/// Loopback network of a site.
+#[derive(Clone, Copy, Debug)]
+struct Network([u8; 3]);
+
+impl Network {
+    /// Finds a network that no other site uses and starts the store in it.
+    async fn claim(store: &Store) -> Result<Network> {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        for offset in 0..u8::MAX {
+            let network = Network([127, 64 | (high & 0x3f), low.wrapping_add(offset)]);
+            match store.clone().serve(network.store()).await {
+                Ok(()) => return Ok(network),
+                Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Err(Error::other("no loopback network is free"))
+    }
+
+    fn host(self, last: u8) -> Ipv4Addr {
+        let [first, second, third] = self.0;
+        Ipv4Addr::new(first, second, third, last)
+    }
+
+    fn store(self) -> SocketAddr {
+        SocketAddr::from((self.host(STORE_HOST), SERVER_PORT))
+    }
+}
+
+async fn check_readiness(member: Arc<Member>) {
+    let mut misses = 0;
+    let mut ticks = time::interval(CHECK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let checked = time::timeout(CHECK_INTERVAL, is_ready(member.options.readiness())).await;
+        if matches!(checked, Ok(Ok(true))) {
+            misses = 0;
+            member.in_rotation.store(true, Ordering::SeqCst);
+            continue;
+        }
+        misses += 1;
+        if misses >= MAX_MISSES {
+            member.in_rotation.store(false, Ordering::SeqCst);
+        }
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> Result<bool> {
+    let status = ask(address, "/jackdawstair/readyz").await?;
+    Ok(status == Some(200))
+}
+
+/// Sends a request without a body on a new connection and returns the answer's status.
+async fn ask(address: SocketAddr, path: &str) -> Result<Option<u16>> {
+    let mut connection = Connection::new(TcpStream::connect(address).await?);
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: soak.example\r\nX-Jackdawstair-Request-Id: probe\r\n\
+         X-Jackdawstair-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
+        PROBE_TIMEOUT.as_millis()
+    );
+    connection.write(request.as_bytes()).await?;
+    let head = connection.read_head(false).await?;
+    Ok(head.and_then(|head| head.status()))
+}
+
+/// Creates an empty directory for a run.
+///
+/// # Errors
+///
+/// Returns an error if the directory cannot be created.
+pub fn create_directory(parent: &Path, name: &str) -> Result<PathBuf> {
+    let path = parent.join(name);
+    if path.exists() {
+        std::fs::remove_dir_all(&path)?;
+    }
+    std::fs::create_dir_all(&path)?;
+    Ok(path)
+}
