Stop the timer of a connection once its head is read

What callers saw: a node closed a kept connection right behind a stream's last chunk, without `Connection: close` in the head; a request sent then met the close and got no answer. The longer the stream, the more often. Cause: the HTTP library has one timer a connection. It starts it for the head of a new connection and for an idle one, and when the head is complete it removes its flags but not the timer. If the timer expires while the answer's body is sent, nothing looks at it until the answer is complete; then it counts as an expired idle connection. While the handler is still pending the library drops the expiry, which is why waiting before the first event never hurt. Why this works: the timer is stopped when the library reports a complete head; it starts it again, for the idle time, when it waits for the next head. The idle time was a constant of 75 s; it is now Options::keep_alive_timeout, so that a test can reach it. Left: an expiry in the same tick in which the next head arrives still closes the connection behind a whole answer; the library gives no way to take it back.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -13,6 +13,7 @@
 use ntex::io::Filter;
 use ntex::service::{Service, ServiceCtx, ServiceFactory};
 
+use crate::connection;
 use crate::head;
 use crate::problem::Problem;
 use crate::shared::Shared;
@@ -36,6 +37,10 @@
                     .track_connection(connection.get_ref().get_ref());
                 return connection.ack();
             }
+            Control::Request(request) => {
+                connection::stop_timer(request.get_ref());
+                return request.ack();
+            }
             Control::Disconnect(Reason::ProtocolError(error)) => error,
             other => return other.ack(),
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! be evaluated in order go to the control thread as an [`event::Event`]. [`server::Server`]
 //! handles callers' requests on several workers.
 
+pub mod connection;
 pub mod counter;
 pub mod drain;
 pub mod event;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -119,7 +119,7 @@
         .set_max_headers(options.max_request_headers)
         .set_max_buf_size(usize::try_from(options.max_request_head.0).unwrap_or(usize::MAX))
         .set_headers_read_rate(head_timeout, head_timeout, u32::MAX)
-        .set_keepalive_timeout(Seconds(75));
+        .set_keepalive_timeout(to_seconds(options.keep_alive_timeout.0));
     // A finished answer is not cut off while its caller is still reading.
     let io = IoConfig::new().set_disconnect_timeout(DISCONNECT_TIMEOUT);
     SharedCfg::new("ENTRY").add(http).add(io).into()
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -38,6 +38,8 @@
     pub head_timeout: Millis,
     /// Longest time that a caller may take to send the body of a request.
     pub body_timeout: Millis,
+    /// Longest time that a caller's connection is kept while no request is under way.
+    pub keep_alive_timeout: Millis,
     /// Longest time that a caller may leave a stream unread.
     pub unread_timeout: Millis,
     /// Longest time for opening a connection to a backend server.
@@ -70,6 +72,7 @@
             max_request_headers: 64,
             head_timeout: Millis::from_secs(5),
             body_timeout: Millis::from_secs(20),
+            keep_alive_timeout: Millis::from_secs(75),
             unread_timeout: Millis::from_secs(30),
             connect_timeout: Millis(1_000),
             buffered_answer_timeout: Millis::from_secs(60),
--- a/crates/entry/tests/support/backend.rs
+++ b/crates/entry/tests/support/backend.rs
@@ -26,6 +26,8 @@
     Hang,
     /// Waits until the test calls [`Backend::release`].
     Wait,
+    /// Writes nothing for a time, as a slow server does.
+    Pause(Duration),
     /// Closes the connection in both directions and discards unread data.
     Close,
 }
@@ -195,6 +197,10 @@
             false
         }
         Action::Wait => inner.release.lock().expect("lock").recv().is_ok(),
+        Action::Pause(time) => {
+            thread::sleep(*time);
+            true
+        }
         Action::Close => {
             let _ = stream.shutdown(Shutdown::Both);
             false
--- a/crates/entry/tests/support/caller.rs
+++ b/crates/entry/tests/support/caller.rs
@@ -66,14 +66,19 @@
         stream
             .set_read_timeout(Some(EVENT_TIMEOUT))
             .expect("timeout");
+        stream.write_all(self.encode().as_bytes()).expect("write");
+        stream
+    }
+
+    /// Returns the request as it is written to a connection.
+    pub fn encode(&self) -> String {
         let mut text = format!("{} {} HTTP/1.1\r\nhost: node\r\n", self.method, self.path);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
         text.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
         text.push_str(&self.body);
-        stream.write_all(text.as_bytes()).expect("write");
-        stream
+        text
     }
 }
 
