Keep connections of the operators' port between two scrapes

What operators saw: a metrics scraper got a new connection for each read, and one that reads every 5 s met the close of its idle connection. A large answer that was read for more than a second lost its connection behind the last byte. Cause: the operators' server ran with the HTTP library's defaults: 5 s of idle time, 1 s for a head, and the head's timer running on under the answer, as on the callers' port. Why this works: the server has the callers' idle time of 75 s and head limit of 5 s, and stops the timer when a head is complete. Evidence: tests/admin.rs reads twice on one connection, 15 s apart. It failed before with a closed connection. Not tested on this port: a long answer; no route of it ends a body later than the kernel takes it.

--- a/crates/control/src/admin/server.rs
+++ b/crates/control/src/admin/server.rs
@@ -1,14 +1,21 @@
 //! The HTTP server of the operators' port.
 
 use std::fmt;
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 
 use jackdaw_core::errors::{Error, Result};
+use jackdaw_entry::connection;
+use ntex::SharedCfg;
+use ntex::http::h1::{Control, ControlAck};
+use ntex::http::{HttpService, HttpServiceConfig, ResponseError};
+use ntex::io::Filter;
 use ntex::rt::{DefaultRuntime, System};
+use ntex::service::fn_service;
 use ntex::time::Seconds;
-use ntex::web::{self, App, HttpServer};
+use ntex::web::{self, App};
 
 use super::auth::Operator;
 use super::handle::Handle;
@@ -18,6 +25,12 @@
 /// Time for open responses to end when the node stops.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 
+/// Longest time that an operator's client may take to send the head of a request.
+const HEAD_TIMEOUT: Seconds = Seconds(5);
+
+/// Time for which an idle connection is kept; longer than the usual interval of a metrics scraper.
+const KEEP_ALIVE_TIMEOUT: Seconds = Seconds(75);
+
 /// State that all request handlers share.
 #[derive(Clone, Debug)]
 pub struct Context {
@@ -89,25 +102,37 @@
 
 fn run(listener: TcpListener, context: Context, sender: mpsc::Sender<ntex::server::Server>) {
     System::new("operators", DefaultRuntime).block_on(async move {
-        let bound = HttpServer::new(move || {
-            let context = context.clone();
-            async move {
-                App::new()
-                    .state(context)
+        let bound = ntex::server::build()
+            .workers(1)
+            .disable_signals()
+            .shutdown_timeout(SHUTDOWN_TIMEOUT)
+            .listen("operators", listener, async move |_| {
+                let app = App::new()
+                    .state(context.clone())
                     .configure(routes::configure)
-                    .default_service(web::to(routes::not_found))
-            }
-        })
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT)
-        .listen(listener);
+                    .default_service(web::to(routes::not_found));
+                HttpService::new(app).h1_control(fn_service(async |control| acknowledge(control)))
+            });
         let Ok(bound) = bound else {
             return;
         };
-        let server = bound.run();
+        let server = bound.config("operators", build_config()).run();
         if sender.send(server.clone()).is_ok() {
             let _ = server.await;
         }
     });
 }
+
+fn build_config() -> SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, u32::MAX)
+        .set_keepalive_timeout(KEEP_ALIVE_TIMEOUT);
+    SharedCfg::new("OPERATORS").add(http).into()
+}
+
+fn acknowledge<F: Filter, E: ResponseError>(control: Control<F, E>) -> io::Result<ControlAck<F>> {
+    if let Control::Request(request) = &control {
+        connection::stop_timer(request.get_ref());
+    }
+    Ok(control.ack())
+}
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -2,15 +2,23 @@
 
 mod support;
 
+use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
 use jackdaw_control::release::CATALOG_KEY;
 use jackdaw_standin::store::Fault;
 use rstest::rstest;
 use serde_json::{Value, json};
-use support::http::{send, send_head, subscribe};
+use support::http::{read_head, send, send_head, subscribe};
 use support::{Cluster, Node, READ_TOKEN, WRITE_TOKEN, accepted, note};
 
 const NOTES: &str = "/admin/v1/release-notes";
 
+/// Usual time between two reads of the metrics.
+const SCRAPE_INTERVAL: Duration = Duration::from_secs(15);
+
 fn node(cluster: &Cluster) -> Node {
     cluster.node("node", "a", &[])
 }
@@ -260,3 +268,21 @@
         assert!(!explained[0]["weighed"].as_array().expect("ways").is_empty());
     }
 }
+
+// Guards against a metrics scraper whose next request meets the close of its idle connection.
+#[test]
+fn operators_connection_is_kept_between_two_scrapes() {
+    let cluster = Cluster::new();
+    let node = node(&cluster);
+    let stream = TcpStream::connect(node.admin.address()).expect("connects");
+    for pause in [Duration::ZERO, SCRAPE_INTERVAL] {
+        thread::sleep(pause);
+        let mut reader = BufReader::new(&stream);
+        (&stream)
+            .write_all(b"GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n")
+            .expect("sends");
+        assert!(read_head(&mut reader).starts_with("HTTP/1.1 200"));
+        let mut body = [0; 3];
+        reader.read_exact(&mut body).expect("body");
+    }
+}
--- a/crates/control/tests/support/http.rs
+++ b/crates/control/tests/support/http.rs
@@ -89,7 +89,8 @@
     BufReader::new(stream)
 }
 
-fn read_head(reader: &mut impl BufRead) -> String {
+/// Reads the head of a response.
+pub(crate) fn read_head(reader: &mut impl BufRead) -> String {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         let read = reader.read_line(&mut head).expect("head");
