End a cancelled stream without its last chunk

What callers saw: a stream that was cancelled because it had been left unread for 30 s ended like a complete body, without the end marker and without an error. A client that goes by HTTP alone takes it for the whole answer. Cause: the body ended when the channel of the forwarding task closed, whatever the reason, and the library writes the last chunk then. Why this works: a chunk says whether it is the stream's last; a channel that closes before is an error of the body, and the library closes the connection without a last chunk. Evidence: cancelled_stream_does_not_look_complete failed before (3,984,768 bytes and complete) and passes now. The test of the cancelled stream was wrong: its chunks announced 26 bytes and had 27, so that the node took the answer for invalid and closed the exchange for that reason. With 27 both tests meet the unread stream.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,6 +1,6 @@
 //! Relays streams of server-sent events.
 
-use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 
 use futures::future::{Either, select};
@@ -73,11 +73,12 @@
     ntex::rt::spawn(forward_events(relay, first, sender));
     let body = Body {
         receiver,
+        is_complete: false,
         _guard: Rc::new(guard),
     };
     let chunks = stream::unfold(body, |mut body| async move {
-        let bytes = body.next_chunk().await?;
-        Some((Ok::<Bytes, Infallible>(bytes), body))
+        let chunk = body.next_chunk().await?;
+        Some((chunk, body))
     });
     HttpResponse::Ok()
         .set_header(head::REQUEST_ID, id)
@@ -89,32 +90,51 @@
 
 /// The stream's chunks on their way to the caller.
 struct Body {
-    receiver: Receiver<Bytes>,
+    receiver: Receiver<Chunk>,
+    is_complete: bool,
     _guard: Rc<RequestGuard>,
 }
 
+/// Encoded events.
+struct Chunk {
+    bytes: Bytes,
+    is_last: bool,
+}
+
 impl Body {
-    /// Returns all buffered events in one piece.
-    async fn next_chunk(&mut self) -> Option<Bytes> {
-        let first = self.receiver.recv().await?;
+    /// Returns all buffered events in one piece, or `None` after the stream's last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream was cancelled, so that its body does not end like a complete
+    /// one.
+    async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
+        let Some(first) = self.receiver.recv().await else {
+            let cancelled = io::Error::other("the stream was cancelled");
+            return (!self.is_complete).then_some(Err(cancelled));
+        };
+        self.is_complete = first.is_last;
         let Ok(second) = self.receiver.try_recv() else {
-            return Some(first);
+            return Some(Ok(first.bytes));
         };
-        let mut bytes = BytesMut::from(&first[..]);
-        bytes.extend_from_slice(&second);
-        while let Ok(more) = self.receiver.try_recv() {
-            bytes.extend_from_slice(&more);
+        let mut bytes = BytesMut::from(&first.bytes[..]);
+        let mut next = Ok(second);
+        while let Ok(chunk) = next {
+            bytes.extend_from_slice(&chunk.bytes);
+            self.is_complete = chunk.is_last;
+            next = self.receiver.try_recv();
         }
-        Some(bytes.freeze())
+        Some(Ok(bytes.freeze()))
     }
 }
 
 /// Forwards events until the stream ends or fails, or the caller disconnects or stops reading.
-async fn forward_events(mut relay: Relay, first: Event, sender: Sender<Bytes>) {
+async fn forward_events(mut relay: Relay, first: Event, sender: Sender<Chunk>) {
     let mut event = Ok(first);
     loop {
-        let (bytes, last) = relay.encode(event);
-        if !relay.deliver(&sender, bytes).await || last {
+        let chunk = relay.encode(event);
+        let is_last = chunk.is_last;
+        if !relay.deliver(&sender, chunk).await || is_last {
             return;
         }
         let closed = std::pin::pin!(sender.closed());
@@ -195,9 +215,9 @@
         }
     }
 
-    /// Encodes an event or a problem, and returns whether the bytes are the stream's last.
-    fn encode(&mut self, event: Result<Event, Problem>) -> (Bytes, bool) {
-        match event {
+    /// Encodes an event or a problem; the end of the stream and a problem are its last chunk.
+    fn encode(&mut self, event: Result<Event, Problem>) -> Chunk {
+        let (bytes, is_last) = match event {
             Ok(Event::Data(_, data)) => (encode_data(&data), false),
             Ok(Event::Done) => {
                 self.finish();
@@ -209,17 +229,18 @@
                 let text = format!("event: error\ndata: {json}\n\n");
                 (Bytes::from(text), true)
             }
-        }
+        };
+        Chunk { bytes, is_last }
     }
 
-    /// Sends bytes to the caller; returns whether it accepts them in time.
-    async fn deliver(&mut self, sender: &Sender<Bytes>, bytes: Bytes) -> bool {
-        let bytes = match sender.try_send(bytes) {
+    /// Sends a chunk to the caller; returns whether it accepts it in time.
+    async fn deliver(&mut self, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
+        let chunk = match sender.try_send(chunk) {
             Ok(()) => return true,
             Err(error) => error.into_inner(),
         };
         let bound = exchange::to_timer_millis(self.dispatch.shared.options.unread_timeout);
-        match time::timeout(bound, sender.send(bytes)).await {
+        match time::timeout(bound, sender.send(chunk)).await {
             Ok(sent) => sent.is_ok(),
             Err(()) => {
                 let detail = "the caller left the stream unread for too long";
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -140,10 +140,10 @@
     backend.wait_for_close();
 }
 
-#[test]
-fn unread_stream_is_cancelled_after_its_timeout() {
-    const TOKEN: &str = "1a\r\ndata: {\"token\":123456789}\n\n\r\n";
-    let script = vec![Write(STREAM_HEAD), Repeat(TOKEN, 2_000_000), Hang];
+/// Starts a stream that its caller leaves unread until the node has cancelled it.
+fn cancel_unread_stream() -> (Node, TcpStream) {
+    const TOKEN_CHUNK: &str = "1b\r\ndata: {\"token\":123456789}\n\n\r\n";
+    let script = vec![Write(STREAM_HEAD), Repeat(TOKEN_CHUNK, 2_000_000), Hang];
     let backend = Backend::start(1, &[script]);
     let options = Options {
         unread_timeout: Millis(200),
@@ -152,7 +152,21 @@
     let node = Node::start(options, &backend.addresses);
     let stream = open_connection(&Request::streamed(), &node);
     backend.wait_for_close();
-    drop(stream);
+    (node, stream)
+}
+
+#[test]
+fn unread_stream_is_cancelled_after_its_timeout() {
+    cancel_unread_stream();
+}
+
+// Guards against a cancelled stream that ends with the last chunk of a complete body.
+#[test]
+fn cancelled_stream_does_not_look_complete() {
+    let (_node, stream) = cancel_unread_stream();
+    let reply = Reply::read(&stream);
+    assert_eq!(reply.status, 200);
+    assert!(!reply.complete, "{} bytes", reply.body.len());
 }
 
 // Guards against a refusal that the caller never reads, because closing the connection with the
