Bound a planned stop by a grace period

What callers and operators saw: a stop lasted as long as the longest request in flight (up to the largest deadline of 10 min, with an unread answer 30 s more). A supervisor that waits 30 s then sends SIGKILL: every request in flight ends without an answer and without a line in the log. Cause: Server::stop waited for the count of requests without any limit. Why this works: timing.grace_period (25 s, the settings reject 4 s or less) bounds the time from the signal to the end of the process. 4 s before its end the requests in flight are answered 503 with outcome unknown and streams get an error event, so that callers learn the truth; 1 s later what has not ended is given up, and a warning counts the requests. A thread of its own watches the time, so that no busy worker delays it. If anything else hangs, such as the store when the last results are recorded, the process ends with exit code 1 and a line on standard error. Evidence: tests/stop.rs of entry (a silent server, a keyed call, a stream, an unread answer) and of daemon (a stream of 2,000 s and a grace period of 6 s). Not tested: the exit with code 1.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,17 +3,23 @@
 mod gateway;
 
 use std::fs;
-use std::process::ExitCode;
+use std::process::{self, ExitCode};
 use std::sync::Arc;
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::thread;
 
 use fail::FailScenario;
 use jackdawstair::core::time::SystemClock;
+use jackdawstair::core::units::Millis;
 use jackdawstair::node::{Node, Parts, wire_runtime};
 use jackdawstair::platform::etcd;
 use jackdawstair::settings::Settings;
 use jackdawstair::{log, stop};
 use lexopt::Arg;
 
+/// Exit code of a node that could not start or stop.
+const EXIT_FAILURE: u8 = 1;
+
 /// Exit code for invalid arguments or invalid settings.
 pub(crate) const EXIT_USAGE: u8 = 2;
 
@@ -26,7 +32,7 @@
 check   reports every problem of the settings and exits
 gateway starts a node on the users' platform, with the settings file that the platform names
 
-Exit codes: 0 fine or stopped as planned, 1 the node could not start,
+Exit codes: 0 fine or stopped as planned, 1 the node could not start or did not stop in time,
 2 wrong usage or wrong settings.";
 
 /// Subcommand that the command line selects.
@@ -126,13 +132,33 @@
     match Node::start(settings, parts) {
         Ok(node) => {
             signals.wait();
-            node.stop();
-            ExitCode::SUCCESS
+            stop_in_time(node, settings.timing.grace_period)
         }
         Err(error) => report_failure(&error),
     }
 }
 
+/// Stops a node and ends the process if that takes longer than the grace period.
+fn stop_in_time(node: Node, grace_period: Millis) -> ExitCode {
+    let (stopped_sender, stopped) = mpsc::channel();
+    let stopping = thread::spawn(move || {
+        node.stop();
+        let _ = stopped_sender.send(());
+    });
+    match stopped.recv_timeout(grace_period.duration()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(RecvTimeoutError::Timeout) => {
+            eprintln!("jackdawd: the node did not stop within {grace_period}");
+            // Returning would wait for the runtime, which may be what does not end.
+            process::exit(i32::from(EXIT_FAILURE));
+        }
+        Err(RecvTimeoutError::Disconnected) => {
+            let _ = stopping.join();
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
 /// Prints an error and returns the exit code of a failure.
 pub(crate) fn report_failure(error: &jackdawstair::core::errors::Error) -> ExitCode {
     eprintln!("jackdawd: {error}");
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -98,3 +98,35 @@
     let refused = cluster.caller(0).complete("slate", 1);
     assert_ne!(refused.status, 200, "{refused:?}");
 }
+
+/// A node that may not take longer than six seconds to stop.
+const SHORT_GRACE: NodeOverrides = NodeOverrides {
+    fail_points: "",
+    timing: "  grace_period: 6s\n",
+};
+
+/// Tokens of a stream that would last far longer than the grace period.
+const ENDLESS_STREAM_TOKENS: u64 = 100_000;
+
+// Guards against a stop that waits for its longest request until the supervisor sends SIGKILL.
+#[test]
+fn stream_is_told_and_logged_when_the_grace_period_ends() {
+    let mut cluster = Cluster::start(TOKEN_INTERVAL);
+    cluster.add_node_with("east-a", SHORT_GRACE);
+    cluster.nodes[0].wait_for_decision("group:east-a/1", "group is whole");
+    let caller = cluster.caller(0);
+    let stream = thread::spawn(move || caller.stream_completion("marble", ENDLESS_STREAM_TOKENS));
+    wait_for_running_completion(&cluster);
+    cluster.nodes[0].signal("TERM");
+    let response = stream.join().expect("the caller's thread ends");
+    let (_, error) = response
+        .body
+        .split_once("event: error")
+        .expect("an error event");
+    assert!(error.contains("\"outcome\":\"unknown\""), "{error}");
+    assert!(cluster.nodes[0].wait_for_exit().success());
+    let warning = cluster.nodes[0]
+        .wait_for_line(|line| line["msg"] == "grace period ended with requests in flight");
+    assert_eq!(warning["in_flight"], 1);
+    cluster.nodes[0].wait_for_line(|line| line["msg"] == "node stopped");
+}
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -13,6 +13,8 @@
     requests: AtomicUsize,
     connections: AtomicUsize,
     stopping: AtomicBool,
+    expired: AtomicBool,
+    abandoned: AtomicBool,
     changed: Notify,
 }
 
@@ -99,6 +101,34 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Ends the requests in flight, since the grace period has passed.
+    pub fn expire(&self) {
+        self.state.expired.store(true, Ordering::SeqCst);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Waits until the requests in flight have to end.
+    pub async fn wait_expired(&self) {
+        let expired = |state: &State| state.expired.load(Ordering::SeqCst);
+        self.state.wait_until(expired).await;
+    }
+
+    /// Gives up the requests and connections that have not ended.
+    pub fn abandon(&self) {
+        self.state.abandoned.store(true, Ordering::SeqCst);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Waits until no request is in flight and no connection is open, or until they are given up.
+    pub async fn wait_drained(&self) {
+        let drained = |state: &State| {
+            state.abandoned.load(Ordering::SeqCst)
+                || state.requests.load(Ordering::SeqCst) == 0
+                    && state.connections.load(Ordering::SeqCst) == 0
+        };
+        self.state.wait_until(drained).await;
+    }
+
     /// Returns whether new requests are refused.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -1,9 +1,11 @@
 //! Routes callers' requests and holds the state of a worker.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use futures::future::{Either, select};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
 use jackdaw_policy::route;
@@ -110,6 +112,29 @@
     into_response(shared, &id, response)
 }
 
+/// Processes a request until it ends or the node's grace period does.
+///
+/// # Errors
+///
+/// Returns the problem of the request, or one with an unknown outcome if the grace period has
+/// ended.
+pub(crate) async fn process_in_grace(
+    shared: &Shared,
+    process: impl Future<Output = Result<HttpResponse, Problem>>,
+) -> Result<HttpResponse, Problem> {
+    let expired = pin!(shared.drain.wait_expired());
+    match select(pin!(process), expired).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(_) => Err(expired_problem(Step::Written)),
+    }
+}
+
+/// Returns the problem of a request that the end of the grace period has ended.
+pub(crate) fn expired_problem(step: Step) -> Problem {
+    let detail = "the node stopped before the answer was complete";
+    Problem::new(Reason::NotReady, step, detail).with_outcome(Outcome::Unknown)
+}
+
 /// Counts a request in flight until the guard is dropped.
 ///
 /// # Errors
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,10 +2,12 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::RecvTimeoutError;
 use std::sync::{Arc, mpsc};
 use std::thread;
 
+use jackdaw_core::units::Millis;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig};
 use ntex::io::IoConfig;
@@ -15,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::Controller;
+use crate::drain::Drain;
 use crate::handler::{self, Worker};
 use crate::shared::{Options, Shared};
 
@@ -23,6 +26,9 @@
 /// Time for the HTTP library's workers to end after all connections are closed.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 
+/// Time for the answers to requests that the end of the grace period has ended.
+const LAST_ANSWERS_TIME: Millis = Millis(1_000);
+
 type Handle = ntex::server::Server;
 
 /// A running server with its own threads.
@@ -80,12 +86,56 @@
     }
 
     /// Stops the server: refuses new requests and waits until all requests in flight are finished.
-    pub async fn stop(self) {
-        self.shared.drain.stop();
-        self.shared.drain.wait_idle().await;
-        self.shared.drain.wait_closed().await;
+    ///
+    /// Requests that are in flight at the end of the grace period are answered that their outcome
+    /// is unknown. Returns their number.
+    pub async fn stop(self) -> usize {
+        let drain = &self.shared.drain;
+        drain.stop();
+        let grace = Grace::start(drain, self.shared.options.grace_period);
+        drain.wait_drained().await;
+        let unfinished = grace.end();
         self.handle.stop(true).await;
         let _ = self.ended.await;
+        unfinished
+    }
+}
+
+/// Ends a drain that takes too long, from a thread that no request can delay.
+struct Grace {
+    drained: mpsc::Sender<()>,
+    unfinished: Arc<AtomicUsize>,
+}
+
+impl Grace {
+    fn start(drain: &Drain, period: Millis) -> Self {
+        let (drained, receiver) = mpsc::channel();
+        let unfinished = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&unfinished);
+        let drain = drain.clone();
+        let watch = move || {
+            if receiver.recv_timeout(period.duration()) != Err(RecvTimeoutError::Timeout) {
+                return;
+            }
+            count.store(drain.in_flight(), Ordering::SeqCst);
+            drain.expire();
+            if receiver.recv_timeout(LAST_ANSWERS_TIME.duration()) == Err(RecvTimeoutError::Timeout)
+            {
+                drain.abandon();
+            }
+        };
+        // Without the thread, the drain lasts as long as its requests.
+        let _ = thread::Builder::new().name("grace".to_owned()).spawn(watch);
+        Grace {
+            drained,
+            unfinished,
+        }
+    }
+
+    /// Ends the grace period and returns how many requests it has cut short.
+    fn end(self) -> usize {
+        let _ = self.drained.send(());
+        self.unfinished.load(Ordering::SeqCst)
     }
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -28,7 +28,8 @@
 ) -> HttpResponse {
     let id = head::generate_request_id(&worker.shared);
     let mut payload = payload.into_inner();
-    let answer = process(&request, &mut payload, &worker, &id).await;
+    let process = process(&request, &mut payload, &worker, &id);
+    let answer = handler::process_in_grace(&worker.shared, process).await;
     handler::finish(&worker.shared, &id, &mut payload, answer).await
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -52,6 +52,8 @@
     pub idle_timeout: Millis,
     /// Longest deadline that a caller may ask for.
     pub max_deadline: Millis,
+    /// Time that requests in flight get to end after the node was told to stop.
+    pub grace_period: Millis,
     /// Number of requests that a backend server of a plain service runs at once.
     pub service_slots: u32,
     /// Maximum number of suspect calls that run alone at the same time.
@@ -79,6 +81,7 @@
             first_byte_timeout: Millis::from_secs(10),
             idle_timeout: Millis::from_secs(5),
             max_deadline: Millis::from_secs(600),
+            grace_period: Millis::from_secs(25),
             service_slots: 64,
             suspect_slots: 2,
             route: route::Options::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,7 +1,9 @@
 //! Relays streams of server-sent events.
 
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use futures::future::{Either, select};
 use futures::stream;
@@ -18,6 +20,7 @@
 use crate::dispatch::{Dispatch, OpenAnswer};
 use crate::drain::RequestGuard;
 use crate::exchange;
+use crate::handler;
 use crate::head;
 use crate::problem::Problem;
 use crate::sequence::Sequence;
@@ -130,6 +133,7 @@
 
 /// Forwards events until the stream ends or fails, or the caller disconnects or stops reading.
 async fn forward_events(mut relay: Relay, first: Event, sender: Sender<Chunk>) {
+    let shared = Arc::clone(&relay.dispatch.shared);
     let mut event = Ok(first);
     loop {
         let chunk = relay.encode(event);
@@ -137,11 +141,14 @@
         if !relay.deliver(&sender, chunk).await || is_last {
             return;
         }
-        let closed = std::pin::pin!(sender.closed());
-        event = match select(closed, std::pin::pin!(relay.next_event())).await {
+        let closed = pin!(sender.closed());
+        let expired = pin!(shared.drain.wait_expired());
+        let next = pin!(relay.next_event());
+        event = match select(closed, select(next, expired)).await {
             // Dropping the answer cancels the work on the backend server.
             Either::Left(_) => return,
-            Either::Right((event, _)) => event,
+            Either::Right((Either::Left((event, _)), _)) => event,
+            Either::Right((Either::Right(_), _)) => Err(handler::expired_problem(Step::Answering)),
         };
     }
 }
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -200,3 +200,60 @@
         stop.join().expect("the server stops");
     }
 }
+
+/// A request that is in flight when the grace period ends, and what its caller has got by then.
+struct Unfinished {
+    request: Request,
+    script: Vec<support::backend::Action>,
+    status: u16,
+}
+
+// Guards against a stop that lasts as long as the longest request, until the process is killed and
+// its callers get nothing.
+#[rstest]
+#[case::whole_answer(Unfinished {
+    request: Request::completion(), script: vec![Hang], status: 503 })]
+#[case::keyed_call(Unfinished {
+    request: Request::service("POST", "/services/stock/orders")
+        .with_header("idempotency-key", "key"),
+    script: vec![Hang],
+    status: 503,
+})]
+#[case::stream(Unfinished {
+    request: Request::streamed(), script: vec![Write(STREAM_HEAD), Tokens(2), Hang], status: 200 })]
+fn request_in_flight_is_answered_when_the_grace_period_ends(#[case] case: Unfinished) {
+    let backend = Backend::start(1, &[case.script]);
+    let options = Options {
+        grace_period: Millis(300),
+        ..long_timeouts()
+    };
+    let node = Node::start(options, &backend.addresses);
+    let stream = open_connection(&case.request, &node);
+    backend.next_request();
+    let stop = thread::spawn(move || block_on(node.server.stop()));
+    let reply = Reply::read(&stream);
+    assert_eq!(reply.status, case.status, "{reply:?}");
+    assert!(reply.complete, "{reply:?}");
+    assert_eq!(reply.outcome(), "unknown");
+    let reason = match reply.stream_error() {
+        Some(error) => error["reason"].as_str().map(str::to_owned),
+        None => Some(reply.problem_field("reason")),
+    };
+    assert_eq!(reason.as_deref(), Some("not-ready"), "{reply:?}");
+    assert_eq!(stop.join().expect("the server stops"), 1);
+}
+
+// Guards against a caller that never reads and so keeps a stopping node up.
+#[test]
+fn unread_answer_does_not_outlast_the_grace_period() {
+    let backend = Backend::start(1, &[vec![Write(LARGE_HEAD), Repeat(LINE, 800_000)]]);
+    let options = Options {
+        grace_period: Millis(300),
+        ..long_timeouts()
+    };
+    let node = Node::start(options, &backend.addresses);
+    let stream = open_connection(&Request::completion(), &node);
+    let mut reader = BufReader::with_capacity(1, &stream);
+    assert_eq!(read_head(&mut reader).0, 200);
+    block_on(node.server.stop());
+}
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -24,12 +24,12 @@
 use jackdaw_platform::http::Bounds;
 use jackdaw_platform::{engine, inventory};
 use jackdaw_policy::plan;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::recorder::Recorder;
-use crate::settings::{Settings, Timing, Weights};
+use crate::settings::{STOP_RESERVE, Settings, Timing, Weights};
 
 /// Longest time for opening a connection to an engine or to the VM list.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -121,6 +121,7 @@
             &settings.node,
             shared::Options {
                 workers: settings.workers,
+                grace_period: requests_grace(settings.timing),
                 once: once_options(settings.timing),
                 ..shared::Options::default()
             },
@@ -172,7 +173,11 @@
         info!(self.logger, "node stopping");
         // Readiness fails first, so that the load balancer sends no new calls.
         self.control.begin_stop();
-        futures::executor::block_on(self.server.stop());
+        let unfinished = futures::executor::block_on(self.server.stop());
+        if unfinished > 0 {
+            warn!(self.logger, "grace period ended with requests in flight";
+                "in_flight" => unfinished);
+        }
         let unrecorded = self.recorder.stop();
         self.control.end();
         drop(self.admin);
@@ -228,6 +233,11 @@
     }
 }
 
+/// Returns the time that requests in flight get when the node stops.
+fn requests_grace(timing: Timing) -> Millis {
+    Millis(timing.grace_period.0.saturating_sub(STOP_RESERVE.0))
+}
+
 fn once_options(timing: Timing) -> once::Options {
     let default = once::Options::default();
     once::Options {
--- a/crates/jackdawstair/src/settings/check.rs
+++ b/crates/jackdawstair/src/settings/check.rs
@@ -6,7 +6,7 @@
 
 use super::reader::Problem;
 use super::tree::Item;
-use super::{Settings, Timing};
+use super::{STOP_RESERVE, Settings, Timing};
 
 /// Smallest ratio of the key retention to the dispatch window. It ensures that a call is no longer
 /// dispatched when its record has expired.
@@ -81,6 +81,10 @@
             format!("must be at least {MIN_RETENTION_RATIO} times as long as dispatch_window");
         add("timing.key_retention", reason);
     }
+    if timing.grace_period <= STOP_RESERVE {
+        let reason = format!("must be longer than {STOP_RESERVE}, which the node keeps for itself");
+        add("timing.grace_period", reason);
+    }
 }
 
 /// Returns the line of the item at `path`, or of its innermost section that is present.
--- a/crates/jackdawstair/src/settings/mod.rs
+++ b/crates/jackdawstair/src/settings/mod.rs
@@ -14,6 +14,10 @@
 pub use jackdaw_control::admin::auth::{Operator, Role};
 pub use reader::Problem;
 
+/// Part of the grace period in which no request may be in flight any more: the time for the last
+/// answers, for results that are not recorded yet and for the end of the threads.
+pub const STOP_RESERVE: Millis = Millis(4_000);
+
 /// Addresses of the platform's services.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
@@ -55,6 +59,8 @@
     pub dispatch_window: Millis,
     /// Shortest time for which the key of a non-idempotent call is remembered.
     pub key_retention: Millis,
+    /// Longest time from a signal to the end of the process.
+    pub grace_period: Millis,
 }
 
 impl Default for Timing {
@@ -70,6 +76,7 @@
             spread_interval: Millis(500),
             dispatch_window: Millis::from_secs(10),
             key_retention: Millis::from_secs(24 * 60 * 60),
+            grace_period: Millis::from_secs(25),
         }
     }
 }
--- a/crates/jackdawstair/src/settings/read.rs
+++ b/crates/jackdawstair/src/settings/read.rs
@@ -137,6 +137,7 @@
         spread_interval: read_duration("spread_interval", default.spread_interval),
         dispatch_window: read_duration("dispatch_window", default.dispatch_window),
         key_retention: read_duration("key_retention", default.key_retention),
+        grace_period: read_duration("grace_period", default.grace_period),
     };
     section.reject_unknown_keys(problems);
     timing
--- a/crates/jackdawstair/tests/settings.rs
+++ b/crates/jackdawstair/tests/settings.rs
@@ -66,6 +66,11 @@
     to: "key_retention: 9min",
     problems: &["line 17: timing.key_retention: must be at least 60 times as long"],
 })]
+#[case::grace_period_too_short(Case {
+    from: "leader_lease: 9s",
+    to: "grace_period: 4s",
+    problems: &["line 17: timing.grace_period: must be longer than 4000 ms"],
+})]
 #[case::ports_overlap(Case {
     from: "operators: 127.0.0.1:7401",
     to: "operators: 0.0.0.0:7400",
