Do not end a node on SIGHUP

What callers and operators saw: a SIGHUP, which tells other daemons to read their settings again and which a closing terminal sends, ended `jackdawd run` at once: every request in flight was cut, without a line in the log. Cause: only SIGTERM and SIGINT had handlers. Why this works: the daemon logs SIGHUP and goes on; settings are still read at the start only. Signals that come during a stop change nothing, as before. The demo and the stand-ins still end on SIGHUP. Evidence: hangups_and_repeated_signals_do_not_cut_a_stream sends SIGHUP, SIGTERM, and TERM, HUP and INT during the stop; it failed before (the process was gone before it logged anything).

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -112,6 +112,9 @@
         Ok(signals) => signals,
         Err(error) => return report_failure(&error),
     };
+    if let Err(error) = signals.ignore_hangups(logger.clone()) {
+        return report_failure(&error);
+    }
     let runtime = match wire_runtime() {
         Ok(runtime) => runtime,
         Err(error) => return report_failure(&error),
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -130,3 +130,28 @@
     assert_eq!(warning["in_flight"], 1);
     cluster.nodes[0].wait_for_line(|line| line["msg"] == "node stopped");
 }
+
+// Guards against a signal that ends the process under its requests: one that means a change of the
+// settings elsewhere, and one that comes again during the stop.
+#[test]
+fn hangups_and_repeated_signals_do_not_cut_a_stream() {
+    let mut cluster = Cluster::start(TOKEN_INTERVAL);
+    cluster.add_node("east-a");
+    cluster.nodes[0].wait_for_decision("group:east-a/1", "group is whole");
+    let caller = cluster.caller(0);
+    let stream = thread::spawn(move || caller.stream_completion("marble", STREAM_TOKENS));
+    wait_for_running_completion(&cluster);
+    cluster.nodes[0].signal("HUP");
+    cluster.nodes[0].wait_for_line(|line| line["msg"] == "SIGHUP ignored");
+    cluster.nodes[0].signal("TERM");
+    cluster.nodes[0].wait_for_line(|line| line["msg"] == "node stopping");
+    for signal in ["TERM", "HUP", "INT"] {
+        cluster.nodes[0].signal(signal);
+    }
+    let response = stream.join().expect("the caller's thread ends");
+    assert_eq!(
+        response.streamed_text(),
+        (tokens::answer("marble", STREAM_TOKENS), true)
+    );
+    assert!(cluster.nodes[0].wait_for_exit().success());
+}
--- a/crates/jackdawstair/src/stop.rs
+++ b/crates/jackdawstair/src/stop.rs
@@ -1,6 +1,9 @@
 //! Signals that ask the process to stop.
 
+use std::io;
+
 use jackdaw_core::errors::{Error, Result};
+use slog::{Logger, warn};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -19,8 +22,6 @@
     ///
     /// Returns an error if the runtime cannot be created or a handler cannot be installed.
     pub fn install() -> Result<Signals> {
-        let install_error =
-            |error: std::io::Error| Error::unreachable("install signals", "self", error);
         let runtime = Builder::new_current_thread()
             .enable_all()
             .build()
@@ -36,6 +37,22 @@
         })
     }
 
+    /// Logs and ignores SIGHUP, which ends the process otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the handler cannot be installed.
+    pub fn ignore_hangups(&self, logger: Logger) -> Result<()> {
+        let _guard = self.runtime.enter();
+        let mut hangup = signal(SignalKind::hangup()).map_err(install_error)?;
+        self.runtime.spawn(async move {
+            while hangup.recv().await.is_some() {
+                warn!(logger, "SIGHUP ignored"; "detail" => "settings are read at the start");
+            }
+        });
+        Ok(())
+    }
+
     /// Blocks the thread until either signal arrives.
     pub fn wait(self) {
         let Signals {
@@ -51,3 +68,7 @@
         });
     }
 }
+
+fn install_error(error: io::Error) -> Error {
+    Error::unreachable("install signals", "self", error)
+}
