Announce the end of a connection while a node stops

What callers saw: a stopping node answered on a kept connection without a word and closed it once nothing was in flight. A next request that met the close got no answer, and the caller could not know whether it ran; before that it was refused once for each request, on the same connection. Cause: answers and refusals of a stopping node had the head of any other answer. Why this works: every answer whose head is written after the stop began says `Connection: close`, and the library closes the connection behind it. A stream whose head went out before cannot say so; its connection is closed as before, once nothing is in flight.

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -10,7 +10,7 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_policy::route;
 use ntex::http::header::HeaderName;
-use ntex::http::{HeaderMap, Payload};
+use ntex::http::{ConnectionType, HeaderMap, Payload};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
 use serde::Serialize;
 
@@ -187,17 +187,21 @@
     problem.reason != Reason::Deadline
 }
 
-/// Turns a result into the response for the caller and counts a problem.
+/// Turns a result into the response for the caller and counts a problem; the response of a stopping
+/// node announces that the connection ends.
 pub(crate) fn into_response(
     shared: &Shared,
     id: &str,
     answer: Result<HttpResponse, Problem>,
 ) -> HttpResponse {
-    match answer {
-        Ok(response) => response,
-        Err(problem) => {
-            shared.counters.count_problem(&problem);
-            problem.to_response(id)
-        }
+    let mut response = answer.unwrap_or_else(|problem| {
+        shared.counters.count_problem(&problem);
+        problem.to_response(id)
+    });
+    if shared.drain.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
+    response
 }
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -257,3 +257,33 @@
     assert_eq!(read_head(&mut reader).0, 200);
     block_on(node.server.stop());
 }
+
+// Guards against a caller that sends its next request on a connection that a stopping node is
+// about to close.
+#[test]
+fn answers_of_a_stopping_node_announce_the_close() {
+    let backend = Backend::start(
+        1,
+        &[vec![Write(FULL_ANSWER)], vec![Wait, Write(FULL_ANSWER)]],
+    );
+    let node = Node::start(long_timeouts(), &backend.addresses);
+    let mut kept = open_connection(&Request::completion(), &node);
+    assert_eq!(Reply::read(&kept).header("connection"), None);
+    backend.next_request();
+    let in_flight = open_connection(&Request::completion(), &node);
+    backend.next_request();
+    let shared = std::sync::Arc::clone(&node.shared);
+    let stop = thread::spawn(move || block_on(node.server.stop()));
+    while !shared.drain.is_stopping() {
+        thread::yield_now();
+    }
+    let request = Request::completion().encode();
+    std::io::Write::write_all(&mut kept, request.as_bytes()).expect("write");
+    backend.release();
+    for (connection, status) in [(kept, 503), (in_flight, 200)] {
+        let reply = Reply::read(&connection);
+        assert_eq!(reply.status, status, "{reply:?}");
+        assert_eq!(reply.header("connection"), Some("close"), "{reply:?}");
+    }
+    stop.join().expect("the server stops");
+}
