--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -1,14 +1,16 @@
 //! Routes callers' requests and holds the state of a worker.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use futures::future::{Either, select};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
 use jackdaw_policy::route;
-use ntex::http::HeaderMap;
 use ntex::http::header::HeaderName;
+use ntex::http::{ConnectionType, HeaderMap, Payload};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig, types};
 use serde::Serialize;
 
@@ -110,6 +112,29 @@
     into_response(shared, &id, response)
 }
 
+/// Processes a request until it ends or the node's grace period does.
+///
+/// # Errors
+///
+/// Returns the problem of the request, or one with an unknown outcome if the grace period has
+/// ended.
+pub(crate) async fn process_in_grace(
+    shared: &Shared,
+    process: impl Future<Output = Result<HttpResponse, Problem>>,
+) -> Result<HttpResponse, Problem> {
+    let expired = pin!(shared.drain.wait_expired());
+    match select(pin!(process), expired).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(_) => Err(expired_problem(Step::Written)),
+    }
+}
+
+/// Returns the problem of a request that the end of the grace period has ended.
+pub(crate) fn expired_problem(step: Step) -> Problem {
+    let detail = "the node stopped before the answer was complete";
+    Problem::new(Reason::NotReady, step, detail).with_outcome(Outcome::Unknown)
+}
+
 /// Counts a request in flight until the guard is dropped.
 ///
 /// # Errors
@@ -142,17 +167,41 @@
     selected
 }
 
-/// Turns a result into the response for the caller and counts a problem.
+/// Turns the result of a request into the response for the caller, after a refusal once the rest of
+/// the request's body has been read.
+pub(crate) async fn finish(
+    shared: &Shared,
+    id: &str,
+    payload: &mut Payload,
+    answer: Result<HttpResponse, Problem>,
+) -> HttpResponse {
+    if answer.as_ref().is_err_and(may_have_unread_body) {
+        let _guard = shared.drain.track_request();
+        head::discard_body(payload, &shared.options).await;
+    }
+    into_response(shared, id, answer)
+}
+
+/// Returns whether a body may still arrive in time behind a problem.
+fn may_have_unread_body(problem: &Problem) -> bool {
+    problem.reason != Reason::Deadline
+}
+
+/// Turns a result into the response for the caller and counts a problem; the response of a stopping
+/// node announces that the connection ends.
 pub(crate) fn into_response(
     shared: &Shared,
     id: &str,
     answer: Result<HttpResponse, Problem>,
 ) -> HttpResponse {
-    match answer {
-        Ok(response) => response,
-        Err(problem) => {
-            shared.counters.count_problem(&problem);
-            problem.to_response(id)
-        }
+    let mut response = answer.unwrap_or_else(|problem| {
+        shared.counters.count_problem(&problem);
+        problem.to_response(id)
+    });
+    if shared.drain.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
+    response
 }
