--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -5,20 +5,27 @@
 use jackdaw_core::units::{Bytes as Size, Millis};
 use ntex::http::Payload;
 use ntex::util::stream_recv;
+use tokio::time;
 
 use crate::refusal::Refusal;
 
 /// Largest body if the configuration states no limit.
 pub(crate) const DEFAULT_MAX_BODY: Size = Size(4 << 20);
 
-/// Longest time for which the body of a refused request is read.
-const DISCARD_TIME: Millis = Millis(1_000);
+/// Longest time for which the rest of a refused request's body is read.
+const DISCARD_TIMEOUT: Millis = Millis(1_000);
+/// Longest time between two parts of that rest.
+const DISCARD_IDLE_TIMEOUT: Millis = Millis(200);
 
-/// Reads what is left of the body of a refused request in the background. A connection that is
-/// closed with unread bytes is reset, and its caller may lose the refusal.
-pub(crate) fn discard(mut payload: Payload) {
-    let discarded = async move { while let Some(Ok(_)) = stream_recv(&mut payload).await {} };
-    ntex::rt::spawn(tokio::time::timeout(DISCARD_TIME.duration(), discarded));
+/// Reads and drops the rest of a refused request's body, for a bounded time.
+///
+/// Closing a connection with unread bytes resets it, and the caller might lose the refusal.
+pub(crate) async fn discard(payload: &mut Payload) {
+    let rest = async {
+        let idle = DISCARD_IDLE_TIMEOUT.duration();
+        while let Ok(Some(Ok(_))) = time::timeout(idle, stream_recv(payload)).await {}
+    };
+    let _ = time::timeout(DISCARD_TIMEOUT.duration(), rest).await;
 }
 
 /// Reads a complete body.
