Leave the processor of a stopping node to the requests in flight

What callers saw: on nodes with little processor, streams whose servers had written them whole by 6.3 s after SIGTERM lacked events at 8 s, when the nodes ended or were killed. While all nodes of a zone stop, the platform sends them all new connections; each caller that was refused came again at once, and the node spent its processor on refusals while its streams stood still.

Of the kinds of request only streams with as much time as the grace period remain: shorter ones reach their deadline first, which is what the users' record shows.

A node closes its listener when it takes no more requests, 3 s after the signal, instead of when nothing is in flight. Callers are refused by the operating system and go elsewhere; kept connections still get 503.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -169,6 +169,12 @@
         self.state.connections.load(Ordering::SeqCst)
     }
 
+    /// Waits until new requests are refused.
+    pub async fn wait_stopping(&self) {
+        let is_stopping = |state: &State| state.stopping.load(Ordering::SeqCst);
+        self.state.wait_until(is_stopping).await;
+    }
+
     /// Waits until the node is stopping and no request is in flight.
     pub async fn wait_idle(&self) {
         let idle = |state: &State| {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -200,12 +200,12 @@
         }
     };
     loop {
-        // A stopping node with nothing in flight takes no further connections, so that callers
-        // connect elsewhere.
+        // A node that takes no more requests closes its listener, so that callers are refused by
+        // the operating system and its processor is left to the requests in flight.
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = node.drain.wait_idle(), if port == Port::Callers => return,
+            () = node.drain.wait_stopping(), if port == Port::Callers => return,
         };
         let stream = match accepted.and_then(|(stream, _)| stream.into_std()) {
             Ok(stream) => stream,
