Restart nodes that end by themselves in the soak, and report it

Times in which the whole machine stood still, measured by a thread of the soak, are reported and excuse what they touch: seen as gaps of 4 to 5 s in the logs of all nodes at once.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -13,6 +13,8 @@
 pub const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Time from the acknowledgement of a configuration until it must be in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// Time after a stall of the machine in which requests are still excused.
+const STALL_AFTER: Duration = Duration::from_secs(3);
 /// Time after the grace period that belongs to the stop.
 const AFTER_GRACE: Duration = Duration::from_secs(1);
 
@@ -34,6 +36,8 @@
     Unread,
     /// An unplanned disruption of the node.
     Disruption,
+    /// The whole machine stood still.
+    Stall,
 }
 
 /// What became of an attempt.
@@ -139,6 +143,10 @@
     if is_disrupted {
         return Some(Excuse::Disruption);
     }
+    let mut stalls = seen.stalls.iter();
+    if stalls.any(|(from, to)| *from <= attempt.ended && attempt.first_byte <= *to + STALL_AFTER) {
+        return Some(Excuse::Stall);
+    }
     let stop = stop?;
     let was_sent_in_time = last_byte <= stop.at + LAST_REQUESTS_TIME;
     if was_sent_in_time && is_at_work_after(run, stop.at + grace * 5 / 6) {
@@ -151,7 +159,7 @@
     run.is_some_and(|run| run.end.is_none_or(|(end, _)| end >= moment))
 }
 
-/// Returns every violation of the rules on single runs and on the configuration.
+/// Returns every violation of the rules on single runs, the configuration and the processes.
 #[must_use]
 pub fn audit(seen: &Seen) -> Vec<String> {
     let mut violations = Vec::new();
@@ -159,6 +167,11 @@
         check_runs(seen, attempt, &mut violations);
     }
     check_probes(seen, &mut violations);
+    for (node, at, status) in &seen.ends {
+        violations.push(format!(
+            "Ended: {node} ended by itself at {at:.3?}: {status}"
+        ));
+    }
     violations
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -80,6 +80,9 @@
         "  passed on until {:.3?} after SIGTERM",
         report.last_passed_on
     );
+    if !report.stalls.is_empty() {
+        println!("  the machine stood still for {:.1?}", report.stalls);
+    }
     println!("  {}", report.exits.join(", "));
     for violation in &report.violations {
         println!("  {violation}");
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,7 +1,9 @@
 //! What callers, backend servers and the platform have seen.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
@@ -9,6 +11,10 @@
 /// Time since the start of the soak.
 pub type Moment = Duration;
 
+/// Pause between two looks at the clock, and the shortest gap between them that is a stall.
+const STALL_STEP: Duration = Duration::from_millis(20);
+const STALL_TIME: Duration = Duration::from_millis(500);
+
 /// How an attempt of a caller ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
@@ -144,12 +150,28 @@
     pub probes: Vec<Probe>,
     /// Versions of the configuration, with the time of their acknowledgement.
     pub versions: Vec<(u64, Moment)>,
+    /// Nodes whose processes ended by themselves, when and how.
+    pub ends: Vec<(CompactString, Moment, CompactString)>,
     /// Disruptions of the store: begin and end.
     pub outages: Vec<(Moment, Moment)>,
+    /// Times in which the whole machine stood still: begin and end.
+    pub stalls: Vec<(Moment, Moment)>,
     /// Unplanned disruptions of nodes: name, begin and end.
     pub disruptions: Vec<(CompactString, Moment, Moment)>,
 }
 
+/// Ends the watch for stalls when it is dropped.
+#[derive(Debug)]
+pub struct StallWatch {
+    is_active: Arc<AtomicBool>,
+}
+
+impl Drop for StallWatch {
+    fn drop(&mut self) {
+        self.is_active.store(false, Ordering::SeqCst);
+    }
+}
+
 /// Shared record of one soak.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -178,6 +200,29 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Watches from a thread of its own for times in which the machine runs no process of the soak,
+    /// until the returned guard is dropped.
+    #[must_use]
+    pub fn watch_stalls(&self) -> StallWatch {
+        let is_active = Arc::new(AtomicBool::new(true));
+        let watch = StallWatch {
+            is_active: Arc::clone(&is_active),
+        };
+        let record = self.clone();
+        thread::spawn(move || {
+            let mut last = record.now();
+            while is_active.load(Ordering::SeqCst) {
+                thread::sleep(STALL_STEP);
+                let now = record.now();
+                if now.saturating_sub(last) > STALL_TIME {
+                    record.seen().stalls.push((last, now));
+                }
+                last = now;
+            }
+        });
+        watch
+    }
+
     /// Records that a server begins to work on a request, and returns the number of the run.
     #[must_use]
     pub fn begin_run(&self, id: &str, server: &str) -> usize {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -46,6 +46,8 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Time for an answer to a probe of the configuration.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause between two looks at processes that are not to end.
+const SUPERVISION_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two rounds of probes.
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// Time for all nodes to become ready.
@@ -102,6 +104,12 @@
         &self.options.name
     }
 
+    /// Gets the number of the current process.
+    #[must_use]
+    pub fn process_number(&self) -> u32 {
+        self.process_number.load(Ordering::SeqCst)
+    }
+
     fn process(&self) -> MutexGuard<'_, Option<Process>> {
         self.process.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -116,9 +124,17 @@
 
     /// Returns whether the process has ended.
     fn has_exited(&self) -> bool {
+        self.exit_status().is_some()
+    }
+
+    /// Describes how the process has ended, if it has.
+    fn exit_status(&self) -> Option<CompactString> {
         match self.process().as_mut() {
-            Some(process) => !matches!(process.try_wait(), Ok(None)),
-            None => true,
+            Some(process) => match process.try_wait() {
+                Ok(status) => status.map(|status| format_compact!("{status}")),
+                Err(error) => Some(format_compact!("{error}")),
+            },
+            None => Some("not started".into()),
         }
     }
 }
@@ -292,6 +308,28 @@
         self.record.seen().versions.push(acknowledged);
     }
 
+    /// Starts nodes again whose processes end by themselves, until the task is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started.
+    pub async fn supervise(&self) -> Result<()> {
+        loop {
+            for (number, member) in self.members.iter().enumerate() {
+                let Ok(_lifecycle) = member.lifecycle.try_lock() else {
+                    continue;
+                };
+                if let Some(status) = member.exit_status() {
+                    let name = member.options.name.clone();
+                    let end = (name, self.record.now(), status);
+                    self.record.seen().ends.push(end);
+                    self.start_again(number).await?;
+                }
+            }
+            time::sleep(SUPERVISION_PAUSE).await;
+        }
+    }
+
     /// Asks each node on the routes of random versions until the task is cancelled.
     pub async fn probe(&self, mut random: Rng) {
         loop {
@@ -299,14 +337,14 @@
                 let versions = self.record.seen().versions.len() as u64;
                 // Cannot be zero, since the first version is written at the start.
                 let version = random.u64(0..versions) + 1;
-                let process = member.process_number.load(Ordering::SeqCst);
+                let process = member.process_number();
                 let sent = self.record.now();
                 let path = format!("/v{version}/p");
                 let answer = time::timeout(PROBE_TIMEOUT, ask(member.options.callers(), &path));
                 let Ok(Ok(Some(status))) = answer.await else {
                     continue;
                 };
-                let is_same = process == member.process_number.load(Ordering::SeqCst);
+                let is_same = process == member.process_number();
                 if is_same && (status == 200 || status == 404) {
                     self.record.seen().probes.push(Probe {
                         node: member.options.name.clone(),
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -21,6 +21,7 @@
     disruption: Option<(u64, u64)>,
     outage: Option<(u64, u64)>,
     stop: Option<(u64, u64)>,
+    has_ended: bool,
     /// First words of the violations.
     expected: &'static [&'static str],
 }
@@ -74,6 +75,12 @@
     outage: Some((2_000, 4_000)),
     ..Case::default()
 })]
+#[case::process_ended(Case {
+    status: 200,
+    has_ended: true,
+    expected: &["Ended"],
+    ..Case::default()
+})]
 #[case::version_was_forgotten(Case {
     status: 200,
     probes: vec![(1, 2, 100, true), (1, 1, 200, false)],
@@ -159,6 +166,10 @@
         at: ms(at),
         exit: Some((ms(exit), false)),
     }));
+    if case.has_ended {
+        seen.ends
+            .push(("node-1".into(), ms(100), "signal: 1".into()));
+    }
     let violations = audit(&seen);
     let words: Vec<&str> = violations
         .iter()
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -23,6 +23,8 @@
     is_unsent: bool,
     /// An unplanned disruption of the node.
     disruption: Option<(u64, u64)>,
+    /// A time in which the whole machine stood still.
+    stall: Option<(u64, u64)>,
     verdict: Verdict,
 }
 
@@ -37,6 +39,7 @@
             is_logged: false,
             is_unsent: false,
             disruption: None,
+            stall: None,
             verdict: Verdict::Lost,
         }
     }
@@ -147,6 +150,15 @@
     verdict: Verdict::Allowed(Excuse::Disruption),
     ..Case::default()
 })]
+#[case::machine_stood_still(Case {
+    stall: Some((STOP_MS + 4_000, STOP_MS + 4_500)),
+    verdict: Verdict::Allowed(Excuse::Stall),
+    ..Case::default()
+})]
+#[case::machine_stood_still_before(Case {
+    stall: Some((STOP_MS - 4_000, STOP_MS - 3_000)),
+    ..Case::default()
+})]
 fn lost_answer_is_told_from_an_allowed_cut(#[case] case: Case) {
     let ms = Duration::from_millis;
     let attempt = Attempt {
@@ -178,6 +190,8 @@
     if case.is_logged {
         seen.logged.insert("r1".into());
     }
+    seen.stalls
+        .extend(case.stall.map(|(from, to)| (ms(from), ms(to))));
     if let Some((from, to)) = case.disruption {
         seen.disruptions.push(("node-1".into(), ms(from), ms(to)));
     }
