Test the lag in a stop's lines, and count the stop from its first line

A clock that jumps by a second while the node stops shows up in `longest_lag_ms` and `late_ms` of `new requests are refused`.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -160,6 +160,7 @@
             _ = hangup.recv() => info!(node.logger(), "SIGHUP ignored: no settings to reload"),
         }
     }
+    node.stopping_since.set(Some(node.now()));
     stop::log_begin(&node);
     drain(&node).await;
     // The node leads until now, so that the zone keeps a leader while its other nodes stop as well.
@@ -175,7 +176,6 @@
 /// flight, at most until [`EXIT_MARGIN`] before the end of the grace period.
 async fn drain(node: &Node) {
     node.is_stopping.set(true);
-    node.stopping_since.set(Some(node.now()));
     let grace = node.options.grace.0.saturating_sub(EXIT_MARGIN.0);
     let accepting = LAST_CONNECTIONS_TIME.0.min(grace);
     time::sleep(Millis(accepting).duration()).await;
--- a/crates/gateway/tests/node/abandoned.rs
+++ b/crates/gateway/tests/node/abandoned.rs
@@ -2,9 +2,13 @@
 
 use std::io::{BufRead, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use jackdaw_core::time::{Clock, Instant, SystemClock};
 use jackdaw_core::units::Millis;
+use jackdaw_gateway::node::Parts;
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::Ports;
 use rstest::rstest;
@@ -12,7 +16,8 @@
 use socket2::{Domain, SockAddr, SockRef, Socket, Type};
 
 use super::lines::{Line, Lines};
-use super::support::{HOLD, Node, Script, TIMEOUT, exchange, options, request};
+use super::store::MemoryStore;
+use super::support::{HOLD, Node, Process, Script, TIMEOUT, exchange, options, parts, request};
 
 const ABANDONED: &str = "answer abandoned";
 
@@ -436,3 +441,52 @@
     assert!(lines.with_message(OUTLASTING).is_empty(), "{lines:?}");
     assert!(lines.with_message(LATE).is_empty(), "{lines:?}");
 }
+
+/// A clock that can be set forward.
+#[derive(Debug, Default)]
+struct JumpingClock {
+    system: SystemClock,
+    offset_ms: AtomicU64,
+}
+
+impl Clock for JumpingClock {
+    fn now(&self) -> Instant {
+        self.system.now() + Millis(self.offset_ms.load(Ordering::Relaxed))
+    }
+
+    fn unix_millis(&self) -> u64 {
+        self.system.unix_millis()
+    }
+}
+
+/// Time by which the event loop stands still.
+const STANDSTILL_MS: u64 = 1_000;
+/// Time between two measurements of the event loop's lag.
+const LAG_INTERVAL_MS: u64 = 100;
+
+// Guards against a stop whose log does not show that the node's event loop was late.
+#[test]
+fn a_stop_logs_how_late_the_event_loop_was() {
+    let lines = Lines::default();
+    let clock = Arc::new(JumpingClock::default());
+    let store = Arc::new(MemoryStore::new());
+    store.put("configuration", "1");
+    let parts = Parts {
+        clock: clock.clone(),
+        ..parts(&store, Vec::new(), lines.logger())
+    };
+    let options = options("node");
+    let ports = Ports::bind(&options).expect("ports are free");
+    let mut process = Process::launch(options, ports, parts);
+    // All tasks of the node run by then.
+    lines.wait_for(|line| line.message == "leadership won");
+    process.begin_stop();
+    lines.wait_for(|line| line.message == STOPPING);
+    clock.offset_ms.store(STANDSTILL_MS, Ordering::Relaxed);
+    process.stop();
+    let refusing = &lines.with_message(REFUSING)[0];
+    let lag_ms = refusing.number("longest_lag_ms").unwrap_or_default();
+    assert!(lag_ms >= STANDSTILL_MS - LAG_INTERVAL_MS, "{refusing:?}");
+    let late_ms = refusing.number("late_ms").unwrap_or_default();
+    assert!(late_ms >= STANDSTILL_MS, "{refusing:?}");
+}
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -400,7 +400,8 @@
         }
     }
 
-    fn begin_stop(&mut self) {
+    /// Asks the node to stop.
+    pub(crate) fn begin_stop(&mut self) {
         drop(self.stop.take());
     }
 
