--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -545,7 +545,7 @@
     }
 
     /// Asks the node to stop and returns the time.
-    fn begin_stop(&mut self) -> Instant {
+    pub(crate) fn begin_stop(&mut self) -> Instant {
         self.stop.make(self.clock.now());
         Instant::now()
     }
