Install a gateway's signal handlers before anything else

The handlers are the first thing that a gateway process installs; a signal that comes before the node runs is kept. SIGHUP is received on the signals' thread too, so it is logged even while the event loop is late.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,8 @@
 use jackdaw_adapter::{Platform, order, store};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
-use jackdaw_gateway::{server, termination};
+use jackdaw_gateway::server;
+use jackdaw_gateway::termination::Signals;
 use jackdaw_link::client::Client;
 use jackdaw_link::pool;
 use jackdawstair::control::metrics::Metrics;
@@ -29,6 +30,11 @@
 
 /// Runs a gateway node with the settings file that the environment variable names.
 pub(crate) fn run() -> ExitCode {
+    // Signals may come from the first moment on.
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(error) => return report_failure(&error),
+    };
     let settings = match read_settings() {
         Ok(settings) => settings,
         Err(error) => {
@@ -36,7 +42,7 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match serve(&settings) {
+    match serve(&settings, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => report_failure(&error),
     }
@@ -56,7 +62,7 @@
 }
 
 /// Serves requests until the process is told to terminate.
-fn serve(settings: &Settings) -> Result<()> {
+fn serve(settings: &Settings, signals: Signals) -> Result<()> {
     let logger = log::json_stdout(Level::Info, &settings.node);
     let metrics = Metrics::new()?;
     let store_exchange = Arc::new(Client::new("call store", pool::Options::default()));
@@ -74,7 +80,7 @@
     };
     let options = node_options(settings);
     let ports = server::Ports::bind(&options)?;
-    let stop = termination::on_signal(Arc::clone(&parts.clock))?;
+    let stop = signals.watch(Arc::clone(&parts.clock), parts.logger.clone())?;
     server::run(options, ports, parts, stop)
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 
 use jackdaw_core::errors::{Error, Result};
@@ -16,7 +15,6 @@
 use ntex::time::Seconds;
 use slog::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time;
 
 use crate::bans;
@@ -111,8 +109,6 @@
     let exchange = listen(ports.exchange)?;
     ports.peers.set_nonblocking(true).map_err(listen_failed)?;
     let peers = UdpSocket::from_std(ports.peers).map_err(listen_failed)?;
-    let mut hangup = signal(SignalKind::hangup())
-        .map_err(|error| Error::unreachable("install signals", "self", error))?;
     let node = Rc::new(Node::new(options, parts, stop.clone()));
     info!(node.logger(), "node started";
         "zone" => %node.options.zone, "callers" => %node.options.callers);
@@ -128,14 +124,7 @@
     ));
     ntex::rt::spawn(accept_connections(Rc::clone(&node), callers, Port::Callers));
     ntex::rt::spawn(accept_connections(Rc::clone(&node), exchange, Port::Peers));
-    let mut requested = pin!(stop.wait());
-    loop {
-        tokio::select! {
-            _ = &mut requested => break,
-            // The addresses are fixed at the start, and all other settings come from the store.
-            _ = hangup.recv() => info!(node.logger(), "SIGHUP ignored: no settings to reload"),
-        }
-    }
+    stop.wait().await;
     stop::log_begin(&node);
     drain(&node).await;
     // The node leads until now, so that the zone keeps a leader while its other nodes stop as well.
