Reproduce answers that a late node cuts off though it has them, failing

Callers of a stopping node that runs late get a broken stream or a 502 although their server finished long before. Tests beside it cover disconnects before the first byte, refused bodies that go on, and answers without a body; those pass.

--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod poison;
 mod relay;
 mod restore;
+mod review;
 mod stop;
 mod store;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/node/review.rs
@@ -0,0 +1,241 @@
+//! Tests of answers that a stop or the end of a connection may cut off.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jackdaw_core::units::Millis;
+use rstest::rstest;
+
+use super::relay::DISCONNECT_TIMEOUT;
+use super::support::{Log, Node, Script, TIMEOUT, options};
+
+const ONE_GATE_TWO: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
+const ONE_GATE_BREAK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE";
+const GATE_DONE: Script =
+    "GATEHTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndone";
+const EMPTY: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 0\r\n\r\nKEEP";
+const NO_CONTENT: Script = "HTTP/1.1 204 No Content\r\nid: ID\r\nsigned: 1\r\n\r\nKEEP";
+const NOTHING: Script = "HOLD";
+
+fn start(scripts: &[Script], grace: Millis) -> (Node, Log) {
+    let log = Log::default();
+    let options = jackdaw_gateway::options::Options {
+        grace,
+        ..options("node")
+    };
+    (Node::start_with(2, scripts, options, log.logger()), log)
+}
+
+fn request(id: &str, method: &str, path: &str, headers: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 8000\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn connect(node: &Node) -> TcpStream {
+    let stream = TcpStream::connect(node.address).expect("the node listens");
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("the time-out is valid");
+    stream
+}
+
+fn send(stream: &mut TcpStream, bytes: &str) {
+    stream.write_all(bytes.as_bytes()).expect("the node reads");
+}
+
+fn read_rest(stream: &mut TcpStream) -> (String, Option<std::io::ErrorKind>) {
+    let mut bytes = Vec::new();
+    let error = stream.read_to_end(&mut bytes).err();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    (text, error.map(|error| error.kind()))
+}
+
+/// Returns the processor time of this process in hundredths of a second.
+fn processor_time() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/stat").expect("the system is Linux");
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    fields[11].parse::<u64>().expect("a number") + fields[12].parse::<u64>().expect("a number")
+}
+
+/// An answer that its server completes while the node's event loop stands still.
+#[derive(Debug)]
+struct LateCase {
+    name: &'static str,
+    path: &'static str,
+    script: Script,
+    end: &'static str,
+}
+
+// Guards against answers that the node has received whole and cuts off nevertheless, because it runs
+// late and looks at the time before it reads what has arrived.
+#[rstest]
+#[case::stream(LateCase { name: "a stream", path: "/long/x", script: ONE_GATE_TWO, end: "data: two\n\n\r\n0\r\n\r\n" })]
+#[case::buffered(LateCase { name: "a buffered answer", path: "/once/x", script: GATE_DONE, end: "done" })]
+fn answer_that_arrived_in_time_is_delivered_by_a_node_that_runs_late(#[case] case: LateCase) {
+    let (mut node, _) = start(&[case.script], Millis(3_000));
+    let mut caller = connect(&node);
+    send(&mut caller, &request("r1", "POST", case.path, "", "hello"));
+    node.servers.wait_arrived(1);
+    let mut stalling = connect(&node);
+    let asked = node.process.begin_stop();
+    send(
+        &mut stalling,
+        &request("stall", "GET", "/none/x", "stall: 1\r\n", ""),
+    );
+    node.stall.wait_stalled();
+    node.servers.release();
+    node.servers.wait_written(1);
+    let written = asked.elapsed();
+    // Requests in flight are given up after 2.3 s, and the process ends after 2.8 s.
+    thread::sleep(Duration::from_millis(2_350).saturating_sub(asked.elapsed()));
+    node.stall.resume();
+    let (answer, error) = read_rest(&mut caller);
+    assert!(
+        answer.ends_with(case.end),
+        "{}: the server finished after {written:?}, the caller's connection ended after {:?} with {error:?}: {answer}",
+        case.name,
+        asked.elapsed()
+    );
+    node.process.wait_ended();
+}
+
+// Guards against a stream that was broken off and looks complete to a caller that does not know
+// chunks.
+#[test]
+fn stream_that_is_broken_off_does_not_look_complete_to_a_caller_with_an_old_version() {
+    let (node, _) = start(&[ONE_GATE_BREAK], Millis(8_000));
+    let mut caller = connect(&node);
+    let request = request("r1", "POST", "/long/x", "", "hello").replace("HTTP/1.1", "HTTP/1.0");
+    send(&mut caller, &request);
+    node.servers.wait_arrived(1);
+    node.servers.release();
+    let (answer, error) = read_rest(&mut caller);
+    let is_chunked = answer
+        .to_lowercase()
+        .contains("transfer-encoding: chunked");
+    assert!(is_chunked || error.is_some(), "{answer}");
+    node.process.stop();
+}
+
+// Guards against lines about abandoned answers where the answer has no body.
+#[rstest]
+#[case::empty("POST", EMPTY)]
+#[case::no_content("POST", NO_CONTENT)]
+#[case::head("HEAD", EMPTY)]
+fn answer_without_a_body_is_not_logged_as_abandoned(#[case] method: &str, #[case] script: Script) {
+    let (node, log) = start(&[script], Millis(8_000));
+    let mut caller = connect(&node);
+    let headers = "connection: close\r\n";
+    send(&mut caller, &request("r1", method, "/once/x", headers, ""));
+    let (answer, error) = read_rest(&mut caller);
+    assert!(answer.starts_with("HTTP/1.1 20"), "{error:?}: {answer}");
+    node.process.stop();
+    let lines = log.find("answer abandoned");
+    assert!(lines.is_empty(), "{lines:?}");
+}
+
+// Guards against a node with a very short grace period that spends a processor on each request that
+// waits.
+#[rstest]
+#[case::body("/once/x", "hell")]
+#[case::answer("/once/x", "hello")]
+fn waiting_request_costs_no_processor_time_at_a_short_grace_period(
+    #[case] path: &str,
+    #[case] body: &str,
+) {
+    let (node, _) = start(&[NOTHING], Millis(500));
+    let mut caller = connect(&node);
+    let request = request("r1", "POST", path, "", "hello").replace("hello", body);
+    send(&mut caller, &request);
+    thread::sleep(Duration::from_millis(300));
+    let before = processor_time();
+    thread::sleep(Duration::from_millis(1_000));
+    let spent = processor_time() - before;
+    assert!(spent < 50, "{spent} of 100 hundredths of a second");
+    drop(caller);
+    node.process.stop();
+}
+
+// Guards against a connection that stays open because its caller goes on sending the body of a
+// request that was refused.
+#[test]
+fn connection_of_a_refused_request_ends_though_its_body_goes_on() {
+    let (mut node, log) = start(&[], Millis(8_000));
+    let mut caller = connect(&node);
+    let asked = node.process.begin_stop();
+    send(
+        &mut caller,
+        "POST /once/x HTTP/1.1\r\nhost: host\r\nid: r1\r\ndeadline: 60000\r\ncontent-length: 1000000\r\n\r\n",
+    );
+    let writer = caller.try_clone().expect("a descriptor is free");
+    let end = thread::spawn(move || {
+        let mut writer = writer;
+        let mut length = 0;
+        while writer.write_all(b"x").is_ok() && asked.elapsed() < Duration::from_secs(10) {
+            length += 1;
+            thread::sleep(Duration::from_millis(50));
+        }
+        (length, asked.elapsed())
+    });
+    let (answer, error) = read_rest(&mut caller);
+    let answered = asked.elapsed();
+    let end = end.join().expect("the caller ends");
+    node.process.wait_ended();
+    let ended = asked.elapsed();
+    assert!(
+        answer.starts_with("HTTP/1.1 503") && end.1 < Duration::from_secs(6) && log.find("grace period ended").is_empty(),
+        "answered {answered:?} with {error:?}, writes end {end:?}, node ended {ended:?}: {answer}"
+    );
+}
+
+/// A caller that disconnects before its answer has begun.
+#[derive(Debug)]
+struct GoneCase {
+    name: &'static str,
+    path: &'static str,
+    is_stopping: bool,
+    is_pipelined: bool,
+    after: Duration,
+}
+
+// Guards against a server that goes on with a request whose caller has disconnected before the first
+// byte of the answer.
+#[rstest]
+#[case::buffered(GoneCase { name: "buffered", path: "/once/x", is_stopping: false, is_pipelined: false, after: Duration::from_millis(100) })]
+#[case::buffered_late(GoneCase { name: "buffered, late", path: "/once/x", is_stopping: false, is_pipelined: false, after: Duration::from_millis(2_500) })]
+#[case::stream(GoneCase { name: "stream", path: "/long/x", is_stopping: false, is_pipelined: false, after: Duration::from_millis(100) })]
+#[case::stream_late(GoneCase { name: "stream, late", path: "/long/x", is_stopping: false, is_pipelined: false, after: Duration::from_millis(2_500) })]
+#[case::stopping(GoneCase { name: "stopping", path: "/long/x", is_stopping: true, is_pipelined: false, after: Duration::from_millis(4_000) })]
+#[case::pipelined(GoneCase { name: "pipelined", path: "/long/x", is_stopping: false, is_pipelined: true, after: Duration::from_millis(1_500) })]
+fn server_stops_when_the_caller_disconnects_before_the_answer(#[case] case: GoneCase) {
+    let (mut node, _) = start(&[NOTHING], Millis(20_000));
+    let mut caller = connect(&node);
+    send(&mut caller, &request("r1", "POST", case.path, "", "hello"));
+    node.servers.wait_arrived(1);
+    if case.is_pipelined {
+        send(&mut caller, &request("r2", "POST", case.path, "", "hello"));
+    }
+    if case.is_stopping {
+        node.process.begin_stop();
+    }
+    thread::sleep(case.after);
+    let closed = Instant::now();
+    drop(caller);
+    let has_ended = node.servers.ends_within(DISCONNECT_TIMEOUT);
+    assert!(has_ended, "{}: {:?}", case.name, closed.elapsed());
+    if !case.is_stopping {
+        node.process.begin_stop();
+    }
+    node.process.wait_ended();
+    let _ = Arc::strong_count(&node.stall);
+}
