Hand a keyed call's guard over with its answer

Found on paper, not seen: the task of a keyed call sent its answer to the handler and dropped its guard in the next line. The count of requests could reach zero before the handler had written the answer, and a stopping node then closes the connection; the library drops what is written after that. Only the order in which one thread's tasks are woken prevented it. Why this works: the guard goes through the channel with the answer and is dropped in the poll that writes it. Evidence: none that fails before; the tests of stop, once, guarded and faults pass.

--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -37,13 +37,15 @@
     let (sender, receiver) = oneshot::channel();
     let worker = worker.clone();
     ntex::rt::spawn(async move {
-        let _ = sender.send(run_recorded(&worker, call, &key, admission).await);
-        drop(guard);
+        let answer = run_recorded(&worker, call, &key, admission).await;
+        // The guard lasts until the handler has the answer, or ends here if the caller has left.
+        let _ = sender.send((answer, guard));
     });
-    receiver.await.unwrap_or_else(|_| {
+    let Ok((answer, _guard)) = receiver.await else {
         let detail = "the worker ended before the call did";
-        Err(Problem::new(Reason::Broken, Step::Written, detail))
-    })
+        return Err(Problem::new(Reason::Broken, Step::Written, detail));
+    };
+    answer
 }
 
 async fn run_recorded(
