Reproduce streams that a stop cuts off though their servers have finished, failing

The caller of a stream pauses and reads on while the node still runs; the rest of the stream is in the node's socket, but the time at which requests are given up has passed. Also: with a grace period below 4.2 s that time lies before the last sixth of it.

--- a/crates/gateway/tests/node/review.rs
+++ b/crates/gateway/tests/node/review.rs
@@ -120,9 +120,7 @@
     node.servers.wait_arrived(1);
     node.servers.release();
     let (answer, error) = read_rest(&mut caller);
-    let is_chunked = answer
-        .to_lowercase()
-        .contains("transfer-encoding: chunked");
+    let is_chunked = answer.to_lowercase().contains("transfer-encoding: chunked");
     assert!(is_chunked || error.is_some(), "{answer}");
     node.process.stop();
 }
@@ -193,7 +191,9 @@
     node.process.wait_ended();
     let ended = asked.elapsed();
     assert!(
-        answer.starts_with("HTTP/1.1 503") && end.1 < Duration::from_secs(6) && log.find("grace period ended").is_empty(),
+        answer.starts_with("HTTP/1.1 503")
+            && end.1 < Duration::from_secs(6)
+            && log.find("grace period ended").is_empty(),
         "answered {answered:?} with {error:?}, writes end {end:?}, node ended {ended:?}: {answer}"
     );
 }
@@ -239,3 +239,54 @@
     node.process.wait_ended();
     let _ = Arc::strong_count(&node.stall);
 }
+
+// Guards against requests that a node with a short grace period gives up earlier than in the last
+// sixth of it.
+#[rstest]
+#[case(1_000)]
+#[case(2_000)]
+#[case(3_000)]
+#[case(4_000)]
+#[case(5_000)]
+#[case(8_000)]
+#[case(30_000)]
+fn requests_are_given_up_no_earlier_than_in_the_last_sixth_of_the_grace_period(#[case] grace: u64) {
+    let limits = jackdaw_policy::shutdown::Limits::new(Millis(grace));
+    assert!(limits.answer.0 * 6 >= grace * 5, "{limits:?}");
+}
+
+const FILLED_STREAM: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nFILL0\r\n\r\n";
+
+// Guards against the loss of the end of a stream whose server finished long before, and whose caller
+// reads on before the node ends.
+#[test]
+fn stream_of_a_caller_that_paused_is_delivered_while_the_node_still_runs() {
+    let (mut node, _) = start(&[FILLED_STREAM], Millis(3_000));
+    let text = "x".repeat(4_096);
+    let chunks = (1..=1_024).map(|number| {
+        let event = format!("id: {number}\ndata: {text}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    });
+    node.servers.fill(chunks.collect());
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+        .expect("a descriptor is free");
+    socket
+        .set_recv_buffer_size(4_096)
+        .expect("the option is known");
+    socket
+        .connect(&node.address.into())
+        .expect("the node listens");
+    let mut caller: TcpStream = socket.into();
+    send(&mut caller, &request("r1", "POST", "/long/x", "", "hello"));
+    node.servers.wait_written(1);
+    let asked = node.process.begin_stop();
+    thread::sleep(Duration::from_millis(2_350).saturating_sub(asked.elapsed()));
+    let (answer, error) = read_rest(&mut caller);
+    assert!(
+        answer.ends_with("\r\n0\r\n\r\n"),
+        "{} events until {:?}, {error:?}",
+        answer.matches("data: ").count(),
+        asked.elapsed()
+    );
+    node.process.wait_ended();
+}
