Reproduce a stream that outlasts its deadline because its caller does not read, failing

The HTTP library asks for the next part of a body only when the last one has been written, and the deadline is checked only then. So the request stays in flight, with both connections, as long as the caller keeps its connection open.

--- a/crates/gateway/tests/node/review.rs
+++ b/crates/gateway/tests/node/review.rs
@@ -290,3 +290,28 @@
     );
     node.process.wait_ended();
 }
+
+// Guards against a stream whose caller never reads, and which therefore keeps its connections and its
+// server long after its deadline.
+#[test]
+fn stream_that_its_caller_does_not_read_ends_after_its_deadline() {
+    let (node, _) = start(&[FILLED_STREAM], Millis(8_000));
+    let text = "x".repeat(4_096);
+    let chunks = (1..=8_192).map(|number| {
+        let event = format!("id: {number}\ndata: {text}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    });
+    node.servers.fill(chunks.collect());
+    let mut caller = connect(&node);
+    let request = request("r1", "POST", "/long/x", "", "hello");
+    send(
+        &mut caller,
+        &request.replace("deadline: 8000", "deadline: 1000"),
+    );
+    node.servers.wait_arrived(1);
+    assert!(
+        node.servers.ends_within(Duration::from_secs(6)),
+        "the server is still connected 5 s after the deadline"
+    );
+    node.process.stop();
+}
