Judge by the chosen group whether a stopping node can finish a stream

What callers saw: nothing yet; read in review. The estimate was that of the best candidate, while the request goes to the group with the lowest cost, which leaves the load of other nodes out. A stream could be taken for the sake of an idle group and sent to a loaded one.

The choice comes first, and its estimate decides. No test of its own: the scripted servers of the tests have no engine.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,7 +11,7 @@
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
-use jackdaw_core::config::{Index, Route};
+use jackdaw_core::config::{Engine, Index, Model, Route};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::protocol::{Answer, Forwarding, Head};
 use jackdaw_core::refusal::Reason;
@@ -342,7 +342,10 @@
         let costs = self.costs(&loads)?;
         let mut random = fastrand::f64;
         match balance::choose(&costs, &mut random) {
-            Some(idx) => Ok(candidates[idx]),
+            Some(idx) => {
+                self.check_stop(&loads[idx])?;
+                Ok(candidates[idx])
+            }
             None => Err(self.refuse(
                 Reason::NoServer,
                 NO_GROUP_RETRY_AFTER,
@@ -388,14 +391,7 @@
     /// Returns a refusal if no candidate is expected to answer in time or admission control rejects
     /// the request.
     fn costs(&self, loads: &[Load]) -> Result<Vec<f64>, Refusal> {
-        let head = &self.call.head;
-        let service = self.index.service(&self.call.service);
-        let engine = service.and_then(|service| service.engine.as_ref());
-        let model = engine
-            .zip(head.model.as_deref())
-            .and_then(|(engine, name)| engine.model(name));
-        let Some((engine, model)) = engine.zip(model) else {
-            self.check_stop(None)?;
+        let Some((engine, model)) = self.engine() else {
             let suspect_penalty = |load: &Load| if load.suspect { 1_000.0 } else { 0.0 };
             return Ok(loads
                 .iter()
@@ -403,10 +399,7 @@
                 .collect());
         };
         let demand = self.demand();
-        let estimate = |load: &Load| balance::estimate(engine, model, load, demand);
-        let first_event = |load: &Load| estimate(load).first_event;
-        let last_event = |load: &Load| estimate(load).last_event(engine, head.max_output);
-        self.check_stop(loads.iter().map(last_event).min_by(f64::total_cmp))?;
+        let first_event = |load: &Load| balance::estimate(engine, model, load, demand).first_event;
         let first_events: Vec<f64> = loads.iter().map(first_event).collect();
         let soonest = first_events.iter().copied().fold(f64::INFINITY, f64::min);
         let left = self.call.deadline.since(self.node.now());
@@ -434,15 +427,27 @@
             .collect())
     }
 
+    /// Returns the engine of the request's service and the model, if the service has an engine.
+    fn engine(&self) -> Option<(&Engine, &Model)> {
+        let service = self.index.service(&self.call.service)?;
+        let engine = service.engine.as_ref()?;
+        let model = engine.model(self.call.head.model.as_deref()?)?;
+        Some((engine, model))
+    }
+
     /// Rejects a new request that a stopping node cannot finish before it ends.
     ///
     /// # Errors
     ///
     /// Returns the refusal if the request is rejected.
-    fn check_stop(&self, estimate_ms: Option<f64>) -> Result<(), Refusal> {
+    fn check_stop(&self, load: &Load) -> Result<(), Refusal> {
         let Some(shutdown) = self.node.shutdown().filter(|_| self.failures == 0) else {
             return Ok(());
         };
+        let estimate_ms = self.engine().map(|(engine, model)| {
+            let estimate = balance::estimate(engine, model, load, self.demand());
+            estimate.last_event(engine, self.call.head.max_output)
+        });
         if shutdown.can_finish(self.node.now(), self.call.deadline, estimate_ms) {
             return Ok(());
         }
