Scale the margins of a planned stop with short grace periods

What callers saw: with a grace period under 4.2 s, streams in flight were given up before its last sixth; with one of 0.5 s and less, each waiting request woke the node without end.

Cause: the two margins before the kill were constants, and so more than a sixth of a short grace period, or all of it; waits were as long as the time from a signal to the give-up, which was zero then.

A margin is a twentieth of the grace period at most, and a wait 10 ms at least.

review::requests_are_given_up_no_earlier_than_in_the_last_sixth_of_the_grace_period failed for 1 to 4 s. The test of wake-ups measured the processor time of the whole test process, which runs other tests at the same time; it counts reads of the node's clock instead.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -62,6 +62,10 @@
 /// Delay after which a caller is asked to retry if no server can be spared for a request under which
 /// others ended; servers that ended are back after some seconds.
 const SPARED_RETRY_AFTER: Millis = Millis(2_000);
+/// Shortest wait between two looks at the time.
+const MIN_WAIT: Millis = Millis(10);
+/// Time to read what has arrived before a wait is given up.
+const READ_TIME: Duration = Duration::from_millis(20);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
@@ -660,8 +664,9 @@
                 return Err(Fault::Silent);
             }
             // A stop that is requested meanwhile ends the request no earlier than this.
-            let stopped = now + self.node.stop_limits().answer;
-            let span = self.node.until(due.min(given_up).min(stopped));
+            let stopped = now + self.node.stop_limits().answer.max(MIN_WAIT);
+            let silent = self.silent_at(key, since, timeouts);
+            let span = self.node.until(silent.min(self.due()).min(stopped));
             match select(future.as_mut(), pin!(time::sleep(span))).await {
                 Either::Left((value, _)) => return Ok(value),
                 Either::Right(_) => {}
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -35,6 +35,9 @@
 /// Deadline of requests that state none.
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 
+/// Shortest wait between two looks at the time.
+const MIN_WAIT: Millis = Millis(10);
+
 /// Path of the metrics on the readiness port.
 const METRICS_PATH: &str = "/metrics";
 
@@ -211,7 +214,7 @@
         }
         // A stop that is requested meanwhile ends the acceptance no earlier than this.
         let accepted = node.shutdown().map_or_else(
-            || now + node.stop_limits().accept,
+            || now + node.stop_limits().accept.max(MIN_WAIT),
             |shutdown| shutdown.accepts_until(),
         );
         let timeout = pin!(time::sleep(node.until(due.min(accepted))));
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -129,7 +129,8 @@
     drain(&node).await;
     // The node leads until now, so that the zone keeps a leader while its other nodes stop as well.
     leadership.resign();
-    time::sleep(LEASE_RELEASE_TIME.duration()).await;
+    let left = node.options.grace.0 - node.stop_limits().exit.0;
+    time::sleep(LEASE_RELEASE_TIME.min(Millis(left / 2)).duration()).await;
     stop::log_end(&node);
     in_flight::abandon_all(&node);
     connections::end_all(&node);
--- a/crates/gateway/tests/node/review.rs
+++ b/crates/gateway/tests/node/review.rs
@@ -3,14 +3,21 @@
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use jackdaw_core::time::{Clock, SystemClock};
 use jackdaw_core::units::Millis;
+use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::options::Options;
+use jackdaw_gateway::server::Ports;
 use rstest::rstest;
+use slog::{Logger, o};
 
 use super::relay::DISCONNECT_TIMEOUT;
-use super::support::{Log, Node, Script, TIMEOUT, options};
+use super::store::MemoryStore;
+use super::support::{Log, Node, Process, Script, Servers, TIMEOUT, options, parts, server};
 
 const ONE_GATE_TWO: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
 const ONE_GATE_BREAK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE";
@@ -22,7 +29,7 @@
 
 fn start(scripts: &[Script], grace: Millis) -> (Node, Log) {
     let log = Log::default();
-    let options = jackdaw_gateway::options::Options {
+    let options = Options {
         grace,
         ..options("node")
     };
@@ -55,18 +62,6 @@
     (text, error.map(|error| error.kind()))
 }
 
-/// Returns the processor time of this process in hundredths of a second.
-fn processor_time() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/stat").expect("the system is Linux");
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or("")
-        .split_whitespace()
-        .collect();
-    fields[11].parse::<u64>().expect("a number") + fields[12].parse::<u64>().expect("a number")
-}
-
 /// An answer that its server completes while the node's event loop stands still.
 #[derive(Debug)]
 struct LateCase {
@@ -142,26 +137,67 @@
     assert!(lines.is_empty(), "{lines:?}");
 }
 
-// Guards against a node with a very short grace period that spends a processor on each request that
-// waits.
+/// A clock that counts how often it is read.
+#[derive(Debug, Default)]
+struct CountingClock {
+    system: SystemClock,
+    reads: AtomicU64,
+}
+
+impl Clock for CountingClock {
+    fn now(&self) -> jackdaw_core::time::Instant {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.system.now()
+    }
+
+    fn unix_millis(&self) -> u64 {
+        self.system.unix_millis()
+    }
+}
+
+/// Time for which a request waits.
+const WAIT: Duration = Duration::from_secs(1);
+/// Reads of the clock in that time by all tasks of a node, at most; each wake-up of a waiting
+/// request reads it several times.
+const MAX_READS: u64 = 2_000;
+
+// Guards against a node with a very short grace period that wakes up without end for each request
+// that waits.
 #[rstest]
-#[case::body("/once/x", "hell")]
-#[case::answer("/once/x", "hello")]
-fn waiting_request_costs_no_processor_time_at_a_short_grace_period(
-    #[case] path: &str,
-    #[case] body: &str,
-) {
-    let (node, _) = start(&[NOTHING], Millis(500));
-    let mut caller = connect(&node);
-    let request = request("r1", "POST", path, "", "hello").replace("hello", body);
+#[case::body("hell")]
+#[case::answer("hello")]
+fn waiting_request_does_not_wake_its_node_without_end(#[case] body: &str) {
+    let servers = Servers::with_scripts(&[NOTHING]);
+    let clock = Arc::new(CountingClock::default());
+    let store = Arc::new(MemoryStore::new());
+    store.put("configuration", "1");
+    store.put("servers/s0", "");
+    let registered = vec![server("s0", servers.listen())];
+    let parts = Parts {
+        clock: clock.clone(),
+        ..parts(&store, registered, Logger::root(slog::Discard, o!()))
+    };
+    let options = Options {
+        grace: Millis(10),
+        ..options("node")
+    };
+    let ports = Ports::bind(&options).expect("ports are free");
+    let process = Process::launch(options, ports, parts);
+    process.wait_ready();
+    let mut caller = TcpStream::connect(process.callers).expect("the node listens");
+    let request = request("r1", "POST", "/once/x", "", "hello").replace("hello", body);
     send(&mut caller, &request);
-    thread::sleep(Duration::from_millis(300));
-    let before = processor_time();
-    thread::sleep(Duration::from_millis(1_000));
-    let spent = processor_time() - before;
-    assert!(spent < 50, "{spent} of 100 hundredths of a second");
+    // Nothing arrives within this time.
+    caller
+        .set_read_timeout(Some(WAIT))
+        .expect("the time-out is valid");
+    let before = clock.reads.load(Ordering::Relaxed);
+    let ended = caller.read(&mut [0; 1]);
+    let reads = clock.reads.load(Ordering::Relaxed) - before;
+    assert!(ended.is_err(), "{ended:?}");
+    assert!(reads < MAX_READS, "{reads} reads of the clock");
     drop(caller);
-    node.process.stop();
+    process.stop();
 }
 
 // Guards against a connection that stays open because its caller goes on sending the body of a
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -278,7 +278,15 @@
 }
 
 impl Servers {
-    fn listen(&self) -> SocketAddr {
+    /// Returns servers that share scripts.
+    pub(crate) fn with_scripts(scripts: &[Script]) -> Servers {
+        let servers = Servers::default();
+        *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
+        servers
+    }
+
+    /// Starts a server on a free port.
+    pub(crate) fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
@@ -630,8 +638,7 @@
         logger: Logger,
         options: Options,
     ) -> Node {
-        let servers = Servers::default();
-        *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
+        let servers = Servers::with_scripts(scripts);
         let registered: Vec<Server> = (0..count)
             .map(|number| server(&format!("s{number}"), servers.listen()))
             .collect();
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -9,11 +9,13 @@
 /// Time after the signal in which new requests are taken. A load balancer that checks readiness each
 /// second and acts on two failed checks sends new connections for more than 2 s.
 const ACCEPT_TIME: Millis = Millis(3_000);
-/// Time before the end of the grace period at which the process ends by itself.
+/// Longest time before the end of the grace period at which the process ends by itself.
 const EXIT_MARGIN: Millis = Millis(400);
-/// Time before the process ends at which requests in flight are given up, so that their callers
-/// still get an answer.
+/// Longest time before the process ends at which requests in flight are given up, so that their
+/// callers still get an answer.
 const ANSWER_MARGIN: Millis = Millis(300);
+/// Divisor of a short grace period for each of the two margins.
+const MARGIN_DIVISOR: u64 = 20;
 /// Factor by which an answer may take longer than estimated.
 const ESTIMATE_MARGIN: f64 = 1.5;
 
@@ -32,8 +34,9 @@
     /// Returns the times for a grace period, after which the supervisor kills the process.
     #[must_use]
     pub fn new(grace: Millis) -> Self {
-        let exit = Millis(grace.0.saturating_sub(EXIT_MARGIN.0));
-        let answer = Millis(exit.0.saturating_sub(ANSWER_MARGIN.0));
+        let share = Millis(grace.0 / MARGIN_DIVISOR);
+        let exit = Millis(grace.0 - EXIT_MARGIN.min(share).0);
+        let answer = Millis(exit.0 - ANSWER_MARGIN.min(share).0);
         Limits {
             // At least half of the time is left to finish what is in flight.
             accept: ACCEPT_TIME.min(Millis(answer.0 / 2)),
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -26,8 +26,8 @@
 #[case::too_late(Case { grace: Millis(8_000), arrived: Millis(3_000), answered: Millis(3_100), is_taken: false })]
 #[case::as_long_as_the_grace_period(Case { grace: Millis(8_000), arrived: Millis(100), answered: Millis(8_100), is_taken: false })]
 #[case::ends_with_the_process(Case { grace: Millis(8_000), arrived: Millis(100), answered: Millis(7_600), is_taken: false })]
-#[case::short_grace_period(Case { grace: Millis(1_000), arrived: Millis(149), answered: Millis(300), is_taken: true })]
-#[case::half_of_a_short_grace_period(Case { grace: Millis(1_000), arrived: Millis(150), answered: Millis(300), is_taken: false })]
+#[case::short_grace_period(Case { grace: Millis(1_000), arrived: Millis(449), answered: Millis(900), is_taken: true })]
+#[case::half_of_a_short_grace_period(Case { grace: Millis(1_000), arrived: Millis(450), answered: Millis(900), is_taken: false })]
 #[case::no_grace_period(Case { grace: Millis(0), arrived: Millis(0), answered: Millis(0), is_taken: false })]
 fn a_stopping_node_takes_only_what_it_can_finish(#[case] case: Case) {
     let shutdown = Shutdown::new(SIGNALLED, Limits::new(case.grace));
