Read what has arrived before a wait is given up

What callers saw: a node that was late by some 50 ms at the moment in which it gives requests up broke off streams and answered 502 for answers that lay whole in its sockets, 0.45 s before its end; the same for a caller that paused and reads on at that time, without any lag.

Cause: the time was looked at before the answer. A node that runs late finds the time over whatever has arrived meanwhile.

The rest of a body is not waited for again after a deadline.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -646,23 +647,6 @@
         let mut future = pin!(future);
         loop {
             let now = self.node.now();
-            let last_progress = self.node.targets.borrow().last_progress(key);
-            let request_due = since + timeouts.request;
-            let due = match last_progress {
-                // A request that was sent to a stalled group gets the minimum time all the same.
-                Some(last_progress) => {
-                    let group_due = (last_progress + timeouts.group).max(since + timeouts.minimum);
-                    group_due.min(request_due)
-                }
-                None => request_due,
-            };
-            let given_up = self.due();
-            if now >= given_up {
-                return Err(Fault::Deadline);
-            }
-            if now >= due {
-                return Err(Fault::Silent);
-            }
             // A stop that is requested meanwhile ends the request no earlier than this.
             let stopped = now + self.node.stop_limits().answer.max(MIN_WAIT);
             let silent = self.silent_at(key, since, timeouts);
@@ -671,6 +655,29 @@
                 Either::Left((value, _)) => return Ok(value),
                 Either::Right(_) => {}
             }
+            let now = self.node.now();
+            let fault = if now >= self.due() {
+                Fault::Deadline
+            } else if now >= self.silent_at(key, since, timeouts) {
+                Fault::Silent
+            } else {
+                continue;
+            };
+            // A node that is late reads what has arrived meanwhile.
+            return time::timeout(READ_TIME, future).await.map_err(|_| fault);
+        }
+    }
+
+    /// Returns the time at which a time-out of the attempt passes.
+    fn silent_at(&self, key: Key, since: Instant, timeouts: Timeouts) -> Instant {
+        let request_due = since + timeouts.request;
+        match self.node.targets.borrow().last_progress(key) {
+            // A request that was sent to a stalled group gets the minimum time all the same.
+            Some(last_progress) => {
+                let group_due = (last_progress + timeouts.group).max(since + timeouts.minimum);
+                group_due.min(request_due)
+            }
+            None => request_due,
         }
     }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -62,7 +62,10 @@
                 "may_have_run" => refusal.may_have_run,
                 "retry_after_ms" => refusal.retry_after.map(|delay| delay.0),
                 "detail" => &refusal.detail);
-            body::discard(&mut payload).await;
+            // A body that was too slow is not waited for again.
+            if refusal.reason != Reason::Deadline {
+                body::discard(&mut payload).await;
+            }
             refusal.to_response()
         }
     };
