Bound what a stop of the product's node waits for

What callers saw: a connection without a request every 100 ms, as a load balancer's check opens, held an idle node until the end of its grace period (5.4 s of 4 s); a request whose body still arrived when the grace period ended got no byte of an answer.

Cause: each new connection got 250 ms to bring a request, also while the node already refused them; and the rest of a refused request's body was read for up to 5 s although the answer is due within one.

A connection that is opened to a stopping node is closed as soon as nothing is in flight, and after the end of the grace period no body is read any more.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -106,9 +106,15 @@
     /// bring a request that was sent before.
     async fn wait_unused(&self, io: &IoRef) {
         let opened = std::time::Instant::now();
+        // A caller that connects to a stopping node loses nothing but a refusal.
+        let first_request_time = if self.is_stopping() {
+            READ_TIME
+        } else {
+            FIRST_REQUEST_TIME
+        };
         loop {
             self.wait_idle().await;
-            let new_for = FIRST_REQUEST_TIME.saturating_sub(opened.elapsed());
+            let new_for = first_request_time.saturating_sub(opened.elapsed());
             tokio::time::sleep(new_for.max(READ_TIME)).await;
             let has_unread = io.with_read_buf(|bytes| !bytes.is_empty());
             if self.in_flight() == 0 && !has_unread {
@@ -129,6 +135,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Returns whether the grace period has ended.
+    #[must_use]
+    pub fn is_expired(&self) -> bool {
+        self.state.expired.load(Ordering::SeqCst)
+    }
+
     /// Waits until the requests in flight have to end.
     pub async fn wait_expired(&self) {
         let expired = |state: &State| state.expired.load(Ordering::SeqCst);
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -175,7 +175,9 @@
     payload: &mut Payload,
     answer: Result<HttpResponse, Problem>,
 ) -> HttpResponse {
-    if answer.as_ref().is_err_and(may_have_unread_body) {
+    // At the end of the grace period there is no time left for it.
+    let may_read = !shared.drain.is_expired();
+    if may_read && answer.as_ref().is_err_and(may_have_unread_body) {
         let _guard = shared.drain.track_request();
         head::discard_body(payload, &shared.options).await;
     }
