Test rows of slow requests on kept connections

Callers keep a connection and send one request after the other. The test module sends rows of streams, whole answers and bodies that last 0.5, 1.5, 3 and 8 s, up to ten in a row, with pauses of 0 to 0.1 s and of 2 s.

--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod abandoned;
 mod cluster;
+mod connection;
 mod follow;
 mod freshness;
 mod lines;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -248,6 +248,8 @@
 pub(crate) const KEEP: &str = "KEEP";
 /// Point of a script at which the server waits for [`Servers::release`].
 pub(crate) const GATE: &str = "GATE";
+/// Point of a script at which the server waits for the milliseconds in the request's header `pause`.
+pub(crate) const PAUSE: &str = "PAUSE";
 /// Place of a script for the bytes that [`Servers::fill`] sets.
 pub(crate) const FILL: &str = "FILL";
 
@@ -343,31 +345,39 @@
     }
 
     /// Writes a script; ends early if the node has disconnected, as it does in some cases.
-    fn write_script(&self, stream: &mut TcpStream, script: Script, id: &str) {
+    fn write_script(&self, stream: &mut TcpStream, script: Script, head: &str) {
+        let id = head_value(head, "id").unwrap_or_default();
         let script = script.trim_end_matches(HOLD).trim_end_matches(KEEP);
         for (gate, part) in script.split(GATE).enumerate() {
             if gate > 0 {
                 self.wait_until(|events| events.is_released, TIMEOUT);
             }
-            let filling = self.filling.lock().expect("no test panicked").clone();
-            let bytes = part.replace("ID", id).replace(FILL, &filling);
-            if stream.write_all(bytes.as_bytes()).is_err() {
-                return;
+            for (pause, part) in part.split(PAUSE).enumerate() {
+                if pause > 0 {
+                    self.pause(head);
+                }
+                let filling = self.filling.lock().expect("no test panicked").clone();
+                let bytes = part.replace("ID", id).replace(FILL, &filling);
+                if stream.write_all(bytes.as_bytes()).is_err() {
+                    return;
+                }
             }
         }
         self.record(|events| events.written += 1);
     }
 
+    /// Waits for the time that a request's head states.
+    fn pause(&self, head: &str) {
+        let millis = head_value(head, "pause").and_then(|millis| millis.parse().ok());
+        self.wait_until(|_| false, Duration::from_millis(millis.unwrap_or_default()));
+    }
+
     fn serve(&self, stream: TcpStream, address: SocketAddr) {
         let mut reader = BufReader::new(stream);
         while let Some((mut head, _)) = read_message(&mut reader) {
             head.push_str(&format!("server: {address}\n"));
-            let id = head
-                .lines()
-                .find_map(|line| line.strip_prefix("id: "))
-                .unwrap_or_default()
-                .to_owned();
-            self.arrived.lock().expect("no test panicked").push(head);
+            let arrived = head.clone();
+            self.arrived.lock().expect("no test panicked").push(arrived);
             self.record(|events| events.arrived += 1);
             let script = {
                 let mut scripts = self.scripts.lock().expect("no test panicked");
@@ -378,7 +388,7 @@
                 }
             };
             let stream = reader.get_mut();
-            self.write_script(stream, script, &id);
+            self.write_script(stream, script, &head);
             if script.ends_with(KEEP) {
                 continue;
             }
@@ -392,6 +402,13 @@
     }
 }
 
+/// Returns a header's value in a head.
+fn head_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines()
+        .filter_map(|line| line.split_once(": "))
+        .find_map(|(header, value)| (header == name).then_some(value))
+}
+
 /// Reads a head and a body of the length that the head states.
 pub(crate) fn read_message(reader: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
@@ -482,6 +499,14 @@
                 timeout: Millis(8_000),
                 ..route("/long/", RouteKind::Stream { resumable: false }, 2)
             },
+            Route {
+                timeout: Millis(15_000),
+                ..route("/longest/", RouteKind::Stream { resumable: false }, 2)
+            },
+            Route {
+                timeout: Millis(15_000),
+                ..route("/slow/", RouteKind::NonIdempotent, 1)
+            },
         ],
     };
     Parts {
