Keep the configuration's limits on callers' connections

Callers that opened a connection ahead got a 408 after a second without having sent a byte, and header_timeout_ms, idle_timeout_ms and max_header_bytes of the configuration did nothing: heads had the library's second, idle connections a constant of 75 s, heads a constant size.

Cause: the HTTP library starts its timer for heads when a connection is accepted, and its limits are fixed at the start, in whole seconds.

A new connection is handed to the library once its first bytes have arrived. From then on a watch of each connection (activity.rs) compares the time without a request in flight with the limits in force. It ends a connection through IoRef::notify_timeout, so that the library first decodes what has arrived: a request that crosses is answered, with `connection: close`; half a head gets a 408; else the connection is closed silently. The library's own timer is set to its longest time and only tells since when a head is under way. An answer that its caller still reads counts as in use. Without limits in the configuration they are 75 s and 10 s. Open connections follow the times of a new configuration at once, and new ones its size of a head (now exact: a head of the stated size is taken). max_body_bytes was in force already.

A request costs one lookup by connection and a few Cell writes; a connection has one timer, and wakes at least every min(header_timeout, idle_timeout).

The readiness and peers' ports keep the library's timers, with 10 s in place of 1 s for a head.

It now puts limits of one second in force and waits for the close of an idle connection that was opened later, as before.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -10,7 +10,9 @@
 use ntex::io::{Id, IoRef};
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
 use slog::info;
+use tokio::sync::Notify;
 
+use crate::activity::Activity;
 use crate::node::Node;
 
 /// Returns the number of bytes of a connection that the operating system has not taken yet.
@@ -23,10 +25,13 @@
     connection: IoRef,
     /// Identity of the last request whose answer was handed over whole.
     last: Option<CompactString>,
+    activity: Rc<Activity>,
 }
 
 /// The callers' connections that are served.
 pub(crate) struct Connections {
+    /// Notified when the limits of the configuration have changed.
+    pub(crate) limits_changed: Notify,
     open: RefCell<HashMap<Id, Open>>,
     unsent: Counter<u64>,
     _open: ObservableGauge<u64>,
@@ -52,12 +57,20 @@
             .build();
         unsent.add(0, &[]);
         Connections {
+            limits_changed: Notify::new(),
             open: RefCell::default(),
             unsent,
             _open: open,
         }
     }
 
+    /// Gets the activity of a connection that is open.
+    pub(crate) fn activity(&self, connection: &IoRef) -> Option<Rc<Activity>> {
+        let open = self.open.borrow();
+        let open = open.get(&connection.id())?;
+        Some(Rc::clone(&open.activity))
+    }
+
     /// Records that the answer to a request was handed over whole to a connection.
     pub(crate) fn record_answer(&self, connection: &IoRef, request: CompactString) {
         if let Some(open) = self.open.borrow_mut().get_mut(&connection.id()) {
@@ -99,22 +112,31 @@
 pub(crate) struct Guard {
     node: Rc<Node>,
     id: Id,
+    activity: Rc<Activity>,
 }
 
 impl Guard {
     /// Adds a connection.
     pub(crate) fn new(node: &Rc<Node>, connection: IoRef) -> Guard {
         let id = connection.id();
+        let activity = Rc::new(Activity::new(node.now()));
         let open = Open {
             connection,
             last: None,
+            activity: Rc::clone(&activity),
         };
         node.connections.open.borrow_mut().insert(id, open);
         Guard {
             node: Rc::clone(node),
             id,
+            activity,
         }
     }
+
+    /// Gets the activity of the connection.
+    pub(crate) fn activity(&self) -> &Activity {
+        &self.activity
+    }
 }
 
 impl Drop for Guard {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -63,7 +63,7 @@
             refusal.to_response()
         }
     };
-    if node.is_stopping() {
+    if node.is_stopping() || guard.as_ref().is_some_and(Guard::is_last) {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
@@ -127,10 +127,7 @@
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
-    let limit = index
-        .configuration()
-        .limits
-        .map_or(body::DEFAULT_MAX_BODY, |limits| limits.body);
+    let limit = node.limits().body;
     let due = arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE);
     let body = read_body(node, payload, limit, due).await.map_err(failed)?;
     // The configuration may have changed while the body was read.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -17,6 +17,7 @@
 use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
 use slog::{KV, Record, Serializer, Value, info};
 
+use crate::activity::Activity;
 use crate::connections::unsent_bytes;
 use crate::node::Node;
 
@@ -83,13 +84,21 @@
     node: Rc<Node>,
     key: Key,
     caller: Option<IoRef>,
+    activity: Option<Rc<Activity>>,
     _in_flight: RequestGuard,
 }
 
 impl Guard {
     /// Adds a request to the registry.
     pub(crate) fn new(node: &Rc<Node>, request: Request, caller: Option<IoRef>) -> Guard {
+        let activity = caller
+            .as_ref()
+            .and_then(|caller| node.connections.activity(caller));
+        if let Some(activity) = &activity {
+            activity.begin_request();
+        }
         Guard {
+            activity,
             key: node.in_flight.registry.insert(request),
             node: Rc::clone(node),
             caller,
@@ -97,6 +106,12 @@
         }
     }
 
+    /// Returns whether the connection is to be closed after the answer.
+    pub(crate) fn is_last(&self) -> bool {
+        let activity = self.activity.as_ref();
+        activity.is_some_and(|activity| activity.is_closing())
+    }
+
     /// Returns the request's key in the registry.
     pub(crate) fn key(&self) -> Key {
         self.key
@@ -152,6 +167,9 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
+        if let Some(activity) = &self.activity {
+            activity.end_request(self.node.now());
+        }
         if let Some(request) = self.node.in_flight.registry.remove(self.key) {
             let (cause, error) = self.cause(&request);
             record_abandoned(&self.node, &request, cause, error, self.caller.as_ref());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod server;
 pub mod termination;
 
+mod activity;
 mod bans;
 mod body;
 mod buffered;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use jackdaw_core::config::Index;
+use jackdaw_core::config::{self, Index};
 use jackdaw_core::errors::Result;
 use jackdaw_core::protocol::{ChangeFeed, Orders, Protocol};
 use jackdaw_core::store::Store;
@@ -26,6 +26,7 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
+use crate::body;
 use crate::connections::Connections;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
@@ -43,6 +44,12 @@
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
 
+/// Longest time to receive a head if the configuration states no limit.
+const DEFAULT_HEADER_TIMEOUT: Millis = Millis(10_000);
+/// Time for which an idle connection is kept if the configuration states no limit; longer than
+/// callers keep idle connections, so that they close them first.
+const DEFAULT_IDLE_TIMEOUT: Millis = Millis(75_000);
+
 /// Resolution of the node's clock, which counts whole milliseconds.
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 
@@ -203,6 +210,20 @@
         self.index.borrow().clone()
     }
 
+    /// Returns the limits on callers in force.
+    pub(crate) fn limits(&self) -> config::Limits {
+        let index = self.index.borrow();
+        let limits = index
+            .as_ref()
+            .and_then(|index| index.configuration().limits);
+        limits.unwrap_or(config::Limits {
+            header: self.options.max_head,
+            body: body::DEFAULT_MAX_BODY,
+            header_timeout: DEFAULT_HEADER_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        })
+    }
+
     /// Returns the version of the configuration in force.
     pub(crate) fn version(&self) -> Option<u64> {
         let index = self.index.borrow();
@@ -226,7 +247,11 @@
             "routes" => configuration.routes.len(),
             "teams" => configuration.teams.len());
         self.record_configuration(configuration.version, value);
+        let limits = self.limits();
         *self.index.borrow_mut() = Some(Rc::new(Index::new(configuration)));
+        if self.limits() != limits {
+            self.connections.limits_changed.notify_waiters();
+        }
         self.update_targets();
         Ok(())
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -30,6 +30,6 @@
     pub lease: Millis,
     /// Time after a server's announcement that it drains by which it must get no new work.
     pub drain: Millis,
-    /// Largest head of a request in bytes.
+    /// Largest head of a request, unless the configuration states a limit.
     pub max_head: Bytes,
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::units::Millis;
+use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_entry::connection;
 use ntex::SharedCfg;
-use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
 use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::service::{ServiceFactory, fn_service};
@@ -19,6 +19,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time;
 
+use crate::activity;
 use crate::bans;
 use crate::connections;
 use crate::follow;
@@ -32,9 +33,10 @@
 use crate::stop;
 use crate::termination;
 
-/// Time after which an idle connection of a caller is closed; longer than callers keep idle
-/// connections, so that they close them first.
-const IDLE_TIMEOUT: Seconds = Seconds(75);
+/// Time after which an idle connection to the readiness port or the peers' port is closed.
+const INTERNAL_IDLE_TIMEOUT: Seconds = Seconds(75);
+/// Longest time to receive a head on these ports, from the start of the connection.
+const INTERNAL_HEAD_TIMEOUT: Seconds = Seconds(10);
 /// Time for callers to read the last bytes of completed answers.
 const DISCONNECT_TIMEOUT: Seconds = Seconds(30);
 /// Time to release the leader's lease in the store, before the supervisor ends the grace period.
@@ -166,18 +168,30 @@
     }
 }
 
-fn http_config(options: &Options) -> SharedCfg {
-    let max_head = usize::try_from(options.max_head.0).unwrap_or(usize::MAX);
+/// Returns the HTTP library's settings for a port and the largest head of a request.
+fn http_config(port: Port, max_head: Bytes) -> SharedCfg {
+    // The library refuses heads that reach the size.
+    let refused_head = max_head.0.saturating_add(1);
     let http = HttpServiceConfig::new()
-        .set_max_buf_size(max_head)
-        .set_keepalive_timeout(IDLE_TIMEOUT);
+        .set_max_buf_size(usize::try_from(refused_head).unwrap_or(usize::MAX));
+    let http = if port == Port::Callers {
+        // The limits of the configuration replace the library's.
+        let head = activity::LIBRARY_HEAD_TIMEOUT;
+        http.set_headers_read_rate(head, head, u32::MAX)
+            .set_keepalive(KeepAlive::Os)
+    } else {
+        let head = INTERNAL_HEAD_TIMEOUT;
+        http.set_headers_read_rate(head, head, u32::MAX)
+            .set_keepalive_timeout(INTERNAL_IDLE_TIMEOUT)
+    };
     // A completed answer is not cut off while its caller still reads it.
     let io = IoConfig::new().set_disconnect_timeout(DISCONNECT_TIMEOUT);
     SharedCfg::new("CALLERS").add(http).add(io).into()
 }
 
 async fn accept_connections(node: Rc<Node>, listener: TcpListener, port: Port) {
-    let config = http_config(&node.options);
+    let mut max_head = node.limits().header;
+    let mut config = http_config(port, max_head);
     let handler_node = Rc::clone(&node);
     let requests = fn_service(move |request: Request| {
         let node = Rc::clone(&handler_node);
@@ -218,6 +232,10 @@
         if let Err(error) = stream.set_nodelay(true) {
             warn!(node.logger(), "TCP_NODELAY could not be set on a connection"; "error" => %error);
         }
+        if node.limits().header != max_head {
+            max_head = node.limits().header;
+            config = http_config(port, max_head);
+        }
         let io = match ntex::rt::from_tcp_stream(stream, config.clone()) {
             Ok(io) => io,
             Err(error) => {
@@ -231,10 +249,19 @@
             connections::Guard::new(&node, io.get_ref())
         });
         let pipeline = pipeline.clone();
+        let node = Rc::clone(&node);
         ntex::rt::spawn(async move {
             // A connection that failed has been answered or closed already, so its error is dropped.
-            drop(pipeline.call(io).await);
-            drop(guard);
+            let Some(guard) = guard else {
+                drop(pipeline.call(io).await);
+                return;
+            };
+            let activity = guard.activity();
+            if activity::wait_first_bytes(&node, &io, activity).await {
+                let connection = io.get_ref();
+                let serve = pipeline.call(io);
+                activity::serve_with_limits(&node, &connection, activity, serve).await;
+            }
         });
     }
 }
--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use jackdaw_core::units::Millis;
+use jackdaw_core::config::Limits;
+use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_gateway::options::Options;
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
@@ -646,10 +647,16 @@
     );
 }
 
-/// Waits until the HTTP library has closed a new connection on which no request arrives, so that
-/// its timers for connections that were opened before have fired as well.
-fn wait_for_head_timers(address: SocketAddr) {
-    let (_, error) = read_rest(&mut connect(address));
+/// Waits until the node has closed a new connection on which no request arrives, so that the timers
+/// for connections that were opened before have passed as well.
+fn wait_for_timers(node: &Node) {
+    node.limit(&Limits {
+        header: Bytes(16 << 10),
+        body: Bytes(4 << 20),
+        header_timeout: Millis(1_000),
+        idle_timeout: Millis(1_000),
+    });
+    let (_, error) = read_rest(&mut connect(node.address));
     assert_eq!(error, None, "the connection stays open");
 }
 
@@ -664,7 +671,7 @@
     let mut caller = connect(node.address);
     send(&mut caller, &kept("r1", "POST", "/long/x", "", "hello"));
     node.servers.wait_arrived(1);
-    wait_for_head_timers(node.address);
+    wait_for_timers(&node);
     node.servers.release();
     let mut reader = BufReader::new(caller);
     read_chunked(&mut reader);
@@ -697,7 +704,7 @@
     let first = lines.find(|line| line.as_ref().is_ok_and(|line| line == "data: one"));
     assert!(first.is_some(), "{}: no first event", case.name);
     if case.is_after_timer {
-        wait_for_head_timers(node.address);
+        wait_for_timers(node);
     }
     reader
 }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -11,7 +11,7 @@
 use async_trait::async_trait;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Order, Reply, Report, Server};
-use jackdaw_core::config::{Backend, Configuration, Route, RouteKind, Service};
+use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Orders, Protocol};
 use jackdaw_core::store::Entry;
@@ -129,12 +129,24 @@
         "/ready"
     }
 
-    /// Decodes a configuration that holds only its version; version 1 alone has the route `safe`.
+    /// Decodes a configuration that holds its version and, after a space each, its limits, if any;
+    /// version 1 alone has the route `safe`.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
-        let version = std::str::from_utf8(value)
-            .ok()
-            .and_then(|text| text.parse().ok());
-        let version = version.unwrap_or(1);
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        let numbers: Vec<u64> = text
+            .split(' ')
+            .filter_map(|number| number.parse().ok())
+            .collect();
+        let version = numbers.first().copied().unwrap_or(1);
+        let limits = match numbers[..] {
+            [_, header, body, header_timeout, idle_timeout] => Some(Limits {
+                header: Bytes(header),
+                body: Bytes(body),
+                header_timeout: Millis(header_timeout),
+                idle_timeout: Millis(idle_timeout),
+            }),
+            _ => None,
+        };
         let routes = self.routes.iter();
         let routes = routes.filter(|route| version == 1 || route.name != "safe");
         Ok(Configuration {
@@ -145,6 +157,7 @@
                 max_connections: 10,
                 engine: None,
             }],
+            limits,
             ..Configuration::default()
         })
     }
@@ -694,6 +707,19 @@
         last.get("server").cloned()
     }
 
+    /// Puts a second version of the configuration with limits in force.
+    pub(crate) fn limit(&self, limits: &Limits) {
+        let configuration = format!(
+            "2 {} {} {} {}",
+            limits.header.0, limits.body.0, limits.header_timeout.0, limits.idle_timeout.0
+        );
+        self.store.put("configuration", &configuration);
+        let start = Instant::now();
+        while !self.call("GET", "/safe/x").starts_with("HTTP/1.1 404") {
+            assert!(start.elapsed() < TIMEOUT, "the limits are not in force");
+        }
+    }
+
     /// Waits until the node refuses new requests or connections.
     pub(crate) fn wait_refusing(&self) {
         let start = Instant::now();
