Drop the check for unread answers from the idle time

The body of an answer is kept until the operating system has taken it but for the library's last buffer, so its request counts as in flight for as long as its caller reads, and connection_is_kept_while_an_answer_is_read_slowly passes without the check (found by taking it out).

Other changes tried by hand: requests that do not count fail the 3 cases of request_that_is_longer_than_the_limits_is_answered; heads that count as idle fail both of head_that_trickles_is_refused_after_its_time; IoRef::close in place of notify_timeout passes the cases of requests that cross, since the dispatcher is polled before the watch.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -13,7 +13,6 @@
 use ntex::time::Seconds;
 use tokio::time;
 
-use crate::connections::unsent_bytes;
 use crate::node::Node;
 
 /// Time that the HTTP library is given for a head; [`watch`] ends one that takes too long before.
@@ -28,8 +27,6 @@
 pub(crate) struct Activity {
     requests: Cell<u32>,
     idle_since: Cell<Instant>,
-    /// Bytes that were unsent when the idle time passed for the last time.
-    unsent: Cell<usize>,
     is_closing: Cell<bool>,
 }
 
@@ -39,7 +36,6 @@
         Activity {
             requests: Cell::new(0),
             idle_since: Cell::new(now),
-            unsent: Cell::new(0),
             is_closing: Cell::new(false),
         }
     }
@@ -47,7 +43,6 @@
     /// Counts a request in flight.
     pub(crate) fn begin_request(&self) {
         self.requests.set(self.requests.get() + 1);
-        self.unsent.set(0);
     }
 
     /// Ends a request in flight.
@@ -80,17 +75,6 @@
             .saturating_sub(u64::from(age) * 1_000);
         Some(now + Millis(left))
     }
-
-    /// Returns whether the caller has read a part of the answers since the idle time passed for the
-    /// last time.
-    fn is_being_read(&self, connection: &IoRef, now: Instant) -> bool {
-        let unsent = unsent_bytes(connection);
-        let is_being_read = unsent > 0 && unsent != self.unsent.replace(unsent);
-        if is_being_read {
-            self.idle_since.set(now);
-        }
-        is_being_read
-    }
 }
 
 /// Waits for a time, or until the limits change.
@@ -129,7 +113,7 @@
         let left = activity
             .due(connection, &limits, now)
             .map(|due| due.since(now));
-        if left == Some(Millis(0)) && !activity.is_being_read(connection, now) {
+        if left == Some(Millis(0)) {
             activity.is_closing.set(true);
             connection.notify_timeout();
         }
