--- a/crates/gateway/tests/node/review.rs
+++ b/crates/gateway/tests/node/delivery.rs
@@ -15,9 +15,10 @@
 use rstest::rstest;
 use slog::{Logger, o};
 
+use super::lines::Lines;
 use super::relay::DISCONNECT_TIMEOUT;
 use super::store::MemoryStore;
-use super::support::{Log, Node, Process, Script, Servers, TIMEOUT, options, parts, server};
+use super::support::{Node, Process, Script, Servers, TIMEOUT, options, parts, server};
 
 const ONE_GATE_TWO: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n";
 const ONE_GATE_BREAK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nGATE";
@@ -27,8 +28,8 @@
 const NO_CONTENT: Script = "HTTP/1.1 204 No Content\r\nid: ID\r\nsigned: 1\r\n\r\nKEEP";
 const NOTHING: Script = "HOLD";
 
-fn start(scripts: &[Script], grace: Millis) -> (Node, Log) {
-    let log = Log::default();
+fn start(scripts: &[Script], grace: Millis) -> (Node, Lines) {
+    let log = Lines::default();
     let options = Options {
         grace,
         ..options("node")
@@ -133,7 +134,7 @@
     let (answer, error) = read_rest(&mut caller);
     assert!(answer.starts_with("HTTP/1.1 20"), "{error:?}: {answer}");
     node.process.stop();
-    let lines = log.find("answer abandoned");
+    let lines = log.with_message("answer abandoned");
     assert!(lines.is_empty(), "{lines:?}");
 }
 
@@ -229,7 +230,9 @@
     assert!(
         answer.starts_with("HTTP/1.1 503")
             && end.1 < Duration::from_secs(6)
-            && log.find("grace period ended").is_empty(),
+            && log
+                .with_message("grace period ended with requests in flight")
+                .is_empty(),
         "answered {answered:?} with {error:?}, writes end {end:?}, node ended {ended:?}: {answer}"
     );
 }
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -3,13 +3,13 @@
 mod abandoned;
 mod cluster;
 mod connection;
+mod delivery;
 mod follow;
 mod freshness;
 mod lines;
 mod poison;
 mod relay;
 mod restore;
-mod review;
 mod stop;
 mod store;
 mod support;
--- a/crates/gateway/tests/node/stop.rs
+++ b/crates/gateway/tests/node/stop.rs
@@ -12,8 +12,9 @@
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
 
+use super::lines::Lines;
 use super::relay::DISCONNECT_TIMEOUT;
-use super::support::{Log, Node, Script, TIMEOUT, exchange, options, read_message};
+use super::support::{Node, Script, TIMEOUT, exchange, options, read_message};
 
 /// Time after the request to stop from which no request may be passed on.
 const LAST_REQUESTS: Duration = Duration::from_secs(3);
@@ -120,8 +121,8 @@
     }
 }
 
-fn start(scripts: &[Script], grace: Millis) -> (Node, Log) {
-    let log = Log::default();
+fn start(scripts: &[Script], grace: Millis) -> (Node, Lines) {
+    let log = Lines::default();
     let node = Node::start_with(2, scripts, with_grace(grace), log.logger());
     (node, log)
 }
@@ -209,7 +210,7 @@
     node.process.wait_ended();
     let after = asked.elapsed();
     assert!(after < grace.duration(), "the node ends after {after:?}");
-    let lines = log.find("stream broken off");
+    let lines = log.with_message("stream broken off");
     assert_eq!(lines.len(), 1, "{lines:?}");
 }
 
@@ -243,9 +244,9 @@
     } else {
         "request refused"
     };
-    let lines = log.find(message);
+    let lines = log.with_message(message);
     assert!(
-        lines.len() == 1 && lines[0].1.contains("the node is stopping"),
+        lines.len() == 1 && lines[0].field("detail").contains("the node is stopping"),
         "{}: {lines:?}",
         case.name
     );
@@ -639,9 +640,9 @@
     caller.read_exact(&mut first).expect("an answer begins");
     node.begin_stop();
     node.process.wait_ended();
-    let lines = log.find("grace period ended with requests in flight");
+    let lines = log.with_message("grace period ended with requests in flight");
     assert!(
-        lines.len() == 1 && lines[0].1.ends_with("in_flight=1"),
+        lines.len() == 1 && lines[0].field("in_flight") == "1",
         "{}: {lines:?}",
         case.name
     );
@@ -719,7 +720,12 @@
     let mut reader = begin_stream(&node, &case);
     node.servers.release();
     let (rest, error) = read_rest(&mut reader);
-    assert_eq!(log.find("stream broken off").len(), 1, "{}", case.name);
+    assert_eq!(
+        log.with_message("stream broken off").len(),
+        1,
+        "{}",
+        case.name
+    );
     assert_eq!(
         error, None,
         "{}: the connection stays open: {rest}",
@@ -756,7 +762,7 @@
     node.servers.release();
     node.begin_stop();
     node.process.wait_ended();
-    let lines = log.find("grace period ended with requests in flight");
+    let lines = log.with_message("grace period ended with requests in flight");
     assert!(lines.is_empty(), "{}: {lines:?}", case.name);
     drop(reader);
 }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -1,7 +1,6 @@
 //! A running node with scripted servers.
 
 use std::collections::HashMap;
-use std::fmt;
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, mpsc};
@@ -22,7 +21,7 @@
 use jackdaw_gateway::server::{self, Ports};
 use jackdaw_gateway::termination;
 use opentelemetry::metrics::{MeterProvider as _, noop::NoopMeterProvider};
-use slog::{Drain, KV as _, Logger, Never, OwnedKVList, Record, o};
+use slog::{Logger, o};
 
 use super::store::MemoryStore;
 
@@ -196,48 +195,6 @@
     }
 }
 
-/// Lines that a node logs, each with its message and its fields, and their times.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Log(Arc<Mutex<Vec<(Instant, String)>>>);
-
-impl Log {
-    /// Returns a logger that writes here.
-    pub(crate) fn logger(&self) -> Logger {
-        Logger::root(self.clone(), o!())
-    }
-
-    /// Returns the lines that begin with a message, with their times.
-    pub(crate) fn find(&self, message: &str) -> Vec<(Instant, String)> {
-        let lines = self.0.lock().expect("no test panicked");
-        let found = lines.iter().filter(|(_, line)| line.starts_with(message));
-        found.cloned().collect()
-    }
-}
-
-impl Drain for Log {
-    type Ok = ();
-    type Err = Never;
-
-    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> std::result::Result<(), Never> {
-        let mut line = Line(record.msg().to_string());
-        // Writing to a string does not fail.
-        let _ = record.kv().serialize(record, &mut line);
-        let mut lines = self.0.lock().expect("no test panicked");
-        lines.push((Instant::now(), line.0));
-        Ok(())
-    }
-}
-
-/// A line of a log.
-struct Line(String);
-
-impl slog::Serializer for Line {
-    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        self.0.push_str(&format!(" {key}={value}"));
-        Ok(())
-    }
-}
-
 /// Orders that always fail.
 struct UnreachableOrders;
 
