--- a/crates/gateway/tests/node/review.rs
+++ b/crates/gateway/tests/node/review.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -237,7 +236,6 @@
         node.process.begin_stop();
     }
     node.process.wait_ended();
-    let _ = Arc::strong_count(&node.stall);
 }
 
 // Guards against requests that a node with a short grace period gives up earlier than in the last
@@ -315,3 +313,31 @@
     );
     node.process.stop();
 }
+
+// Guards against lines about answers that were not sent whole although a slow caller has read them.
+#[test]
+fn answer_that_a_slow_caller_reads_whole_is_not_logged_as_unsent() {
+    const LARGE: Script =
+        "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4194304\r\n\r\nFILL";
+    let (node, log) = start(&[LARGE], Millis(8_000));
+    node.servers.fill("x".repeat(4_194_304));
+    let mut caller = connect(&node);
+    let headers = "connection: close\r\n";
+    send(
+        &mut caller,
+        &request("r1", "POST", "/once/x", headers, "hello"),
+    );
+    node.servers.wait_written(1);
+    thread::sleep(Duration::from_millis(1_500));
+    let (answer, error) = read_rest(&mut caller);
+    assert!(
+        answer.len() > 4_194_304,
+        "{} bytes, {error:?}",
+        answer.len()
+    );
+    node.process.stop();
+    for message in ["answer not sent whole", "answer abandoned"] {
+        let lines = log.find(message);
+        assert!(lines.is_empty(), "{lines:?}");
+    }
+}
