--- a/crates/gateway/tests/node/delivery.rs
+++ b/crates/gateway/tests/node/delivery.rs
@@ -377,7 +377,7 @@
     );
     node.process.stop();
     for message in ["answer not sent whole", "answer abandoned"] {
-        let lines = log.find(message);
+        let lines = log.with_message(message);
         assert!(lines.is_empty(), "{lines:?}");
     }
 }
