Count a request in one place, and state a caller's deadline once

Drain::begin_request repeated what track_request does beside it, and the deadline of a request without one of its own was worked out at three places of the handler. Behaviour is the same.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -57,10 +57,7 @@
     pub fn begin_request(&self) -> Option<RequestGuard> {
         // The count goes up before the flag is read, so that each request is either seen by
         // `wait_idle` or refused.
-        self.state.requests.fetch_add(1, Ordering::SeqCst);
-        let guard = RequestGuard {
-            state: Arc::clone(&self.state),
-        };
+        let guard = self.track_request();
         if self.is_stopping() {
             return None;
         }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -134,14 +134,16 @@
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
     let limit = node.limits().body;
-    let due = arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE);
-    let body = read_body(node, payload, limit, due).await.map_err(failed)?;
+    let caller_deadline = caller_deadline(&head, arrived);
+    let body = read_body(node, payload, limit, caller_deadline)
+        .await
+        .map_err(failed)?;
     // The configuration may have changed while the body was read.
     let index = node.index().unwrap_or(index);
     let mut call = admit(&index, request, head, headers).map_err(failed)?;
     call.body = body;
     call.arrived = arrived;
-    call.caller_deadline = arrived + call.head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    call.caller_deadline = caller_deadline;
     call.deadline = call.caller_deadline.min(arrived + call.route.timeout);
     let is_stream = call.route.kind.is_stream();
     node.in_flight.registry.update(key, |tracked| {
@@ -161,6 +163,11 @@
     Ok(buffered.into_response())
 }
 
+/// Returns the time by which the caller wants an answer.
+fn caller_deadline(head: &Head, arrived: Instant) -> Instant {
+    arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE)
+}
+
 /// Adds a request to the registry.
 fn track(node: &Rc<Node>, request: &Request, head: &Head, arrived: Instant) -> Guard {
     let tracked = in_flight::Request {
@@ -172,7 +179,7 @@
         events: 0,
         delivered: None,
         arrived,
-        deadline: arrived + head.deadline.unwrap_or(DEFAULT_DEADLINE),
+        deadline: caller_deadline(head, arrived),
         is_closed_by_node: false,
     };
     Guard::new(node, tracked, request.io().cloned())
