--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -2,14 +2,14 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::{env, fs, thread};
+use std::{env, fs};
 
 use jackdaw_adapter::settings::{PATH_VARIABLE, Settings};
 use jackdaw_adapter::{Platform, order, store};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server;
-use jackdaw_gateway::termination;
+use jackdaw_gateway::termination::Signals;
 use jackdaw_link::client::Client;
 use jackdaw_link::pool;
 use jackdawstair::control::metrics::Metrics;
@@ -17,8 +17,7 @@
 use jackdawstair::core::time::SystemClock;
 use jackdawstair::core::units::{Bytes, Millis};
 use jackdawstair::log;
-use jackdawstair::stop::Signals;
-use slog::{Level, info};
+use slog::Level;
 
 use crate::{EXIT_USAGE, report_failure};
 
@@ -81,34 +80,10 @@
     };
     let options = node_options(settings);
     let ports = server::Ports::bind(&options)?;
-    let stop = stop_on_signal(signals, &parts)?;
+    let stop = signals.watch(Arc::clone(&parts.clock), parts.logger.clone())?;
     server::run(options, ports, parts, stop)
 }
 
-/// Returns a request to stop that SIGTERM or SIGINT makes.
-///
-/// A thread of its own receives the signals, so that the stop's times count from the signal even if
-/// the node's event loop is late.
-///
-/// # Errors
-///
-/// Returns an error if the thread cannot be started.
-fn stop_on_signal(signals: Signals, parts: &Parts) -> Result<termination::Request> {
-    let request = termination::Request::default();
-    let made = request.clone();
-    let clock = Arc::clone(&parts.clock);
-    let logger = parts.logger.clone();
-    thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            // The addresses are fixed at the start, and all other settings come from the store.
-            signals.wait(&mut || info!(logger, "SIGHUP ignored: no settings to reload"));
-            made.make(clock.now());
-        })
-        .map_err(|error| Error::unreachable("install signals", "self", error))?;
-    Ok(request)
-}
-
 /// Renders the metrics in the text format of Prometheus.
 struct PrometheusExporter(Metrics);
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -16,7 +16,6 @@
 use jackdawstair::settings::Settings;
 use jackdawstair::{log, stop};
 use lexopt::Arg;
-use slog::warn;
 
 /// Exit code of a node that could not start or stop.
 const EXIT_FAILURE: u8 = 1;
@@ -113,7 +112,9 @@
         Ok(signals) => signals,
         Err(error) => return report_failure(&error),
     };
-    let hangup_logger = logger.clone();
+    if let Err(error) = signals.ignore_hangups(logger.clone()) {
+        return report_failure(&error);
+    }
     let runtime = match wire_runtime() {
         Ok(runtime) => runtime,
         Err(error) => return report_failure(&error),
@@ -133,9 +134,7 @@
     };
     match Node::start(settings, parts) {
         Ok(node) => {
-            signals.wait(&mut || {
-                warn!(hangup_logger, "SIGHUP ignored"; "detail" => "settings are read at the start");
-            });
+            signals.wait();
             stop_in_time(node, settings.timing.grace_period)
         }
         Err(error) => report_failure(&error),
--- a/crates/jackdawstair/src/stop.rs
+++ b/crates/jackdawstair/src/stop.rs
@@ -3,20 +3,20 @@
 use std::io;
 
 use jackdaw_core::errors::{Error, Result};
+use slog::{Logger, warn};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Receives SIGTERM, SIGINT and SIGHUP, also those that come before [`Signals::wait`].
+/// Receives SIGTERM and SIGINT.
 #[derive(Debug)]
 pub struct Signals {
     runtime: Runtime,
     terminate: Signal,
     interrupt: Signal,
-    hangup: Signal,
 }
 
 impl Signals {
-    /// Installs the handlers of the signals.
+    /// Installs the handlers of both signals.
     ///
     /// # Errors
     ///
@@ -29,31 +29,41 @@
         let guard = runtime.enter();
         let terminate = signal(SignalKind::terminate()).map_err(install_error)?;
         let interrupt = signal(SignalKind::interrupt()).map_err(install_error)?;
-        let hangup = signal(SignalKind::hangup()).map_err(install_error)?;
         drop(guard);
         Ok(Signals {
             runtime,
             terminate,
             interrupt,
-            hangup,
         })
     }
 
-    /// Blocks the thread until SIGTERM or SIGINT arrives; calls a function for each SIGHUP.
-    pub fn wait(self, on_hangup: &mut dyn FnMut()) {
+    /// Logs and ignores SIGHUP, which ends the process otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the handler cannot be installed.
+    pub fn ignore_hangups(&self, logger: Logger) -> Result<()> {
+        let _guard = self.runtime.enter();
+        let mut hangup = signal(SignalKind::hangup()).map_err(install_error)?;
+        self.runtime.spawn(async move {
+            while hangup.recv().await.is_some() {
+                warn!(logger, "SIGHUP ignored"; "detail" => "settings are read at the start");
+            }
+        });
+        Ok(())
+    }
+
+    /// Blocks the thread until either signal arrives.
+    pub fn wait(self) {
         let Signals {
             runtime,
             mut terminate,
             mut interrupt,
-            mut hangup,
         } = self;
         runtime.block_on(async {
-            loop {
-                tokio::select! {
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                    _ = hangup.recv() => on_hangup(),
-                }
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
             }
         });
     }
