Log the time left and the retry budget with failed attempts and broken-off streams

The lines of an answer that ended early named its cause, but not how long before its deadline it ended, nor what the retry budget held; so a budget that was taken by other requests between the start of a wait and its time-out could not be told from one that was empty all the while, nor an end at the deadline from one long before it. `attempt failed` now has `age_ms`, `left_ms` and `retries_left`, `stream broken off` has `age_ms` and `left_ms`.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -462,7 +462,7 @@
 
     /// Returns the time at which the request is given up: its deadline, or the end of a stopping
     /// node if that is earlier.
-    fn due(&self) -> Instant {
+    pub(crate) fn due(&self) -> Instant {
         let deadline = self.call.deadline;
         let shutdown = self.node.shutdown();
         shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.answers_until()))
@@ -812,6 +812,9 @@
             "registrations_age_ms" => now.since(self.node.registrations_read_at.get()).0,
             "candidates" => self.candidate_count,
             "delivered" => self.last_delivered,
+            "age_ms" => now.since(self.call.arrived).0,
+            "left_ms" => self.due().since(now).0,
+            "retries_left" => self.budget.remaining(),
             "verdict" => ?verdict);
         self.record_crash(error, attempt);
         match verdict {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -149,6 +149,7 @@
         self.dispatch
             .track(|tracked| tracked.is_closed_by_node = true);
         let node = &self.dispatch.node;
+        let now = node.now();
         node.counters.count_refusal(refusal.reason);
         node.counters.count_outcome(Outcome::Unknown);
         info!(node.logger(), "stream broken off";
@@ -156,6 +157,8 @@
             "route" => %self.dispatch.call.route.name,
             "reason" => refusal.reason.label(),
             "detail" => &refusal.detail,
+            "age_ms" => now.since(self.dispatch.call.arrived).0,
+            "left_ms" => self.dispatch.due().since(now).0,
             "delivered" => self.dispatch.last_delivered);
     }
 
