--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -156,7 +156,10 @@
                 reason: Reason::Deadline,
                 ..problem
             }),
-            Verdict::GiveUp(Cause::MayHaveRun | Cause::Budget | Cause::Attempts) => Err(problem),
+            Verdict::Wait(_)
+            | Verdict::GiveUp(
+                Cause::MayHaveRun | Cause::Budget | Cause::Attempts | Cause::NoServer,
+            ) => Err(problem),
             Verdict::Reconnect => {
                 self.shared
                     .counters
@@ -293,7 +296,7 @@
         let taken = match verdict {
             Verdict::Reconnect => "tried again on a new connection",
             Verdict::Elsewhere => "tried elsewhere",
-            Verdict::GiveUp(cause) => cause.label(),
+            Verdict::Wait(cause) | Verdict::GiveUp(cause) => cause.label(),
         };
         let subject = Subject::Request(self.call.id.clone());
         let decision = Decision::new(subject, &problem.detail, taken)
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,426 @@
+//! One attempt at a request: the request on its way to one target, and its answer as far as it has
+//! arrived.
+//!
+//! An attempt decides nothing. It can be polled beside others, and dropping it closes its connection,
+//! which ends the work at the server.
+
+use std::fmt;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use http::{HeaderMap, Request, Response, StatusCode};
+use hyper::body::{Body, Incoming};
+use jackdaw_core::outcome::Step;
+use jackdaw_core::protocol::{Answer, Forwarding};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_entry::in_flight::{self, Stage};
+use jackdaw_link::client;
+use jackdaw_link::connection::{self, Connection};
+use jackdaw_policy::fleet::Target;
+use jackdaw_policy::poison::Suspicion;
+use jackdaw_policy::retry::{ExchangeFailure, Fault};
+
+use crate::buffered::BufferedAnswer;
+use crate::call::Call;
+use crate::event::{Event, Splitter};
+use crate::exposure::Exposure;
+use crate::header;
+use crate::node::Node;
+use crate::targets::{Key, Reservation};
+
+/// Largest body of a buffered answer.
+const MAX_ANSWER: Size = Size(16 << 20);
+/// Time for which a target that was full gets new requests only if no other can take them; some of
+/// its requests end within that time.
+const FULL_AVOIDANCE_TIME: Millis = Millis(400);
+
+/// A part of an answer.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    /// The next event of a stream.
+    Event(Event),
+    /// The end of a complete stream.
+    End,
+    /// A complete answer that is not a stream.
+    Answer(BufferedAnswer),
+}
+
+/// How a request is sent in an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    pub(crate) request: in_flight::Key,
+    pub(crate) key: Key,
+    /// Suspicion that the request ends servers.
+    pub(crate) suspicion: Option<Suspicion>,
+    /// Whether the request must not be sent on a connection that was used before.
+    pub(crate) needs_new_connection: bool,
+    /// Number of the last event that the caller has received.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// How far an attempt has come.
+enum Phase {
+    Connecting(LocalBoxFuture<'static, Result<Connection, connection::Fault>>),
+    Sending(LocalBoxFuture<'static, (Connection, Result<Response<Incoming>, connection::Fault>)>),
+    Streaming(Box<Stream>),
+    Collecting(LocalBoxFuture<'static, Result<(Connection, Bytes), connection::Fault>>),
+    Ended,
+}
+
+/// A stream that is being received.
+struct Stream {
+    connection: Connection,
+    body: Incoming,
+    splitter: Splitter,
+}
+
+/// Status and headers of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+}
+
+/// A request that was sent to one target.
+pub(crate) struct Attempt {
+    node: Rc<Node>,
+    call: Rc<Call>,
+    plan: Plan,
+    pub(crate) target: Rc<Target>,
+    pub(crate) is_new_connection: bool,
+    pub(crate) exposure: Exposure,
+    /// Whether nothing arrived from the server for longer than a time-out.
+    pub(crate) is_silent: bool,
+    /// Time of the last bytes from the server, at first the time of sending.
+    last_activity: Instant,
+    reservation: Option<Reservation>,
+    head: Option<AnswerHead>,
+    phase: Phase,
+}
+
+impl fmt::Debug for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Attempt")
+            .field("target", &self.target)
+            .field("step", &self.step())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Attempt {
+    /// Begins to connect to a target.
+    pub(crate) fn begin(node: &Rc<Node>, call: &Rc<Call>, plan: Plan) -> Attempt {
+        let target = node.targets.borrow().target(plan.key);
+        let connecting = {
+            let node = Rc::clone(node);
+            let address = target.address;
+            async move {
+                if plan.needs_new_connection {
+                    node.pool.open(address).await
+                } else {
+                    node.pool.take(address).await
+                }
+            }
+        };
+        Attempt {
+            node: Rc::clone(node),
+            call: Rc::clone(call),
+            plan,
+            target,
+            is_new_connection: true,
+            exposure: Exposure::begin(plan.suspicion),
+            is_silent: false,
+            last_activity: node.now(),
+            reservation: None,
+            head: None,
+            phase: Phase::Connecting(Box::pin(connecting)),
+        }
+    }
+
+    pub(crate) fn key(&self) -> Key {
+        self.plan.key
+    }
+
+    /// Gets the head of the answer, once it has arrived.
+    pub(crate) fn head(&self) -> Option<&AnswerHead> {
+        self.head.as_ref()
+    }
+
+    /// Gets the time of the last bytes from the server, at first the time of sending.
+    pub(crate) fn last_activity(&self) -> Instant {
+        self.last_activity
+    }
+
+    /// Returns the furthest step.
+    pub(crate) fn step(&self) -> Step {
+        match self.phase {
+            Phase::Connecting(_) => Step::Connecting,
+            Phase::Sending(_) => Step::Written,
+            Phase::Streaming(_) | Phase::Collecting(_) | Phase::Ended => Step::Answering,
+        }
+    }
+
+    /// Polls for the next part of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that ends the attempt.
+    pub(crate) fn poll_piece(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Piece, ExchangeFailure>> {
+        loop {
+            match &mut self.phase {
+                Phase::Connecting(connecting) => {
+                    let connection = ready!(connecting.as_mut().poll(cx));
+                    let connection = connection.map_err(connection_failure)?;
+                    self.phase = self.send(connection)?;
+                }
+                Phase::Sending(sending) => {
+                    let (connection, answer) = ready!(sending.as_mut().poll(cx));
+                    let answer = answer.map_err(connection_failure)?;
+                    self.check_head(&answer)?;
+                    self.phase = self.receive(connection, answer);
+                }
+                Phase::Streaming(stream) => {
+                    let next = stream.splitter.next();
+                    let next = next.map_err(|_| ExchangeFailure::invalid("an event is too large"));
+                    if let Some(event) = next? {
+                        return Poll::Ready(Ok(Piece::Event(event)));
+                    }
+                    let frame = ready!(Pin::new(&mut stream.body).poll_frame(cx));
+                    let Some(frame) = frame else {
+                        return Poll::Ready(self.finish_stream());
+                    };
+                    let frame = frame.map_err(|error| {
+                        ExchangeFailure::new(Fault::Closed, Step::Answering, error)
+                    })?;
+                    if let Ok(data) = frame.into_data() {
+                        stream.splitter.push(&data);
+                        self.record_progress();
+                    }
+                }
+                Phase::Collecting(collecting) => {
+                    let collected = ready!(collecting.as_mut().poll(cx));
+                    let (connection, body) = collected.map_err(|fault| {
+                        ExchangeFailure::new(Fault::Closed, Step::Answering, fault)
+                    })?;
+                    return Poll::Ready(Ok(self.finish_answer(connection, body)));
+                }
+                Phase::Ended => return Poll::Pending,
+            }
+        }
+    }
+
+    /// Sends the request on a connection.
+    fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
+        self.is_new_connection = !connection.is_used();
+        let sent = self.node.now();
+        let left = self.call.caller_deadline.since(sent);
+        if left == Millis(0) || sent >= self.call.due(&self.node) {
+            let detail = "the deadline passed before the request was sent";
+            return Err(ExchangeFailure::new(
+                Fault::Deadline,
+                Step::Connecting,
+                detail,
+            ));
+        }
+        let request = self.build_request(left)?;
+        let demand = self.call.demand();
+        self.reservation = Some(Reservation::acquire(
+            &self.node.targets,
+            self.plan.key,
+            u64::from(demand.prompt),
+            u64::from(demand.output),
+            self.plan.suspicion.map(|suspicion| suspicion.crashes),
+        ));
+        self.last_activity = sent;
+        Ok(Phase::Sending(Box::pin(async move {
+            let answer = connection.send(request).await;
+            (connection, answer)
+        })))
+    }
+
+    fn build_request(&self, left: Millis) -> Result<Request<Bytes>, ExchangeFailure> {
+        let mut headers = self.call.headers.clone();
+        let forwarding = Forwarding {
+            server: &self.target.server,
+            left,
+            team: self.call.team.as_deref(),
+            priority: self.call.priority,
+            last_event: self.plan.last_event,
+        };
+        let protocol = &self.node.parts.protocol;
+        protocol.write_headers(&mut headers, &forwarding);
+        let mut request = Request::builder()
+            .method(self.call.method.clone())
+            .uri(self.call.uri.clone())
+            .body(self.call.body.clone())
+            .map_err(|error| ExchangeFailure::new(Fault::Unreachable, Step::Routed, error))?;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    /// Begins to read the body of an answer.
+    fn receive(&mut self, connection: Connection, answer: Response<Incoming>) -> Phase {
+        let (head, body) = answer.into_parts();
+        let is_stream = self.call.route.kind.is_stream() && is_stream(head.status, &head.headers);
+        self.head = Some(AnswerHead {
+            status: head.status,
+            headers: head.headers,
+        });
+        if is_stream {
+            let registry = &self.node.in_flight.registry;
+            registry.update(self.plan.request, |tracked| {
+                if tracked.stage == Stage::Server {
+                    tracked.stage = Stage::FirstEvent;
+                }
+            });
+            return Phase::Streaming(Box::new(Stream {
+                connection,
+                body,
+                splitter: Splitter::default(),
+            }));
+        }
+        Phase::Collecting(Box::pin(async move {
+            let body = client::read_body(body, MAX_ANSWER).await?;
+            Ok((connection, body))
+        }))
+    }
+
+    /// Records that bytes have arrived from the target.
+    fn record_progress(&mut self) {
+        let now = self.node.now();
+        self.last_activity = now;
+        self.is_silent = false;
+        if let Some(reservation) = &mut self.reservation {
+            reservation.advance(now);
+        }
+    }
+
+    /// Ends a stream whose body has ended.
+    fn finish_stream(&mut self) -> Result<Piece, ExchangeFailure> {
+        let Phase::Streaming(stream) = std::mem::replace(&mut self.phase, Phase::Ended) else {
+            return Ok(Piece::End);
+        };
+        if !stream.splitter.is_empty() {
+            let detail = "the stream ended within an event";
+            return Err(ExchangeFailure::new(Fault::Closed, Step::Answering, detail));
+        }
+        self.keep_connection(stream.connection);
+        Ok(Piece::End)
+    }
+
+    /// Ends an answer whose body has been read.
+    fn finish_answer(&mut self, connection: Connection, body: Bytes) -> Piece {
+        self.phase = Phase::Ended;
+        let now = self.node.now();
+        self.node.targets.borrow_mut().advance(self.plan.key, now);
+        self.keep_connection(connection);
+        let (status, mut headers) = match &self.head {
+            Some(head) => (head.status, head.headers.clone()),
+            None => (StatusCode::OK, HeaderMap::new()),
+        };
+        header::strip_hop_by_hop(&mut headers);
+        Piece::Answer(BufferedAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    /// Returns the connection to the pool after a complete answer.
+    fn keep_connection(&self, connection: Connection) {
+        if let Some(head) = &self.head {
+            let max_idle = self.node.max_idle_connections(&self.call.service);
+            self.node.pool.put(connection, &head.headers, max_idle);
+        }
+    }
+
+    /// Validates the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the server did not run the request or the answer is invalid.
+    fn check_head(&self, answer: &Response<Incoming>) -> Result<(), ExchangeFailure> {
+        let status = answer.status();
+        let protocol = &self.node.parts.protocol;
+        let decoded = protocol.decode_answer(status, answer.headers());
+        if decoded.not_run {
+            if decoded
+                .id
+                .as_ref()
+                .is_some_and(|id| *id != self.call.head.id)
+            {
+                let detail = "the answer belongs to another request";
+                return Err(ExchangeFailure::new(Fault::Invalid, Step::Written, detail));
+            }
+            let detail = refusal_detail(status, &decoded);
+            let now = self.node.now();
+            let mut targets = self.node.targets.borrow_mut();
+            if status == StatusCode::MISDIRECTED_REQUEST || decoded.faulty_server.is_some() {
+                targets.avoid(self.plan.key, now);
+            } else {
+                targets.avoid_until(self.plan.key, now + FULL_AVOIDANCE_TIME);
+            }
+            drop(targets);
+            return Err(ExchangeFailure::new(Fault::Refused, Step::Routed, detail));
+        }
+        let invalid = |detail: &str| Err(ExchangeFailure::invalid(detail));
+        if decoded.id.as_ref() != Some(&self.call.head.id) {
+            return invalid("the answer belongs to another request");
+        }
+        if status.is_success() && !decoded.signed {
+            return invalid("the answer is not signed");
+        }
+        if answer.headers().contains_key(CONTENT_ENCODING) {
+            return invalid("the answer is encoded");
+        }
+        let ambiguous_statuses = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if ambiguous_statuses.contains(&status)
+            || status.is_redirection()
+            || status.is_informational()
+        {
+            return invalid("the status does not say whether the request has run");
+        }
+        Ok(())
+    }
+}
+
+/// Converts a connection's fault to a failed exchange.
+fn connection_failure(fault: connection::Fault) -> ExchangeFailure {
+    match fault {
+        connection::Fault::NotSent(detail) => {
+            ExchangeFailure::new(Fault::Unreachable, Step::Connecting, detail)
+        }
+        connection::Fault::Unanswered(detail) => {
+            ExchangeFailure::new(Fault::Closed, Step::Written, detail)
+        }
+    }
+}
+
+fn is_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    status.is_success()
+        && headers
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .is_none_or(|kind| kind.starts_with("text/event-stream"))
+}
+
+fn refusal_detail(status: StatusCode, decoded: &Answer) -> String {
+    match &decoded.faulty_server {
+        Some(culprit) => {
+            format!("the server did not run it: status {status}, {culprit} is at fault")
+        }
+        None => format!("the server did not run it: status {status}"),
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,39 +1,26 @@
-//! Sends a request to the target with the lowest cost and retries it at others if that fails.
+//! Decides for one request to which target it is sent next, and whether it is sent again.
 
-use std::cell::OnceCell;
-use std::future::Future;
-use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use compact_str::CompactString;
-use futures::future::{Either, select};
-use http::header::CONTENT_ENCODING;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use hyper::body::Incoming;
-use jackdaw_core::config::{Engine, Index, Model, Route};
+
+use jackdaw_core::config::{Engine, Index, Model};
 use jackdaw_core::outcome::{Outcome, Step};
-use jackdaw_core::protocol::{Answer, Forwarding, Head};
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight;
-use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::admission::{self, Latency};
-use jackdaw_policy::balance::{self, Demand, Load};
-use jackdaw_policy::fleet::Target;
-use jackdaw_policy::poison::{self, Crash};
+use jackdaw_policy::balance::{self, Load};
+use jackdaw_policy::poison::{self, Crash, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
-use tokio::time;
 
+use crate::attempt::{Attempt, Piece, Plan};
 use crate::buffered::BufferedAnswer;
-use crate::exposure::Exposure;
+use crate::call::Call;
+use crate::event::Event;
 use crate::node::Node;
 use crate::refusal::Refusal;
-use crate::targets::{Key, Reservation, Targets};
+use crate::targets::{Key, Targets};
 
 /// Time without any event from a replica group after which its streams are resumed at another
 /// group; several times the longest forward pass.
@@ -55,119 +42,28 @@
 const NO_GROUP_RETRY_AFTER: Millis = Millis(1_000);
 /// Delay after which a caller is asked to retry if the servers are overloaded.
 const OVERLOADED_RETRY_AFTER: Millis = Millis(500);
-/// Percentage of the connections accepted by a server that all nodes together keep idle.
-const IDLE_CONNECTIONS_PERCENT: usize = 40;
-/// Time for which a target that was full gets new requests only if no other can take them; some of
-/// its requests end within that time.
-const FULL_AVOIDANCE_TIME: Millis = Millis(400);
 /// Delay after which a caller is asked to retry if no server can be spared for a request under which
 /// others ended; servers that ended are back after some seconds.
 const SPARED_RETRY_AFTER: Millis = Millis(2_000);
-/// Shortest wait between two looks at the time.
-const MIN_WAIT: Millis = Millis(10);
-/// Time to read what has arrived before a wait is given up.
-const READ_TIME: Duration = Duration::from_millis(20);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
 
-/// An admitted request.
-#[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) head: Head,
-    pub(crate) route: Route,
-    pub(crate) service: CompactString,
-    pub(crate) team: Option<CompactString>,
-    pub(crate) priority: Option<u8>,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) digest: OnceCell<Digest>,
-    /// Time at which the request arrived.
-    pub(crate) arrived: Instant,
-    /// Time by which the caller must have an answer.
-    pub(crate) deadline: Instant,
-    /// Deadline from which the remaining time sent to servers is computed.
-    pub(crate) caller_deadline: Instant,
-}
-
-impl Call {
-    /// Returns the digest by which repetitions of the request are recognized. It is computed only
-    /// when it is needed first, since few requests need it.
-    pub(crate) fn digest(&self) -> Digest {
-        *self.digest.get_or_init(|| {
-            let caller = self.team.as_deref().unwrap_or_default();
-            let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-            Digest::of_request(self.method.as_str(), caller, path, &self.body)
-        })
-    }
-}
-
-/// Converts a connection's fault to a failed exchange.
-fn connection_failure(fault: connection::Fault) -> ExchangeFailure {
-    match fault {
-        connection::Fault::NotSent(detail) => {
-            ExchangeFailure::new(Fault::Unreachable, Step::Connecting, detail)
-        }
-        connection::Fault::Unanswered(detail) => {
-            ExchangeFailure::new(Fault::Closed, Step::Written, detail)
-        }
-    }
-}
-
-/// An exchange with a server whose answer's head has been received.
-pub(crate) struct Exchange {
-    pub(crate) reservation: Reservation,
-    pub(crate) target: Rc<Target>,
-    pub(crate) connection: Connection,
-    pub(crate) answer: Response<Incoming>,
-    pub(crate) sent: Instant,
-}
-
-/// The target and the connection of an attempt, recorded if it fails.
-#[derive(Clone, Debug)]
-pub(crate) struct Attempt {
-    pub(crate) key: Key,
-    pub(crate) target: Rc<Target>,
-    pub(crate) is_new_connection: bool,
-}
-
-impl Exchange {
-    /// Returns the attempt that opened the exchange.
-    pub(crate) fn attempt(&self) -> Attempt {
-        Attempt {
-            key: self.reservation.key,
-            target: Rc::clone(&self.target),
-            is_new_connection: self.connection.is_new(),
-        }
-    }
-}
-
 /// Time-outs of an attempt.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Timeouts {
+struct Timeouts {
     /// Longest time without a response to this request.
-    pub(crate) request: Millis,
+    request: Millis,
     /// Longest time without progress of the whole group.
-    pub(crate) group: Millis,
+    group: Millis,
     /// Shortest time for this request, even if the group makes no progress.
-    pub(crate) minimum: Millis,
-}
-
-impl Timeouts {
-    /// Only the request's deadline applies.
-    const UNLIMITED: Timeouts = Timeouts {
-        request: Millis(u64::MAX >> 1),
-        group: Millis(u64::MAX >> 1),
-        minimum: Millis(0),
-    };
+    minimum: Millis,
 }
 
 /// The state of one request over all its attempts.
 pub(crate) struct Dispatch {
     pub(crate) node: Rc<Node>,
-    pub(crate) call: Call,
+    pub(crate) call: Rc<Call>,
     key: in_flight::Key,
     index: Rc<Index>,
     request: retry::Request,
@@ -179,9 +75,8 @@
     reconnect_key: Option<Key>,
     /// Number of targets that were considered for the attempt in progress.
     candidate_count: usize,
-    /// Number of failed attempts.
-    pub(crate) failures: u32,
-    exposure: Exposure,
+    /// Number of attempts that failed or whose server fell silent.
+    failures: u32,
 }
 
 impl Dispatch {
@@ -194,7 +89,7 @@
                 .with_limit(call.route.max_attempts),
             last_delivered: call.head.last_event,
             node,
-            call,
+            call: Rc::new(call),
             key,
             index,
             budget,
@@ -202,7 +97,6 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
-            exposure: Exposure::default(),
         }
     }
 
@@ -211,45 +105,46 @@
         self.node.in_flight.registry.update(self.key, change);
     }
 
-    /// Sends the request until a server answers and returns the exchange after the answer's head.
+    /// Begins an attempt at the next target.
     ///
     /// # Errors
     ///
-    /// Returns a refusal if no further attempt is allowed or no server is available.
-    pub(crate) async fn open(&mut self) -> Result<Exchange, Refusal> {
-        loop {
-            self.check_poison()?;
-            let key = self.choose_target()?;
-            let target = self.node.targets.borrow().target(key);
-            let mut attempt = Attempt {
-                key,
-                target,
-                is_new_connection: true,
-            };
-            match self.send(&mut attempt).await {
-                Ok(exchange) => return Ok(exchange),
-                Err(error) => self.record_failure(&error, &attempt).await?,
-            }
-        }
+    /// Returns a refusal if no attempt is allowed or no target is available.
+    pub(crate) fn begin(&mut self) -> Result<Attempt, Refusal> {
+        let suspicion = self.check_poison()?;
+        let key = self.choose_target(suspicion)?;
+        let target = self.node.targets.borrow().target(key);
+        let is_once = !self.call.route.kind.is_repeatable();
+        let plan = Plan {
+            request: self.key,
+            key,
+            suspicion,
+            // The server may close an idle connection just as a request is sent, and an unsolicited
+            // late answer may be buffered on it. A request that runs at most once could not be sent
+            // again.
+            needs_new_connection: is_once || self.request.was_cut_off_by(&target.server),
+            last_event: self.last_delivered,
+        };
+        self.track(|tracked| {
+            tracked.server = target.server.clone();
+            tracked.group = target.group.clone();
+        });
+        Ok(Attempt::begin(&self.node, &self.call, plan))
     }
 
-    /// Looks up whether the request ends servers.
+    /// Looks up whether the request ends servers, and returns the suspicion if there is one.
     ///
     /// # Errors
     ///
     /// Returns a refusal if it does.
-    fn check_poison(&mut self) -> Result<(), Refusal> {
-        self.exposure = Exposure::default();
+    fn check_poison(&self) -> Result<Option<Suspicion>, Refusal> {
         if self.node.poison.is_empty() {
-            return Ok(());
+            return Ok(None);
         }
         let digest = self.call.digest();
         match self.node.poison.verdict(&digest, self.node.now()) {
-            poison::Verdict::Clear => Ok(()),
-            poison::Verdict::Suspect => {
-                self.exposure = Exposure::begin(self.node.poison.suspicion(&digest));
-                Ok(())
-            }
+            poison::Verdict::Clear => Ok(None),
+            poison::Verdict::Suspect => Ok(self.node.poison.suspicion(&digest)),
             poison::Verdict::Banned(remaining) => {
                 let detail = "servers ended under the same request".to_owned();
                 Err(self.refuse(Reason::Poison, remaining, detail))
@@ -257,25 +152,88 @@
         }
     }
 
-    /// Records an event of the server.
-    pub(crate) fn record_event(&mut self) {
-        if self.exposure.record_event() {
-            self.record_survival();
+    /// Records an event of an attempt's server.
+    fn record_event(&self, attempt: &mut Attempt) {
+        if attempt.exposure.record_event() {
+            self.record_survival(attempt);
         }
     }
 
-    /// Records that the server survived the request.
-    pub(crate) fn record_survival(&mut self) {
-        let may_be_suspect = self.exposure.suspicion().is_some() || self.failures > 0;
-        if may_be_suspect && self.exposure.record_survival() {
+    /// Records that an attempt's server survived the request.
+    fn record_survival(&self, attempt: &mut Attempt) {
+        let may_be_suspect = attempt.exposure.suspicion().is_some() || self.failures > 0;
+        if may_be_suspect && attempt.exposure.record_survival() {
             let digest = self.call.digest();
             self.node.record_survival(&self.call.head.id, &digest);
         }
     }
 
+    /// Returns a part of an answer if it brings the caller something new.
+    ///
+    /// `is_last` states that no other attempt is in progress.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that ends the attempt if the part is not usable.
+    pub(crate) fn examine(
+        &mut self,
+        piece: Piece,
+        attempt: &mut Attempt,
+        is_last: bool,
+    ) -> Result<Option<Piece>, ExchangeFailure> {
+        match piece {
+            Piece::Event(event) => {
+                self.record_event(attempt);
+                let is_new = self.accept_event(&event)?;
+                Ok(is_new.then_some(Piece::Event(event)))
+            }
+            Piece::End => {
+                self.record_survival(attempt);
+                Ok(Some(Piece::End))
+            }
+            Piece::Answer(buffered) => {
+                self.record_survival(attempt);
+                let status = buffered.status;
+                if self.is_partially_answered() {
+                    let detail = format!("status {status} in place of a stream");
+                    return Err(ExchangeFailure::invalid(detail));
+                }
+                let can_improve = !is_last || self.can_fail_over(attempt.key());
+                if buffered.is_retryable() && can_improve {
+                    self.fallback = Some(buffered);
+                    let detail = format!("the server answered with status {status}");
+                    return Err(ExchangeFailure::invalid(detail));
+                }
+                Ok(Some(Piece::Answer(buffered)))
+            }
+        }
+    }
+
+    /// Returns whether an event is new to the caller, and records it as delivered.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if the event's number leaves a gap.
+    fn accept_event(&mut self, event: &Event) -> Result<bool, ExchangeFailure> {
+        if let Some(id) = event.id {
+            if let Some(delivered) = self.last_delivered {
+                if id <= delivered {
+                    return Ok(false);
+                }
+                if id > delivered + 1 {
+                    let detail = format!("event {id} came after event {delivered}");
+                    return Err(ExchangeFailure::invalid(detail));
+                }
+            }
+            self.last_delivered = Some(id);
+        }
+        self.request.mark_partially_answered();
+        Ok(true)
+    }
+
     /// Records a failed attempt as a crash if its server may have ended under the request.
-    fn record_crash(&self, error: &ExchangeFailure, attempt: &Attempt) {
-        if self.exposure.is_settled() {
+    fn record_crash(&self, fault: Fault, step: Step, attempt: &Attempt) {
+        if attempt.exposure.is_settled() {
             return;
         }
         let crash = |digest| Crash {
@@ -286,9 +244,9 @@
             alone: false,
         };
         let id = &self.call.head.id;
-        match error.fault {
+        match fault {
             Fault::Closed => self.node.record_crash(id, &crash(self.call.digest())),
-            Fault::Silent | Fault::Deadline if error.step >= Step::Written => {
+            Fault::Silent | Fault::Deadline if step >= Step::Written => {
                 let crash = crash(self.call.digest());
                 self.node.record_silence(id, crash, attempt.target.address);
             }
@@ -308,7 +266,7 @@
     /// Returns whether the server of a failed attempt has ended after it had begun to answer; if its
     /// registration does not tell, it is asked for a connection.
     async fn has_server_ended(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
-        if error.fault != Fault::Closed || !self.exposure.is_settled() {
+        if error.fault != Fault::Closed || !attempt.exposure.is_settled() {
             return false;
         }
         let is_replaced = !self.node.targets.borrow().is_listed(&attempt.target);
@@ -316,12 +274,12 @@
     }
 
     /// Returns the target for the next attempt.
-    fn choose_target(&mut self) -> Result<Key, Refusal> {
+    fn choose_target(&mut self, suspicion: Option<Suspicion>) -> Result<Key, Refusal> {
         if let Some(key) = self.reconnect_key.take() {
             return Ok(key);
         }
         let now = self.node.now();
-        let candidates = self.keep_apart(self.candidates());
+        let candidates = self.keep_apart(self.candidates(), suspicion);
         self.candidate_count = candidates.len();
         if candidates.is_empty() {
             let detail = match &self.call.head.model {
@@ -339,7 +297,6 @@
                 .collect()
         };
         let sound = loads.iter().filter(|load| !load.suspect).count();
-        let suspicion = self.exposure.suspicion();
         if suspicion.is_some_and(|suspicion| !suspicion.may_run(sound, now)) {
             let detail = "servers ended under the same request, and no other can be spared";
             return Err(self.refuse(Reason::Poison, SPARED_RETRY_AFTER, detail.to_owned()));
@@ -365,9 +322,8 @@
 
     /// Removes the targets where a suspect is in flight from which the request is to be kept apart,
     /// unless none is left.
-    fn keep_apart(&self, candidates: Vec<Key>) -> Vec<Key> {
+    fn keep_apart(&self, candidates: Vec<Key>, suspicion: Option<Suspicion>) -> Vec<Key> {
         let targets = self.node.targets.borrow();
-        let suspicion = self.exposure.suspicion();
         let own_crashes = suspicion.map_or(0, |suspicion| suspicion.crashes);
         let apart: Vec<Key> = candidates
             .iter()
@@ -403,7 +359,7 @@
                 .map(|load| 1.0 + f64::from(load.own) + suspect_penalty(load))
                 .collect());
         };
-        let demand = self.demand();
+        let demand = self.call.demand();
         let first_event = |load: &Load| balance::estimate(engine, model, load, demand).first_event;
         let first_events: Vec<f64> = loads.iter().map(first_event).collect();
         let soonest = first_events.iter().copied().fold(f64::INFINITY, f64::min);
@@ -450,7 +406,7 @@
             return Ok(());
         };
         let estimate_ms = self.engine().map(|(engine, model)| {
-            let estimate = balance::estimate(engine, model, load, self.demand());
+            let estimate = balance::estimate(engine, model, load, self.call.demand());
             estimate.last_event(engine, self.call.head.max_output)
         });
         if shutdown.can_finish(self.node.now(), self.call.deadline, estimate_ms) {
@@ -460,12 +416,24 @@
         Err(self.refuse(Reason::NotReady, Millis(0), detail))
     }
 
-    /// Returns the time at which the request is given up: its deadline, or the end of a stopping
-    /// node if that is earlier.
+    /// Returns the time at which the request is given up.
     pub(crate) fn due(&self) -> Instant {
-        let deadline = self.call.deadline;
-        let shutdown = self.node.shutdown();
-        shutdown.map_or(deadline, |shutdown| deadline.min(shutdown.answers_until()))
+        self.call.due(&self.node)
+    }
+
+    /// Returns whether the request is to be given up.
+    pub(crate) fn is_due(&self) -> bool {
+        self.node.now() >= self.due()
+    }
+
+    /// Returns whether the caller has a part of the answer.
+    pub(crate) fn is_partially_answered(&self) -> bool {
+        self.request.is_partially_answered()
+    }
+
+    /// Returns the furthest step that any attempt reached.
+    pub(crate) fn furthest(&self) -> Step {
+        self.request.furthest()
     }
 
     /// Rejects the request with a probability that grows with the expected latency.
@@ -485,18 +453,6 @@
         Err(self.refuse(Reason::Overloaded, retry_after, detail))
     }
 
-    fn demand(&self) -> Demand {
-        let head = &self.call.head;
-        let output = match head.expected_output {
-            Some(expected) => expected.min(head.max_output),
-            None => head.max_output,
-        };
-        Demand {
-            prompt: head.prompt_tokens,
-            output,
-        }
-    }
-
     /// Creates a refusal that states whether the request may have run in an earlier attempt.
     fn refuse(&self, reason: Reason, retry_after: Millis, detail: String) -> Refusal {
         if self.request.furthest().outcome() == Outcome::NotRun {
@@ -506,103 +462,28 @@
         }
     }
 
-    /// Returns whether the request may be sent to another server, and one is available.
-    pub(crate) fn can_fail_over(&self) -> bool {
+    /// Returns whether the request may be sent to another server than the one with a key, and one is
+    /// available.
+    pub(crate) fn can_fail_over(&self, key: Key) -> bool {
         self.call.route.kind.is_repeatable()
             && self.request.can_send_again()
             && self.budget.remaining() > 0
-            && self
-                .eligible_keys(&self.node.targets.borrow())
-                .nth(1)
-                .is_some()
+            && self.has_other_target(key)
     }
 
-    async fn send(&mut self, attempt: &mut Attempt) -> Result<Exchange, ExchangeFailure> {
-        let node = Rc::clone(&self.node);
-        let is_once = !self.call.route.kind.is_repeatable();
-        let address = attempt.target.address;
-        // The server may close an idle connection just as a request is sent, and an unsolicited
-        // late answer may be buffered on it. A request that runs at most once could not be sent
-        // again.
-        let connection_result = if is_once || self.request.was_cut_off_by(&attempt.target.server) {
-            node.pool.open(address).await
-        } else {
-            node.pool.take(address).await
-        };
-        let mut connection = connection_result.map_err(connection_failure)?;
-        let sent = node.now();
-        let left = self.call.caller_deadline.since(sent);
-        if left == Millis(0) || sent >= self.due() {
-            let detail = "the deadline passed before the request was sent";
-            return Err(ExchangeFailure::new(
-                Fault::Deadline,
-                Step::Connecting,
-                detail,
-            ));
-        }
-        let demand = self.demand();
-        let reservation = Reservation::acquire(
-            &node.targets,
-            attempt.key,
-            u64::from(demand.prompt),
-            u64::from(demand.output),
-            self.exposure.suspicion().map(|suspicion| suspicion.crashes),
-        );
-        let request = self.build_request(&attempt.target, left)?;
-        self.track(|tracked| {
-            tracked.server = attempt.target.server.clone();
-            tracked.group = attempt.target.group.clone();
-        });
-        let timeouts = self.first_timeouts();
-        let answer = self
-            .wait_with_timeouts(attempt.key, sent, timeouts, connection.send(request))
-            .await;
-        attempt.is_new_connection = connection.is_new();
-        let answer = match answer {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(fault)) => return Err(connection_failure(fault)),
-            Err(fault) => return Err(ExchangeFailure::new(fault, Step::Written, "no answer")),
-        };
-        self.check_head(&answer, attempt)?;
-        Ok(Exchange {
-            reservation,
-            target: Rc::clone(&attempt.target),
-            connection,
-            answer,
-            sent,
-        })
+    fn has_other_target(&self, key: Key) -> bool {
+        self.eligible_keys(&self.node.targets.borrow())
+            .any(|eligible| eligible != key)
     }
 
-    fn build_request(
-        &self,
-        target: &Target,
-        left: Millis,
-    ) -> Result<Request<Bytes>, ExchangeFailure> {
-        let mut headers = self.call.headers.clone();
-        let forwarding = Forwarding {
-            server: &target.server,
-            left,
-            team: self.call.team.as_deref(),
-            priority: self.call.priority,
-            last_event: self.last_delivered,
-        };
-        self.node
-            .parts
-            .protocol
-            .write_headers(&mut headers, &forwarding);
-        let mut request = Request::builder()
-            .method(self.call.method.clone())
-            .uri(self.call.uri.clone())
-            .body(self.call.body.clone())
-            .map_err(|error| ExchangeFailure::new(Fault::Unreachable, Step::Routed, error))?;
-        *request.headers_mut() = headers;
-        Ok(request)
-    }
-
-    /// Returns the time-outs for an answer's head or a stream's first event.
-    fn first_timeouts(&self) -> Timeouts {
-        if !self.can_fail_over() {
-            return Timeouts::UNLIMITED;
+    /// Returns the time-outs of an attempt in progress.
+    fn timeouts(&self, attempt: &Attempt) -> Timeouts {
+        if attempt.head().is_some() {
+            return Timeouts {
+                request: NEXT_EVENT_TIMEOUT,
+                group: GROUP_STALL_TIMEOUT,
+                minimum: GROUP_STALL_TIMEOUT,
+            };
         }
         if self.call.route.kind.is_stream() {
             return Timeouts {
@@ -620,125 +501,25 @@
         }
     }
 
-    /// Returns the time-outs for the rest of an answer or a stream's next event.
-    pub(crate) fn next_timeouts(&self) -> Timeouts {
-        if !self.can_fail_over() {
-            return Timeouts::UNLIMITED;
-        }
-        Timeouts {
-            request: NEXT_EVENT_TIMEOUT,
-            group: GROUP_STALL_TIMEOUT,
-            minimum: GROUP_STALL_TIMEOUT,
-        }
-    }
-
-    /// Waits for a future until a time-out of the attempt or the request's deadline passes.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Fault::Silent`] on a time-out and [`Fault::Deadline`] at the deadline.
-    pub(crate) async fn wait_with_timeouts<T>(
-        &self,
-        key: Key,
-        since: Instant,
-        timeouts: Timeouts,
-        future: impl Future<Output = T>,
-    ) -> Result<T, Fault> {
-        let mut future = pin!(future);
-        loop {
-            let now = self.node.now();
-            // A stop that is requested meanwhile ends the request no earlier than this.
-            let stopped = now + self.node.stop_limits().answer.max(MIN_WAIT);
-            let silent = self.silent_at(key, since, timeouts);
-            let span = self.node.until(silent.min(self.due()).min(stopped));
-            match select(future.as_mut(), pin!(time::sleep(span))).await {
-                Either::Left((value, _)) => return Ok(value),
-                Either::Right(_) => {}
-            }
-            let now = self.node.now();
-            let fault = if now >= self.due() {
-                Fault::Deadline
-            } else if now >= self.silent_at(key, since, timeouts) {
-                Fault::Silent
-            } else {
-                continue;
-            };
-            // A node that is late reads what has arrived meanwhile.
-            return time::timeout(READ_TIME, future).await.map_err(|_| fault);
+    /// Returns the time from which an attempt's server counts as silent, or none if the request may
+    /// not be sent again.
+    pub(crate) fn silent_at(&self, attempt: &Attempt) -> Option<Instant> {
+        let is_final = !self.call.route.kind.is_repeatable() || !self.request.can_send_again();
+        if is_final || attempt.step() < Step::Written {
+            return None;
         }
-    }
-
-    /// Returns the time at which a time-out of the attempt passes.
-    fn silent_at(&self, key: Key, since: Instant, timeouts: Timeouts) -> Instant {
+        let timeouts = self.timeouts(attempt);
+        let since = attempt.last_activity();
         let request_due = since + timeouts.request;
-        match self.node.targets.borrow().last_progress(key) {
+        let last_progress = self.node.targets.borrow().last_progress(attempt.key());
+        Some(match last_progress {
             // A request that was sent to a stalled group gets the minimum time all the same.
             Some(last_progress) => {
                 let group_due = (last_progress + timeouts.group).max(since + timeouts.minimum);
                 group_due.min(request_due)
             }
             None => request_due,
-        }
-    }
-
-    /// Validates the head of an answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns the failure if the server did not run the request or the answer is invalid.
-    fn check_head(
-        &self,
-        answer: &Response<Incoming>,
-        attempt: &Attempt,
-    ) -> Result<(), ExchangeFailure> {
-        let status = answer.status();
-        let decoded = self
-            .node
-            .parts
-            .protocol
-            .decode_answer(status, answer.headers());
-        if decoded.not_run {
-            if decoded
-                .id
-                .as_ref()
-                .is_some_and(|id| *id != self.call.head.id)
-            {
-                let detail = "the answer belongs to another request";
-                return Err(ExchangeFailure::new(Fault::Invalid, Step::Written, detail));
-            }
-            let detail = refusal_detail(status, &decoded);
-            let now = self.node.now();
-            let mut targets = self.node.targets.borrow_mut();
-            if status == StatusCode::MISDIRECTED_REQUEST || decoded.faulty_server.is_some() {
-                targets.avoid(attempt.key, now);
-            } else {
-                targets.avoid_until(attempt.key, now + FULL_AVOIDANCE_TIME);
-            }
-            drop(targets);
-            return Err(ExchangeFailure::new(Fault::Refused, Step::Routed, detail));
-        }
-        let invalid = |detail: &str| Err(ExchangeFailure::invalid(detail));
-        if decoded.id.as_ref() != Some(&self.call.head.id) {
-            return invalid("the answer belongs to another request");
-        }
-        if status.is_success() && !decoded.signed {
-            return invalid("the answer is not signed");
-        }
-        if answer.headers().contains_key(CONTENT_ENCODING) {
-            return invalid("the answer is encoded");
-        }
-        let ambiguous_statuses = [
-            StatusCode::REQUEST_TIMEOUT,
-            StatusCode::TOO_MANY_REQUESTS,
-            StatusCode::SERVICE_UNAVAILABLE,
-        ];
-        if ambiguous_statuses.contains(&status)
-            || status.is_redirection()
-            || status.is_informational()
-        {
-            return invalid("the status does not say whether the request has run");
-        }
-        Ok(())
+        })
     }
 
     /// Logs the completion of a request that had failed attempts; other successes are not logged.
@@ -754,48 +535,122 @@
             "delivered" => self.last_delivered);
     }
 
-    /// Returns a connection to the pool after a complete answer.
-    ///
-    /// A server resets connections beyond the number that it accepts, so the idle connections of
-    /// all nodes together stay below half of that number.
-    pub(crate) fn keep_connection(&self, connection: Connection, headers: &HeaderMap) {
-        let service = self.index.service(&self.call.service);
-        let accepted = service.map_or(0, |service| service.max_connections as usize);
-        let nodes = self.node.peer_loads().borrow().node_count();
-        let max_idle = accepted * IDLE_CONNECTIONS_PERCENT / 100 / nodes;
-        self.node.pool.put(connection, headers, max_idle);
-    }
-
-    /// Records a failed attempt and returns if another one is to be made.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal for the caller if the request is given up.
+    /// Records a failed attempt and returns what follows.
     pub(crate) async fn record_failure(
         &mut self,
         error: &ExchangeFailure,
         attempt: &Attempt,
-    ) -> Result<(), Refusal> {
+    ) -> Verdict {
         let is_uncounted =
             self.is_refused_midway(error) || self.has_server_ended(error, attempt).await;
         let now = self.node.now();
         self.failures += 1;
         let failure = Failure {
-            server: attempt.target.server.clone(),
-            step: error.step,
-            fault: error.fault,
-            connection: if attempt.is_new_connection {
-                retry::Connection::New
-            } else {
-                retry::Connection::Used
-            },
             is_uncounted,
+            ..describe_failure(attempt, error.fault, error.step)
         };
-        if matches!(error.fault, Fault::Silent | Fault::Unreachable) {
-            self.node.pool.close_idle(attempt.target.address);
-            self.node.targets.borrow_mut().avoid(attempt.key, now);
+        if error.fault == Fault::Unreachable {
+            self.avoid(attempt);
         }
         let verdict = self.request.record_failure(&failure, &self.budget, now);
+        self.log_failure(error, attempt, Some(verdict));
+        self.prepare_retry(verdict, error.fault, attempt);
+        verdict
+    }
+
+    /// Records that nothing arrives from an attempt's server and returns what follows. Only the first
+    /// time in an attempt, and another attempt, are logged.
+    pub(crate) fn record_silence(&mut self, attempt: &Attempt, is_new: bool) -> Verdict {
+        let now = self.node.now();
+        let error = ExchangeFailure::new(Fault::Silent, attempt.step(), "nothing arrives");
+        if is_new {
+            self.avoid(attempt);
+            self.record_crash(Fault::Silent, attempt.step(), attempt);
+        }
+        let verdict = if self.has_other_target(attempt.key()) {
+            let failure = describe_failure(attempt, Fault::Silent, attempt.step());
+            self.request.record_silence(&failure, &self.budget, now)
+        } else {
+            Verdict::Wait(Cause::NoServer)
+        };
+        if matches!(verdict, Verdict::Reconnect | Verdict::Elsewhere) {
+            self.failures += 1;
+        }
+        if is_new || !matches!(verdict, Verdict::Wait(_)) {
+            self.log_attempt(&error, attempt, Some(verdict));
+        }
+        self.prepare_retry(verdict, Fault::Silent, attempt);
+        verdict
+    }
+
+    /// Takes a retry for a request that waits for one.
+    pub(crate) fn retry(&mut self) -> Verdict {
+        let now = self.node.now();
+        if now >= self.due() {
+            return Verdict::GiveUp(Cause::Deadline);
+        }
+        self.request.retry(&self.budget, now)
+    }
+
+    /// Records that the request goes on with the attempt at a silent server.
+    pub(crate) fn return_to_silent(&mut self, abandoned: Option<&str>) {
+        self.request.return_to_silent(abandoned);
+    }
+
+    /// Keeps new requests away from an attempt's target.
+    fn avoid(&self, attempt: &Attempt) {
+        let now = self.node.now();
+        self.node.pool.close_idle(attempt.target.address);
+        self.node.targets.borrow_mut().avoid(attempt.key(), now);
+    }
+
+    fn prepare_retry(&mut self, verdict: Verdict, fault: Fault, attempt: &Attempt) {
+        match verdict {
+            Verdict::Reconnect => {
+                // A lost connection cannot be told from a stalled server, so the same server is
+                // tried again only if no other can take the request.
+                if self.candidates().is_empty()
+                    && self.node.targets.borrow().is_serving(attempt.key())
+                {
+                    self.reconnect_key = Some(attempt.key());
+                }
+                self.node.counters.count_retry(fault, "reconnect");
+            }
+            Verdict::Elsewhere => self.node.counters.count_retry(fault, "elsewhere"),
+            Verdict::Wait(_) | Verdict::GiveUp(_) => {}
+        }
+    }
+
+    /// Returns the refusal of a request that is given up.
+    pub(crate) fn give_up(&self, cause: Cause, error: &ExchangeFailure) -> Refusal {
+        if error.fault == Fault::Deadline && self.node.now() < self.call.deadline {
+            let detail = format!("the node is stopping: {}", error.detail);
+            return self.refuse(Reason::NotReady, Millis(0), detail);
+        }
+        let reason = match cause {
+            Cause::Deadline => Reason::Deadline,
+            Cause::MayHaveRun | Cause::Budget | Cause::Attempts | Cause::NoServer => {
+                error.fault.reason()
+            }
+        };
+        let detail = format!("{}: {}", cause.label(), error.detail);
+        self.refuse(reason, OVERLOADED_RETRY_AFTER, detail)
+    }
+
+    /// Logs a failed attempt and records what its failure says of the server; an attempt beside
+    /// another one has no verdict.
+    pub(crate) fn log_failure(
+        &self,
+        error: &ExchangeFailure,
+        attempt: &Attempt,
+        verdict: Option<Verdict>,
+    ) {
+        self.log_attempt(error, attempt, verdict);
+        self.record_crash(error.fault, error.step, attempt);
+    }
+
+    fn log_attempt(&self, error: &ExchangeFailure, attempt: &Attempt, verdict: Option<Verdict>) {
+        let now = self.node.now();
         // Tells whether a server was lost under a request that callers repeat.
         let digest = (error.fault == Fault::Closed).then(|| self.call.digest().prefix());
         info!(self.node.logger(), "attempt failed";
@@ -815,45 +670,31 @@
             "age_ms" => now.since(self.call.arrived).0,
             "left_ms" => self.due().since(now).0,
             "retries_left" => self.budget.remaining(),
-            "verdict" => ?verdict);
-        self.record_crash(error, attempt);
-        match verdict {
-            Verdict::Reconnect => {
-                // A lost connection cannot be told from a stalled server, so the same server is
-                // tried again only if no other can take the request.
-                if self.candidates().is_empty()
-                    && self.node.targets.borrow().is_serving(attempt.key)
-                {
-                    self.reconnect_key = Some(attempt.key);
-                }
-                self.node.counters.count_retry(error.fault, "reconnect");
-                Ok(())
-            }
-            Verdict::Elsewhere => {
-                self.node.counters.count_retry(error.fault, "elsewhere");
-                Ok(())
-            }
-            Verdict::GiveUp(_) if error.fault == Fault::Deadline && now < self.call.deadline => {
-                let detail = format!("the node is stopping: {}", error.detail);
-                Err(self.refuse(Reason::NotReady, Millis(0), detail))
-            }
-            Verdict::GiveUp(cause) => {
-                let reason = match cause {
-                    Cause::Deadline => Reason::Deadline,
-                    Cause::MayHaveRun | Cause::Budget | Cause::Attempts => error.fault.reason(),
-                };
-                let detail = format!("{}: {}", cause.label(), error.detail);
-                Err(self.refuse(reason, OVERLOADED_RETRY_AFTER, detail))
-            }
-        }
+            "verdict" => verdict.map(|verdict| format!("{verdict:?}")));
+    }
+
+    /// Logs that a silent server goes on.
+    pub(crate) fn log_return(&self, attempt: &Attempt) {
+        info!(self.node.logger(), "silent server goes on";
+            "request" => %self.call.head.id,
+            "route" => %self.call.route.name,
+            "server" => %attempt.target.server,
+            "group" => %attempt.target.group,
+            "step" => %attempt.step(),
+            "delivered" => self.last_delivered);
     }
 }
 
-fn refusal_detail(status: StatusCode, decoded: &Answer) -> String {
-    match &decoded.faulty_server {
-        Some(culprit) => {
-            format!("the server did not run it: status {status}, {culprit} is at fault")
-        }
-        None => format!("the server did not run it: status {status}"),
+fn describe_failure(attempt: &Attempt, fault: Fault, step: Step) -> Failure {
+    Failure {
+        server: attempt.target.server.clone(),
+        step,
+        fault,
+        connection: if attempt.is_new_connection {
+            retry::Connection::New
+        } else {
+            retry::Connection::Used
+        },
+        is_uncounted: false,
     }
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -22,10 +22,12 @@
 
 use crate::body;
 use crate::buffered;
-use crate::dispatch::{Call, Dispatch};
+use crate::call::Call;
+use crate::dispatch::Dispatch;
 use crate::header;
 use crate::in_flight::Guard;
 use crate::node::Node;
+use crate::race::Race;
 use crate::refusal::Refusal;
 use crate::relay;
 
@@ -151,13 +153,14 @@
         tracked.deadline = call.deadline;
         tracked.stage = Stage::Server;
     });
-    let mut dispatch = Dispatch::new(Rc::clone(node), index, call, key);
+    let dispatch = Dispatch::new(Rc::clone(node), index, call, key);
     if is_stream {
         let caller = request.io().cloned();
         return relay::exchange(dispatch, caller).await.map_err(failed);
     }
-    let buffered = buffered::exchange(&mut dispatch).await.map_err(failed)?;
-    dispatch.log_answered(buffered.status.as_u16());
+    let mut race = Race::new(dispatch);
+    let buffered = buffered::exchange(&mut race).await.map_err(failed)?;
+    race.dispatch.log_answered(buffered.status.as_u16());
     node.counters.count_outcome(Outcome::Completed);
     node.histograms.record_answer(node.now().since(arrived));
     Ok(buffered.into_response())
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -44,6 +44,8 @@
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
 
+/// Percentage of the connections accepted by a server that all nodes together keep idle.
+const IDLE_CONNECTIONS_PERCENT: usize = 40;
 /// Longest time to receive a head if the configuration states no limit.
 const DEFAULT_HEADER_TIMEOUT: Millis = Millis(10_000);
 /// Time for which an idle connection is kept if the configuration states no limit; longer than
@@ -295,6 +297,18 @@
         }
     }
 
+    /// Returns how many idle connections to a server of a service this node keeps.
+    ///
+    /// A server resets connections beyond the number that it accepts, so the idle connections of
+    /// all nodes together stay below half of that number.
+    pub(crate) fn max_idle_connections(&self, service: &str) -> usize {
+        let index = self.index.borrow();
+        let service = index.as_ref().and_then(|index| index.service(service));
+        let accepted = service.map_or(0, |service| service.max_connections as usize);
+        let nodes = self.peer_loads().borrow().node_count();
+        accepted * IDLE_CONNECTIONS_PERCENT / 100 / nodes
+    }
+
     /// Returns the retry budget of a service.
     pub(crate) fn retry_budget(&self, service: &str) -> Rc<Budget> {
         if let Some(budget) = self.retry_budgets.borrow().get(service) {
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -105,10 +105,10 @@
         self.peer
     }
 
-    /// Returns whether the connection has carried no exchange before the current one.
+    /// Returns whether the connection has carried an exchange.
     #[must_use]
-    pub fn is_new(&self) -> bool {
-        self.exchanges <= 1
+    pub fn is_used(&self) -> bool {
+        self.exchanges > 0
     }
 
     /// Sends a request and returns the head of the response with its unread body. Dropping the
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -3,6 +3,10 @@
 //! A request is sent again only if it is idempotent or nothing of it was written, only before its
 //! deadline, and only while its team's [`Budget`] lasts. It never goes to the same server twice,
 //! except once on a new connection if a reused one may be at fault instead of the server.
+//!
+//! A server that is silent may go on at any time, so its attempt is kept beside the next one, and a
+//! request without another attempt goes on waiting. A caller that has a part of its answer waits for
+//! a retry rather than losing the rest.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -216,6 +220,8 @@
     Budget,
     /// The largest number of attempts is reached.
     Attempts,
+    /// No other server can take the request.
+    NoServer,
 }
 
 impl Cause {
@@ -227,17 +233,21 @@
             Cause::Deadline => "the deadline passed",
             Cause::Budget => "the team has spent its retries",
             Cause::Attempts => "the request was tried often enough",
+            Cause::NoServer => "no other server can take the request",
         }
     }
 }
 
-/// Action after a failed attempt.
+/// Action after a failed attempt or while a server is silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Try the same server once more on a new connection.
     Reconnect,
     /// Try another server that was not tried yet.
     Elsewhere,
+    /// Make no other attempt for a reason, and ask again later with [`Request::retry`] or
+    /// [`Request::record_silence`].
+    Wait(Cause),
     /// Give the request up for a reason.
     GiveUp(Cause),
 }
@@ -254,6 +264,7 @@
     tried: Vec<CompactString>,
     reconnected: Option<CompactString>,
     cut_off: bool,
+    has_partial_answer: bool,
 }
 
 impl Request {
@@ -270,6 +281,7 @@
             tried: Vec::new(),
             reconnected: None,
             cut_off: false,
+            has_partial_answer: false,
         }
     }
 
@@ -286,6 +298,17 @@
         self.sent + 1 < self.max_sent && self.attempts + 1 < MAX_ATTEMPTS
     }
 
+    /// Records that the caller has a part of the answer, which it loses if the request is given up.
+    pub fn mark_partially_answered(&mut self) {
+        self.has_partial_answer = true;
+    }
+
+    /// Returns whether the caller has a part of the answer.
+    #[must_use]
+    pub fn is_partially_answered(&self) -> bool {
+        self.has_partial_answer
+    }
+
     /// Records that the intent of the call is stored.
     pub fn mark_recorded(&mut self) {
         self.furthest = self.furthest.max(Step::Recorded);
@@ -332,6 +355,67 @@
     /// A retry is taken from the budget, unless the attempt reached no server: the next one is then
     /// no repetition.
     pub fn record_failure(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
+        let can_reconnect = self.count_attempt(failure);
+        if let Some(cause) = self.give_up_cause(failure.fault, now) {
+            return Verdict::GiveUp(cause);
+        }
+        if failure.fault != Fault::Unreachable && !budget.withdraw() {
+            return match self.has_partial_answer {
+                true => Verdict::Wait(Cause::Budget),
+                false => Verdict::GiveUp(Cause::Budget),
+            };
+        }
+        self.choose_retry(failure, can_reconnect)
+    }
+
+    /// Takes a retry for a request that waits for one after a failed attempt.
+    pub fn retry(&mut self, budget: &Budget, now: Instant) -> Verdict {
+        if now >= self.deadline {
+            return Verdict::GiveUp(Cause::Deadline);
+        }
+        match budget.withdraw() {
+            true => Verdict::Elsewhere,
+            false => Verdict::Wait(Cause::Budget),
+        }
+    }
+
+    /// Records that nothing arrives from the server of an attempt and returns whether another one is
+    /// to be made beside it.
+    ///
+    /// Silence alone is no reason to give a request up: without another attempt the verdict is
+    /// [`Verdict::Wait`], and nothing is recorded.
+    pub fn record_silence(&mut self, failure: &Failure, budget: &Budget, now: Instant) -> Verdict {
+        if !self.idempotent && self.furthest.max(failure.step).outcome() != Outcome::NotRun {
+            return Verdict::Wait(Cause::MayHaveRun);
+        }
+        if now >= self.deadline {
+            return Verdict::Wait(Cause::Deadline);
+        }
+        if !self.can_send_again() {
+            return Verdict::Wait(Cause::Attempts);
+        }
+        if !budget.withdraw() {
+            return Verdict::Wait(Cause::Budget);
+        }
+        let can_reconnect = self.count_attempt(failure);
+        self.choose_retry(failure, can_reconnect)
+    }
+
+    /// Records that the request goes on with the attempt at a silent server, in place of the one at
+    /// `abandoned` that was made beside it, if that has not failed already.
+    pub fn return_to_silent(&mut self, abandoned: Option<&str>) {
+        match abandoned {
+            // The abandoned attempt counts in place of the one that is in progress again.
+            Some(server) => self.mark_tried(server),
+            None => {
+                self.attempts = self.attempts.saturating_sub(1);
+                self.sent = self.sent.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Counts an attempt and returns whether the same server may be tried once more.
+    fn count_attempt(&mut self, failure: &Failure) -> bool {
         self.attempts += 1;
         if failure.fault != Fault::Unreachable && !failure.is_uncounted {
             self.sent += 1;
@@ -339,29 +423,31 @@
         self.furthest = self.furthest.max(failure.step);
         let can_reconnect =
             failure.is_connection_suspect() && self.reconnected.as_ref() != Some(&failure.server);
-        if self.can_try(&failure.server) {
-            self.tried.push(failure.server.clone());
-        }
-        if let Some(cause) = self.give_up_cause(failure, now) {
-            return Verdict::GiveUp(cause);
-        }
-        if failure.fault != Fault::Unreachable && !budget.withdraw() {
-            return Verdict::GiveUp(Cause::Budget);
+        self.mark_tried(&failure.server);
+        can_reconnect
+    }
+
+    fn mark_tried(&mut self, server: &str) {
+        if self.can_try(server) {
+            self.tried.push(server.into());
         }
-        if can_reconnect {
-            self.reconnected = Some(failure.server.clone());
-            self.cut_off = failure.fault == Fault::Closed;
-            return Verdict::Reconnect;
+    }
+
+    fn choose_retry(&mut self, failure: &Failure, can_reconnect: bool) -> Verdict {
+        if !can_reconnect {
+            return Verdict::Elsewhere;
         }
-        Verdict::Elsewhere
+        self.reconnected = Some(failure.server.clone());
+        self.cut_off = failure.fault == Fault::Closed;
+        Verdict::Reconnect
     }
 
     /// Returns the reason that rules out another attempt, if there is one beside the budget.
-    fn give_up_cause(&self, failure: &Failure, now: Instant) -> Option<Cause> {
+    fn give_up_cause(&self, fault: Fault, now: Instant) -> Option<Cause> {
         if !self.idempotent && self.furthest.outcome() != Outcome::NotRun {
             return Some(Cause::MayHaveRun);
         }
-        if failure.fault == Fault::Deadline || now >= self.deadline {
+        if fault == Fault::Deadline || now >= self.deadline {
             return Some(Cause::Deadline);
         }
         let is_spent = self.attempts >= MAX_ATTEMPTS || self.sent >= self.max_sent;
