Test that streams whose server ends are resumed as soon as they can be

Eight cases end the server of a stream that is under way: with no retry left and later requests that earn one (one stream, four streams, the registration gone), and with no other target until another server registers or the same one starts again 0.5 s later.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashSet;
 use std::io::{BufReader, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::backend;
@@ -18,6 +18,7 @@
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::Ports;
 use slog::{Logger, o};
+use socket2::Socket;
 
 use super::store::MemoryStore;
 use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, server};
@@ -36,6 +37,8 @@
 const PROBE: &str = "/safe/probe";
 /// Requests that earn one retry at the ratio of [`Retries::One`].
 const REQUESTS_PER_RETRY: usize = 60;
+/// Number of connections that wait to be accepted.
+const BACKLOG: i32 = 64;
 
 /// A place in an answer. A request names in its path the one at which a server falls silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +80,8 @@
     Garbled,
     /// It has withdrawn its registration.
     Withdrawn,
+    /// It is not registered before [`Domain::register`], and answers.
+    Late,
 }
 
 /// Retries that the node has when the servers fall silent.
@@ -101,28 +106,49 @@
     }
 }
 
-/// Whether and where servers fall silent.
+/// Which servers fall silent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
     #[default]
-    Running,
-    /// All servers fall silent.
-    Silent,
+    None,
+    All,
     /// Each server does with new requests what its [`Conduct`] says.
-    Turned,
-    Released,
+    ByConduct,
 }
 
 /// What the servers have seen.
 #[derive(Debug, Default)]
 struct Events {
     phase: Phase,
+    /// Servers that go on.
+    released: HashSet<usize>,
+    /// Servers that have ended.
+    ended: HashSet<usize>,
     /// Identities and servers of the requests that have arrived.
     arrived: Vec<(String, usize)>,
     /// Number of requests under which a server has fallen silent.
     held: usize,
+    /// Number of connections that servers have accepted.
+    accepted: usize,
     /// Connections that the node has closed.
-    closed: HashSet<SocketAddr>,
+    closed: HashSet<usize>,
+}
+
+impl Events {
+    /// Returns what a server does with a new request.
+    fn conduct(&self, member: &Member) -> Conduct {
+        match self.phase {
+            Phase::None => Conduct::Sound,
+            Phase::All => Conduct::Silent,
+            Phase::ByConduct => member.conduct,
+        }
+    }
+
+    /// Returns whether a server neither answers nor goes on.
+    fn is_silent(&self, member: &Member) -> bool {
+        let is_silent = self.conduct(member) == Conduct::Silent;
+        is_silent && !self.released.contains(&member.number)
+    }
 }
 
 /// State that all servers share.
@@ -157,6 +183,7 @@
 struct Member {
     number: usize,
     conduct: Conduct,
+    socket: Arc<Socket>,
     shared: Arc<Shared>,
 }
 
@@ -164,8 +191,8 @@
 struct Request<'a> {
     member: &'a Member,
     stream: TcpStream,
-    /// Address of the node's end of the connection.
-    peer: SocketAddr,
+    /// Number of the connection among those of all servers.
+    connection: usize,
     id: String,
     path: String,
     /// Last event that the caller has.
@@ -173,27 +200,42 @@
 }
 
 impl Member {
-    fn listen(self) -> SocketAddr {
+    /// Starts a server on a free port.
+    fn listen(number: usize, conduct: Conduct, shared: &Arc<Shared>) -> (Member, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let member = self.clone();
-                thread::spawn(move || member.serve(stream));
-            }
-        });
-        address
+        let member = Member {
+            number,
+            conduct,
+            socket: Arc::new(listener.into()),
+            shared: Arc::clone(shared),
+        };
+        let accepting = member.clone();
+        thread::spawn(move || accepting.accept());
+        (member, address)
+    }
+
+    /// Accepts connections; once the server has ended, the port refuses them.
+    fn accept(&self) {
+        while let Ok((stream, _)) = self.socket.accept() {
+            let member = self.clone();
+            thread::spawn(move || member.serve(stream.into()));
+        }
     }
 
     fn serve(&self, stream: TcpStream) {
-        let peer = stream.peer_addr().expect("the connection is open");
+        let connection = {
+            let mut events = self.shared.events();
+            events.accepted += 1;
+            events.accepted
+        };
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
             let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
             let request = Request {
                 member: self,
                 stream: stream.try_clone().expect("a descriptor is free"),
-                peer,
+                connection,
                 id: field("id: ").unwrap_or_default().to_owned(),
                 path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
                 last: field("last: ")
@@ -203,23 +245,23 @@
             let id = request.id.clone();
             self.shared
                 .record(|events| events.arrived.push((id, self.number)));
-            self.watch(&stream, peer);
+            self.watch(&stream, connection);
             if request.answer().is_none() {
                 break;
             }
         }
         // The node may have closed the connection.
-        let _ = stream.shutdown(std::net::Shutdown::Both);
+        let _ = stream.shutdown(Shutdown::Both);
     }
 
     /// Records when the node closes the connection of the request in progress.
-    fn watch(&self, stream: &TcpStream, peer: SocketAddr) {
+    fn watch(&self, stream: &TcpStream, connection: usize) {
         let stream = stream.try_clone().expect("a descriptor is free");
         let shared = Arc::clone(&self.shared);
         thread::spawn(move || {
             if !matches!(stream.peek(&mut [0; 1]), Ok(1..)) {
                 shared.record(|events| {
-                    events.closed.insert(peer);
+                    events.closed.insert(connection);
                 });
             }
         });
@@ -229,22 +271,20 @@
 impl Request<'_> {
     /// Answers the request; returns none if the connection is to be closed.
     fn answer(mut self) -> Option<()> {
-        let phase = self.member.shared.events().phase;
-        if matches!(phase, Phase::Turned | Phase::Released) && self.path != PROBE {
-            match self.member.conduct {
-                Conduct::Sound | Conduct::Silent | Conduct::Withdrawn => {}
-                Conduct::Refusing => {
-                    let id = &self.id;
-                    let refusal = format!(
-                        "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
-                    );
-                    return self.write(&refusal);
-                }
-                Conduct::Closing => return None,
-                Conduct::Garbled => {
-                    self.write("these bytes are no answer\r\n\r\n")?;
-                    return None;
-                }
+        let conduct = self.member.shared.events().conduct(self.member);
+        match conduct {
+            Conduct::Sound | Conduct::Silent | Conduct::Withdrawn | Conduct::Late => {}
+            Conduct::Refusing => {
+                let id = &self.id;
+                let refusal = format!(
+                    "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+                );
+                return self.write(&refusal);
+            }
+            Conduct::Closing => return None,
+            Conduct::Garbled => {
+                self.write("these bytes are no answer\r\n\r\n")?;
+                return None;
             }
         }
         self.hold(Point::Head)?;
@@ -283,24 +323,21 @@
         self.stream.write_all(bytes.as_bytes()).ok()
     }
 
-    /// Waits for [`Domain::release`] if the server falls silent here; returns none if the node closes
-    /// the connection meanwhile.
+    /// Waits until the server goes on if it falls silent here; returns none if the node closes the
+    /// connection meanwhile or the server ends.
     fn hold(&self, point: Point) -> Option<()> {
-        let shared = &self.member.shared;
-        let is_silent = match shared.events().phase {
-            Phase::Running | Phase::Released => false,
-            Phase::Silent => true,
-            Phase::Turned => self.member.conduct == Conduct::Silent,
-        };
-        if !is_silent || !self.path.contains(point.label()) {
+        let member = self.member;
+        let shared = &member.shared;
+        if !self.path.contains(point.label()) || !shared.events().is_silent(member) {
             return Some(());
         }
         shared.record(|events| events.held += 1);
-        let is_released = |events: &Events| events.phase == Phase::Released;
-        let is_closed = |events: &Events| events.closed.contains(&self.peer);
-        let ended = shared.wait_until(|events| is_released(events) || is_closed(events), TIMEOUT);
-        let has_gone_on = ended && !is_closed(&shared.events());
-        has_gone_on.then_some(())
+        let is_cut = |events: &Events| {
+            events.closed.contains(&self.connection) || events.ended.contains(&member.number)
+        };
+        let ends = |events: &Events| is_cut(events) || events.released.contains(&member.number);
+        let has_ended = shared.wait_until(ends, TIMEOUT);
+        (has_ended && !is_cut(&shared.events())).then_some(())
     }
 }
 
@@ -404,31 +441,44 @@
 pub(crate) struct Caller {
     id: String,
     path: String,
-    answer: JoinHandle<String>,
+    answer: JoinHandle<Ending>,
+}
+
+/// An answer as far as it came.
+struct Ending {
+    answer: String,
+    /// Time from the call to the end of the answer.
+    after: Duration,
 }
 
 impl Caller {
+    /// Returns whether the answer has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.answer.is_finished()
+    }
+
     /// Waits for the answer and checks that it is the caller's own and whole.
     ///
     /// # Panics
     ///
     /// Panics if it is not.
     pub(crate) fn assert_whole(self, name: &str) {
-        let answer = self.answer.join().expect("the caller ends");
+        let path = self.path.clone();
         let whole = if is_stream(&self.path) {
             whole_stream(&self.id)
         } else {
             BODY.to_owned()
         };
+        let Ending { answer, .. } = self.wait();
         let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
-        let path = &self.path;
         assert!(
             head.starts_with("HTTP/1.1 200"),
             "{name}: {path} got {answer:?}"
         );
-        let body = match head.to_lowercase().contains("transfer-encoding: chunked") {
-            true => unchunk(body),
-            false => Some(body.to_owned()),
+        let body = if head.to_lowercase().contains("transfer-encoding: chunked") {
+            unchunk(body)
+        } else {
+            Some(body.to_owned())
         };
         assert_eq!(
             body.as_deref(),
@@ -436,6 +486,30 @@
             "{name}: {path} got {answer:?}"
         );
     }
+
+    /// Waits for the answer and checks that it ended long before the deadline, refused or broken off.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it did not.
+    pub(crate) fn assert_given_up(self, name: &str) {
+        let path = self.path.clone();
+        let Ending { answer, after } = self.wait();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+        let is_refused = ["HTTP/1.1 502", "HTTP/1.1 503"]
+            .iter()
+            .any(|status| head.starts_with(status));
+        let is_broken_off = head.starts_with("HTTP/1.1 200") && unchunk(body).is_none();
+        assert!(is_refused || is_broken_off, "{name}: {path} got {answer:?}");
+        assert!(
+            after < DEADLINE.duration() / 2,
+            "{name}: {path} got {answer:?} after {after:?}"
+        );
+    }
+
+    fn wait(self) -> Ending {
+        self.answer.join().expect("the caller ends")
+    }
 }
 
 fn whole_stream(id: &str) -> String {
@@ -459,7 +533,7 @@
 /// A running node before the servers of a domain.
 pub(crate) struct Domain {
     shared: Arc<Shared>,
-    conducts: Vec<Conduct>,
+    members: Vec<Member>,
     pub(crate) store: Arc<MemoryStore>,
     process: Process,
 }
@@ -476,15 +550,14 @@
         let store = Arc::new(MemoryStore::new());
         store.put("configuration", "1");
         let mut registered = Vec::new();
+        let mut members = Vec::new();
         for (number, conduct) in conducts.iter().enumerate() {
-            let member = Member {
-                number,
-                conduct: *conduct,
-                shared: Arc::clone(&shared),
-            };
-            let id = format!("s{number}");
-            store.put(&format!("servers/{id}"), "");
-            registered.push(server(&id, member.listen()));
+            let (member, address) = Member::listen(number, *conduct, &shared);
+            members.push(member);
+            registered.push(server(&format!("s{number}"), address));
+            if *conduct != Conduct::Late {
+                store.put(&registration(number), "");
+            }
         }
         let options = retries.options();
         let ports = Ports::bind(&options).expect("ports are free");
@@ -501,7 +574,7 @@
         process.wait_ready();
         let domain = Domain {
             shared,
-            conducts: conducts.to_vec(),
+            members,
             store,
             process,
         };
@@ -509,31 +582,59 @@
             Retries::None => 0,
             Retries::One | Retries::Many => REQUESTS_PER_RETRY,
         };
-        for _ in 0..warm_up {
-            domain.call("probe", "GET", PROBE).assert_whole("a probe");
-        }
+        (0..warm_up).for_each(|_| domain.probe());
         domain
     }
 
+    /// Gets the node's address for callers.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.process.callers
+    }
+
     /// Sends a request on a new connection.
     pub(crate) fn call(&self, id: &str, method: &str, path: &str) -> Caller {
-        let address = self.process.callers;
+        self.call_within(DEADLINE, id, method, path)
+    }
+
+    /// Sends a request with a deadline on a new connection.
+    pub(crate) fn call_within(
+        &self,
+        deadline: Millis,
+        id: &str,
+        method: &str,
+        path: &str,
+    ) -> Caller {
+        let address = self.address();
         let body = if method == "POST" { id } else { "" };
         let request = format!(
             "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-            DEADLINE.0,
+            deadline.0,
             body.len()
         );
         Caller {
             id: id.to_owned(),
             path: path.to_owned(),
-            answer: thread::spawn(move || exchange(address, &request)),
+            answer: thread::spawn(move || {
+                let start = Instant::now();
+                let answer = exchange(address, &request);
+                let after = start.elapsed();
+                Ending { answer, after }
+            }),
         }
     }
 
+    /// Sends a request that no server holds up; it earns a part of a retry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its answer is not whole.
+    pub(crate) fn probe(&self) {
+        self.call("probe", "GET", PROBE).assert_whole("a probe");
+    }
+
     /// Lets all servers fall silent, each request at its point.
     pub(crate) fn silence(&self) {
-        self.shared.record(|events| events.phase = Phase::Silent);
+        self.shared.record(|events| events.phase = Phase::All);
     }
 
     /// Waits until servers have fallen silent under a number of requests.
@@ -547,20 +648,85 @@
         assert!(is_held, "{count} requests are not held");
     }
 
+    /// Returns the numbers of the servers at which a request has arrived, in order.
+    pub(crate) fn servers_of(&self, id: &str) -> Vec<usize> {
+        let events = self.shared.events();
+        let arrived = events.arrived.iter().filter(|(arrived, _)| arrived == id);
+        arrived.map(|(_, server)| *server).collect()
+    }
+
     /// Puts the servers' conduct in force.
     pub(crate) fn turn(&self) {
-        self.shared.record(|events| events.phase = Phase::Turned);
-        for (number, conduct) in self.conducts.iter().enumerate() {
-            if *conduct == Conduct::Withdrawn {
-                self.store.delete(&format!("servers/s{number}"));
+        self.shared.record(|events| events.phase = Phase::ByConduct);
+        for member in &self.members {
+            if member.conduct == Conduct::Withdrawn {
+                self.withdraw(member.number);
             }
         }
     }
 
+    /// Lets the silent servers go on.
+    pub(crate) fn release(&self) {
+        let numbers = self.members.iter().map(|member| member.number);
+        self.shared.record(|events| events.released.extend(numbers));
+    }
+
     /// Lets the silent servers stay silent for a time, and go on.
     pub(crate) fn release_after(&self, silence: Duration) {
-        self.shared.wait_until(|_| false, silence);
-        self.shared.record(|events| events.phase = Phase::Released);
+        self.pause(silence);
+        self.release();
+    }
+
+    /// Lets a time pass.
+    pub(crate) fn pause(&self, time: Duration) {
+        self.shared.wait_until(|_| false, time);
+    }
+
+    /// Ends a server, so that its connections close and its port refuses others, and lets the other
+    /// servers go on.
+    pub(crate) fn end(&self, number: usize) {
+        // Connections may have been closed by the node.
+        let _ = self.members[number].socket.shutdown(Shutdown::Both);
+        let others = (0..self.members.len()).filter(|other| *other != number);
+        self.shared.record(|events| {
+            events.ended.insert(number);
+            events.released.extend(others);
+        });
+    }
+
+    /// Starts a server that ended as a new incarnation at its address.
+    pub(crate) fn restart(&self, number: usize) {
+        let member = self.members[number].clone();
+        member.socket.listen(BACKLOG).expect("the port is bound");
+        self.shared.record(|events| {
+            events.ended.remove(&number);
+            events.released.insert(number);
+        });
+        thread::spawn(move || member.accept());
+        self.store.put(&registration(number), "2");
+    }
+
+    /// Registers a server.
+    pub(crate) fn register(&self, number: usize) {
+        self.store.put(&registration(number), "");
+    }
+
+    /// Waits until the node knows a server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not within [`TIMEOUT`].
+    pub(crate) fn wait_registered(&self, number: usize) {
+        let start = Instant::now();
+        while !self.servers_of("probe").contains(&number) {
+            assert!(start.elapsed() < TIMEOUT, "server {number} is not known");
+            self.probe();
+        }
+    }
+
+    /// Removes a server's registration.
+    pub(crate) fn withdraw(&self, number: usize) {
+        self.store.delete(&registration(number));
     }
 
     /// Stops the node.
@@ -568,3 +734,8 @@
         self.process.stop();
     }
 }
+
+/// Returns the key of a server's registration.
+fn registration(number: usize) -> String {
+    format!("servers/s{number}")
+}
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -1,11 +1,15 @@
 //! Tests of requests whose servers fall silent for a while and then go on, as those of one fabric
 //! domain do together.
 
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::TcpStream;
 use std::time::Duration;
 
+use jackdaw_core::units::Millis;
 use rstest::rstest;
 
-use super::domain::{Conduct, Domain, Point, Retries, configuration};
+use super::domain::{Caller, Conduct, Domain, Point, Retries, configuration};
+use super::support::request;
 
 /// Time for which servers are silent; longer than the node waits at most for the next bytes.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -23,6 +27,14 @@
     point: Point,
 }
 
+impl Wait {
+    /// Sends a request of this kind.
+    fn call(&self, domain: &Domain, number: usize) -> Caller {
+        let path = format!("{}{}{number}", self.route, self.point.label());
+        domain.call(&format!("r{number}"), self.method, &path)
+    }
+}
+
 const STREAM_HEAD: Wait = Wait {
     method: "POST",
     route: "/stream",
@@ -148,10 +160,7 @@
     let callers: Vec<_> = waits
         .take(CALLERS)
         .enumerate()
-        .map(|(number, wait)| {
-            let path = format!("{}{}{number}", wait.route, wait.point.label());
-            domain.call(&format!("r{number}"), wait.method, &path)
-        })
+        .map(|(number, wait)| wait.call(&domain, number))
         .collect();
     domain.wait_held(CALLERS);
     domain.turn();
@@ -161,3 +170,158 @@
     }
     domain.stop();
 }
+
+/// How the node can send on a stream whose server has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relief {
+    /// Later requests earn a retry.
+    Retry,
+    /// Another server registers.
+    Register,
+    /// The server starts again.
+    Restart,
+}
+
+/// Time after which a server registers or starts again.
+const ABSENCE: Duration = Duration::from_millis(500);
+
+/// Requests whose server ends, and what comes later.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    name: &'static str,
+    wait: Wait,
+    callers: usize,
+    conducts: &'static [Conduct],
+    retries: Retries,
+    /// Whether the registration of the server ends with it.
+    is_withdrawn: bool,
+    relief: Relief,
+}
+
+const NO_RETRY: End = End {
+    name: "",
+    wait: STREAM,
+    callers: 1,
+    conducts: &[Conduct::Sound; 2],
+    retries: Retries::None,
+    is_withdrawn: false,
+    relief: Relief::Retry,
+};
+const NO_TARGET: End = End {
+    conducts: &[Conduct::Sound, Conduct::Late],
+    retries: Retries::Many,
+    relief: Relief::Register,
+    ..NO_RETRY
+};
+
+impl End {
+    /// Lets servers fall silent under the requests, and ends the server of the first request.
+    fn begin(&self) -> (Domain, Vec<Caller>) {
+        let domain = Domain::start(self.conducts, self.retries, vec![configuration(2)]);
+        domain.silence();
+        let callers: Vec<_> = (0..self.callers)
+            .map(|number| self.wait.call(&domain, number))
+            .collect();
+        domain.wait_held(self.callers);
+        let server = domain.servers_of("r0")[0];
+        if self.is_withdrawn {
+            domain.withdraw(server);
+        }
+        domain.end(server);
+        (domain, callers)
+    }
+}
+
+// Guards against streams under way that are broken off when their server ends, because no retry or
+// no other target is there at that moment.
+#[rstest]
+#[case(End { name: "no retry", ..NO_RETRY })]
+#[case(End { name: "no retry, several streams", callers: 4, ..NO_RETRY })]
+#[case(End { name: "no retry, the server's registration ends", is_withdrawn: true, ..NO_RETRY })]
+#[case(End { name: "no other target", ..NO_TARGET })]
+#[case(End { name: "no other target, several streams", callers: 4, ..NO_TARGET })]
+#[case(End { name: "no target at all", is_withdrawn: true, ..NO_TARGET })]
+#[case(End { name: "no other target, the server starts again", relief: Relief::Restart, ..NO_TARGET })]
+#[case(End { name: "no target at all, the server starts again", is_withdrawn: true, relief: Relief::Restart, ..NO_TARGET })]
+fn streams_whose_server_ends_are_resumed_as_soon_as_they_can_be(#[case] end: End) {
+    let (domain, callers) = end.begin();
+    match end.relief {
+        Relief::Retry => {
+            while callers.iter().any(|caller| !caller.has_ended()) {
+                domain.probe();
+            }
+        }
+        Relief::Register => {
+            domain.pause(ABSENCE);
+            domain.register(1);
+        }
+        Relief::Restart => {
+            domain.pause(ABSENCE);
+            domain.restart(0);
+        }
+    }
+    for caller in callers {
+        caller.assert_whole(end.name);
+    }
+    domain.stop();
+}
+
+// Guards against requests that are held although their caller has nothing of the answer, or the
+// answer cannot be resumed, when their server has ended and no other attempt is possible.
+#[rstest]
+#[case(End { name: "a stream before its head, no retry", wait: STREAM_HEAD, ..NO_RETRY })]
+#[case(End { name: "a stream before its first event, no retry", wait: STREAM_START, ..NO_RETRY })]
+#[case(End { name: "a whole answer before its head, no retry", wait: WHOLE_HEAD, ..NO_RETRY })]
+#[case(End { name: "a whole answer within its body, no retry", wait: WHOLE, ..NO_RETRY })]
+#[case(End { name: "a stream before its head, no other target", wait: STREAM_HEAD, ..NO_TARGET })]
+#[case(End { name: "a stream before its first event, no other target", wait: STREAM_START, ..NO_TARGET })]
+#[case(End { name: "a whole answer before its head, no other target", wait: WHOLE_HEAD, ..NO_TARGET })]
+#[case(End { name: "a whole answer within its body, no target at all", wait: WHOLE, is_withdrawn: true, ..NO_TARGET })]
+#[case(End { name: "a stream that may not be resumed", wait: FRAGILE, ..NO_TARGET })]
+#[case(End { name: "a request that runs at most once", wait: ONCE_HEAD, ..NO_TARGET })]
+fn requests_whose_server_ends_are_given_up_at_once_if_their_caller_has_nothing_to_resume(
+    #[case] end: End,
+) {
+    let (domain, callers) = end.begin();
+    for caller in callers {
+        caller.assert_given_up(end.name);
+    }
+    domain.stop();
+}
+
+// Guards against streams that wait for a target beyond their deadline, and look complete then.
+#[test]
+fn stream_that_cannot_be_resumed_before_its_deadline_is_broken_off_then() {
+    let domain = Domain::start(&[Conduct::Sound], Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let caller = domain.call_within(Millis(1_500), "r0", "POST", "/stream/event/0");
+    domain.wait_held(1);
+    domain.end(0);
+    caller.assert_given_up("no target at all");
+    domain.stop();
+}
+
+// Guards against streams that are sent on although their callers have disconnected.
+#[test]
+fn stream_whose_caller_has_disconnected_is_not_resumed() {
+    let conducts = &[Conduct::Sound, Conduct::Late];
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let mut stream = TcpStream::connect(domain.address()).expect("the node listens");
+    let request = request("r0", "POST", "/stream/event/0");
+    stream
+        .write_all(request.as_bytes())
+        .expect("the node reads");
+    let mut lines = BufReader::new(&stream).lines();
+    let last = lines.find(|line| line.as_ref().is_ok_and(|line| line == "id: 3"));
+    assert!(last.is_some(), "the third event does not arrive");
+    domain.end(0);
+    drop(lines);
+    drop(stream);
+    domain.pause(ABSENCE);
+    domain.register(1);
+    domain.wait_registered(1);
+    domain.pause(ABSENCE);
+    assert_eq!(domain.servers_of("r0"), [0]);
+    domain.stop();
+}
