Recognize the part of a prompt that crashes servers

Callers saw server after server end, since a tracker that knows whole requests only never sees one twice if each request is new and only a part of its prompt crashes servers.

The tracker now counts the crashes of features: the digest and the prompt's parts but the last. An answer that begins clears the features of its request; the third crash that is not cleared bans one. A banned feature explains the crashes of those that came with it. Requests with one suspected part go one after another, nodes take turns, and a banned part is tried once with a request that has no other probable suspect, which ends a wrong ban. That a ban was lifted is told to the nodes and kept in the store. Crashes within 50 ms count once against a part. A crash that marks parts is told to all nodes at once.

Both stacks use the tracker; they still pass it digests only, so callers see no change before the request path passes parts.

The existing tests of policy, control and entry only pass features in place of digests.

--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -5,11 +5,10 @@
 use compact_str::CompactString;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::member::{Load, Membership, Report};
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Fence, Generation, Revision};
 use jackdaw_policy::gossip::fact::{Fact, Key, Member, Value, Version};
 use jackdaw_policy::gossip::message::{Body, Bucket, Entry, Envelope, Exchange, Lag, Summary};
-use jackdaw_policy::poison::CrashId;
+use jackdaw_policy::poison::{CrashId, Feature};
 use jackdaw_wire::peer as wire;
 
 const OPERATION: &str = "decode peer message";
@@ -215,10 +214,10 @@
         }
         (Key::Report(_), Value::Report(report)) => wire::fact::Value::Report(encode_report(report)),
         (Key::Leaving(vm), Value::Leaving) => wire::fact::Value::LeavingVm(vm.to_string()),
-        (Key::Poison(digest), Value::Poison) => wire::fact::Value::Convicted(digest.0.to_vec()),
-        (Key::Crash(digest, crash), Value::Crash { at_unix_ms }) => {
+        (Key::Poison(feature), Value::Poison) => wire::fact::Value::Convicted(feature.to_bytes()),
+        (Key::Crash(feature, crash), Value::Crash { at_unix_ms }) => {
             wire::fact::Value::Crash(wire::Crash {
-                digest: digest.0.to_vec(),
+                digest: feature.to_bytes(),
                 crash: crash.0,
                 at_unix_ms: *at_unix_ms,
             })
@@ -270,20 +269,20 @@
             (Key::Report(report.vm.clone()), Value::Report(report))
         }
         wire::fact::Value::LeavingVm(vm) => (Key::Leaving(vm.into()), Value::Leaving),
-        wire::fact::Value::Convicted(digest) => {
-            (Key::Poison(decode_digest(&digest, peer)?), Value::Poison)
+        wire::fact::Value::Convicted(feature) => {
+            (Key::Poison(decode_feature(&feature, peer)?), Value::Poison)
         }
         wire::fact::Value::Crash(crash) => {
-            let key = Key::Crash(decode_digest(&crash.digest, peer)?, CrashId(crash.crash));
+            let key = Key::Crash(decode_feature(&crash.digest, peer)?, CrashId(crash.crash));
             let at_unix_ms = crash.at_unix_ms;
             (key, Value::Crash { at_unix_ms })
         }
     })
 }
 
-fn decode_digest(digest: &[u8], peer: &str) -> Result<Digest> {
-    Digest::try_from(digest)
-        .map_err(|_| Error::malformed(OPERATION, peer, "digest of another length"))
+fn decode_feature(bytes: &[u8], peer: &str) -> Result<Feature> {
+    Feature::from_bytes(bytes)
+        .ok_or_else(|| Error::malformed(OPERATION, peer, "feature of another length"))
 }
 
 fn encode_report(report: &Report) -> wire::Report {
--- a/crates/control/src/state/request_path.rs
+++ b/crates/control/src/state/request_path.rs
@@ -4,14 +4,13 @@
 
 use compact_str::CompactString;
 use jackdaw_core::time::Instant;
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Generation, Millis};
 use jackdaw_entry::event::Event;
 use jackdaw_entry::snapshot::Snapshot;
 use jackdaw_policy::gossip::fact::{Fact, Key, Member, Value};
 use jackdaw_policy::gossip::hash;
 use jackdaw_policy::member;
-use jackdaw_policy::poison::{Ban, Crash, Evidence};
+use jackdaw_policy::poison::{Ban, Change, Crash, Evidence, Feature, Features};
 
 use super::{Action, State};
 
@@ -35,24 +34,22 @@
                 alone,
             } => {
                 let crash = Crash {
-                    digest,
                     server: target.clone(),
                     incarnation: self.incarnation(&target, generation),
                     alone,
                 };
-                if let Some(decision) = self.poison.record_crash(&crash, now) {
-                    self.record(decision, unix_ms);
-                    self.publish_evidence(&digest, now, unix_ms);
-                    self.publish_ban(&digest, now, unix_ms);
-                }
+                let features = Features::of_request(digest);
+                let changes = self.poison.record_crash(&crash, &features, now);
+                self.publish_changes(changes, now, unix_ms);
                 self.suspend_group(target, generation, now, unix_ms)
             }
             Event::Answered { digest, .. } => {
-                let Some(decision) = self.poison.record_answer(&digest) else {
+                let features = Features::of_request(digest);
+                let changes = self.poison.record_survival(&features, now);
+                if changes.is_empty() {
                     return Vec::new();
-                };
-                self.record(decision, unix_ms);
-                self.publish_evidence(&digest, now, unix_ms);
+                }
+                self.publish_changes(changes, now, unix_ms);
                 vec![Action::PublishSnapshot]
             }
             Event::ConnectFailed { target, generation } => {
@@ -77,32 +74,48 @@
     /// Adopts a poison ban or the evidence of a crash that another node published; returns whether
     /// the snapshot changes.
     pub(super) fn adopt_poison_fact(&mut self, fact: &Fact, now: Instant, unix_ms: u64) -> bool {
-        let decision = match (&fact.key, &fact.value) {
-            (Key::Poison(digest), _) => {
+        match (&fact.key, &fact.value) {
+            (Key::Poison(feature), _) => {
                 let ban = Ban {
-                    digest: *digest,
+                    feature: *feature,
                     remaining: Millis(fact.version.major.saturating_sub(unix_ms)),
+                    is_lifted: fact.version.minor > 0,
+                };
+                let Some(decision) = self.poison.adopt_ban(ban, now) else {
+                    return false;
                 };
-                self.poison.adopt_ban(ban, now)
+                self.record(decision, unix_ms);
+                true
             }
-            (Key::Crash(digest, crash), Value::Crash { at_unix_ms }) => {
+            (Key::Crash(feature, crash), Value::Crash { at_unix_ms }) => {
                 let evidence = Evidence {
-                    digest: *digest,
+                    feature: *feature,
                     crash: *crash,
                     is_cleared: fact.version.minor > 0,
                     age: Millis(unix_ms.saturating_sub(*at_unix_ms)),
                 };
-                let decision = self.poison.adopt_evidence(evidence, now);
-                self.publish_ban(digest, now, unix_ms);
-                decision
+                let changes = self.poison.adopt_evidence(evidence, now);
+                let has_changed = !changes.is_empty();
+                for change in changes {
+                    self.record(change.decision, unix_ms);
+                    self.publish_ban(&change.feature, now, unix_ms);
+                }
+                has_changed
             }
-            _ => None,
-        };
-        let Some(decision) = decision else {
-            return false;
-        };
-        self.record(decision, unix_ms);
-        true
+            _ => false,
+        }
+    }
+
+    /// Explains what changed and tells other nodes.
+    fn publish_changes(&mut self, changes: Vec<Change>, now: Instant, unix_ms: u64) {
+        for Change {
+            feature, decision, ..
+        } in changes
+        {
+            self.record(decision, unix_ms);
+            self.publish_evidence(&feature, now, unix_ms);
+            self.publish_ban(&feature, now, unix_ms);
+        }
     }
 
     /// Sets the snapshot's poison verdicts and the numbers of nodes in the system and the zone.
@@ -129,23 +142,23 @@
     }
 
     /// Publishes what is known of a suspect to other nodes.
-    fn publish_evidence(&mut self, digest: &Digest, now: Instant, unix_ms: u64) {
-        for evidence in self.poison.evidence_on(digest, now) {
+    fn publish_evidence(&mut self, feature: &Feature, now: Instant, unix_ms: u64) {
+        for evidence in self.poison.evidence_on(feature, now) {
             let at_unix_ms = unix_ms.saturating_sub(evidence.age.0);
             let Evidence {
                 crash, is_cleared, ..
             } = evidence;
-            let fact = Fact::crash(*digest, crash, is_cleared, at_unix_ms);
+            let fact = Fact::crash(*feature, crash, is_cleared, at_unix_ms);
             self.overlay.publish(fact, now);
         }
     }
 
-    /// Publishes the ban of a digest to other nodes, if the digest is banned.
-    fn publish_ban(&mut self, digest: &Digest, now: Instant, unix_ms: u64) {
-        if let Some(ban) = self.poison.current_ban(digest, now) {
+    /// Publishes the ban of a feature to other nodes, or that it was lifted, if there is one.
+    fn publish_ban(&mut self, feature: &Feature, now: Instant, unix_ms: u64) {
+        if let Some(ban) = self.poison.ban(feature, now) {
             let until_unix_ms = unix_ms + ban.remaining.0;
-            self.overlay
-                .publish(Fact::poison(*digest, until_unix_ms), now);
+            let fact = Fact::poison(*feature, until_unix_ms, ban.is_lifted);
+            self.overlay.publish(fact, now);
         }
     }
 }
--- a/crates/control/tests/callers.rs
+++ b/crates/control/tests/callers.rs
@@ -7,7 +7,7 @@
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Generation, Millis};
 use jackdaw_entry::event::Event as EntryEvent;
-use jackdaw_policy::poison::Verdict;
+use jackdaw_policy::poison::{Features, Verdict};
 use rstest::rstest;
 
 fn digest() -> Digest {
@@ -54,7 +54,8 @@
         }
     }
     let snapshot = state.snapshot(Instant(0), 0);
-    assert_eq!(snapshot.verdicts.of(&digest(), Instant(0)), verdict);
+    let features = Features::of_request(digest());
+    assert_eq!(snapshot.verdicts.of(&features, Instant(0)), verdict);
     assert_eq!(explained, decisions);
     assert_eq!(published, count);
     assert_eq!((snapshot.nodes, snapshot.zone_nodes), (1, 1));
--- a/crates/control/tests/poison.rs
+++ b/crates/control/tests/poison.rs
@@ -6,7 +6,7 @@
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Generation, Millis};
 use jackdaw_entry::event::Event as EntryEvent;
-use jackdaw_policy::poison::Verdict;
+use jackdaw_policy::poison::{Features, Verdict};
 use pair::{Pair, ZONES};
 use rstest::rstest;
 
@@ -74,7 +74,9 @@
     let unix_ms = pair.now.0;
     for node in 0..2 {
         let snapshot = pair.states[node].snapshot(pair.now, unix_ms);
-        let verdict = snapshot.verdicts.of(&digest(), pair.now);
+        let verdict = snapshot
+            .verdicts
+            .of(&Features::of_request(digest()), pair.now);
         let is_banned = matches!(verdict, Verdict::Banned(_));
         assert_eq!(is_banned, case.is_banned, "node {node}: {verdict:?}");
     }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -5,7 +5,7 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::fair::{self, Arrival};
-use jackdaw_policy::poison::Verdict;
+use jackdaw_policy::poison::{Features, Verdict};
 
 use crate::call::{Call, Destination};
 use crate::gate::Permit;
@@ -73,7 +73,8 @@
 /// Returns a problem if the call is banned.
 fn check_poison(shared: &Shared, call: &Call) -> Result<bool, Problem> {
     let snapshot = shared.snapshot.load();
-    match snapshot.verdicts.of(&call.digest, shared.clock.now()) {
+    let features = Features::of_request(call.digest);
+    match snapshot.verdicts.of(&features, shared.clock.now()) {
         Verdict::Clear => Ok(false),
         Verdict::Suspect => Ok(true),
         Verdict::Banned(remaining) => {
--- a/crates/entry/tests/poison.rs
+++ b/crates/entry/tests/poison.rs
@@ -8,7 +8,7 @@
 use jackdaw_core::token::Digest;
 use jackdaw_entry::event::Event;
 use jackdaw_entry::gauge::Guard;
-use jackdaw_policy::poison::{Crash, Tracker};
+use jackdaw_policy::poison::{Crash, Features, Tracker};
 use rstest::rstest;
 use support::backend::Action::{Close, Wait, Write};
 use support::backend::{Backend, FULL_ANSWER, STREAM_HEAD, Script};
@@ -31,14 +31,16 @@
                 alone,
             } => {
                 let crash = Crash {
-                    digest,
                     server: target,
                     incarnation: generation.0,
                     alone,
                 };
-                tracker.record_crash(&crash, Instant(0));
+                tracker.record_crash(&crash, &Features::of_request(digest), Instant(0));
+            }
+            Event::Answered { digest, .. } => {
+                let features = Features::of_request(digest);
+                drop(tracker.record_survival(&features, Instant(0)));
             }
-            Event::Answered { digest, .. } => drop(tracker.record_answer(&digest)),
             Event::ConnectFailed { .. } | Event::Explained(_) => {}
         }
     }
@@ -104,12 +106,11 @@
     let request = Request::completion();
     let digest = Digest::of(format!("POST tiles/v1/completions\n{}", request.body).as_bytes());
     let crash = Crash {
-        digest,
         server: "target-0".into(),
         incarnation: 1,
         alone: false,
     };
-    tracker.record_crash(&crash, Instant(0));
+    tracker.record_crash(&crash, &Features::of_request(digest), Instant(0));
     node.publish_verdicts(tracker.verdicts());
 
     let gauge = Arc::clone(&node.shared.snapshot.load().models["tiles"][0].gauge);
--- a/crates/gateway/src/bans.rs
+++ b/crates/gateway/src/bans.rs
@@ -1,4 +1,6 @@
 //! Keeps the bans of requests that end servers in the store, so that they outlast all nodes.
+//!
+//! A ban that was lifted is kept as well, since nodes that read it late would adopt it otherwise.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -6,10 +8,9 @@
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::store::{Entry, Transaction, Write};
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
-use jackdaw_policy::poison::{BAN_DURATION, Ban};
+use jackdaw_policy::poison::{BAN_DURATION, Ban, Feature};
 use slog::{info, warn};
 use tokio::time;
 
@@ -17,6 +18,8 @@
 
 /// Prefix of the bans in the store.
 const PREFIX: &str = "jackdawstair/bans/";
+/// Follows the time of a ban that was lifted.
+const LIFTED: &str = " lifted";
 /// Shortest pause after a failed call of the store.
 const MIN_RETRY_DELAY: Millis = Millis(100);
 /// Longest pause after a failed call of the store.
@@ -54,15 +57,17 @@
     if known.is_empty() {
         return Ok(());
     }
-    let stored: HashSet<Digest> = read_bans(node)
+    let stored: HashSet<(Feature, bool)> = read_bans(node)
         .await?
         .iter()
-        .map(|ban| ban.digest)
+        .map(|ban| (ban.feature, ban.is_lifted))
         .collect();
-    let missing = known.iter().filter(|ban| !stored.contains(&ban.digest));
+    let missing = known
+        .iter()
+        .filter(|ban| !stored.contains(&(ban.feature, ban.is_lifted)));
     for ban in missing {
-        info!(node.logger(), "ban is written again"; "digest" => %ban.digest.prefix());
-        node.poison.save_again(ban.digest);
+        info!(node.logger(), "ban is written again"; "feature" => %ban.feature.name());
+        node.poison.save_again(ban.feature);
     }
     Ok(())
 }
@@ -102,18 +107,21 @@
 
 fn decode_ban(entry: &Entry, unix_ms: u64) -> Result<Ban> {
     let malformed = |reason: &str| Error::malformed("read ban", &entry.key, reason);
-    let digest = entry
+    let feature = entry
         .key
         .strip_prefix(PREFIX)
-        .and_then(|digest| digest.parse().ok())
-        .ok_or_else(|| malformed("the key holds no digest"))?;
-    let until_unix_ms: u64 = std::str::from_utf8(&entry.value)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .ok_or_else(|| malformed("the value is no time"))?;
+        .and_then(|feature| feature.parse().ok())
+        .ok_or_else(|| malformed("the key holds no feature"))?;
+    let value = std::str::from_utf8(&entry.value).unwrap_or_default();
+    let until = value.strip_suffix(LIFTED);
+    let until_unix_ms: u64 = until
+        .unwrap_or(value)
+        .parse()
+        .map_err(|_| malformed("the value is no time"))?;
     Ok(Ban {
-        digest,
+        feature,
         remaining: Millis(until_unix_ms.saturating_sub(unix_ms)),
+        is_lifted: until.is_some(),
     })
 }
 
@@ -123,11 +131,11 @@
     let mut random = fastrand::Rng::new();
     loop {
         let next = node.poison.next_unsaved();
-        let Some(digest) = next else {
+        let Some(feature) = next else {
             node.poison.has_unsaved.notified().await;
             continue;
         };
-        let ban = node.poison.ban(&digest, node.now());
+        let ban = node.poison.ban(&feature, node.now());
         let result = match ban {
             Some(ban) => write_ban(&node, &ban).await,
             None => Ok(()),
@@ -150,10 +158,11 @@
     let store = &node.parts.store;
     let lease = store.grant(BAN_DURATION).await?;
     let until_unix_ms = node.parts.clock.unix_millis() + ban.remaining.0;
-    let key: CompactString = format_compact!("{PREFIX}{}", ban.digest);
+    let key: CompactString = format_compact!("{PREFIX}{}", ban.feature);
+    let suffix = if ban.is_lifted { LIFTED } else { "" };
     let put = Write::Put {
         key,
-        value: until_unix_ms.to_string().into_bytes(),
+        value: format!("{until_unix_ms}{suffix}").into_bytes(),
         lease: Some(lease),
     };
     let transaction = Transaction {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,7 +10,7 @@
 use jackdaw_entry::in_flight;
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Load};
-use jackdaw_policy::poison::{self, Crash, Suspicion};
+use jackdaw_policy::poison::{self, Crash, Features, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
 
@@ -141,10 +141,10 @@
         if self.node.poison.is_empty() {
             return Ok(None);
         }
-        let digest = self.call.digest();
-        match self.node.poison.verdict(&digest, self.node.now()) {
+        let features = Features::of_request(self.call.digest());
+        match self.node.poison.verdict(&features, self.node.now()) {
             poison::Verdict::Clear => Ok(None),
-            poison::Verdict::Suspect => Ok(self.node.poison.suspicion(&digest)),
+            poison::Verdict::Suspect => Ok(self.node.poison.suspicion(&features)),
             poison::Verdict::Banned(remaining) => {
                 let detail = "servers ended under the same request".to_owned();
                 Err(self.refuse(Reason::Poison, remaining, detail))
@@ -163,8 +163,8 @@
     fn record_survival(&self, attempt: &mut Attempt) {
         let may_be_suspect = attempt.exposure.suspicion().is_some() || self.failures > 0;
         if may_be_suspect && attempt.exposure.record_survival() {
-            let digest = self.call.digest();
-            self.node.record_survival(&self.call.head.id, &digest);
+            let features = Features::of_request(self.call.digest());
+            self.node.record_survival(&self.call.head.id, &features);
         }
     }
 
@@ -236,8 +236,7 @@
         if attempt.exposure.is_settled() {
             return;
         }
-        let crash = |digest| Crash {
-            digest,
+        let crash = || Crash {
             server: attempt.target.server.clone(),
             incarnation: attempt.target.born,
             // Engines batch the requests of all nodes, so a request is hardly ever alone.
@@ -245,10 +244,14 @@
         };
         let id = &self.call.head.id;
         match fault {
-            Fault::Closed => self.node.record_crash(id, &crash(self.call.digest())),
+            Fault::Closed => {
+                let features = Features::of_request(self.call.digest());
+                self.node.record_crash(id, &crash(), &features);
+            }
             Fault::Silent | Fault::Deadline if step >= Step::Written => {
-                let crash = crash(self.call.digest());
-                self.node.record_silence(id, crash, attempt.target.address);
+                let features = Features::of_request(self.call.digest());
+                let address = attempt.target.address;
+                self.node.record_silence(id, crash(), &features, address);
             }
             Fault::Silent
             | Fault::Deadline
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -525,8 +525,12 @@
         }
     }
 
-    async fn send_poison_report(&mut self, recipients: &[SocketAddr]) {
-        if let Some(report) = self.node.poison_report() {
+    async fn send_poison_report(
+        &mut self,
+        report: Option<poison::Report>,
+        recipients: &[SocketAddr],
+    ) {
+        if let Some(report) = report {
             let datagram = Datagram {
                 poison: Some(report),
                 ..Datagram::default()
@@ -544,7 +548,8 @@
         let urgent = node.poison.has_urgent_news.notified();
         if time::timeout(pause, urgent).await.is_ok() {
             let recipients = sender.recipients();
-            sender.send_poison_report(&recipients).await;
+            let report = node.urgent_poison_report();
+            sender.send_poison_report(report, &recipients).await;
             continue;
         }
         next_round = node.now() + SEND_INTERVAL;
@@ -552,7 +557,8 @@
         let recipients = sender.recipients();
         let few = &recipients[..recipients.len().min(FANOUT)];
         sender.send_loads(few).await;
-        sender.send_poison_report(few).await;
+        let report = node.poison_report();
+        sender.send_poison_report(report, few).await;
         if node.is_leading.get() {
             sender.send_server_states(&recipients).await;
         }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -3,16 +3,17 @@
 //! Evidence and bans travel with the datagrams between nodes; `bans` keeps bans in the store as well.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
-use jackdaw_core::decision::Decision;
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::poison::{Ban, Crash, CrashId, Evidence, Suspicion, Tracker, Verdict};
+use jackdaw_policy::poison::{
+    self, Ban, Change, Crash, CrashId, Evidence, Feature, Features, News, Suspicion, Tracker,
+    Verdict,
+};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use prost::Message;
@@ -21,17 +22,6 @@
 
 use crate::node::Node;
 
-/// Time for which a change is passed on with each round of datagrams; a round reaches few nodes, and
-/// those pass it on.
-const NEWS_TIME: Millis = Millis(1_500);
-/// Pause between two rounds that repeat what is not new, for nodes that have missed it.
-const REPEAT_INTERVAL: Millis = Millis(1_000);
-/// Largest number of suspects' crashes in a datagram with news.
-const MAX_NEWS: usize = 18;
-/// Largest number of suspects' crashes in a datagram without news.
-const MAX_REPEATED: usize = 6;
-/// Largest number of bans in a datagram.
-const MAX_BANS: usize = 8;
 /// Time in which a server that fell silent is expected to register as another incarnation if it has
 /// ended.
 const SILENCE_MEMORY: Millis = Millis::from_secs(15);
@@ -43,13 +33,13 @@
 /// Evidence on the wire.
 #[derive(Clone, PartialEq, Message)]
 struct EvidenceRecord {
-    /// Digest of the request.
+    /// The feature.
     #[prost(bytes, tag = "1")]
-    digest: Vec<u8>,
+    feature: Vec<u8>,
     /// Identity of the crash.
     #[prost(fixed64, tag = "2")]
     crash: u64,
-    /// Whether the request is cleared of the crash.
+    /// Whether the feature is cleared of the crash.
     #[prost(bool, tag = "3")]
     is_cleared: bool,
     /// Time since the crash in milliseconds.
@@ -60,12 +50,15 @@
 /// A ban on the wire.
 #[derive(Clone, PartialEq, Message)]
 struct BanRecord {
-    /// Digest of the request.
+    /// The feature.
     #[prost(bytes, tag = "1")]
-    digest: Vec<u8>,
-    /// Time in milliseconds for which the request is still refused.
+    feature: Vec<u8>,
+    /// Time in milliseconds for which the feature is still refused.
     #[prost(uint64, tag = "2")]
     remaining_ms: u64,
+    /// Whether the ban has been lifted.
+    #[prost(bool, tag = "3")]
+    is_lifted: bool,
 }
 
 /// What a node tells the others.
@@ -80,7 +73,7 @@
 impl From<Evidence> for EvidenceRecord {
     fn from(evidence: Evidence) -> Self {
         EvidenceRecord {
-            digest: evidence.digest.0.to_vec(),
+            feature: evidence.feature.to_bytes(),
             crash: evidence.crash.0,
             is_cleared: evidence.is_cleared,
             age_ms: evidence.age.0,
@@ -91,7 +84,7 @@
 impl EvidenceRecord {
     fn decode(&self) -> Option<Evidence> {
         Some(Evidence {
-            digest: Digest::try_from(self.digest.as_slice()).ok()?,
+            feature: Feature::from_bytes(&self.feature)?,
             crash: CrashId(self.crash),
             is_cleared: self.is_cleared,
             age: Millis(self.age_ms),
@@ -102,8 +95,9 @@
 impl From<Ban> for BanRecord {
     fn from(ban: Ban) -> Self {
         BanRecord {
-            digest: ban.digest.0.to_vec(),
+            feature: ban.feature.to_bytes(),
             remaining_ms: ban.remaining.0,
+            is_lifted: ban.is_lifted,
         }
     }
 }
@@ -111,12 +105,24 @@
 impl BanRecord {
     fn decode(&self) -> Option<Ban> {
         Some(Ban {
-            digest: Digest::try_from(self.digest.as_slice()).ok()?,
+            feature: Feature::from_bytes(&self.feature)?,
             remaining: Millis(self.remaining_ms),
+            is_lifted: self.is_lifted,
         })
     }
 }
 
+impl From<poison::Report> for Report {
+    fn from(report: poison::Report) -> Self {
+        let evidence = report.evidence.into_iter().map(EvidenceRecord::from);
+        let bans = report.bans.into_iter().map(BanRecord::from);
+        Report {
+            evidence: evidence.collect(),
+            bans: bans.collect(),
+        }
+    }
+}
+
 /// Where a node learned that a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -140,6 +146,8 @@
 struct Silence {
     request: CompactString,
     crash: Crash,
+    digest: Digest,
+    parts: Vec<u64>,
     address: SocketAddr,
     at: Instant,
 }
@@ -147,12 +155,10 @@
 /// What a node knows of requests that end servers.
 pub(crate) struct Poison {
     tracker: RefCell<Tracker>,
-    /// Digests of which something changed lately, with the times.
-    news: RefCell<HashMap<Digest, Instant>>,
-    repeated_at: Cell<Instant>,
+    news: RefCell<News>,
     silences: RefCell<Vec<Silence>>,
     /// Bans that are not in the store yet.
-    unsaved: RefCell<Vec<Digest>>,
+    unsaved: RefCell<Vec<Feature>>,
     /// Notified when a ban is to be written to the store.
     pub(crate) has_unsaved: Notify,
     /// Notified when all nodes are to be told at once.
@@ -174,7 +180,6 @@
         Poison {
             tracker: RefCell::default(),
             news: RefCell::default(),
-            repeated_at: Cell::default(),
             silences: RefCell::default(),
             unsaved: RefCell::default(),
             has_unsaved: Notify::new(),
@@ -206,114 +211,108 @@
     }
 
     /// Returns the verdict on a request.
-    pub(crate) fn verdict(&self, digest: &Digest, now: Instant) -> Verdict {
-        self.tracker.borrow().verdict(digest, now)
+    pub(crate) fn verdict(&self, features: &Features<'_>, now: Instant) -> Verdict {
+        self.tracker.borrow().verdict(features, now)
     }
 
     /// Returns the suspicion of a request, if it is a suspect.
-    pub(crate) fn suspicion(&self, digest: &Digest) -> Option<Suspicion> {
-        self.tracker.borrow().suspicion(digest)
+    pub(crate) fn suspicion(&self, features: &Features<'_>) -> Option<Suspicion> {
+        self.tracker.borrow().suspicion(features)
     }
 
-    /// Returns the ban of a request, if it is banned.
-    pub(crate) fn ban(&self, digest: &Digest, now: Instant) -> Option<Ban> {
-        self.tracker.borrow().current_ban(digest, now)
+    /// Returns the ban of a feature that has not ended, also one that was lifted.
+    pub(crate) fn ban(&self, feature: &Feature, now: Instant) -> Option<Ban> {
+        self.tracker.borrow().ban(feature, now)
     }
 
-    /// Returns all bans.
+    /// Returns all bans, also those that were lifted.
     pub(crate) fn bans(&self, now: Instant) -> Vec<Ban> {
         self.tracker.borrow().bans(now).collect()
     }
 
-    /// Returns the next request whose ban is to be written to the store.
-    pub(crate) fn next_unsaved(&self) -> Option<Digest> {
+    /// Returns the next feature whose ban is to be written to the store.
+    pub(crate) fn next_unsaved(&self) -> Option<Feature> {
         self.unsaved.borrow().first().copied()
     }
 
-    /// Records that the ban of the request returned by [`Poison::next_unsaved`] needs no writing.
+    /// Records that the ban of the feature returned by [`Poison::next_unsaved`] needs no writing.
     pub(crate) fn finish_saving(&self) {
         self.unsaved.borrow_mut().remove(0);
     }
 
     /// Has a ban written to the store that has lost it.
-    pub(crate) fn save_again(&self, digest: Digest) {
+    pub(crate) fn save_again(&self, feature: Feature) {
         self.rewritten.add(1, &[]);
-        self.save(digest);
+        self.save(feature);
     }
 
-    fn save(&self, digest: Digest) {
-        self.unsaved.borrow_mut().push(digest);
+    fn save(&self, feature: Feature) {
+        self.unsaved.borrow_mut().push(feature);
         self.has_unsaved.notify_one();
     }
 
     /// Returns what the other nodes are to be told in this round, or `None` if there is nothing.
     fn report(&self, now: Instant) -> Option<Report> {
         let tracker = self.tracker.borrow();
-        let mut news = self.news.borrow_mut();
-        news.retain(|_, changed_at| now.since(*changed_at) < NEWS_TIME);
-        let is_repeating = now.since(self.repeated_at.get()) >= REPEAT_INTERVAL;
-        if news.is_empty() && !is_repeating {
-            return None;
-        }
-        self.repeated_at.set(now);
-        let (mut digests, limit): (Vec<Digest>, usize) = if news.is_empty() {
-            (tracker.open_suspects().copied().collect(), MAX_REPEATED)
-        } else {
-            (news.keys().copied().collect(), MAX_NEWS)
-        };
-        fastrand::shuffle(&mut digests);
-        let crashes = |digest: &Digest| {
-            let suspicion = tracker.suspicion(digest);
-            suspicion.map_or(0, |suspicion| suspicion.crashes)
-        };
-        digests.sort_by_key(|digest| std::cmp::Reverse(crashes(digest)));
-        let evidence = digests
-            .iter()
-            .flat_map(|digest| tracker.evidence_on(digest, now));
-        let mut bans: Vec<Ban> = tracker.bans(now).collect();
-        fastrand::shuffle(&mut bans);
-        bans.sort_by_key(|ban| !news.contains_key(&ban.digest));
-        let report = Report {
-            evidence: evidence.take(limit).map(EvidenceRecord::from).collect(),
-            bans: bans
-                .into_iter()
-                .take(MAX_BANS)
-                .map(BanRecord::from)
-                .collect(),
-        };
-        (report != Report::default()).then_some(report)
+        let mut random = fastrand::Rng::new();
+        let report = self.news.borrow_mut().report(&tracker, now, &mut random);
+        report.map(Report::from)
+    }
+
+    /// Returns what all nodes are to be told at once, or `None` if there is nothing.
+    fn urgent_report(&self, now: Instant) -> Option<Report> {
+        let tracker = self.tracker.borrow();
+        let report = self.news.borrow_mut().urgent_report(&tracker, now);
+        report.map(Report::from)
+    }
+
+    fn record_urgent(&self, feature: Feature, now: Instant) {
+        self.news.borrow_mut().record_urgent(feature, now);
+        self.has_urgent_news.notify_one();
     }
 }
 
 impl Node {
     /// Records that a server ended before it began to answer a request.
-    pub(crate) fn record_crash(&self, request: &str, crash: &Crash) {
+    pub(crate) fn record_crash(&self, request: &str, crash: &Crash, features: &Features<'_>) {
         let poison = &self.poison;
         poison.crashes.add(1, &[]);
         let now = self.now();
-        let decision = poison.tracker.borrow_mut().record_crash(crash, now);
-        let Some(decision) = decision else {
-            return;
+        let changes = {
+            let mut tracker = poison.tracker.borrow_mut();
+            tracker.record_crash(crash, features, now)
         };
-        let crashes = poison
-            .suspicion(&crash.digest)
-            .map_or(0, |suspicion| suspicion.crashes);
+        if changes.is_empty() {
+            return;
+        }
+        let suspicion = poison.suspicion(features);
+        let crashes = suspicion.map_or(0, |suspicion| suspicion.crashes);
         info!(self.logger(), "server ended under a request";
             "request" => request,
-            "digest" => %crash.digest.prefix(),
+            "digest" => %features.request.prefix(),
+            "parts" => features.parts.len(),
             "server" => %crash.server,
             "incarnation" => crash.incarnation,
-            "cause" => %decision.cause,
+            "cause" => %changes[0].decision.cause,
             "crashes" => crashes);
-        poison.news.borrow_mut().insert(crash.digest, now);
-        if crashes >= URGENT_CRASHES {
-            poison.has_urgent_news.notify_one();
+        for change in &changes {
+            let suspicion = poison.tracker.borrow().suspicion_of(&change.feature);
+            let crashes = suspicion.map_or(0, |suspicion| suspicion.crashes);
+            if !change.feature.is_request() || crashes >= URGENT_CRASHES {
+                poison.record_urgent(change.feature, now);
+            }
         }
-        self.handle_ban(&crash.digest);
+        self.handle_changes(&changes);
     }
 
     /// Records that a server fell silent before it began to answer a request.
-    pub(crate) fn record_silence(&self, request: &str, crash: Crash, address: SocketAddr) {
+    pub(crate) fn record_silence(
+        &self,
+        request: &str,
+        crash: Crash,
+        features: &Features<'_>,
+        address: SocketAddr,
+    ) {
         let now = self.now();
         let mut silences = self.poison.silences.borrow_mut();
         silences.retain(|silence| now.since(silence.at) < SILENCE_MEMORY);
@@ -323,6 +322,8 @@
         silences.push(Silence {
             request: request.into(),
             crash,
+            digest: features.request,
+            parts: features.parts.to_vec(),
             address,
             at: now,
         });
@@ -347,23 +348,31 @@
             silences.extract_if(.., is_replaced).collect()
         };
         for silence in ended {
-            self.record_crash(&silence.request, &silence.crash);
+            let features = Features {
+                request: silence.digest,
+                parts: &silence.parts,
+            };
+            self.record_crash(&silence.request, &silence.crash, &features);
         }
     }
 
-    /// Records that a server answered a request.
-    pub(crate) fn record_survival(&self, request: &str, digest: &Digest) {
+    /// Records that a server began to answer a request.
+    pub(crate) fn record_survival(&self, request: &str, features: &Features<'_>) {
         let mut silences = self.poison.silences.borrow_mut();
-        silences.retain(|silence| silence.crash.digest != *digest);
+        silences.retain(|silence| silence.digest != features.request);
         drop(silences);
-        let decision = self.poison.tracker.borrow_mut().record_answer(digest);
-        if let Some(decision) = decision {
+        let now = self.now();
+        let changes = {
+            let mut tracker = self.poison.tracker.borrow_mut();
+            tracker.record_survival(features, now)
+        };
+        for change in &changes {
             info!(self.logger(), "request is no longer suspected";
                 "request" => request,
-                "digest" => %digest.prefix(),
-                "cause" => %decision.cause);
-            self.poison.news.borrow_mut().insert(*digest, self.now());
+                "feature" => %change.feature.name(),
+                "cause" => %change.decision.cause);
         }
+        self.handle_changes(&changes);
     }
 
     /// Returns what the other nodes are to be told in this round, or `None` if there is nothing.
@@ -373,6 +382,11 @@
         self.poison.report(now)
     }
 
+    /// Returns what all nodes are to be told at once, or `None` if there is nothing.
+    pub(crate) fn urgent_poison_report(&self) -> Option<Report> {
+        self.poison.urgent_report(self.now())
+    }
+
     /// Adopts what another node told.
     pub(crate) fn adopt_poison_report(&self, report: &Report) {
         for ban in report.bans.iter().filter_map(BanRecord::decode) {
@@ -380,14 +394,17 @@
         }
         for evidence in report.evidence.iter().filter_map(EvidenceRecord::decode) {
             let now = self.now();
-            let decision = {
+            let changes = {
                 let mut tracker = self.poison.tracker.borrow_mut();
                 tracker.adopt_evidence(evidence, now)
             };
-            if let Some(decision) = decision {
-                self.record_learned(&evidence.digest, &decision);
-                self.handle_ban(&evidence.digest);
+            for change in &changes {
+                debug!(self.logger(), "another node tells of a request and a server's end";
+                    "feature" => %change.feature.name(),
+                    "cause" => %change.decision.cause,
+                    "outcome" => %change.decision.taken);
             }
+            self.handle_changes(&changes);
         }
     }
 
@@ -407,33 +424,45 @@
         }
     }
 
-    fn record_learned(&self, digest: &Digest, decision: &Decision) {
-        debug!(self.logger(), "another node tells of a request and a server's end";
-            "digest" => %digest.prefix(),
-            "cause" => %decision.cause,
-            "outcome" => %decision.taken);
-        self.poison.news.borrow_mut().insert(*digest, self.now());
-    }
-
-    /// Records a ban that follows from crashes, and has it saved by the nodes that saw one of them.
-    fn handle_ban(&self, digest: &Digest) {
+    /// Passes on what changed. A new ban, or that one was lifted, is told to all nodes at once and
+    /// saved by the nodes that saw one of the crashes.
+    fn handle_changes(&self, changes: &[Change]) {
         let poison = &self.poison;
-        let Some(ban) = poison.ban(digest, self.now()) else {
-            return;
-        };
-        self.record_ban(&ban, Source::Crashes);
-        if poison.tracker.borrow().is_seen_here(digest) {
-            poison.save(*digest);
+        let now = self.now();
+        for change in changes {
+            let feature = &change.feature;
+            poison.news.borrow_mut().record(*feature, now);
+            let ban = poison.ban(feature, now);
+            let Some(ban) = ban.filter(|_| change.has_new_ban) else {
+                continue;
+            };
+            self.record_ban(&ban, Source::Crashes);
+            if poison.tracker.borrow().is_seen_here(feature) {
+                poison.save(*feature);
+            }
+            poison.record_urgent(*feature, now);
         }
-        poison.has_urgent_news.notify_one();
     }
 
     fn record_ban(&self, ban: &Ban, source: Source) {
+        if ban.is_lifted {
+            self.poison
+                .news
+                .borrow_mut()
+                .record(ban.feature, self.now());
+            info!(self.logger(), "requests are no longer refused: a server answered one of them";
+                "feature" => %ban.feature.name(),
+                "source" => source.label());
+            return;
+        }
         let label = KeyValue::new("source", source.label());
         self.poison.bans.add(1, &[label]);
-        self.poison.news.borrow_mut().insert(ban.digest, self.now());
+        self.poison
+            .news
+            .borrow_mut()
+            .record(ban.feature, self.now());
         warn!(self.logger(), "request is refused from now on: servers ended under it";
-            "digest" => %ban.digest.prefix(),
+            "feature" => %ban.feature.name(),
             "source" => source.label(),
             "remaining_ms" => ban.remaining.0);
     }
--- a/crates/policy/src/gossip/fact.rs
+++ b/crates/policy/src/gossip/fact.rs
@@ -4,11 +4,10 @@
 
 use compact_str::CompactString;
 use jackdaw_core::member::Report;
-use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Fence, Millis, Revision};
 
 use super::hash;
-use crate::poison::{CrashId, EVIDENCE_LIFETIME};
+use crate::poison::{CrashId, EVIDENCE_LIFETIME, Feature};
 
 /// Time for which a removed node, a VM's report and a leaving mark are kept.
 pub const RETENTION: Millis = Millis::from_secs(3_600);
@@ -27,9 +26,9 @@
     /// A VM that is leaving.
     Leaving(CompactString),
     /// Digest of a request that crashes backend servers.
-    Poison(Digest),
+    Poison(Feature),
     /// A request that was in flight at a crash.
-    Crash(Digest, CrashId),
+    Crash(Feature, CrashId),
 }
 
 impl Key {
@@ -42,9 +41,9 @@
             Key::Placement(zone) => hash::hash_strings(&["placement", zone]),
             Key::Report(vm) => hash::hash_strings(&["report", vm]),
             Key::Leaving(vm) => hash::hash_strings(&["leaving", vm]),
-            Key::Poison(digest) => hash::hash_strings(&["convicted", &digest.to_string()]),
-            Key::Crash(digest, CrashId(crash)) => {
-                hash::mix(hash::hash_strings(&["crash", &digest.to_string()]) ^ crash)
+            Key::Poison(feature) => hash::hash_strings(&["convicted", &feature.to_string()]),
+            Key::Crash(feature, CrashId(crash)) => {
+                hash::mix(hash::hash_strings(&["crash", &feature.to_string()]) ^ crash)
             }
         }
     }
@@ -156,24 +155,25 @@
         }
     }
 
-    /// Creates the fact that requests with a digest are refused until a wall-clock time.
+    /// Creates the fact that requests with a feature are refused until a wall-clock time, or that
+    /// they would be if the ban had not been lifted.
     #[must_use]
-    pub fn poison(digest: Digest, until_unix_ms: u64) -> Self {
+    pub fn poison(feature: Feature, until_unix_ms: u64, is_lifted: bool) -> Self {
         Fact {
-            key: Key::Poison(digest),
+            key: Key::Poison(feature),
             version: Version {
                 major: until_unix_ms,
-                minor: 0,
+                minor: u64::from(is_lifted),
             },
             value: Value::Poison,
         }
     }
 
-    /// Creates the fact that a request was in flight at a crash at a wall-clock time.
+    /// Creates the fact that a feature was in flight at a crash at a wall-clock time.
     #[must_use]
-    pub fn crash(digest: Digest, crash: CrashId, is_cleared: bool, at_unix_ms: u64) -> Self {
+    pub fn crash(feature: Feature, crash: CrashId, is_cleared: bool, at_unix_ms: u64) -> Self {
         Fact {
-            key: Key::Crash(digest, crash),
+            key: Key::Crash(feature, crash),
             version: Version {
                 major: 0,
                 minor: u64::from(is_cleared),
--- a/crates/policy/tests/parts/model.rs
+++ b/crates/policy/tests/parts/model.rs
@@ -76,7 +76,7 @@
             chance_crashes: None,
             domain_losses: None,
             restart_at: None,
-            length: Millis(30_000),
+            length: Millis(60_000),
         }
     }
 }
@@ -532,9 +532,9 @@
 
     /// Sends urgent news, recalls banned requests and asks for those that are held.
     fn after_news(&mut self, node: usize) {
-        if self.nodes[node].take_urgent() {
+        if let Some(datagram) = self.nodes[node].urgent_report(self.now) {
             let recipients: Vec<usize> = (0..self.nodes.len()).filter(|to| *to != node).collect();
-            self.send_report(node, &recipients);
+            self.send_datagram(node, &datagram, &recipients);
         }
         if !self.nodes[node].take_changed() {
             return;
@@ -570,9 +570,12 @@
     }
 
     fn send_report(&mut self, node: usize, recipients: &[usize]) {
-        let Some(datagram) = self.nodes[node].report(self.now) else {
-            return;
-        };
+        if let Some(datagram) = self.nodes[node].report(self.now) {
+            self.send_datagram(node, &datagram, recipients);
+        }
+    }
+
+    fn send_datagram(&mut self, node: usize, datagram: &Datagram, recipients: &[usize]) {
         let second = self.now.0 / 1_000;
         let sent = self.sent_bytes.entry((node, second)).or_default();
         *sent += datagram.bytes() * recipients.len();
@@ -599,7 +602,7 @@
             self.waiting[idx].clear();
             self.nodes[idx] = node(idx, self.scenario.nodes);
             for datagram in &self.store {
-                self.nodes[idx].restore(datagram, self.now);
+                self.nodes[idx].adopt(datagram, self.now);
             }
         }
     }
@@ -613,9 +616,8 @@
             let Some(fifth) = fifth else {
                 continue;
             };
-            let late = self.arrivals[part]
-                .iter()
-                .filter(|at| **at > *fifth + STABLE_WINDOW);
+            let arrivals = self.arrivals.get(part).into_iter().flatten();
+            let late = arrivals.filter(|at| **at > *fifth + STABLE_WINDOW);
             self.outcome.late = self.outcome.late.max(late.count());
         }
         for (arrived, _, is_begun) in &self.results {
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -5,7 +5,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::poison::{Crash, Evidence, Tracker, Verdict};
+use jackdaw_policy::poison::{Crash, Evidence, Feature, Features, Tracker, Verdict};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
@@ -32,10 +32,17 @@
     Digest::of(&[number])
 }
 
+fn features(number: u8) -> Features<'static> {
+    Features::of_request(digest(number))
+}
+
+fn feature(number: u8) -> Feature {
+    Feature::Request(digest(number))
+}
+
 /// Returns the crash of an incarnation of a server.
-fn crash(number: u8, incarnation: u64, alone: bool) -> Crash {
+fn crash(incarnation: u64, alone: bool) -> Crash {
     Crash {
-        digest: digest(number),
         server: "group".into(),
         incarnation,
         alone,
@@ -48,13 +55,15 @@
         let incarnation = step as u64;
         match event {
             Shared(number) => {
-                drop(tracker.record_crash(&crash(*number, incarnation, false), now));
+                drop(tracker.record_crash(&crash(incarnation, false), &features(*number), now));
             }
             Repeated(number) => {
-                drop(tracker.record_crash(&crash(*number, u64::MAX, false), now));
+                drop(tracker.record_crash(&crash(u64::MAX, false), &features(*number), now));
+            }
+            Alone(number) => {
+                drop(tracker.record_crash(&crash(incarnation, true), &features(*number), now))
             }
-            Alone(number) => drop(tracker.record_crash(&crash(*number, incarnation, true), now)),
-            Answered(number) => drop(tracker.record_answer(&digest(*number))),
+            Answered(number) => drop(tracker.record_survival(&features(*number), now)),
             Minutes(count) => {
                 now = now + Millis(MINUTE.0 * count);
                 tracker.expire(now);
@@ -87,23 +96,23 @@
 fn events_lead_to_the_expected_verdict(#[case] events: &[Event], #[case] verdict: Verdict) {
     let mut tracker = Tracker::default();
     let now = apply_events(&mut tracker, events);
-    assert_eq!(tracker.verdicts().of(&digest(1), now), verdict);
+    assert_eq!(tracker.verdicts().of(&features(1), now), verdict);
 }
 
 #[test]
 fn ban_from_another_node_is_adopted_and_never_prolonged() {
     let mut first = Tracker::default();
     let mut second = Tracker::default();
-    first.record_crash(&crash(1, 1, true), Instant(0));
-    second.record_crash(&crash(1, 1, false), Instant(0));
+    first.record_crash(&crash(1, true), &features(1), Instant(0));
+    second.record_crash(&crash(1, false), &features(1), Instant(0));
     let later = Instant(0) + MINUTE;
-    let published = first.current_ban(&digest(1), later).expect("a ban");
+    let published = first.current_ban(&feature(1), later).expect("a ban");
     assert!(second.adopt_ban(published, later).is_some());
     assert_eq!(second.adopt_ban(published, later), None);
-    assert_eq!(second.verdicts().of(&digest(1), later), banned(9));
-    let returned = second.current_ban(&digest(1), later).expect("a ban");
+    assert_eq!(second.verdicts().of(&features(1), later), banned(9));
+    let returned = second.current_ban(&feature(1), later).expect("a ban");
     assert_eq!(first.adopt_ban(returned, later), None);
-    assert_eq!(first.verdicts().of(&digest(1), later), banned(9));
+    assert_eq!(first.verdicts().of(&features(1), later), banned(9));
 }
 
 #[test]
@@ -111,16 +120,16 @@
     let mut tracker = Tracker::default();
     for number in 0..10_000_u64 {
         let crash = Crash {
-            digest: Digest::of(&number.to_be_bytes()),
             server: "group".into(),
             incarnation: 1,
             alone: false,
         };
-        tracker.record_crash(&crash, Instant(number));
+        let digest = Digest::of(&number.to_be_bytes());
+        tracker.record_crash(&crash, &Features::of_request(digest), Instant(number));
     }
     let verdicts = tracker.verdicts();
-    let last = Digest::of(&9_999_u64.to_be_bytes());
-    let first = Digest::of(&0_u64.to_be_bytes());
+    let last = Features::of_request(Digest::of(&9_999_u64.to_be_bytes()));
+    let first = Features::of_request(Digest::of(&0_u64.to_be_bytes()));
     assert_eq!(verdicts.of(&last, Instant(10_000)), Verdict::Suspect);
     assert_eq!(verdicts.of(&first, Instant(10_000)), Verdict::Clear);
 }
@@ -146,13 +155,14 @@
                 let verdicts = tracker.verdicts();
                 let mut concurrent = HashSet::new();
                 for number in batch {
-                    match verdicts.of(&digest(*number), now) {
+                    match verdicts.of(&features(*number), now) {
                         Verdict::Clear => drop(concurrent.insert(*number)),
                         Verdict::Suspect if *number == CRASHING => {
                             crashes += 1;
-                            tracker.record_crash(&crash(CRASHING, step as u64, true), now);
+                            let crash = crash(step as u64, true);
+                            tracker.record_crash(&crash, &features(CRASHING), now);
                         }
-                        Verdict::Suspect => drop(tracker.record_answer(&digest(*number))),
+                        Verdict::Suspect => drop(tracker.record_survival(&features(*number), now)),
                         Verdict::Banned(_) => prop_assert_eq!(*number, CRASHING),
                     }
                 }
@@ -160,9 +170,10 @@
                 crashes += u32::from(crashed);
                 for number in concurrent {
                     if crashed {
-                        tracker.record_crash(&crash(number, step as u64, false), now);
+                        let crash = crash(step as u64, false);
+                        tracker.record_crash(&crash, &features(number), now);
                     } else {
-                        tracker.record_answer(&digest(number));
+                        tracker.record_survival(&features(number), now);
                     }
                 }
             }
@@ -193,15 +204,15 @@
     let mut trackers = [Tracker::default(), Tracker::default()];
     for (node, tracker) in trackers.iter_mut().enumerate() {
         for (count, incarnation) in case.crashes[node].iter().enumerate() {
-            tracker.record_crash(&crash(1, *incarnation, false), now);
+            tracker.record_crash(&crash(*incarnation, false), &features(1), now);
             if node == 0 && case.answered_after == Some(count + 1) {
-                tracker.record_answer(&digest(1));
+                tracker.record_survival(&features(1), now);
             }
         }
     }
     let evidence: Vec<Evidence> = trackers
         .iter()
-        .flat_map(|tracker| tracker.evidence_on(&digest(1), now))
+        .flat_map(|tracker| tracker.evidence_on(&feature(1), now))
         .collect();
     for seed in 0..50 {
         let mut shuffled = evidence.clone();
@@ -212,7 +223,7 @@
                 third.adopt_evidence(*evidence, now);
             }
         }
-        let is_banned = matches!(third.verdict(&digest(1), now), Verdict::Banned(_));
+        let is_banned = matches!(third.verdict(&features(1), now), Verdict::Banned(_));
         assert_eq!(is_banned, case.is_banned, "{case:?}, order {seed}");
     }
 }
@@ -222,13 +233,13 @@
 fn evidence_does_not_outlive_its_crash_by_circulating() {
     let mut first = Tracker::default();
     let mut second = Tracker::default();
-    first.record_crash(&crash(1, 1, false), Instant(0));
+    first.record_crash(&crash(1, false), &features(1), Instant(0));
     for minute in 0..20 {
         let now = Instant(0) + Millis(MINUTE.0 * minute);
-        for evidence in first.evidence_on(&digest(1), now) {
+        for evidence in first.evidence_on(&feature(1), now) {
             second.adopt_evidence(evidence, now);
         }
-        for evidence in second.evidence_on(&digest(1), now) {
+        for evidence in second.evidence_on(&feature(1), now) {
             first.adopt_evidence(evidence, now);
         }
         first.expire(now);
@@ -255,9 +266,9 @@
 fn probable_suspect_is_kept_from_the_last_server(#[case] case: Spared) {
     let mut tracker = Tracker::default();
     for incarnation in 0..case.crashes {
-        tracker.record_crash(&crash(1, incarnation, false), Instant(0));
+        tracker.record_crash(&crash(incarnation, false), &features(1), Instant(0));
     }
-    let suspicion = tracker.suspicion(&digest(1)).expect("a suspect");
+    let suspicion = tracker.suspicion(&features(1)).expect("a suspect");
     let now = Instant(0) + case.waited;
     assert_eq!(suspicion.may_run(case.sound_servers, now), case.may_run);
 }
