--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -32,6 +32,8 @@
     pub expected_output: Option<u32>,
     /// Last event that the caller has received, for a stream that is resumed.
     pub last_event: Option<u64>,
+    /// Identities of the parts of the prompt that other requests may share, in order.
+    pub parts: Vec<u64>,
 }
 
 /// Information that a forwarded request carries for the backend server.
