Test what a configuration changes under requests and on open connections

The tests put a version in force while a body is read, while an answer or a stream is under way, and before a stream is resumed: lower time-outs and limits, no limits, other keys, fewer routes, no service. They also send heads and bodies beside changed sizes, earn and spend retries around versions, shorten the time of a head that has begun, and send requests at the moment at which a lower idle limit ends their connections.

No case shows a request that was read and ended without its answer or a refusal.

--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod abandoned;
 mod cluster;
+mod configuration;
 mod connection;
 mod delivery;
 mod follow;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Order, Reply, Report, Server};
-use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service};
+use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Orders, Protocol};
 use jackdaw_core::store::Entry;
@@ -103,6 +103,7 @@
         Ok(Head {
             id: header_text(headers, "id").unwrap_or_default().into(),
             deadline: header_number(headers, "deadline").map(Millis),
+            key: header_text(headers, "key").map(Into::into),
             ..Head::default()
         })
     }
@@ -129,7 +130,9 @@
     }
 
     /// Decodes a configuration that holds its version and, after a space each, its limits, if any;
-    /// version 1 alone has the route `safe`.
+    /// version 1 alone has the route `safe`. The word `timeout:` with milliseconds sets the time-out
+    /// of all routes, `key:` with a key admits its holders alone, `without:` with a name removes a
+    /// route, and `without-service` removes the service.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
         let text = std::str::from_utf8(value).unwrap_or_default();
         let numbers: Vec<u64> = text
@@ -146,18 +149,42 @@
             }),
             _ => None,
         };
-        let routes = self.routes.iter();
-        let routes = routes.filter(|route| version == 1 || route.name != "safe");
+        let mut routes = self.routes.clone();
+        routes.retain(|route| version == 1 || route.name != "safe");
+        let mut services = vec![Service {
+            name: "service".into(),
+            max_connections: 10,
+            engine: None,
+        }];
+        let mut teams = Vec::new();
+        for word in text.split(' ') {
+            match word.split_once(':') {
+                Some(("timeout", millis)) => {
+                    let timeout = Millis(millis.parse().expect("time-outs are numbers"));
+                    routes.iter_mut().for_each(|route| route.timeout = timeout);
+                }
+                Some(("key", key)) => {
+                    routes.iter_mut().for_each(|route| route.anonymous = false);
+                    teams.push(Team {
+                        name: "team".into(),
+                        priority: None,
+                        keys: vec![key.into()],
+                    });
+                }
+                Some(("without", name)) => routes.retain(|route| route.name != name),
+                _ if word == "without-service" => {
+                    services.clear();
+                    routes.iter_mut().for_each(|route| route.backends.clear());
+                }
+                _ => {}
+            }
+        }
         Ok(Configuration {
             version,
-            routes: routes.cloned().collect(),
-            services: vec![Service {
-                name: "service".into(),
-                max_connections: 10,
-                engine: None,
-            }],
+            routes,
+            services,
             limits,
-            ..Configuration::default()
+            teams,
         })
     }
 
@@ -471,6 +498,7 @@
                 objective: Millis(100),
                 ..route("/brisk/", RouteKind::Idempotent, 2)
             },
+            route("/steady/", RouteKind::Idempotent, 2),
             route("/stream/", RouteKind::Stream { resumable: true }, 2),
             route("/fragile/", RouteKind::Stream { resumable: false }, 2),
             Route {
