Hold a body to the largest limit in force while it is read

A caller whose body was on its way when a version raised max_body_bytes got 413, which callers take as final, although the configuration in force allowed the request.

The handler looked the limit up once, when the head had been read. The body can take until the caller's deadline, so a version that came in between had no effect on it. The limit is now looked up with each part, and the largest one counts. A limit that is lowered meanwhile holds for later requests only: the caller had kept to the one under which it began.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -7,6 +7,7 @@
 use ntex::util::stream_recv;
 use tokio::time;
 
+use crate::node::Node;
 use crate::refusal::Refusal;
 
 /// Largest body if the configuration states no limit.
@@ -32,13 +33,16 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal if the body is incomplete or larger than the limit.
-pub(crate) async fn read(payload: &mut Payload, limit: Size) -> Result<Bytes, Refusal> {
+/// Returns a refusal if the body is incomplete or larger than the largest limit that was in force
+/// while it was read.
+pub(crate) async fn read(node: &Node, payload: &mut Payload) -> Result<Bytes, Refusal> {
+    let mut limit = node.limits().body;
     let mut body = BytesMut::new();
     while let Some(chunk) = stream_recv(payload).await {
         let chunk = chunk.map_err(|error| {
             Refusal::not_run(Reason::Malformed, format!("the body broke off: {error}"))
         })?;
+        limit = limit.max(node.limits().body);
         if (body.len() + chunk.len()) as u64 > limit.0 {
             let detail = format!("the body is larger than {limit}");
             return Err(Refusal::not_run(Reason::TooLarge, detail));
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -13,7 +13,7 @@
 use jackdaw_core::protocol::Head;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight::{self, Stage};
 use ntex::http::header::HOST;
 use ntex::http::{ConnectionType, Payload, Request, Response};
@@ -133,9 +133,8 @@
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
-    let limit = node.limits().body;
     let caller_deadline = caller_deadline(&head, arrived);
-    let body = read_body(node, payload, limit, caller_deadline)
+    let body = read_body(node, payload, caller_deadline)
         .await
         .map_err(failed)?;
     // The configuration may have changed while the body was read.
@@ -205,13 +204,8 @@
 /// # Errors
 ///
 /// Returns a refusal if the body is incomplete, too large or late, or the node is stopping.
-async fn read_body(
-    node: &Node,
-    payload: &mut Payload,
-    limit: Size,
-    due: Instant,
-) -> Result<Bytes, Refusal> {
-    let mut body = pin!(body::read(payload, limit));
+async fn read_body(node: &Node, payload: &mut Payload, due: Instant) -> Result<Bytes, Refusal> {
+    let mut body = pin!(body::read(node, payload));
     loop {
         check_accepting(node)?;
         let now = node.now();
