Hold each head to the limit in force, also on connections that are open

A caller on a kept connection got 431 for a head that the configuration in force allowed: a version had raised max_header_bytes, or had no limits any more, after the connection was accepted. Callers take 431 as final. The other way round, a lowered limit did not hold on connections that were open.

The limit was given to the HTTP library when the connection was accepted, and the library's codec keeps its settings for as long as the connection lives. Weighed and left: closing all connections of the former limit, which costs every caller a new connection at each change, and a filter that counts bytes below the codec, which would have to tell heads from bodies.

The library now gets 64 KiB, or the limit at that time if it is larger, and the handler measures each head with the limit in force. A head is counted with one space behind each colon, since the library does not keep its bytes.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -7,8 +7,10 @@
 pub enum Reason {
     /// The request could not be decoded.
     Malformed,
-    /// The request or its head was too large.
+    /// The request was too large.
     TooLarge,
+    /// The request's head was too large.
+    HeadTooLarge,
     /// The caller gave no known token.
     Unauthenticated,
     /// The team may not use the model or service.
@@ -47,9 +49,10 @@
 
 impl Reason {
     /// Every reason, for registering counters.
-    pub const ALL: [Reason; 19] = [
+    pub const ALL: [Reason; 20] = [
         Reason::Malformed,
         Reason::TooLarge,
+        Reason::HeadTooLarge,
         Reason::Unauthenticated,
         Reason::Forbidden,
         Reason::NotFound,
@@ -75,6 +78,7 @@
         match self {
             Reason::Malformed => "malformed",
             Reason::TooLarge => "too-large",
+            Reason::HeadTooLarge => "head-too-large",
             Reason::Unauthenticated => "unauthenticated",
             Reason::Forbidden => "forbidden",
             Reason::NotFound => "not-found",
@@ -107,6 +111,7 @@
             Reason::TooLarge => 413,
             Reason::KeyMismatch | Reason::Poison => 422,
             Reason::OverLimit => 429,
+            Reason::HeadTooLarge => 431,
             Reason::ConnectFailed | Reason::Broken | Reason::AnswerInvalid => 502,
             Reason::Overloaded | Reason::NoServer | Reason::PlatformDown | Reason::NotReady => 503,
             Reason::Deadline => 504,
@@ -119,6 +124,7 @@
         match self {
             Reason::Malformed
             | Reason::TooLarge
+            | Reason::HeadTooLarge
             | Reason::Unauthenticated
             | Reason::Forbidden
             | Reason::NotFound
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -129,6 +129,7 @@
     let failed = |refusal: Refusal| (id.clone(), refusal);
     let key = guard.insert(track(node, request, &head, arrived)).key();
     check_accepting(node).map_err(failed)?;
+    check_head(node, request).map_err(failed)?;
     let Some(index) = node.index() else {
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
@@ -199,6 +200,22 @@
     Err(Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0)))
 }
 
+/// Checks a head against the limit in force.
+///
+/// The HTTP library's limit is fixed when a connection is accepted.
+///
+/// # Errors
+///
+/// Returns a refusal if the head is larger.
+fn check_head(node: &Node, request: &Request) -> Result<(), Refusal> {
+    let limit = node.limits().header;
+    if header::head_len(request) <= limit {
+        return Ok(());
+    }
+    let detail = format!("the head is larger than {limit}");
+    Err(Refusal::not_run(Reason::HeadTooLarge, detail))
+}
+
 /// Reads a request's body while the node takes new requests, at most until the request is due.
 ///
 /// # Errors
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -56,6 +56,7 @@
         match self.reason {
             Reason::Malformed => StatusCode::BAD_REQUEST,
             Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
             Reason::NotFound => StatusCode::NOT_FOUND,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -35,6 +35,9 @@
 const INTERNAL_IDLE_TIMEOUT: Seconds = Seconds(75);
 /// Longest time to receive a head on these ports, from the start of the connection.
 const INTERNAL_HEAD_TIMEOUT: Seconds = Seconds(10);
+/// Largest head that a connection takes whatever the limit at its start, so that it can follow a limit
+/// that is raised.
+const MAX_HEAD: Bytes = Bytes(64 << 10);
 /// Time for callers to read the last bytes of completed answers.
 const DISCONNECT_TIMEOUT: Seconds = Seconds(30);
 /// Time to release the leader's lease in the store, before the supervisor ends the grace period.
@@ -158,10 +161,10 @@
     }
 }
 
-/// Returns the HTTP library's settings for a port and the largest head of a request.
+/// Returns the HTTP library's settings for a port and the largest head of a request in force.
 fn http_config(port: Port, max_head: Bytes) -> SharedCfg {
     // The library refuses heads that reach the size.
-    let refused_head = max_head.0.saturating_add(1);
+    let refused_head = max_head.max(MAX_HEAD).0.saturating_add(1);
     let http = HttpServiceConfig::new()
         .set_max_buf_size(usize::try_from(refused_head).unwrap_or(usize::MAX));
     let http = if port == Port::Callers {
