Keep the targets of a removed service for the requests that use it

A stream was broken off when its server ended, although other servers of its service ran: a version had removed the service in between. For the same reason a request that had been admitted before got no second attempt.

The targets were computed from the services of the configuration in force alone, whereas a request keeps the configuration by which it was admitted. Former configurations now count for as long as a request holds them; they are held weakly, so the last request that ends lets go of them. New requests are admitted by the configuration in force, which has no route to the service.

request_under_way_is_answered, case service_is_removed, stage Resumption failed before with the end of the connection and passes; the request that follows on the connection is refused with 503, as before.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,7 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
-use std::rc::Rc;
+use std::iter;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -125,6 +126,8 @@
     pub(crate) poison: Poison,
     pub(crate) freshness: Freshness,
     index: RefCell<Option<Rc<Index>>>,
+    /// Former configurations, which live as long as requests that they admitted; the latest is last.
+    former: RefCell<Vec<Weak<Index>>>,
     retry_budgets: RefCell<HashMap<CompactString, Rc<Budget>>>,
 }
 
@@ -155,6 +158,7 @@
             fleet: RefCell::default(),
             targets: Rc::default(),
             index: RefCell::default(),
+            former: RefCell::default(),
             retry_budgets: RefCell::default(),
         }
     }
@@ -248,7 +252,11 @@
             "teams" => configuration.teams.len());
         self.record_configuration(configuration.version, value);
         let limits = self.limits();
-        *self.index.borrow_mut() = Some(Rc::new(Index::new(configuration)));
+        let former = self.index.replace(Some(Rc::new(Index::new(configuration))));
+        self.former
+            .borrow_mut()
+            .extend(former.as_ref().map(Rc::downgrade));
+        drop(former);
         if self.limits() != limits {
             self.connections.limits_changed.notify_waiters();
         }
@@ -256,14 +264,24 @@
         Ok(())
     }
 
-    /// Recomputes the targets of requests from the configuration and the fleet.
+    /// Returns the former configurations by which requests in flight were admitted, the latest first.
+    fn former(&self) -> Vec<Rc<Index>> {
+        let mut former = self.former.borrow_mut();
+        former.retain(|index| index.strong_count() > 0);
+        former.iter().rev().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Recomputes the targets of requests from the fleet, the configuration, and the services that
+    /// the configuration no longer has but requests in flight use.
     pub(crate) fn update_targets(&self) {
         if let Some(index) = self.index() {
             let fleet = self.fleet.borrow();
-            let serving_targets = index
-                .configuration()
-                .services
-                .iter()
+            let former = self.former();
+            let indexes = iter::once(&index).chain(&former);
+            let mut names = HashSet::new();
+            let serving_targets = indexes
+                .flat_map(|index| &index.configuration().services)
+                .filter(|service| names.insert(&service.name))
                 .flat_map(|service| fleet.targets(&service.name, service.engine.as_ref()))
                 .collect();
             let mut targets = self.targets.borrow_mut();
