--- a/crates/policy/tests/fair.rs
+++ b/crates/policy/tests/fair.rs
@@ -67,6 +67,42 @@
     }
 }
 
+/// A rate in requests per second and the number of nodes that share it.
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_second: u32,
+    nodes: u32,
+}
+
+impl Rate {
+    /// Returns the time between two requests that arrive evenly.
+    fn interval(self) -> Millis {
+        Millis((1_000 * u64::from(self.nodes)).div_ceil(u64::from(self.per_second)))
+    }
+}
+
+// Guards against a team that is refused by its former rate long after its rate was raised.
+#[rstest]
+#[case::raised(Rate { per_second: 1, nodes: 1 }, Rate { per_second: 1_000, nodes: 1 })]
+#[case::raised_among_many_nodes(Rate { per_second: 1, nodes: 370 }, Rate { per_second: 1_000, nodes: 370 })]
+#[case::fewer_nodes(Rate { per_second: 1, nodes: 370 }, Rate { per_second: 1, nodes: 2 })]
+#[case::lowered(Rate { per_second: 1_000, nodes: 1 }, Rate { per_second: 1, nodes: 1 })]
+#[case::kept(Rate { per_second: 10, nodes: 4 }, Rate { per_second: 10, nodes: 4 })]
+fn changed_rate_holds_from_the_next_request_on(#[case] before: Rate, #[case] after: Rate) {
+    let limiter = RateLimiter::default();
+    let mut now = Instant(0);
+    while limiter.take(before.per_second, before.nodes, now).is_ok() {}
+    for number in 0..10 {
+        let wait = match limiter.take(after.per_second, after.nodes, now) {
+            Ok(()) => continue,
+            Err(wait) => wait,
+        };
+        assert!(wait <= after.interval(), "request {number}: {wait:?}");
+        now = now + wait;
+        assert_eq!(limiter.take(after.per_second, after.nodes, now), Ok(()));
+    }
+}
+
 /// Returns a queue with one slot, one running request and a known service time of one second.
 fn busy_queue() -> Queue {
     let mut queue = Queue::new(1);
