Put a raised rate of a team in force at once

A team whose rate had been used up was refused with 429 long after operators had raised its rate, or after nodes with which the node shares it had gone: for 2 s more at one request a second on one node, for 1,478 s among 370.

The limiter keeps the time at which the next request would be due, which lies up to a burst ahead. The burst lasts at least four requests, so at a low rate it is long, and under a higher rate the same time was taken for a debt that must pass first. A time beyond the present burst can only come from a lower rate, so it now counts as the end of the present burst, also in what is kept when the request is refused.

changed_rate_holds_from_the_next_request_on: cases raised, raised among many nodes and fewer nodes failed before and pass; lowered and kept pass before and after, and so do the tests of the share and of the returned wait.

--- a/crates/policy/src/fair/rate.rs
+++ b/crates/policy/src/fair/rate.rs
@@ -31,18 +31,20 @@
         let interval = MICROS_PER_SECOND * u64::from(nodes.max(1)) / u64::from(per_second.max(1));
         let burst = BURST_MICROS.max(BURST_REQUESTS * interval);
         let now = now.0.saturating_mul(MICROS_PER_MILLI);
+        let limit = now + burst;
+        // Only a lower rate than this one leaves a time beyond the limit.
+        let next = |due: u64| due.clamp(now, limit) + interval;
+        let update = |due: u64| {
+            let next = next(due);
+            Some(if next <= limit { next } else { due.min(limit) })
+        };
         let result = self
             .due_micros
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |due| {
-                let next = due.max(now) + interval;
-                (next <= now + burst).then_some(next)
-            });
-        match result {
-            Ok(_) => Ok(()),
-            Err(due) => {
-                let wait = (due + interval).saturating_sub(now + burst);
-                Err(Millis(wait.div_ceil(MICROS_PER_MILLI)))
-            }
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
+        let (Ok(due) | Err(due)) = result;
+        match next(due).saturating_sub(limit) {
+            0 => Ok(()),
+            wait => Err(Millis(wait.div_ceil(MICROS_PER_MILLI))),
         }
     }
 }
