End a stream at its deadline also if its caller does not read it

The deadline was looked at by the body of the answer, and the HTTP library does not poll the body while the connection to the caller is full. Nothing else held the relay. Ruled out: the idle and head limits, which rightly do not run under a request.

The relay now lies in a slot between two polls of its body. A task takes it out 0.2 s after the deadline, drops it, which closes the connection to the server, and terminates the caller's connection. It waits for the deadline alone: a stream that is read, however slowly, is in the body's hands until then, and a node that runs late still reads what has arrived. A stop is not such an end, since what has arrived is handed over until the process ends. The task ends with the body.

stream_that_its_caller_does_not_read_ends_after_its_deadline and the new stream_that_its_caller_reads_after_its_deadline_is_broken_off failed before and pass; stream_that_its_caller_reads_slowly_is_delivered_whole passes before and after.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,32 +1,47 @@
 //! Relays streams event by event and resumes interrupted streams at another replica group.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::{Rc, Weak};
 
+use futures::channel::oneshot;
+use futures::future::select;
 use futures::stream;
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::outcome::Outcome;
+use jackdaw_core::refusal::Reason;
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight::Stage;
 use ntex::http::Response;
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use slog::info;
+use tokio::time;
 
 use crate::attempt::{AnswerHead, Piece};
 use crate::buffered;
 use crate::dispatch::Dispatch;
 use crate::event::Event;
 use crate::header;
+use crate::node::Node;
 use crate::race::Race;
 use crate::refusal::Refusal;
 
 /// HTTP status that is logged for completed streams.
 const STATUS_OK: u16 = 200;
 
+/// Time after a stream's deadline for a caller that is late to take what has arrived.
+const UNREAD_TIME: Millis = Millis(200);
+
 /// A stream from a server to a caller.
 struct Relay {
     race: Race,
 }
 
+/// The place of a relay that waits for its caller; it is empty while the next event is read.
+type Slot = Rc<Cell<Option<Relay>>>;
+
 /// Sends a request and streams the answer to the caller.
 ///
 /// An answer that is not a stream is read to its end first.
@@ -60,19 +75,59 @@
     );
     header::strip_hop_by_hop(&mut headers);
     let mut builder = buffered::response_builder(status, &headers);
-    Ok(builder.streaming(Box::pin(stream_body(Relay { race }, first, caller))))
+    let due = race.dispatch.call.deadline + UNREAD_TIME;
+    let node = Rc::clone(node);
+    let slot: Slot = Rc::new(Cell::new(Some(Relay { race })));
+    let (guard, ended) = oneshot::channel();
+    let watch = end_unread(node, Rc::downgrade(&slot), caller.clone(), due);
+    ntex::rt::spawn(select(ended, Box::pin(watch)));
+    let body = stream_body(slot, first, caller, guard);
+    Ok(builder.streaming(Box::pin(body)))
+}
+
+/// Ends a stream whose caller has not read it by a time.
+///
+/// The body is not polled while the connection to the caller is full, so it cannot end itself.
+async fn end_unread(
+    node: Rc<Node>,
+    slot: Weak<Cell<Option<Relay>>>,
+    caller: Option<IoRef>,
+    due: Instant,
+) {
+    time::sleep(node.until(due)).await;
+    let relay = loop {
+        let Some(slot) = slot.upgrade() else {
+            return;
+        };
+        if let Some(relay) = slot.take() {
+            break relay;
+        }
+        drop(slot);
+        // What is read past the deadline ends within this time.
+        time::sleep(UNREAD_TIME.duration()).await;
+    };
+    let detail = "the caller had not read the stream when its deadline passed";
+    relay.record_abort(&Refusal::unknown(Reason::Deadline, detail));
+    drop(relay);
+    if let Some(caller) = caller {
+        caller.terminate();
+    }
 }
 
 /// Returns the body for the caller. Dropping it closes the connection to the server, which ends the
-/// work there.
+/// work there, and drops the guard.
 fn stream_body(
-    relay: Relay,
+    slot: Slot,
     first: Option<Event>,
     caller: Option<IoRef>,
+    guard: oneshot::Sender<()>,
 ) -> impl futures::Stream<Item = Result<Bytes, io::Error>> {
-    let state = Some((relay, first, caller));
+    let state = Some((slot, first, caller, guard));
     stream::unfold(state, |state| async {
-        let (mut relay, ready, caller) = state?;
+        let (slot, ready, caller, guard) = state?;
+        let Some(mut relay) = slot.take() else {
+            return Some((Err(abort_connection(caller).await), None));
+        };
         let next = match ready {
             Some(event) => Ok(Some(event)),
             None => relay.next_event().await,
@@ -81,7 +136,8 @@
             Ok(Some(event)) => {
                 relay.record_delivery();
                 let bytes = Bytes::from(event.bytes.to_vec());
-                Some((Ok(bytes), Some((relay, None, caller))))
+                slot.set(Some(relay));
+                Some((Ok(bytes), Some((slot, None, caller, guard))))
             }
             Ok(None) => {
                 relay
--- a/crates/gateway/tests/node/delivery.rs
+++ b/crates/gateway/tests/node/delivery.rs
@@ -354,6 +354,71 @@
     node.process.stop();
 }
 
+/// Returns the chunks of a stream with a number of events.
+fn events(count: usize) -> String {
+    let text = "x".repeat(4_096);
+    let chunks = (1..=count).map(|number| {
+        let event = format!("id: {number}\ndata: {text}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    });
+    chunks.collect()
+}
+
+// Guards against a stream that looks complete, or is taken for one that its caller has left, after it
+// was ended because its caller did not read it.
+#[test]
+fn stream_that_its_caller_reads_after_its_deadline_is_broken_off() {
+    let (node, log) = start(&[FILLED_STREAM], Millis(8_000));
+    node.servers.fill(events(8_192));
+    let mut caller = connect(&node);
+    let request = request("r1", "POST", "/long/x", "", "hello");
+    let sent = Instant::now();
+    send(
+        &mut caller,
+        &request.replace("deadline: 8000", "deadline: 1000"),
+    );
+    let line = log.wait_for(|line| line.message == "answer abandoned");
+    let ended = sent.elapsed();
+    assert!(ended >= Duration::from_secs(1), "ended after {ended:?}");
+    assert_eq!(line.field("cause"), "closed-by-node", "{line:?}");
+    let broken_off = log.with_message("stream broken off");
+    assert_eq!(broken_off.len(), 1, "{broken_off:?}");
+    assert_eq!(broken_off[0].field("reason"), "deadline", "{broken_off:?}");
+    let (answer, error) = read_rest(&mut caller);
+    assert!(
+        !answer.ends_with("\r\n0\r\n\r\n"),
+        "{} bytes, {error:?}",
+        answer.len()
+    );
+    node.process.stop();
+}
+
+// Guards against a stream that is broken off before its deadline because its caller reads slowly.
+#[test]
+fn stream_that_its_caller_reads_slowly_is_delivered_whole() {
+    const EVENTS: usize = 6_144;
+    const SLOW_PARTS: usize = 20;
+    let (node, _) = start(&[FILLED_STREAM], Millis(8_000));
+    node.servers.fill(events(EVENTS));
+    let mut caller = connect(&node);
+    send(&mut caller, &request("r1", "POST", "/long/x", "", "hello"));
+    let mut answer = Vec::new();
+    let mut part = vec![0; 256 << 10];
+    for _ in 0..SLOW_PARTS {
+        caller.read_exact(&mut part).expect("the stream goes on");
+        answer.extend_from_slice(&part);
+        thread::sleep(Duration::from_millis(100));
+    }
+    while !answer.ends_with(b"\r\n0\r\n\r\n") {
+        let length = caller.read(&mut part).expect("the stream goes on");
+        assert!(length > 0, "closed after {} bytes", answer.len());
+        answer.extend_from_slice(&part[..length]);
+    }
+    let count = String::from_utf8_lossy(&answer).matches("data: ").count();
+    assert_eq!(count, EVENTS);
+    node.process.stop();
+}
+
 // Guards against lines about answers that were not sent whole although a slow caller has read them.
 #[test]
 fn answer_that_a_slow_caller_reads_whole_is_not_logged_as_unsent() {
