Try a server again that has started anew

What callers saw: a stream was broken off at its deadline although its server had started again under its name half a second after it ended, and no other could take the request.

Cause: a request remembered the servers that it had tried by their names alone, so a new incarnation, which knows nothing of the request, counted as tried. The name now tells incarnations apart.

Test: cases 7 and 8 of silence::streams_whose_server_ends_are_resumed_as_soon_as_they_can_be. They failed before, but could not have passed either: their server lost its port when it ended, as a socket bound to any port does, and listened on another one afterwards ("Connection refused" at the second attempt). It now binds the port that it was given.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use compact_str::{CompactString, format_compact};
 use jackdaw_core::config::{Engine, Index, Model};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
@@ -10,6 +11,7 @@
 use jackdaw_entry::in_flight;
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Load};
+use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::{self, Crash, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
@@ -122,7 +124,8 @@
             // The server may close an idle connection just as a request is sent, and an unsolicited
             // late answer may be buffered on it. A request that runs at most once could not be sent
             // again.
-            needs_new_connection: is_once || self.request.was_cut_off_by(&target.server),
+            needs_new_connection: is_once
+                || self.request.was_cut_off_by(&incarnation_name(&target)),
             last_event: self.last_delivered,
         };
         self.track(|tracked| {
@@ -341,7 +344,9 @@
         keys.filter(move |key| {
             let target = targets.target(*key);
             let is_eligible = !has_engine || target.model == self.call.head.model;
-            is_eligible && self.request.can_try(&target.server)
+            let was_tried = !self.request.tried().is_empty()
+                && !self.request.can_try(&incarnation_name(&target));
+            is_eligible && !was_tried
         })
     }
 
@@ -685,9 +690,15 @@
     }
 }
 
+/// Returns the name of a target's server that tells its incarnations apart: one that has started again
+/// is another server.
+pub(crate) fn incarnation_name(target: &Target) -> CompactString {
+    format_compact!("{}@{}", target.server, target.born)
+}
+
 fn describe_failure(attempt: &Attempt, fault: Fault, step: Step) -> Failure {
     Failure {
-        server: attempt.target.server.clone(),
+        server: incarnation_name(&attempt.target),
         step,
         fault,
         connection: if attempt.is_new_connection {
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -16,7 +16,7 @@
 use tokio::time;
 
 use crate::attempt::{Attempt, Piece};
-use crate::dispatch::Dispatch;
+use crate::dispatch::{self, Dispatch};
 use crate::refusal::Refusal;
 
 /// Shortest wait between two looks at the time.
@@ -268,7 +268,8 @@
             Ok(Some(piece)) => {
                 self.dispatch.log_return(&attempt);
                 let abandoned = self.current.replace(attempt);
-                let abandoned = abandoned.map(|attempt| attempt.target.server.clone());
+                let abandoned =
+                    abandoned.map(|attempt| dispatch::incarnation_name(&attempt.target));
                 self.dispatch.return_to_silent(abandoned.as_deref());
                 self.standbys.clear();
                 Some(piece)
--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::io::{BufReader, Write as _};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::Ports;
 use slog::{Logger, o};
-use socket2::Socket;
+use socket2::{Socket, Type};
 
 use super::store::MemoryStore;
 use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, server};
@@ -199,15 +199,31 @@
     last: u64,
 }
 
+/// Binds a socket to a free port of which it keeps hold when it is shut down, as one that was bound to
+/// any port would not.
+fn bind_lasting() -> (Socket, SocketAddr) {
+    let bind = |address: SocketAddr| {
+        let socket = Socket::new(socket2::Domain::IPV4, Type::STREAM, None);
+        let socket = socket.expect("a descriptor is free");
+        socket.set_reuse_port(true).expect("the option is known");
+        socket.bind(&address.into()).expect("the port is free");
+        socket
+    };
+    let any = bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let address = any.local_addr().expect("the port is bound");
+    let address = address.as_socket().expect("the address is one of IPv4");
+    (bind(address), address)
+}
+
 impl Member {
     /// Starts a server on a free port.
     fn listen(number: usize, conduct: Conduct, shared: &Arc<Shared>) -> (Member, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = listener.local_addr().expect("the port is bound");
+        let (socket, address) = bind_lasting();
+        socket.listen(BACKLOG).expect("the port is bound");
         let member = Member {
             number,
             conduct,
-            socket: Arc::new(listener.into()),
+            socket: Arc::new(socket),
             shared: Arc::clone(shared),
         };
         let accepting = member.clone();
