Write the parts of a test server's answer without delay

silence::streams_whose_server_ends_are_resumed_as_soon_as_they_can_be::case_2 failed in 2 of 18 runs beside busy processes. Traced: all four streams had lost their server, so four retries had to be earned, each by 50 requests that took 40 ms: the test's servers write an answer in parts, and each part waited for the acknowledgement of the one before.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -235,6 +235,8 @@
     fn accept(&self) {
         while let Ok((stream, _)) = self.socket.accept() {
             let member = self.clone();
+            // An answer is written in parts, of which each would wait for the peer's acknowledgement.
+            stream.set_tcp_nodelay(true).expect("the option is known");
             thread::spawn(move || member.serve(stream.into()));
         }
     }
