End a stream of entry at its deadline also if its caller does not read it

While the buffer for the caller is full, the task that forwards events waits for the caller alone.

It now waits until the deadline if that comes first, lets go of the server then, and has the problem ready for the caller as the error event that ends the stream. A stream that its server has completed waits for its caller as before, and so does one whose deadline is further away.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -241,11 +241,38 @@
     }
 
     /// Sends a chunk to the caller; returns whether it accepts it in time.
+    ///
+    /// At the deadline the work on the backend server ends, and the caller gets a problem instead.
     async fn deliver(&mut self, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
         let chunk = match sender.try_send(chunk) {
             Ok(()) => return true,
             Err(error) => error.into_inner(),
         };
+        let unread_timeout = self.dispatch.shared.options.unread_timeout;
+        let left = self.dispatch.call.deadline;
+        let left = left.since(self.dispatch.shared.clock.now());
+        if self.opened.is_none() || unread_timeout <= left {
+            return self.send(sender, chunk).await;
+        }
+        match time::timeout(exchange::to_timer_millis(left), sender.reserve()).await {
+            Ok(Ok(permit)) => {
+                permit.send(chunk);
+                true
+            }
+            Ok(Err(_)) => false,
+            Err(()) => {
+                self.opened = None;
+                let detail = "the caller had not read the stream when its deadline passed";
+                let problem = Problem::new(Reason::Deadline, Step::Answering, detail);
+                let chunk = self.encode(Err(problem));
+                self.send(sender, chunk).await;
+                false
+            }
+        }
+    }
+
+    /// Waits until the caller reads, and sends it a chunk; returns whether it reads in time.
+    async fn send(&self, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
         let bound = exchange::to_timer_millis(self.dispatch.shared.options.unread_timeout);
         match time::timeout(bound, sender.send(chunk)).await {
             Ok(sent) => sent.is_ok(),
--- a/crates/entry/tests/stop.rs
+++ b/crates/entry/tests/stop.rs
@@ -155,6 +155,26 @@
     (node, stream)
 }
 
+// Guards against a stream that keeps its server beyond its deadline because its caller does not read
+// it, and that then ends without saying why.
+#[test]
+fn unread_stream_ends_at_its_deadline() {
+    const TOKEN_CHUNK: &str = "1b\r\ndata: {\"token\":123456789}\n\n\r\n";
+    let script = vec![Write(STREAM_HEAD), Repeat(TOKEN_CHUNK, 2_000_000), Hang];
+    let backend = Backend::start(1, &[script]);
+    let options = Options {
+        unread_timeout: Millis::from_secs(60),
+        ..long_timeouts()
+    };
+    let node = Node::start(options, &backend.addresses);
+    let request = Request::streamed().with_header("jackdawstair-deadline-ms", "1000");
+    let stream = open_connection(&request, &node);
+    backend.wait_for_close();
+    let reply = Reply::read(&stream);
+    let error = reply.stream_error().expect("the stream ends with an error");
+    assert_eq!(error["reason"], "deadline", "{error}");
+}
+
 #[test]
 fn unread_stream_is_cancelled_after_its_timeout() {
     cancel_unread_stream();
