Test requests on kept connections beside a series of versions

40 callers send 40 requests each on kept connections, with pauses of up to 44 ms, while versions follow each other whose idle limit (25 and 40 ms, 60 s, none), head limits, time-outs and keys change. Each request must get a 200, or its connection must end before the node has read it, which the caller tells by the reset.

--- a/crates/gateway/tests/node/configuration.rs
+++ b/crates/gateway/tests/node/configuration.rs
@@ -1,7 +1,7 @@
 //! Tests of what a new configuration changes under requests and on connections that are open already.
 
 use std::io::{BufRead as _, BufReader, ErrorKind, Read as _, Write as _};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -45,14 +45,18 @@
     }
 
     fn connect(&self) -> BufReader<TcpStream> {
-        let stream = TcpStream::connect(self.node.address).expect("the node listens");
-        let set = stream.set_read_timeout(Some(TIMEOUT));
-        set.expect("the time-out is valid");
-        stream.set_nodelay(true).expect("the option is known");
-        BufReader::new(stream)
+        connect(self.node.address)
     }
 }
 
+fn connect(address: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(address).expect("the node listens");
+    let set = stream.set_read_timeout(Some(TIMEOUT));
+    set.expect("the time-out is valid");
+    stream.set_nodelay(true).expect("the option is known");
+    BufReader::new(stream)
+}
+
 fn write(caller: &mut BufReader<TcpStream>, bytes: &str) {
     let sent = caller.get_mut().write_all(bytes.as_bytes());
     sent.expect("the node reads");
@@ -325,9 +329,10 @@
 }
 
 /// How a request ended on a connection that its node may close.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum End {
-    Answered,
+    /// The answer is whole and has this status line.
+    Answered(String),
     /// The node closed the connection without having read the request.
     Unread,
     /// The node read the request and closed the connection.
@@ -335,17 +340,13 @@
 }
 
 /// Sends a request on a kept connection and returns how it ends.
-fn cross(caller: &mut BufReader<TcpStream>) -> End {
-    let sent = caller
-        .get_mut()
-        .write_all(b"GET /none/x HTTP/1.1\r\nhost: host\r\n\r\n");
-    if sent.is_err() {
+fn cross(caller: &mut BufReader<TcpStream>, request: &str) -> End {
+    if caller.get_mut().write_all(request.as_bytes()).is_err() {
         return End::Unread;
     }
     let mut byte = [0; 1];
     match caller.get_ref().peek(&mut byte) {
-        Ok(1..) if read_message(caller).is_some() => End::Answered,
-        Ok(1..) => End::ReadAndClosed,
+        Ok(1..) => read_answer(caller).map_or(End::ReadAndClosed, End::Answered),
         // A connection that is closed with unread bytes, or that gets bytes later, is reset.
         Ok(0) if is_reset(caller.get_ref()) => End::Unread,
         Ok(0) => End::ReadAndClosed,
@@ -366,6 +367,8 @@
     false
 }
 
+const UNROUTED: &str = "GET /none/x HTTP/1.1\r\nhost: host\r\n\r\n";
+
 // Guards against a check of ends that takes a request that was read for one that was not.
 #[rstest]
 #[case::unread(false, End::Unread)]
@@ -384,7 +387,7 @@
         }
     });
     let stream = TcpStream::connect(address).expect("the peer listens");
-    assert_eq!(cross(&mut BufReader::new(stream)), expected);
+    assert_eq!(cross(&mut BufReader::new(stream), UNROUTED), expected);
     peer.join().expect("the peer does not panic");
 }
 
@@ -401,7 +404,7 @@
         subject.configure(version, WIDE);
         let mut callers: Vec<_> = (0..CALLERS).map(|_| subject.connect()).collect();
         for caller in &mut callers {
-            assert_eq!(cross(caller), End::Answered);
+            assert!(matches!(cross(caller, UNROUTED), End::Answered(_)));
         }
         // All connections are idle for longer than the next limit.
         thread::sleep(Duration::from_millis(40));
@@ -413,7 +416,7 @@
                     let delay = Duration::from_micros(100 * number as u64);
                     scope.spawn(move || {
                         thread::sleep(delay);
-                        cross(caller)
+                        cross(caller, UNROUTED)
                     })
                 })
                 .collect();
@@ -453,3 +456,59 @@
     assert!(status.starts_with("HTTP/1.1 408"), "{status}");
     subject.node.stop();
 }
+
+/// Sends requests with pauses on kept connections, and opens a new one where the node has closed one
+/// without reading the request.
+///
+/// # Panics
+///
+/// Panics if a request ends in another way.
+fn call_in_a_row(address: SocketAddr, caller: usize, requests: usize) {
+    let mut connection = connect(address);
+    for number in 0..requests {
+        let request = request(&format!("r{caller}-{number}"), "/steady/x", "hello");
+        loop {
+            match cross(&mut connection, &request) {
+                End::Answered(status) => {
+                    assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+                    break;
+                }
+                End::Unread => connection = connect(address),
+                End::ReadAndClosed => panic!("request {number} of caller {caller} has no answer"),
+            }
+        }
+        let pause = (caller * 7 + number * 13) % 45;
+        thread::sleep(Duration::from_millis(pause as u64));
+    }
+}
+
+// Guards against requests on kept connections that end without an answer while limits, time-outs and
+// keys change one version after the other.
+#[test]
+fn requests_on_kept_connections_are_answered_beside_a_series_of_versions() {
+    const CALLERS: usize = 40;
+    const REQUESTS: usize = 40;
+    const VERSIONS: [&str; 4] = [
+        "16384 1048576 60000 25 timeout:4000",
+        "8192 65536 500 60000 key:old",
+        "16384 1048576 60000 40 key:old timeout:3000",
+        "",
+    ];
+    let subject = Subject::start(8, &[DONE; 2 * CALLERS * REQUESTS], options("node"));
+    let address = subject.node.address;
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| scope.spawn(move || call_in_a_row(address, caller, REQUESTS)))
+            .collect();
+        let mut versions = (2..).zip(VERSIONS.into_iter().cycle());
+        while callers.iter().any(|caller| !caller.is_finished()) {
+            let (version, words) = versions.next().expect("there is always a next version");
+            subject.configure(version, words);
+            thread::sleep(Duration::from_millis(60));
+        }
+        for caller in callers {
+            caller.join().expect("each request is answered or not read");
+        }
+    });
+    subject.node.stop();
+}
