Test that a version of the configuration ends no request under way

A version arrives while streams and whole answers are under way or wait for silent servers. It shortens the time-outs, drops the routes, moves them to another service, drops the service or the key, allows one attempt, forbids repetition, or lowers the limits; connections are kept open, so that their limits count as well.

Each request gets an answer or a refusal.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -33,8 +33,12 @@
 const BODY: &str = "first half, second half";
 /// Length of the body's part before a server falls silent midway.
 const HALF: usize = 10;
+/// Service of the servers.
+const SERVICE: &str = "service";
 /// Path that no server holds up.
 const PROBE: &str = "/safe/probe";
+/// Key that callers state.
+pub(crate) const KEY: &str = "key";
 /// Requests that earn one retry at the ratio of [`Retries::One`].
 const REQUESTS_PER_RETRY: usize = 60;
 /// Number of connections that wait to be accepted.
@@ -350,8 +354,8 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-/// Returns a route of the service `service`.
-fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
+/// Returns a route to [`SERVICE`].
+pub(crate) fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
     Route {
         name: prefix.trim_matches('/').into(),
         host: "host".into(),
@@ -364,7 +368,7 @@
         max_attempts,
         anonymous: true,
         backends: vec![Backend {
-            service: "service".into(),
+            service: SERVICE.into(),
             weight: 1,
         }],
     }
@@ -383,7 +387,7 @@
             route("/fragile/", fragile, max_attempts),
         ],
         services: vec![Service {
-            name: "service".into(),
+            name: SERVICE.into(),
             max_connections: 100,
             engine: None,
         }],
@@ -399,7 +403,12 @@
 
 impl Protocol for Versions {
     fn decode_request(&self, headers: &HeaderMap) -> Result<Head> {
-        self.protocol.decode_request(headers)
+        let key = headers.get("key").and_then(|key| key.to_str().ok());
+        let head = self.protocol.decode_request(headers)?;
+        Ok(Head {
+            key: key.map(Into::into),
+            ..head
+        })
     }
 
     fn write_headers(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
@@ -530,6 +539,63 @@
     }
 }
 
+/// Requests that wait for a silent server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wait {
+    pub(crate) method: &'static str,
+    pub(crate) route: &'static str,
+    pub(crate) point: Point,
+}
+
+impl Wait {
+    /// Sends a request of this kind.
+    pub(crate) fn call(&self, domain: &Domain, number: usize) -> Caller {
+        let path = format!("{}{}{number}", self.route, self.point.label());
+        domain.call(&format!("r{number}"), self.method, &path)
+    }
+}
+
+pub(crate) const STREAM_HEAD: Wait = Wait {
+    method: "POST",
+    route: "/stream",
+    point: Point::Head,
+};
+pub(crate) const STREAM_START: Wait = Wait {
+    point: Point::FirstEvent,
+    ..STREAM_HEAD
+};
+pub(crate) const STREAM: Wait = Wait {
+    point: Point::Event,
+    ..STREAM_HEAD
+};
+pub(crate) const WHOLE_HEAD: Wait = Wait {
+    method: "GET",
+    route: "/safe",
+    point: Point::Head,
+};
+pub(crate) const WHOLE: Wait = Wait {
+    point: Point::Body,
+    ..WHOLE_HEAD
+};
+pub(crate) const FRAGILE_HEAD: Wait = Wait {
+    route: "/fragile",
+    ..STREAM_HEAD
+};
+pub(crate) const FRAGILE: Wait = Wait {
+    route: "/fragile",
+    ..STREAM
+};
+pub(crate) const ONCE_HEAD: Wait = Wait {
+    method: "POST",
+    route: "/once",
+    ..WHOLE_HEAD
+};
+pub(crate) const ONCE: Wait = Wait {
+    method: "POST",
+    route: "/once",
+    ..WHOLE
+};
+
 /// A running node before the servers of a domain.
 pub(crate) struct Domain {
     shared: Arc<Shared>,
@@ -604,13 +670,18 @@
         method: &str,
         path: &str,
     ) -> Caller {
-        let address = self.address();
         let body = if method == "POST" { id } else { "" };
         let request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\nkey: {KEY}\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
             deadline.0,
             body.len()
         );
+        self.send(id, path, request)
+    }
+
+    /// Sends the bytes of a request on a new connection.
+    pub(crate) fn send(&self, id: &str, path: &str, request: String) -> Caller {
+        let address = self.address();
         Caller {
             id: id.to_owned(),
             path: path.to_owned(),
@@ -724,6 +795,19 @@
         }
     }
 
+    /// Waits until the node has a route for a path.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it has none within [`TIMEOUT`].
+    pub(crate) fn wait_routed(&self, path: &str) {
+        let start = Instant::now();
+        let answer = || self.call("probe", "GET", path).wait().answer;
+        while answer().starts_with("HTTP/1.1 404") {
+            assert!(start.elapsed() < TIMEOUT, "{path} has no route");
+        }
+    }
+
     /// Removes a server's registration.
     pub(crate) fn withdraw(&self, number: usize) {
         self.store.delete(&registration(number));
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -15,3 +15,4 @@
 mod stop;
 mod store;
 mod support;
+mod version;
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -8,7 +8,10 @@
 use jackdaw_core::units::Millis;
 use rstest::rstest;
 
-use super::domain::{Caller, Conduct, Domain, Point, Retries, configuration};
+use super::domain::{
+    Caller, Conduct, Domain, FRAGILE, FRAGILE_HEAD, ONCE, ONCE_HEAD, Retries, STREAM, STREAM_HEAD,
+    STREAM_START, WHOLE, WHOLE_HEAD, Wait, configuration,
+};
 use super::support::request;
 
 /// Time for which servers are silent; longer than the node waits at most for the next bytes.
@@ -19,63 +22,6 @@
 /// Number of requests that wait at once.
 const CALLERS: usize = 8;
 
-/// Requests that wait for a silent server.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    method: &'static str,
-    route: &'static str,
-    point: Point,
-}
-
-impl Wait {
-    /// Sends a request of this kind.
-    fn call(&self, domain: &Domain, number: usize) -> Caller {
-        let path = format!("{}{}{number}", self.route, self.point.label());
-        domain.call(&format!("r{number}"), self.method, &path)
-    }
-}
-
-const STREAM_HEAD: Wait = Wait {
-    method: "POST",
-    route: "/stream",
-    point: Point::Head,
-};
-const STREAM_START: Wait = Wait {
-    point: Point::FirstEvent,
-    ..STREAM_HEAD
-};
-const STREAM: Wait = Wait {
-    point: Point::Event,
-    ..STREAM_HEAD
-};
-const WHOLE_HEAD: Wait = Wait {
-    method: "GET",
-    route: "/safe",
-    point: Point::Head,
-};
-const WHOLE: Wait = Wait {
-    point: Point::Body,
-    ..WHOLE_HEAD
-};
-const FRAGILE_HEAD: Wait = Wait {
-    route: "/fragile",
-    ..STREAM_HEAD
-};
-const FRAGILE: Wait = Wait {
-    route: "/fragile",
-    ..STREAM
-};
-const ONCE_HEAD: Wait = Wait {
-    method: "POST",
-    route: "/once",
-    ..WHOLE_HEAD
-};
-const ONCE: Wait = Wait {
-    method: "POST",
-    route: "/once",
-    ..WHOLE
-};
-
 /// What is under way when servers fall silent, and what the node could try meanwhile.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
