--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -16,3 +16,4 @@
 mod stop;
 mod store;
 mod support;
+mod version;
