Play silences of servers, and check for answers that end too soon

Callers saw answers end while the servers that were at work on them sent nothing for a second or so and then went on; the rule LOST says that a server's silence is no reason to end an answer sooner. The soak had neither silent servers nor a check for it.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -29,3 +29,9 @@
 fn request_that_is_sent_late_in_a_stop_is_not_passed_on() {
     check_play("boundary", 4);
 }
+
+/// Guards against a node that ends answers while their servers are silent and then go on.
+#[test]
+fn answer_is_not_ended_while_its_server_is_silent() {
+    check_play("silences", 1);
+}
