Test where answers end: with their connection, a reset, or never

Answers with neither a length nor chunks are delivered whole (6 cases), those that are reset are complete for no caller (7), and streams that end within an event are resumed, or broken off if they may not be (9).

Of 24 cases of bytes without an end, in a status line, the lines of a head, an event, a chunk's size, its extension, a trailer and a whole body, 22 pass: the node takes less than 32 MiB, closes the connection, and the caller gets a whole answer elsewhere or a failure in time.

Two fail in each of two runs: a stream whose server sends part of an event or small events every 5 ms is not ended at its deadline of 4 s, but goes on until the server stops after 10 s. wait_with_timeouts reads on for READ_TIME after the deadline, and a server that sends more often than every 20 ms always has something to read by then.

--- /dev/null
+++ b/crates/gateway/tests/node/framing.rs
@@ -0,0 +1,441 @@
+//! Tests of where answers end: with their connection, within an event, with a reset, or never.
+
+use std::io::{BufReader, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jackdaw_gateway::options::Options;
+use jackdaw_gateway::server::Ports;
+use rstest::rstest;
+use slog::{Logger, o};
+use socket2::SockRef;
+
+use super::store::MemoryStore;
+use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, request, server};
+
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Most bytes that a node and the operating system take of an answer without an end.
+const MAX_TAKEN: usize = 32 << 20;
+/// Bytes without an end that take no memory, however many come until the server is given up.
+const DISCARDED: [&str; 3] = [
+    "heads before an answer",
+    "a chunk's size",
+    "a chunk's size in a whole answer",
+];
+/// Bytes of an answer without an end that are sent at once.
+const PIECE: usize = 16 << 10;
+/// Body of a sound whole answer.
+const BODY: &str = "whole";
+/// Number of events of a sound stream.
+const EVENTS: u64 = 3;
+
+const SIGNED: &str = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\n";
+const STREAM: &str = "content-type: text/event-stream\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+const ONE: &str = "id: 1\ndata: a\n\n";
+const TWO: &str = "id: 2\ndata: a\n\n";
+const THREE: &str = "id: 3\ndata: a\n\n";
+const ONE_CHUNK: &str = "e\r\nid: 1\ndata: a\n\n\r\n";
+const PART_CHUNK: &str = "8\r\nid: 2\nda\r\n";
+
+/// What a server does after the last bytes that it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// It closes the connection.
+    Close,
+    /// It resets the connection.
+    Reset,
+    /// It sends bytes again and again, without an end.
+    Repeat(&'static str),
+    /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
+    Drip(&'static str),
+}
+
+/// Pause of a server that sends bytes slowly.
+const DRIP_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a server sends for a request; `ID` stands for the request's identity.
+#[derive(Clone, Copy, Debug)]
+struct Reply {
+    parts: &'static [&'static str],
+    end: End,
+}
+
+#[derive(Debug, Default)]
+struct Events {
+    arrived: usize,
+    /// Number of bytes that the node took of an answer without an end.
+    taken: usize,
+    /// Whether the node has closed the connection of an answer without an end.
+    is_closed: bool,
+}
+
+/// Servers of which the first to get a request sends a reply, and all later answers are sound.
+#[derive(Clone, Debug)]
+struct Servers {
+    first: Reply,
+    events: Arc<(Mutex<Events>, Condvar)>,
+}
+
+impl Servers {
+    fn listen(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("the port is bound");
+        let servers = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let servers = servers.clone();
+                thread::spawn(move || servers.serve(stream));
+            }
+        });
+        address
+    }
+
+    fn record<T>(&self, change: impl FnOnce(&mut Events) -> T) -> T {
+        let (events, changed) = &*self.events;
+        let value = change(&mut events.lock().expect("no test panicked"));
+        changed.notify_all();
+        value
+    }
+
+    fn wait_until(&self, holds: impl Fn(&Events) -> bool) -> bool {
+        let (events, changed) = &*self.events;
+        let events = events.lock().expect("no test panicked");
+        let waited = changed
+            .wait_timeout_while(events, TIMEOUT, |events| !holds(events))
+            .expect("no test panicked");
+        !waited.1.timed_out()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
+        while let Some((head, _)) = read_message(&mut reader) {
+            let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+            let id = field("id: ").unwrap_or_default();
+            let number = self.record(|events| {
+                events.arrived += 1;
+                events.arrived
+            });
+            if number == 1 {
+                return self.send_first(stream, id);
+            }
+            let path = head.split(' ').nth(1).unwrap_or_default();
+            let last = field("last: ").and_then(|last| last.parse().ok());
+            let answer = sound_answer(id, path, last.unwrap_or_default());
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn send_first(&self, mut stream: TcpStream, id: &str) {
+        let bytes = self.first.parts.concat().replace("ID", id);
+        // The node may have given the answer up.
+        let _ = stream.write_all(bytes.as_bytes());
+        match self.first.end {
+            End::Close => {
+                let _ = stream.shutdown(Shutdown::Write);
+            }
+            End::Reset => {
+                let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                linger.expect("the option is known");
+            }
+            End::Repeat(piece) => {
+                let piece = piece.repeat(PIECE.div_ceil(piece.len()));
+                while stream.write_all(piece.as_bytes()).is_ok() {
+                    self.record(|events| events.taken += piece.len());
+                }
+                self.record(|events| events.is_closed = true);
+            }
+            End::Drip(piece) => {
+                let start = Instant::now();
+                while start.elapsed() < TIMEOUT {
+                    if stream.write_all(piece.as_bytes()).is_err() {
+                        return self.record(|events| events.is_closed = true);
+                    }
+                    thread::sleep(DRIP_PAUSE);
+                }
+            }
+        }
+    }
+}
+
+/// Returns a whole answer, or a stream after the last event that the caller has.
+fn sound_answer(id: &str, path: &str, last: u64) -> String {
+    let signed = SIGNED.replace("ID", id);
+    if path.starts_with("/safe/") || path.starts_with("/once/") {
+        return format!("{signed}content-length: {}\r\n\r\n{BODY}", BODY.len());
+    }
+    let mut answer = format!("{signed}{STREAM}{CHUNKED}\r\n");
+    for number in last + 1..=EVENTS {
+        let event = format!("id: {number}\ndata: a\n\n");
+        answer.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    answer + "0\r\n\r\n"
+}
+
+/// A node before two servers.
+struct Node {
+    servers: Servers,
+    process: Process,
+}
+
+impl Node {
+    fn start(first: Reply) -> Node {
+        let servers = Servers {
+            first,
+            events: Arc::default(),
+        };
+        let registered = vec![
+            server("s0", servers.listen()),
+            server("s1", servers.listen()),
+        ];
+        let store = Arc::new(MemoryStore::new());
+        store.put("configuration", "1");
+        store.put("servers/s0", "");
+        store.put("servers/s1", "");
+        let options = Options {
+            retry_ratio: 1.0,
+            ..options("node")
+        };
+        let ports = Ports::bind(&options).expect("ports are free");
+        let parts = parts(&store, registered, Logger::root(slog::Discard, o!()));
+        let process = Process::launch(options, ports, parts);
+        process.wait_ready();
+        Node { servers, process }
+    }
+
+    fn call(&self, id: &str, method: &str, path: &str) -> String {
+        exchange(self.process.callers, &request(id, method, path))
+    }
+
+    fn arrived(&self) -> usize {
+        self.servers.record(|events| events.arrived)
+    }
+}
+
+/// What a caller gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// A whole answer or a complete stream.
+    Whole,
+    /// A refusal, or an answer that is visibly broken off.
+    Failed,
+    /// Either of them.
+    Any,
+}
+
+/// Returns what an answer is to its caller, or none if it is neither.
+fn outcome(answer: &str, path: &str) -> Option<Outcome> {
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((answer, ""));
+    if ["HTTP/1.1 502", "HTTP/1.1 503", "HTTP/1.1 504"]
+        .iter()
+        .any(|status| head.starts_with(status))
+    {
+        return Some(Outcome::Failed);
+    }
+    if !head.starts_with("HTTP/1.1 200") {
+        return None;
+    }
+    if !head.to_lowercase().contains(CHUNKED.trim_end()) {
+        return (body == BODY).then_some(Outcome::Whole);
+    }
+    if !body.ends_with("0\r\n\r\n") {
+        return Some(Outcome::Failed);
+    }
+    let ids: Vec<&str> = body
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
+    let is_whole = !path.starts_with("/safe/") && ids == ["1", "2", "3"];
+    is_whole.then_some(Outcome::Whole)
+}
+
+/// A first reply and what becomes of it.
+#[derive(Clone, Copy, Debug)]
+struct Framing {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    reply: Reply,
+    outcome: Outcome,
+    /// Number of servers that get the request.
+    attempts: usize,
+}
+
+const SAFE: Framing = Framing {
+    name: "",
+    method: "GET",
+    path: "/safe/x",
+    reply: Reply {
+        parts: &[],
+        end: End::Close,
+    },
+    outcome: Outcome::Whole,
+    attempts: 1,
+};
+const ONCE: Framing = Framing {
+    method: "POST",
+    path: "/once/x",
+    ..SAFE
+};
+const RESUMABLE: Framing = Framing {
+    method: "POST",
+    path: "/stream/x",
+    ..SAFE
+};
+const FRAGILE: Framing = Framing {
+    path: "/fragile/x",
+    ..RESUMABLE
+};
+
+const fn closed(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Close,
+    }
+}
+
+const fn reset(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Reset,
+    }
+}
+
+const WHOLE_STREAM: &[&str] = &[SIGNED, STREAM, "\r\n", ONE, TWO, THREE];
+
+// Guards against answers without a length that are taken for broken off, or are delivered in part.
+#[rstest]
+#[case(Framing { name: "a whole answer", reply: closed(&[SIGNED, "\r\n", BODY]), ..SAFE })]
+#[case(Framing { name: "a whole answer of an older version", reply: closed(&["HTTP/1.0 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\n", BODY]), ..SAFE })]
+#[case(Framing { name: "a whole answer that announces the end", reply: closed(&[SIGNED, "connection: close\r\n\r\n", BODY]), ..SAFE })]
+#[case(Framing { name: "a whole answer to a request that runs at most once", reply: closed(&[SIGNED, "\r\n", BODY]), ..ONCE })]
+#[case(Framing { name: "a stream", reply: closed(WHOLE_STREAM), ..RESUMABLE })]
+#[case(Framing { name: "a stream that may not be resumed", reply: closed(WHOLE_STREAM), ..FRAGILE })]
+fn answers_that_end_with_their_connection_are_whole(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
+// Guards against answers that are delivered as complete although their connection was reset.
+#[rstest]
+#[case(Framing { name: "a whole answer", reply: reset(&[SIGNED, "\r\n", BODY]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer", reply: reset(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "an answer to a request that runs at most once", reply: reset(&[SIGNED, "\r\n", BODY]), outcome: Outcome::Failed, ..ONCE })]
+#[case(Framing { name: "a stream", reply: reset(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream", reply: reset(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream in chunks", reply: reset(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a stream that may not be resumed", reply: reset(WHOLE_STREAM), outcome: Outcome::Failed, ..FRAGILE })]
+fn answers_whose_connection_is_reset_are_not_complete(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
+// Guards against streams that look complete to their callers although their last event is not.
+#[rstest]
+#[case(Framing { name: "with its connection", reply: closed(&[SIGNED, STREAM, "\r\n", ONE, "id: 2\nda"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "after a line, with its connection", reply: closed(&[SIGNED, STREAM, "\r\n", ONE, "id: 2\ndata: a\n"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "in the first event, with its connection", reply: closed(&[SIGNED, STREAM, "\r\nid: 1\n"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "with its last chunk", reply: closed(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK, PART_CHUNK, "0\r\n\r\n"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "with its connection after a chunk", reply: closed(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK, PART_CHUNK]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "with its connection within a chunk", reply: closed(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK, "e\r\nid: 2\nda"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "with its length", reply: closed(&[SIGNED, STREAM, "content-length: 22\r\n\r\n", ONE, "id: 2\nda"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "before its length", reply: closed(&[SIGNED, STREAM, "content-length: 42\r\n\r\n", ONE, "id: 2\nda"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a stream that may not be resumed", reply: closed(&[SIGNED, STREAM, "\r\n", ONE, "id: 2\nda"]), outcome: Outcome::Failed, ..FRAGILE })]
+fn streams_that_end_within_an_event_are_broken_off(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
+fn assert_outcome(case: Framing) {
+    let node = Node::start(case.reply);
+    let answer = node.call("r1", case.method, case.path);
+    let found = outcome(&answer, case.path);
+    assert_eq!(found, Some(case.outcome), "{}: {answer:?}", case.name);
+    assert_eq!(node.arrived(), case.attempts, "{}", case.name);
+    node.process.stop();
+}
+
+const fn repeated(parts: &'static [&'static str], piece: &'static str) -> Reply {
+    Reply {
+        parts,
+        end: End::Repeat(piece),
+    }
+}
+
+const fn dripping(parts: &'static [&'static str], piece: &'static str) -> Reply {
+    Reply {
+        parts,
+        end: End::Drip(piece),
+    }
+}
+
+const ENDLESS: Framing = Framing {
+    attempts: 2,
+    ..SAFE
+};
+const ENDLESS_STREAM: Framing = Framing {
+    attempts: 2,
+    ..RESUMABLE
+};
+const ENDLESS_ONCE: Framing = Framing {
+    outcome: Outcome::Failed,
+    ..ONCE
+};
+const IN_EVENT: &[&str] = &[SIGNED, STREAM, "\r\n", ONE, "id: 2\ndata: "];
+
+// Guards against servers that hold a node's memory or a request with bytes that are no answer.
+#[rstest]
+#[case(Framing { name: "a status line", reply: repeated(&["HTTP/1.1 200 "], "a"), ..ENDLESS })]
+#[case(Framing { name: "a status line to a request that runs at most once", reply: repeated(&["HTTP/1.1 200 "], "a"), ..ENDLESS_ONCE })]
+#[case(Framing { name: "a status line of a stream", reply: repeated(&["HTTP/1.1 200 "], "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "empty lines before a head", reply: repeated(&[], "\r\n"), ..ENDLESS })]
+#[case(Framing { name: "a line of a head", reply: repeated(&["HTTP/1.1 200 OK\r\na: "], "a"), ..ENDLESS })]
+#[case(Framing { name: "lines of a head", reply: repeated(&["HTTP/1.1 200 OK\r\n"], "a: a\r\n"), ..ENDLESS })]
+#[case(Framing { name: "lines of a head to a request that runs at most once", reply: repeated(&["HTTP/1.1 200 OK\r\n"], "a: a\r\n"), ..ENDLESS_ONCE })]
+#[case(Framing { name: "heads before an answer", reply: repeated(&[], "HTTP/1.1 100 Continue\r\n\r\n"), outcome: Outcome::Any, ..ENDLESS })]
+#[case(Framing { name: "an event", reply: repeated(IN_EVENT, "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "an event in chunks", reply: repeated(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK], "8\r\ndata: aa\r\n"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a first event", reply: repeated(&[SIGNED, STREAM, "\r\n"], "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a chunk's size", reply: repeated(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK], "0"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a chunk's size in a whole answer", reply: repeated(&[SIGNED, CHUNKED, "\r\n"], "0"), ..ENDLESS })]
+#[case(Framing { name: "a chunk's extension", reply: repeated(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK, "e;"], "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a trailer", reply: repeated(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK, "0\r\na: "], "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a whole answer", reply: repeated(&[SIGNED, "\r\n"], "a"), ..ENDLESS })]
+#[case(Framing { name: "a whole answer in chunks", reply: repeated(&[SIGNED, CHUNKED, "\r\n"], "8\r\naaaaaaaa\r\n"), ..ENDLESS })]
+#[case(Framing { name: "a whole answer to a request that runs at most once", reply: repeated(&[SIGNED, "\r\n"], "a"), ..ENDLESS_ONCE })]
+#[case(Framing { name: "a status line, slowly", reply: dripping(&["HTTP/1.1 200 "], "a"), ..ENDLESS })]
+#[case(Framing { name: "a status line of a stream, slowly", reply: dripping(&["HTTP/1.1 200 "], "a"), ..ENDLESS_STREAM })]
+#[case(Framing { name: "a status line to a request that runs at most once, slowly", reply: dripping(&["HTTP/1.1 200 "], "a"), ..ENDLESS_ONCE })]
+#[case(Framing { name: "a whole answer to a request that runs at most once, slowly", reply: dripping(&[SIGNED, "\r\n"], "a"), ..ENDLESS_ONCE })]
+#[case(Framing { name: "an event of a stream that may not be resumed, slowly", reply: dripping(IN_EVENT, "a"), outcome: Outcome::Failed, ..FRAGILE })]
+#[case(Framing { name: "events of a stream that may not be resumed, slowly", reply: dripping(&[SIGNED, STREAM, "\r\n", ONE], "data: a\n\n"), outcome: Outcome::Failed, ..FRAGILE })]
+fn servers_that_send_bytes_without_an_end_are_given_up(#[case] case: Framing) {
+    let node = Node::start(case.reply);
+    let callers = node.process.callers;
+    let start = Instant::now();
+    let sent = request("r1", case.method, case.path);
+    let caller = thread::spawn(move || (exchange(callers, &sent), start.elapsed()));
+    let has_arrived = node.servers.wait_until(|events| events.arrived > 0);
+    assert!(has_arrived, "{}: the request does not arrive", case.name);
+    let other = node.call("r2", "GET", "/safe/other");
+    assert!(other.ends_with(BODY), "{}: {other:?}", case.name);
+    let (answer, after) = caller.join().expect("the caller ends");
+    let found = outcome(&answer, case.path);
+    let is_expected = found == Some(case.outcome) || case.outcome == Outcome::Any;
+    assert!(found.is_some() && is_expected, "{}: {answer:?}", case.name);
+    assert!(after < DEADLINE * 2, "{}: after {after:?}", case.name);
+    let is_closed = node.servers.wait_until(|events| events.is_closed);
+    assert!(is_closed, "{}: the connection stays open", case.name);
+    let taken = node.servers.record(|events| events.taken);
+    let is_kept = !DISCARDED.contains(&case.name);
+    assert!(
+        !is_kept || taken < MAX_TAKEN,
+        "{}: {taken} bytes",
+        case.name
+    );
+    // The other request is a server's as well.
+    assert!(node.arrived() <= case.attempts + 1, "{}", case.name);
+    node.process.stop();
+}
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod delivery;
 mod domain;
 mod follow;
+mod framing;
 mod freshness;
 mod lines;
 mod poison;
