--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -13,7 +13,7 @@
 use jackdaw_core::protocol::Head;
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight::{self, Stage};
 use ntex::http::header::HOST;
 use ntex::http::{ConnectionType, Payload, Request, Response};
@@ -22,10 +22,12 @@
 
 use crate::body;
 use crate::buffered;
-use crate::dispatch::{Call, Dispatch};
+use crate::call::Call;
+use crate::dispatch::Dispatch;
 use crate::header;
 use crate::in_flight::Guard;
 use crate::node::Node;
+use crate::race::Race;
 use crate::refusal::Refusal;
 use crate::relay;
 
@@ -129,13 +131,13 @@
     let failed = |refusal: Refusal| (id.clone(), refusal);
     let key = guard.insert(track(node, request, &head, arrived)).key();
     check_accepting(node).map_err(failed)?;
+    check_head(node, request).map_err(failed)?;
     let Some(index) = node.index() else {
         let refusal = Refusal::not_run(Reason::NotReady, "the node knows no configuration yet");
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
-    let limit = node.limits().body;
     let caller_deadline = caller_deadline(&head, arrived);
-    let body = read_body(node, payload, limit, caller_deadline)
+    let body = read_body(node, payload, caller_deadline)
         .await
         .map_err(failed)?;
     // The configuration may have changed while the body was read.
@@ -151,13 +153,14 @@
         tracked.deadline = call.deadline;
         tracked.stage = Stage::Server;
     });
-    let mut dispatch = Dispatch::new(Rc::clone(node), index, call, key);
+    let dispatch = Dispatch::new(Rc::clone(node), index, call, key);
     if is_stream {
         let caller = request.io().cloned();
         return relay::exchange(dispatch, caller).await.map_err(failed);
     }
-    let buffered = buffered::exchange(&mut dispatch).await.map_err(failed)?;
-    dispatch.log_answered(buffered.status.as_u16());
+    let mut race = Race::new(dispatch);
+    let buffered = buffered::exchange(&mut race).await.map_err(failed)?;
+    race.dispatch.log_answered(buffered.status.as_u16());
     node.counters.count_outcome(Outcome::Completed);
     node.histograms.record_answer(node.now().since(arrived));
     Ok(buffered.into_response())
@@ -200,18 +203,29 @@
     Err(Refusal::not_run(Reason::NotReady, "the node is stopping").with_retry_after(Millis(0)))
 }
 
+/// Checks a head against the limit in force.
+///
+/// The HTTP library's limit is fixed when a connection is accepted.
+///
+/// # Errors
+///
+/// Returns a refusal if the head is larger.
+fn check_head(node: &Node, request: &Request) -> Result<(), Refusal> {
+    let limit = node.limits().header;
+    if header::head_len(request) <= limit {
+        return Ok(());
+    }
+    let detail = format!("the head is larger than {limit}");
+    Err(Refusal::not_run(Reason::HeadTooLarge, detail))
+}
+
 /// Reads a request's body while the node takes new requests, at most until the request is due.
 ///
 /// # Errors
 ///
 /// Returns a refusal if the body is incomplete, too large or late, or the node is stopping.
-async fn read_body(
-    node: &Node,
-    payload: &mut Payload,
-    limit: Size,
-    due: Instant,
-) -> Result<Bytes, Refusal> {
-    let mut body = pin!(body::read(payload, limit));
+async fn read_body(node: &Node, payload: &mut Payload, due: Instant) -> Result<Bytes, Refusal> {
+    let mut body = pin!(body::read(node, payload));
     loop {
         check_accepting(node)?;
         let now = node.now();
