Play a part of prompts that ends servers, and check what it costs

Callers saw one part of prompts end server after server, since no two of the requests with it are alike and evidence is kept by a request's digest, and saw sound requests refused and sound streams broken off beside it. The soak had no request that ends a server and no prompts.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -35,3 +35,16 @@
 fn answer_is_not_ended_while_its_server_is_silent() {
     check_play("silences", 1);
 }
+
+/// Guards against nodes that go on sending requests with a part of prompts that ends each server, or
+/// that refuse sound requests for what they share with these.
+#[test]
+fn part_of_prompts_that_ends_servers_is_kept_from_them() {
+    check_play("parts", 1);
+}
+
+/// Guards against the same with streams, and against sound streams that are broken off beside them.
+#[test]
+fn stream_beside_a_part_that_ends_servers_is_resumed() {
+    check_play("part-streams", 1);
+}
