End a request at its deadline although its server sends without a pause

What callers saw: a stream whose server sends small events every 5 ms went on beyond its deadline, until the server ended it (4 s and 10 s in the test).

Cause: when the request is due, a node that may be late reads what has arrived for 20 ms more. It did so again after each event, and a server that sends more often than that always has something to read.

The 20 ms now count from the moment at which the request was first found to be due. Tests: framing, cases 23 and 24, failed before.

--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -7,7 +7,6 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use futures::future::{Either, select};
 use jackdaw_core::time::Instant;
@@ -22,7 +21,7 @@
 /// Shortest wait between two looks at the time.
 const MIN_WAIT: Millis = Millis(10);
 /// Time to read what has arrived before a wait is given up.
-const READ_TIME: Duration = Duration::from_millis(20);
+const READ_TIME: Millis = Millis(20);
 /// Interval at which a request asks again whether another attempt is allowed.
 const RETRY_INTERVAL: Millis = Millis(100);
 
@@ -46,6 +45,8 @@
     standbys: Vec<Attempt>,
     /// Time from which silence is looked at again.
     asks_at: Instant,
+    /// Time at which the request was found to be due.
+    overdue_since: Option<Instant>,
 }
 
 impl Race {
@@ -55,6 +56,7 @@
             current: None,
             standbys: Vec::new(),
             asks_at: Instant::default(),
+            overdue_since: None,
         }
     }
 
@@ -149,8 +151,15 @@
     /// Waits until an attempt brings something or fails, a time-out passes or the request is due.
     async fn wait(&mut self) -> Occurrence {
         loop {
+            let now = self.dispatch.node.now();
+            if now >= self.dispatch.due() {
+                // A server that sends without a pause would always have something to read.
+                let overdue_since = *self.overdue_since.get_or_insert(now);
+                if now.since(overdue_since) >= READ_TIME {
+                    return Occurrence::Due;
+                }
+            }
             let node = &self.dispatch.node;
-            let now = node.now();
             // A stop that is requested meanwhile ends the request no earlier than this.
             let stopped = now + node.stop_limits().answer.max(MIN_WAIT);
             let wake = self.dispatch.due().min(stopped);
@@ -170,7 +179,7 @@
             };
             // A node that is late reads what has arrived meanwhile.
             let arrival = poll_fn(|cx| self.poll_attempts(cx));
-            return time::timeout(READ_TIME, arrival)
+            return time::timeout(READ_TIME.duration(), arrival)
                 .await
                 .unwrap_or(occurrence);
         }
