--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -514,6 +514,18 @@
         );
     }
 
+    /// Waits for the answer and checks that it is whole and came long before the deadline.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not, or did not.
+    pub(crate) fn assert_whole_early(self, name: &str) {
+        let start = Instant::now();
+        self.assert_whole(name);
+        let after = start.elapsed();
+        assert!(after < DEADLINE.duration() / 2, "{name}: after {after:?}");
+    }
+
     /// Waits for the answer and checks that it ended long before the deadline, refused or broken off.
     ///
     /// # Panics
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -271,3 +271,23 @@
     assert_eq!(domain.servers_of("r0"), [0]);
     domain.stop();
 }
+
+// Guards against requests that wait for a silent server alone although another one could answer them.
+#[rstest]
+#[case(Silence { name: "a stream before its head", waits: &[STREAM_HEAD], ..AMPLE })]
+#[case(Silence { name: "a stream before its first event", waits: &[STREAM_START], ..AMPLE })]
+#[case(Silence { name: "a stream under way", waits: &[STREAM], ..AMPLE })]
+#[case(Silence { name: "a whole answer before its head", waits: &[WHOLE_HEAD], ..AMPLE })]
+#[case(Silence { name: "a whole answer within its body", waits: &[WHOLE], ..AMPLE })]
+fn requests_at_silent_servers_reach_another_one_long_before_their_deadline(
+    #[case] silence: Silence,
+) {
+    let conducts = &[Conduct::Sound; 2];
+    let domain = Domain::start(conducts, silence.retries, vec![configuration(2)]);
+    domain.silence();
+    let caller = silence.waits[0].call(&domain, 0);
+    domain.wait_held(1);
+    domain.turn();
+    caller.assert_whole_early(silence.name);
+    domain.stop();
+}
