Look at the silence of a server again at each step of an attempt

Cause: Race::wait computes when to look at the time before it polls the attempt. A request that is being connected has no time-out, so the wait was as long as the node waits at a stop (5.4 s in the tests), and the sending of the request, or the arrival of the head, within that wait did not shorten it.

Fix: a step of the current attempt ends the wait, and the next one begins with the time-out of the new step.

Ruled out: retries and targets, which the tests have. Before: four of the five cases took 5.4 s.

--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -32,6 +32,8 @@
     Standby(usize, Result<Piece, ExchangeFailure>),
     /// The current attempt brought something or failed.
     Current(Result<Piece, ExchangeFailure>),
+    /// The current attempt has reached a further step, which has a time-out of its own.
+    Step,
     /// Nothing arrived from the current attempt's server within a time-out.
     Silence,
     /// The request is due.
@@ -85,6 +87,7 @@
                     self.dispatch.log_failure(&error, &attempt, None);
                     None
                 }
+                Occurrence::Step => None,
                 Occurrence::Silence => {
                     self.handle_silence();
                     None
@@ -182,9 +185,14 @@
                 return Poll::Ready(Occurrence::Standby(idx, result));
             }
         }
-        match &mut self.current {
-            Some(attempt) => attempt.poll_piece(cx).map(Occurrence::Current),
-            None => Poll::Pending,
+        let Some(attempt) = &mut self.current else {
+            return Poll::Pending;
+        };
+        let step = attempt.step();
+        match attempt.poll_piece(cx) {
+            Poll::Ready(result) => Poll::Ready(Occurrence::Current(result)),
+            Poll::Pending if attempt.step() != step => Poll::Ready(Occurrence::Step),
+            Poll::Pending => Poll::Pending,
         }
     }
 
