--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -37,6 +37,10 @@
 const SERVICE: &str = "service";
 /// Path that no server holds up.
 const PROBE: &str = "/safe/probe";
+/// Part of the path of a stream that its server does not end.
+const ENDLESS: &str = "/endless/";
+/// Time between two events of such a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Key that callers state.
 pub(crate) const KEY: &str = "key";
 /// Requests that earn one retry at the ratio of [`Retries::One`].
@@ -331,6 +335,9 @@
         );
         self.write(&head)?;
         self.hold(Point::FirstEvent)?;
+        if self.path.contains(ENDLESS) {
+            return self.stream_on();
+        }
         for number in self.last + 1..=EVENTS {
             if number == MIDDLE.max(self.last) + 1 {
                 self.hold(Point::Event)?;
@@ -341,6 +348,21 @@
         self.write("0\r\n\r\n")
     }
 
+    /// Sends events until the node closes the connection, or [`TIMEOUT`] passes.
+    fn stream_on(&mut self) -> Option<()> {
+        let shared = Arc::clone(&self.member.shared);
+        let start = Instant::now();
+        for number in 1.. {
+            let event = event(&self.id, number);
+            self.write(&format!("{:x}\r\n{event}\r\n", event.len()))?;
+            let is_closed = |events: &Events| events.closed.contains(&self.connection);
+            if shared.wait_until(is_closed, EVENT_INTERVAL) || start.elapsed() > TIMEOUT {
+                break;
+            }
+        }
+        None
+    }
+
     fn write(&mut self, bytes: &str) -> Option<()> {
         self.stream.write_all(bytes.as_bytes()).ok()
     }
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -291,3 +291,13 @@
     caller.assert_whole_early(silence.name);
     domain.stop();
 }
+
+// Guards against streams that go on after their deadline because their events follow each other
+// without a pause.
+#[test]
+fn stream_whose_events_do_not_pause_ends_at_its_deadline() {
+    let domain = Domain::start(&[Conduct::Sound], Retries::None, vec![configuration(2)]);
+    let caller = domain.call_within(Millis(1_500), "r0", "POST", "/stream/endless/0");
+    caller.assert_given_up("events without a pause");
+    domain.stop();
+}
