End a request whose parts follow each other without a pause at its deadline

Cause: Race::wait polls the attempts before the timer, and at the deadline reads for another 20 ms and prefers what it reads. With events less than 20 ms apart a stream never ended at its deadline.

Fix: from the time at which the request is first seen to be due, parts are read for 20 ms in all.

--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -7,7 +7,6 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use futures::future::{Either, select};
 use jackdaw_core::time::Instant;
@@ -22,7 +21,7 @@
 /// Shortest wait between two looks at the time.
 const MIN_WAIT: Millis = Millis(10);
 /// Time to read what has arrived before a wait is given up.
-const READ_TIME: Duration = Duration::from_millis(20);
+const READ_TIME: Millis = Millis(20);
 /// Interval at which a request asks again whether another attempt is allowed.
 const RETRY_INTERVAL: Millis = Millis(100);
 
@@ -48,6 +47,8 @@
     standbys: Vec<Attempt>,
     /// Time from which silence is looked at again.
     asks_at: Instant,
+    /// Time at which the request was first seen to be due.
+    due_since: Option<Instant>,
 }
 
 impl Race {
@@ -57,6 +58,7 @@
             current: None,
             standbys: Vec::new(),
             asks_at: Instant::default(),
+            due_since: None,
         }
     }
 
@@ -151,6 +153,9 @@
 
     /// Waits until an attempt brings something or fails, a time-out passes or the request is due.
     async fn wait(&mut self) -> Occurrence {
+        if self.has_read_time_passed() {
+            return Occurrence::Due;
+        }
         loop {
             let node = &self.dispatch.node;
             let now = node.now();
@@ -173,12 +178,23 @@
             };
             // A node that is late reads what has arrived meanwhile.
             let arrival = poll_fn(|cx| self.poll_attempts(cx));
-            return time::timeout(READ_TIME, arrival)
+            return time::timeout(READ_TIME.duration(), arrival)
                 .await
                 .unwrap_or(occurrence);
         }
     }
 
+    /// Returns whether the request has been due for [`READ_TIME`]; parts of an answer that follow each
+    /// other without a pause do not extend it.
+    fn has_read_time_passed(&mut self) -> bool {
+        if !self.dispatch.is_due() {
+            return false;
+        }
+        let now = self.dispatch.node.now();
+        let due_since = *self.due_since.get_or_insert(now);
+        now.since(due_since) > READ_TIME
+    }
+
     fn poll_attempts(&mut self, cx: &mut Context<'_>) -> Poll<Occurrence> {
         for (idx, standby) in self.standbys.iter_mut().enumerate() {
             if let Poll::Ready(result) = standby.poll_piece(cx) {
