Test that answered requests are not held against by later starts of their servers

Three servers answer the same request wholly after a silence of 1.5 s and are then registered as new incarnations.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -605,6 +605,12 @@
         let path = format!("{}{}{number}", self.route, self.point.label());
         domain.call(&format!("r{number}"), self.method, &path)
     }
+
+    /// Sends a request of this kind with an identity; all these are repetitions of each other.
+    pub(crate) fn call_as(&self, domain: &Domain, id: &str) -> Caller {
+        let path = format!("{}{}same", self.route, self.point.label());
+        domain.call(id, self.method, &path)
+    }
 }
 
 pub(crate) const STREAM_HEAD: Wait = Wait {
@@ -860,6 +866,11 @@
         }
     }
 
+    /// Registers a new incarnation of a server.
+    pub(crate) fn replace(&self, number: usize) {
+        self.store.put(&registration(number), "2");
+    }
+
     /// Removes a server's registration.
     pub(crate) fn withdraw(&self, number: usize) {
         self.store.delete(&registration(number));
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -301,3 +301,36 @@
     caller.assert_given_up("events without a pause");
     domain.stop();
 }
+
+/// Number of servers under whose end a request is refused.
+const CRASHES: usize = 3;
+
+// Guards against a request that is refused because servers that had answered it after a silence are
+// replaced later.
+#[test]
+fn request_that_silent_servers_have_answered_is_not_held_against_it_when_they_are_replaced() {
+    let conducts = &[
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Late,
+    ];
+    let domain = Domain::start(conducts, Retries::None, vec![configuration(2)]);
+    domain.silence();
+    let mut callers = Vec::new();
+    while !(0..CRASHES).all(|server| domain.servers_of("r0").contains(&server)) {
+        callers.push(WHOLE_HEAD.call_as(&domain, "r0"));
+        domain.wait_held(callers.len());
+    }
+    domain.release_after(SILENCE);
+    for caller in callers {
+        caller.assert_whole("a silent server");
+    }
+    (0..CRASHES).for_each(|server| domain.replace(server));
+    domain.register(CRASHES);
+    domain.wait_registered(CRASHES);
+    WHOLE_HEAD
+        .call_as(&domain, "r0")
+        .assert_whole("the same request");
+    domain.stop();
+}
