Clear a request of the silences of servers that answered it

Cause: a silence is kept as possible evidence that the request ends servers, and a later incarnation at the server's address confirms it. An answer clears it only if the request was suspected or had a failed attempt, and a silence counted as a failed attempt only if another attempt followed. Requests that waited for want of a retry or a target kept theirs.

Fix: a request that met a silence is cleared by its answer.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -79,6 +79,8 @@
     candidate_count: usize,
     /// Number of attempts that failed or whose server fell silent.
     failures: u32,
+    /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
+    has_met_silence: bool,
 }
 
 impl Dispatch {
@@ -99,6 +101,7 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
+            has_met_silence: false,
         }
     }
 
@@ -164,7 +167,8 @@
 
     /// Records that an attempt's server survived the request.
     fn record_survival(&self, attempt: &mut Attempt) {
-        let may_be_suspect = attempt.exposure.suspicion().is_some() || self.failures > 0;
+        let may_be_suspect =
+            attempt.exposure.suspicion().is_some() || self.failures > 0 || self.has_met_silence;
         if may_be_suspect && attempt.exposure.record_survival() {
             let digest = self.call.digest();
             self.node.record_survival(&self.call.head.id, &digest);
@@ -569,6 +573,7 @@
         let now = self.node.now();
         let error = ExchangeFailure::new(Fault::Silent, attempt.step(), "nothing arrives");
         if is_new {
+            self.has_met_silence = true;
             self.avoid(attempt);
             self.record_crash(Fault::Silent, attempt.step(), attempt);
         }
