Test that a silent request takes no retry that it cannot use

A request waits for its silent server while the same request of another caller has ended three servers and is refused.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -871,6 +871,11 @@
         self.store.put(&registration(number), "2");
     }
 
+    /// Lets requests earn a retry at the ratio of [`Retries::One`].
+    pub(crate) fn earn_retry(&self) {
+        (0..REQUESTS_PER_RETRY).for_each(|_| self.probe());
+    }
+
     /// Removes a server's registration.
     pub(crate) fn withdraw(&self, number: usize) {
         self.store.delete(&registration(number));
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -334,3 +334,35 @@
         .assert_whole("the same request");
     domain.stop();
 }
+
+// Guards against a silent request that takes retries which it cannot use, so that others have none.
+#[test]
+fn silent_request_that_may_not_be_sent_again_takes_no_retry() {
+    let domain = Domain::start(
+        &[Conduct::Closing; 5],
+        Retries::None,
+        vec![configuration(2)],
+    );
+    domain.silence();
+    let held = WHOLE_HEAD.call_as(&domain, "r0");
+    domain.wait_held(1);
+    domain.turn();
+    // The same request ends servers until it is refused.
+    loop {
+        let before = domain.servers_of("r1").len();
+        WHOLE_HEAD
+            .call_as(&domain, "r1")
+            .assert_given_up("a server ends");
+        if domain.servers_of("r1").len() == before {
+            break;
+        }
+    }
+    domain.silence();
+    domain.earn_retry();
+    let other = WHOLE_HEAD.call(&domain, 2);
+    domain.wait_held(3);
+    domain.release();
+    held.assert_whole("the request that may not be sent again");
+    other.assert_whole("the request that may be sent again");
+    domain.stop();
+}
