Take no retry for a silent request that may not be sent again

Cause: the retry is taken when the silence is recorded, and the attempt is refused afterwards; the request returns to its silent server and asks again after 0.1 s, so that it takes ten retries a second.

Fix: a request that is refused as one that ends servers waits without a retry. A refusal for want of sound servers or of time (choose_target, costs) still takes one each time; that part is not mended here, and has no test.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -577,7 +577,9 @@
             self.avoid(attempt);
             self.record_crash(Fault::Silent, attempt.step(), attempt);
         }
-        let verdict = if self.has_other_target(attempt.key()) {
+        // A retry is not taken for an attempt that would be refused.
+        let can_begin = self.check_poison().is_ok() && self.has_other_target(attempt.key());
+        let verdict = if can_begin {
             let failure = describe_failure(attempt, Fault::Silent, attempt.step());
             self.request.record_silence(&failure, &self.budget, now)
         } else {
