--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -31,6 +31,8 @@
     Standby(usize, Result<Piece, ExchangeFailure>),
     /// The current attempt brought something or failed.
     Current(Result<Piece, ExchangeFailure>),
+    /// The current attempt has reached a further step, which has a time-out of its own.
+    Step,
     /// Nothing arrived from the current attempt's server within a time-out.
     Silence,
     /// The request is due.
@@ -45,8 +47,8 @@
     standbys: Vec<Attempt>,
     /// Time from which silence is looked at again.
     asks_at: Instant,
-    /// Time at which the request was found to be due.
-    overdue_since: Option<Instant>,
+    /// Time at which the request was first seen to be due.
+    due_since: Option<Instant>,
 }
 
 impl Race {
@@ -56,7 +58,7 @@
             current: None,
             standbys: Vec::new(),
             asks_at: Instant::default(),
-            overdue_since: None,
+            due_since: None,
         }
     }
 
@@ -87,6 +89,7 @@
                     self.dispatch.log_failure(&error, &attempt, None);
                     None
                 }
+                Occurrence::Step => None,
                 Occurrence::Silence => {
                     self.handle_silence();
                     None
@@ -150,16 +153,12 @@
 
     /// Waits until an attempt brings something or fails, a time-out passes or the request is due.
     async fn wait(&mut self) -> Occurrence {
+        if self.has_read_time_passed() {
+            return Occurrence::Due;
+        }
         loop {
-            let now = self.dispatch.node.now();
-            if now >= self.dispatch.due() {
-                // A server that sends without a pause would always have something to read.
-                let overdue_since = *self.overdue_since.get_or_insert(now);
-                if now.since(overdue_since) >= READ_TIME {
-                    return Occurrence::Due;
-                }
-            }
             let node = &self.dispatch.node;
+            let now = node.now();
             // A stop that is requested meanwhile ends the request no earlier than this.
             let stopped = now + node.stop_limits().answer.max(MIN_WAIT);
             let wake = self.dispatch.due().min(stopped);
@@ -185,15 +184,31 @@
         }
     }
 
+    /// Returns whether the request has been due for [`READ_TIME`]; parts of an answer that follow each
+    /// other without a pause do not extend it.
+    fn has_read_time_passed(&mut self) -> bool {
+        if !self.dispatch.is_due() {
+            return false;
+        }
+        let now = self.dispatch.node.now();
+        let due_since = *self.due_since.get_or_insert(now);
+        now.since(due_since) > READ_TIME
+    }
+
     fn poll_attempts(&mut self, cx: &mut Context<'_>) -> Poll<Occurrence> {
         for (idx, standby) in self.standbys.iter_mut().enumerate() {
             if let Poll::Ready(result) = standby.poll_piece(cx) {
                 return Poll::Ready(Occurrence::Standby(idx, result));
             }
         }
-        match &mut self.current {
-            Some(attempt) => attempt.poll_piece(cx).map(Occurrence::Current),
-            None => Poll::Pending,
+        let Some(attempt) = &mut self.current else {
+            return Poll::Pending;
+        };
+        let step = attempt.step();
+        match attempt.poll_piece(cx) {
+            Poll::Ready(result) => Poll::Ready(Occurrence::Current(result)),
+            Poll::Pending if attempt.step() != step => Poll::Ready(Occurrence::Step),
+            Poll::Pending => Poll::Pending,
         }
     }
 
--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -37,6 +37,10 @@
 const SERVICE: &str = "service";
 /// Path that no server holds up.
 const PROBE: &str = "/safe/probe";
+/// Part of the path of a stream that its server does not end.
+const ENDLESS: &str = "/endless/";
+/// Time between two events of such a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Key that callers state.
 pub(crate) const KEY: &str = "key";
 /// Requests that earn one retry at the ratio of [`Retries::One`].
@@ -331,6 +335,9 @@
         );
         self.write(&head)?;
         self.hold(Point::FirstEvent)?;
+        if self.path.contains(ENDLESS) {
+            return self.stream_on();
+        }
         for number in self.last + 1..=EVENTS {
             if number == MIDDLE.max(self.last) + 1 {
                 self.hold(Point::Event)?;
@@ -341,6 +348,21 @@
         self.write("0\r\n\r\n")
     }
 
+    /// Sends events until the node closes the connection, or [`TIMEOUT`] passes.
+    fn stream_on(&mut self) -> Option<()> {
+        let shared = Arc::clone(&self.member.shared);
+        let start = Instant::now();
+        for number in 1.. {
+            let event = event(&self.id, number);
+            self.write(&format!("{:x}\r\n{event}\r\n", event.len()))?;
+            let is_closed = |events: &Events| events.closed.contains(&self.connection);
+            if shared.wait_until(is_closed, EVENT_INTERVAL) || start.elapsed() > TIMEOUT {
+                break;
+            }
+        }
+        None
+    }
+
     fn write(&mut self, bytes: &str) -> Option<()> {
         self.stream.write_all(bytes.as_bytes()).ok()
     }
@@ -514,6 +536,18 @@
         );
     }
 
+    /// Waits for the answer and checks that it is whole and came long before the deadline.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not, or did not.
+    pub(crate) fn assert_whole_early(self, name: &str) {
+        let start = Instant::now();
+        self.assert_whole(name);
+        let after = start.elapsed();
+        assert!(after < DEADLINE.duration() / 2, "{name}: after {after:?}");
+    }
+
     /// Waits for the answer and checks that it ended long before the deadline, refused or broken off.
     ///
     /// # Panics
@@ -571,6 +605,12 @@
         let path = format!("{}{}{number}", self.route, self.point.label());
         domain.call(&format!("r{number}"), self.method, &path)
     }
+
+    /// Sends a request of this kind with an identity; all these are repetitions of each other.
+    pub(crate) fn call_as(&self, domain: &Domain, id: &str) -> Caller {
+        let path = format!("{}{}same", self.route, self.point.label());
+        domain.call(id, self.method, &path)
+    }
 }
 
 pub(crate) const STREAM_HEAD: Wait = Wait {
@@ -826,6 +866,16 @@
         }
     }
 
+    /// Registers a new incarnation of a server.
+    pub(crate) fn replace(&self, number: usize) {
+        self.store.put(&registration(number), "2");
+    }
+
+    /// Lets requests earn a retry at the ratio of [`Retries::One`].
+    pub(crate) fn earn_retry(&self) {
+        (0..REQUESTS_PER_RETRY).for_each(|_| self.probe());
+    }
+
     /// Removes a server's registration.
     pub(crate) fn withdraw(&self, number: usize) {
         self.store.delete(&registration(number));
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -271,3 +271,98 @@
     assert_eq!(domain.servers_of("r0"), [0]);
     domain.stop();
 }
+
+// Guards against requests that wait for a silent server alone although another one could answer them.
+#[rstest]
+#[case(Silence { name: "a stream before its head", waits: &[STREAM_HEAD], ..AMPLE })]
+#[case(Silence { name: "a stream before its first event", waits: &[STREAM_START], ..AMPLE })]
+#[case(Silence { name: "a stream under way", waits: &[STREAM], ..AMPLE })]
+#[case(Silence { name: "a whole answer before its head", waits: &[WHOLE_HEAD], ..AMPLE })]
+#[case(Silence { name: "a whole answer within its body", waits: &[WHOLE], ..AMPLE })]
+fn requests_at_silent_servers_reach_another_one_long_before_their_deadline(
+    #[case] silence: Silence,
+) {
+    let conducts = &[Conduct::Sound; 2];
+    let domain = Domain::start(conducts, silence.retries, vec![configuration(2)]);
+    domain.silence();
+    let caller = silence.waits[0].call(&domain, 0);
+    domain.wait_held(1);
+    domain.turn();
+    caller.assert_whole_early(silence.name);
+    domain.stop();
+}
+
+// Guards against streams that go on after their deadline because their events follow each other
+// without a pause.
+#[test]
+fn stream_whose_events_do_not_pause_ends_at_its_deadline() {
+    let domain = Domain::start(&[Conduct::Sound], Retries::None, vec![configuration(2)]);
+    let caller = domain.call_within(Millis(1_500), "r0", "POST", "/stream/endless/0");
+    caller.assert_given_up("events without a pause");
+    domain.stop();
+}
+
+/// Number of servers under whose end a request is refused.
+const CRASHES: usize = 3;
+
+// Guards against a request that is refused because servers that had answered it after a silence are
+// replaced later.
+#[test]
+fn request_that_silent_servers_have_answered_is_not_held_against_it_when_they_are_replaced() {
+    let conducts = &[
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Late,
+    ];
+    let domain = Domain::start(conducts, Retries::None, vec![configuration(2)]);
+    domain.silence();
+    let mut callers = Vec::new();
+    while !(0..CRASHES).all(|server| domain.servers_of("r0").contains(&server)) {
+        callers.push(WHOLE_HEAD.call_as(&domain, "r0"));
+        domain.wait_held(callers.len());
+    }
+    domain.release_after(SILENCE);
+    for caller in callers {
+        caller.assert_whole("a silent server");
+    }
+    (0..CRASHES).for_each(|server| domain.replace(server));
+    domain.register(CRASHES);
+    domain.wait_registered(CRASHES);
+    WHOLE_HEAD
+        .call_as(&domain, "r0")
+        .assert_whole("the same request");
+    domain.stop();
+}
+
+// Guards against a silent request that takes retries which it cannot use, so that others have none.
+#[test]
+fn silent_request_that_may_not_be_sent_again_takes_no_retry() {
+    let domain = Domain::start(
+        &[Conduct::Closing; 5],
+        Retries::None,
+        vec![configuration(2)],
+    );
+    domain.silence();
+    let held = WHOLE_HEAD.call_as(&domain, "r0");
+    domain.wait_held(1);
+    domain.turn();
+    // The same request ends servers until it is refused.
+    loop {
+        let before = domain.servers_of("r1").len();
+        WHOLE_HEAD
+            .call_as(&domain, "r1")
+            .assert_given_up("a server ends");
+        if domain.servers_of("r1").len() == before {
+            break;
+        }
+    }
+    domain.silence();
+    domain.earn_retry();
+    let other = WHOLE_HEAD.call(&domain, 2);
+    domain.wait_held(3);
+    domain.release();
+    held.assert_whole("the request that may not be sent again");
+    other.assert_whole("the request that may be sent again");
+    domain.stop();
+}
