Test that silent servers cost no caller of the data path its answer

Servers that fall silent together and go on when the test says so, before the head, before the first event, in a stream and in a whole answer; with retries left, one left and none; beside no other target and others that refuse, close, are silent or answer garbage. Also streams that end inside an event, bytes without end, and streams under way that lack a retry or a target for a moment.

--- a/crates/entry/tests/support/backend.rs
+++ b/crates/entry/tests/support/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers that answer requests according to scripts.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -22,6 +22,10 @@
     Repeat(&'static str, usize),
     /// Writes one event per token, from the resume offset up to a number, exclusive.
     Tokens(u64),
+    /// Writes one event per token of a range, whatever the resume offset is.
+    TokenRange(u64, u64),
+    /// Writes a text until the peer closes the connection.
+    Endless(&'static str),
     /// Waits until the peer closes the connection.
     Hang,
     /// Waits until the test calls [`Backend::release`].
@@ -60,11 +64,24 @@
 
 struct Inner {
     scripts: Mutex<VecDeque<Script>>,
+    retry_scripts: Mutex<Option<VecDeque<Script>>>,
+    seen_ids: Mutex<HashSet<String>>,
     requests: Sender<Request>,
     closed: Sender<usize>,
     release: Mutex<Receiver<()>>,
 }
 
+impl Inner {
+    fn take_script(&self, request: &Request) -> Option<Script> {
+        let id = request.header("x-request-id").unwrap_or_default();
+        let is_first = self.seen_ids.lock().expect("lock").insert(id.to_owned());
+        match self.retry_scripts.lock().expect("lock").as_mut() {
+            Some(scripts) if !is_first => scripts.pop_front(),
+            _ => self.scripts.lock().expect("lock").pop_front(),
+        }
+    }
+}
+
 /// Backend servers that share one list of scripts and use them in the order of the requests.
 ///
 /// A request without a script gets [`FULL_ANSWER`].
@@ -83,6 +100,8 @@
         let (release, released) = channel();
         let inner = Arc::new(Inner {
             scripts: Mutex::new(scripts.iter().cloned().collect()),
+            retry_scripts: Mutex::default(),
+            seen_ids: Mutex::default(),
             requests,
             closed: closed_sender,
             release: Mutex::new(released),
@@ -104,6 +123,13 @@
         self.inner.scripts.lock().expect("lock").push_back(script);
     }
 
+    /// Keeps scripts for further attempts at requests that a server received before; the other scripts
+    /// are then for first attempts only.
+    pub fn set_retry_scripts(&self, scripts: &[Script]) {
+        let scripts = scripts.iter().cloned().collect();
+        *self.inner.retry_scripts.lock().expect("lock") = Some(scripts);
+    }
+
     /// Returns an address on which no server listens.
     pub fn unreachable_address() -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -154,7 +180,7 @@
     while let Some(mut request) = read_request(&mut reader) {
         request.server = server;
         request.connection = connection;
-        let script = inner.scripts.lock().expect("lock").pop_front();
+        let script = inner.take_script(&request);
         let script = script.unwrap_or_else(|| vec![Action::Write(FULL_ANSWER)]);
         let _ = inner.requests.send(request.clone());
         let is_finished = script
@@ -186,10 +212,12 @@
             let resume = request
                 .header("x-resume-at")
                 .and_then(|offset| offset.parse().ok());
-            (resume.unwrap_or(0)..*end).all(|token: u64| {
-                let event = format!("data: {{\"id\":\"{id}\",\"token\":{token}}}\n\n");
-                write(stream, encode_chunk(&event).as_bytes())
-            })
+            write_tokens(stream, id, resume.unwrap_or(0), *end)
+        }
+        Action::TokenRange(start, end) => write_tokens(stream, id, *start, *end),
+        Action::Endless(text) => {
+            while write(stream, text.as_bytes()) {}
+            false
         }
         Action::Hang => {
             let mut rest = Vec::new();
@@ -208,6 +236,13 @@
     }
 }
 
+fn write_tokens(stream: &TcpStream, id: &str, start: u64, end: u64) -> bool {
+    (start..end).all(|token| {
+        let event = format!("data: {{\"id\":\"{id}\",\"token\":{token}}}\n\n");
+        write(stream, encode_chunk(&event).as_bytes())
+    })
+}
+
 fn encode_chunk(event: &str) -> String {
     format!("{:x}\r\n{event}\r\n", event.len())
 }
