Keep the attempt at a silent server beside the next one in the data path

Callers saw: streams broken off and whole answers turned into 502, 503 or a refusal while their server was only silent for a moment, long before their deadline; streams under way ended because the team's budget was empty, or no target was listed, at the moment their server ended.

Cause: an attempt whose server was silent for first_byte_timeout or idle_timeout was dropped before it was known whether another one was possible. Whatever then refused the next attempt (budget, number of attempts, no target, may have run) ended the call. Read from the code and shown by the cases: with an empty budget, with one retry for three callers, without another target, and with others that refuse, close, are silent or answer garbage, also with a full budget. So it is not the budget alone.

Fix: `Race` keeps the silent attempts and the next one side by side, for streams and whole answers, and the first that brings something new to the caller wins. `Request::record_silence` can only wait or take a retry, so silence cannot give a call up. A failure of the new attempt, of the choice of a target or of the budget returns to the silent one. A caller with a part of a stream waits for a retry or a target; one that has nothing is refused at once as before. A call that may not be repeated waits and is never sent twice. A call that ended a server alone gets no other server, but its silent attempt is waited for. The deadline is looked at before each wait, so that bytes without a pause do not extend it. Suspects share a slot among their attempts and keep each target reserved. Waits are counted by reason and published.

`dispatch` decides only; `attempt` is one attempt that can be polled, `race` the attempts of a call, and `isolation` places them.

--- a/crates/entry/src/at_most_once.rs
+++ b/crates/entry/src/at_most_once.rs
@@ -20,6 +20,7 @@
 use crate::head;
 use crate::once::{self, Claim, Refusal, Ticket};
 use crate::problem::Problem;
+use crate::race::Race;
 
 /// Header that marks the stored answer of an earlier attempt.
 const REPLAYED_HEADER: &str = "idempotent-replayed";
@@ -70,9 +71,10 @@
         }
     };
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission).with_ticket(ticket);
-    let result = buffered::relay(&mut dispatch).await;
-    if let Some(ticket) = dispatch.take_ticket() {
+    let dispatch = Dispatch::new(worker, Rc::clone(&call), admission).with_ticket(ticket);
+    let mut race = Race::new(dispatch);
+    let result = buffered::relay(&mut race).await;
+    if let Some(ticket) = race.dispatch.take_ticket() {
         record_result(ticket, &result).await;
     }
     let answer = result?;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -18,6 +18,7 @@
 use crate::handler::{self, Worker};
 use crate::head;
 use crate::problem::Problem;
+use crate::race::Race;
 use crate::stream;
 
 /// Handles a completion request, streamed or not.
@@ -90,11 +91,11 @@
     guard: RequestGuard,
 ) -> Result<HttpResponse, Problem> {
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
+    let dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
     if call.streamed {
         return stream::relay(dispatch, guard).await;
     }
-    let answer = buffered::relay(&mut dispatch).await?;
+    let answer = buffered::relay(&mut Race::new(dispatch)).await?;
     worker.shared.counters.count_outcome(Outcome::Completed);
     Ok(answer.to_response(&call.id))
 }
--- a/crates/entry/src/counter.rs
+++ b/crates/entry/src/counter.rs
@@ -2,18 +2,27 @@
 
 use jackdaw_core::outcome::Outcome;
 use jackdaw_core::refusal::Reason;
-use jackdaw_policy::retry::Fault;
+use jackdaw_policy::retry::{Cause, Fault};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 
 use crate::problem::Problem;
 
-/// Counters of refusals, retries and outcomes.
+/// Reasons to wait.
+const WAIT_CAUSES: [Cause; 4] = [
+    Cause::MayHaveRun,
+    Cause::Budget,
+    Cause::Attempts,
+    Cause::NoServer,
+];
+
+/// Counters of refusals, retries, waits and outcomes.
 #[derive(Debug)]
 pub struct Counters {
     outcomes: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    waits: Counter<u64>,
 }
 
 impl Counters {
@@ -33,6 +42,10 @@
                 .u64_counter("jackdawstair_retries")
                 .with_description("Attempts sent again, by the reason of the failure before.")
                 .build(),
+            waits: meter
+                .u64_counter("jackdawstair_waits")
+                .with_description("Waits for silent servers or for another attempt, by reason.")
+                .build(),
         };
         for reason in Reason::ALL {
             let label = KeyValue::new("reason", reason.label());
@@ -41,6 +54,9 @@
         for fault in Fault::ALL {
             counters.retries.add(0, &retry_labels(fault, "elsewhere"));
         }
+        for cause in WAIT_CAUSES {
+            counters.waits.add(0, &[wait_label(cause)]);
+        }
         counters
     }
 
@@ -70,6 +86,22 @@
     pub fn count_retry(&self, fault: Fault, target: &'static str) {
         self.retries.add(1, &retry_labels(fault, target));
     }
+
+    /// Counts a wait that began because no other attempt is possible for a reason.
+    pub fn count_wait(&self, cause: Cause) {
+        self.waits.add(1, &[wait_label(cause)]);
+    }
+}
+
+fn wait_label(cause: Cause) -> KeyValue {
+    let label = match cause {
+        Cause::MayHaveRun => "may-have-run",
+        Cause::Deadline => "deadline",
+        Cause::Budget => "budget",
+        Cause::Attempts => "attempts",
+        Cause::NoServer => "no-server",
+    };
+    KeyValue::new("reason", label)
 }
 
 fn retry_labels(fault: Fault, target: &'static str) -> [KeyValue; 2] {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
-//! Sends a call to targets, with retries, until one answers or the call is given up.
+//! Decides for one call whether and where it is sent again.
 
-use std::rc::Rc;
+use std::future;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
 use jackdaw_core::decision::{Decision, Subject};
@@ -10,47 +11,22 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::poison::BAN_DURATION;
 use jackdaw_policy::retry::{Cause, Connection, ExchangeFailure, Failure, Fault, Request, Verdict};
-use ntex::client::{Client, ClientResponse};
 
 use crate::admit::Admission;
+use crate::attempt::{Attempt, Piece, Sending};
 use crate::call::{Call, Destination};
 use crate::event::Event;
-use crate::exchange::{self, Bound};
-use crate::gauge::Guard;
+use crate::exchange;
 use crate::handler::Worker;
-use crate::isolation::{self, Isolation};
+use crate::isolation::{Isolation, Placement, Plan};
 use crate::once::Ticket;
 use crate::pool::Clients;
 use crate::problem::Problem;
-use crate::route::{Router, Selector};
+use crate::route::Router;
+use crate::sequence::Sequence;
 use crate::shared::Shared;
 use crate::snapshot::Target;
 
-/// An answer whose head has arrived, with the attempt that produced it.
-#[derive(Debug)]
-pub(crate) struct OpenAnswer {
-    pub(crate) answer: ClientResponse,
-    pub(crate) attempt: Attempt,
-}
-
-/// A chosen target and the kind of connection to use.
-#[derive(Debug)]
-pub(crate) struct Attempt {
-    pub(crate) target: Target,
-    connection: Connection,
-    sent_at: Instant,
-    isolation: Option<Isolation>,
-    _guard: Guard,
-}
-
-impl Attempt {
-    /// Returns whether no other request is known to be in flight at the target.
-    fn is_alone(&self) -> bool {
-        let load = self.target.gauge.load();
-        self.isolation.is_some() && load.in_flight == 1 && load.reported <= load.in_flight_at_report
-    }
-}
-
 /// State of one call over all of its attempts.
 pub(crate) struct Dispatch {
     pub(crate) shared: Arc<Shared>,
@@ -59,9 +35,17 @@
     router: Rc<Router>,
     admission: Admission,
     request: Request,
+    /// Position in the stream as the caller has it.
+    sequence: Sequence,
     /// Permission to dispatch a non-idempotent call.
     ticket: Option<Ticket>,
     reconnect_target: Option<Target>,
+    /// Isolation of the latest attempt that has one.
+    isolation: Weak<Isolation>,
+    /// Whether a server ended under the call alone, so that no other may get it.
+    is_banned: bool,
+    /// Reason of the last wait that was explained, until another attempt or a part of the answer.
+    explained_wait: Option<Cause>,
     last_problem: Option<Problem>,
 }
 
@@ -77,8 +61,12 @@
             router: Rc::clone(&worker.router),
             admission,
             request,
+            sequence: Sequence::default(),
             ticket: None,
             reconnect_target: None,
+            isolation: Weak::new(),
+            is_banned: false,
+            explained_wait: None,
             last_problem: None,
         }
     }
@@ -95,91 +83,184 @@
         self.ticket.take()
     }
 
-    /// Sends the call until an answer that starts at token `resume_at` begins.
+    pub(crate) fn now(&self) -> Instant {
+        self.shared.clock.now()
+    }
+
+    pub(crate) fn remaining(&self) -> Millis {
+        self.call.deadline.since(self.now())
+    }
+
+    /// Returns the furthest step that any failed attempt reached.
+    pub(crate) fn furthest(&self) -> Step {
+        self.request.furthest()
+    }
+
+    /// Returns whether the caller has a part of the answer.
+    pub(crate) fn is_partially_answered(&self) -> bool {
+        self.request.is_partially_answered()
+    }
+
+    /// Returns what the choice of the next target depends on.
+    pub(crate) fn plan(&mut self) -> Plan {
+        Plan {
+            reconnect_target: self.reconnect_target.take(),
+            ..self.peek()
+        }
+    }
+
+    /// Begins the attempt at a chosen target.
+    pub(crate) fn begin(&mut self, placement: Placement) -> Attempt {
+        if let Some(isolation) = &placement.isolation {
+            self.isolation = Rc::downgrade(isolation);
+        }
+        let sending = self.send(&placement);
+        let source = self.sequence.start_answer();
+        Attempt::begin(&self.shared, &self.call, placement, source, sending)
+    }
+
+    /// Takes a part of an answer as the next one for the caller.
     ///
     /// # Errors
     ///
-    /// Returns the problem of the last attempt once no further attempt is allowed.
-    pub(crate) async fn open(&mut self, resume_at: u64) -> Result<OpenAnswer, Problem> {
-        loop {
-            let attempt = self.prepare_attempt().await?;
-            match self.send(&attempt, resume_at).await {
-                Ok(answer) => return Ok(OpenAnswer { answer, attempt }),
-                Err(failure) => self.handle_failure(&failure, &attempt)?,
+    /// Returns the failure that ends the attempt if the part is not usable.
+    pub(crate) fn accept(
+        &mut self,
+        piece: Piece,
+        attempt: &mut Attempt,
+    ) -> Result<Piece, ExchangeFailure> {
+        self.explained_wait = None;
+        match piece {
+            Piece::Event(number, data) => {
+                let data = self.sequence.accept(&mut attempt.source, number, data)?;
+                self.request.mark_partially_answered();
+                Ok(Piece::Event(number, data))
             }
+            Piece::End | Piece::Answer(_) => Ok(piece),
         }
     }
 
-    /// Records a failed attempt and decides whether another one follows.
-    ///
-    /// # Errors
-    ///
-    /// Returns the problem for the caller if the call is given up.
-    pub(crate) fn handle_failure(
+    /// Records a failed attempt; returns what follows, and the problem for the caller if that is the
+    /// end of the call.
+    pub(crate) fn record_failure(
         &mut self,
         exchange_failure: &ExchangeFailure,
         attempt: &Attempt,
-    ) -> Result<(), Problem> {
-        let target = &attempt.target;
-        let failure = Failure {
-            server: target.name.clone(),
-            step: exchange_failure.step,
-            fault: exchange_failure.fault,
-            connection: attempt.connection,
-            is_uncounted: false,
-        };
-        if matches!(exchange_failure.fault, Fault::Closed | Fault::Silent) {
-            self.clients.discard_idle(target.address);
-        }
+    ) -> (Verdict, Problem) {
+        let failure = build_failure(exchange_failure, attempt);
         if let Some(ticket) = &mut self.ticket
             && exchange_failure.step.outcome() == Outcome::NotRun
         {
             ticket.mark_not_written();
         }
-        let is_poison = self.request.is_server_at_fault(&failure)
-            && self.report_target_failure(exchange_failure.fault, attempt);
-        let now = self.shared.clock.now();
-        let verdict =
-            self.request
-                .record_failure(&failure, &self.admission.slot.quota().budget, now);
-        let problem = self.build_problem(exchange_failure, target);
-        self.publish_decision(&problem, verdict);
-        if is_poison {
-            return Err(Problem {
+        self.report_failure(&failure, attempt);
+        let now = self.now();
+        let budget = &self.admission.slot.quota().budget;
+        let verdict = match self.is_banned {
+            true => Verdict::GiveUp(Cause::Attempts),
+            false => self.request.record_failure(&failure, budget, now),
+        };
+        let problem = self.build_problem(exchange_failure, &attempt.target);
+        self.publish_decision(&problem, verdict_text(verdict));
+        self.prepare_retry(verdict, exchange_failure.fault, &attempt.target);
+        if self.is_banned {
+            let problem = Problem {
                 reason: Reason::Poison,
                 retry_after: BAN_DURATION,
                 ..problem
-            });
+            };
+            return (verdict, problem);
         }
         match verdict {
-            Verdict::GiveUp(Cause::Deadline) => Err(Problem {
-                reason: Reason::Deadline,
-                ..problem
-            }),
-            Verdict::Wait(_)
-            | Verdict::GiveUp(
-                Cause::MayHaveRun | Cause::Budget | Cause::Attempts | Cause::NoServer,
-            ) => Err(problem),
-            Verdict::Reconnect => {
-                self.shared
-                    .counters
-                    .count_retry(exchange_failure.fault, "reconnect");
-                self.reconnect_target = Some(target.clone());
-                Ok(())
-            }
-            Verdict::Elsewhere => {
-                self.shared
-                    .counters
-                    .count_retry(exchange_failure.fault, "elsewhere");
-                self.last_problem = Some(problem);
-                Ok(())
-            }
+            Verdict::Elsewhere | Verdict::Wait(_) => self.last_problem = Some(problem.clone()),
+            Verdict::Reconnect | Verdict::GiveUp(_) => {}
         }
+        (verdict, problem)
+    }
+
+    /// Records the failure of an attempt that was counted when its server fell silent.
+    pub(crate) fn record_standby_failure(
+        &mut self,
+        exchange_failure: &ExchangeFailure,
+        attempt: &Attempt,
+    ) {
+        self.report_failure(&build_failure(exchange_failure, attempt), attempt);
+        let problem = self.build_problem(exchange_failure, &attempt.target);
+        self.publish_decision(&problem, "given up beside another attempt");
+    }
+
+    /// Takes a retry for a call that waits for one after a failed attempt.
+    pub(crate) fn retry(&mut self, exchange_failure: &ExchangeFailure) -> Verdict {
+        let now = self.now();
+        let budget = &self.admission.slot.quota().budget;
+        let verdict = self.request.retry(budget, now);
+        if verdict == Verdict::Elsewhere {
+            let counters = &self.shared.counters;
+            counters.count_retry(exchange_failure.fault, "elsewhere");
+            self.explained_wait = None;
+        }
+        verdict
+    }
+
+    /// Records that nothing arrives from an attempt's server, and returns whether another attempt is
+    /// to be made beside it.
+    pub(crate) fn record_silence(&mut self, attempt: &Attempt, is_new: bool) -> Verdict {
+        let detail = format!("nothing came for {}", attempt.silence_timeout());
+        let exchange_failure = ExchangeFailure::new(Fault::Silent, attempt.step(), detail);
+        let failure = build_failure(&exchange_failure, attempt);
+        if is_new {
+            self.report_failure(&failure, attempt);
+        }
+        if self.is_banned {
+            return Verdict::Wait(Cause::Attempts);
+        }
+        // A retry is not taken for an attempt that would find no target. A new silence may be the
+        // connection's, and then the same target is tried.
+        if self.call.idempotent && !is_new && !self.peek().has_target() {
+            return Verdict::Wait(Cause::NoServer);
+        }
+        let now = self.now();
+        let budget = &self.admission.slot.quota().budget;
+        let verdict = self.request.record_silence(&failure, budget, now);
+        if matches!(verdict, Verdict::Reconnect | Verdict::Elsewhere) {
+            let problem = self.build_problem(&exchange_failure, &attempt.target);
+            self.publish_decision(&problem, verdict_text(verdict));
+            self.prepare_retry(verdict, Fault::Silent, &attempt.target);
+            self.last_problem = Some(problem);
+        }
+        verdict
+    }
+
+    /// Records that the call goes on with the attempt at a silent server, in place of the one at
+    /// `abandoned`, if that has not failed already.
+    pub(crate) fn return_to_silent(&mut self, abandoned: Option<&str>) {
+        self.request.return_to_silent(abandoned);
+    }
+
+    /// Publishes and counts a wait, unless that was done for the same reason.
+    pub(crate) fn explain_wait(&mut self, cause: Cause, attempt: Option<&Attempt>) {
+        if self.explained_wait.replace(cause) == Some(cause) {
+            return;
+        }
+        self.shared.counters.count_wait(cause);
+        let (step, detail) = match attempt {
+            Some(attempt) => (attempt.step(), "the server is silent and may go on"),
+            None => (
+                self.request.furthest(),
+                "the caller has a part of the stream",
+            ),
+        };
+        let mut problem = Problem::new(Reason::Broken, step, detail);
+        if let Some(attempt) = attempt {
+            problem = problem.with_peer(&attempt.target.name);
+        }
+        self.publish_decision(&problem, &format!("waited on: {}", cause.label()));
     }
 
     /// Records a complete stream, and its mean time per token if it had more than one token.
-    pub(crate) fn record_stream(&mut self, attempt: &Attempt, tokens: u64) {
+    pub(crate) fn record_stream(&mut self, attempt: &Attempt) {
         self.record_answer(attempt);
+        let tokens = self.sequence.delivered() - attempt.source.start();
         if tokens > 1 {
             let micros = self.micros_since(attempt.sent_at) / tokens;
             attempt.target.gauge.record_latency(micros);
@@ -202,69 +283,86 @@
         }
     }
 
-    /// Returns the timeout for the next part of an answer.
-    pub(crate) fn idle_bound(&self) -> Bound {
-        Bound::new(self.shared.options.idle_timeout, self.remaining())
-    }
-
-    fn first_byte_bound(&self) -> Bound {
-        let options = &self.shared.options;
-        let timeout = match &self.call.destination {
-            // An engine answers a whole completion only after its last token.
-            Destination::Model(_) if !self.call.streamed => options.buffered_answer_timeout,
-            Destination::Model(_) | Destination::Service(_) => options.first_byte_timeout,
-        };
-        Bound::new(timeout, self.remaining())
+    /// Removes the problem of the last attempt that failed or whose server fell silent.
+    pub(crate) fn take_last_problem(&mut self) -> Option<Problem> {
+        self.last_problem.take()
     }
 
-    fn remaining(&self) -> Millis {
-        self.call.deadline.since(self.shared.clock.now())
+    /// Returns the problem for a call without a target: the last failure if there was one.
+    pub(crate) fn take_no_server_problem(&mut self) -> Problem {
+        self.last_problem.take().unwrap_or_else(|| {
+            let detail = "no whole replica group or live backend server is known";
+            Problem::new(Reason::NoServer, Step::Admitted, detail)
+        })
     }
 
-    fn micros_since(&self, sent_at: Instant) -> u64 {
-        self.shared.clock.now().since(sent_at).0 * 1_000
+    /// Returns what the choice of a target that was not tried yet depends on.
+    fn peek(&self) -> Plan {
+        Plan {
+            shared: Arc::clone(&self.shared),
+            router: Rc::clone(&self.router),
+            call: Rc::clone(&self.call),
+            tried: self.request.tried().to_vec(),
+            reconnect_target: None,
+            suspect: self.admission.suspect,
+            isolation: self.isolation.clone(),
+        }
     }
 
-    async fn send(
-        &mut self,
-        attempt: &Attempt,
-        resume_at: u64,
-    ) -> Result<ClientResponse, ExchangeFailure> {
-        if self.remaining() == Millis(0) {
-            let detail = "the deadline passed before the request was sent";
-            return Err(ExchangeFailure::new(
-                Fault::Deadline,
-                self.request.furthest(),
-                detail,
-            ));
-        }
-        let bound = self.first_byte_bound();
-        let client = self.get_client(attempt).await?;
+    /// Returns the future of the answer from a chosen target.
+    fn send(&mut self, placement: &Placement) -> Sending {
         if let Some(ticket) = &mut self.ticket
             && !ticket.may_dispatch()
         {
             let detail = "the call waited too long after it was recorded";
-            return Err(ExchangeFailure::new(
-                Fault::Deadline,
-                Step::Recorded,
-                detail,
-            ));
+            let failure = ExchangeFailure::new(Fault::Deadline, Step::Recorded, detail);
+            return Box::pin(future::ready(Err(failure)));
         }
-        exchange::send(&client, &self.call, &attempt.target, resume_at, bound).await
+        let clients = Rc::clone(&self.clients);
+        let call = Rc::clone(&self.call);
+        let target = placement.target.clone();
+        let connection = placement.connection;
+        let resume_at = self.sequence.delivered();
+        Box::pin(async move {
+            let client = match connection {
+                Connection::New => clients.create().await,
+                Connection::Used => clients.get_pooled(target.address).await,
+            };
+            let client = client.ok_or_else(|| {
+                ExchangeFailure::new(Fault::Unreachable, Step::Routed, "no client")
+            })?;
+            exchange::send(&client, &call, &target, resume_at).await
+        })
     }
 
-    async fn get_client(&self, attempt: &Attempt) -> Result<Client, ExchangeFailure> {
-        let client = match attempt.connection {
-            Connection::New => self.clients.create().await,
-            Connection::Used => self.clients.get_pooled(attempt.target.address).await,
-        };
-        client.ok_or_else(|| ExchangeFailure::new(Fault::Unreachable, Step::Routed, "no client"))
+    /// Counts a retry and notes where it goes.
+    fn prepare_retry(&mut self, verdict: Verdict, fault: Fault, target: &Target) {
+        match verdict {
+            Verdict::Reconnect => {
+                self.shared.counters.count_retry(fault, "reconnect");
+                self.reconnect_target = Some(target.clone());
+                self.explained_wait = None;
+            }
+            Verdict::Elsewhere => {
+                self.shared.counters.count_retry(fault, "elsewhere");
+                self.explained_wait = None;
+            }
+            Verdict::Wait(_) | Verdict::GiveUp(_) => {}
+        }
+    }
+
+    /// Discards connections that may be lost and reports the failure of a server.
+    fn report_failure(&mut self, failure: &Failure, attempt: &Attempt) {
+        if matches!(failure.fault, Fault::Closed | Fault::Silent) {
+            self.clients.discard_idle(attempt.target.address);
+        }
+        if self.request.is_server_at_fault(failure) {
+            self.report_target_failure(failure.fault, attempt);
+        }
     }
 
     /// Reports a target's failure to the control thread.
-    ///
-    /// Returns whether the target crashed while this call alone was in flight there.
-    fn report_target_failure(&mut self, fault: Fault, attempt: &Attempt) -> bool {
+    fn report_target_failure(&mut self, fault: Fault, attempt: &Attempt) {
         let target = &attempt.target;
         let crashed = match fault {
             Fault::Closed => true,
@@ -274,6 +372,7 @@
         // A call that crashed one target may crash the next, so it runs alone from now on.
         self.admission.suspect |= crashed;
         let alone = crashed && attempt.is_alone();
+        self.is_banned |= alone;
         let event = if crashed {
             Event::ConnectionLost {
                 target: target.name.clone(),
@@ -288,16 +387,10 @@
             }
         };
         self.shared.send(event);
-        alone
     }
 
-    /// Publishes why a failed attempt was retried or the call was given up.
-    fn publish_decision(&self, problem: &Problem, verdict: Verdict) {
-        let taken = match verdict {
-            Verdict::Reconnect => "tried again on a new connection",
-            Verdict::Elsewhere => "tried elsewhere",
-            Verdict::Wait(cause) | Verdict::GiveUp(cause) => cause.label(),
-        };
+    /// Publishes why a failed attempt was retried, the call was given up or goes on waiting.
+    fn publish_decision(&self, problem: &Problem, taken: &str) {
         let subject = Subject::Request(self.call.id.clone());
         let decision = Decision::new(subject, &problem.detail, taken)
             .with_subject(Subject::Group(problem.peer.clone()))
@@ -323,74 +416,25 @@
         .with_peer(&target.name)
     }
 
-    async fn prepare_attempt(&mut self) -> Result<Attempt, Problem> {
-        let slot = match self.admission.suspect {
-            true => isolation::acquire_slot(&self.shared, self.remaining()).await,
-            false => None,
-        };
-        // A non-idempotent call cannot be retried after the loss of a reused connection, so it
-        // always gets a new one.
-        let reconnect_target = self
-            .reconnect_target
-            .take()
-            .filter(|target| self.is_listed(target));
-        let (target, connection) = match reconnect_target {
-            Some(target) => (target, Connection::New),
-            None => {
-                let target = self
-                    .choose_target()
-                    .ok_or_else(|| self.take_no_server_problem())?;
-                (target, exchange::connection_kind(!self.call.idempotent))
-            }
-        };
-        let isolation = match slot {
-            Some(slot) => isolation::reserve_target(slot, &target, self.remaining()).await,
-            None => None,
-        };
-        Ok(Attempt {
-            connection,
-            sent_at: self.shared.clock.now(),
-            isolation,
-            _guard: Guard::new(&target.gauge),
-            target,
-        })
-    }
-
-    /// Returns whether a target is still in the snapshot.
-    fn is_listed(&self, target: &Target) -> bool {
-        let snapshot = self.shared.snapshot.load();
-        self.selector()
-            .targets(&snapshot)
-            .iter()
-            .any(|candidate| Arc::ptr_eq(&candidate.gauge, &target.gauge))
-    }
-
-    fn selector(&self) -> Selector<'_> {
-        Selector {
-            name: self.call.destination.name(),
-            is_model: matches!(self.call.destination, Destination::Model(_)),
-            prefix_hash: self.call.prefix_hash,
-            isolated: self.admission.suspect,
-        }
+    fn micros_since(&self, sent_at: Instant) -> u64 {
+        self.now().since(sent_at).0 * 1_000
     }
+}
 
-    fn choose_target(&self) -> Option<Target> {
-        let snapshot = self.shared.snapshot.load_full();
-        let now = self.shared.clock.now();
-        let choice = self
-            .router
-            .choose(&snapshot, self.selector(), self.request.tried(), now);
-        for decision in self.router.take_decisions() {
-            self.shared.send(Event::Explained(decision));
-        }
-        Some(choice?.target)
+fn build_failure(exchange_failure: &ExchangeFailure, attempt: &Attempt) -> Failure {
+    Failure {
+        server: attempt.target.name.clone(),
+        step: exchange_failure.step,
+        fault: exchange_failure.fault,
+        connection: attempt.connection,
+        is_uncounted: false,
     }
+}
 
-    /// Returns the problem for a call without a target: the last failure if there was one.
-    fn take_no_server_problem(&mut self) -> Problem {
-        self.last_problem.take().unwrap_or_else(|| {
-            let detail = "no whole replica group or live backend server is known";
-            Problem::new(Reason::NoServer, Step::Admitted, detail)
-        })
+fn verdict_text(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Reconnect => "tried again on a new connection",
+        Verdict::Elsewhere => "tried elsewhere",
+        Verdict::Wait(cause) | Verdict::GiveUp(cause) => cause.label(),
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -8,7 +8,7 @@
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{Method, StatusCode};
 use ntex::time;
-use ntex::util::{Bytes, stream_recv};
+use ntex::util::stream_recv;
 
 use crate::call::{Call, Destination};
 use crate::snapshot::Target;
@@ -24,71 +24,25 @@
 /// Header that carries the generation of that group.
 const GENERATION: &str = "x-jackdaw-generation";
 
-/// A timeout and the fault that it stands for when it expires.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Bound {
-    timeout: Millis,
-    fault: Fault,
-}
-
-impl Bound {
-    /// Creates a bound from a timeout, limited to the time until the deadline.
-    pub(crate) fn new(timeout: Millis, remaining: Millis) -> Self {
-        if remaining < timeout {
-            return Bound {
-                timeout: remaining,
-                fault: Fault::Deadline,
-            };
-        }
-        Bound {
-            timeout,
-            fault: Fault::Silent,
-        }
-    }
-
-    fn to_failure(self, step: Step) -> ExchangeFailure {
-        let detail = match self.fault {
-            Fault::Deadline => "the deadline passed".to_owned(),
-            _ => format!("nothing came for {}", self.timeout),
-        };
-        ExchangeFailure::new(self.fault, step, detail)
-    }
-}
-
 /// Sends a call to a target and returns the answer after its head was checked.
 pub(crate) async fn send(
     client: &Client,
     call: &Call,
     target: &Target,
     resume_at: u64,
-    bound: Bound,
 ) -> Result<ClientResponse, ExchangeFailure> {
     let request = build_request(client, call, target, resume_at);
-    let sent = time::timeout(
-        to_timer_millis(bound.timeout),
-        request.send_body(call.body.clone()),
-    )
-    .await;
-    let answer = match sent {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return Err(classify_error(&error)),
-        Err(()) => return Err(bound.to_failure(Step::Written)),
-    };
+    let answer = request
+        .send_body(call.body.clone())
+        .await
+        .map_err(|error| classify_error(&error))?;
     check_head(call, &answer)?;
     Ok(answer)
 }
 
-/// Receives the next part of an answer's body; `None` means that the body is complete.
-pub(crate) async fn receive(
-    answer: &mut ClientResponse,
-    bound: Bound,
-) -> Result<Option<Bytes>, ExchangeFailure> {
-    match time::timeout(to_timer_millis(bound.timeout), stream_recv(answer)).await {
-        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
-        Ok(Some(Err(error))) => Err(ExchangeFailure::new(Fault::Closed, Step::Answering, error)),
-        Ok(None) => Ok(None),
-        Err(()) => Err(bound.to_failure(Step::Answering)),
-    }
+/// Reads an answer's body to its end, unless nothing arrives for the timeout.
+pub(crate) async fn drain(answer: &mut ClientResponse, timeout: time::Millis) {
+    while let Ok(Some(Ok(_))) = time::timeout(timeout, stream_recv(answer)).await {}
 }
 
 /// Converts a timeout to the type of the timer library.
--- a/crates/entry/src/isolation.rs
+++ b/crates/entry/src/isolation.rs
@@ -1,13 +1,20 @@
-//! Runs a suspect call alone on a target, so that a crash can be attributed to it.
+//! Chooses the target of an attempt, and runs a suspect call alone on it, so that a crash can be
+//! attributed to it.
 
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::retry::Connection;
 use ntex::time;
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::exchange::to_timer_millis;
+use crate::call::{Call, Destination};
+use crate::event::Event;
+use crate::exchange::{self, to_timer_millis};
 use crate::gauge::Reservation;
+use crate::route::{Router, Selector};
 use crate::shared::Shared;
 use crate::snapshot::Target;
 
@@ -23,36 +30,135 @@
 /// Keeps this node's other calls off a target until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Isolation {
+    target: Target,
     _reservation: Reservation,
-    _slot: Slot,
+    slot: Rc<Slot>,
+}
+
+/// A chosen target and the kind of connection to use.
+#[derive(Debug)]
+pub(crate) struct Placement {
+    pub(crate) target: Target,
+    pub(crate) connection: Connection,
+    pub(crate) isolation: Option<Rc<Isolation>>,
+}
+
+/// What the choice of a target depends on.
+pub(crate) struct Plan {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) router: Rc<Router>,
+    pub(crate) call: Rc<Call>,
+    /// Targets that were tried before.
+    pub(crate) tried: Vec<CompactString>,
+    /// Target that is tried once more on a new connection, if it is still listed.
+    pub(crate) reconnect_target: Option<Target>,
+    /// Whether the call has to run alone.
+    pub(crate) suspect: bool,
+    /// Isolation of the call's attempt before, if that is still in progress.
+    pub(crate) isolation: Weak<Isolation>,
+}
+
+impl Plan {
+    /// Chooses a target and waits until the call may be sent there; returns `None` if there is none.
+    pub(crate) async fn place(self) -> Option<Placement> {
+        let previous = self.isolation.upgrade();
+        let slot = match (&previous, self.suspect) {
+            (Some(previous), true) => Some(Rc::clone(&previous.slot)),
+            (None, true) => acquire_slot(&self.shared, self.remaining()).await,
+            (_, false) => None,
+        };
+        let reconnect_target = self.reconnect_target.as_ref();
+        let (target, connection) = match reconnect_target.filter(|target| self.is_listed(target)) {
+            Some(target) => (target.clone(), Connection::New),
+            // A non-idempotent call cannot be retried after the loss of a reused connection, so it
+            // always gets a new one.
+            None => (
+                self.choose_target()?,
+                exchange::connection_kind(!self.call.idempotent),
+            ),
+        };
+        let own = previous.filter(|isolation| is_same(&isolation.target, &target));
+        let isolation = match (own, slot) {
+            (Some(own), _) => Some(own),
+            (None, Some(slot)) => reserve_target(slot, &target, self.remaining()).await,
+            (None, None) => None,
+        };
+        Some(Placement {
+            target,
+            connection,
+            isolation,
+        })
+    }
+
+    /// Returns whether a target that was not tried yet is known.
+    pub(crate) fn has_target(&self) -> bool {
+        self.choose_target().is_some()
+    }
+
+    /// Returns whether a target is still in the snapshot.
+    fn is_listed(&self, target: &Target) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        let targets = self.selector().targets(&snapshot);
+        targets.iter().any(|candidate| is_same(candidate, target))
+    }
+
+    fn choose_target(&self) -> Option<Target> {
+        let snapshot = self.shared.snapshot.load_full();
+        let now = self.shared.clock.now();
+        let choice = self
+            .router
+            .choose(&snapshot, self.selector(), &self.tried, now);
+        for decision in self.router.take_decisions() {
+            self.shared.send(Event::Explained(decision));
+        }
+        Some(choice?.target)
+    }
+
+    fn selector(&self) -> Selector<'_> {
+        Selector {
+            name: self.call.destination.name(),
+            is_model: matches!(self.call.destination, Destination::Model(_)),
+            prefix_hash: self.call.prefix_hash,
+            isolated: self.suspect,
+        }
+    }
+
+    fn remaining(&self) -> Millis {
+        self.call.deadline.since(self.shared.clock.now())
+    }
+}
+
+fn is_same(left: &Target, right: &Target) -> bool {
+    Arc::ptr_eq(&left.gauge, &right.gauge)
 }
 
 /// Waits for a free slot; returns `None` if none becomes free in time.
-pub(crate) async fn acquire_slot(shared: &Shared, remaining: Millis) -> Option<Slot> {
+async fn acquire_slot(shared: &Shared, remaining: Millis) -> Option<Rc<Slot>> {
     let permit = Arc::clone(&shared.suspect_slots).acquire_owned();
     let permit = time::timeout(limit_wait(remaining), permit)
         .await
         .ok()?
         .ok()?;
-    Some(Slot { _permit: permit })
+    Some(Rc::new(Slot { _permit: permit }))
 }
 
 /// Reserves a target and waits until no request of this node is in flight there.
 ///
 /// Returns `None` if the target is already reserved or the wait takes too long. The suspect call
 /// then runs beside others, and a crash is not attributed to it alone.
-pub(crate) async fn reserve_target(
-    slot: Slot,
+async fn reserve_target(
+    slot: Rc<Slot>,
     target: &Target,
     remaining: Millis,
-) -> Option<Isolation> {
+) -> Option<Rc<Isolation>> {
     let reservation = Reservation::new(&target.gauge)?;
     let idle = time::timeout(limit_wait(remaining), reservation.wait_until_empty());
     idle.await.ok()?;
-    Some(Isolation {
+    Some(Rc::new(Isolation {
+        target: target.clone(),
         _reservation: reservation,
-        _slot: slot,
-    })
+        slot,
+    }))
 }
 
 fn limit_wait(remaining: Millis) -> time::Millis {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admit;
 mod at_most_once;
+mod attempt;
 mod auth;
 mod buffered;
 mod call;
@@ -32,6 +33,7 @@
 mod pool;
 mod problem;
 mod quota;
+mod race;
 mod sequence;
 mod service;
 mod sse;
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -52,6 +52,14 @@
         self
     }
 
+    /// Makes the deadline the reason.
+    pub(crate) fn into_deadline(self) -> Self {
+        Problem {
+            reason: Reason::Deadline,
+            ..self
+        }
+    }
+
     /// Returns the response for the caller.
     pub(crate) fn to_response(&self, request_id: &str) -> HttpResponse {
         let status =
--- a/crates/entry/src/sequence.rs
+++ b/crates/entry/src/sequence.rs
@@ -14,16 +14,28 @@
     id: Option<Cow<'a, str>>,
 }
 
-/// Position in a stream, which may come from several replicas one after the other.
+/// Position in a stream as the caller has it; it may come from several replicas one after the other.
 #[derive(Debug, Default)]
 pub(crate) struct Sequence {
     delivered: u64,
-    /// Offset of the current replica's first token.
-    answer_start: u64,
     /// Answer id that the caller sees.
     caller_id: Option<CompactString>,
-    /// Answer id of the current replica.
-    current_id: Option<CompactString>,
+}
+
+/// A replica's part of a stream.
+#[derive(Debug)]
+pub(crate) struct Source {
+    /// Offset of the first token.
+    start: u64,
+    /// Answer id of the replica.
+    id: Option<CompactString>,
+}
+
+impl Source {
+    /// Gets the offset of the first token.
+    pub(crate) fn start(&self) -> u64 {
+        self.start
+    }
 }
 
 impl Sequence {
@@ -32,15 +44,12 @@
         self.delivered
     }
 
-    /// Returns the number of tokens accepted from the current replica.
-    pub(crate) fn current_len(&self) -> u64 {
-        self.delivered - self.answer_start
-    }
-
-    /// Continues the stream with an answer from another replica.
-    pub(crate) fn start_answer(&mut self) {
-        self.answer_start = self.delivered;
-        self.current_id = None;
+    /// Returns the part of a replica that continues the stream.
+    pub(crate) fn start_answer(&self) -> Source {
+        Source {
+            start: self.delivered,
+            id: None,
+        }
     }
 
     /// Checks the next event and returns it under the answer id that the caller sees.
@@ -50,6 +59,7 @@
     /// Returns a failure if the event is out of order or belongs to another answer.
     pub(crate) fn accept(
         &mut self,
+        source: &mut Source,
         number: Option<u64>,
         data: Bytes,
     ) -> Result<Bytes, ExchangeFailure> {
@@ -59,21 +69,26 @@
         }
         let data = match parse_id(&data) {
             None => data,
-            Some(id) => self.check_id(&id, data)?,
+            Some(id) => self.check_id(source, &id, data)?,
         };
         self.delivered += 1;
         Ok(data)
     }
 
-    fn check_id(&mut self, id: &CompactString, data: Bytes) -> Result<Bytes, ExchangeFailure> {
-        match &self.current_id {
-            Some(current_id) if current_id == id => {}
+    fn check_id(
+        &mut self,
+        source: &mut Source,
+        id: &CompactString,
+        data: Bytes,
+    ) -> Result<Bytes, ExchangeFailure> {
+        match &source.id {
+            Some(source_id) if source_id == id => {}
             Some(_) => {
                 return Err(ExchangeFailure::invalid(
                     "an event belongs to another answer",
                 ));
             }
-            None => self.current_id = Some(id.clone()),
+            None => source.id = Some(id.clone()),
         }
         let caller_id = self.caller_id.get_or_insert_with(|| id.clone());
         if caller_id == id {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -19,6 +19,7 @@
 use crate::handler::{self, Worker};
 use crate::head;
 use crate::problem::Problem;
+use crate::race::Race;
 
 /// Handles a call to a plain service.
 pub(crate) async fn handle_call(
@@ -85,8 +86,8 @@
         return at_most_once::run(worker, call, key, admission, guard).await;
     }
     let call = Rc::new(call);
-    let mut dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
-    let answer = buffered::relay(&mut dispatch).await?;
+    let dispatch = Dispatch::new(worker, Rc::clone(&call), admission);
+    let answer = buffered::relay(&mut Race::new(dispatch)).await?;
     shared.counters.count_outcome(Outcome::Completed);
     Ok(answer.to_response(&call.id))
 }
