Give up the idle connections to a target after an invalid answer

The idle connections to a target are now given up after an invalid answer as they are after a lost or silent one.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -353,7 +353,10 @@
 
     /// Discards connections that may be lost and reports the failure of a server.
     fn report_failure(&mut self, failure: &Failure, attempt: &Attempt) {
-        if matches!(failure.fault, Fault::Closed | Fault::Silent) {
+        if matches!(
+            failure.fault,
+            Fault::Closed | Fault::Silent | Fault::Invalid
+        ) {
             self.clients.discard_idle(attempt.target.address);
         }
         if self.request.is_server_at_fault(failure) {
--- a/crates/entry/tests/silence.rs
+++ b/crates/entry/tests/silence.rs
@@ -477,3 +477,14 @@
         .collect();
     assert_eq!(offsets, [None, Some("2".to_owned())]);
 }
+
+#[test]
+fn connection_of_an_answer_without_length_is_closed() {
+    let script = vec![Write(UNFRAMED_STREAM), Wait, Endless("data: x\n\n")];
+    let backend = Backend::start(1, &[script]);
+    let node = Node::start(options(), &backend.addresses);
+    let reply = Request::streamed().send(node.address());
+    assert_eq!(reply.problem_field("reason"), "answer-invalid", "{reply:?}");
+    backend.release();
+    backend.wait_for_close();
+}
