Test the counter of waits and the crash of a suspect's silent server

A wait is counted once by its reason. Two attempts of a suspect at one server, one of them beside the silent other, do not hide that the suspect was alone there when the server ended; it then gets no other server.

--- a/crates/entry/tests/counters.rs
+++ b/crates/entry/tests/counters.rs
@@ -31,8 +31,10 @@
             .expect("exporter");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("test");
+        let mut options = options();
+        options.buffered_answer_timeout = options.first_byte_timeout;
         MeteredNode {
-            node: Node::start_with_meter(options(), snapshot(&backend.addresses), &meter),
+            node: Node::start_with_meter(options, snapshot(&backend.addresses), &meter),
             registry,
             _provider: provider,
         }
@@ -109,3 +111,25 @@
     let completed = metered.count("jackdawstair_requests", &["outcome=\"completed\""]);
     assert_eq!(completed, Some(1.0));
 }
+
+#[rstest]
+#[case::no_other_server(Request::completion(), "no-server")]
+#[case::may_have_run(
+    Request::service("POST", "/services/stock/orders").with_header("idempotency-key", "k"),
+    "may-have-run"
+)]
+fn wait_for_a_silent_server_is_counted_once_by_its_reason(
+    #[case] request: Request,
+    #[case] reason: &str,
+) {
+    let backend = Backend::start(1, &[vec![Hang], vec![Hang]]);
+    let metered = MeteredNode::start(&backend);
+    let request = request.with_header("jackdawstair-deadline-ms", "2000");
+    assert_eq!(request.send(metered.node.address()).status, 504);
+    for other in ["budget", "attempts", "no-server", "may-have-run"] {
+        let label = format!("reason=\"{other}\"");
+        let expected = if other == reason { 1.0 } else { 0.0 };
+        let count = metered.count("jackdawstair_waits", &[&label]);
+        assert_eq!(count, Some(expected), "{other}");
+    }
+}
--- a/crates/entry/tests/poison.rs
+++ b/crates/entry/tests/poison.rs
@@ -10,7 +10,7 @@
 use jackdaw_entry::gauge::Guard;
 use jackdaw_policy::poison::{Crash, Tracker};
 use rstest::rstest;
-use support::backend::Action::{Close, Wait, Write};
+use support::backend::Action::{Close, Hang, Wait, Write};
 use support::backend::{Backend, FULL_ANSWER, STREAM_HEAD, Script};
 use support::caller::Request;
 use support::node::{Node, options};
@@ -147,3 +147,37 @@
         .any(|event| matches!(event, Event::ConnectionLost { .. }));
     assert_eq!(reported, is_reported);
 }
+
+/// Both attempts of a suspect are at the server that ends, and no other request is.
+#[test]
+fn crash_of_a_silent_server_is_attributed_to_the_suspect_that_is_alone_there() {
+    let backend = Backend::start(2, &[vec![Wait, Close], vec![Hang]]);
+    let mut options = options();
+    options.buffered_answer_timeout = options.first_byte_timeout;
+    let mut node = Node::start(options, &backend.addresses);
+    let mut tracker = Tracker::default();
+    let request = Request::completion().with_header("jackdawstair-deadline-ms", "2000");
+    let digest = Digest::of(format!("POST tiles/v1/completions\n{}", request.body).as_bytes());
+    let crash = Crash {
+        digest,
+        server: "target-0".into(),
+        incarnation: 1,
+        alone: false,
+    };
+    tracker.record_crash(&crash, Instant(0));
+    node.publish_verdicts(tracker.verdicts());
+    let stream = request.open(node.address());
+    let servers = [backend.next_request().server, backend.next_request().server];
+    assert_eq!(servers[0], servers[1]);
+    backend.release();
+    let alone = loop {
+        if let Event::ConnectionLost { alone, .. } = node.next_event() {
+            break alone;
+        }
+    };
+    assert!(alone);
+    // The other attempt is waited for until the deadline, and no other server gets the request.
+    let reply = support::caller::Reply::read(&stream);
+    assert_eq!(reply.problem_field("reason"), "poison", "{reply:?}");
+    assert!(backend.take_requests().is_empty());
+}
