--- a/crates/entry/src/race.rs
+++ b/crates/entry/src/race.rs
@@ -101,6 +101,17 @@
         }
     }
 
+    /// Returns whether an attempt is in progress.
+    pub(crate) fn is_under_way(&self) -> bool {
+        self.current.is_some()
+    }
+
+    /// Drops the attempts, which ends the work at their servers.
+    pub(crate) fn abandon(&mut self) {
+        self.current = None;
+        self.standbys.clear();
+    }
+
     /// Records a complete answer that is not a stream.
     pub(crate) fn record_answer(&mut self) {
         if let Some(attempt) = self.current.take() {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -119,7 +119,7 @@
     loop {
         let chunk = encode(&mut race, piece);
         let is_last = chunk.is_last;
-        if !deliver(&shared, &sender, chunk).await || is_last {
+        if !deliver(&mut race, &sender, chunk).await || is_last {
             return;
         }
         let closed = pin!(sender.closed());
@@ -156,11 +156,36 @@
 }
 
 /// Sends a chunk to the caller; returns whether it accepts it in time.
-async fn deliver(shared: &Shared, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
+///
+/// At the deadline the work on the backend servers ends, and the caller gets a problem instead.
+async fn deliver(race: &mut Race, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
     let chunk = match sender.try_send(chunk) {
         Ok(()) => return true,
         Err(error) => error.into_inner(),
     };
+    let left = race.dispatch.remaining();
+    if !race.is_under_way() || race.dispatch.shared.options.unread_timeout <= left {
+        return send(&race.dispatch.shared, sender, chunk).await;
+    }
+    match time::timeout(exchange::to_timer_millis(left), sender.reserve()).await {
+        Ok(Ok(permit)) => {
+            permit.send(chunk);
+            true
+        }
+        Ok(Err(_)) => false,
+        Err(()) => {
+            race.abandon();
+            let detail = "the caller had not read the stream when its deadline passed";
+            let problem = Problem::new(Reason::Deadline, Step::Answering, detail);
+            let chunk = encode(race, Err(problem));
+            send(&race.dispatch.shared, sender, chunk).await;
+            false
+        }
+    }
+}
+
+/// Waits until the caller reads, and sends it a chunk; returns whether it reads in time.
+async fn send(shared: &Shared, sender: &Sender<Chunk>, chunk: Chunk) -> bool {
     let bound = exchange::to_timer_millis(shared.options.unread_timeout);
     match time::timeout(bound, sender.send(chunk)).await {
         Ok(sent) => sent.is_ok(),
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -2,10 +2,12 @@
 
 mod abandoned;
 mod cluster;
+mod configuration;
 mod connection;
 mod delivery;
 mod domain;
 mod follow;
+mod framing;
 mod freshness;
 mod lines;
 mod poison;
@@ -15,3 +17,4 @@
 mod stop;
 mod store;
 mod support;
+mod version;
