--- a/crates/entry/tests/configuration.rs
+++ b/crates/entry/tests/configuration.rs
@@ -174,7 +174,9 @@
     let mut later = None;
     let request = match stage {
         Stage::Body | Stage::Queue | Stage::Answer => Request::completion(),
-        Stage::Stream | Stage::Resumption => Request::streamed(),
+        Stage::Stream => Request::streamed(),
+        // A stream under way waits for a target until its deadline.
+        Stage::Resumption => Request::streamed().with_header("jackdawstair-deadline-ms", "3000"),
     };
     let text = request.encode();
     let (start, rest) = text.split_at(text.len() - 2);
