Test that the attempts beside an answer end and stay within their number

With two attempts at silent servers in progress, the first or the second one goes on (10 cases): the caller gets each event once, no server works on half a second after the answer, and the request has reached two servers. Eight callers before five silent servers that all go on at the same time (6 cases) get whole answers, and no request reaches more servers than its route allows.

A request whose server stays silent is to be answered by the other one before its deadline of 4 s (5 cases). Race::wait takes the time-out from an attempt that is still connecting, which has none, and does not look again when the attempt has sent its request or begins to collect a body, until the deadline or the limit of a stop wakes it. The tests of silence with a deadline of 8 s did not see it, since the limit of a stop came first.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -130,6 +130,8 @@
     ended: HashSet<usize>,
     /// Identities and servers of the requests that have arrived.
     arrived: Vec<(String, usize)>,
+    /// Number of requests that servers work at.
+    working: usize,
     /// Number of requests under which a server has fallen silent.
     held: usize,
     /// Number of connections that servers have accepted.
@@ -265,10 +267,14 @@
                     .unwrap_or_default(),
             };
             let id = request.id.clone();
-            self.shared
-                .record(|events| events.arrived.push((id, self.number)));
+            self.shared.record(|events| {
+                events.arrived.push((id, self.number));
+                events.working += 1;
+            });
             self.watch(&stream, connection);
-            if request.answer().is_none() {
+            let is_answered = request.answer().is_some();
+            self.shared.record(|events| events.working -= 1);
+            if !is_answered {
                 break;
             }
         }
@@ -754,6 +760,19 @@
         }
     }
 
+    /// Waits until no server works at a request, and returns whether that is so within a time.
+    pub(crate) fn rests_within(&self, timeout: Duration) -> bool {
+        self.shared
+            .wait_until(|events| events.working == 0, timeout)
+    }
+
+    /// Lets one silent server go on.
+    pub(crate) fn release_one(&self, number: usize) {
+        self.shared.record(|events| {
+            events.released.insert(number);
+        });
+    }
+
     /// Lets the silent servers go on.
     pub(crate) fn release(&self) {
         let numbers = self.members.iter().map(|member| member.number);
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -12,6 +12,7 @@
     Caller, Conduct, Domain, FRAGILE, FRAGILE_HEAD, ONCE, ONCE_HEAD, Retries, STREAM, STREAM_HEAD,
     STREAM_START, WHOLE, WHOLE_HEAD, Wait, configuration,
 };
+use super::relay::DISCONNECT_TIMEOUT;
 use super::support::request;
 
 /// Time for which servers are silent; longer than the node waits at most for the next bytes.
@@ -271,3 +272,109 @@
     assert_eq!(domain.servers_of("r0"), [0]);
     domain.stop();
 }
+
+/// Which of two attempts at silent servers goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Winner {
+    First,
+    Second,
+}
+
+// Guards against servers that go on working at a request that another one has answered, and against
+// answers that are lost or doubled when a silent server goes on beside the next attempt.
+#[rstest]
+#[case(STREAM_HEAD)]
+#[case(STREAM_START)]
+#[case(STREAM)]
+#[case(WHOLE_HEAD)]
+#[case(WHOLE)]
+fn attempt_beside_the_one_that_answers_is_ended(
+    #[case] wait: Wait,
+    #[values(Winner::First, Winner::Second)] winner: Winner,
+) {
+    let conducts = &[Conduct::Silent; 3];
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let caller = wait.call(&domain, 0);
+    domain.wait_held(2);
+    let servers = domain.servers_of("r0");
+    domain.release_one(match winner {
+        Winner::First => servers[0],
+        Winner::Second => servers[1],
+    });
+    caller.assert_whole("an attempt beside another");
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "a server works on after the answer"
+    );
+    assert_eq!(domain.servers_of("r0"), servers);
+    domain.stop();
+}
+
+/// Requests whose servers all fall silent, and go on at the same time.
+#[derive(Clone, Copy, Debug)]
+struct Return {
+    name: &'static str,
+    waits: &'static [Wait],
+    max_attempts: u32,
+}
+
+// Guards against requests that reach more servers than their route allows while servers are silent.
+#[rstest]
+#[case(Return { name: "streams, two attempts", waits: &[STREAM_HEAD, STREAM_START, STREAM], max_attempts: 2 })]
+#[case(Return { name: "streams, three attempts", waits: &[STREAM_HEAD, STREAM_START, STREAM], max_attempts: 3 })]
+#[case(Return { name: "whole answers, two attempts", waits: &[WHOLE_HEAD, WHOLE], max_attempts: 2 })]
+#[case(Return { name: "whole answers, three attempts", waits: &[WHOLE_HEAD, WHOLE], max_attempts: 3 })]
+#[case(Return { name: "one attempt", waits: &[STREAM_HEAD, STREAM, WHOLE_HEAD, WHOLE], max_attempts: 1 })]
+#[case(Return { name: "requests that may not be repeated", waits: &[FRAGILE_HEAD, FRAGILE, ONCE_HEAD, ONCE], max_attempts: 2 })]
+fn requests_before_silent_servers_reach_as_many_as_their_route_allows(#[case] case: Return) {
+    let conducts = &[Conduct::Silent; 5];
+    let configuration = configuration(case.max_attempts);
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration]);
+    domain.silence();
+    let waits = case.waits.iter().cycle().take(CALLERS);
+    let callers: Vec<_> = waits
+        .enumerate()
+        .map(|(number, wait)| wait.call(&domain, number))
+        .collect();
+    domain.wait_held(CALLERS);
+    domain.release_after(EARLY_SILENCE);
+    for caller in callers {
+        caller.assert_whole(case.name);
+    }
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "{}: a server works on after the answers",
+        case.name
+    );
+    for number in 0..CALLERS {
+        let servers = domain.servers_of(&format!("r{number}"));
+        let max_attempts = case.max_attempts as usize;
+        assert!(servers.len() <= max_attempts, "{}: {servers:?}", case.name);
+    }
+    domain.stop();
+}
+
+// Guards against a request that stays with a silent server although another one could answer it
+// before the deadline.
+#[rstest]
+#[case(STREAM_HEAD)]
+#[case(STREAM_START)]
+#[case(STREAM)]
+#[case(WHOLE_HEAD)]
+#[case(WHOLE)]
+fn request_before_a_server_that_stays_silent_is_answered_by_another(#[case] wait: Wait) {
+    let conducts = &[Conduct::Sound; 2];
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let path = format!("{}{}0", wait.route, wait.point.label());
+    let caller = domain.call_within(Millis(4_000), "r0", wait.method, &path);
+    domain.wait_held(1);
+    domain.turn();
+    caller.assert_whole("a server that stays silent");
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "a server works on after the answer"
+    );
+    domain.stop();
+}
