--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use compact_str::{CompactString, format_compact};
 use jackdaw_core::config::{Engine, Index, Model};
 use jackdaw_core::outcome::{Outcome, Step};
 use jackdaw_core::refusal::Reason;
@@ -10,6 +11,7 @@
 use jackdaw_entry::in_flight;
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Load};
+use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::{self, Crash, Features, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
@@ -77,6 +79,8 @@
     candidate_count: usize,
     /// Number of attempts that failed or whose server fell silent.
     failures: u32,
+    /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
+    has_met_silence: bool,
 }
 
 impl Dispatch {
@@ -97,6 +101,7 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
+            has_met_silence: false,
         }
     }
 
@@ -122,7 +127,8 @@
             // The server may close an idle connection just as a request is sent, and an unsolicited
             // late answer may be buffered on it. A request that runs at most once could not be sent
             // again.
-            needs_new_connection: is_once || self.request.was_cut_off_by(&target.server),
+            needs_new_connection: is_once
+                || self.request.was_cut_off_by(&incarnation_name(&target)),
             last_event: self.last_delivered,
         };
         self.track(|tracked| {
@@ -161,7 +167,8 @@
 
     /// Records that an attempt's server survived the request.
     fn record_survival(&self, attempt: &mut Attempt) {
-        let may_be_suspect = attempt.exposure.suspicion().is_some() || self.failures > 0;
+        let may_be_suspect =
+            attempt.exposure.suspicion().is_some() || self.failures > 0 || self.has_met_silence;
         if may_be_suspect && attempt.exposure.record_survival() {
             let features = Features::of_request(self.call.digest());
             self.node.record_survival(&self.call.head.id, &features);
@@ -344,7 +351,9 @@
         keys.filter(move |key| {
             let target = targets.target(*key);
             let is_eligible = !has_engine || target.model == self.call.head.model;
-            is_eligible && self.request.can_try(&target.server)
+            let was_tried = !self.request.tried().is_empty()
+                && !self.request.can_try(&incarnation_name(&target));
+            is_eligible && !was_tried
         })
     }
 
@@ -567,10 +576,13 @@
         let now = self.node.now();
         let error = ExchangeFailure::new(Fault::Silent, attempt.step(), "nothing arrives");
         if is_new {
+            self.has_met_silence = true;
             self.avoid(attempt);
             self.record_crash(Fault::Silent, attempt.step(), attempt);
         }
-        let verdict = if self.has_other_target(attempt.key()) {
+        // A retry is not taken for an attempt that would be refused.
+        let can_begin = self.check_poison().is_ok() && self.has_other_target(attempt.key());
+        let verdict = if can_begin {
             let failure = describe_failure(attempt, Fault::Silent, attempt.step());
             self.request.record_silence(&failure, &self.budget, now)
         } else {
@@ -688,9 +700,15 @@
     }
 }
 
+/// Returns the name of a target's server that tells its incarnations apart: one that has started again
+/// is another server.
+pub(crate) fn incarnation_name(target: &Target) -> CompactString {
+    format_compact!("{}@{}", target.server, target.born)
+}
+
 fn describe_failure(attempt: &Attempt, fault: Fault, step: Step) -> Failure {
     Failure {
-        server: attempt.target.server.clone(),
+        server: incarnation_name(&attempt.target),
         step,
         fault,
         connection: if attempt.is_new_connection {
--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::io::{BufReader, Write as _};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::Ports;
 use slog::{Logger, o};
-use socket2::Socket;
+use socket2::{Socket, Type};
 
 use super::store::MemoryStore;
 use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, server};
@@ -33,8 +33,16 @@
 const BODY: &str = "first half, second half";
 /// Length of the body's part before a server falls silent midway.
 const HALF: usize = 10;
+/// Service of the servers.
+const SERVICE: &str = "service";
 /// Path that no server holds up.
 const PROBE: &str = "/safe/probe";
+/// Part of the path of a stream that its server does not end.
+const ENDLESS: &str = "/endless/";
+/// Time between two events of such a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Key that callers state.
+pub(crate) const KEY: &str = "key";
 /// Requests that earn one retry at the ratio of [`Retries::One`].
 const REQUESTS_PER_RETRY: usize = 60;
 /// Number of connections that wait to be accepted.
@@ -126,6 +134,8 @@
     ended: HashSet<usize>,
     /// Identities and servers of the requests that have arrived.
     arrived: Vec<(String, usize)>,
+    /// Number of requests that servers work at.
+    working: usize,
     /// Number of requests under which a server has fallen silent.
     held: usize,
     /// Number of connections that servers have accepted.
@@ -199,15 +209,31 @@
     last: u64,
 }
 
+/// Binds a socket to a free port of which it keeps hold when it is shut down, as one that was bound to
+/// any port would not.
+fn bind_lasting() -> (Socket, SocketAddr) {
+    let bind = |address: SocketAddr| {
+        let socket = Socket::new(socket2::Domain::IPV4, Type::STREAM, None);
+        let socket = socket.expect("a descriptor is free");
+        socket.set_reuse_port(true).expect("the option is known");
+        socket.bind(&address.into()).expect("the port is free");
+        socket
+    };
+    let any = bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let address = any.local_addr().expect("the port is bound");
+    let address = address.as_socket().expect("the address is one of IPv4");
+    (bind(address), address)
+}
+
 impl Member {
     /// Starts a server on a free port.
     fn listen(number: usize, conduct: Conduct, shared: &Arc<Shared>) -> (Member, SocketAddr) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = listener.local_addr().expect("the port is bound");
+        let (socket, address) = bind_lasting();
+        socket.listen(BACKLOG).expect("the port is bound");
         let member = Member {
             number,
             conduct,
-            socket: Arc::new(listener.into()),
+            socket: Arc::new(socket),
             shared: Arc::clone(shared),
         };
         let accepting = member.clone();
@@ -219,6 +245,8 @@
     fn accept(&self) {
         while let Ok((stream, _)) = self.socket.accept() {
             let member = self.clone();
+            // An answer is written in parts, of which each would wait for the peer's acknowledgement.
+            stream.set_tcp_nodelay(true).expect("the option is known");
             thread::spawn(move || member.serve(stream.into()));
         }
     }
@@ -243,10 +271,14 @@
                     .unwrap_or_default(),
             };
             let id = request.id.clone();
-            self.shared
-                .record(|events| events.arrived.push((id, self.number)));
+            self.shared.record(|events| {
+                events.arrived.push((id, self.number));
+                events.working += 1;
+            });
             self.watch(&stream, connection);
-            if request.answer().is_none() {
+            let is_answered = request.answer().is_some();
+            self.shared.record(|events| events.working -= 1);
+            if !is_answered {
                 break;
             }
         }
@@ -309,6 +341,9 @@
         );
         self.write(&head)?;
         self.hold(Point::FirstEvent)?;
+        if self.path.contains(ENDLESS) {
+            return self.stream_on();
+        }
         for number in self.last + 1..=EVENTS {
             if number == MIDDLE.max(self.last) + 1 {
                 self.hold(Point::Event)?;
@@ -319,6 +354,21 @@
         self.write("0\r\n\r\n")
     }
 
+    /// Sends events until the node closes the connection, or [`TIMEOUT`] passes.
+    fn stream_on(&mut self) -> Option<()> {
+        let shared = Arc::clone(&self.member.shared);
+        let start = Instant::now();
+        for number in 1.. {
+            let event = event(&self.id, number);
+            self.write(&format!("{:x}\r\n{event}\r\n", event.len()))?;
+            let is_closed = |events: &Events| events.closed.contains(&self.connection);
+            if shared.wait_until(is_closed, EVENT_INTERVAL) || start.elapsed() > TIMEOUT {
+                break;
+            }
+        }
+        None
+    }
+
     fn write(&mut self, bytes: &str) -> Option<()> {
         self.stream.write_all(bytes.as_bytes()).ok()
     }
@@ -350,8 +400,8 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-/// Returns a route of the service `service`.
-fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
+/// Returns a route to [`SERVICE`].
+pub(crate) fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
     Route {
         name: prefix.trim_matches('/').into(),
         host: "host".into(),
@@ -364,7 +414,7 @@
         max_attempts,
         anonymous: true,
         backends: vec![Backend {
-            service: "service".into(),
+            service: SERVICE.into(),
             weight: 1,
         }],
     }
@@ -383,7 +433,7 @@
             route("/fragile/", fragile, max_attempts),
         ],
         services: vec![Service {
-            name: "service".into(),
+            name: SERVICE.into(),
             max_connections: 100,
             engine: None,
         }],
@@ -399,7 +449,12 @@
 
 impl Protocol for Versions {
     fn decode_request(&self, headers: &HeaderMap) -> Result<Head> {
-        self.protocol.decode_request(headers)
+        let key = headers.get("key").and_then(|key| key.to_str().ok());
+        let head = self.protocol.decode_request(headers)?;
+        Ok(Head {
+            key: key.map(Into::into),
+            ..head
+        })
     }
 
     fn write_headers(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
@@ -487,6 +542,18 @@
         );
     }
 
+    /// Waits for the answer and checks that it is whole and came long before the deadline.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not, or did not.
+    pub(crate) fn assert_whole_early(self, name: &str) {
+        let start = Instant::now();
+        self.assert_whole(name);
+        let after = start.elapsed();
+        assert!(after < DEADLINE.duration() / 2, "{name}: after {after:?}");
+    }
+
     /// Waits for the answer and checks that it ended long before the deadline, refused or broken off.
     ///
     /// # Panics
@@ -530,6 +597,69 @@
     }
 }
 
+/// Requests that wait for a silent server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wait {
+    pub(crate) method: &'static str,
+    pub(crate) route: &'static str,
+    pub(crate) point: Point,
+}
+
+impl Wait {
+    /// Sends a request of this kind.
+    pub(crate) fn call(&self, domain: &Domain, number: usize) -> Caller {
+        let path = format!("{}{}{number}", self.route, self.point.label());
+        domain.call(&format!("r{number}"), self.method, &path)
+    }
+
+    /// Sends a request of this kind with an identity; all these are repetitions of each other.
+    pub(crate) fn call_as(&self, domain: &Domain, id: &str) -> Caller {
+        let path = format!("{}{}same", self.route, self.point.label());
+        domain.call(id, self.method, &path)
+    }
+}
+
+pub(crate) const STREAM_HEAD: Wait = Wait {
+    method: "POST",
+    route: "/stream",
+    point: Point::Head,
+};
+pub(crate) const STREAM_START: Wait = Wait {
+    point: Point::FirstEvent,
+    ..STREAM_HEAD
+};
+pub(crate) const STREAM: Wait = Wait {
+    point: Point::Event,
+    ..STREAM_HEAD
+};
+pub(crate) const WHOLE_HEAD: Wait = Wait {
+    method: "GET",
+    route: "/safe",
+    point: Point::Head,
+};
+pub(crate) const WHOLE: Wait = Wait {
+    point: Point::Body,
+    ..WHOLE_HEAD
+};
+pub(crate) const FRAGILE_HEAD: Wait = Wait {
+    route: "/fragile",
+    ..STREAM_HEAD
+};
+pub(crate) const FRAGILE: Wait = Wait {
+    route: "/fragile",
+    ..STREAM
+};
+pub(crate) const ONCE_HEAD: Wait = Wait {
+    method: "POST",
+    route: "/once",
+    ..WHOLE_HEAD
+};
+pub(crate) const ONCE: Wait = Wait {
+    method: "POST",
+    route: "/once",
+    ..WHOLE
+};
+
 /// A running node before the servers of a domain.
 pub(crate) struct Domain {
     shared: Arc<Shared>,
@@ -604,13 +734,18 @@
         method: &str,
         path: &str,
     ) -> Caller {
-        let address = self.address();
         let body = if method == "POST" { id } else { "" };
         let request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            "{method} {path} HTTP/1.1\r\nhost: host\r\nid: {id}\r\nkey: {KEY}\r\ndeadline: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
             deadline.0,
             body.len()
         );
+        self.send(id, path, request)
+    }
+
+    /// Sends the bytes of a request on a new connection.
+    pub(crate) fn send(&self, id: &str, path: &str, request: String) -> Caller {
+        let address = self.address();
         Caller {
             id: id.to_owned(),
             path: path.to_owned(),
@@ -665,6 +800,19 @@
         }
     }
 
+    /// Waits until no server works at a request, and returns whether that is so within a time.
+    pub(crate) fn rests_within(&self, timeout: Duration) -> bool {
+        self.shared
+            .wait_until(|events| events.working == 0, timeout)
+    }
+
+    /// Lets one silent server go on.
+    pub(crate) fn release_one(&self, number: usize) {
+        self.shared.record(|events| {
+            events.released.insert(number);
+        });
+    }
+
     /// Lets the silent servers go on.
     pub(crate) fn release(&self) {
         let numbers = self.members.iter().map(|member| member.number);
@@ -720,10 +868,34 @@
         let start = Instant::now();
         while !self.servers_of("probe").contains(&number) {
             assert!(start.elapsed() < TIMEOUT, "server {number} is not known");
-            self.probe();
+            // Until then there may be no server that answers.
+            self.call("probe", "GET", PROBE).wait();
         }
     }
 
+    /// Waits until the node has a route for a path.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it has none within [`TIMEOUT`].
+    pub(crate) fn wait_routed(&self, path: &str) {
+        let start = Instant::now();
+        let answer = || self.call("probe", "GET", path).wait().answer;
+        while answer().starts_with("HTTP/1.1 404") {
+            assert!(start.elapsed() < TIMEOUT, "{path} has no route");
+        }
+    }
+
+    /// Registers a new incarnation of a server.
+    pub(crate) fn replace(&self, number: usize) {
+        self.store.put(&registration(number), "2");
+    }
+
+    /// Lets requests earn a retry at the ratio of [`Retries::One`].
+    pub(crate) fn earn_retry(&self) {
+        (0..REQUESTS_PER_RETRY).for_each(|_| self.probe());
+    }
+
     /// Removes a server's registration.
     pub(crate) fn withdraw(&self, number: usize) {
         self.store.delete(&registration(number));
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -8,7 +8,11 @@
 use jackdaw_core::units::Millis;
 use rstest::rstest;
 
-use super::domain::{Caller, Conduct, Domain, Point, Retries, configuration};
+use super::domain::{
+    Caller, Conduct, Domain, FRAGILE, FRAGILE_HEAD, ONCE, ONCE_HEAD, Retries, STREAM, STREAM_HEAD,
+    STREAM_START, WHOLE, WHOLE_HEAD, Wait, configuration,
+};
+use super::relay::DISCONNECT_TIMEOUT;
 use super::support::request;
 
 /// Time for which servers are silent; longer than the node waits at most for the next bytes.
@@ -19,63 +23,6 @@
 /// Number of requests that wait at once.
 const CALLERS: usize = 8;
 
-/// Requests that wait for a silent server.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    method: &'static str,
-    route: &'static str,
-    point: Point,
-}
-
-impl Wait {
-    /// Sends a request of this kind.
-    fn call(&self, domain: &Domain, number: usize) -> Caller {
-        let path = format!("{}{}{number}", self.route, self.point.label());
-        domain.call(&format!("r{number}"), self.method, &path)
-    }
-}
-
-const STREAM_HEAD: Wait = Wait {
-    method: "POST",
-    route: "/stream",
-    point: Point::Head,
-};
-const STREAM_START: Wait = Wait {
-    point: Point::FirstEvent,
-    ..STREAM_HEAD
-};
-const STREAM: Wait = Wait {
-    point: Point::Event,
-    ..STREAM_HEAD
-};
-const WHOLE_HEAD: Wait = Wait {
-    method: "GET",
-    route: "/safe",
-    point: Point::Head,
-};
-const WHOLE: Wait = Wait {
-    point: Point::Body,
-    ..WHOLE_HEAD
-};
-const FRAGILE_HEAD: Wait = Wait {
-    route: "/fragile",
-    ..STREAM_HEAD
-};
-const FRAGILE: Wait = Wait {
-    route: "/fragile",
-    ..STREAM
-};
-const ONCE_HEAD: Wait = Wait {
-    method: "POST",
-    route: "/once",
-    ..WHOLE_HEAD
-};
-const ONCE: Wait = Wait {
-    method: "POST",
-    route: "/once",
-    ..WHOLE
-};
-
 /// What is under way when servers fall silent, and what the node could try meanwhile.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
@@ -325,3 +272,204 @@
     assert_eq!(domain.servers_of("r0"), [0]);
     domain.stop();
 }
+
+// Guards against requests that wait for a silent server alone although another one could answer them.
+#[rstest]
+#[case(Silence { name: "a stream before its head", waits: &[STREAM_HEAD], ..AMPLE })]
+#[case(Silence { name: "a stream before its first event", waits: &[STREAM_START], ..AMPLE })]
+#[case(Silence { name: "a stream under way", waits: &[STREAM], ..AMPLE })]
+#[case(Silence { name: "a whole answer before its head", waits: &[WHOLE_HEAD], ..AMPLE })]
+#[case(Silence { name: "a whole answer within its body", waits: &[WHOLE], ..AMPLE })]
+fn requests_at_silent_servers_reach_another_one_long_before_their_deadline(
+    #[case] silence: Silence,
+) {
+    let conducts = &[Conduct::Sound; 2];
+    let domain = Domain::start(conducts, silence.retries, vec![configuration(2)]);
+    domain.silence();
+    let caller = silence.waits[0].call(&domain, 0);
+    domain.wait_held(1);
+    domain.turn();
+    caller.assert_whole_early(silence.name);
+    domain.stop();
+}
+
+// Guards against streams that go on after their deadline because their events follow each other
+// without a pause.
+#[test]
+fn stream_whose_events_do_not_pause_ends_at_its_deadline() {
+    let domain = Domain::start(&[Conduct::Sound], Retries::None, vec![configuration(2)]);
+    let caller = domain.call_within(Millis(1_500), "r0", "POST", "/stream/endless/0");
+    caller.assert_given_up("events without a pause");
+    domain.stop();
+}
+
+/// Number of servers under whose end a request is refused.
+const CRASHES: usize = 3;
+
+// Guards against a request that is refused because servers that had answered it after a silence are
+// replaced later.
+#[test]
+fn request_that_silent_servers_have_answered_is_not_held_against_it_when_they_are_replaced() {
+    let conducts = &[
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Sound,
+        Conduct::Late,
+    ];
+    let domain = Domain::start(conducts, Retries::None, vec![configuration(2)]);
+    domain.silence();
+    let mut callers = Vec::new();
+    while !(0..CRASHES).all(|server| domain.servers_of("r0").contains(&server)) {
+        callers.push(WHOLE_HEAD.call_as(&domain, "r0"));
+        domain.wait_held(callers.len());
+    }
+    domain.release_after(SILENCE);
+    for caller in callers {
+        caller.assert_whole("a silent server");
+    }
+    (0..CRASHES).for_each(|server| domain.replace(server));
+    domain.register(CRASHES);
+    domain.wait_registered(CRASHES);
+    WHOLE_HEAD
+        .call_as(&domain, "r0")
+        .assert_whole("the same request");
+    domain.stop();
+}
+
+// Guards against a silent request that takes retries which it cannot use, so that others have none.
+#[test]
+fn silent_request_that_may_not_be_sent_again_takes_no_retry() {
+    let domain = Domain::start(
+        &[Conduct::Closing; 5],
+        Retries::None,
+        vec![configuration(2)],
+    );
+    domain.silence();
+    let held = WHOLE_HEAD.call_as(&domain, "r0");
+    domain.wait_held(1);
+    domain.turn();
+    // The same request ends servers until it is refused.
+    loop {
+        let before = domain.servers_of("r1").len();
+        WHOLE_HEAD
+            .call_as(&domain, "r1")
+            .assert_given_up("a server ends");
+        if domain.servers_of("r1").len() == before {
+            break;
+        }
+    }
+    domain.silence();
+    domain.earn_retry();
+    let other = WHOLE_HEAD.call(&domain, 2);
+    domain.wait_held(3);
+    domain.release();
+    held.assert_whole("the request that may not be sent again");
+    other.assert_whole("the request that may be sent again");
+    domain.stop();
+}
+
+/// Which of two attempts at silent servers goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Winner {
+    First,
+    Second,
+}
+
+// Guards against servers that go on working at a request that another one has answered, and against
+// answers that are lost or doubled when a silent server goes on beside the next attempt.
+#[rstest]
+#[case(STREAM_HEAD)]
+#[case(STREAM_START)]
+#[case(STREAM)]
+#[case(WHOLE_HEAD)]
+#[case(WHOLE)]
+fn attempt_beside_the_one_that_answers_is_ended(
+    #[case] wait: Wait,
+    #[values(Winner::First, Winner::Second)] winner: Winner,
+) {
+    let conducts = &[Conduct::Silent; 3];
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let caller = wait.call(&domain, 0);
+    domain.wait_held(2);
+    let servers = domain.servers_of("r0");
+    domain.release_one(match winner {
+        Winner::First => servers[0],
+        Winner::Second => servers[1],
+    });
+    caller.assert_whole("an attempt beside another");
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "a server works on after the answer"
+    );
+    assert_eq!(domain.servers_of("r0"), servers);
+    domain.stop();
+}
+
+/// Requests whose servers all fall silent, and go on at the same time.
+#[derive(Clone, Copy, Debug)]
+struct Return {
+    name: &'static str,
+    waits: &'static [Wait],
+    max_attempts: u32,
+}
+
+// Guards against requests that reach more servers than their route allows while servers are silent.
+#[rstest]
+#[case(Return { name: "streams, two attempts", waits: &[STREAM_HEAD, STREAM_START, STREAM], max_attempts: 2 })]
+#[case(Return { name: "streams, three attempts", waits: &[STREAM_HEAD, STREAM_START, STREAM], max_attempts: 3 })]
+#[case(Return { name: "whole answers, two attempts", waits: &[WHOLE_HEAD, WHOLE], max_attempts: 2 })]
+#[case(Return { name: "whole answers, three attempts", waits: &[WHOLE_HEAD, WHOLE], max_attempts: 3 })]
+#[case(Return { name: "one attempt", waits: &[STREAM_HEAD, STREAM, WHOLE_HEAD, WHOLE], max_attempts: 1 })]
+#[case(Return { name: "requests that may not be repeated", waits: &[FRAGILE_HEAD, FRAGILE, ONCE_HEAD, ONCE], max_attempts: 2 })]
+fn requests_before_silent_servers_reach_as_many_as_their_route_allows(#[case] case: Return) {
+    let conducts = &[Conduct::Silent; 5];
+    let configuration = configuration(case.max_attempts);
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration]);
+    domain.silence();
+    let waits = case.waits.iter().cycle().take(CALLERS);
+    let callers: Vec<_> = waits
+        .enumerate()
+        .map(|(number, wait)| wait.call(&domain, number))
+        .collect();
+    domain.wait_held(CALLERS);
+    domain.release_after(EARLY_SILENCE);
+    for caller in callers {
+        caller.assert_whole(case.name);
+    }
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "{}: a server works on after the answers",
+        case.name
+    );
+    for number in 0..CALLERS {
+        let servers = domain.servers_of(&format!("r{number}"));
+        let max_attempts = case.max_attempts as usize;
+        assert!(servers.len() <= max_attempts, "{}: {servers:?}", case.name);
+    }
+    domain.stop();
+}
+
+// Guards against a request that stays with a silent server although another one could answer it
+// before the deadline.
+#[rstest]
+#[case(STREAM_HEAD)]
+#[case(STREAM_START)]
+#[case(STREAM)]
+#[case(WHOLE_HEAD)]
+#[case(WHOLE)]
+fn request_before_a_server_that_stays_silent_is_answered_by_another(#[case] wait: Wait) {
+    let conducts = &[Conduct::Sound; 2];
+    let domain = Domain::start(conducts, Retries::Many, vec![configuration(2)]);
+    domain.silence();
+    let path = format!("{}{}0", wait.route, wait.point.label());
+    let caller = domain.call_within(Millis(4_000), "r0", wait.method, &path);
+    domain.wait_held(1);
+    domain.turn();
+    caller.assert_whole("a server that stays silent");
+    assert!(
+        domain.rests_within(DISCONNECT_TIMEOUT),
+        "a server works on after the answer"
+    );
+    domain.stop();
+}
