Count only the servers reached against a stream under way

Cause: four attempts ended a request, whatever became of them. A caller that has a part of its answer loses it then.

A request whose caller has a part of the answer is now given up for its attempts only if the servers that it reached, without those that ended, are as many as its route allows. Each server is still tried once, and each repetition costs a retry.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -295,7 +295,8 @@
     /// Returns whether the request could be sent once more if the attempt in progress fails.
     #[must_use]
     pub fn can_send_again(&self) -> bool {
-        self.sent + 1 < self.max_sent && self.attempts + 1 < MAX_ATTEMPTS
+        self.sent + 1 < self.max_sent
+            && (self.has_partial_answer || self.attempts + 1 < MAX_ATTEMPTS)
     }
 
     /// Records that the caller has a part of the answer, which it loses if the request is given up.
@@ -450,7 +451,9 @@
         if fault == Fault::Deadline || now >= self.deadline {
             return Some(Cause::Deadline);
         }
-        let is_spent = self.attempts >= MAX_ATTEMPTS || self.sent >= self.max_sent;
+        // Attempts that reached no server, or whose server ended, cost a caller no part of its answer.
+        let is_often_tried = self.attempts >= MAX_ATTEMPTS && !self.has_partial_answer;
+        let is_spent = is_often_tried || self.sent >= self.max_sent;
         is_spent.then_some(Cause::Attempts)
     }
 }
