Recognize parts of prompts that end servers on the platform's path

Cause: evidence was kept by the digest of a request, and no two of these requests are alike. The class: an identity that is too narrow for what it stands for.

A request asks `admit` before each attempt. One with a suspected part is on trial until its server has begun to answer it (`poison::Trial`); others with the part are held meanwhile, at most 3 s after their arrival, and are refused as not run after that. A request on trial gets no attempt beside it. While there is a suspect, each answer that begins clears the features of its request, also of one that was no suspect when it was sent. A request that a server has begun to answer isn't asked again, so a sound stream is resumed whatever is suspected.

Not done: unsettled attempts are not taken back when their part is banned (`is_convicted`).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -31,6 +31,7 @@
 use crate::exposure::Exposure;
 use crate::header;
 use crate::node::Node;
+use crate::poison::Trial;
 use crate::targets::{Key, Reservation};
 
 /// Largest body of a buffered answer.
@@ -94,6 +95,7 @@
     pub(crate) target: Rc<Target>,
     pub(crate) is_new_connection: bool,
     pub(crate) exposure: Exposure,
+    trial: Option<Trial>,
     /// Whether nothing arrived from the server for longer than a time-out.
     pub(crate) is_silent: bool,
     /// Time of the last bytes from the server, at first the time of sending.
@@ -114,7 +116,14 @@
 
 impl Attempt {
     /// Begins to connect to a target.
-    pub(crate) fn begin(node: &Rc<Node>, call: &Rc<Call>, plan: Plan) -> Attempt {
+    ///
+    /// A request with suspected features is on trial until the server has begun to answer it.
+    pub(crate) fn begin(
+        node: &Rc<Node>,
+        call: &Rc<Call>,
+        plan: Plan,
+        trial: Option<Trial>,
+    ) -> Attempt {
         let target = node.targets.borrow().target(plan.key);
         let connecting = {
             let node = Rc::clone(node);
@@ -133,7 +142,8 @@
             plan,
             target,
             is_new_connection: true,
-            exposure: Exposure::begin(plan.suspicion),
+            exposure: Exposure::default(),
+            trial,
             is_silent: false,
             last_activity: node.now(),
             reservation: None,
@@ -142,6 +152,16 @@
         }
     }
 
+    /// Returns whether the request has suspected features and the server has not begun to answer it.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Lets other requests with the same suspected features be sent.
+    pub(crate) fn end_trial(&mut self) {
+        self.trial = None;
+    }
+
     pub(crate) fn key(&self) -> Key {
         self.plan.key
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,6 +10,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_policy::balance::Demand;
+use jackdaw_policy::poison::Features;
 
 use crate::node::Node;
 
@@ -45,6 +46,14 @@
         })
     }
 
+    /// Returns the features by which requests that end servers are recognized.
+    pub(crate) fn features(&self) -> Features<'_> {
+        Features {
+            request: self.digest(),
+            parts: &self.head.parts,
+        }
+    }
+
     /// Returns the tokens that an engine reads and is expected to write.
     pub(crate) fn demand(&self) -> Demand {
         let head = &self.head;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -12,7 +12,7 @@
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Load};
 use jackdaw_policy::fleet::Target;
-use jackdaw_policy::poison::{self, Crash, Features, Suspicion};
+use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use slog::info;
 
@@ -21,6 +21,7 @@
 use crate::call::Call;
 use crate::event::Event;
 use crate::node::Node;
+use crate::poison::Trial;
 use crate::refusal::Refusal;
 use crate::targets::{Key, Targets};
 
@@ -47,6 +48,9 @@
 /// Delay after which a caller is asked to retry if no server can be spared for a request under which
 /// others ended; servers that ended are back after some seconds.
 const SPARED_RETRY_AFTER: Millis = Millis(2_000);
+/// Longest time after its arrival for which a request is held because others with the same suspected
+/// part come first.
+const MAX_HOLD: Millis = Millis(3_000);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
@@ -62,6 +66,21 @@
     minimum: Millis,
 }
 
+/// Reason why no attempt begins now.
+#[derive(Clone, Debug)]
+pub(crate) enum Obstacle {
+    /// No attempt is allowed.
+    Refused(Refusal),
+    /// An attempt may be allowed soon; the refusal is for a request that does not wait.
+    Held(Refusal),
+}
+
+impl From<Refusal> for Obstacle {
+    fn from(refusal: Refusal) -> Self {
+        Obstacle::Refused(refusal)
+    }
+}
+
 /// The state of one request over all its attempts.
 pub(crate) struct Dispatch {
     pub(crate) node: Rc<Node>,
@@ -79,6 +98,8 @@
     candidate_count: usize,
     /// Number of attempts that failed or whose server fell silent.
     failures: u32,
+    /// Whether a server has begun to answer the request.
+    is_cleared: bool,
     /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
     has_met_silence: bool,
 }
@@ -101,6 +122,7 @@
             reconnect_key: None,
             candidate_count: 0,
             failures: 0,
+            is_cleared: false,
             has_met_silence: false,
         }
     }
@@ -115,7 +137,7 @@
     /// # Errors
     ///
     /// Returns a refusal if no attempt is allowed or no target is available.
-    pub(crate) fn begin(&mut self) -> Result<Attempt, Refusal> {
+    pub(crate) fn begin(&mut self) -> Result<Attempt, Obstacle> {
         let suspicion = self.check_poison()?;
         let key = self.choose_target(suspicion)?;
         let target = self.node.targets.borrow().target(key);
@@ -135,43 +157,57 @@
             tracked.server = target.server.clone();
             tracked.group = target.group.clone();
         });
-        Ok(Attempt::begin(&self.node, &self.call, plan))
+        let trial = suspicion.map(|_| Trial::begin(&self.node, &self.call.features()));
+        Ok(Attempt::begin(&self.node, &self.call, plan, trial))
     }
 
-    /// Looks up whether the request ends servers, and returns the suspicion if there is one.
+    /// Looks up whether the request ends servers, and returns the suspicion if there is one. A request
+    /// that a server has begun to answer does not.
     ///
     /// # Errors
     ///
-    /// Returns a refusal if it does.
-    fn check_poison(&self) -> Result<Option<Suspicion>, Refusal> {
-        if self.node.poison.is_empty() {
+    /// Returns an obstacle if it does, or if others with the same suspected features come first.
+    fn check_poison(&self) -> Result<Option<Suspicion>, Obstacle> {
+        let poison = &self.node.poison;
+        if poison.is_empty() || self.is_cleared {
             return Ok(None);
         }
-        let features = Features::of_request(self.call.digest());
-        match self.node.poison.verdict(&features, self.node.now()) {
-            poison::Verdict::Clear => Ok(None),
-            poison::Verdict::Suspect => Ok(self.node.poison.suspicion(&features)),
-            poison::Verdict::Banned(remaining) => {
-                let detail = "servers ended under the same request".to_owned();
-                Err(self.refuse(Reason::Poison, remaining, detail))
+        let features = self.call.features();
+        match poison.admit(&features, self.node.now()) {
+            Admission::Run => Ok(None),
+            Admission::Try => Ok(poison.suspicion(&features)),
+            Admission::Wait(pause) => {
+                let detail = "requests with the same suspected part come first".to_owned();
+                let refusal = self.refuse(Reason::Poison, pause, detail);
+                let held_until = self.call.arrived + MAX_HOLD;
+                if self.node.now() >= held_until {
+                    return Err(Obstacle::Refused(refusal));
+                }
+                Err(Obstacle::Held(refusal))
+            }
+            Admission::Refuse(remaining) => {
+                let detail = "servers ended under the same request, or a part of it".to_owned();
+                Err(self.refuse(Reason::Poison, remaining, detail).into())
             }
         }
     }
 
     /// Records an event of an attempt's server.
-    fn record_event(&self, attempt: &mut Attempt) {
+    fn record_event(&mut self, attempt: &mut Attempt) {
         if attempt.exposure.record_event() {
             self.record_survival(attempt);
         }
     }
 
     /// Records that an attempt's server survived the request.
-    fn record_survival(&self, attempt: &mut Attempt) {
-        let may_be_suspect =
-            attempt.exposure.suspicion().is_some() || self.failures > 0 || self.has_met_silence;
-        if may_be_suspect && attempt.exposure.record_survival() {
-            let features = Features::of_request(self.call.digest());
-            self.node.record_survival(&self.call.head.id, &features);
+    fn record_survival(&mut self, attempt: &mut Attempt) {
+        self.is_cleared = true;
+        attempt.end_trial();
+        // A request that is no suspect itself may clear the parts that it shares with others.
+        let may_clear = !self.node.poison.is_empty() || self.failures > 0 || self.has_met_silence;
+        if may_clear && attempt.exposure.record_survival() {
+            self.node
+                .record_survival(&self.call.head.id, &self.call.features());
         }
     }
 
@@ -252,11 +288,11 @@
         let id = &self.call.head.id;
         match fault {
             Fault::Closed => {
-                let features = Features::of_request(self.call.digest());
+                let features = self.call.features();
                 self.node.record_crash(id, &crash(), &features);
             }
             Fault::Silent | Fault::Deadline if step >= Step::Written => {
-                let features = Features::of_request(self.call.digest());
+                let features = self.call.features();
                 let address = attempt.target.address;
                 self.node.record_silence(id, crash(), &features, address);
             }
@@ -581,7 +617,9 @@
             self.record_crash(Fault::Silent, attempt.step(), attempt);
         }
         // A retry is not taken for an attempt that would be refused.
-        let can_begin = self.check_poison().is_ok() && self.has_other_target(attempt.key());
+        let can_begin = !attempt.is_on_trial()
+            && self.check_poison().is_ok()
+            && self.has_other_target(attempt.key());
         let verdict = if can_begin {
             let failure = describe_failure(attempt, Fault::Silent, attempt.step());
             self.request.record_silence(&failure, &self.budget, now)
--- a/crates/gateway/src/exposure.rs
+++ b/crates/gateway/src/exposure.rs
@@ -1,12 +1,10 @@
 //! What one request has done to the server of its attempt in progress, as far as its answer tells.
 
-use jackdaw_policy::poison::{SETTLED_EVENTS, Suspicion};
+use jackdaw_policy::poison::SETTLED_EVENTS;
 
-/// Suspicion that a request ends servers, and what speaks against it.
+/// What speaks against the suspicion that a request ends servers.
 #[derive(Debug, Default)]
 pub(crate) struct Exposure {
-    /// Suspicion with which the attempt began.
-    suspicion: Option<Suspicion>,
     /// Number of events that the server has sent.
     events: u32,
     /// Whether the server is recorded as having survived the request.
@@ -14,19 +12,6 @@
 }
 
 impl Exposure {
-    /// Begins an attempt.
-    pub(crate) fn begin(suspicion: Option<Suspicion>) -> Self {
-        Exposure {
-            suspicion,
-            ..Exposure::default()
-        }
-    }
-
-    /// Gets the suspicion with which the attempt began.
-    pub(crate) fn suspicion(&self) -> Option<Suspicion> {
-        self.suspicion
-    }
-
     /// Counts an event of the server and returns whether its end would say nothing about the request
     /// from now on.
     pub(crate) fn record_event(&mut self) -> bool {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::peers::{LoadReport, Share};
+use jackdaw_policy::poison::Peers;
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
@@ -226,6 +227,10 @@
     fn update_peer_count(&self) {
         let peers = self.addresses.borrow().len();
         self.node.peer_loads().borrow_mut().set_peer_count(peers);
+        let addresses = self.addresses.borrow();
+        let names = addresses.keys().map(|name| name.as_str());
+        let peers = Peers::new(&self.node.options.node, names);
+        self.node.poison.set_peers(peers);
         self.node.update_retry_limits();
     }
 }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -5,14 +5,15 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use compact_str::CompactString;
 use jackdaw_core::time::Instant;
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::poison::{
-    self, Ban, Change, Crash, CrashId, Evidence, Feature, Features, News, Suspicion, Tracker,
-    Verdict,
+    self, Admission, Ban, Change, Crash, CrashId, Evidence, Feature, Features, News, Peers,
+    Suspicion, Tracker,
 };
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
@@ -155,6 +156,7 @@
 /// What a node knows of requests that end servers.
 pub(crate) struct Poison {
     tracker: RefCell<Tracker>,
+    peers: RefCell<Peers>,
     news: RefCell<News>,
     silences: RefCell<Vec<Silence>>,
     /// Bans that are not in the store yet.
@@ -179,6 +181,7 @@
     pub(crate) fn new(meter: &Meter) -> Self {
         Poison {
             tracker: RefCell::default(),
+            peers: RefCell::default(),
             news: RefCell::default(),
             silences: RefCell::default(),
             unsaved: RefCell::default(),
@@ -210,9 +213,16 @@
         self.tracker.borrow().is_empty()
     }
 
-    /// Returns the verdict on a request.
-    pub(crate) fn verdict(&self, features: &Features<'_>, now: Instant) -> Verdict {
-        self.tracker.borrow().verdict(features, now)
+    /// Sets the nodes that take turns with suspected features.
+    pub(crate) fn set_peers(&self, peers: Peers) {
+        self.peers.replace(peers);
+    }
+
+    /// Returns whether a request may be sent to a server now.
+    pub(crate) fn admit(&self, features: &Features<'_>, now: Instant) -> Admission {
+        self.tracker
+            .borrow()
+            .admit(features, &self.peers.borrow(), now)
     }
 
     /// Returns the suspicion of a request, if it is a suspect.
@@ -272,6 +282,29 @@
     }
 }
 
+/// A request with suspected features in flight, until it is dropped.
+pub(crate) struct Trial {
+    node: Rc<Node>,
+    trial: poison::Trial,
+}
+
+impl Trial {
+    /// Begins the trial of a request.
+    pub(crate) fn begin(node: &Rc<Node>, features: &Features<'_>) -> Self {
+        let trial = node.poison.tracker.borrow_mut().begin_trial(features);
+        Trial {
+            node: Rc::clone(node),
+            trial,
+        }
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.node.poison.tracker.borrow_mut().end_trial(self.trial);
+    }
+}
+
 impl Node {
     /// Records that a server ended before it began to answer a request.
     pub(crate) fn record_crash(&self, request: &str, crash: &Crash, features: &Features<'_>) {
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 use crate::attempt::{Attempt, Piece};
-use crate::dispatch::{self, Dispatch};
+use crate::dispatch::{self, Dispatch, Obstacle};
 use crate::refusal::Refusal;
 
 /// Shortest wait between two looks at the time.
@@ -113,21 +113,25 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if there is no other attempt and the caller has nothing of the answer, or
-    /// the request is due.
+    /// Returns a refusal if there is no other attempt and the caller has nothing of the answer, unless
+    /// the request is only held, or if the request is due.
     async fn begin_attempt(&mut self) -> Result<(), Refusal> {
         loop {
-            let refusal = match self.dispatch.begin() {
+            let obstacle = match self.dispatch.begin() {
                 Ok(attempt) => {
                     self.current = Some(attempt);
                     return Ok(());
                 }
-                Err(refusal) => refusal,
+                Err(obstacle) => obstacle,
             };
             if self.return_to_standby() {
                 return Ok(());
             }
-            if !self.dispatch.is_partially_answered() || self.dispatch.is_due() {
+            let (refusal, waits) = match obstacle {
+                Obstacle::Refused(refusal) => (refusal, self.dispatch.is_partially_answered()),
+                Obstacle::Held(refusal) => (refusal, true),
+            };
+            if !waits || self.dispatch.is_due() {
                 return Err(refusal);
             }
             self.pause().await;
