--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -234,7 +234,10 @@
     /// Records that the call goes on with the attempt at a silent server, in place of the one at
     /// `abandoned`, if that has not failed already.
     pub(crate) fn return_to_silent(&mut self, abandoned: Option<&str>) {
-        self.request.return_to_silent(abandoned);
+        match abandoned {
+            Some(server) => self.request.abandon(server),
+            None => self.request.resume_silent(),
+        }
     }
 
     /// Publishes and counts a wait, unless that was done for the same reason.
--- a/crates/entry/tests/poison.rs
+++ b/crates/entry/tests/poison.rs
@@ -160,12 +160,11 @@
     let request = Request::completion().with_header("jackdawstair-deadline-ms", "2000");
     let digest = Digest::of(format!("POST tiles/v1/completions\n{}", request.body).as_bytes());
     let crash = Crash {
-        digest,
         server: "target-0".into(),
         incarnation: 1,
         alone: false,
     };
-    tracker.record_crash(&crash, Instant(0));
+    tracker.record_crash(&crash, &Features::of_request(digest), Instant(0));
     node.publish_verdicts(tracker.verdicts());
     let stream = request.open(node.address());
     let servers = [backend.next_request().server, backend.next_request().server];
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -647,7 +647,10 @@
 
     /// Records that the request goes on with the attempt at a silent server.
     pub(crate) fn return_to_silent(&mut self, abandoned: Option<&str>) {
-        self.request.return_to_silent(abandoned);
+        match abandoned {
+            Some(server) => self.request.abandon(server),
+            None => self.request.resume_silent(),
+        }
     }
 
     /// Keeps new requests away from an attempt's target.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -402,17 +402,19 @@
         self.choose_retry(failure, can_reconnect)
     }
 
-    /// Records that the request goes on with the attempt at a silent server, in place of the one at
-    /// `abandoned` that was made beside it, if that has not failed already.
-    pub fn return_to_silent(&mut self, abandoned: Option<&str>) {
-        match abandoned {
-            // The abandoned attempt counts in place of the one that is in progress again.
-            Some(server) => self.mark_tried(server),
-            None => {
-                self.attempts = self.attempts.saturating_sub(1);
-                self.sent = self.sent.saturating_sub(1);
-            }
-        }
+    /// Records that the attempt at a silent server is the one in progress again, since the attempt
+    /// beside it has failed or could not be made.
+    ///
+    /// The attempt in progress is not counted until it fails.
+    pub fn resume_silent(&mut self) {
+        self.attempts = self.attempts.saturating_sub(1);
+        self.sent = self.sent.saturating_sub(1);
+    }
+
+    /// Records that a silent server goes on, and that the attempt at `abandoned` beside it is dropped,
+    /// which counts in place of the one that is in progress again.
+    pub fn abandon(&mut self, abandoned: &str) {
+        self.mark_tried(abandoned);
     }
 
     /// Counts an attempt and returns whether the same server may be tried once more.
--- a/crates/policy/tests/silence.rs
+++ b/crates/policy/tests/silence.rs
@@ -174,12 +174,12 @@
                             reached += 1;
                             Some(reached)
                         } else {
-                            standbys.pop().inspect(|_| request.return_to_silent(None))
+                            standbys.pop().inspect(|_| request.resume_silent())
                         };
                     }
                     Event::GoesOn if standbys.is_empty() => {}
                     Event::GoesOn => {
-                        request.return_to_silent(Some(&name));
+                        request.abandon(&name);
                         current = Some(standbys.remove(0));
                         standbys.clear();
                     }
