Log and count what nodes send to servers that name a limit

Neither logs nor metrics told whether a limit is read, which nodes know it, and whether first tries or repetitions exceed it. Answers' limits are decoded and kept as the node's latest knowledge, changes are logged with the requests sent since, and requests to limited servers are counted. Nothing is decided by it yet.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -11,7 +11,7 @@
 use crate::config::Configuration;
 use crate::errors::Result;
 use crate::store::{Change, Entry, EraReport};
-use crate::units::Millis;
+use crate::units::{Millis, Rate};
 
 /// The decoded head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -51,8 +51,20 @@
     pub last_event: Option<u64>,
 }
 
+/// What an answer says of the requests that its server takes from all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Limit {
+    /// The server takes what it can.
+    #[default]
+    None,
+    /// The server takes that many requests in a second.
+    Rate(Rate),
+    /// The statement cannot be read.
+    Unreadable,
+}
+
 /// The decoded head of a server's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
     /// Identity of the request that the answer belongs to.
     pub id: Option<CompactString>,
@@ -62,6 +74,8 @@
     pub not_run: bool,
     /// The server at fault, if it is not the one that answered.
     pub faulty_server: Option<CompactString>,
+    /// Limit that the server names.
+    pub limit: Limit,
 }
 
 /// Decodes and encodes the platform's headers, paths and stored documents.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -52,6 +52,34 @@
     ""
 );
 
+/// A number of requests in a second; finite and not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Creates a rate, or returns none if the number is negative, infinite or no number.
+    #[must_use]
+    pub const fn new(per_second: f64) -> Option<Self> {
+        if !per_second.is_finite() || per_second < 0.0 {
+            return None;
+        }
+        // Adding zero turns a negative zero into a positive one.
+        Some(Rate(per_second + 0.0))
+    }
+
+    /// Gets the number of requests in a second.
+    #[must_use]
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
 impl Millis {
     /// Returns the span as a standard duration.
     #[must_use]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -62,6 +62,8 @@
     pub(crate) needs_new_connection: bool,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// Whether the request was sent to a server before.
+    pub(crate) is_repetition: bool,
 }
 
 /// How far an attempt has come.
@@ -100,6 +102,8 @@
     pub(crate) is_silent: bool,
     /// Time of the last bytes from the server, at first the time of sending.
     last_activity: Instant,
+    /// Time of sending.
+    sent_at: Instant,
     reservation: Option<Reservation>,
     head: Option<AnswerHead>,
     phase: Phase,
@@ -146,6 +150,7 @@
             trial,
             is_silent: false,
             last_activity: node.now(),
+            sent_at: node.now(),
             reservation: None,
             head: None,
             phase: Phase::Connecting(Box::pin(connecting)),
@@ -260,6 +265,10 @@
             self.plan.suspicion.map(|suspicion| suspicion.crashes),
         ));
         self.last_activity = sent;
+        self.sent_at = sent;
+        self.node
+            .limits
+            .count_sent(&self.target, self.plan.is_repetition);
         Ok(Phase::Sending(Box::pin(async move {
             let answer = connection.send(request).await;
             (connection, answer)
@@ -371,6 +380,12 @@
         let status = answer.status();
         let protocol = &self.node.parts.protocol;
         let decoded = protocol.decode_answer(status, answer.headers());
+        // Another server may answer at the address, and a late answer is older than the request.
+        let is_own = decoded.id.as_ref() == Some(&self.call.head.id);
+        if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+            let node = &self.node;
+            node.record_limit(&self.target, decoded.limit, self.sent_at);
+        }
         if decoded.not_run {
             if decoded
                 .id
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -152,6 +152,7 @@
             needs_new_connection: is_once
                 || self.request.was_cut_off_by(&incarnation_name(&target)),
             last_event: self.last_delivered,
+            is_repetition: self.failures > 0,
         };
         self.track(|tracked| {
             tracked.server = target.server.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod in_flight;
 mod lag;
 mod leader;
+mod limits;
 mod peers;
 mod poison;
 mod race;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
 use crate::histograms::Histograms;
 use crate::in_flight::InFlight;
 use crate::lag::Lag;
+use crate::limits::Limits as ServerLimits;
 use crate::options::Options;
 use crate::poison::Poison;
 use crate::targets::Targets;
@@ -127,6 +128,8 @@
     pub(crate) targets: Rc<RefCell<Targets>>,
     pub(crate) poison: Poison,
     pub(crate) freshness: Freshness,
+    /// Limits that servers name.
+    pub(crate) limits: ServerLimits,
     index: RefCell<Option<Rc<Index>>>,
     /// Former configurations, which live as long as requests that they admitted; the latest is last.
     former: RefCell<Vec<Weak<Index>>>,
@@ -144,6 +147,7 @@
             connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
+            limits: ServerLimits::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -12,10 +12,10 @@
 use jackdaw_core::backend::{Order, Reply, Report, Server};
 use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::protocol::{Answer, Forwarding, Head, Orders, Protocol};
+use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Protocol};
 use jackdaw_core::store::Entry;
 use jackdaw_core::time::{Clock, SystemClock};
-use jackdaw_core::units::{Bytes, Millis};
+use jackdaw_core::units::{Bytes, Millis, Rate};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::{self, Ports};
@@ -122,6 +122,11 @@
             signed: headers.contains_key("signed"),
             not_run: headers.contains_key("not-run"),
             faulty_server: None,
+            limit: match header_text(headers, "limit").map(|text| text.parse()) {
+                Some(Ok(rate)) => Rate::new(rate).map_or(Limit::Unreadable, Limit::Rate),
+                Some(Err(_)) => Limit::Unreadable,
+                None => Limit::None,
+            },
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod retry;
 pub mod route;
 pub mod shutdown;
+pub mod throttle;
