Play servers that name limits before real processes, which fails

The soak's servers may name a limit in their answers; the checks count what each gets in some 4 s from 3 s after that on, how much of the limits is used where the demand is higher, and whether refusals come at once.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -48,3 +48,23 @@
 fn stream_beside_a_part_that_ends_servers_is_resumed() {
     check_play("part-streams", 1);
 }
+
+/// Guards against nodes that together send more to a server than the limit that it names, although
+/// others without a limit stand beside it.
+#[test]
+fn servers_with_limits_get_no_more_than_they_named() {
+    check_play("limits", 1);
+}
+
+/// Guards against the same where all servers name limits, and against limits that are not used though
+/// callers are refused.
+#[test]
+fn limits_of_all_servers_are_kept_and_used() {
+    check_play("limits-all", 1);
+}
+
+/// Guards against nodes that know nothing of limits, or grant them twice, after others were restarted.
+#[test]
+fn limits_are_kept_while_nodes_are_restarted() {
+    check_play("limits-stops", 1);
+}
