Grant requests to servers with limits through one node

What callers saw: nothing; a server in need got up to one and a half times what the rule allows, from nodes that each sent far less than its limit.

Cause: nobody reads the limit, and no node knows what the others send.

Each attempt at a server that names a limit is now granted by the server's keeper, in datagrams between the nodes (policy::throttle). All arrivals of all nodes pass one bucket, so that their sum keeps the limit wherever the demand is. Knowledge of limits travels in the datagrams with loads.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -29,6 +29,8 @@
     OverLimit,
     /// The request could not be served before its deadline.
     Overloaded,
+    /// The servers take no more requests now, by the limits that they name.
+    ServerLimit,
     /// Requests with the same digest have crashed backend servers.
     Poison,
     /// No whole replica group or live backend server is known.
@@ -49,7 +51,7 @@
 
 impl Reason {
     /// Every reason, for registering counters.
-    pub const ALL: [Reason; 20] = [
+    pub const ALL: [Reason; 21] = [
         Reason::Malformed,
         Reason::TooLarge,
         Reason::HeadTooLarge,
@@ -62,6 +64,7 @@
         Reason::InProgress,
         Reason::OverLimit,
         Reason::Overloaded,
+        Reason::ServerLimit,
         Reason::Poison,
         Reason::NoServer,
         Reason::PlatformDown,
@@ -88,6 +91,7 @@
             Reason::InProgress => "in-progress",
             Reason::OverLimit => "over-limit",
             Reason::Overloaded => "overloaded",
+            Reason::ServerLimit => "server-limit",
             Reason::Poison => "poison",
             Reason::NoServer => "no-server",
             Reason::PlatformDown => "platform-down",
@@ -113,7 +117,11 @@
             Reason::OverLimit => 429,
             Reason::HeadTooLarge => 431,
             Reason::ConnectFailed | Reason::Broken | Reason::AnswerInvalid => 502,
-            Reason::Overloaded | Reason::NoServer | Reason::PlatformDown | Reason::NotReady => 503,
+            Reason::Overloaded
+            | Reason::ServerLimit
+            | Reason::NoServer
+            | Reason::PlatformDown
+            | Reason::NotReady => 503,
             Reason::Deadline => 504,
         }
     }
@@ -134,6 +142,7 @@
             Reason::InProgress
             | Reason::OverLimit
             | Reason::Overloaded
+            | Reason::ServerLimit
             | Reason::Poison
             | Reason::NoServer
             | Reason::PlatformDown
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,12 +14,14 @@
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
+use jackdaw_policy::throttle::TeamId;
 use slog::info;
 
 use crate::attempt::{Attempt, Piece, Plan};
 use crate::buffered::BufferedAnswer;
 use crate::call::Call;
 use crate::event::Event;
+use crate::limits::Permission;
 use crate::node::Node;
 use crate::poison::Trial;
 use crate::refusal::Refusal;
@@ -51,6 +53,8 @@
 /// Longest time after its arrival for which a request is held because others with the same suspected
 /// part come first.
 const MAX_HOLD: Millis = Millis(3_000);
+/// Largest number of servers that are asked for one attempt.
+const MAX_ASKED: u32 = 4;
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
@@ -73,6 +77,8 @@
     Refused(Refusal),
     /// An attempt may be allowed soon; the refusal is for a request that does not wait.
     Held(Refusal),
+    /// The target's server names a limit, and it has to be asked whether it may get the request.
+    Unasked(Key),
 }
 
 impl From<Refusal> for Obstacle {
@@ -100,6 +106,10 @@
     failures: u32,
     /// Whether a server has begun to answer the request.
     is_cleared: bool,
+    /// Target to which the next attempt was granted, as its server names a limit.
+    granted: Option<Key>,
+    /// Number of servers that were asked for since the last attempt began.
+    asked: u32,
     /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
     has_met_silence: bool,
 }
@@ -123,6 +133,8 @@
             candidate_count: 0,
             failures: 0,
             is_cleared: false,
+            granted: None,
+            asked: 0,
             has_met_silence: false,
         }
     }
@@ -141,6 +153,11 @@
         let suspicion = self.check_poison()?;
         let key = self.choose_target(suspicion)?;
         let target = self.node.targets.borrow().target(key);
+        if self.granted != Some(key) && self.permission(&target) != Permission::Unlimited {
+            return Err(Obstacle::Unasked(key));
+        }
+        self.granted = None;
+        self.asked = 0;
         let is_once = !self.call.route.kind.is_repeatable();
         let plan = Plan {
             request: self.key,
@@ -162,6 +179,63 @@
         Ok(Attempt::begin(&self.node, &self.call, plan, trial))
     }
 
+    /// Asks whether a target's server, which names a limit, may get the request.
+    pub(crate) async fn ask(&mut self, key: Key) {
+        let target = self.node.targets.borrow().target(key);
+        self.asked += 1;
+        let asked = self
+            .node
+            .ask_permission(&target, self.team(), self.urgency());
+        if asked.await {
+            self.granted = Some(key);
+        }
+    }
+
+    /// Returns whether a target's server may get the request by the limit that it names.
+    fn permission(&self, target: &Target) -> Permission {
+        let now = self.node.now();
+        let limits = &self.node.limits;
+        limits.permission(target, self.team(), self.urgency(), now)
+    }
+
+    fn team(&self) -> TeamId {
+        TeamId::new(self.call.team.as_deref().unwrap_or_default())
+    }
+
+    /// Returns the priority among the requests to servers with limits; streams under way go first.
+    fn urgency(&self) -> u8 {
+        if self.is_partially_answered() {
+            return 0;
+        }
+        self.call.priority.unwrap_or_default()
+    }
+
+    /// Removes the targets whose servers have reached their limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if none is left.
+    fn keep_unexhausted(&self, mut candidates: Vec<Key>) -> Result<Vec<Key>, Refusal> {
+        let mut shortest: Option<Millis> = None;
+        let targets = self.node.targets.borrow();
+        candidates.retain(|key| match self.permission(&targets.target(*key)) {
+            Permission::Unlimited => true,
+            Permission::Needed => self.asked < MAX_ASKED,
+            Permission::Refused(left) => {
+                shortest = Some(shortest.map_or(left, |shortest| shortest.min(left)));
+                false
+            }
+        });
+        if !candidates.is_empty() {
+            return Ok(candidates);
+        }
+        // Callers that were refused together do not return together.
+        let left = shortest.unwrap_or(OVERLOADED_RETRY_AFTER).0;
+        let retry_after = Millis(left + fastrand::u64(..=left));
+        let detail = "all servers that can take the request have reached the limits they name";
+        Err(self.refuse(Reason::ServerLimit, retry_after, detail.to_owned()))
+    }
+
     /// Looks up whether the request ends servers, and returns the suspicion if there is one. A request
     /// that a server has begun to answer does not.
     ///
@@ -322,6 +396,9 @@
 
     /// Returns the target for the next attempt.
     fn choose_target(&mut self, suspicion: Option<Suspicion>) -> Result<Key, Refusal> {
+        if let Some(key) = self.granted {
+            return Ok(key);
+        }
         if let Some(key) = self.reconnect_key.take() {
             return Ok(key);
         }
@@ -335,6 +412,7 @@
             };
             return Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail));
         }
+        let candidates = self.keep_unexhausted(candidates)?;
         let loads: Vec<Load> = {
             let targets = self.node.targets.borrow();
             let zone = &self.node.options.zone;
@@ -521,8 +599,13 @@
     }
 
     fn has_other_target(&self, key: Key) -> bool {
-        self.eligible_keys(&self.node.targets.borrow())
-            .any(|eligible| eligible != key)
+        let targets = self.node.targets.borrow();
+        let is_exhausted = |key: Key| {
+            let permission = self.permission(&targets.target(key));
+            matches!(permission, Permission::Refused(_))
+        };
+        self.eligible_keys(&targets)
+            .any(|eligible| eligible != key && !is_exhausted(eligible))
     }
 
     /// Returns the time-outs of an attempt in progress.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -147,7 +147,7 @@
             connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
-            limits: ServerLimits::new(&parts.meter),
+            limits: ServerLimits::new(&options.node, &parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use tokio::time;
 
 use crate::follow::{self, Subscriber};
+use crate::limits;
 use crate::node::Node;
 use crate::poison;
 
@@ -57,6 +58,8 @@
 const MAX_HEADER_BYTES: usize = 160;
 /// Largest encoded size of one target's load in bytes.
 const MAX_LOAD_BYTES: usize = 24;
+/// Largest encoded size of what is known of a server's limit in bytes.
+const MAX_LIMIT_BYTES: usize = 48;
 /// Largest encoded size of one server's state in bytes.
 const MAX_SERVER_STATE_BYTES: usize = 96;
 
@@ -96,6 +99,22 @@
     /// Age in milliseconds of the sender's news of its zone's leader; zero for the leader itself.
     #[prost(uint64, optional, tag = "11")]
     leader_age_ms: Option<u64>,
+    /// Limits of servers.
+    #[prost(message, repeated, tag = "12")]
+    limits: Vec<limits::Record>,
+    /// Part of the exchange on limits; such a datagram holds nothing else but the sender's name.
+    #[prost(message, optional, tag = "13")]
+    exchange: Option<limits::Exchange>,
+}
+
+/// Encodes a datagram with a part of the exchange on limits.
+pub(crate) fn encode_exchange(node: &str, exchange: limits::Exchange) -> Vec<u8> {
+    let datagram = Datagram {
+        node: node.to_owned(),
+        exchange: Some(exchange),
+        ..Datagram::default()
+    };
+    datagram.encode_to_vec()
 }
 
 /// The state of a server as known to its zone's leader.
@@ -150,7 +169,7 @@
     suspect: bool,
 }
 
-type Addresses = Rc<RefCell<HashMap<CompactString, SocketAddr>>>;
+pub(crate) type Addresses = Rc<RefCell<HashMap<CompactString, SocketAddr>>>;
 
 /// Starts the tasks that register this node and exchange datagrams with the others.
 pub(crate) fn start(node: &Rc<Node>, socket: UdpSocket) {
@@ -166,6 +185,10 @@
         node: Rc::clone(node),
         addresses: Rc::clone(&addresses),
     };
+    node.limits.connect(limits::Link {
+        socket: Rc::clone(&socket),
+        addresses: Rc::clone(&addresses),
+    });
     ntex::rt::spawn(receive(peer_addresses, Rc::clone(&socket)));
     let sender = Sender {
         node: Rc::clone(node),
@@ -231,6 +254,8 @@
         let names = addresses.keys().map(|name| name.as_str());
         let peers = Peers::new(&self.node.options.node, names);
         self.node.poison.set_peers(peers);
+        let names = addresses.keys().cloned().collect();
+        self.node.limits.set_peers(names, self.node.now());
         self.node.update_retry_limits();
     }
 }
@@ -321,8 +346,8 @@
     let node = &peer_addresses.node;
     let mut buf = vec![0; MAX_DATAGRAM];
     loop {
-        let len = match socket.recv(&mut buf).await {
-            Ok(len) => len,
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
             Err(error) => {
                 debug!(node.logger(), "datagram could not be received"; "error" => %error);
                 time::sleep(SEND_INTERVAL.duration()).await;
@@ -331,6 +356,12 @@
         };
         match Datagram::decode(&buf[..len]) {
             Ok(mut datagram) => {
+                node.limits.record_heard(&datagram.node, node.now());
+                if let Some(exchange) = datagram.exchange {
+                    node.handle_exchange(exchange, from);
+                    continue;
+                }
+                node.adopt_limits(&datagram.limits);
                 if !datagram.address.is_empty() {
                     peer_addresses.introduce(&datagram.node, &datagram.address);
                 }
@@ -504,7 +535,9 @@
         let mut shares = self.node.targets.borrow().shares(self.node.now());
         // Suspected targets and those with most requests are kept if not all fit.
         shares.sort_by_key(|(_, share)| std::cmp::Reverse((share.suspect, share.requests)));
-        shares.truncate((MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_LOAD_BYTES);
+        let limits = self.node.limits.records(self.node.now());
+        let limits_len = limits.len() * MAX_LIMIT_BYTES;
+        shares.truncate((MAX_DATAGRAM - MAX_HEADER_BYTES - limits_len) / MAX_LOAD_BYTES);
         let loads = shares.into_iter().map(|(target, share)| Load {
             target,
             requests: share.requests,
@@ -513,6 +546,7 @@
         });
         let datagram = Datagram {
             loads: loads.collect(),
+            limits,
             ..Datagram::default()
         };
         self.send(datagram, recipients).await;
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -124,12 +124,17 @@
                 }
                 Err(obstacle) => obstacle,
             };
+            if let Obstacle::Unasked(key) = obstacle {
+                self.dispatch.ask(key).await;
+                continue;
+            }
             if self.return_to_standby() {
                 return Ok(());
             }
             let (refusal, waits) = match obstacle {
                 Obstacle::Refused(refusal) => (refusal, self.dispatch.is_partially_answered()),
                 Obstacle::Held(refusal) => (refusal, true),
+                Obstacle::Unasked(_) => continue,
             };
             if !waits || self.dispatch.is_due() {
                 return Err(refusal);
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod framing;
 mod freshness;
+mod limits;
 mod lines;
 mod poison;
 mod relay;
--- a/crates/policy/src/throttle/keeper.rs
+++ b/crates/policy/src/throttle/keeper.rs
@@ -98,9 +98,10 @@
 }
 
 impl Bucket {
+    /// Creates a full bucket.
     fn new(now: Instant) -> Self {
         Bucket {
-            level: 1.0,
+            level: f64::INFINITY,
             opened_at: now,
             updated_at: now,
             denied: 0.0,
