Keep the limits of engines by all nodes on the callers' own path too

Engines and servers of plain services may name a limit in x-jackdaw-limit; entry asks the server's keeper by the same policy, with a call of its own between nodes (Grant), since the gossip of facts is too slow for a question while a caller waits.

--- a/crates/control/src/network.rs
+++ b/crates/control/src/network.rs
@@ -7,6 +7,7 @@
 use jackdaw_core::errors::Result;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::limits::Limits;
 use jackdaw_policy::gossip::hash;
 use jackdaw_policy::gossip::message::Envelope;
 use jackdaw_policy::gossip::node;
@@ -33,6 +34,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two gossip rounds.
     pub round_interval: Millis,
+    /// Limits of backend servers, on which other nodes ask this one.
+    pub limits: Arc<Limits>,
     /// Fault injection for tests.
     pub switch: Arc<Partition>,
 }
@@ -81,7 +84,9 @@
             Arc::clone(&shelf),
             Arc::clone(&self.switch),
             inbound,
+            Arc::clone(&self.limits),
         )?;
+        self.limits.connect(transport.questions());
         let incarnation = clock.unix_millis();
         let overlay = Overlay::join(
             node::Options {
--- a/crates/control/src/overlay.rs
+++ b/crates/control/src/overlay.rs
@@ -201,6 +201,19 @@
             .filter(|member| member.removed_unix_ms == 0)
     }
 
+    /// Returns the names and addresses of the other nodes that are known and not removed.
+    #[must_use]
+    pub fn peers(&self) -> Vec<(CompactString, SocketAddr)> {
+        let Some(node) = &self.node else {
+            return Vec::new();
+        };
+        let members = node.facts().iter().filter_map(Fact::as_member);
+        members
+            .filter(|(name, member)| member.removed_unix_ms == 0 && *name != node.name())
+            .map(|(name, member)| (name.clone(), member.address))
+            .collect()
+    }
+
     fn node_name(&self, address: SocketAddr) -> CompactString {
         self.node
             .iter()
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -14,6 +14,7 @@
 
 use compact_str::{CompactString, ToCompactString};
 use jackdaw_core::errors::{Error, Result};
+use jackdaw_entry::limits::{Limits, Peers};
 use jackdaw_policy::gossip::message::Envelope;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -68,13 +69,20 @@
         repository: Arc<Repository>,
         partition: Arc<Partition>,
         inbound: Inbound,
+        limits: Arc<Limits>,
     ) -> Result<Transport> {
         let peer = options.listen.to_compact_string();
         let fail = |error: std::io::Error| Error::unreachable("bind peers' port", &peer, error);
         let listener = TcpListener::bind(options.listen).map_err(fail)?;
         listener.set_nonblocking(true).map_err(fail)?;
         let address = listener.local_addr().map_err(fail)?;
-        let api = Api::new(&options.token, repository, Arc::clone(&partition), inbound);
+        let api = Api::new(
+            &options.token,
+            repository,
+            Arc::clone(&partition),
+            inbound,
+            limits,
+        );
         let (stop, stopped) = watch::channel(false);
         runtime.spawn(server::serve(listener, api, stopped));
         let connections = Connections::new(runtime.clone(), &options.token, partition)?;
@@ -91,6 +99,12 @@
         self.address
     }
 
+    /// Gets the connections by which other nodes are asked for requests to limited servers.
+    #[must_use]
+    pub fn questions(&self) -> Arc<dyn Peers> {
+        Arc::clone(&self.connections) as Arc<dyn Peers>
+    }
+
     /// Sends a message without waiting. A message that cannot be delivered is dropped, since the
     /// next exchange of digests transfers its content.
     pub fn send(&self, to: SocketAddr, envelope: &Envelope) {
--- a/crates/control/src/peer/client.rs
+++ b/crates/control/src/peer/client.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use compact_str::ToCompactString;
+use futures::future::{self, BoxFuture};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::units::Millis;
+use jackdaw_entry::limits::{Peers, Question, Reply};
 use jackdaw_policy::gossip::message::Envelope;
 use jackdaw_wire::peer as wire;
 use jackdaw_wire::peer::peer_client::PeerClient;
@@ -27,6 +29,9 @@
 /// Limit on the time for one call to a node.
 const CALL_TIMEOUT: Millis = Millis(2_000);
 
+/// Limit on the time for the answer to a question, while a caller waits.
+const QUESTION_TIMEOUT: Millis = Millis(100);
+
 /// Messages to one node that may be in flight at once; further ones are dropped.
 const MAX_MESSAGES_IN_FLIGHT: usize = 32;
 
@@ -123,6 +128,16 @@
         }
     }
 
+    /// Sends a question and waits for its answer; none if it does not come in time.
+    async fn grant(
+        mut client: PeerClient<Channel>,
+        request: Request<wire::Question>,
+    ) -> Option<Reply> {
+        let asked = tokio::time::timeout(QUESTION_TIMEOUT.duration(), client.grant(request));
+        let verdict = asked.await.ok()?.ok()?;
+        codec::decode_verdict(&verdict.into_inner())
+    }
+
     fn request<T>(&self, message: T) -> Request<T> {
         let mut request = Request::new(message);
         request.metadata_mut().insert(TOKEN_KEY, self.token.clone());
@@ -165,3 +180,18 @@
         })
     }
 }
+
+impl Peers for Connections {
+    fn ask(&self, address: SocketAddr, question: Question) -> BoxFuture<'static, Option<Reply>> {
+        if self.partition.is_blocked(address) {
+            return Box::pin(future::ready(None));
+        }
+        let Ok(connection) = self.connection(address) else {
+            return Box::pin(future::ready(None));
+        };
+        let request = self.request(codec::encode_question(&question));
+        // The connection belongs to this runtime, whichever the caller's is.
+        let asked = self.runtime.spawn(Self::grant(connection.client, request));
+        Box::pin(async move { asked.await.ok().flatten() })
+    }
+}
--- a/crates/control/src/peer/codec.rs
+++ b/crates/control/src/peer/codec.rs
@@ -5,10 +5,12 @@
 use compact_str::CompactString;
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::member::{Load, Membership, Report};
-use jackdaw_core::units::{Fence, Generation, Revision};
+use jackdaw_core::units::{Fence, Generation, Millis, Rate, Revision};
+use jackdaw_entry::limits::{Question, Record, Reply};
 use jackdaw_policy::gossip::fact::{Fact, Key, Member, Value, Version};
 use jackdaw_policy::gossip::message::{Body, Bucket, Entry, Envelope, Exchange, Lag, Summary};
 use jackdaw_policy::poison::{CrashId, Feature};
+use jackdaw_policy::throttle::{self, ServerId, TeamId};
 use jackdaw_wire::peer as wire;
 
 const OPERATION: &str = "decode peer message";
@@ -47,6 +49,79 @@
     })
 }
 
+/// Encodes a question for one request to a server.
+#[must_use]
+pub fn encode_question(question: &Question) -> wire::Question {
+    wire::Question {
+        server: question.server.0,
+        limit: Some(encode_record(&question.record)),
+        priority: question.priority.into(),
+        team: question.team.0,
+    }
+}
+
+/// Decodes a question for one request to a server.
+///
+/// # Errors
+///
+/// Returns `Malformed` if the limit is missing or no valid rate.
+pub fn decode_question(question: &wire::Question) -> Result<Question> {
+    let record = question.limit.as_ref().and_then(decode_record);
+    let record = record.ok_or_else(|| Error::malformed(OPERATION, "peer", "no valid limit"))?;
+    Ok(Question {
+        server: ServerId(question.server),
+        record,
+        priority: u8::try_from(question.priority).unwrap_or(u8::MAX),
+        team: TeamId(question.team),
+    })
+}
+
+/// Encodes the answer to a question.
+#[must_use]
+pub fn encode_verdict(reply: &Reply) -> wire::Verdict {
+    let (granted, retry_after) = match reply.verdict {
+        throttle::Verdict::Granted => (true, Millis(0)),
+        throttle::Verdict::Denied(retry_after) => (false, retry_after),
+    };
+    wire::Verdict {
+        granted,
+        retry_after_ms: retry_after.0,
+        limit: Some(encode_record(&reply.record)),
+    }
+}
+
+/// Decodes the answer to a question; none if it holds no valid limit.
+#[must_use]
+pub fn decode_verdict(verdict: &wire::Verdict) -> Option<Reply> {
+    Some(Reply {
+        record: decode_record(verdict.limit.as_ref()?)?,
+        verdict: match verdict.granted {
+            true => throttle::Verdict::Granted,
+            false => throttle::Verdict::Denied(Millis(verdict.retry_after_ms)),
+        },
+    })
+}
+
+fn encode_record(record: &Record) -> wire::Limit {
+    wire::Limit {
+        rate: record.rate.map(Rate::per_second),
+        sent_age_ms: record.sent_age.0,
+        answer_age_ms: record.answer_age.0,
+    }
+}
+
+fn decode_record(limit: &wire::Limit) -> Option<Record> {
+    let rate = match limit.rate {
+        Some(rate) => Some(Rate::new(rate)?),
+        None => None,
+    };
+    Some(Record {
+        rate,
+        sent_age: Millis(limit.sent_age_ms),
+        answer_age: Millis(limit.answer_age_ms),
+    })
+}
+
 fn encode_body(body: &Body) -> wire::envelope::Body {
     match body {
         Body::Probe(exchange) => wire::envelope::Body::Probe(encode_exchange(exchange)),
--- a/crates/control/src/peer/server.rs
+++ b/crates/control/src/peer/server.rs
@@ -5,6 +5,7 @@
 
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::Revision;
+use jackdaw_entry::limits::Limits;
 use jackdaw_wire::peer as wire;
 use jackdaw_wire::peer::peer_server::{Peer, PeerServer};
 use tokio::sync::watch;
@@ -23,6 +24,7 @@
     repository: Arc<Repository>,
     partition: Arc<Partition>,
     inbound: Inbound,
+    limits: Arc<Limits>,
 }
 
 impl Api {
@@ -31,12 +33,14 @@
         repository: Arc<Repository>,
         partition: Arc<Partition>,
         inbound: Inbound,
+        limits: Arc<Limits>,
     ) -> Self {
         Api {
             token: Digest::of(token.as_bytes()),
             repository,
             partition,
             inbound,
+            limits,
         }
     }
 
@@ -68,6 +72,17 @@
         Ok(Response::new(wire::Receipt {}))
     }
 
+    async fn grant(
+        &self,
+        request: Request<wire::Question>,
+    ) -> Result<Response<wire::Verdict>, Status> {
+        self.authenticate(request.metadata())?;
+        let question = codec::decode_question(&request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let reply = self.limits.answer(&question);
+        Ok(Response::new(codec::encode_verdict(&reply)))
+    }
+
     async fn fetch(
         &self,
         request: Request<wire::FetchRequest>,
--- a/crates/control/src/state/request_path.rs
+++ b/crates/control/src/state/request_path.rs
@@ -126,6 +126,7 @@
         let is_in_zone = |member: &&Member| member.zone == *zone;
         // A node that runs alone has no member list but counts itself.
         snapshot.nodes = count_members(self.overlay.members()).max(1);
+        snapshot.peers = self.overlay.peers();
         snapshot.zone_nodes = count_members(self.overlay.members().filter(is_in_zone)).max(1);
     }
 
--- a/crates/control/tests/peer.rs
+++ b/crates/control/tests/peer.rs
@@ -9,8 +9,11 @@
 use jackdaw_control::peer::{Options, Transport};
 use jackdaw_core::catalog::Catalog;
 use jackdaw_core::errors::Error;
-use jackdaw_core::units::Revision;
+use jackdaw_core::time::SystemClock;
+use jackdaw_core::units::{Millis, Rate, Revision};
+use jackdaw_entry::limits::{Limits, Question, Record};
 use jackdaw_policy::gossip::message::{Body, Envelope, Exchange};
+use jackdaw_policy::throttle::{ServerId, TeamId, Verdict};
 use rstest::rstest;
 use tokio::runtime::{Builder, Runtime};
 
@@ -45,6 +48,7 @@
             Arc::new(move |envelope| {
                 let _ = sender.lock().expect("sender").send(envelope);
             }),
+            Arc::new(Limits::new("node", Arc::new(SystemClock::default()))),
         )
         .expect("starts");
         Peer {
@@ -172,3 +176,49 @@
         2
     );
 }
+
+// Guards against a node that grants requests to a limited server although its keeper would not.
+#[test]
+fn keeper_is_asked_for_requests_to_a_limited_server() {
+    let runtime = runtime();
+    let (first, second) = (Peer::new(&runtime, "token"), Peer::new(&runtime, "token"));
+    let question = Question {
+        server: ServerId(1),
+        record: Record {
+            rate: Rate::new(0.5),
+            sent_age: Millis(20),
+            answer_age: Millis(10),
+        },
+        priority: 0,
+        team: TeamId(1),
+    };
+    let questions = first.transport.questions();
+    let address = second.transport.address();
+    let verdicts: Vec<bool> = (0..8)
+        .filter_map(|_| runtime.block_on(questions.ask(address, question)))
+        .map(|reply| reply.verdict == Verdict::Granted)
+        .collect();
+    assert!(verdicts.contains(&true), "{verdicts:?}");
+    assert!(verdicts.contains(&false), "{verdicts:?}");
+}
+
+#[test]
+fn blocked_or_unauthenticated_node_gets_no_verdict() {
+    let runtime = runtime();
+    let (first, second) = (Peer::new(&runtime, "other"), Peer::new(&runtime, "token"));
+    let question = Question {
+        server: ServerId(1),
+        record: Record {
+            rate: Rate::new(5.0),
+            sent_age: Millis(20),
+            answer_age: Millis(10),
+        },
+        priority: 0,
+        team: TeamId(1),
+    };
+    let (first_address, second_address) = (first.transport.address(), second.transport.address());
+    let ask = |from: &Peer, to| runtime.block_on(from.transport.questions().ask(to, question));
+    assert_eq!(ask(&first, second_address), None);
+    second.partition.block(first_address);
+    assert_eq!(ask(&second, first_address), None);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -30,9 +30,10 @@
 use jackdaw_core::member::Report;
 use jackdaw_core::note::{Note, Section};
 use jackdaw_core::order::Order;
-use jackdaw_core::time::SystemClock;
+use jackdaw_core::time::{Clock, SystemClock};
 use jackdaw_core::token::Digest;
 use jackdaw_core::units::{Millis, Revision};
+use jackdaw_entry::limits::Limits;
 use jackdaw_policy::release::accept::Verdict;
 use jackdaw_standin::store::Memory;
 use slog::{Discard, Logger, o};
@@ -120,10 +121,12 @@
         let feed = Feed::default();
         let decisions = Mutex::new(feed.subscribe());
         let metrics = Metrics::new().expect("metrics");
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let limits = Arc::new(Limits::new(name, Arc::clone(&clock)));
         let shared = Shared {
             snapshot: Arc::default(),
             store: store_proxy.clone(),
-            clock: Arc::new(SystemClock::default()),
+            clock,
             logger: Logger::root(Discard, o!()),
             feed: feed.clone(),
             metrics: metrics.clone(),
@@ -133,6 +136,7 @@
                 token: "peer-token".into(),
                 seeds: seeds.to_vec(),
                 round_interval: Millis(50),
+                limits,
                 switch: Arc::clone(&partition),
             }),
         };
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,6 +11,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::poison::BAN_DURATION;
 use jackdaw_policy::retry::{Cause, Connection, ExchangeFailure, Failure, Fault, Request, Verdict};
+use jackdaw_policy::throttle::TeamId;
 
 use crate::admit::Admission;
 use crate::attempt::{Attempt, Piece, Sending};
@@ -19,6 +20,7 @@
 use crate::exchange;
 use crate::handler::Worker;
 use crate::isolation::{Isolation, Placement, Plan};
+use crate::limits::Applicant;
 use crate::once::Ticket;
 use crate::pool::Clients;
 use crate::problem::Problem;
@@ -294,6 +296,12 @@
     /// Returns the problem for a call without a target: the last failure if there was one.
     pub(crate) fn take_no_server_problem(&mut self) -> Problem {
         self.last_problem.take().unwrap_or_else(|| {
+            if let Some(left) = self.peek().exhausted_for() {
+                let detail = "all servers that can take it have reached the limits they name";
+                let problem = Problem::new(Reason::ServerLimit, Step::Admitted, detail);
+                // Callers that were refused together do not return together.
+                return problem.with_retry_after(Millis(left.0 + fastrand::u64(..=left.0)));
+            }
             let detail = "no whole replica group or live backend server is known";
             Problem::new(Reason::NoServer, Step::Admitted, detail)
         })
@@ -307,6 +315,14 @@
             call: Rc::clone(&self.call),
             tried: self.request.tried().to_vec(),
             reconnect_target: None,
+            applicant: Applicant {
+                team: TeamId::new(&self.call.team.name),
+                // Streams under way go first.
+                priority: match self.request.is_partially_answered() {
+                    true => 0,
+                    false => u8::try_from(self.call.team.priority).unwrap_or(u8::MAX),
+                },
+            },
             suspect: self.admission.suspect,
             isolation: self.isolation.clone(),
         }
@@ -322,6 +338,7 @@
             return Box::pin(future::ready(Err(failure)));
         }
         let clients = Rc::clone(&self.clients);
+        let shared = Arc::clone(&self.shared);
         let call = Rc::clone(&self.call);
         let target = placement.target.clone();
         let connection = placement.connection;
@@ -334,7 +351,7 @@
             let client = client.ok_or_else(|| {
                 ExchangeFailure::new(Fault::Unreachable, Step::Routed, "no client")
             })?;
-            exchange::send(&client, &call, &target, resume_at).await
+            exchange::send(&shared, &client, &call, &target, resume_at).await
         })
     }
 
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -11,6 +11,7 @@
 use ntex::util::stream_recv;
 
 use crate::call::{Call, Destination};
+use crate::shared::Shared;
 use crate::snapshot::Target;
 
 /// Header that identifies the request; a backend server echoes it in the answer.
@@ -26,16 +27,21 @@
 
 /// Sends a call to a target and returns the answer after its head was checked.
 pub(crate) async fn send(
+    shared: &Shared,
     client: &Client,
     call: &Call,
     target: &Target,
     resume_at: u64,
 ) -> Result<ClientResponse, ExchangeFailure> {
     let request = build_request(client, call, target, resume_at);
+    let sent_at = shared.clock.now();
     let answer = request
         .send_body(call.body.clone())
         .await
         .map_err(|error| classify_error(&error))?;
+    if is_own(call, &answer) {
+        shared.limits.record(target, answer.headers(), sent_at);
+    }
     check_head(call, &answer)?;
     Ok(answer)
 }
@@ -90,6 +96,12 @@
     ExchangeFailure::new(fault, step, error)
 }
 
+/// Returns whether an answer names the call's request.
+fn is_own(call: &Call, answer: &ClientResponse) -> bool {
+    let echoed = answer.headers().get(REQUEST_ID);
+    echoed.and_then(|value| value.to_str().ok()) == Some(call.id.as_str())
+}
+
 fn check_head(call: &Call, answer: &ClientResponse) -> Result<(), ExchangeFailure> {
     if is_refused(call, answer.status()) {
         let detail = format!(
--- a/crates/entry/src/isolation.rs
+++ b/crates/entry/src/isolation.rs
@@ -14,6 +14,7 @@
 use crate::event::Event;
 use crate::exchange::{self, to_timer_millis};
 use crate::gauge::Reservation;
+use crate::limits::Applicant;
 use crate::route::{Router, Selector};
 use crate::shared::Shared;
 use crate::snapshot::Target;
@@ -21,6 +22,9 @@
 /// A suspect call waits for each step at most the time until its deadline divided by this.
 const WAIT_DIVISOR: u64 = 3;
 
+/// Largest number of servers that are asked for one attempt.
+const MAX_ASKED: u32 = 4;
+
 /// Permit of one suspect call to run alone; only few calls hold one at the same time.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -52,6 +56,8 @@
     pub(crate) tried: Vec<CompactString>,
     /// Target that is tried once more on a new connection, if it is still listed.
     pub(crate) reconnect_target: Option<Target>,
+    /// Who asks for requests to servers with limits.
+    pub(crate) applicant: Applicant,
     /// Whether the call has to run alone.
     pub(crate) suspect: bool,
     /// Isolation of the call's attempt before, if that is still in progress.
@@ -69,11 +75,17 @@
         };
         let reconnect_target = self.reconnect_target.as_ref();
         let (target, connection) = match reconnect_target.filter(|target| self.is_listed(target)) {
-            Some(target) => (target.clone(), Connection::New),
+            Some(target) => {
+                let target = target.clone();
+                if !self.ask(&target).await {
+                    return None;
+                }
+                (target, Connection::New)
+            }
             // A non-idempotent call cannot be retried after the loss of a reused connection, so it
             // always gets a new one.
             None => (
-                self.choose_target()?,
+                self.choose_granted_target().await?,
                 exchange::connection_kind(!self.call.idempotent),
             ),
         };
@@ -95,6 +107,37 @@
         self.choose_target().is_some()
     }
 
+    /// Chooses a target whose server may get the call by the limit that it names, if it does.
+    async fn choose_granted_target(&self) -> Option<Target> {
+        for _ in 0..MAX_ASKED {
+            let target = self.choose_target()?;
+            if self.ask(&target).await {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    /// Returns whether a target's server may get the call by the limit that it names, if it does.
+    async fn ask(&self, target: &Target) -> bool {
+        let limits = &self.shared.limits;
+        if !limits.is_limited(target) {
+            return true;
+        }
+        let snapshot = self.shared.snapshot.load_full();
+        limits.ask(&snapshot, target, self.applicant).await
+    }
+
+    /// Returns the shortest time for which a target's server refuses the call by its limit, if any does.
+    pub(crate) fn exhausted_for(&self) -> Option<Millis> {
+        let snapshot = self.shared.snapshot.load();
+        let targets = self.selector().targets(&snapshot).iter();
+        let limits = &self.shared.limits;
+        targets
+            .filter_map(|target| limits.blocked_for(target, self.applicant))
+            .min()
+    }
+
     /// Returns whether a target is still in the snapshot.
     fn is_listed(&self, target: &Target) -> bool {
         let snapshot = self.shared.snapshot.load();
@@ -105,9 +148,14 @@
     fn choose_target(&self) -> Option<Target> {
         let snapshot = self.shared.snapshot.load_full();
         let now = self.shared.clock.now();
+        let limits = &self.shared.limits;
+        let mut avoided = self.tried.clone();
+        let targets = self.selector().targets(&snapshot).iter();
+        let blocked = targets.filter(|target| limits.blocked_for(target, self.applicant).is_some());
+        avoided.extend(blocked.map(|target| target.name.clone()));
         let choice = self
             .router
-            .choose(&snapshot, self.selector(), &self.tried, now);
+            .choose(&snapshot, self.selector(), &avoided, now);
         for decision in self.router.take_decisions() {
             self.shared.send(Event::Explained(decision));
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 pub mod gauge;
 pub mod in_flight;
+pub mod limits;
 pub mod once;
 pub mod route;
 pub mod server;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::drain::Drain;
 use crate::event::Event;
 use crate::gate::Gates;
+use crate::limits::Limits;
 use crate::once::{self, Ledger};
 use crate::quota::Quotas;
 use crate::snapshot::Snapshot;
@@ -108,6 +109,8 @@
     pub counters: Counters,
     /// Requests in flight, and whether new ones are taken.
     pub drain: Drain,
+    /// Limits that backend servers name.
+    pub limits: Arc<Limits>,
     pub(crate) quotas: Quotas,
     pub(crate) gates: Gates,
     /// Permits for suspect calls to run alone; they bound the targets withheld from other calls.
@@ -129,6 +132,7 @@
         let ledger = Ledger::new(store, Arc::clone(&clock), node, options.once);
         ledger.register_metrics(meter);
         Shared {
+            limits: Arc::new(Limits::new(node, Arc::clone(&clock))),
             snapshot,
             events,
             clock,
@@ -149,6 +153,14 @@
     }
 }
 
+impl Shared {
+    /// Replaces the limits by those that the node shares with its port for other nodes.
+    #[must_use]
+    pub fn with_limits(self, limits: Arc<Limits>) -> Self {
+        Shared { limits, ..self }
+    }
+}
+
 impl fmt::Debug for Shared {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Shared")
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -46,6 +46,8 @@
     pub nodes: u32,
     /// Number of nodes in this availability zone, including this one; zero if unknown.
     pub zone_nodes: u32,
+    /// Names and addresses of the other nodes.
+    pub peers: Vec<(CompactString, SocketAddr)>,
     /// Availability zone of this node.
     pub zone: CompactString,
     /// Whether the node has a catalogue and may accept requests.
--- a/crates/entry/tests/support/node.rs
+++ b/crates/entry/tests/support/node.rs
@@ -52,6 +52,16 @@
 
     /// Starts a node that registers its counters with a meter.
     pub fn start_with_meter(options: Options, snapshot: Snapshot, meter: &Meter) -> Self {
+        Node::start_as("node", options, snapshot, meter)
+    }
+
+    /// Starts a node with a name, which distinguishes it from others.
+    pub fn start_named(name: &str, options: Options, snapshot: Snapshot) -> Self {
+        let meter = NoopMeterProvider::new().meter("test");
+        Node::start_as(name, options, snapshot, &meter)
+    }
+
+    fn start_as(name: &str, options: Options, snapshot: Snapshot, meter: &Meter) -> Self {
         let store = Arc::new(MemoryStore::default());
         let (sender, events) = unbounded_channel();
         let shared = Arc::new(Shared::new(
@@ -59,7 +69,7 @@
             sender,
             Arc::new(SystemClock::default()),
             Arc::clone(&store) as Arc<dyn Store>,
-            "node",
+            name,
             options,
             meter,
         ));
@@ -135,6 +145,7 @@
         verdicts: Arc::default(),
         nodes: 1,
         zone_nodes: 1,
+        peers: Vec::new(),
         zone: "qc-east-a".into(),
         ready: true,
         stopping: false,
--- a/crates/jackdawstair/src/node.rs
+++ b/crates/jackdawstair/src/node.rs
@@ -18,6 +18,7 @@
 use jackdaw_core::store::Store;
 use jackdaw_core::time::Clock;
 use jackdaw_core::units::Millis;
+use jackdaw_entry::limits::Limits;
 use jackdaw_entry::once;
 use jackdaw_entry::server::Server;
 use jackdaw_entry::shared;
@@ -99,6 +100,7 @@
         let metrics = Metrics::new()?;
         let feed = Feed::default();
         let (entry_events, entry_event_receiver) = unbounded_channel();
+        let limits = Arc::new(Limits::new(&settings.node, Arc::clone(&parts.clock)));
         let control = Control::start(
             control_options(settings),
             runtime::Shared {
@@ -108,7 +110,7 @@
                 logger: parts.logger.clone(),
                 feed: feed.clone(),
                 metrics: metrics.clone(),
-                network: Some(peer_network(settings, &parts)),
+                network: Some(peer_network(settings, &parts, Arc::clone(&limits))),
             },
             platform_connector(settings.platform.vms, settings.timing),
             entry_event_receiver,
@@ -126,7 +128,8 @@
                 ..shared::Options::default()
             },
             &metrics.meter("jackdaw-entry"),
-        );
+        )
+        .with_limits(limits);
         let recorder = Recorder::start(&parts.wire, &shared.ledger, parts.logger.clone());
         let callers_address = settings.callers.to_string();
         let server = Server::start(Arc::new(shared), settings.callers)
@@ -222,8 +225,9 @@
     }
 }
 
-fn peer_network(settings: &Settings, parts: &Parts) -> Network {
+fn peer_network(settings: &Settings, parts: &Parts, limits: Arc<Limits>) -> Network {
     Network {
+        limits,
         runtime: parts.wire.clone(),
         listen: settings.peers,
         token: settings.peer_token.clone(),
--- a/crates/policy/src/gossip/node.rs
+++ b/crates/policy/src/gossip/node.rs
@@ -195,6 +195,12 @@
         self.insert_fact(fact, now)
     }
 
+    /// Gets the name of this node.
+    #[must_use]
+    pub fn name(&self) -> &CompactString {
+        &self.options.name
+    }
+
     /// Returns the facts.
     #[must_use]
     pub fn facts(&self) -> &Table {
