Play nodes that are cut off from all servers, which fails

The soak can cut nodes off from all servers: their connections hang, are reset, or live on while new ones are reset.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -68,3 +68,22 @@
 fn limits_are_kept_while_nodes_are_restarted() {
     check_play("limits-stops", 1);
 }
+
+/// Guards against nodes that serve nothing while their links to all servers hang.
+#[test]
+fn node_whose_links_hang_serves_its_callers() {
+    check_play("cut-hang", 1);
+}
+
+/// Guards against nodes that serve nothing while their links to all servers are reset, and that take
+/// the resets for ends of servers, so that all nodes refuse sound requests.
+#[test]
+fn node_whose_links_are_reset_serves_its_callers_and_harms_no_others() {
+    check_play("cut-reset", 1);
+}
+
+/// Guards against nodes that can open no connection to any server and give up the old ones.
+#[test]
+fn node_that_can_open_no_connection_serves_its_callers() {
+    check_play("cut-refuse", 2);
+}
