Reach servers through other nodes while all links to them are lost

What callers saw: at a node that is cut off from all servers each request waited 400 ms for each of up to four servers and was refused, or hung, until the cut ended.

Cause: a node kept no memory of its own links. It avoids single targets, and when all are avoided it tries them all; nothing led from 'none of my connections opens' to another path.

Connections then go through another node that says in its datagrams that it reaches servers: that node connects to the server that it is named and passes bytes on. The request stays with the node that took it, so attempts, retries, limits, deadlines, 'not run' and the log are those of a direct connection, and a tunnel cannot lead to another. Old connections that bring answers are used first. If connections are refused and no node reaches servers, requests are refused at once. Servers that are cut off do not count as tried.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
+use jackdaw_policy::reach;
 use jackdaw_policy::retry::{ExchangeFailure, Fault};
 
 use crate::buffered::BufferedAnswer;
@@ -96,6 +97,8 @@
     plan: Plan,
     pub(crate) target: Rc<Target>,
     pub(crate) is_new_connection: bool,
+    /// Whether another node relays the connection, once there is one.
+    pub(crate) is_relayed: bool,
     pub(crate) exposure: Exposure,
     trial: Option<Trial>,
     /// Whether nothing arrived from the server for longer than a time-out.
@@ -131,14 +134,8 @@
         let target = node.targets.borrow().target(plan.key);
         let connecting = {
             let node = Rc::clone(node);
-            let address = target.address;
-            async move {
-                if plan.needs_new_connection {
-                    node.pool.open(address).await
-                } else {
-                    node.pool.take(address).await
-                }
-            }
+            let target = Rc::clone(&target);
+            async move { node.connect(&target, plan.needs_new_connection).await }
         };
         Attempt {
             node: Rc::clone(node),
@@ -146,6 +143,7 @@
             plan,
             target,
             is_new_connection: true,
+            is_relayed: false,
             exposure: Exposure::default(),
             trial,
             is_silent: false,
@@ -209,6 +207,7 @@
                 Phase::Sending(sending) => {
                     let (connection, answer) = ready!(sending.as_mut().poll(cx));
                     let answer = answer.map_err(connection_failure)?;
+                    self.record_answer();
                     self.check_head(&answer)?;
                     self.phase = self.receive(connection, answer);
                 }
@@ -245,6 +244,7 @@
     /// Sends the request on a connection.
     fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
         self.is_new_connection = !connection.is_used();
+        self.is_relayed = connection.is_relayed();
         let sent = self.node.now();
         let left = self.call.caller_deadline.since(sent);
         if left == Millis(0) || sent >= self.call.due(&self.node) {
@@ -322,8 +322,30 @@
         }))
     }
 
+    /// Returns the kind of the connection, or none if another node relays it.
+    pub(crate) fn direct_link(&self) -> Option<reach::Link> {
+        if self.is_relayed {
+            return None;
+        }
+        Some(match self.is_new_connection {
+            true => reach::Link::New,
+            false => reach::Link::Used,
+        })
+    }
+
+    /// Records that the server has answered.
+    fn record_answer(&self) {
+        if let Some(link) = self.direct_link() {
+            self.node.record_direct_answer(link);
+        }
+    }
+
     /// Records that bytes have arrived from the target.
     fn record_progress(&mut self) {
+        // What a connection brings later says nothing of new ones.
+        if self.direct_link().is_some() {
+            self.node.record_direct_answer(reach::Link::Used);
+        }
         let now = self.node.now();
         self.last_activity = now;
         self.is_silent = false;
@@ -431,6 +453,33 @@
     }
 }
 
+impl Node {
+    /// Takes an idle connection to a target's server, or opens one: directly, or through another node
+    /// while no server is reached.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`connection::Fault::NotSent`] if there is none in time.
+    async fn connect(
+        &self,
+        target: &Target,
+        needs_new: bool,
+    ) -> Result<Connection, connection::Fault> {
+        let address = target.address;
+        while let Some(connection) = (!needs_new).then(|| self.pool.take_idle(address)).flatten() {
+            // Old connections live on in some cuts, and are used then.
+            let is_lost = self.reach.borrow().is_cut_entirely(self.now());
+            if connection.is_relayed() || !is_lost {
+                return Ok(connection);
+            }
+        }
+        if self.reach.borrow().is_cut() && !self.relays().is_empty() {
+            return self.open_tunnel(target).await;
+        }
+        self.pool.open(address).await
+    }
+}
+
 /// Converts a connection's fault to a failed exchange.
 fn connection_failure(fault: connection::Fault) -> ExchangeFailure {
     match fault {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use jackdaw_policy::balance::{self, Load};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
+use jackdaw_policy::reach;
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
 use jackdaw_policy::throttle::TeamId;
 use slog::info;
@@ -150,6 +151,7 @@
     ///
     /// Returns a refusal if no attempt is allowed or no target is available.
     pub(crate) fn begin(&mut self) -> Result<Attempt, Obstacle> {
+        self.check_reach()?;
         let suspicion = self.check_poison()?;
         let key = self.choose_target(suspicion)?;
         let target = self.node.targets.borrow().target(key);
@@ -179,6 +181,53 @@
         Ok(Attempt::begin(&self.node, &self.call, plan, trial))
     }
 
+    /// Rejects a new request if servers refuse this node and no other node reaches them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request is rejected.
+    fn check_reach(&self) -> Result<(), Refusal> {
+        let node = &self.node;
+        let is_refused = node.reach.borrow().is_refused(node.now());
+        if !is_refused || !node.relays().is_empty() || self.is_partially_answered() {
+            return Ok(());
+        }
+        let detail = "no node reaches a server".to_owned();
+        Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail))
+    }
+
+    /// Records what a failed attempt, or a silent server, says of the links to servers.
+    fn record_link_failure(&self, fault: Fault, attempt: &Attempt) {
+        let failure = match fault {
+            Fault::Unreachable => reach::Failure::Refused,
+            Fault::Closed => reach::Failure::Closed,
+            Fault::Silent => reach::Failure::Silent,
+            Fault::Deadline | Fault::Invalid | Fault::Refused => return,
+        };
+        let Some(link) = attempt.direct_link() else {
+            return;
+        };
+        let server = &attempt.target.server;
+        if attempt.head().is_some() {
+            // What an answer's connection does later says nothing of new ones.
+            let link = reach::Link::Used;
+            self.node.record_direct_failure(server, link, failure);
+            return;
+        }
+        // A server may close an idle connection just as a request is sent.
+        let is_idle_close = link == reach::Link::Used && fault == Fault::Closed;
+        if !is_idle_close {
+            self.node.record_direct_failure(server, link, failure);
+        }
+    }
+
+    /// Returns whether an attempt may have failed for the loss of this node's links; servers that are cut
+    /// off do not count as tried.
+    fn is_link_lost(&self, fault: Fault, attempt: &Attempt) -> bool {
+        let is_closed = matches!(fault, Fault::Unreachable | Fault::Closed);
+        is_closed && attempt.direct_link().is_some() && self.node.reach.borrow().is_doubtful()
+    }
+
     /// Asks whether a target's server, which names a limit, may get the request.
     pub(crate) async fn ask(&mut self, key: Key) {
         let target = self.node.targets.borrow().target(key);
@@ -673,15 +722,17 @@
         error: &ExchangeFailure,
         attempt: &Attempt,
     ) -> Verdict {
-        let is_uncounted =
-            self.is_refused_midway(error) || self.has_server_ended(error, attempt).await;
+        self.record_link_failure(error.fault, attempt);
+        let is_uncounted = self.is_refused_midway(error)
+            || self.is_link_lost(error.fault, attempt)
+            || self.has_server_ended(error, attempt).await;
         let now = self.node.now();
         self.failures += 1;
         let failure = Failure {
             is_uncounted,
             ..describe_failure(attempt, error.fault, error.step)
         };
-        if error.fault == Fault::Unreachable {
+        if error.fault == Fault::Unreachable && !self.node.reach.borrow().is_cut() {
             self.avoid(attempt);
         }
         let verdict = self.request.record_failure(&failure, &self.budget, now);
@@ -697,6 +748,7 @@
         let error = ExchangeFailure::new(Fault::Silent, attempt.step(), "nothing arrives");
         if is_new {
             self.has_met_silence = true;
+            self.record_link_failure(Fault::Silent, attempt);
             self.avoid(attempt);
             self.record_crash(Fault::Silent, attempt.step(), attempt);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,3 +35,4 @@
 mod relay;
 mod stop;
 mod targets;
+mod tunnel;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,9 +21,10 @@
 use jackdaw_link::pool::{self, Pool};
 use jackdaw_policy::fleet::Fleet;
 use jackdaw_policy::peers::PeerLoads;
+use jackdaw_policy::reach;
 use jackdaw_policy::retry::{self, Budget};
 use jackdaw_policy::shutdown::{Limits, Shutdown};
-use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::{Counter, Meter};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
@@ -94,6 +95,29 @@
     }
 }
 
+/// Counters of links to servers.
+pub(crate) struct ReachCounters {
+    /// Times at which no server was reached any more.
+    pub(crate) cuts: Counter<u64>,
+    /// Connections that were opened through other nodes.
+    pub(crate) opened: Counter<u64>,
+}
+
+impl ReachCounters {
+    fn new(meter: &Meter) -> Self {
+        ReachCounters {
+            cuts: meter
+                .u64_counter("jackdawstair_cuts")
+                .with_description("Times at which no server was reached any more.")
+                .build(),
+            opened: meter
+                .u64_counter("jackdawstair_tunnels")
+                .with_description("Connections to servers that were opened through other nodes.")
+                .build(),
+        }
+    }
+}
+
 /// State of one node, which runs on a single thread.
 pub(crate) struct Node {
     pub(crate) options: Options,
@@ -130,6 +154,13 @@
     pub(crate) freshness: Freshness,
     /// Limits that servers name.
     pub(crate) limits: ServerLimits,
+    /// Links to servers, this node's and those of others.
+    pub(crate) reach: RefCell<reach::Tracker>,
+    /// Number of connections that this node relays for others.
+    pub(crate) tunnels: Cell<u32>,
+    /// Port at which it does.
+    pub(crate) relay_port: Cell<u16>,
+    pub(crate) counters_of_reach: ReachCounters,
     index: RefCell<Option<Rc<Index>>>,
     /// Former configurations, which live as long as requests that they admitted; the latest is last.
     former: RefCell<Vec<Weak<Index>>>,
@@ -147,6 +178,10 @@
             connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
+            reach: RefCell::default(),
+            tunnels: Cell::new(0),
+            relay_port: Cell::new(0),
+            counters_of_reach: ReachCounters::new(&parts.meter),
             limits: ServerLimits::new(&options.node, &parts.meter),
             options,
             parts,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::peers::{LoadReport, Share};
 use jackdaw_policy::poison::Peers;
+use jackdaw_policy::reach::Reach;
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
@@ -99,6 +100,12 @@
     /// Age in milliseconds of the sender's news of its zone's leader; zero for the leader itself.
     #[prost(uint64, optional, tag = "11")]
     leader_age_ms: Option<u64>,
+    /// What the sender reaches as an index into [`REACHES`].
+    #[prost(uint32, tag = "14")]
+    reach: u32,
+    /// Port at which the sender relays connections to servers; zero for none.
+    #[prost(uint32, tag = "15")]
+    relay_port: u32,
     /// Limits of servers.
     #[prost(message, repeated, tag = "12")]
     limits: Vec<limits::Record>,
@@ -143,6 +150,9 @@
     is_lost: bool,
 }
 
+/// What nodes reach in the order of their numbers on the wire.
+const REACHES: [Reach; 3] = [Reach::Unknown, Reach::Reaching, Reach::Cut];
+
 /// The states of a membership in the order of their numbers on the wire.
 const STATES: [State; 5] = [
     State::Joining,
@@ -361,6 +371,7 @@
                     node.handle_exchange(exchange, from);
                     continue;
                 }
+                record_reach(node, &datagram, from);
                 node.adopt_limits(&datagram.limits);
                 if !datagram.address.is_empty() {
                     peer_addresses.introduce(&datagram.node, &datagram.address);
@@ -391,6 +402,29 @@
     }
 }
 
+fn encode_reach(reach: Reach) -> u32 {
+    let number = REACHES.iter().position(|known| *known == reach);
+    number.map_or(0, |number| number as u32)
+}
+
+/// Records what the sender of a datagram reaches.
+fn record_reach(node: &Node, datagram: &Datagram, from: SocketAddr) {
+    let reach = usize::try_from(datagram.reach).ok();
+    let reach = reach.and_then(|number| REACHES.get(number)).copied();
+    let port = u16::try_from(datagram.relay_port).unwrap_or_default();
+    if port == 0 || datagram.node == node.options.node.as_str() {
+        return;
+    }
+    let relay = SocketAddr::new(from.ip(), port);
+    node.reach.borrow_mut().record_peer(
+        &datagram.node,
+        &datagram.zone,
+        reach.unwrap_or_default(),
+        relay,
+        node.now(),
+    );
+}
+
 /// Applies the server states from a leader to the fleet.
 fn apply_server_states(node: &Node, server_states: Vec<ServerState>) {
     let now = node.now();
@@ -520,6 +554,8 @@
             sees_store: !self.node.has_stale_registrations(),
             configuration: self.node.version().unwrap_or_default(),
             leader_age_ms: self.node.leader_age().map(|age| age.0),
+            reach: encode_reach(self.node.reach.borrow().reach(self.node.now())),
+            relay_port: self.node.relay_port.get().into(),
             ..datagram
         };
         let bytes = datagram.encode_to_vec();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,6 +30,7 @@
 use crate::options::Options;
 use crate::stop;
 use crate::termination;
+use crate::tunnel;
 
 /// Time after which an idle connection to the readiness port or the peers' port is closed.
 const INTERNAL_IDLE_TIMEOUT: Seconds = Seconds(75);
@@ -42,6 +43,8 @@
 const DISCONNECT_TIMEOUT: Seconds = Seconds(30);
 /// Time to release the leader's lease in the store, before the supervisor ends the grace period.
 const LEASE_RELEASE_TIME: Millis = Millis(200);
+/// Interval at which a stopping node looks whether it still relays connections.
+const TUNNEL_POLL: Millis = Millis(50);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Millis = Millis(10);
 
@@ -64,6 +67,8 @@
     pub peers: std::net::UdpSocket,
     /// Listener for requests of other nodes, at the address of their datagrams.
     pub exchange: std::net::TcpListener,
+    /// Listener for other nodes that are cut off from all servers, at the next port.
+    pub relay: std::net::TcpListener,
 }
 
 impl Ports {
@@ -82,10 +87,20 @@
             readiness: listen(options.readiness)?,
             peers: std::net::UdpSocket::bind(options.peers).map_err(bind_failed(options.peers))?,
             exchange: listen(options.peers)?,
+            relay: listen(relay_address(options.peers))?,
         })
     }
 }
 
+/// Returns the address next to that for datagrams, or any port if that is to be any.
+fn relay_address(peers: SocketAddr) -> SocketAddr {
+    let port = match peers.port() {
+        0 => 0,
+        port => port.saturating_add(1),
+    };
+    SocketAddr::new(peers.ip(), port)
+}
+
 /// Runs a node until it is requested to stop, then waits for the requests in flight.
 ///
 /// # Errors
@@ -112,11 +127,17 @@
     let callers = listen(ports.callers)?;
     let readiness = listen(ports.readiness)?;
     let exchange = listen(ports.exchange)?;
+    let relay = listen(ports.relay)?;
     ports.peers.set_nonblocking(true).map_err(listen_failed)?;
     let peers = UdpSocket::from_std(ports.peers).map_err(listen_failed)?;
     let node = Rc::new(Node::new(options, parts, stop.clone()));
     info!(node.logger(), "node started";
         "zone" => %node.options.zone, "callers" => %node.options.callers);
+    if let Ok(address) = relay.local_addr() {
+        node.relay_port.set(address.port());
+    }
+    ntex::rt::spawn(tunnel::accept(Rc::clone(&node), relay));
+    ntex::rt::spawn(tunnel::probe(Rc::clone(&node)));
     follow::start(&node);
     crate::peers::start(&node, peers);
     bans::start(&node);
@@ -154,6 +175,9 @@
     let finished = async {
         node.drain.wait_idle().await;
         node.drain.wait_closed().await;
+        while node.tunnels.get() > 0 {
+            time::sleep(TUNNEL_POLL.duration()).await;
+        }
     };
     let remaining = node.until(shutdown.exits_at());
     if time::timeout(remaining, finished).await.is_err() {
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -25,6 +25,20 @@
 /// Number of unanswered probes after which the system closes a connection.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
+/// Longest time for which bytes that were sent on a connection through another node may stay
+/// unacknowledged.
+const RELAYED_UNACKNOWLEDGED_TIMEOUT: Millis = Millis(3_000);
+
+/// Sets up a connection of which this node is an end, or that it relays.
+///
+/// # Errors
+///
+/// Returns an error if the system refuses an option.
+pub fn set_up(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_peer_timeouts(stream, RELAYED_UNACKNOWLEDGED_TIMEOUT)
+}
+
 /// Makes the system close a connection whose peer does not respond, even if nothing is being sent.
 fn set_peer_timeouts(stream: &TcpStream, unacknowledged_timeout: Millis) -> io::Result<()> {
     let socket = SockRef::from(stream);
@@ -52,6 +66,8 @@
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     exchanges: u32,
+    /// Whether another node relays the connection.
+    is_relayed: bool,
     idle_until: Instant,
 }
 
@@ -84,6 +100,25 @@
             .map_err(|error| not_sent(&error))?;
         stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
         set_peer_timeouts(&stream, unacknowledged_timeout).map_err(|error| not_sent(&error))?;
+        Connection::handshake(stream, peer, false).await
+    }
+
+    /// Takes a stream that another node passes on to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::NotSent`] if it cannot be set up.
+    pub async fn over(stream: TcpStream, peer: SocketAddr) -> Result<Connection, Fault> {
+        set_up(&stream).map_err(|error| Fault::NotSent(format!("connect: {error}")))?;
+        Connection::handshake(stream, peer, true).await
+    }
+
+    async fn handshake(
+        stream: TcpStream,
+        peer: SocketAddr,
+        is_relayed: bool,
+    ) -> Result<Connection, Fault> {
+        let not_sent = |error: &dyn fmt::Display| Fault::NotSent(format!("connect: {error}"));
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -95,6 +130,7 @@
             peer,
             sender,
             exchanges: 0,
+            is_relayed,
             idle_until: Instant::now(),
         })
     }
@@ -105,6 +141,12 @@
         self.peer
     }
 
+    /// Returns whether another node relays the connection.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        self.is_relayed
+    }
+
     /// Returns whether the connection has carried an exchange.
     #[must_use]
     pub fn is_used(&self) -> bool {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -109,7 +109,8 @@
             .remove(&peer);
     }
 
-    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection to a peer out of the pool, if there is one.
+    pub fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&peer)?;
         while let Some(connection) = kept.pop() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod plan;
 pub mod poison;
+pub mod reach;
 pub mod registry;
 pub mod release;
 pub mod remote;
