Count a closed connection as a crash only if the server has ended

Cause: a node took each connection that closed under a request for the end of its server. Three of these ban the request, or parts of its prompt, on all nodes. Evidence: 'server ended under a request' 26 times at the two nodes though no server had ended, and some 200 refusals as poison at each of the six.

Before it counts, the node now connects to the server again; if it cannot, it asks another node to. The server has ended if its registration is gone or of another start, or if neither reaches it. If no node tells, it counts only while others answer this node. A process that has ended refuses connections at once, so evidence of real crashes comes no later than its retry.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -398,27 +398,24 @@
         Ok(true)
     }
 
-    /// Records a failed attempt as a crash if its server may have ended under the request.
-    fn record_crash(&self, fault: Fault, step: Step, attempt: &Attempt) {
+    /// Records a failed attempt as a crash if its server has ended under the request.
+    ///
+    /// A closed connection alone says nothing of its server: the link may have been lost.
+    async fn record_crash(&self, fault: Fault, step: Step, attempt: &Attempt) {
         if attempt.exposure.is_settled() {
             return;
         }
-        let crash = || Crash {
-            server: attempt.target.server.clone(),
-            incarnation: attempt.target.born,
-            // Engines batch the requests of all nodes, so a request is hardly ever alone.
-            alone: false,
-        };
+        let crash = || describe_crash(attempt);
         let id = &self.call.head.id;
         match fault {
             Fault::Closed => {
-                let features = self.call.features();
-                self.node.record_crash(id, &crash(), &features);
+                if self.node.has_server_ended(&attempt.target).await {
+                    let features = self.call.features();
+                    self.node.record_crash(id, &crash(), &features);
+                }
             }
             Fault::Silent | Fault::Deadline if step >= Step::Written => {
-                let features = self.call.features();
-                let address = attempt.target.address;
-                self.node.record_silence(id, crash(), &features, address);
+                self.remember_silence(attempt);
             }
             Fault::Silent
             | Fault::Deadline
@@ -428,19 +425,31 @@
         }
     }
 
+    /// Remembers that a server fell silent under the request, which is a crash if it has ended.
+    fn remember_silence(&self, attempt: &Attempt) {
+        if attempt.exposure.is_settled() || attempt.step() < Step::Written {
+            return;
+        }
+        let features = self.call.features();
+        let address = attempt.target.address;
+        let id = &self.call.head.id;
+        let crash = describe_crash(attempt);
+        self.node.record_silence(id, crash, &features, address);
+    }
+
     /// Returns whether a server did not run what is left of a stream of which the caller has a part.
     fn is_refused_midway(&self, error: &ExchangeFailure) -> bool {
         error.fault == Fault::Refused && self.last_delivered > self.call.head.last_event
     }
 
-    /// Returns whether the server of a failed attempt has ended after it had begun to answer; if its
-    /// registration does not tell, it is asked for a connection.
-    async fn has_server_ended(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
-        if error.fault != Fault::Closed || !attempt.exposure.is_settled() {
+    /// Returns whether the server of a failed attempt has ended after it had begun to answer.
+    async fn has_ended_midway(&self, error: &ExchangeFailure, attempt: &Attempt) -> bool {
+        let is_closed = error.fault == Fault::Closed && attempt.exposure.is_settled();
+        if !is_closed {
             return false;
         }
         let is_replaced = !self.node.targets.borrow().is_listed(&attempt.target);
-        is_replaced || self.node.pool.open(attempt.target.address).await.is_err()
+        is_replaced || self.node.has_server_ended(&attempt.target).await
     }
 
     /// Returns the target for the next attempt.
@@ -725,7 +734,7 @@
         self.record_link_failure(error.fault, attempt);
         let is_uncounted = self.is_refused_midway(error)
             || self.is_link_lost(error.fault, attempt)
-            || self.has_server_ended(error, attempt).await;
+            || self.has_ended_midway(error, attempt).await;
         let now = self.node.now();
         self.failures += 1;
         let failure = Failure {
@@ -736,7 +745,7 @@
             self.avoid(attempt);
         }
         let verdict = self.request.record_failure(&failure, &self.budget, now);
-        self.log_failure(error, attempt, Some(verdict));
+        self.log_failure(error, attempt, Some(verdict)).await;
         self.prepare_retry(verdict, error.fault, attempt);
         verdict
     }
@@ -750,7 +759,7 @@
             self.has_met_silence = true;
             self.record_link_failure(Fault::Silent, attempt);
             self.avoid(attempt);
-            self.record_crash(Fault::Silent, attempt.step(), attempt);
+            self.remember_silence(attempt);
         }
         // A retry is not taken for an attempt that would be refused.
         let can_begin = !attempt.is_on_trial()
@@ -831,14 +840,14 @@
 
     /// Logs a failed attempt and records what its failure says of the server; an attempt beside
     /// another one has no verdict.
-    pub(crate) fn log_failure(
+    pub(crate) async fn log_failure(
         &self,
         error: &ExchangeFailure,
         attempt: &Attempt,
         verdict: Option<Verdict>,
     ) {
         self.log_attempt(error, attempt, verdict);
-        self.record_crash(error.fault, error.step, attempt);
+        self.record_crash(error.fault, error.step, attempt).await;
     }
 
     fn log_attempt(&self, error: &ExchangeFailure, attempt: &Attempt, verdict: Option<Verdict>) {
@@ -883,6 +892,15 @@
     format_compact!("{}@{}", target.server, target.born)
 }
 
+fn describe_crash(attempt: &Attempt) -> Crash {
+    Crash {
+        server: attempt.target.server.clone(),
+        incarnation: attempt.target.born,
+        // Engines batch the requests of all nodes, so a request is hardly ever alone.
+        alone: false,
+    }
+}
+
 fn describe_failure(attempt: &Attempt, fault: Fault, step: Step) -> Failure {
     Failure {
         server: incarnation_name(&attempt.target),
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -83,10 +83,10 @@
                     self.end_current(&error).await?;
                     None
                 }
-                Occurrence::Standby(idx, Ok(piece)) => self.accept_standby(idx, piece),
+                Occurrence::Standby(idx, Ok(piece)) => self.accept_standby(idx, piece).await,
                 Occurrence::Standby(idx, Err(error)) => {
                     let attempt = self.standbys.swap_remove(idx);
-                    self.dispatch.log_failure(&error, &attempt, None);
+                    self.dispatch.log_failure(&error, &attempt, None).await;
                     None
                 }
                 Occurrence::Step => None,
@@ -295,7 +295,7 @@
     }
 
     /// Takes a part of the answer from a silent server that goes on; none if it brings nothing new.
-    fn accept_standby(&mut self, idx: usize, piece: Piece) -> Option<Piece> {
+    async fn accept_standby(&mut self, idx: usize, piece: Piece) -> Option<Piece> {
         let mut attempt = self.standbys.swap_remove(idx);
         match self.dispatch.examine(piece, &mut attempt, false) {
             Ok(Some(piece)) => {
@@ -312,7 +312,7 @@
                 None
             }
             Err(error) => {
-                self.dispatch.log_failure(&error, &attempt, None);
+                self.dispatch.log_failure(&error, &attempt, None).await;
                 None
             }
         }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -105,6 +105,40 @@
         relays.truncate(MAX_RELAYS);
         relays
     }
+
+    /// Returns whether a server that has closed a connection has ended, as far as nodes can tell.
+    ///
+    /// What only this node sees may be the loss of its own links, so others are asked if it cannot
+    /// connect to the server again.
+    pub(crate) async fn has_server_ended(&self, target: &Target) -> bool {
+        let is_registered = {
+            let fleet = self.fleet.borrow();
+            let server = fleet.server(&target.server);
+            server.is_some_and(|server| server.start_unix_ms == target.born)
+        };
+        if !is_registered {
+            return true;
+        }
+        if self.pool.open(target.address).await.is_ok() {
+            return false;
+        }
+        match self.is_reached_by_others(&target.server).await {
+            Some(is_reached) => !is_reached,
+            None => !self.reach.borrow().is_suspected(self.now()),
+        }
+    }
+
+    /// Returns whether a server can be reached by another node; none if no other node tells.
+    async fn is_reached_by_others(&self, server: &str) -> Option<bool> {
+        for relay in self.relays() {
+            match request(relay, server).await {
+                Ok(_) => return Some(true),
+                Err(Denial::Unreachable) => return Some(false),
+                Err(Denial::Unavailable) => {}
+            }
+        }
+        None
+    }
 }
 
 /// Asks a node to connect this one to a server.
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -138,6 +138,14 @@
         is_cut && !std::mem::replace(&mut self.is_cut, true)
     }
 
+    /// Returns whether no server has answered since one failed, so that this node cannot tell a lost
+    /// link from a server's end.
+    #[must_use]
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        let others = self.all.failed.len() > 1;
+        self.is_cut || (others && now.since(self.all.answered_at) >= MIN_SILENCE)
+    }
+
     /// Returns whether new connections to servers are useless.
     #[must_use]
     pub fn is_cut(&self) -> bool {
