--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -18,4 +18,5 @@
 mod stop;
 mod store;
 mod support;
+mod tunnel;
 mod version;
--- /dev/null
+++ b/crates/gateway/tests/node/tunnel.rs
@@ -0,0 +1,81 @@
+//! Tests of connections to servers that a node passes on for another one.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+
+use jackdaw_gateway::server::Ports;
+use rstest::rstest;
+use slog::{Logger, o};
+
+use super::support::{Node, Script, TIMEOUT, options, request};
+
+const ANSWER: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 2\r\n\r\nok";
+
+/// Starts a node before one server; returns the address at which it passes connections on.
+fn start(scripts: &[Script]) -> (Node, SocketAddr) {
+    let options = options("node");
+    let ports = Ports::bind(&options).expect("ports are free");
+    let relay = ports.relay.local_addr().expect("the port is bound");
+    let logger = Logger::root(slog::Discard, o!());
+    (Node::start_on(ports, 1, scripts, logger, options), relay)
+}
+
+/// Names a server at a relay port and returns the first byte of the answer with the connection.
+fn open(relay: SocketAddr, name: &str) -> (u8, TcpStream) {
+    let mut stream = TcpStream::connect(relay).expect("the node listens");
+    let timeout = stream.set_read_timeout(Some(TIMEOUT));
+    timeout.expect("the time-out is valid");
+    stream.write_all(name.as_bytes()).expect("the node reads");
+    let mut answer = [0; 1];
+    // A node that closes the connection gives no answer.
+    let count = stream.read(&mut answer).unwrap_or_default();
+    (if count == 0 { b'-' } else { answer[0] }, stream)
+}
+
+#[derive(Debug)]
+struct Case {
+    name: &'static str,
+    server: &'static str,
+    answer: u8,
+}
+
+// Guards against a node that connects whoever asks to whatever address.
+#[rstest]
+#[case(Case { name: "a registered server", server: "s0\n", answer: b'C' })]
+#[case(Case { name: "an unknown server", server: "s7\n", answer: b'N' })]
+#[case(Case { name: "an address", server: "127.0.0.1:22\n", answer: b'N' })]
+#[case(Case { name: "no name", server: "\n", answer: b'N' })]
+#[case(Case { name: "bytes that are no text", server: "s0\u{0}\n", answer: b'N' })]
+fn only_registered_servers_are_connected(#[case] case: Case) {
+    let (node, relay) = start(&[]);
+    let (answer, _stream) = open(relay, case.server);
+    assert_eq!(answer, case.answer, "{}", case.name);
+    node.stop();
+}
+
+// Guards against a tunnel that changes what passes through it, or hides its end.
+#[test]
+fn bytes_pass_unchanged_in_both_directions() {
+    let (node, relay) = start(&[ANSWER]);
+    let (_, mut stream) = open(relay, "s0\n");
+    let sent = request("r9", "GET", "/safe/x");
+    stream.write_all(sent.as_bytes()).expect("the node reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the answer ends");
+    assert_eq!(answer, ANSWER.replace("ID", "r9"));
+    assert_eq!(node.arrived().len(), 1);
+    node.stop();
+}
+
+// Guards against a stop that waits for tunnels which carry no request.
+#[test]
+fn stopping_node_closes_idle_tunnels_and_opens_no_more() {
+    let (mut node, relay) = start(&[]);
+    let (_, mut idle) = open(relay, "s0\n");
+    node.begin_stop();
+    let mut rest = Vec::new();
+    idle.read_to_end(&mut rest).expect("the tunnel ends");
+    assert!(rest.is_empty());
+    assert_eq!(open(relay, "s0\n").0, b'N');
+    node.process.wait_ended();
+}
