End servers in the test of retries that a silent request cannot use

The test had servers close their connections under a request until it was banned. A closed connection counts as a crash only if the server has ended now, and these servers go on listening, so the request was never banned and the test did not end. Its servers now end, with their listeners, and start again as other incarnations; what it asserts is the same.

--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -84,6 +84,8 @@
     Refusing,
     /// It closes their connections.
     Closing,
+    /// It ends, until [`Domain::listen_again`].
+    Ending,
     /// It sends bytes that are no answer.
     Garbled,
     /// It has withdrawn its registration.
@@ -314,6 +316,11 @@
                 return self.write(&refusal);
             }
             Conduct::Closing => return None,
+            Conduct::Ending => {
+                // Another request may have ended the server already.
+                let _ = self.member.socket.shutdown(Shutdown::Both);
+                return None;
+            }
             Conduct::Garbled => {
                 self.write("these bytes are no answer\r\n\r\n")?;
                 return None;
@@ -842,14 +849,20 @@
         });
     }
 
-    /// Starts a server that ended as a new incarnation at its address.
+    /// Starts a server that ended as a new incarnation at its address, and lets the requests go on that
+    /// it holds.
     pub(crate) fn restart(&self, number: usize) {
-        let member = self.members[number].clone();
-        member.socket.listen(BACKLOG).expect("the port is bound");
         self.shared.record(|events| {
             events.ended.remove(&number);
             events.released.insert(number);
         });
+        self.listen_again(number);
+    }
+
+    /// Starts a server that ended as a new incarnation at its address.
+    pub(crate) fn listen_again(&self, number: usize) {
+        let member = self.members[number].clone();
+        member.socket.listen(BACKLOG).expect("the port is bound");
         thread::spawn(move || member.accept());
         self.store.put(&registration(number), "2");
     }
--- a/crates/gateway/tests/node/silence.rs
+++ b/crates/gateway/tests/node/silence.rs
@@ -339,11 +339,7 @@
 // Guards against a silent request that takes retries which it cannot use, so that others have none.
 #[test]
 fn silent_request_that_may_not_be_sent_again_takes_no_retry() {
-    let domain = Domain::start(
-        &[Conduct::Closing; 5],
-        Retries::None,
-        vec![configuration(2)],
-    );
+    let domain = Domain::start(&[Conduct::Ending; 5], Retries::None, vec![configuration(2)]);
     domain.silence();
     let held = WHOLE_HEAD.call_as(&domain, "r0");
     domain.wait_held(1);
@@ -354,9 +350,13 @@
         WHOLE_HEAD
             .call_as(&domain, "r1")
             .assert_given_up("a server ends");
-        if domain.servers_of("r1").len() == before {
+        let ended = domain.servers_of("r1").split_off(before);
+        if ended.is_empty() {
             break;
         }
+        ended
+            .into_iter()
+            .for_each(|number| domain.listen_again(number));
     }
     domain.silence();
     domain.earn_retry();
