Do no work for limits on the request path while no server names one

Each request hashed its team once for every candidate, and each attempt and answer hashed its server's name, before it was looked up whether any limit is known. That is now looked up first. The keepers that a node has looked up were forgotten with each statement of the other nodes, on the callers' own path with each question; they are now kept until the nodes change.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -242,8 +242,12 @@
 
     /// Returns whether a target's server may get the request by the limit that it names.
     fn permission(&self, target: &Target) -> Permission {
-        let now = self.node.now();
         let limits = &self.node.limits;
+        // Few servers ever name a limit, so the team is identified only if one has.
+        if limits.is_empty() {
+            return Permission::Unlimited;
+        }
+        let now = self.node.now();
         limits.permission(target, self.team(), self.urgency(), now)
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -227,6 +227,11 @@
             .collect()
     }
 
+    /// Returns whether no server has named a limit.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.limits.borrow().is_empty()
+    }
+
     /// Returns whether a request of a team may be sent to a target's server.
     pub(crate) fn permission(
         &self,
@@ -235,12 +240,8 @@
         priority: u8,
         now: Instant,
     ) -> Permission {
-        let limits = self.limits.borrow();
-        if limits.is_empty() {
-            return Permission::Unlimited;
-        }
         let server = server_id(target);
-        if limits.rate(server).is_none() {
+        if self.limits.borrow().rate(server).is_none() {
             return Permission::Unlimited;
         }
         let asker = self.asker.borrow();
@@ -251,6 +252,9 @@
 
     /// Counts a request that is sent to a server, if that names a limit.
     pub(crate) fn count_sent(&self, target: &Target, is_repetition: bool) {
+        if self.is_empty() {
+            return;
+        }
         let server = server_id(target);
         if self.limits.borrow().rate(server).is_none() {
             return;
@@ -288,6 +292,8 @@
     /// Records what an answer says of its server's limit.
     pub(crate) fn record_limit(&self, target: &Target, limit: Limit, sent_at: Instant) {
         let rate = match limit {
+            // There is nothing to lift.
+            Limit::None if self.limits.is_empty() => return,
             Limit::None => None,
             Limit::Rate(rate) => Some(rate),
             Limit::Unreadable => return,
--- a/crates/policy/src/throttle/ask.rs
+++ b/crates/policy/src/throttle/ask.rs
@@ -71,10 +71,12 @@
     /// Sets the other nodes; returns whether they have changed.
     pub fn set_peers(&mut self, mut peers: Vec<CompactString>) -> bool {
         peers.sort_unstable();
-        let has_changed = peers != self.peers;
+        if peers == self.peers {
+            return false;
+        }
         self.peers = peers;
         self.ranks.borrow_mut().clear();
-        has_changed
+        true
     }
 
     /// Returns the node to ask for a request to a server, or none if no node has answered lately.
