Pass changes of registrations from node to node

A leader then told the states of all 185 servers of its zone to all 194 nodes four times a second, some 104 Mbit/s on a link of 20 Mbit/s. From 16.7 s on none of its connections opened in time; it could not renew its lease, took all servers of its zone for lost and told all nodes so. Ruled out: the node's processor (none is charged), the servers (other nodes reached them).

Changes: - policy::feed: leaders read the store all the time and pass on the changes that are more than heartbeats, in segments that name the revisions between which they lie. A node applies a segment only if it misses nothing before it, passes on what was new, and tells its position in its datagrams. Nodes that missed a segment get it from the next one that hears of it; a node reads the store itself only if it hears of nothing or misses something. - policy::relay: a leader that the store turns away tells some nodes, which pass it on once, as many states as fit into two datagrams.

In the model (195 nodes, servers lost every 3 s) all nodes know of a change within 1.5 s; the leaders read four times a second, and hardly any other node does, where each node read every 2 s before. At 370 nodes as well, and with one in twenty datagrams lost.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -33,7 +33,7 @@
 }
 
 /// One incarnation of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Server {
     /// Name.
     pub id: CompactString,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -869,7 +869,7 @@
             "detail" => &error.detail,
             "new_connection" => attempt.is_new_connection,
             "configuration" => self.index.configuration().version,
-            "registrations_age_ms" => now.since(self.node.registrations_read_at.get()).0,
+            "registrations_age_ms" => self.node.registrations.age(now).0,
             "candidates" => self.candidate_count,
             "delivered" => self.last_delivered,
             "age_ms" => now.since(self.call.arrived).0,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,35 +1,27 @@
 //! Follows prefixes of the store: the configuration and the servers' registrations.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use jackdaw_core::backend::Server;
 use jackdaw_core::errors::Result;
 use jackdaw_core::protocol::Changes;
 use jackdaw_core::store::{Change, Entry};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
-use jackdaw_policy::registry::{Registry, Removal, Source};
 use slog::{debug, info, warn};
 use tokio::sync::watch;
 use tokio::time;
 
 use crate::node::Node;
+use crate::registrations;
 
 /// Longest wait of a call for changes after an outage of the store, for entries that must take
 /// effect within the users' time limit.
 const WAIT_AFTER_OUTAGE: Millis = Millis(500);
 /// Time without a failed call after which calls wait for their full time again.
 const FAILURE_FREE_TIME: Millis = Millis(4_000);
-/// Pause of a leader between two calls for the registrations.
-const LEADER_PAUSE: Millis = Millis(250);
-/// Pause of other nodes between two calls for the registrations, multiplied by the number of nodes.
-const PAUSE_PER_NODE: Millis = Millis(50);
-/// Longest wait of a call for registrations, which change several times a second.
-const REGISTRATION_WAIT: Millis = Millis(1_000);
 /// Number of changes in one answer from which the next call follows without a pause, since the
 /// store sends about 500 at once and more may be pending.
 const LARGE_BATCH: usize = 400;
@@ -43,11 +35,16 @@
     /// Returns the prefix of the keys.
     fn prefix(&self) -> CompactString;
 
-    /// Returns the pause between two calls.
-    fn pause(&self) -> Millis {
+    /// Returns the time until the next call, which may grow meanwhile.
+    fn rest(&self) -> Millis {
         Millis(0)
     }
 
+    /// Returns the revision up to which all changes are known, given that of the last call.
+    fn cursor(&self, after: u64) -> u64 {
+        after
+    }
+
     /// Returns the longest wait of a call for changes; a dead connection is detected after that
     /// time at the latest.
     fn wait(&self) -> Millis;
@@ -63,11 +60,22 @@
         None
     }
 
+    /// Handles that all entries are read anew.
+    fn begin_snapshot(&mut self) {}
+
     /// Replaces all entries by those at a revision.
     fn replace(&mut self, entries: Vec<Entry>, revision: u64);
 
-    /// Applies changes in their order.
-    fn apply(&mut self, changes: Vec<Change>);
+    /// Applies changes in their order, up to a revision.
+    fn apply(&mut self, changes: Vec<Change>, revision: u64);
+
+    /// Handles a failed call.
+    fn handle_failure(&mut self) {}
+
+    /// Returns the length of an outage of the store that has ended without a failed call of this node.
+    fn unnoticed_outage(&self) -> Option<Millis> {
+        None
+    }
 
     /// Handles the end of an outage of the store, which took a time.
     fn handle_recovery(&mut self, _outage: Millis) {}
@@ -95,6 +103,10 @@
         } else {
             subscriber.wait_after_outage().min(subscriber.wait())
         };
+        after = after.map(|after| subscriber.cursor(after));
+        if after.is_none() {
+            subscriber.begin_snapshot();
+        }
         let result = tokio::select! {
             biased;
             // The senders live as long as the node.
@@ -121,6 +133,8 @@
                         "prefix" => %prefix, "away_ms" => outage.0);
                     subscriber.handle_recovery(outage);
                     is_unavailable = false;
+                } else if let Some(outage) = subscriber.unnoticed_outage() {
+                    subscriber.handle_recovery(outage);
                 }
                 let has_more =
                     matches!(&update, Update::Changes(changes, _) if changes.len() >= LARGE_BATCH);
@@ -130,7 +144,7 @@
                         Some(revision)
                     }
                     Update::Changes(changes, revision) => {
-                        subscriber.apply(changes);
+                        subscriber.apply(changes, revision);
                         Some(revision)
                     }
                     Update::Compacted => {
@@ -143,11 +157,18 @@
                 backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
                 after = next;
                 last_success = node.now();
-                if !has_more {
-                    time::sleep(subscriber.pause().duration()).await;
+                if has_more {
+                    continue;
+                }
+                tokio::select! {
+                    biased;
+                    Ok(()) = all_rereads.changed() => after = None,
+                    () = wait_changed(own_rereads.as_mut()) => after = None,
+                    () = rest(&subscriber) => {}
                 }
             }
             Err(error) => {
+                subscriber.handle_failure();
                 if !is_unavailable {
                     warn!(node.logger(), "store does not answer";
                         "prefix" => %prefix, "error" => %error);
@@ -163,6 +184,16 @@
     }
 }
 
+/// Waits until the next call is due.
+async fn rest(subscriber: &impl Subscriber) {
+    loop {
+        match subscriber.rest() {
+            Millis(0) => return,
+            rest => time::sleep(rest.duration()).await,
+        }
+    }
+}
+
 /// Waits for a change, or for ever if there is no receiver.
 async fn wait_changed(rereads: Option<&mut watch::Receiver<u64>>) {
     let has_changed = match rereads {
@@ -248,7 +279,7 @@
         }
     }
 
-    fn apply(&mut self, changes: Vec<Change>) {
+    fn apply(&mut self, changes: Vec<Change>, _: u64) {
         self.node.confirm_configuration();
         for change in changes {
             match change {
@@ -261,159 +292,12 @@
     }
 }
 
-/// Keeps the fleet up to date with the servers' registrations.
-struct Registrations {
-    node: Rc<Node>,
-    registry: Registry,
-}
-
-impl Registrations {
-    fn server_id<'a>(&self, key: &'a str) -> Option<&'a str> {
-        key.strip_prefix(self.node.parts.protocol.servers_prefix())
-    }
-
-    fn decode(&self, entry: &Entry) -> Option<Server> {
-        match self.node.parts.protocol.decode_server(entry) {
-            Ok(server) => Some(server),
-            Err(error) => {
-                debug!(self.node.logger(), "registration cannot be decoded"; "error" => %error);
-                None
-            }
-        }
-    }
-
-    /// Adds or updates a server and returns whether anything changed.
-    fn register(&mut self, server: Server, source: Source) -> bool {
-        let id = server.id.clone();
-        let mut fleet = self.node.fleet.borrow_mut();
-        let changed = self
-            .registry
-            .register(&mut fleet, server, source, self.node.now());
-        drop(fleet);
-        if changed {
-            self.node.record_change(&id);
-        }
-        changed
-    }
-
-    /// Removes a server whose entry is gone and returns whether anything changed.
-    fn remove(&mut self, id: &str) -> bool {
-        let mut fleet = self.node.fleet.borrow_mut();
-        let removal = self.registry.remove(&mut fleet, id, self.node.now());
-        drop(fleet);
-        match removal {
-            Removal::None => false,
-            Removal::Suspected => true,
-            Removal::Removed(server) => {
-                info!(self.node.logger(), "server is gone";
-                    "server" => %server.id, "service" => %server.service,
-                    "group" => server.membership.as_ref()
-                        .map(|membership| membership.group.to_string()));
-                true
-            }
-        }
-    }
-
-    /// Does what is due by the passing of time, and returns whether anything changed.
-    fn refresh(&mut self) -> bool {
-        let now = self.node.now();
-        let mut changed = false;
-        for id in self.registry.overdue(now) {
-            changed |= self.remove(&id);
-        }
-        let mut fleet = self.node.fleet.borrow_mut();
-        changed |= self.registry.trust_living(&mut fleet, now);
-        changed |= fleet.refresh_absent(now);
-        changed
-    }
-}
-
-impl Subscriber for Registrations {
-    fn prefix(&self) -> CompactString {
-        self.node.parts.protocol.servers_prefix().into()
-    }
-
-    fn pause(&self) -> Millis {
-        // The store counts each call, so the more nodes there are, the less often each one calls;
-        // leaders send changes to the other nodes in the meantime.
-        let max_pause = Millis(self.node.options.drain.0 / 2);
-        if self.node.is_leading.get() {
-            return LEADER_PAUSE;
-        }
-        let nodes = self.node.peer_loads().borrow().node_count() as u64;
-        Millis(nodes * PAUSE_PER_NODE.0).clamp(LEADER_PAUSE, max_pause)
-    }
-
-    fn wait(&self) -> Millis {
-        REGISTRATION_WAIT
-    }
-
-    fn replace(&mut self, entries: Vec<Entry>, _: u64) {
-        self.node.registrations_read_at.set(self.node.now());
-        self.refresh();
-        let listed: HashSet<CompactString> = entries
-            .iter()
-            .filter_map(|entry| self.server_id(&entry.key))
-            .map(CompactString::from)
-            .collect();
-        let missing = self.registry.missing(&self.node.fleet.borrow(), &listed);
-        for id in missing {
-            self.remove(&id);
-        }
-        let servers: Vec<Server> = entries
-            .iter()
-            .filter_map(|entry| self.decode(entry))
-            .collect();
-        for server in servers {
-            self.register(server, Source::Snapshot);
-        }
-        self.node.update_targets();
-    }
-
-    fn apply(&mut self, changes: Vec<Change>) {
-        self.node.registrations_read_at.set(self.node.now());
-        let mut changed = self.refresh();
-        for change in changes {
-            match change {
-                Change::Put(entry) => {
-                    if let Some(server) = self.decode(&entry) {
-                        changed |= self.register(server, Source::Change);
-                    } else if let Some(id) = self.server_id(&entry.key) {
-                        // An entry that cannot be decoded replaces the server's valid entry.
-                        let id = CompactString::from(id);
-                        changed |= self.remove(&id);
-                    }
-                }
-                Change::Delete(key, _) => {
-                    if let Some(id) = self.server_id(&key) {
-                        changed |= self.remove(id);
-                    }
-                }
-            }
-        }
-        if changed {
-            self.node.update_targets();
-        }
-    }
-
-    fn handle_recovery(&mut self, outage: Millis) {
-        self.registry.end_outage(outage, self.node.now());
-    }
-
-    fn handle_restoration(&mut self) {
-        self.registry.begin_era(self.node.now());
-    }
-}
-
 /// Starts the tasks that follow the configuration and the registrations.
 pub(crate) fn start(node: &Rc<Node>) {
     let configurations = Configurations {
         node: Rc::clone(node),
     };
     ntex::rt::spawn(follow(Rc::clone(node), configurations));
-    let registrations = Registrations {
-        node: Rc::clone(node),
-        registry: Registry::default(),
-    };
+    let registrations = registrations::Reader::new(node);
     ntex::rt::spawn(follow(Rc::clone(node), registrations));
 }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -81,7 +81,7 @@
         handle_event(&self.leader, Event::Observed { entry, revision });
     }
 
-    fn apply(&mut self, changes: Vec<Change>) {
+    fn apply(&mut self, changes: Vec<Change>, _: u64) {
         for change in changes {
             let event = match change {
                 Change::Put(entry) if entry.key == self.key => {
@@ -218,9 +218,12 @@
     match report {
         Ok(report) => {
             shared.borrow_mut().missed_reports.remove(&server.id);
-            node.fleet
-                .borrow_mut()
-                .apply_report(&server.id, report.membership, now)
+            let mut fleet = node.fleet.borrow_mut();
+            let changed = fleet.apply_report(&server.id, report.membership, now);
+            if changed {
+                node.record_change(&server.id);
+            }
+            changed
         }
         Err(error) => {
             let mut leader = shared.borrow_mut();
@@ -302,6 +305,7 @@
                     node.fleet
                         .borrow_mut()
                         .apply_membership(&order.server, None, now);
+                    node.record_change(&order.server);
                     node.update_targets();
                 }
                 if let Some(planner) = shared.borrow_mut().planners.get_mut(&service) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod poison;
 mod race;
 mod refusal;
+mod registrations;
 mod relay;
 mod stop;
 mod targets;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -37,12 +37,10 @@
 use crate::limits::Limits as ServerLimits;
 use crate::options::Options;
 use crate::poison::Poison;
+use crate::registrations::Registrations;
 use crate::targets::Targets;
 use crate::termination;
 
-/// Age after which the registrations count as stale; a call for them waits for one second at most.
-const REGISTRATIONS_STALE_AFTER: Millis = Millis(1_800);
-
 /// Time for which a change is sent to other nodes; several rounds of datagrams, since any of them
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
@@ -133,8 +131,7 @@
     pub(crate) stop: termination::Request,
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
-    /// Time of the store's last answer with registrations or their changes.
-    pub(crate) registrations_read_at: Cell<Instant>,
+    pub(crate) registrations: Registrations,
     /// Whether this node leads its zone while the store is unavailable.
     pub(crate) in_grace_period: Cell<bool>,
     /// Whether the registrations of the other nodes have been read.
@@ -178,6 +175,7 @@
             connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
+            registrations: Registrations::new(&parts.meter),
             reach: RefCell::default(),
             tunnels: Cell::new(0),
             relay_port: Cell::new(0),
@@ -189,7 +187,6 @@
             drain,
             stop,
             has_traffic: Cell::new(false),
-            registrations_read_at: Cell::default(),
             in_grace_period: Cell::new(false),
             knows_peers: Cell::new(false),
             is_leading: Cell::new(false),
@@ -224,11 +221,6 @@
         changed_servers.keys().cloned().collect()
     }
 
-    /// Returns whether the store has not answered with registrations lately.
-    pub(crate) fn has_stale_registrations(&self) -> bool {
-        self.now().since(self.registrations_read_at.get()) > REGISTRATIONS_STALE_AFTER
-    }
-
     /// Returns the load that the other nodes report.
     pub(crate) fn peer_loads(&self) -> Rc<RefCell<PeerLoads>> {
         Rc::clone(&self.targets.borrow().peer_loads)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,23 +1,25 @@
 //! Exchanges loads and server states with the other nodes.
 //!
 //! Nodes register their addresses in the store under leases and send each other datagrams, each
-//! with the sender's loads. Leaders also send the states of their zone's servers. Datagrams are not
-//! acknowledged, as a later one replaces a lost one.
+//! with the sender's loads. While the store is unavailable, leaders also send the states of their zone's
+//! servers. Datagrams are not acknowledged, as a later one replaces a lost one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::{CompactString, format_compact};
-use jackdaw_core::backend::{Membership, State};
+use jackdaw_core::backend::{Membership, Server, State};
 use jackdaw_core::errors::Result;
 use jackdaw_core::store::{Change, Entry, Lease, Transaction, Write};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::feed::Position;
 use jackdaw_policy::peers::{LoadReport, Share};
 use jackdaw_policy::poison::Peers;
 use jackdaw_policy::reach::Reach;
+use jackdaw_policy::relay::{self, Turns};
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
@@ -27,6 +29,7 @@
 use crate::limits;
 use crate::node::Node;
 use crate::poison;
+use crate::registrations::SegmentRecord;
 
 /// Prefix of the nodes' registrations.
 const PREFIX: &str = "jackdawstair/nodes/";
@@ -43,7 +46,7 @@
 /// datagrams until then.
 const WAIT_AFTER_OUTAGE: Millis = Millis(4_000);
 /// Pause between two rounds of datagrams.
-const SEND_INTERVAL: Millis = Millis(250);
+const SEND_INTERVAL: Millis = relay::ROUND;
 /// Time after a read of the servers' registrations in which server states from leaders are ignored;
 /// leaders read at about that interval and have nothing newer.
 const REGISTRATIONS_FRESH_FOR: Millis = Millis(400);
@@ -63,6 +66,8 @@
 const MAX_LIMIT_BYTES: usize = 48;
 /// Largest encoded size of one server's state in bytes.
 const MAX_SERVER_STATE_BYTES: usize = 96;
+/// Largest number of server states in a datagram.
+const MAX_STATES: usize = (MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_SERVER_STATE_BYTES;
 
 /// A datagram between nodes.
 #[derive(Clone, PartialEq, Message)]
@@ -112,6 +117,49 @@
     /// Part of the exchange on limits; such a datagram holds nothing else but the sender's name.
     #[prost(message, optional, tag = "13")]
     exchange: Option<limits::Exchange>,
+    /// Revision of the last change of the servers' registrations that the sender knows; zero for none.
+    #[prost(uint64, tag = "16")]
+    registrations: u64,
+    /// Age in milliseconds of the sender's knowledge that there is no later change.
+    #[prost(uint64, tag = "17")]
+    registrations_age_ms: u64,
+    /// Changes of the servers' registrations; such a datagram holds nothing else but the sender's name
+    /// and its position.
+    #[prost(message, optional, tag = "18")]
+    segment: Option<SegmentRecord>,
+    /// Whether the receiver passes the datagram on to some other nodes.
+    #[prost(bool, tag = "19")]
+    is_relayed: bool,
+}
+
+impl Datagram {
+    /// Adds how far the sender knows the registrations.
+    fn with_position(mut self, node: &Node) -> Self {
+        let is_leading = node.is_leading.get();
+        if let Some(position) = node.registrations.position(is_leading, node.now()) {
+            self.registrations = position.revision;
+            self.registrations_age_ms = position.age.0;
+        }
+        self
+    }
+
+    /// Returns how far the sender knows the registrations, if it states it.
+    fn position(&self) -> Option<Position> {
+        (self.registrations > 0).then_some(Position {
+            revision: self.registrations,
+            age: Millis(self.registrations_age_ms),
+        })
+    }
+}
+
+/// Encodes a datagram with changes of the servers' registrations.
+pub(crate) fn encode_segment(node: &Node, segment: SegmentRecord) -> Vec<u8> {
+    let datagram = Datagram {
+        node: node.options.node.to_string(),
+        segment: Some(segment),
+        ..Datagram::default()
+    };
+    datagram.with_position(node).encode_to_vec()
 }
 
 /// Encodes a datagram with a part of the exchange on limits.
@@ -188,17 +236,21 @@
     let peer_addresses = PeerAddresses {
         node: Rc::clone(node),
         addresses: Rc::clone(&addresses),
+        read_at: Cell::default(),
     };
     ntex::rt::spawn(follow::follow(Rc::clone(node), peer_addresses));
     ntex::rt::spawn(keep_registered(Rc::clone(node)));
     let peer_addresses = PeerAddresses {
         node: Rc::clone(node),
         addresses: Rc::clone(&addresses),
+        read_at: Cell::default(),
     };
-    node.limits.connect(limits::Link {
+    let link = || limits::Link {
         socket: Rc::clone(&socket),
         addresses: Rc::clone(&addresses),
-    });
+    };
+    node.limits.connect(link());
+    node.registrations.connect(link());
     ntex::rt::spawn(receive(peer_addresses, Rc::clone(&socket)));
     let sender = Sender {
         node: Rc::clone(node),
@@ -207,6 +259,7 @@
         incarnation: fastrand::u64(..),
         sequence: 0,
         started_at: node.now(),
+        turns: Turns::default(),
     };
     ntex::rt::spawn(broadcast(sender));
 }
@@ -215,6 +268,8 @@
 struct PeerAddresses {
     node: Rc<Node>,
     addresses: Addresses,
+    /// Time of the store's last answer.
+    read_at: Cell<Instant>,
 }
 
 impl PeerAddresses {
@@ -253,6 +308,20 @@
         }
     }
 
+    /// Passes a datagram on to some nodes.
+    fn relay(&self, datagram: &Datagram, socket: &UdpSocket) {
+        let bytes = datagram.encode_to_vec();
+        let addresses = self.addresses.borrow();
+        let fanout = relay::fanout(addresses.len());
+        let recipients = fastrand::choose_multiple(addresses.values(), fanout);
+        for recipient in recipients {
+            if let Err(error) = socket.try_send_to(&bytes, *recipient) {
+                debug!(self.node.logger(), "datagram could not be passed on";
+                    "peer" => %recipient, "error" => %error);
+            }
+        }
+    }
+
     fn address(&self, name: &str) -> Option<SocketAddr> {
         self.addresses.borrow().get(name).copied()
     }
@@ -275,10 +344,10 @@
         PREFIX.into()
     }
 
-    fn pause(&self) -> Millis {
+    fn rest(&self) -> Millis {
         // Without a pause, each registration would end the calls of all nodes when many nodes
         // start.
-        READ_INTERVAL
+        (self.read_at.get() + READ_INTERVAL).since(self.node.now())
     }
 
     fn wait(&self) -> Millis {
@@ -290,6 +359,7 @@
     }
 
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+        self.read_at.set(self.node.now());
         self.node.knows_peers.set(true);
         self.addresses.borrow_mut().clear();
         for entry in &entries {
@@ -298,7 +368,8 @@
         self.update_peer_count();
     }
 
-    fn apply(&mut self, changes: Vec<Change>) {
+    fn apply(&mut self, changes: Vec<Change>, _: u64) {
+        self.read_at.set(self.node.now());
         for change in changes {
             match change {
                 Change::Put(entry) => self.insert(&entry),
@@ -371,7 +442,16 @@
                     node.handle_exchange(exchange, from);
                     continue;
                 }
+                let position = datagram.position();
+                if let Some(segment) = datagram.segment {
+                    if !segment.is_empty() {
+                        node.take_segment(segment);
+                    }
+                    position.inspect(|position| node.hear_position(*position, from));
+                    continue;
+                }
                 record_reach(node, &datagram, from);
+                position.inspect(|position| node.hear_position(*position, from));
                 node.adopt_limits(&datagram.limits);
                 if !datagram.address.is_empty() {
                     peer_addresses.introduce(&datagram.node, &datagram.address);
@@ -384,6 +464,9 @@
                     let address = peer_addresses.address(&datagram.node);
                     node.hear_version(&datagram.node, address, datagram.configuration);
                 }
+                if std::mem::take(&mut datagram.is_relayed) {
+                    peer_addresses.relay(&datagram, &socket);
+                }
                 let server_states = std::mem::take(&mut datagram.server_states);
                 if let Some(report) = datagram.poison.take() {
                     node.adopt_poison_report(&report);
@@ -391,9 +474,7 @@
                     node.peer_loads()
                         .borrow_mut()
                         .record(load_report(datagram), node.now());
-                } else if node.now().since(node.registrations_read_at.get())
-                    > REGISTRATIONS_FRESH_FOR
-                {
+                } else if node.registrations.age(node.now()) > REGISTRATIONS_FRESH_FOR {
                     apply_server_states(node, server_states);
                 }
             }
@@ -459,33 +540,18 @@
     }
 }
 
-/// Returns the states of the zone's servers that have changed recently, or of all its servers while
-/// the store is unavailable.
-fn server_states(node: &Node) -> Vec<ServerState> {
+/// Returns the states of the zone's servers that this node has found while the store is unavailable, as
+/// many as are told in a round: first those that have changed lately or are lost, and the others in
+/// turn.
+fn server_states(node: &Node, turns: &mut Turns) -> Vec<ServerState> {
     let dead_servers = node.dead_servers.borrow();
     let fleet = node.fleet.borrow();
     let changed = node.recently_changed_servers();
-    let is_complete = node.in_grace_period.get();
-    let known = fleet
+    let servers = fleet
         .servers()
-        .filter(|server| server.zone == node.options.zone && !server.domain.is_empty())
-        .filter(|server| is_complete || changed.contains(&server.id))
-        .map(|server| {
-            let membership = server.membership.as_ref();
-            let state = membership
-                .and_then(|membership| STATES.iter().position(|state| *state == membership.state));
-            ServerState {
-                server: server.id.to_string(),
-                start_unix_ms: server.start_unix_ms,
-                group: membership
-                    .map(|membership| membership.group.to_string())
-                    .unwrap_or_default(),
-                epoch: membership.map_or(0, |membership| membership.epoch),
-                rank: membership.map_or(0, |membership| membership.rank as u32),
-                state: state.unwrap_or_default() as u32,
-                is_lost: false,
-            }
-        });
+        .filter(|server| server.zone == node.options.zone && !server.domain.is_empty());
+    let (changed, others): (Vec<&Server>, Vec<&Server>) =
+        servers.partition(|server| changed.contains(&server.id));
     let lost = dead_servers
         .iter()
         .map(|(server, start_unix_ms)| ServerState {
@@ -494,7 +560,28 @@
             is_lost: true,
             ..ServerState::default()
         });
-    known.chain(lost).collect()
+    let urgent = changed.into_iter().map(ServerState::new).chain(lost);
+    let others = others.into_iter().map(ServerState::new);
+    turns.select(urgent.collect(), others.collect(), relay::MAX_STATES)
+}
+
+impl ServerState {
+    fn new(server: &Server) -> Self {
+        let membership = server.membership.as_ref();
+        let state = membership
+            .and_then(|membership| STATES.iter().position(|state| *state == membership.state));
+        ServerState {
+            server: server.id.to_string(),
+            start_unix_ms: server.start_unix_ms,
+            group: membership
+                .map(|membership| membership.group.to_string())
+                .unwrap_or_default(),
+            epoch: membership.map_or(0, |membership| membership.epoch),
+            rank: membership.map_or(0, |membership| membership.rank as u32),
+            state: state.unwrap_or_default() as u32,
+            is_lost: false,
+        }
+    }
 }
 
 fn load_report(datagram: Datagram) -> LoadReport {
@@ -527,6 +614,8 @@
     incarnation: u64,
     sequence: u64,
     started_at: Instant,
+    /// Turns of the server states that do not all fit into one round.
+    turns: Turns,
 }
 
 impl Sender {
@@ -558,7 +647,7 @@
             relay_port: self.node.relay_port.get().into(),
             ..datagram
         };
-        let bytes = datagram.encode_to_vec();
+        let bytes = datagram.with_position(&self.node).encode_to_vec();
         for recipient in recipients {
             if let Err(error) = self.socket.send_to(&bytes, recipient).await {
                 debug!(self.node.logger(), "datagram could not be sent";
@@ -588,15 +677,30 @@
         self.send(datagram, recipients).await;
     }
 
+    /// Sends server states to some nodes, which pass them on; what does not fit follows in the next
+    /// rounds.
     async fn send_server_states(&mut self, recipients: &[SocketAddr]) {
-        let server_states = server_states(&self.node);
-        let max_states = (MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_SERVER_STATE_BYTES;
-        for chunk in server_states.chunks(max_states) {
+        let fanout = relay::fanout(recipients.len());
+        let server_states = server_states(&self.node, &mut self.turns);
+        for chunk in server_states.chunks(MAX_STATES) {
             let datagram = Datagram {
                 server_states: chunk.to_vec(),
+                is_relayed: true,
                 ..Datagram::default()
             };
-            self.send(datagram, recipients).await;
+            self.send(datagram, &recipients[..fanout]).await;
+        }
+    }
+
+    /// Tells some nodes how far this node, which reads the store all the time, knows the registrations.
+    async fn send_position(&mut self, recipients: &[SocketAddr]) {
+        let fanout = recipients.len().isqrt();
+        let datagram = encode_segment(&self.node, SegmentRecord::default());
+        for recipient in recipients.iter().rev().take(fanout) {
+            if let Err(error) = self.socket.send_to(&datagram, recipient).await {
+                debug!(self.node.logger(), "datagram could not be sent";
+                    "peer" => %recipient, "error" => %error);
+            }
         }
     }
 
@@ -629,13 +733,16 @@
         }
         next_round = node.now() + SEND_INTERVAL;
         node.tick_freshness();
+        node.tick_registrations();
         let recipients = sender.recipients();
         let few = &recipients[..recipients.len().min(FANOUT)];
         sender.send_loads(few).await;
         let report = node.poison_report();
         sender.send_poison_report(report, few).await;
-        if node.is_leading.get() {
+        if node.is_leading.get() && node.in_grace_period.get() {
             sender.send_server_states(&recipients).await;
+        } else if node.is_leading.get() {
+            sender.send_position(&recipients).await;
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/registrations.rs
@@ -0,0 +1,623 @@
+//! Keeps the fleet up to date with the servers' registrations, which leaders read from the store and
+//! nodes pass on to each other.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fmt;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use jackdaw_core::backend::{Membership, Server, State};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::store::{Change, Entry};
+use jackdaw_core::time::Instant;
+use jackdaw_core::units::Millis;
+use jackdaw_policy::feed::{self, Feed, Position, Segment, Verdict};
+use jackdaw_policy::registry::{Registry, Removal, Source};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter};
+use prost::Message;
+use slog::{debug, info};
+
+use crate::follow::Subscriber;
+use crate::limits::Link;
+use crate::node::Node;
+use crate::peers;
+
+/// Pause of a leader between two calls for the registrations, and the longest wait of such a call.
+const LEADER_PAUSE: Millis = Millis(250);
+/// Longest wait of other nodes' calls for changes.
+const WAIT: Millis = Millis(1_000);
+/// Age after which the registrations count as stale.
+const STALE_AFTER: Millis = Millis(1_800);
+/// Time for which calls have to fail until the store counts as away.
+const FAILING_TIME: Millis = Millis(1_000);
+/// Largest encoded size of the changes in one datagram in bytes.
+const MAX_PART_BYTES: usize = 1_200;
+
+/// What a node knows of the registrations beside the fleet that they make up.
+pub(crate) struct Registrations {
+    registry: RefCell<Registry>,
+    feed: RefCell<Feed>,
+    /// Hashes of the servers' registered states; heartbeats leave them as they are.
+    states: RefCell<HashMap<CompactString, u64>>,
+    link: RefCell<Option<Link>>,
+    /// Time of the store's last answer to this node.
+    read_at: Cell<Instant>,
+    /// Time since which the store has answered none of this node's calls.
+    failing_since: Cell<Option<Instant>>,
+    segments: Counter<u64>,
+}
+
+impl fmt::Debug for Registrations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Registrations").finish_non_exhaustive()
+    }
+}
+
+impl Registrations {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        Registrations {
+            registry: RefCell::default(),
+            feed: RefCell::default(),
+            states: RefCell::default(),
+            link: RefCell::default(),
+            read_at: Cell::default(),
+            failing_since: Cell::default(),
+            segments: meter
+                .u64_counter("jackdawstair_registration_segments")
+                .with_description("Changes of registrations from other nodes, by what followed.")
+                .build(),
+        }
+    }
+
+    /// Sets the socket and the other nodes' addresses.
+    pub(crate) fn connect(&self, link: Link) {
+        self.link.replace(Some(link));
+    }
+
+    /// Returns the position to tell the other nodes.
+    pub(crate) fn position(&self, is_leading: bool, now: Instant) -> Option<Position> {
+        self.feed.borrow().position(is_leading, now)
+    }
+
+    /// Returns the age of what is known of the registrations.
+    pub(crate) fn age(&self, now: Instant) -> Millis {
+        now.since(self.feed.borrow().as_of())
+    }
+
+    /// Returns whether the store has not answered lately. A leader goes by its own calls; the others
+    /// may have heard of the answers from other nodes.
+    pub(crate) fn is_stale(&self, is_leading: bool, now: Instant) -> bool {
+        let is_failing = self
+            .failing_since
+            .get()
+            .is_some_and(|since| now.since(since) >= FAILING_TIME);
+        let is_unanswered = is_leading && now.since(self.read_at.get()) > STALE_AFTER;
+        is_failing || is_unanswered || self.age(now) > STALE_AFTER
+    }
+
+    fn record_answer(&self, now: Instant) {
+        self.read_at.set(now);
+        self.failing_since.set(None);
+    }
+
+    /// Returns whether a server's registered state differs from the last one, and remembers it.
+    fn replace_state(&self, id: &str, server: Option<&Server>) -> bool {
+        let mut states = self.states.borrow_mut();
+        let Some(server) = server else {
+            return states.remove(id).is_some();
+        };
+        let mut hasher = DefaultHasher::new();
+        server.hash(&mut hasher);
+        let hash = hasher.finish();
+        states.insert(id.into(), hash) != Some(hash)
+    }
+
+    /// Forgets the states of servers that are not listed, and returns whether there were any.
+    fn forget_unlisted(&self, listed: &HashSet<CompactString>) -> bool {
+        let mut states = self.states.borrow_mut();
+        let count = states.len();
+        states.retain(|id, _| listed.contains(id));
+        states.len() < count
+    }
+
+    fn count(&self, outcome: &'static str) {
+        self.segments.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
+
+impl Node {
+    /// Returns whether the store has not answered with registrations lately.
+    pub(crate) fn has_stale_registrations(&self) -> bool {
+        self.registrations
+            .is_stale(self.is_leading.get(), self.now())
+    }
+
+    /// Adds or updates a server and returns whether anything changed.
+    fn register(&self, server: Server, source: Source) -> bool {
+        let id = server.id.clone();
+        let mut registry = self.registrations.registry.borrow_mut();
+        let mut fleet = self.fleet.borrow_mut();
+        let changed = registry.register(&mut fleet, server, source, self.now());
+        drop(fleet);
+        if changed {
+            self.record_change(&id);
+        }
+        changed
+    }
+
+    /// Removes a server whose entry is gone and returns whether anything changed.
+    fn unregister(&self, id: &str) -> bool {
+        let mut registry = self.registrations.registry.borrow_mut();
+        let removal = registry.remove(&mut self.fleet.borrow_mut(), id, self.now());
+        match removal {
+            Removal::None => false,
+            Removal::Suspected => true,
+            Removal::Removed(server) => {
+                info!(self.logger(), "server is gone";
+                    "server" => %server.id, "service" => %server.service,
+                    "group" => server.membership.as_ref()
+                        .map(|membership| membership.group.to_string()));
+                true
+            }
+        }
+    }
+
+    /// Applies a change and returns whether anything changed.
+    fn apply_change(&self, change: feed::Change) -> bool {
+        match change.state {
+            Some(server) => self.register(server, Source::Change),
+            None => self.unregister(&change.server),
+        }
+    }
+
+    /// Does what is due by the passing of time, and returns whether anything changed.
+    fn refresh_registry(&self) -> bool {
+        let now = self.now();
+        let mut changed = false;
+        let overdue = self.registrations.registry.borrow().overdue(now);
+        for id in overdue {
+            changed |= self.unregister(&id);
+        }
+        let mut fleet = self.fleet.borrow_mut();
+        let mut registry = self.registrations.registry.borrow_mut();
+        changed |= registry.trust_living(&mut fleet, now);
+        changed |= fleet.refresh_absent(now);
+        changed
+    }
+
+    /// Does what is due by the passing of time; called several times a second.
+    pub(crate) fn tick_registrations(&self) {
+        if self.refresh_registry() {
+            self.update_targets();
+        }
+    }
+
+    /// Records how far another node knows the registrations, and sends it what it has missed.
+    pub(crate) fn hear_position(&self, position: Position, from: SocketAddr) {
+        let now = self.now();
+        let registrations = &self.registrations;
+        registrations.feed.borrow_mut().hear(position, now);
+        let missing = registrations.feed.borrow().missing(position, now);
+        for segment in missing {
+            self.send_segment(&segment, &[from]);
+        }
+    }
+
+    /// Applies changes that another node passes on, and passes on what is new.
+    pub(crate) fn take_segment(&self, record: SegmentRecord) {
+        let registrations = &self.registrations;
+        let now = self.now();
+        let segment = match record.decode() {
+            Ok(segment) => segment,
+            Err(error) => {
+                debug!(self.logger(), "changes of registrations cannot be decoded"; "error" => %error);
+                registrations.count("malformed");
+                return;
+            }
+        };
+        // Changes after an outage of the store mean something else, which is known after an answer.
+        if self.has_stale_registrations() {
+            registrations.count("stale");
+            return;
+        }
+        let verdict = registrations.feed.borrow_mut().take(&segment, now);
+        let changes = match verdict {
+            Verdict::Apply(changes) => changes,
+            Verdict::Known => return registrations.count("known"),
+            Verdict::Gap => return registrations.count("gap"),
+        };
+        registrations.count("applied");
+        let mut changed = false;
+        for change in changes {
+            registrations.replace_state(&change.server, change.state.as_ref());
+            changed |= self.apply_change(change);
+        }
+        self.spread_segment(&segment);
+        if changed {
+            self.update_targets();
+        }
+    }
+
+    /// Sends a segment to a few nodes, which pass it on if it is new to them.
+    fn spread_segment(&self, segment: &Segment) {
+        let recipients = {
+            let link = self.registrations.link.borrow();
+            let Some(link) = link.as_ref() else {
+                return;
+            };
+            let addresses = link.addresses.borrow();
+            fastrand::choose_multiple(addresses.values().copied(), feed::FANOUT)
+        };
+        self.send_segment(segment, &recipients);
+    }
+
+    fn send_segment(&self, segment: &Segment, recipients: &[SocketAddr]) {
+        let link = self.registrations.link.borrow();
+        let Some(link) = link.as_ref() else {
+            return;
+        };
+        for record in SegmentRecord::parts(segment) {
+            let datagram = peers::encode_segment(self, record);
+            for recipient in recipients {
+                // A lost datagram is made up for once the others' positions are heard.
+                if let Err(error) = link.socket.try_send_to(&datagram, *recipient) {
+                    debug!(self.logger(), "datagram could not be sent";
+                        "peer" => %recipient, "error" => %error);
+                }
+            }
+        }
+    }
+}
+
+/// Reads the registrations and their changes from the store.
+pub(crate) struct Reader {
+    node: Rc<Node>,
+}
+
+impl Reader {
+    pub(crate) fn new(node: &Rc<Node>) -> Self {
+        Reader {
+            node: Rc::clone(node),
+        }
+    }
+
+    fn server_id<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.node.parts.protocol.servers_prefix())
+    }
+
+    fn decode(&self, entry: &Entry) -> Option<Server> {
+        match self.node.parts.protocol.decode_server(entry) {
+            Ok(server) => Some(server),
+            Err(error) => {
+                debug!(self.node.logger(), "registration cannot be decoded"; "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Converts a change of the store; an entry that cannot be decoded replaces the server's valid one.
+    fn convert(&self, change: &Change) -> Option<feed::Change> {
+        let (key, revision, state) = match change {
+            Change::Put(entry) => (&entry.key, entry.mod_revision, self.decode(entry)),
+            Change::Delete(key, revision) => (key, *revision, None),
+        };
+        Some(feed::Change {
+            revision,
+            server: self.server_id(key)?.into(),
+            state,
+        })
+    }
+
+    /// Returns the times after which this node reads the store itself.
+    fn options(&self) -> feed::Options {
+        let drain = self.node.options.drain;
+        let max_age = Millis(drain.0 * 3 / 8).clamp(LEADER_PAUSE, STALE_AFTER);
+        let max_jitter = drain.0 / 16;
+        let hash = fastrand::Rng::with_seed(self.node.options.peers.port().into()).u64(..);
+        feed::Options {
+            max_age,
+            jitter: Millis(hash % max_jitter.max(1)),
+        }
+    }
+}
+
+impl Subscriber for Reader {
+    fn prefix(&self) -> CompactString {
+        self.node.parts.protocol.servers_prefix().into()
+    }
+
+    fn rest(&self) -> Millis {
+        if self.node.is_leading.get() {
+            let read_at = self.node.registrations.read_at.get();
+            return (read_at + LEADER_PAUSE).since(self.node.now());
+        }
+        let feed = self.node.registrations.feed.borrow();
+        feed.rest(self.options(), self.node.now())
+    }
+
+    fn wait(&self) -> Millis {
+        if self.node.is_leading.get() {
+            LEADER_PAUSE
+        } else {
+            WAIT
+        }
+    }
+
+    fn cursor(&self, after: u64) -> u64 {
+        let feed = self.node.registrations.feed.borrow();
+        feed.cursor().map_or(after, |cursor| cursor.max(after))
+    }
+
+    fn begin_snapshot(&mut self) {
+        let registrations = &self.node.registrations;
+        registrations.feed.borrow_mut().begin_snapshot();
+    }
+
+    fn replace(&mut self, entries: Vec<Entry>, revision: u64) {
+        let node = &self.node;
+        let registrations = &node.registrations;
+        registrations.record_answer(node.now());
+        node.refresh_registry();
+        let listed: HashSet<CompactString> = entries
+            .iter()
+            .filter_map(|entry| self.server_id(&entry.key))
+            .map(CompactString::from)
+            .collect();
+        let missing = registrations
+            .registry
+            .borrow()
+            .missing(&node.fleet.borrow(), &listed);
+        for id in missing {
+            node.unregister(&id);
+        }
+        let mut has_changed = registrations.forget_unlisted(&listed);
+        for server in entries.iter().filter_map(|entry| self.decode(entry)) {
+            has_changed |= registrations.replace_state(&server.id, Some(&server));
+            node.register(server, Source::Snapshot);
+        }
+        let mut feed = registrations.feed.borrow_mut();
+        feed.finish_snapshot(revision, has_changed, node.now());
+        drop(feed);
+        node.update_targets();
+    }
+
+    fn apply(&mut self, changes: Vec<Change>, revision: u64) {
+        let node = &self.node;
+        let registrations = &node.registrations;
+        registrations.record_answer(node.now());
+        let mut changed = node.refresh_registry();
+        let mut effective = Vec::new();
+        for change in changes.iter().filter_map(|change| self.convert(change)) {
+            // Other nodes may have passed it on while the call was under way.
+            if !registrations.feed.borrow().is_new(change.revision) {
+                continue;
+            }
+            if registrations.replace_state(&change.server, change.state.as_ref()) {
+                effective.push(change.clone());
+            }
+            changed |= node.apply_change(change);
+        }
+        let mut feed = registrations.feed.borrow_mut();
+        let segment = feed.read(effective, revision, node.now());
+        drop(feed);
+        if let Some(segment) = segment {
+            node.spread_segment(&segment);
+        }
+        if changed {
+            node.update_targets();
+        }
+    }
+
+    fn handle_failure(&mut self) {
+        let registrations = &self.node.registrations;
+        if registrations.failing_since.get().is_none() {
+            registrations.failing_since.set(Some(self.node.now()));
+        }
+    }
+
+    fn unnoticed_outage(&self) -> Option<Millis> {
+        // No node has read the store for that long.
+        let age = self.node.registrations.age(self.node.now());
+        (age > STALE_AFTER).then_some(age)
+    }
+
+    fn handle_recovery(&mut self, outage: Millis) {
+        let mut registry = self.node.registrations.registry.borrow_mut();
+        registry.end_outage(outage, self.node.now());
+    }
+
+    fn handle_restoration(&mut self) {
+        let mut registry = self.node.registrations.registry.borrow_mut();
+        registry.begin_era(self.node.now());
+    }
+}
+
+/// The states of a membership in the order of their numbers on the wire, from one on.
+const STATES: [State; 5] = [
+    State::Joining,
+    State::Ready,
+    State::Open,
+    State::Closing,
+    State::Broken,
+];
+
+/// Changes of registrations in a datagram.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct SegmentRecord {
+    /// Revision after which the changes begin.
+    #[prost(uint64, tag = "1")]
+    from: u64,
+    /// Last revision.
+    #[prost(uint64, tag = "2")]
+    to: u64,
+    /// Changes in the order of their revisions.
+    #[prost(message, repeated, tag = "3")]
+    changes: Vec<ChangeRecord>,
+}
+
+/// A change of one server's registration.
+#[derive(Clone, PartialEq, Message)]
+struct ChangeRecord {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(string, tag = "2")]
+    server: String,
+    /// New state; missing if the registration is gone.
+    #[prost(message, optional, tag = "3")]
+    state: Option<ServerRecord>,
+}
+
+/// A registered state.
+#[derive(Clone, PartialEq, Message)]
+struct ServerRecord {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+    #[prost(bool, tag = "4")]
+    draining: bool,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    /// Start in Unix milliseconds.
+    #[prost(uint64, tag = "6")]
+    start_unix_ms: u64,
+    #[prost(string, tag = "7")]
+    domain: String,
+    #[prost(string, repeated, tag = "8")]
+    staged: Vec<String>,
+    #[prost(string, tag = "9")]
+    group: String,
+    #[prost(uint64, tag = "10")]
+    epoch: u64,
+    #[prost(uint32, tag = "11")]
+    rank: u32,
+    /// State of the membership as an index into [`STATES`] plus one; zero for no membership.
+    #[prost(uint32, tag = "12")]
+    state: u32,
+}
+
+impl SegmentRecord {
+    /// Returns whether there are no changes.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
+    /// Encodes a segment in parts that fit into one datagram each.
+    fn parts(segment: &Segment) -> Vec<SegmentRecord> {
+        let encoded: Vec<ChangeRecord> = segment.changes.iter().map(ChangeRecord::new).collect();
+        let len: usize = encoded.iter().map(Message::encoded_len).sum();
+        let parts = len.div_ceil(MAX_PART_BYTES).max(1);
+        let max_changes = encoded.len().div_ceil(parts).max(1);
+        let parts = segment.split(max_changes).into_iter();
+        parts
+            .map(|part| SegmentRecord {
+                from: part.from,
+                to: part.to,
+                changes: part.changes.iter().map(ChangeRecord::new).collect(),
+            })
+            .collect()
+    }
+
+    /// Decodes the segment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a revision lies outside of the segment or a state cannot be decoded.
+    fn decode(self) -> Result<Segment> {
+        let (from, to) = (self.from, self.to);
+        let mut before = from;
+        let mut changes = Vec::with_capacity(self.changes.len());
+        for change in self.changes {
+            if change.revision < before.max(1) || change.revision > to {
+                let reason = format!("revision {} is not in order", change.revision);
+                return Err(Error::malformed("read segment", &change.server, reason));
+            }
+            before = change.revision;
+            changes.push(change.decode()?);
+        }
+        Ok(Segment { from, to, changes })
+    }
+}
+
+impl ChangeRecord {
+    fn new(change: &feed::Change) -> Self {
+        ChangeRecord {
+            revision: change.revision,
+            server: change.server.to_string(),
+            state: change.state.as_ref().map(ServerRecord::new),
+        }
+    }
+
+    fn decode(self) -> Result<feed::Change> {
+        let id = CompactString::from(self.server);
+        let state = self.state.map(|state| state.decode(&id)).transpose()?;
+        Ok(feed::Change {
+            revision: self.revision,
+            server: id,
+            state,
+        })
+    }
+}
+
+impl ServerRecord {
+    fn new(server: &Server) -> Self {
+        let membership = server.membership.as_ref();
+        let state = membership.and_then(|membership| {
+            let mut states = STATES.iter();
+            states.position(|state| *state == membership.state)
+        });
+        ServerRecord {
+            service: server.service.to_string(),
+            address: server.address.to_string(),
+            zone: server.zone.to_string(),
+            draining: server.draining,
+            slots: server.slots,
+            start_unix_ms: server.start_unix_ms,
+            domain: server.domain.to_string(),
+            staged: server.staged.iter().map(ToString::to_string).collect(),
+            group: membership
+                .map(|known| known.group.to_string())
+                .unwrap_or_default(),
+            epoch: membership.map_or(0, |known| known.epoch),
+            rank: membership.map_or(0, |known| known.rank as u32),
+            state: state.map_or(0, |state| state as u32 + 1),
+        }
+    }
+
+    fn decode(self, id: &CompactString) -> Result<Server> {
+        let malformed =
+            |reason: &dyn ToString| Error::malformed("read segment", id, reason.to_string());
+        let membership = match self.state {
+            0 => None,
+            number => {
+                let state = STATES.get(number as usize - 1);
+                let state = state.ok_or_else(|| malformed(&"the membership's state is unknown"))?;
+                Some(Membership {
+                    group: self.group.into(),
+                    epoch: self.epoch,
+                    rank: self.rank as usize,
+                    state: *state,
+                })
+            }
+        };
+        Ok(Server {
+            id: id.clone(),
+            service: self.service.into(),
+            address: self.address.parse().map_err(|error| malformed(&error))?,
+            zone: self.zone.into(),
+            draining: self.draining,
+            slots: self.slots,
+            start_unix_ms: self.start_unix_ms,
+            domain: self.domain.into(),
+            staged: self.staged.into_iter().map(CompactString::from).collect(),
+            membership,
+        })
+    }
+}
