Take no server for lost while hardly any server's report arrives

Cause: a missed report counted against the server, whatever became of the other reports. Now a round in which less than a quarter of the servers answer says nothing (policy::grace_period::is_conclusive, with a table of cases that fails without it).

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -12,7 +12,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
 use jackdaw_policy::assembly::{self, Planner, Task, View};
-use jackdaw_policy::grace_period::GracePeriod;
+use jackdaw_policy::grace_period::{self, GracePeriod};
 use jackdaw_policy::lease::{Action, Election, Event, Options};
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -202,6 +202,12 @@
             async move { orders.report(&server.id, server.address).await }
         });
         let reports = futures::future::join_all(reports).await;
+        let answered = reports.iter().filter(|report| report.is_ok()).count();
+        if !grace_period::is_conclusive(servers.len(), answered) {
+            warn!(node.logger(), "reports say nothing of the servers, since hardly any arrived";
+                "servers" => servers.len(), "answered" => answered);
+            continue;
+        }
         let mut changed = false;
         for (server, report) in servers.iter().zip(reports) {
             changed |= record_report(&shared, &node, server, report);
--- a/crates/policy/src/grace_period.rs
+++ b/crates/policy/src/grace_period.rs
@@ -11,6 +11,16 @@
 /// Longest time for which a node keeps leading without the store.
 const MAX_GRACE_PERIOD: Millis = Millis(60_000);
 
+/// Divisor of the number of servers asked; fewer answers than the quotient say nothing of the servers.
+const MIN_ANSWERS_DIVISOR: usize = 4;
+
+/// Returns whether a round of reports tells which servers are lost, given how many servers were asked
+/// and how many answered. If hardly any answered, the leader's own link may be at fault.
+#[must_use]
+pub fn is_conclusive(asked: usize, answered: usize) -> bool {
+    answered > 0 && answered >= asked / MIN_ANSWERS_DIVISOR
+}
+
 /// State of the last renewal and of the lease that expired without an answer to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GracePeriod {
--- a/crates/policy/tests/grace_period.rs
+++ b/crates/policy/tests/grace_period.rs
@@ -2,7 +2,7 @@
 
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
-use jackdaw_policy::grace_period::GracePeriod;
+use jackdaw_policy::grace_period::{self, GracePeriod};
 use rstest::rstest;
 
 /// Event in the life of a leader.
@@ -53,3 +53,24 @@
     let late = Instant(0) + Millis(600_000);
     assert_eq!(grace_period.fence(late), None);
 }
+
+#[derive(Debug)]
+struct Reports {
+    name: &'static str,
+    asked: usize,
+    answered: usize,
+    is_conclusive: bool,
+}
+
+// A leader whose own link was full took all servers of its zone for lost and told all nodes so.
+#[rstest]
+#[case(Reports { name: "the leader's own link is lost", asked: 185, answered: 0, is_conclusive: false })]
+#[case(Reports { name: "its link is nearly full", asked: 185, answered: 20, is_conclusive: false })]
+#[case(Reports { name: "a domain is lost", asked: 185, answered: 148, is_conclusive: true })]
+#[case(Reports { name: "one of two domains is lost", asked: 16, answered: 8, is_conclusive: true })]
+#[case(Reports { name: "the only server is lost", asked: 1, answered: 0, is_conclusive: false })]
+#[case(Reports { name: "there are no servers", asked: 0, answered: 0, is_conclusive: false })]
+fn reports_of_which_hardly_any_arrive_say_nothing_of_the_servers(#[case] reports: Reports) {
+    let is_conclusive = grace_period::is_conclusive(reports.asked, reports.answered);
+    assert_eq!(is_conclusive, reports.is_conclusive, "{}", reports.name);
+}
