Tell all nodes of a group that stands still, and replace it at once

What callers saw: when a server was lost, each node that had streams in its group found out for itself after 0.7 s, and each other node sent its next request there and waited up to 2 s; after 4 s the group's head refused what it held ("shed"), and that went to callers.

Cause: nothing told a node what others had seen but a flag in the loads, of which it hears from 4 of 194 nodes in a round; and the leader replaced a group only once its lost member's registration had expired, 3.6 to 4.4 s after the loss.

Changes: - policy::stall: a node with streams at a place tells what it has seen there; others pass on what is news. Whoever has received something later contradicts. Requests that wait at such a place count it as silent by the time of its last progress. - policy::assembly::stalled: the leader queries the members of a group that stands still. One that leaves two queries unanswered while another member answers is lost, and the group is dissolved and replaced.

In the assembly's model the group is replaced within 2.5 s of the report, before the registration expires.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -705,7 +705,8 @@
         let timeouts = self.timeouts(attempt);
         let since = attempt.last_activity();
         let request_due = since + timeouts.request;
-        let last_progress = self.node.targets.borrow().last_progress(attempt.key());
+        let now = self.node.now();
+        let last_progress = self.node.targets.borrow().last_progress(attempt.key(), now);
         Some(match last_progress {
             // A request that was sent to a stalled group gets the minimum time all the same.
             Some(last_progress) => {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -281,11 +281,13 @@
             });
         let tasks = {
             let fleet = node.fleet.borrow();
+            let stalled = node.targets.borrow().stalled_groups(now);
             let view = View {
                 fleet: &fleet,
                 service: &service.name,
                 engine,
                 has_traffic: node.has_traffic.get(),
+                stalled: &stalled,
             };
             planner.plan(&view, now)
         };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -145,6 +145,8 @@
     pub(crate) dead_servers: RefCell<HashMap<CompactString, u64>>,
     /// Notified when the configuration, the servers or the leadership have changed.
     pub(crate) state_changed: Notify,
+    /// Notified when another node has reported a place that stands still.
+    pub(crate) stalls_changed: Notify,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) targets: Rc<RefCell<Targets>>,
     pub(crate) poison: Poison,
@@ -193,6 +195,7 @@
             changed_servers: RefCell::default(),
             dead_servers: RefCell::default(),
             state_changed: Notify::new(),
+            stalls_changed: Notify::new(),
             fleet: RefCell::default(),
             targets: Rc::default(),
             index: RefCell::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use jackdaw_policy::poison::Peers;
 use jackdaw_policy::reach::Reach;
 use jackdaw_policy::relay::{self, Turns};
+use jackdaw_policy::stall::{self, Report};
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
@@ -130,6 +131,24 @@
     /// Whether the receiver passes the datagram on to some other nodes.
     #[prost(bool, tag = "19")]
     is_relayed: bool,
+    /// What the sender knows of places that stand still; such a datagram holds nothing else but the
+    /// sender's name and its position.
+    #[prost(message, repeated, tag = "20")]
+    stalls: Vec<StallRecord>,
+}
+
+/// What a node has seen of a place.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct StallRecord {
+    /// Identity of the place on all nodes.
+    #[prost(fixed64, tag = "1")]
+    place: u64,
+    /// Time in milliseconds since the last progress that the node saw there.
+    #[prost(uint64, tag = "2")]
+    progress_age_ms: u64,
+    /// Whether the place stands still since.
+    #[prost(bool, tag = "3")]
+    is_stalled: bool,
 }
 
 impl Datagram {
@@ -443,6 +462,11 @@
                     continue;
                 }
                 let position = datagram.position();
+                if !datagram.stalls.is_empty() {
+                    take_stalls(node, &peer_addresses.addresses, &socket, &datagram.stalls);
+                    position.inspect(|position| node.hear_position(*position, from));
+                    continue;
+                }
                 if let Some(segment) = datagram.segment {
                     if !segment.is_empty() {
                         node.take_segment(segment);
@@ -483,6 +507,53 @@
     }
 }
 
+/// Tells a few nodes what has been seen of places that stand still.
+fn spread_stalls(node: &Node, addresses: &Addresses, socket: &UdpSocket, reports: &[Report]) {
+    if reports.is_empty() {
+        return;
+    }
+    let now = node.now();
+    let stalls = reports.iter().map(|report| StallRecord {
+        place: report.place,
+        progress_age_ms: now.since(report.progress_at).0,
+        is_stalled: report.is_stalled,
+    });
+    let datagram = Datagram {
+        node: node.options.node.to_string(),
+        stalls: stalls.collect(),
+        ..Datagram::default()
+    };
+    let bytes = datagram.with_position(node).encode_to_vec();
+    let addresses = addresses.borrow();
+    for recipient in fastrand::choose_multiple(addresses.values(), stall::FANOUT) {
+        if let Err(error) = socket.try_send_to(&bytes, *recipient) {
+            debug!(node.logger(), "datagram could not be sent";
+                "peer" => %recipient, "error" => %error);
+        }
+    }
+}
+
+/// Takes what another node tells of places that stand still, and passes on what is news.
+fn take_stalls(node: &Node, addresses: &Addresses, socket: &UdpSocket, stalls: &[StallRecord]) {
+    let now = node.now();
+    let mut news = Vec::new();
+    for record in stalls.iter().take(stall::MAX_REPORTS) {
+        let report = Report {
+            place: record.place,
+            progress_at: now - Millis(record.progress_age_ms),
+            is_stalled: record.is_stalled,
+        };
+        if node.targets.borrow_mut().take_stall(report, now) {
+            news.push(report);
+        }
+    }
+    if news.iter().any(|report| report.is_stalled) {
+        node.stalls_changed.notify_waiters();
+        node.state_changed.notify_waiters();
+    }
+    spread_stalls(node, addresses, socket, &news);
+}
+
 fn encode_reach(reach: Reach) -> u32 {
     let number = REACHES.iter().position(|known| *known == reach);
     number.map_or(0, |number| number as u32)
@@ -692,6 +763,15 @@
         }
     }
 
+    /// Tells a few nodes which places stand still, unless this node's own links may be at fault.
+    fn send_stalls(&self) {
+        let node = &self.node;
+        let reports = node.targets.borrow_mut().observe_stalls(node.now());
+        if !node.reach.borrow().is_doubtful() {
+            spread_stalls(node, &self.addresses, &self.socket, &reports);
+        }
+    }
+
     /// Tells some nodes how far this node, which reads the store all the time, knows the registrations.
     async fn send_position(&mut self, recipients: &[SocketAddr]) {
         let fanout = recipients.len().isqrt();
@@ -734,6 +814,7 @@
         next_round = node.now() + SEND_INTERVAL;
         node.tick_freshness();
         node.tick_registrations();
+        sender.send_stalls();
         let recipients = sender.recipients();
         let few = &recipients[..recipients.len().min(FANOUT)];
         sender.send_loads(few).await;
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -6,6 +6,7 @@
 
 use std::future::poll_fn;
 use std::pin::pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use futures::future::{Either, select};
@@ -173,8 +174,11 @@
             let wake = self.dispatch.due().min(stopped);
             let wake = self.silent_at().map_or(wake, |silent| wake.min(silent));
             let timeout = pin!(time::sleep(node.until(wake)));
+            let stalls_changed = Rc::clone(node);
+            let stalls_changed = pin!(stalls_changed.stalls_changed.notified());
             let arrival = pin!(poll_fn(|cx| self.poll_attempts(cx)));
-            if let Either::Left((occurrence, _)) = select(arrival, timeout).await {
+            let pause = select(timeout, stalls_changed);
+            if let Either::Left((occurrence, _)) = select(arrival, pause).await {
                 return occurrence;
             }
             let now = self.dispatch.node.now();
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,7 +1,7 @@
 //! The targets that requests can be sent to and their load from this node.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -11,10 +11,8 @@
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::peers::{PeerLoads, PlaceId, Share};
 use jackdaw_policy::route::prefix_hash;
+use jackdaw_policy::stall::{self, Progress, Report, STALL_TIME};
 
-/// Time without progress after which a group counts as stalled and gets new requests only if no
-/// other can take them. Forward passes that prefill several prompts take up to about 250 ms.
-const SUSPECT_AFTER: Millis = Millis(300);
 /// Time for which a target that stalled or is at fault gets no new requests if others can take
 /// them; the engine aborts stalled work after a few seconds.
 const AVOIDANCE_TIME: Millis = Millis(5_000);
@@ -41,7 +39,7 @@
     /// Returns whether this node has found the target stalled or avoids it.
     fn is_suspect(&self, now: Instant) -> bool {
         let is_avoided = self.avoided_until.is_some_and(|until| now < until);
-        let is_stalled = self.streams > 0 && now.since(self.last_progress) > SUSPECT_AFTER;
+        let is_stalled = self.streams > 0 && now.since(self.last_progress) > STALL_TIME;
         is_avoided || is_stalled
     }
 }
@@ -53,6 +51,8 @@
     serving: HashMap<CompactString, Vec<Key>>,
     /// Load that the other nodes report.
     pub(crate) peer_loads: Rc<RefCell<PeerLoads>>,
+    /// Places that stand still, as far as all nodes have seen.
+    stalls: stall::Table,
 }
 
 /// Returns the identity of a target, which is the same on all nodes.
@@ -174,8 +174,10 @@
         let slot = self.slot(key);
         let peer_load = self.peer_loads.borrow().peer_load(slot.place_id, now);
         // Progress that this node observes outweighs the suspicion of other nodes.
-        let is_progressing = slot.streams > 0 && now.since(slot.last_progress) <= SUSPECT_AFTER;
-        let is_suspect = slot.is_suspect(now) || (peer_load.suspect && !is_progressing);
+        let is_progressing = slot.streams > 0 && now.since(slot.last_progress) <= STALL_TIME;
+        let is_stalled = self.stalls.stalled_since(slot.place_id, now).is_some();
+        let is_told = peer_load.suspect || is_stalled;
+        let is_suspect = slot.is_suspect(now) || (is_told && !is_progressing);
         Load {
             own: slot.requests,
             others: peer_load.requests,
@@ -206,10 +208,45 @@
     }
 
     /// Returns the time of a target's last progress, or none if no stream is in progress there that
-    /// would show it.
-    pub(crate) fn last_progress(&self, key: Key) -> Option<Instant> {
+    /// would show it and no other node says that it stands still.
+    pub(crate) fn last_progress(&self, key: Key, now: Instant) -> Option<Instant> {
         let slot = self.slot(key);
-        (slot.streams > 0).then_some(slot.last_progress)
+        if slot.streams > 0 {
+            return Some(slot.last_progress);
+        }
+        self.stalls.stalled_since(slot.place_id, now)
+    }
+
+    /// Compares this node's streams with what is known of places that stand still, and returns what the
+    /// other nodes are to be told.
+    pub(crate) fn observe_stalls(&mut self, now: Instant) -> Vec<Report> {
+        let slots = self.slots.iter();
+        let streams: Vec<Progress> = slots
+            .filter(|slot| slot.is_serving && slot.streams > 0)
+            .map(|slot| Progress {
+                place: slot.place_id,
+                at: slot.last_progress,
+            })
+            .collect();
+        self.stalls.observe(&streams, now)
+    }
+
+    /// Takes another node's report of a place and returns whether it is news.
+    pub(crate) fn take_stall(&mut self, report: Report, now: Instant) -> bool {
+        self.stalls.take(report, now)
+    }
+
+    /// Returns the names of the replica groups that stand still.
+    pub(crate) fn stalled_groups(&self, now: Instant) -> BTreeSet<CompactString> {
+        if self.stalls.is_empty() {
+            return BTreeSet::new();
+        }
+        let slots = self.slots.iter().filter(|slot| slot.is_serving);
+        slots
+            .filter(|slot| self.stalls.stalled_since(slot.place_id, now).is_some())
+            .map(|slot| slot.target.group.clone())
+            .filter(|group| !group.is_empty())
+            .collect()
     }
 
     /// Records progress at a target and ends its avoidance.
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -22,8 +22,10 @@
 mod layout;
 mod loads;
 mod maintain;
+mod stalled;
 
 use loads::Limiter;
+use stalled::Queries;
 
 /// Settings of a planner.
 #[derive(Clone, Debug, PartialEq)]
@@ -147,6 +149,8 @@
     formations: BTreeMap<CompactString, Formation>,
     /// Queries to members whose registrations have expired.
     checks: BTreeMap<CompactString, MembershipCheck>,
+    /// Queries to the members of groups that stand still.
+    queries: Queries,
     load_limiter: Limiter,
     known_servers: usize,
     settled_at: Option<Instant>,
@@ -170,6 +174,8 @@
     pub engine: &'a Engine,
     /// Whether requests have arrived; until then loads are quick and not limited.
     pub has_traffic: bool,
+    /// Groups that make no progress.
+    pub stalled: &'a BTreeSet<CompactString>,
 }
 
 impl<'a> View<'a> {
@@ -197,6 +203,7 @@
             records: BTreeMap::new(),
             formations: BTreeMap::new(),
             checks: BTreeMap::new(),
+            queries: Queries::default(),
             load_limiter: Limiter::default(),
             known_servers: 0,
             settled_at: None,
@@ -216,6 +223,7 @@
     pub fn plan(&mut self, view: &View<'_>, now: Instant) -> Vec<Task> {
         let mut tasks = Vec::new();
         self.update_records(view, now);
+        self.queries.retain(view.stalled);
         let groups: Vec<Group> = view
             .fleet
             .groups(view.service, view.engine)
@@ -299,6 +307,7 @@
                 .and_then(|report| report.membership.as_ref());
             check.is_member = Some(membership.is_some_and(|known| known.group == check.group));
         }
+        self.queries.record(server, report.is_ok());
         match report {
             Ok(report) => {
                 self.pending.remove(server);
--- a/crates/policy/src/assembly/maintain.rs
+++ b/crates/policy/src/assembly/maintain.rs
@@ -48,7 +48,10 @@
                 .iter()
                 .any(|member| state(member) == Some(State::Broken))
             || !(group.absent.is_empty()
-                || is_serving && self.check_absent_members(view, group, now, tasks));
+                || is_serving && self.check_absent_members(view, group, now, tasks))
+            || is_serving
+                && view.stalled.contains(&group.name)
+                && self.queries.has_lost_member(view, group, now, tasks);
         if has_lost_member {
             if self.is_still_joining(view, group, now) {
                 return;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod retry;
 pub mod route;
 pub mod shutdown;
+pub mod stall;
 pub mod throttle;
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -9,7 +9,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Millis, Tokens};
 use jackdaw_policy::assembly::{Options, Planner, Task, View};
-use jackdaw_policy::fleet::Fleet;
+use jackdaw_policy::fleet::{Fleet, Target};
 
 pub(crate) const SERVICE: &str = "engines";
 pub(crate) const ZONE: &str = "zone-a";
@@ -68,6 +68,10 @@
     pub(crate) now: Instant,
     pub(crate) fleet: Fleet,
     pub(crate) has_traffic: bool,
+    /// Groups that nodes report to stand still.
+    pub(crate) stalled: BTreeSet<CompactString>,
+    /// Whether no server's report reaches the leaders.
+    pub(crate) is_cut: bool,
     pub(crate) leaders: Vec<Planner>,
     pub(crate) violations: Vec<Violation>,
     pub(crate) loads: usize,
@@ -122,6 +126,8 @@
             now: Instant(1_000),
             fleet: Fleet::default(),
             has_traffic: false,
+            stalled: BTreeSet::new(),
+            is_cut: false,
             leaders: Vec::new(),
             violations: Vec::new(),
             loads: 0,
@@ -260,6 +266,20 @@
         target.members[rank].clone()
     }
 
+    /// Returns the groups that serve according to the registrations.
+    pub(crate) fn targets(&self) -> Vec<Target> {
+        self.fleet.targets(SERVICE, Some(&self.engine))
+    }
+
+    /// Returns the name of the serving group of a member.
+    pub(crate) fn group_of(&self, member: &str) -> CompactString {
+        let targets = self.targets();
+        let target = targets
+            .iter()
+            .find(|target| target.members.iter().any(|id| id == member));
+        target.expect("the member's group serves").group.clone()
+    }
+
     /// Returns the number of serving groups of a model according to the registrations.
     pub(crate) fn count_serving(&self, model: &str) -> usize {
         let targets = self.fleet.targets(SERVICE, Some(&self.engine));
@@ -306,6 +326,7 @@
             service: SERVICE,
             engine: &self.engine,
             has_traffic: self.has_traffic,
+            stalled: &self.stalled,
         };
         let tasks = self.leaders[leader].plan(&view, self.now);
         for task in tasks {
@@ -313,7 +334,7 @@
                 Task::Order { order, .. } => self.send_order(leader, &order),
                 Task::Query { server, .. } => {
                     let report = match self.hosts.get(&server) {
-                        Some(host) if host.dead_since.is_none() => Ok(Report {
+                        Some(host) if host.dead_since.is_none() && !self.is_cut => Ok(Report {
                             accepted_orders: host.accepted_orders,
                             membership: host.membership.clone(),
                         }),
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -40,6 +40,48 @@
     assert_eq!(cluster.violations, []);
 }
 
+#[derive(Debug)]
+struct Standstill {
+    name: &'static str,
+    is_member_dead: bool,
+    is_leader_cut: bool,
+    is_dissolved: bool,
+}
+
+/// Time from the report of a standstill within which a lost member is found and its group replaced, long
+/// before its registration expires.
+const STALL_REPLACEMENT_TIMEOUT: Millis = Millis(2_500);
+
+// A server lost under running streams: nodes report that its group stands still.
+#[rstest]
+#[case(Standstill { name: "a member is lost", is_member_dead: true, is_leader_cut: false, is_dissolved: true })]
+#[case(Standstill { name: "all members answer", is_member_dead: false, is_leader_cut: false, is_dissolved: false })]
+#[case(Standstill { name: "no member answers the leader", is_member_dead: false, is_leader_cut: true, is_dissolved: false })]
+fn group_that_stands_still_is_replaced_before_its_lost_member_expires(#[case] case: Standstill) {
+    let mut cluster = start_cluster(&[8, 8], Faults::default());
+    let before = cluster.count_serving(LARGE);
+    let member = cluster.member(LARGE, 2);
+    let group = cluster.group_of(&member);
+    if case.is_member_dead {
+        cluster.kill(&member);
+    }
+    cluster.is_cut = case.is_leader_cut;
+    cluster.run(Millis(300));
+    cluster.stalled.insert(group.clone());
+    let took = cluster.run_until(STALL_REPLACEMENT_TIMEOUT, |cluster| {
+        let mut targets = cluster.targets().into_iter();
+        !targets.any(|target| target.group == group)
+    });
+    assert_eq!(took.is_some(), case.is_dissolved, "{}", case.name);
+    if case.is_dissolved {
+        let took = cluster.run_until(STALL_REPLACEMENT_TIMEOUT, |cluster| {
+            cluster.count_serving(LARGE) >= before.min(2)
+        });
+        assert!(took.is_some(), "{}: the group is not replaced", case.name);
+    }
+    assert_eq!(cluster.violations, [], "{}", case.name);
+}
+
 #[derive(Debug)]
 struct Loss {
     name: &'static str,
