Let one follower find out whether the store answers a node

What the operators pay: calls of the store are the largest price of the large deployment.

Change: after two failures the followers wait for the follower of the configuration, which tries again as before, and go on as soon as it is answered, or after 8 s. Nodes' registrations are read every 8 s, and every 3 s in the first 10 s. A node that the store turns away goes on taking changes of registrations from the others as long as those are confirmed, and segments hold up to 96 changes.

A test of a cluster shows that a node that the store turns away stops sending to a leaving server in time.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows prefixes of the store: the configuration and the servers' registrations.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
 use slog::{debug, info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time;
 
 use crate::node::Node;
@@ -30,6 +31,27 @@
 /// Longest pause after a failed call.
 const MAX_RETRY_DELAY: Millis = Millis(2_000);
 
+/// Number of consecutive failed calls after which a follower waits for the one of the configuration.
+const MAX_OWN_FAILURES: u32 = 2;
+/// Longest time for which it does so.
+const MAX_PROBE_WAIT: Millis = Millis(8_000);
+
+/// Whether the store answers this node, as the follower of the configuration finds it. The others wait
+/// for it rather than call a store in vain that is away or turns the node away.
+#[derive(Debug, Default)]
+pub(crate) struct Availability {
+    is_away: Cell<bool>,
+    answers: Notify,
+}
+
+impl Availability {
+    fn record(&self, is_away: bool) {
+        if self.is_away.replace(is_away) && !is_away {
+            self.answers.notify_waiters();
+        }
+    }
+}
+
 /// Receives the entries below a prefix and their changes.
 pub(crate) trait Subscriber {
     /// Returns the prefix of the keys.
@@ -69,6 +91,11 @@
     /// Applies changes in their order, up to a revision.
     fn apply(&mut self, changes: Vec<Change>, revision: u64);
 
+    /// Returns whether the others wait for this one's next answer if their calls fail.
+    fn is_probe(&self) -> bool {
+        false
+    }
+
     /// Handles a failed call.
     fn handle_failure(&mut self) {}
 
@@ -92,6 +119,7 @@
     let mut last_success = node.now();
     let mut last_failure: Option<Instant> = None;
     let mut is_unavailable = false;
+    let mut failures = 0;
     let mut all_rereads = node.freshness.all_rereads();
     let mut own_rereads = subscriber.rereads();
     let mut era = node.freshness.era();
@@ -123,6 +151,10 @@
         node.check_era();
         match result {
             Ok(update) => {
+                failures = 0;
+                if subscriber.is_probe() {
+                    node.store_availability.record(false);
+                }
                 if node.freshness.era() > era {
                     era = node.freshness.era();
                     subscriber.handle_restoration();
@@ -174,10 +206,23 @@
                         "prefix" => %prefix, "error" => %error);
                     is_unavailable = true;
                 }
+                failures += 1;
+                if subscriber.is_probe() {
+                    node.store_availability.record(true);
+                }
                 // Each pause uses a new generator, since those of nodes that started together may
                 // yield the same numbers.
                 let mut random = fastrand::Rng::new();
-                time::sleep(backoff.next_pause(&mut random).duration()).await;
+                let pause = backoff.next_pause(&mut random).duration();
+                let availability = &node.store_availability;
+                let is_hopeless = availability.is_away.get() && failures >= MAX_OWN_FAILURES;
+                if is_hopeless && !subscriber.is_probe() {
+                    let answers = availability.answers.notified();
+                    // A time-out leads to a call of its own.
+                    let _ = time::timeout(MAX_PROBE_WAIT.duration(), answers).await;
+                } else {
+                    time::sleep(pause).await;
+                }
                 last_failure = Some(node.now());
             }
         }
@@ -264,6 +309,10 @@
         self.node.parts.protocol.configuration_key().into()
     }
 
+    fn is_probe(&self) -> bool {
+        true
+    }
+
     fn wait(&self) -> Millis {
         self.node.freshness.wait()
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::body;
 use crate::connections::Connections;
+use crate::follow::Availability;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
 use crate::in_flight::InFlight;
@@ -132,6 +133,7 @@
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
     pub(crate) registrations: Registrations,
+    pub(crate) store_availability: Availability,
     /// Whether this node leads its zone while the store is unavailable.
     pub(crate) in_grace_period: Cell<bool>,
     /// Whether the registrations of the other nodes have been read.
@@ -178,6 +180,7 @@
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
             registrations: Registrations::new(&parts.meter),
+            store_availability: Availability::default(),
             reach: RefCell::default(),
             tunnels: Cell::new(0),
             relay_port: Cell::new(0),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,7 +40,11 @@
 const RENEWAL_INTERVAL: Millis = Millis(4_000);
 /// Pause between two calls for the nodes' registrations; it may be long, since a node that is not
 /// known yet only gets no datagrams.
-const READ_INTERVAL: Millis = Millis(3_000);
+const READ_INTERVAL: Millis = Millis(8_000);
+/// Time after its start in which a node reads them more often, since others may be starting as well.
+const STARTING_TIME: Millis = Millis(10_000);
+/// Pause between two calls in that time.
+const STARTING_READ_INTERVAL: Millis = Millis(3_000);
 /// Longest wait of a call for changes of the registrations.
 const WAIT: Millis = Millis(20_000);
 /// Longest wait of a call after an outage of the store; nodes that are not known yet get no
@@ -53,7 +57,7 @@
 const REGISTRATIONS_FRESH_FOR: Millis = Millis(400);
 /// Time after its start in which a node tells its address itself; the others read the registrations
 /// within that time.
-const INTRODUCTION_TIME: Millis = Millis(4_000);
+const INTRODUCTION_TIME: Millis = Millis(9_000);
 /// Number of nodes that get the loads in a round; at about 20 bytes per target a node sends less
 /// than 5 KB/s.
 const FANOUT: usize = 4;
@@ -256,6 +260,7 @@
         node: Rc::clone(node),
         addresses: Rc::clone(&addresses),
         read_at: Cell::default(),
+        started_at: node.now(),
     };
     ntex::rt::spawn(follow::follow(Rc::clone(node), peer_addresses));
     ntex::rt::spawn(keep_registered(Rc::clone(node)));
@@ -263,6 +268,7 @@
         node: Rc::clone(node),
         addresses: Rc::clone(&addresses),
         read_at: Cell::default(),
+        started_at: node.now(),
     };
     let link = || limits::Link {
         socket: Rc::clone(&socket),
@@ -289,6 +295,7 @@
     addresses: Addresses,
     /// Time of the store's last answer.
     read_at: Cell<Instant>,
+    started_at: Instant,
 }
 
 impl PeerAddresses {
@@ -366,7 +373,14 @@
     fn rest(&self) -> Millis {
         // Without a pause, each registration would end the calls of all nodes when many nodes
         // start.
-        (self.read_at.get() + READ_INTERVAL).since(self.node.now())
+        let now = self.node.now();
+        let is_new = now.since(self.started_at) < STARTING_TIME;
+        let interval = if is_new {
+            STARTING_READ_INTERVAL
+        } else {
+            READ_INTERVAL
+        };
+        (self.read_at.get() + interval).since(now)
     }
 
     fn wait(&self) -> Millis {
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -221,7 +221,7 @@
             }
         };
         // Changes after an outage of the store mean something else, which is known after an answer.
-        if self.has_stale_registrations() {
+        if registrations.age(now) > STALE_AFTER {
             registrations.count("stale");
             return;
         }
--- a/crates/gateway/tests/node/freshness.rs
+++ b/crates/gateway/tests/node/freshness.rs
@@ -59,3 +59,58 @@
     let took = time_until_applied(node, Instant::now());
     assert!(took <= APPLIED, "{}: took {took:?}", case.name);
 }
+
+/// Waits until a node's requests reach only one of two servers, and returns the time it took.
+fn time_until_left_out(
+    cluster: &Cluster,
+    node: &Member,
+    leaving: &str,
+    since: Instant,
+) -> Duration {
+    let mut consecutive = 0;
+    while consecutive < 8 && since.elapsed() <= 2 * APPLIED {
+        cluster.servers.take_answered();
+        node.call("r", "/safe/x");
+        let answered = cluster.servers.take_answered();
+        consecutive = if answered.iter().any(|server| server == leaving) {
+            0
+        } else {
+            consecutive + 1
+        };
+    }
+    since.elapsed()
+}
+
+// Guards against a node that sends requests to a leaving server because the store turns the node away;
+// the nodes that read the store pass on what changes.
+#[test]
+fn leaving_server_gets_no_work_from_a_node_that_the_store_turns_away() {
+    let cluster = Cluster::start(NODES, 2);
+    let node = &cluster.nodes[NODES - 1];
+    node.feed.is_cut.store(true, Ordering::SeqCst);
+    node.call("r", "/safe/x");
+    for leaving in ["s0", "s1"] {
+        cluster.store.put(&format!("servers/{leaving}"), "draining");
+        let took = time_until_left_out(&cluster, node, leaving, Instant::now());
+        assert!(took <= APPLIED, "{leaving}: took {took:?}");
+        cluster.store.put(&format!("servers/{leaving}"), "2");
+        let took = time_until_answered_by(&cluster, node, leaving, Instant::now());
+        assert!(took <= APPLIED, "{leaving} is back: took {took:?}");
+    }
+}
+
+/// Waits until a node's request reaches a server, and returns the time it took.
+fn time_until_answered_by(
+    cluster: &Cluster,
+    node: &Member,
+    server: &str,
+    since: Instant,
+) -> Duration {
+    loop {
+        node.call("r", "/safe/x");
+        let answered = cluster.servers.take_answered();
+        if answered.iter().any(|answered| answered == server) || since.elapsed() > 2 * APPLIED {
+            return since.elapsed();
+        }
+    }
+}
--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -18,7 +18,7 @@
 /// Number of nodes to which a node passes on a segment that was new to it.
 pub const FANOUT: usize = 5;
 /// Largest number of changes in a segment; nodes read more than that from the store.
-pub const MAX_CHANGES: usize = 48;
+pub const MAX_CHANGES: usize = 96;
 /// Time for which segments are kept for nodes that missed them.
 const REPAIR_TIME: Millis = Millis(3_000);
 /// Time for which a node that misses a change waits for another node to send it.
