--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -705,7 +705,8 @@
         let timeouts = self.timeouts(attempt);
         let since = attempt.last_activity();
         let request_due = since + timeouts.request;
-        let last_progress = self.node.targets.borrow().last_progress(attempt.key());
+        let now = self.node.now();
+        let last_progress = self.node.targets.borrow().last_progress(attempt.key(), now);
         Some(match last_progress {
             // A request that was sent to a stalled group gets the minimum time all the same.
             Some(last_progress) => {
@@ -869,7 +870,7 @@
             "detail" => &error.detail,
             "new_connection" => attempt.is_new_connection,
             "configuration" => self.index.configuration().version,
-            "registrations_age_ms" => now.since(self.node.registrations_read_at.get()).0,
+            "registrations_age_ms" => self.node.registrations.age(now).0,
             "candidates" => self.candidate_count,
             "delivered" => self.last_delivered,
             "age_ms" => now.since(self.call.arrived).0,
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -12,7 +12,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
 use jackdaw_policy::assembly::{self, Planner, Task, View};
-use jackdaw_policy::grace_period::GracePeriod;
+use jackdaw_policy::grace_period::{self, GracePeriod};
 use jackdaw_policy::lease::{Action, Election, Event, Options};
 use slog::{info, warn};
 use tokio::sync::watch;
@@ -81,7 +81,7 @@
         handle_event(&self.leader, Event::Observed { entry, revision });
     }
 
-    fn apply(&mut self, changes: Vec<Change>) {
+    fn apply(&mut self, changes: Vec<Change>, _: u64) {
         for change in changes {
             let event = match change {
                 Change::Put(entry) if entry.key == self.key => {
@@ -202,6 +202,12 @@
             async move { orders.report(&server.id, server.address).await }
         });
         let reports = futures::future::join_all(reports).await;
+        let answered = reports.iter().filter(|report| report.is_ok()).count();
+        if !grace_period::is_conclusive(servers.len(), answered) {
+            warn!(node.logger(), "reports say nothing of the servers, since hardly any arrived";
+                "servers" => servers.len(), "answered" => answered);
+            continue;
+        }
         let mut changed = false;
         for (server, report) in servers.iter().zip(reports) {
             changed |= record_report(&shared, &node, server, report);
@@ -218,9 +224,12 @@
     match report {
         Ok(report) => {
             shared.borrow_mut().missed_reports.remove(&server.id);
-            node.fleet
-                .borrow_mut()
-                .apply_report(&server.id, report.membership, now)
+            let mut fleet = node.fleet.borrow_mut();
+            let changed = fleet.apply_report(&server.id, report.membership, now);
+            if changed {
+                node.record_change(&server.id);
+            }
+            changed
         }
         Err(error) => {
             let mut leader = shared.borrow_mut();
@@ -272,11 +281,13 @@
             });
         let tasks = {
             let fleet = node.fleet.borrow();
+            let stalled = node.targets.borrow().stalled_groups(now);
             let view = View {
                 fleet: &fleet,
                 service: &service.name,
                 engine,
                 has_traffic: node.has_traffic.get(),
+                stalled: &stalled,
             };
             planner.plan(&view, now)
         };
@@ -302,6 +313,7 @@
                     node.fleet
                         .borrow_mut()
                         .apply_membership(&order.server, None, now);
+                    node.record_change(&order.server);
                     node.update_targets();
                 }
                 if let Some(planner) = shared.borrow_mut().planners.get_mut(&service) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::body;
 use crate::connections::Connections;
+use crate::follow::Availability;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
 use crate::in_flight::InFlight;
@@ -37,12 +38,10 @@
 use crate::limits::Limits as ServerLimits;
 use crate::options::Options;
 use crate::poison::Poison;
+use crate::registrations::Registrations;
 use crate::targets::Targets;
 use crate::termination;
 
-/// Age after which the registrations count as stale; a call for them waits for one second at most.
-const REGISTRATIONS_STALE_AFTER: Millis = Millis(1_800);
-
 /// Time for which a change is sent to other nodes; several rounds of datagrams, since any of them
 /// may be lost.
 const CHANGE_BROADCAST_TIME: Millis = Millis(800);
@@ -133,8 +132,8 @@
     pub(crate) stop: termination::Request,
     /// Whether a request has arrived since the start.
     pub(crate) has_traffic: Cell<bool>,
-    /// Time of the store's last answer with registrations or their changes.
-    pub(crate) registrations_read_at: Cell<Instant>,
+    pub(crate) registrations: Registrations,
+    pub(crate) store_availability: Availability,
     /// Whether this node leads its zone while the store is unavailable.
     pub(crate) in_grace_period: Cell<bool>,
     /// Whether the registrations of the other nodes have been read.
@@ -148,6 +147,8 @@
     pub(crate) dead_servers: RefCell<HashMap<CompactString, u64>>,
     /// Notified when the configuration, the servers or the leadership have changed.
     pub(crate) state_changed: Notify,
+    /// Notified when another node has reported a place that stands still.
+    pub(crate) stalls_changed: Notify,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) targets: Rc<RefCell<Targets>>,
     pub(crate) poison: Poison,
@@ -178,6 +179,8 @@
             connections: Connections::new(&parts.meter, &drain),
             poison: Poison::new(&parts.meter),
             freshness: Freshness::new(&parts.meter),
+            registrations: Registrations::new(&parts.meter),
+            store_availability: Availability::default(),
             reach: RefCell::default(),
             tunnels: Cell::new(0),
             relay_port: Cell::new(0),
@@ -189,13 +192,13 @@
             drain,
             stop,
             has_traffic: Cell::new(false),
-            registrations_read_at: Cell::default(),
             in_grace_period: Cell::new(false),
             knows_peers: Cell::new(false),
             is_leading: Cell::new(false),
             changed_servers: RefCell::default(),
             dead_servers: RefCell::default(),
             state_changed: Notify::new(),
+            stalls_changed: Notify::new(),
             fleet: RefCell::default(),
             targets: Rc::default(),
             index: RefCell::default(),
@@ -224,11 +227,6 @@
         changed_servers.keys().cloned().collect()
     }
 
-    /// Returns whether the store has not answered with registrations lately.
-    pub(crate) fn has_stale_registrations(&self) -> bool {
-        self.now().since(self.registrations_read_at.get()) > REGISTRATIONS_STALE_AFTER
-    }
-
     /// Returns the load that the other nodes report.
     pub(crate) fn peer_loads(&self) -> Rc<RefCell<PeerLoads>> {
         Rc::clone(&self.targets.borrow().peer_loads)
