--- a/crates/policy/tests/feed.rs
+++ b/crates/policy/tests/feed.rs
@@ -48,7 +48,7 @@
     let id = format_compact!("s{revision}");
     Change {
         revision,
-        state: (revision % 3 > 0).then(|| server(&id)),
+        state: (!revision.is_multiple_of(3)).then(|| server(&id)),
         server: id,
     }
 }
@@ -194,6 +194,21 @@
         }
     }
 
+    /// Tells some nodes how far a node knows the registrations.
+    fn tell_position(&mut self, node: usize, is_leader: bool) {
+        let Some(position) = self.feeds[node].position(is_leader, self.now) else {
+            return;
+        };
+        let extra = if is_leader {
+            self.feeds.len().isqrt()
+        } else {
+            0
+        };
+        for peer in self.peers(node, PEERS_PER_ROUND + extra) {
+            self.send(node, peer, Datagram::Position(node, position));
+        }
+    }
+
     /// Advances the time by a millisecond.
     fn step(&mut self) {
         self.now = self.now + Millis(1);
@@ -209,16 +224,7 @@
             let is_leader = node < self.leaders;
             let phase = (self.now.0 + node as u64 * 37) % ROUND.0;
             if phase == 0 {
-                if let Some(position) = self.feeds[node].position(is_leader, self.now) {
-                    let extra = if is_leader {
-                        self.feeds.len().isqrt()
-                    } else {
-                        0
-                    };
-                    for peer in self.peers(node, PEERS_PER_ROUND + extra) {
-                        self.send(node, peer, Datagram::Position(node, position));
-                    }
-                }
+                self.tell_position(node, is_leader);
             }
             let is_due = if is_leader {
                 phase == 100
--- a/crates/policy/tests/stall.rs
+++ b/crates/policy/tests/stall.rs
@@ -102,7 +102,7 @@
         until / PASS * PASS
     }
 
-    fn spread(&mut self, node: usize, reports: &[Report]) {
+    fn spread(&mut self, reports: &[Report]) {
         if reports.is_empty() {
             return;
         }
@@ -116,7 +116,6 @@
                 .push(Reverse((self.now + 1 + self.random.u64(0..3), self.next)));
             self.datagrams.insert(self.next, (peer, reports.to_vec()));
         }
-        let _ = node;
     }
 
     fn step(&mut self) {
@@ -135,7 +134,7 @@
             let now = Instant(self.now);
             let mut news = reports;
             news.retain(|report| self.tables[node].take(*report, now));
-            self.spread(node, &news);
+            self.spread(&news);
         }
         for (node, reports) in held {
             self.next += 1;
@@ -161,7 +160,7 @@
                     .to_vec();
             }
             let reports = self.tables[node].observe(&streams, Instant(self.now));
-            self.spread(node, &reports);
+            self.spread(&reports);
         }
     }
 
