Repeat a first report of a stall once, since it misses some nodes

What was wrong: the states that all nodes know of a stall within 0.3 s in the model.

Cause: a report that each node passes on to five others misses about one node in 150 (e^-5), and the others' reports of the same stall were held back for 0.8 s as known. Now a second report is passed on after 0.15 s.

--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -19,6 +19,8 @@
 pub const STALL_TIME: Millis = Millis(300);
 /// Time for which a report holds that nobody repeats or contradicts.
 const VALIDITY: Millis = Millis(2_500);
+/// Time after which a first report is repeated, since it does not reach every node.
+const SECOND_REPORT_AFTER: Millis = Millis(150);
 /// Time after which a node repeats what still applies.
 const REPEAT_INTERVAL: Millis = Millis(800);
 /// Time by which nodes may see the same pass of an engine at different times.
@@ -50,6 +52,20 @@
 struct Stall {
     progress_at: Instant,
     heard_at: Instant,
+    /// Whether it was reported once only.
+    is_first_report: bool,
+}
+
+impl Stall {
+    /// Returns whether another report of the same stall is passed on.
+    fn is_repeat_due(&self, now: Instant) -> bool {
+        let interval = if self.is_first_report {
+            SECOND_REPORT_AFTER
+        } else {
+            REPEAT_INTERVAL
+        };
+        now.since(self.heard_at) >= interval
+    }
 }
 
 /// The places that stand still as far as a node knows.
@@ -74,7 +90,7 @@
             let known = self.stalls.get(&progress.place);
             let is_stalled = now.since(progress.at) > STALL_TIME;
             let is_news = match known {
-                Some(stall) if is_stalled => now.since(stall.heard_at) >= REPEAT_INTERVAL,
+                Some(stall) if is_stalled => stall.is_repeat_due(now),
                 Some(stall) => progress.at > stall.progress_at + PASS_SPREAD,
                 None => is_stalled,
             };
@@ -110,15 +126,22 @@
             return false;
         }
         let known = self.stalls.get(&place);
-        let is_news = known.is_none_or(|stall| now.since(stall.heard_at) >= REPEAT_INTERVAL);
-        let latest = known.map_or(progress_at, |stall| stall.progress_at.max(progress_at));
-        let heard_at = match known {
-            Some(stall) if !is_news => stall.heard_at,
-            Some(_) | None => now,
-        };
-        let stall = Stall {
-            progress_at: latest,
-            heard_at,
+        let is_news = known.is_none_or(|stall| stall.is_repeat_due(now));
+        let stall = match known {
+            Some(stall) if !is_news => Stall {
+                progress_at: stall.progress_at.max(progress_at),
+                ..*stall
+            },
+            Some(stall) => Stall {
+                progress_at: stall.progress_at.max(progress_at),
+                heard_at: now,
+                is_first_report: false,
+            },
+            None => Stall {
+                progress_at,
+                heard_at: now,
+                is_first_report: true,
+            },
         };
         self.stalls.insert(place, stall);
         is_news
