Spread nodes' own reads of registrations by their names

Nodes that hear of no reader read the store after a time that was to differ from node to node, so that the first ones' news spare the others the call. It was drawn from the port, which all nodes of a deployment have in common, so that all read at once. Now the name decides.

--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -2,8 +2,7 @@
 //! nodes pass on to each other.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::SocketAddr;
@@ -17,6 +16,7 @@
 use jackdaw_core::units::Millis;
 use jackdaw_policy::feed::{self, Feed, Position, Segment, Verdict};
 use jackdaw_policy::registry::{Registry, Removal, Source};
+use jackdaw_policy::route::prefix_hash;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use prost::Message;
@@ -29,6 +29,10 @@
 
 /// Pause of a leader between two calls for the registrations, and the longest wait of such a call.
 const LEADER_PAUSE: Millis = Millis(250);
+/// Eighths of the users' bound on draining after which a node that hears of nothing reads the store.
+const MAX_AGE_EIGHTHS: u64 = 3;
+/// Divisor of that bound by which the nodes' reads differ.
+const JITTER_DIVISOR: u64 = 16;
 /// Longest wait of other nodes' calls for changes.
 const WAIT: Millis = Millis(1_000);
 /// Age after which the registrations count as stale.
@@ -316,9 +320,10 @@
     /// Returns the times after which this node reads the store itself.
     fn options(&self) -> feed::Options {
         let drain = self.node.options.drain;
-        let max_age = Millis(drain.0 * 3 / 8).clamp(LEADER_PAUSE, STALE_AFTER);
-        let max_jitter = drain.0 / 16;
-        let hash = fastrand::Rng::with_seed(self.node.options.peers.port().into()).u64(..);
+        let max_age = Millis(drain.0 * MAX_AGE_EIGHTHS / 8).clamp(LEADER_PAUSE, STALE_AFTER);
+        let max_jitter = drain.0 / JITTER_DIVISOR;
+        // Nodes have the same ports, so the name tells them apart.
+        let hash = prefix_hash(self.node.options.node.as_bytes());
         feed::Options {
             max_age,
             jitter: Millis(hash % max_jitter.max(1)),
