Measure the store's silence from a call that it has not answered

What could go wrong: a node that has just become a leader had not called the store for long, as it heard of changes from others. It took that for the store's silence, queried all servers of its zone and told their states until its first answer, up to 1.75 s after each election.

Change: the silence counts from the first call without an answer, for leaders and others alike, and a node looks four times a second whether a read is due. A datagram that is passed on no longer holds the fields that belong to its sender's address.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -96,8 +96,8 @@
         false
     }
 
-    /// Handles a failed call.
-    fn handle_failure(&mut self) {}
+    /// Handles that a call is made.
+    fn begin_call(&mut self) {}
 
     /// Returns the length of an outage of the store that has ended without a failed call of this node.
     fn unnoticed_outage(&self) -> Option<Millis> {
@@ -135,6 +135,7 @@
         if after.is_none() {
             subscriber.begin_snapshot();
         }
+        subscriber.begin_call();
         let result = tokio::select! {
             biased;
             // The senders live as long as the node.
@@ -200,7 +201,6 @@
                 }
             }
             Err(error) => {
-                subscriber.handle_failure();
                 if !is_unavailable {
                     warn!(node.logger(), "store does not answer";
                         "prefix" => %prefix, "error" => %error);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -336,6 +336,12 @@
 
     /// Passes a datagram on to some nodes.
     fn relay(&self, datagram: &Datagram, socket: &UdpSocket) {
+        // The sender's own fields would be taken for this node's, from whose address it comes.
+        let datagram = Datagram {
+            relay_port: 0,
+            registrations: 0,
+            ..datagram.clone()
+        };
         let bytes = datagram.encode_to_vec();
         let addresses = self.addresses.borrow();
         let fanout = relay::fanout(addresses.len());
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -37,8 +37,6 @@
 const WAIT: Millis = Millis(1_000);
 /// Age after which the registrations count as stale.
 const STALE_AFTER: Millis = Millis(1_800);
-/// Time for which calls have to fail until the store counts as away.
-const FAILING_TIME: Millis = Millis(1_000);
 /// Largest encoded size of the changes in one datagram in bytes.
 const MAX_PART_BYTES: usize = 1_200;
 
@@ -51,8 +49,8 @@
     link: RefCell<Option<Link>>,
     /// Time of the store's last answer to this node.
     read_at: Cell<Instant>,
-    /// Time since which the store has answered none of this node's calls.
-    failing_since: Cell<Option<Instant>>,
+    /// Time of the first of this node's calls that the store has not answered.
+    unanswered_since: Cell<Option<Instant>>,
     segments: Counter<u64>,
 }
 
@@ -70,7 +68,7 @@
             states: RefCell::default(),
             link: RefCell::default(),
             read_at: Cell::default(),
-            failing_since: Cell::default(),
+            unanswered_since: Cell::default(),
             segments: meter
                 .u64_counter("jackdawstair_registration_segments")
                 .with_description("Changes of registrations from other nodes, by what followed.")
@@ -93,20 +91,24 @@
         now.since(self.feed.borrow().as_of())
     }
 
-    /// Returns whether the store has not answered lately. A leader goes by its own calls; the others
-    /// may have heard of the answers from other nodes.
-    pub(crate) fn is_stale(&self, is_leading: bool, now: Instant) -> bool {
-        let is_failing = self
-            .failing_since
+    /// Returns whether the store has not answered lately: neither this node's calls nor, as far as it
+    /// has heard, those of others.
+    pub(crate) fn is_stale(&self, now: Instant) -> bool {
+        let is_unanswered = self
+            .unanswered_since
             .get()
-            .is_some_and(|since| now.since(since) >= FAILING_TIME);
-        let is_unanswered = is_leading && now.since(self.read_at.get()) > STALE_AFTER;
-        is_failing || is_unanswered || self.age(now) > STALE_AFTER
+            .is_some_and(|since| now.since(since) > STALE_AFTER);
+        is_unanswered || self.age(now) > STALE_AFTER
+    }
+
+    fn record_call(&self, now: Instant) {
+        let since = self.unanswered_since.get().unwrap_or(now);
+        self.unanswered_since.set(Some(since));
     }
 
     fn record_answer(&self, now: Instant) {
         self.read_at.set(now);
-        self.failing_since.set(None);
+        self.unanswered_since.set(None);
     }
 
     /// Returns whether a server's registered state differs from the last one, and remembers it.
@@ -137,8 +139,7 @@
 impl Node {
     /// Returns whether the store has not answered with registrations lately.
     pub(crate) fn has_stale_registrations(&self) -> bool {
-        self.registrations
-            .is_stale(self.is_leading.get(), self.now())
+        self.registrations.is_stale(self.now())
     }
 
     /// Adds or updates a server and returns whether anything changed.
@@ -342,7 +343,9 @@
             return (read_at + LEADER_PAUSE).since(self.node.now());
         }
         let feed = self.node.registrations.feed.borrow();
-        feed.rest(self.options(), self.node.now())
+        let rest = feed.rest(self.options(), self.node.now());
+        // The node may become a leader meanwhile.
+        rest.min(LEADER_PAUSE)
     }
 
     fn wait(&self) -> Millis {
@@ -418,11 +421,8 @@
         }
     }
 
-    fn handle_failure(&mut self) {
-        let registrations = &self.node.registrations;
-        if registrations.failing_since.get().is_none() {
-            registrations.failing_since.set(Some(self.node.now()));
-        }
+    fn begin_call(&mut self) {
+        self.node.registrations.record_call(self.node.now());
     }
 
     fn unnoticed_outage(&self) -> Option<Millis> {
