Have nodes that heard of nothing for long read the store themselves

What could go wrong: while the store is away, entries may lapse although their servers live; nodes that notice the outage keep those servers for 1.9 s. A node that reads the store only now and then does not notice. If another node's position reached it before the changes did, it took the lapsed entries for the ends of their servers and had no place to send requests to until they had registered again. Found while reading.

Change: what is known counts as stale after 1.8 s without a confirmation; a stale node takes neither segments nor confirmations from others and reads the store, which tells it of the outage. A node that is stale and that the store turns away keeps what it knows until the store answers it.

--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -14,7 +14,7 @@
 use jackdaw_core::store::{Change, Entry};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
-use jackdaw_policy::feed::{self, Feed, Position, Segment, Verdict};
+use jackdaw_policy::feed::{self, Feed, Position, STALE_AFTER, Segment, Verdict};
 use jackdaw_policy::registry::{Registry, Removal, Source};
 use jackdaw_policy::route::prefix_hash;
 use opentelemetry::KeyValue;
@@ -35,8 +35,6 @@
 const JITTER_DIVISOR: u64 = 16;
 /// Longest wait of other nodes' calls for changes.
 const WAIT: Millis = Millis(1_000);
-/// Age after which the registrations count as stale.
-const STALE_AFTER: Millis = Millis(1_800);
 /// Largest encoded size of the changes in one datagram in bytes.
 const MAX_PART_BYTES: usize = 1_200;
 
@@ -98,7 +96,7 @@
             .unanswered_since
             .get()
             .is_some_and(|since| now.since(since) > STALE_AFTER);
-        is_unanswered || self.age(now) > STALE_AFTER
+        is_unanswered || self.feed.borrow().is_stale(now)
     }
 
     fn record_call(&self, now: Instant) {
@@ -225,11 +223,6 @@
                 return;
             }
         };
-        // Changes after an outage of the store mean something else, which is known after an answer.
-        if registrations.age(now) > STALE_AFTER {
-            registrations.count("stale");
-            return;
-        }
         let verdict = registrations.feed.borrow_mut().take(&segment, now);
         let changes = match verdict {
             Verdict::Apply(changes) => changes,
@@ -427,8 +420,10 @@
 
     fn unnoticed_outage(&self) -> Option<Millis> {
         // No node has read the store for that long.
-        let age = self.node.registrations.age(self.node.now());
-        (age > STALE_AFTER).then_some(age)
+        let registrations = &self.node.registrations;
+        let now = self.node.now();
+        let is_stale = registrations.feed.borrow().is_stale(now);
+        is_stale.then(|| registrations.age(now))
     }
 
     fn handle_recovery(&mut self, outage: Millis) {
--- a/crates/policy/src/feed.rs
+++ b/crates/policy/src/feed.rs
@@ -19,6 +19,9 @@
 pub const FANOUT: usize = 5;
 /// Largest number of changes in a segment; nodes read more than that from the store.
 pub const MAX_CHANGES: usize = 96;
+/// Age from which what is known of the registrations counts as stale. The store may have been away then,
+/// which changes what an entry's end means, so the node reads it itself.
+pub const STALE_AFTER: Millis = Millis(1_800);
 /// Time for which segments are kept for nodes that missed them.
 const REPAIR_TIME: Millis = Millis(3_000);
 /// Time for which a node that misses a change waits for another node to send it.
@@ -147,6 +150,12 @@
         self.as_of
     }
 
+    /// Returns whether nobody has confirmed for long that no change is missing.
+    #[must_use]
+    pub fn is_stale(&self, now: Instant) -> bool {
+        now.since(self.as_of) > STALE_AFTER
+    }
+
     /// Returns the position to tell the other nodes, if there is one.
     ///
     /// The revision of a read of all registrations makes the others read the store, so only a leader
@@ -196,7 +205,7 @@
     /// Takes a segment from another node. Only [`Feed::hear`] makes what is known younger, since the
     /// segment may be one of several.
     pub fn take(&mut self, segment: &Segment, now: Instant) -> Verdict {
-        let Some(cursor) = self.cursor else {
+        let Some(cursor) = self.cursor.filter(|_| !self.is_stale(now)) else {
             return Verdict::Gap;
         };
         if Era::of(cursor) != Era::of(segment.to) {
@@ -226,7 +235,7 @@
 
     /// Records the position of another node.
     pub fn hear(&mut self, position: Position, now: Instant) {
-        let Some(cursor) = self.cursor else {
+        let Some(cursor) = self.cursor.filter(|_| !self.is_stale(now)) else {
             return;
         };
         if position.revision > cursor {
