Give the encoding of segments a module, and test malformed datagrams

registrations.rs held the wire's records beside the node's state; they stand in segment.rs now, and the list of states on the wire is the one of peers.rs. Behaviour stays as it is. A cluster's node goes on after 3,000 malformed datagrams (seeded), as one malformed message took whole processes down for operators of similar systems.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod refusal;
 mod registrations;
 mod relay;
+mod segment;
 mod stop;
 mod targets;
 mod tunnel;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,7 +30,7 @@
 use crate::limits;
 use crate::node::Node;
 use crate::poison;
-use crate::registrations::SegmentRecord;
+use crate::segment;
 
 /// Prefix of the nodes' registrations.
 const PREFIX: &str = "jackdawstair/nodes/";
@@ -131,7 +131,7 @@
     /// Changes of the servers' registrations; such a datagram holds nothing else but the sender's name
     /// and its position.
     #[prost(message, optional, tag = "18")]
-    segment: Option<SegmentRecord>,
+    segment: Option<segment::Record>,
     /// Whether the receiver passes the datagram on to some other nodes.
     #[prost(bool, tag = "19")]
     is_relayed: bool,
@@ -176,7 +176,7 @@
 }
 
 /// Encodes a datagram with changes of the servers' registrations.
-pub(crate) fn encode_segment(node: &Node, segment: SegmentRecord) -> Vec<u8> {
+pub(crate) fn encode_segment(node: &Node, segment: segment::Record) -> Vec<u8> {
     let datagram = Datagram {
         node: node.options.node.to_string(),
         segment: Some(segment),
@@ -225,7 +225,7 @@
 const REACHES: [Reach; 3] = [Reach::Unknown, Reach::Reaching, Reach::Cut];
 
 /// The states of a membership in the order of their numbers on the wire.
-const STATES: [State; 5] = [
+pub(crate) const STATES: [State; 5] = [
     State::Joining,
     State::Ready,
     State::Open,
@@ -795,7 +795,7 @@
     /// Tells some nodes how far this node, which reads the store all the time, knows the registrations.
     async fn send_position(&mut self, recipients: &[SocketAddr]) {
         let fanout = recipients.len().isqrt();
-        let datagram = encode_segment(&self.node, SegmentRecord::default());
+        let datagram = encode_segment(&self.node, segment::Record::default());
         for recipient in recipients.iter().rev().take(fanout) {
             if let Err(error) = self.socket.send_to(&datagram, recipient).await {
                 debug!(self.node.logger(), "datagram could not be sent";
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -340,6 +340,11 @@
         self.process.callers
     }
 
+    /// Gets the address for datagrams.
+    pub(crate) fn datagrams(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Waits until the node has logged a message.
     ///
     /// # Panics
--- a/crates/gateway/tests/node/freshness.rs
+++ b/crates/gateway/tests/node/freshness.rs
@@ -81,6 +81,18 @@
     since.elapsed()
 }
 
+/// Checks that a node leaves out each server in time while it is leaving, and sends to it after that.
+fn assert_changes_are_known(cluster: &Cluster, node: &Member) {
+    for leaving in ["s0", "s1"] {
+        cluster.store.put(&format!("servers/{leaving}"), "draining");
+        let took = time_until_left_out(cluster, node, leaving, Instant::now());
+        assert!(took <= APPLIED, "{leaving}: took {took:?}");
+        cluster.store.put(&format!("servers/{leaving}"), "2");
+        let took = time_until_answered_by(cluster, node, leaving, Instant::now());
+        assert!(took <= APPLIED, "{leaving} is back: took {took:?}");
+    }
+}
+
 // Guards against a node that sends requests to a leaving server because the store turns the node away;
 // the nodes that read the store pass on what changes.
 #[test]
@@ -89,14 +101,7 @@
     let node = &cluster.nodes[NODES - 1];
     node.feed.is_cut.store(true, Ordering::SeqCst);
     node.call("r", "/safe/x");
-    for leaving in ["s0", "s1"] {
-        cluster.store.put(&format!("servers/{leaving}"), "draining");
-        let took = time_until_left_out(&cluster, node, leaving, Instant::now());
-        assert!(took <= APPLIED, "{leaving}: took {took:?}");
-        cluster.store.put(&format!("servers/{leaving}"), "2");
-        let took = time_until_answered_by(&cluster, node, leaving, Instant::now());
-        assert!(took <= APPLIED, "{leaving} is back: took {took:?}");
-    }
+    assert_changes_are_known(&cluster, node);
 }
 
 /// Waits until a node's request reaches a server, and returns the time it took.
@@ -114,3 +119,41 @@
         }
     }
 }
+
+/// Number of malformed datagrams.
+const DATAGRAMS: usize = 3_000;
+
+/// Returns bytes that begin like a field of a datagram: its number, its kind and its length.
+fn malformed_datagram(random: &mut fastrand::Rng) -> Vec<u8> {
+    let field = random.u32(1..=24);
+    let kind = random.choice([0, 1, 2, 5]).expect("there are kinds");
+    let tag = field << 3 | kind;
+    let mut datagram = Vec::new();
+    if tag > 0x7f {
+        datagram.extend([tag as u8 | 0x80, (tag >> 7) as u8]);
+    } else {
+        datagram.push(tag as u8);
+    }
+    let len = random.usize(0..64);
+    if kind == 2 {
+        // Sometimes more than follows.
+        datagram.push((len + random.usize(0..3)) as u8);
+    }
+    datagram.extend((0..len).map(|_| random.u8(..)));
+    datagram
+}
+
+// Guards against a message that takes a whole process down.
+#[test]
+fn malformed_datagrams_end_no_node() {
+    let cluster = Cluster::start(2, 2);
+    let node = &cluster.nodes[1];
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    let mut random = fastrand::Rng::with_seed(7);
+    for _ in 0..DATAGRAMS {
+        let datagram = malformed_datagram(&mut random);
+        let sent = socket.send_to(&datagram, node.datagrams());
+        sent.expect("the datagram is sent");
+    }
+    assert_changes_are_known(&cluster, node);
+}
