--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -22,7 +22,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, UpDownCounter};
 use prost::Message;
-use slog::{debug, info};
+use slog::info;
 use tokio::net::UdpSocket;
 use tokio::time;
 
@@ -435,11 +435,7 @@
 
     fn send_exchange_to(&self, socket: &UdpSocket, address: SocketAddr, exchange: Exchange) {
         let bytes = crate::peers::encode_exchange(&self.options.node, exchange);
-        // A datagram that does not leave at once counts as lost.
-        if let Err(error) = socket.try_send_to(&bytes, address) {
-            debug!(self.logger(), "datagram could not be sent";
-                "peer" => %address, "error" => %error);
-        }
+        crate::peers::send_to_each(self, socket, &bytes, &[address]);
     }
 
     /// Asks the keeper of a server for a sign of life, if this node stands in for it.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -345,13 +345,8 @@
         let bytes = datagram.encode_to_vec();
         let addresses = self.addresses.borrow();
         let fanout = relay::fanout(addresses.len());
-        let recipients = fastrand::choose_multiple(addresses.values(), fanout);
-        for recipient in recipients {
-            if let Err(error) = socket.try_send_to(&bytes, *recipient) {
-                debug!(self.node.logger(), "datagram could not be passed on";
-                    "peer" => %recipient, "error" => %error);
-            }
-        }
+        let recipients = fastrand::choose_multiple(addresses.values().copied(), fanout);
+        send_to_each(&self.node, socket, &bytes, &recipients);
     }
 
     fn address(&self, name: &str) -> Option<SocketAddr> {
@@ -527,6 +522,21 @@
     }
 }
 
+/// Sends a datagram to each of some nodes. One that does not leave at once counts as lost.
+pub(crate) fn send_to_each(
+    node: &Node,
+    socket: &UdpSocket,
+    datagram: &[u8],
+    recipients: &[SocketAddr],
+) {
+    for recipient in recipients {
+        if let Err(error) = socket.try_send_to(datagram, *recipient) {
+            debug!(node.logger(), "datagram could not be sent";
+                "peer" => %recipient, "error" => %error);
+        }
+    }
+}
+
 /// Tells a few nodes what has been seen of places that stand still.
 fn spread_stalls(node: &Node, addresses: &Addresses, socket: &UdpSocket, reports: &[Report]) {
     if reports.is_empty() {
@@ -545,12 +555,8 @@
     };
     let bytes = datagram.with_position(node).encode_to_vec();
     let addresses = addresses.borrow();
-    for recipient in fastrand::choose_multiple(addresses.values(), stall::FANOUT) {
-        if let Err(error) = socket.try_send_to(&bytes, *recipient) {
-            debug!(node.logger(), "datagram could not be sent";
-                "peer" => %recipient, "error" => %error);
-        }
-    }
+    let recipients = fastrand::choose_multiple(addresses.values().copied(), stall::FANOUT);
+    send_to_each(node, socket, &bytes, &recipients);
 }
 
 /// Takes what another node tells of places that stand still, and passes on what is news.
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -258,13 +258,8 @@
         };
         for record in segment::Record::parts(segment) {
             let datagram = peers::encode_segment(self, record);
-            for recipient in recipients {
-                // A lost datagram is made up for once the others' positions are heard.
-                if let Err(error) = link.socket.try_send_to(&datagram, *recipient) {
-                    debug!(self.logger(), "datagram could not be sent";
-                        "peer" => %recipient, "error" => %error);
-                }
-            }
+            // A lost datagram is made up for once the others' positions are heard.
+            peers::send_to_each(self, &link.socket, &datagram, recipients);
         }
     }
 }
