Forget changes of servers at each tick, also where nobody tells them

Found in the read-through: changes that are told while the store is away were forgotten only when they were told, which is now in the grace period alone, so the list of a node's servers that ever changed grew for as long as the process lived, by each server's new name after a restart.

Checked: formatter, linter of the gateway, its freshness, follow and restore tests.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -221,10 +221,15 @@
 
     /// Returns the servers whose state has changed within [`CHANGE_BROADCAST_TIME`].
     pub(crate) fn recently_changed_servers(&self) -> HashSet<CompactString> {
+        self.forget_old_changes();
+        self.changed_servers.borrow().keys().cloned().collect()
+    }
+
+    /// Forgets the changes that are not told any more.
+    pub(crate) fn forget_old_changes(&self) {
         let now = self.now();
         let mut changed_servers = self.changed_servers.borrow_mut();
         changed_servers.retain(|_, at| now.since(*at) < CHANGE_BROADCAST_TIME);
-        changed_servers.keys().cloned().collect()
     }
 
     /// Returns the load that the other nodes report.
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -192,6 +192,7 @@
 
     /// Does what is due by the passing of time; called several times a second.
     pub(crate) fn tick_registrations(&self) {
+        self.forget_old_changes();
         if self.refresh_registry() {
             self.update_targets();
         }
