--- a/review/standin/servers.py
+++ b/review/standin/servers.py
@@ -121,6 +121,9 @@
 
     fleet = {}
     has_traffic = False
+    # Time until the first event of a request, and between two events.
+    FIRST_EVENT_S = 0.15
+    EVENT_S = 0.04
     # Breaches of TWO, as the servers see them.
     breaches = []
 
@@ -169,6 +172,7 @@
             return await self.answer(writer, 421, headers=refusal)
         if group.state != "open":
             return await self.answer(writer, 503, headers=refusal)
+        self.record.add("takes", request, len(body), "bytes at", self.name, group.name)
         return await self.stream(request, headers, group, refusal, writer)
 
     async def stream(self, request, headers, group, refusal, writer):
@@ -177,7 +181,7 @@
         self.running.add(request)
         try:
             for number in range(first, EVENTS + 1):
-                await asyncio.sleep(0.15 if number == first else 0.04)
+                await asyncio.sleep(self.FIRST_EVENT_S if number == first else self.EVENT_S)
                 while self.group is group and group.state != "broken" and self.stands_still(group):
                     await asyncio.sleep(0.02)
                 is_lost = self.group is not group or group.state == "broken"
