review: case 3, a model that is never served again after an outage of the store

Cause, as far as known: a server that misses two reports while the store is away is removed from the fleet, and nothing reads its unchanged registration again.

--- a/review/standin/servers.py
+++ b/review/standin/servers.py
@@ -19,6 +19,8 @@
         self.work_s, self.slots = work_s, slots
         self.born = int(time.time() * 1000)
         self.running = set()
+        # Set while nothing passes between the server and the entry VMs.
+        self.is_cut_off = False
 
     async def start(self):
         # A body that is not read yet waits in the kernel, and not here.
@@ -40,7 +42,10 @@
         }
 
     async def register(self):
-        await self.store.put(f"servers/{self.name}", self.entry())
+        """Writes the entry, which changes only when more than `seq` changes."""
+        key, entry = f"servers/{self.name}", self.entry()
+        if self.store.value(key) | {"seq": 0} != entry | {"seq": 0}:
+            await self.store.put(key, entry)
 
     async def converse(self, reader, writer):
         try:
@@ -48,6 +53,8 @@
                 line, headers = head
                 method, path, _ = line.split(" ", 2)
                 body = await read_body(reader, headers)
+                while self.is_cut_off:
+                    await asyncio.sleep(0.05)
                 if not await self.serve(method, path, headers, body, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -86,9 +93,9 @@
 EVENTS = 20
 
 
-def engine_service(name):
+def engine_service(name, served=("m0", "m1")):
     """Returns a service of model servers for the configuration."""
-    models = [{"name": model} | figures for model, figures in MODELS.items()]
+    models = [{"name": model} | MODELS[model] for model in served]
     return {
         "name": name, "max_connections": 394, "health_path": "/healthz",
         "engine": {
--- a/review/standin/site_platform.py
+++ b/review/standin/site_platform.py
@@ -158,10 +158,15 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             await self.delete(key)
 
+    def value(self, key):
+        """Returns the decoded value of a key, or an empty one."""
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else {}
+
     async def put(self, key, value, lease=0):
-        """Writes a value; one that is no bytes is written as JSON. Returns false while away."""
+        """Writes a value; one that is no bytes is written as JSON. Returns the revision, or none."""
         if self.is_away:
-            return False
+            return None
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
         known = self.items.get(key)
@@ -172,10 +177,11 @@
             "created_rev": known["created_rev"] if known else self.revision,
             "lease": lease,
         }
-        self.history.append((self.revision, key, dict(self.items[key])))
+        revision = self.revision
+        self.history.append((revision, key, dict(self.items[key])))
         async with self.changed:
             self.changed.notify_all()
-        return True
+        return revision
 
     async def delete(self, key):
         if key in self.items:
@@ -266,11 +272,14 @@
             return 412, {"items": [state[k] or {"key": k, "revision": 0} for k in state]}
         if any(put.get("lease") and put["lease"] not in self.leases for put in body["puts"]):
             return 404, {}
+        # Other calls go on while the watches are told, so the revision is the last write's own.
+        revision = self.revision
         for put in body["puts"]:
-            await self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+            value = base64.b64decode(put["value"])
+            revision = await self.put(put["key"], value, put.get("lease", 0))
         for key in body.get("delete", []):
             await self.delete(key)
-        return 200, {"revision": self.revision}
+        return 200, {"revision": revision}
 
 
 class Node:
