Log and count what marks the end of a server's answer

Each answer that ends without an error is now counted by what marks its end (chunks, length, or the end of the connection alone) and by its link (direct, or through another node). One that ends with its connection is logged with the events of this server, the time since its last bytes, the attempts before, the time left and the state of a stop. Only such answers get a line, so the volume stays bounded.

Tests: ends_of_connections_that_end_answers_are_logged, five cases. No decision is changed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,13 +21,16 @@
 use jackdaw_entry::in_flight::{self, Stage};
 use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
+use jackdaw_policy::ending::{Framing, Link};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
 use jackdaw_policy::reach;
 use jackdaw_policy::retry::{ExchangeFailure, Fault};
+use slog::info;
 
 use crate::buffered::BufferedAnswer;
 use crate::call::Call;
+use crate::ending;
 use crate::event::{Event, Splitter};
 use crate::exposure::Exposure;
 use crate::header;
@@ -109,6 +112,8 @@
     sent_at: Instant,
     reservation: Option<Reservation>,
     head: Option<AnswerHead>,
+    /// What marks the end of the answer, once its head has arrived.
+    framing: Framing,
     phase: Phase,
 }
 
@@ -151,6 +156,7 @@
             sent_at: node.now(),
             reservation: None,
             head: None,
+            framing: Framing::Connection,
             phase: Phase::Connecting(Box::pin(connecting)),
         }
     }
@@ -299,6 +305,7 @@
     fn receive(&mut self, connection: Connection, answer: Response<Incoming>) -> Phase {
         let (head, body) = answer.into_parts();
         let is_stream = self.call.route.kind.is_stream() && is_stream(head.status, &head.headers);
+        self.framing = ending::framing(&head.headers, &body);
         self.head = Some(AnswerHead {
             status: head.status,
             headers: head.headers,
@@ -363,6 +370,7 @@
             let detail = "the stream ended within an event";
             return Err(ExchangeFailure::new(Fault::Closed, Step::Answering, detail));
         }
+        self.record_end();
         self.keep_connection(stream.connection);
         Ok(Piece::End)
     }
@@ -372,6 +380,7 @@
         self.phase = Phase::Ended;
         let now = self.node.now();
         self.node.targets.borrow_mut().advance(self.plan.key, now);
+        self.record_end();
         self.keep_connection(connection);
         let (status, mut headers) = match &self.head {
             Some(head) => (head.status, head.headers.clone()),
@@ -385,6 +394,32 @@
         })
     }
 
+    /// Counts an answer that has ended, and logs one that only its connection ends.
+    fn record_end(&self) {
+        let node = &self.node;
+        let link = match self.is_relayed {
+            true => Link::Relayed,
+            false => Link::Direct,
+        };
+        node.endings.count(self.framing, link);
+        if self.framing != Framing::Connection {
+            return;
+        }
+        let now = node.now();
+        info!(node.logger(), "answer ended with its connection";
+            "request" => %self.call.head.id,
+            "route" => %self.call.route.name,
+            "server" => %self.target.server,
+            "group" => %self.target.group,
+            "link" => link.label(),
+            "events" => self.exposure.events(),
+            "is_repetition" => self.plan.is_repetition,
+            "idle_ms" => now.since(self.last_activity).0,
+            "age_ms" => now.since(self.call.arrived).0,
+            "left_ms" => self.call.caller_deadline.since(now).0,
+            "stopping_ms" => node.stopping_for().map(|time| time.0));
+    }
+
     /// Returns the connection to the pool after a complete answer.
     fn keep_connection(&self, connection: Connection) {
         if let Some(head) = &self.head {
--- a/crates/gateway/src/exposure.rs
+++ b/crates/gateway/src/exposure.rs
@@ -12,6 +12,11 @@
 }
 
 impl Exposure {
+    /// Gets the number of events that the server has sent.
+    pub(crate) fn events(&self) -> u32 {
+        self.events
+    }
+
     /// Counts an event of the server and returns whether its end would say nothing about the request
     /// from now on.
     pub(crate) fn record_event(&mut self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod call;
 mod connections;
 mod dispatch;
+mod ending;
 mod event;
 mod exposure;
 mod follow;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 
 use crate::body;
 use crate::connections::Connections;
+use crate::ending::Endings;
 use crate::follow::Availability;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
@@ -123,6 +124,7 @@
     pub(crate) parts: Parts,
     pub(crate) counters: Counters,
     pub(crate) histograms: Histograms,
+    pub(crate) endings: Endings,
     pub(crate) in_flight: InFlight,
     pub(crate) lag: Lag,
     pub(crate) connections: Connections,
@@ -174,6 +176,7 @@
         Node {
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
+            endings: Endings::new(&parts.meter),
             in_flight: InFlight::new(&parts.meter),
             lag: Lag::default(),
             connections: Connections::new(&parts.meter, &drain),
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod delivery;
 mod domain;
+mod ending;
 mod follow;
 mod framing;
 mod freshness;
