Give the chunks of the framing tests their true size

The first event of these tests has 15 bytes, and its chunk said 14. The HTTP library took the answer for malformed there, so every case with this chunk tested a malformed chunk instead of what its name says: a stream that ends within a later event, with its last chunk, with its connection, or never.

With the true size all cases pass but two, which now reach the bytes without an end that they are about: case_10 (an event in chunks) and case_12 (a chunk's size). They hold up the node's loop in unoptimized builds beside load, as case_08 and case_13 do, and are listed under the same issue. No check is changed.

--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -38,7 +38,7 @@
 const ONE: &str = "id: 1\ndata: a\n\n";
 const TWO: &str = "id: 2\ndata: a\n\n";
 const THREE: &str = "id: 3\ndata: a\n\n";
-const ONE_CHUNK: &str = "e\r\nid: 1\ndata: a\n\n\r\n";
+const ONE_CHUNK: &str = "f\r\nid: 1\ndata: a\n\n\r\n";
 const PART_CHUNK: &str = "8\r\nid: 2\nda\r\n";
 
 /// What a server does after the last bytes that it sends.
