Reproduce streams that end early as complete, which fails

Callers of the users' run saw streams that ended as complete before their last event.

The servers of the soak, of the tests and of the bench have so far only answered in chunks or with a length, or reset what they broke off.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -87,3 +87,16 @@
 fn node_that_can_open_no_connection_serves_its_callers() {
     check_play("cut-refuse", 2);
 }
+
+/// Guards against answers without chunks and length that look complete to their callers although the
+/// server's process has ended, or has stopped at the deadline.
+#[test]
+fn answer_whose_server_has_ended_does_not_look_complete() {
+    check_play("unframed", 1);
+}
+
+/// Guards against the same where a node that passed the connection on for another one has ended.
+#[test]
+fn answer_whose_relay_has_ended_does_not_look_complete() {
+    check_play("cut-kills", 1);
+}
--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -48,6 +48,8 @@
     Close,
     /// It resets the connection.
     Reset,
+    /// Its process ends, and the operating system closes its sockets.
+    Exit,
     /// It sends bytes again and again, without an end.
     Repeat(&'static str),
     /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
@@ -85,10 +87,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
+        let listener = Arc::new(listener);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while let Ok((stream, _)) = listener.accept() {
                 let servers = servers.clone();
-                thread::spawn(move || servers.serve(stream));
+                let listener = Arc::clone(&listener);
+                thread::spawn(move || servers.serve(stream, &listener));
             }
         });
         address
@@ -110,7 +114,7 @@
         !waited.1.timed_out()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, listener: &TcpListener) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
             let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
@@ -120,7 +124,7 @@
                 events.arrived
             });
             if number == 1 {
-                return self.send_first(stream, id);
+                return self.send_first(stream, id, listener);
             }
             let path = head.split(' ').nth(1).unwrap_or_default();
             let last = field("last: ").and_then(|last| last.parse().ok());
@@ -131,7 +135,7 @@
         }
     }
 
-    fn send_first(&self, mut stream: TcpStream, id: &str) {
+    fn send_first(&self, mut stream: TcpStream, id: &str, listener: &TcpListener) {
         let bytes = self.first.parts.concat().replace("ID", id);
         // The node may have given the answer up.
         let _ = stream.write_all(bytes.as_bytes());
@@ -143,6 +147,11 @@
                 let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 linger.expect("the option is known");
             }
+            End::Exit => {
+                let closed = SockRef::from(listener).shutdown(Shutdown::Both);
+                closed.expect("the listener is open");
+                let _ = stream.shutdown(Shutdown::Write);
+            }
             End::Repeat(piece) => {
                 let piece = piece.repeat(PIECE.div_ceil(piece.len()));
                 while stream.write_all(piece.as_bytes()).is_ok() {
@@ -306,6 +315,13 @@
     }
 }
 
+const fn exited(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Exit,
+    }
+}
+
 const WHOLE_STREAM: &[&str] = &[SIGNED, STREAM, "\r\n", ONE, TWO, THREE];
 
 // Guards against answers without a length that are taken for broken off, or are delivered in part.
@@ -348,6 +364,19 @@
     assert_outcome(case);
 }
 
+// Guards against answers without a length that look complete to their callers although their server's
+// process has ended in the middle of them.
+#[rstest]
+#[case(Framing { name: "a part of a stream", reply: exited(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a stream before its first event", reply: exited(&[SIGNED, STREAM, "\r\n"]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a stream after its last event", reply: exited(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream that may not be resumed", reply: exited(&[SIGNED, STREAM, "\r\n", ONE]), outcome: Outcome::Failed, ..FRAGILE })]
+#[case(Framing { name: "a part of a whole answer", reply: exited(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of an answer to a request that runs at most once", reply: exited(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
+fn answers_whose_server_has_ended_are_not_complete(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
 fn assert_outcome(case: Framing) {
     let node = Node::start(case.reply);
     let answer = node.call("r1", case.method, case.path);
