Mark the server's end of a connection that another node passes on

Callers of a node that is cut off from all servers got streams that ended as complete before their last event when the node that passed their connections on was killed, or was stopping and had seen no bytes for a second.

Cause: a tunnel passes on the server's bytes as they are, and the end of the relaying process closes it with FIN, as the server's end does. An answer without chunks and length is complete for the HTTP library then. A reset was already passed on as a reset.

A node now asks for marks: bytes come in blocks after their length, and a block without bytes stands for the server's end. A connection that ends without it is an error of the answer, which goes on elsewhere. A node of an older build denies the request, as it knows no server by that name, and is asked for a plain tunnel; answers behind it are as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -250,7 +250,7 @@
     /// Sends the request on a connection.
     fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
         self.is_new_connection = !connection.is_used();
-        self.is_relayed = connection.is_relayed();
+        self.is_relayed = connection.relay().is_some();
         let sent = self.node.now();
         let left = self.call.caller_deadline.since(sent);
         if left == Millis(0) || sent >= self.call.due(&self.node) {
@@ -504,7 +504,7 @@
         while let Some(connection) = (!needs_new).then(|| self.pool.take_idle(address)).flatten() {
             // Old connections live on in some cuts, and are used then.
             let is_lost = self.reach.borrow().is_cut_entirely(self.now());
-            if connection.is_relayed() || !is_lost {
+            if connection.relay().is_some() || !is_lost {
                 return Ok(connection);
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod lag;
 mod leader;
 mod limits;
+mod marked;
 mod peers;
 mod poison;
 mod race;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -13,7 +13,7 @@
 
 use compact_str::CompactString;
 use jackdaw_core::units::Millis;
-use jackdaw_link::connection::{self, Connection};
+use jackdaw_link::connection::{self, Connection, Relay};
 use jackdaw_policy::fleet::Target;
 use slog::{info, warn};
 use socket2::SockRef;
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
+use crate::marked;
 use crate::node::Node;
 
 /// Time to connect to another node and to get its answer.
@@ -48,13 +49,17 @@
 const CONNECTED: u8 = b'C';
 const UNREACHABLE: u8 = b'U';
 const UNAVAILABLE: u8 = b'N';
+/// Suffix of a server's name with which a node asks for a mark at the server's end of the connection.
+const MARKED_SUFFIX: &str = "\t";
 
 /// Why another node opened no connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Denial {
     /// It does not reach the server either.
     Unreachable,
-    /// It relays no connection, or did not answer.
+    /// It relays no connection now, or knows no such server.
+    Unknown,
+    /// It did not answer.
     Unavailable,
 }
 
@@ -85,13 +90,21 @@
         target: &Target,
     ) -> Result<Connection, connection::Fault> {
         let mut detail = "no other node reaches servers".to_owned();
-        for relay in self.relays() {
-            match request(relay, &target.server).await {
-                Ok(stream) => {
+        for node in self.relays() {
+            match open(node, &target.server).await {
+                Ok((stream, relay)) => {
                     self.counters_of_reach.opened.add(1, &[]);
-                    return Connection::over(stream, target.address).await;
+                    connection::set_up(&stream)
+                        .map_err(|error| connection::Fault::NotSent(format!("connect: {error}")))?;
+                    return match relay {
+                        Relay::Plain => Connection::over(stream, target.address, relay).await,
+                        Relay::Marked => {
+                            let stream = marked::Stream::new(stream);
+                            Connection::over(stream, target.address, relay).await
+                        }
+                    };
                 }
-                Err(denial) => detail = format!("{relay} opened no connection: {denial:?}"),
+                Err(denial) => detail = format!("{node} opened no connection: {denial:?}"),
             }
         }
         Err(connection::Fault::NotSent(detail))
@@ -106,17 +119,19 @@
         relays
     }
 
+    /// Returns whether the incarnation of a target's server is registered.
+    pub(crate) fn is_registered(&self, target: &Target) -> bool {
+        let fleet = self.fleet.borrow();
+        let server = fleet.server(&target.server);
+        server.is_some_and(|server| server.start_unix_ms == target.born)
+    }
+
     /// Returns whether a server that has closed a connection has ended, as far as nodes can tell.
     ///
     /// What only this node sees may be the loss of its own links, so others are asked if it cannot
     /// connect to the server again.
     pub(crate) async fn has_server_ended(&self, target: &Target) -> bool {
-        let is_registered = {
-            let fleet = self.fleet.borrow();
-            let server = fleet.server(&target.server);
-            server.is_some_and(|server| server.start_unix_ms == target.born)
-        };
-        if !is_registered {
+        if !self.is_registered(target) {
             return true;
         }
         if self.pool.open(target.address).await.is_ok() {
@@ -131,28 +146,48 @@
     /// Returns whether a server can be reached by another node; none if no other node tells.
     async fn is_reached_by_others(&self, server: &str) -> Option<bool> {
         for relay in self.relays() {
-            match request(relay, server).await {
+            match request(relay, server, Relay::Plain).await {
                 Ok(_) => return Some(true),
                 Err(Denial::Unreachable) => return Some(false),
-                Err(Denial::Unavailable) => {}
+                Err(Denial::Unknown | Denial::Unavailable) => {}
             }
         }
         None
     }
 }
 
+/// Asks a node to connect this one to a server, with a mark at the server's end of the connection
+/// unless the node is of an older build.
+async fn open(node: SocketAddr, server: &str) -> Result<(TcpStream, Relay), Denial> {
+    match request(node, server, Relay::Marked).await {
+        Ok(stream) => Ok((stream, Relay::Marked)),
+        // An older build knows no server by the name with its suffix.
+        Err(Denial::Unknown) => {
+            let stream = request(node, server, Relay::Plain).await?;
+            Ok((stream, Relay::Plain))
+        }
+        Err(denial) => Err(denial),
+    }
+}
+
 /// Asks a node to connect this one to a server.
-async fn request(relay: SocketAddr, server: &str) -> Result<TcpStream, Denial> {
+async fn request(node: SocketAddr, server: &str, relay: Relay) -> Result<TcpStream, Denial> {
+    let suffix = match relay {
+        Relay::Plain => "",
+        Relay::Marked => MARKED_SUFFIX,
+    };
     let open = async {
-        let mut stream = TcpStream::connect(relay).await?;
+        let mut stream = TcpStream::connect(node).await?;
         stream.set_nodelay(true)?;
-        stream.write_all(format!("{server}\n").as_bytes()).await?;
+        let name = format!("{server}{suffix}\n");
+        stream.write_all(name.as_bytes()).await?;
         let answer = stream.read_u8().await?;
         Ok::<_, io::Error>((stream, answer))
     };
     match time::timeout(OPEN_TIMEOUT.duration(), open).await {
         Ok(Ok((stream, CONNECTED))) => Ok(stream),
         Ok(Ok((_, UNREACHABLE))) => Err(Denial::Unreachable),
+        Ok(Ok((_, UNAVAILABLE))) => Err(Denial::Unknown),
         Ok(Ok(_) | Err(_)) | Err(_) => Err(Denial::Unavailable),
     }
 }
@@ -180,11 +215,15 @@
     let Ok(Ok(name)) = named else {
         return;
     };
+    let (name, relay) = match name.strip_suffix(MARKED_SUFFIX) {
+        Some(name) => (name, Relay::Marked),
+        None => (name.as_str(), Relay::Plain),
+    };
     // Only registered servers are connected, and none for a node that is about to end.
     let address = node
         .fleet
         .borrow()
-        .server(&name)
+        .server(name)
         .map(|server| server.address);
     let is_taking = !node.is_stopping() && node.tunnels.get() < MAX_TUNNELS;
     let Some(address) = address.filter(|_| is_taking) else {
@@ -205,7 +244,7 @@
     if is_set_up.is_err() || stream.write_u8(CONNECTED).await.is_err() {
         return;
     }
-    pass_on(node, stream, server).await;
+    pass_on(node, stream, server, relay).await;
     drop(guard);
 }
 
@@ -222,7 +261,7 @@
 }
 
 /// Passes bytes on until either side ends, or the node stops and no request is under way.
-async fn pass_on(node: &Node, mut peer: TcpStream, mut server: TcpStream) {
+async fn pass_on(node: &Node, mut peer: TcpStream, mut server: TcpStream, relay: Relay) {
     let is_answered = Cell::new(true);
     let active_at = Cell::new(node.now());
     let result = {
@@ -232,10 +271,16 @@
             is_answered.set(false);
             active_at.set(node.now());
         });
-        let answers = copy(&mut from_server, &mut to_peer, || {
+        let record_answer = || {
             is_answered.set(true);
             active_at.set(node.now());
-        });
+        };
+        let answers = async {
+            match relay {
+                Relay::Plain => copy(&mut from_server, &mut to_peer, record_answer).await,
+                Relay::Marked => marked::copy(&mut from_server, &mut to_peer, record_answer).await,
+            }
+        };
         let idle = async {
             node.stop.wait().await;
             loop {
--- a/crates/gateway/tests/node/tunnel.rs
+++ b/crates/gateway/tests/node/tunnel.rs
@@ -79,3 +79,44 @@
     assert_eq!(open(relay, "s0\n").0, b'N');
     node.process.wait_ended();
 }
+
+/// An answer without chunks and length that passes through a tunnel, and the end of the tunnel.
+#[derive(Debug)]
+struct Passage {
+    name: &'static str,
+    script: Script,
+    /// Bytes behind the tab, if the opener asks for a mark at the server's end of the connection.
+    server: &'static str,
+    /// Whether the node that passes the bytes on stops before the server's end.
+    is_stopped: bool,
+    /// Last bytes that the opener gets.
+    end: &'static [u8],
+}
+
+const UNFRAMED: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nwhole";
+const UNFRAMED_PART: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nwhoHOLD";
+
+// Guards against answers that end with their connection and look complete although the node that
+// passes them on has ended the connection.
+#[rstest]
+#[case(Passage { name: "whole", script: UNFRAMED, server: "s0\t\n", is_stopped: false, end: b"whole\0\0" })]
+#[case(Passage { name: "broken off", script: UNFRAMED_PART, server: "s0\t\n", is_stopped: true, end: b"who" })]
+#[case(Passage { name: "whole, without marks", script: UNFRAMED, server: "s0\n", is_stopped: false, end: b"whole" })]
+fn end_of_a_server_is_told_from_the_end_of_the_relay(#[case] case: Passage) {
+    let (mut node, relay) = start(&[case.script]);
+    let (answer, mut stream) = open(relay, case.server);
+    assert_eq!(answer, b'C', "{}", case.name);
+    let sent = request("r9", "GET", "/safe/x");
+    stream.write_all(sent.as_bytes()).expect("the node reads");
+    let mut answer = vec![0; 20];
+    stream.read_exact(&mut answer).expect("the answer begins");
+    if case.is_stopped {
+        node.begin_stop();
+    }
+    stream.read_to_end(&mut answer).expect("the tunnel ends");
+    assert!(answer.ends_with(case.end), "{}: {answer:?}", case.name);
+    match case.is_stopped {
+        true => node.process.wait_ended(),
+        false => node.stop(),
+    }
+}
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -14,6 +14,7 @@
 use jackdaw_core::units::Millis;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error as ThisError;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time;
 
@@ -61,13 +62,21 @@
     Unanswered(String),
 }
 
+/// How another node passes the bytes of a connection on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Relay {
+    /// As they are, so that its own end looks like the peer's.
+    Plain,
+    /// With a mark at the peer's end of the connection.
+    Marked,
+}
+
 /// An open connection to a peer.
 pub struct Connection {
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     exchanges: u32,
-    /// Whether another node relays the connection.
-    is_relayed: bool,
+    relay: Option<Relay>,
     idle_until: Instant,
 }
 
@@ -100,23 +109,26 @@
             .map_err(|error| not_sent(&error))?;
         stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
         set_peer_timeouts(&stream, unacknowledged_timeout).map_err(|error| not_sent(&error))?;
-        Connection::handshake(stream, peer, false).await
+        Connection::handshake(stream, peer, None).await
     }
 
-    /// Takes a stream that another node passes on to a peer.
+    /// Takes a stream that another node passes on to a peer, after [`set_up`].
     ///
     /// # Errors
     ///
-    /// Returns [`Fault::NotSent`] if it cannot be set up.
-    pub async fn over(stream: TcpStream, peer: SocketAddr) -> Result<Connection, Fault> {
-        set_up(&stream).map_err(|error| Fault::NotSent(format!("connect: {error}")))?;
-        Connection::handshake(stream, peer, true).await
+    /// Returns [`Fault::NotSent`] if it cannot be used.
+    pub async fn over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        peer: SocketAddr,
+        relay: Relay,
+    ) -> Result<Connection, Fault> {
+        Connection::handshake(stream, peer, Some(relay)).await
     }
 
     async fn handshake(
-        stream: TcpStream,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         peer: SocketAddr,
-        is_relayed: bool,
+        relay: Option<Relay>,
     ) -> Result<Connection, Fault> {
         let not_sent = |error: &dyn fmt::Display| Fault::NotSent(format!("connect: {error}"));
         let (sender, driver) = Builder::new()
@@ -130,7 +142,7 @@
             peer,
             sender,
             exchanges: 0,
-            is_relayed,
+            relay,
             idle_until: Instant::now(),
         })
     }
@@ -141,10 +153,10 @@
         self.peer
     }
 
-    /// Returns whether another node relays the connection.
+    /// Returns how another node passes the bytes on; none for a direct connection.
     #[must_use]
-    pub fn is_relayed(&self) -> bool {
-        self.is_relayed
+    pub fn relay(&self) -> Option<Relay> {
+        self.relay
     }
 
     /// Returns whether the connection has carried an exchange.
