Believe the end of a connection only if its server runs on

Callers saw streams that ended as complete before their last event, many at the same moment; whole answers were shortened in the same way.

Cause: an answer without chunks and length ends with its connection, and the node took any end without an error for the answer's. The operating system closes the connections of a process that has ended with FIN, as the process does itself after its last byte; so does a server that stops at the deadline, or breaks off what its replica group was doing. All streams of such a server then looked complete at once. Class: the end of a connection is taken for the end of what it carried.

policy::ending decides: chunks and a length prove an answer whole. One without both is whole only if the time that its server was given has not passed, no node without marks passed it on, and the server, asked at that moment, states that it is the same incarnation and still serves its group (model engines, by their report), or still accepts connections (others). Otherwise the attempt has failed like one whose connection was reset: a stream goes on at another server after its last event, and what may not be sent again is visibly broken off. Only answers without chunks and length pay for the question.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -132,6 +132,8 @@
 /// A server's answer to a query of its state.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
+    /// Start of the server in Unix milliseconds, if the report states it.
+    pub start_unix_ms: Option<u64>,
     /// Number of orders that the server has accepted since its start.
     pub accepted_orders: u64,
     /// Membership in a replica group, if the server has one.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use jackdaw_entry::in_flight::{self, Stage};
 use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
-use jackdaw_policy::ending::{Framing, Link};
+use jackdaw_policy::ending::{Doubt, Ending, Framing, Link, Verdict};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
 use jackdaw_policy::reach;
@@ -76,9 +76,17 @@
     Sending(LocalBoxFuture<'static, (Connection, Result<Response<Incoming>, connection::Fault>)>),
     Streaming(Box<Stream>),
     Collecting(LocalBoxFuture<'static, Result<(Connection, Bytes), connection::Fault>>),
+    Confirming(Box<Confirmation>),
     Ended,
 }
 
+/// An answer that has ended with its connection, whose server is asked whether it still runs.
+struct Confirmation {
+    answer: LocalBoxFuture<'static, Result<(), Doubt>>,
+    /// Body of a whole answer; none for a stream.
+    body: Option<Bytes>,
+}
+
 /// A stream that is being received.
 struct Stream {
     connection: Connection,
@@ -100,8 +108,8 @@
     plan: Plan,
     pub(crate) target: Rc<Target>,
     pub(crate) is_new_connection: bool,
-    /// Whether another node relays the connection, once there is one.
-    pub(crate) is_relayed: bool,
+    /// Way to the server, once there is a connection.
+    link: Link,
     pub(crate) exposure: Exposure,
     trial: Option<Trial>,
     /// Whether nothing arrived from the server for longer than a time-out.
@@ -148,7 +156,7 @@
             plan,
             target,
             is_new_connection: true,
-            is_relayed: false,
+            link: Link::Direct,
             exposure: Exposure::default(),
             trial,
             is_silent: false,
@@ -190,7 +198,9 @@
         match self.phase {
             Phase::Connecting(_) => Step::Connecting,
             Phase::Sending(_) => Step::Written,
-            Phase::Streaming(_) | Phase::Collecting(_) | Phase::Ended => Step::Answering,
+            Phase::Streaming(_) | Phase::Collecting(_) | Phase::Confirming(_) | Phase::Ended => {
+                Step::Answering
+            }
         }
     }
 
@@ -225,7 +235,10 @@
                     }
                     let frame = ready!(Pin::new(&mut stream.body).poll_frame(cx));
                     let Some(frame) = frame else {
-                        return Poll::Ready(self.finish_stream());
+                        match self.end_stream()? {
+                            Some(piece) => return Poll::Ready(Ok(piece)),
+                            None => continue,
+                        }
                     };
                     let frame = frame.map_err(|error| {
                         ExchangeFailure::new(Fault::Closed, Step::Answering, error)
@@ -240,7 +253,18 @@
                     let (connection, body) = collected.map_err(|fault| {
                         ExchangeFailure::new(Fault::Closed, Step::Answering, fault)
                     })?;
-                    return Poll::Ready(Ok(self.finish_answer(connection, body)));
+                    if let Some(piece) = self.end_body(connection, Some(body))? {
+                        return Poll::Ready(Ok(piece));
+                    }
+                }
+                Phase::Confirming(confirmation) => {
+                    let confirmed = ready!(confirmation.answer.as_mut().poll(cx));
+                    let body = confirmation.body.take();
+                    self.phase = Phase::Ended;
+                    return Poll::Ready(match confirmed {
+                        Ok(()) => Ok(self.finish(body)),
+                        Err(doubt) => Err(self.doubt_end(doubt)),
+                    });
                 }
                 Phase::Ended => return Poll::Pending,
             }
@@ -250,7 +274,7 @@
     /// Sends the request on a connection.
     fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
         self.is_new_connection = !connection.is_used();
-        self.is_relayed = connection.relay().is_some();
+        self.link = ending::link(&connection);
         let sent = self.node.now();
         let left = self.call.caller_deadline.since(sent);
         if left == Millis(0) || sent >= self.call.due(&self.node) {
@@ -331,7 +355,7 @@
 
     /// Returns the kind of the connection, or none if another node relays it.
     pub(crate) fn direct_link(&self) -> Option<reach::Link> {
-        if self.is_relayed {
+        if self.link != Link::Direct {
             return None;
         }
         Some(match self.is_new_connection {
@@ -361,27 +385,66 @@
         }
     }
 
-    /// Ends a stream whose body has ended.
-    fn finish_stream(&mut self) -> Result<Piece, ExchangeFailure> {
+    /// Ends a stream whose body has ended; none if its server is asked first.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the stream may have been broken off.
+    fn end_stream(&mut self) -> Result<Option<Piece>, ExchangeFailure> {
         let Phase::Streaming(stream) = std::mem::replace(&mut self.phase, Phase::Ended) else {
-            return Ok(Piece::End);
+            return Ok(None);
         };
         if !stream.splitter.is_empty() {
             let detail = "the stream ended within an event";
             return Err(ExchangeFailure::new(Fault::Closed, Step::Answering, detail));
         }
-        self.record_end();
-        self.keep_connection(stream.connection);
-        Ok(Piece::End)
+        self.end_body(stream.connection, None)
+    }
+
+    /// Ends an answer whose body has ended without an error; none if its server is asked first.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure if the answer may have been broken off.
+    fn end_body(
+        &mut self,
+        connection: Connection,
+        body: Option<Bytes>,
+    ) -> Result<Option<Piece>, ExchangeFailure> {
+        let ending = Ending {
+            framing: self.framing,
+            link: self.link,
+            is_late: self.node.now() >= self.call.caller_deadline,
+        };
+        self.node.endings.count(ending);
+        match ending.assess() {
+            Verdict::Whole => {
+                self.phase = Phase::Ended;
+                self.keep_connection(connection);
+                Ok(Some(self.finish(body)))
+            }
+            Verdict::Broken(doubt) => Err(self.doubt_end(doubt)),
+            Verdict::Ask => {
+                let node = Rc::clone(&self.node);
+                let target = Rc::clone(&self.target);
+                let link = self.link;
+                self.phase = Phase::Confirming(Box::new(Confirmation {
+                    answer: Box::pin(async move { node.confirm_end(&target, link).await }),
+                    body,
+                }));
+                Ok(None)
+            }
+        }
     }
 
-    /// Ends an answer whose body has been read.
-    fn finish_answer(&mut self, connection: Connection, body: Bytes) -> Piece {
-        self.phase = Phase::Ended;
+    /// Returns the last part of a complete answer.
+    fn finish(&mut self, body: Option<Bytes>) -> Piece {
+        self.log_end(None);
+        let Some(body) = body else {
+            return Piece::End;
+        };
         let now = self.node.now();
         self.node.targets.borrow_mut().advance(self.plan.key, now);
-        self.record_end();
-        self.keep_connection(connection);
         let (status, mut headers) = match &self.head {
             Some(head) => (head.status, head.headers.clone()),
             None => (StatusCode::OK, HeaderMap::new()),
@@ -394,24 +457,28 @@
         })
     }
 
-    /// Counts an answer that has ended, and logs one that only its connection ends.
-    fn record_end(&self) {
-        let node = &self.node;
-        let link = match self.is_relayed {
-            true => Link::Relayed,
-            false => Link::Direct,
-        };
-        node.endings.count(self.framing, link);
+    /// Returns the failure of an answer that may have been broken off.
+    fn doubt_end(&self, doubt: Doubt) -> ExchangeFailure {
+        self.node.endings.count_doubt(doubt);
+        self.log_end(Some(doubt));
+        let detail = format!("the answer ended with its connection: {doubt}");
+        ExchangeFailure::new(Fault::Closed, Step::Answering, detail)
+    }
+
+    /// Logs an answer that only its connection ends.
+    fn log_end(&self, doubt: Option<Doubt>) {
         if self.framing != Framing::Connection {
             return;
         }
+        let node = &self.node;
         let now = node.now();
         info!(node.logger(), "answer ended with its connection";
             "request" => %self.call.head.id,
             "route" => %self.call.route.name,
             "server" => %self.target.server,
             "group" => %self.target.group,
-            "link" => link.label(),
+            "link" => self.link.label(),
+            "doubt" => doubt.map(Doubt::label),
             "events" => self.exposure.events(),
             "is_repetition" => self.plan.is_repetition,
             "idle_ms" => now.since(self.last_activity).0,
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -1,15 +1,25 @@
-//! Counts how the answers of servers end.
+//! Finds out whether the answers of servers have ended whole, and counts how they end.
 
 use http::{HeaderMap, header::TRANSFER_ENCODING};
 use hyper::body::Body;
-use jackdaw_policy::ending::{Framing, Link};
+use jackdaw_core::units::Millis;
+use jackdaw_link::connection::{Connection, Relay};
+use jackdaw_policy::ending::{self, Doubt, Ending, Framing, Link};
+use jackdaw_policy::fleet::Target;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
+use tokio::time;
+
+use crate::node::Node;
+
+/// Longest time for a server's report.
+const REPORT_TIMEOUT: Millis = Millis(400);
 
 /// Counter of the answers that have ended without an error.
 #[derive(Debug)]
 pub(crate) struct Endings {
     ends: Counter<u64>,
+    doubts: Counter<u64>,
 }
 
 impl Endings {
@@ -25,12 +35,26 @@
                 ends.add(0, &labels(framing, link));
             }
         }
-        Endings { ends }
+        let doubts = meter
+            .u64_counter("jackdawstair_doubted_ends")
+            .with_description(
+                "Answers of servers that ended with their connection and do not count as whole, by reason.",
+            )
+            .build();
+        for doubt in Doubt::ALL {
+            doubts.add(0, &[doubt_label(doubt)]);
+        }
+        Endings { ends, doubts }
+    }
+
+    /// Counts an answer that does not count as whole.
+    pub(crate) fn count_doubt(&self, doubt: Doubt) {
+        self.doubts.add(1, &[doubt_label(doubt)]);
     }
 
     /// Counts an answer that has ended without an error.
-    pub(crate) fn count(&self, framing: Framing, link: Link) {
-        self.ends.add(1, &labels(framing, link));
+    pub(crate) fn count(&self, ending: Ending) {
+        self.ends.add(1, &labels(ending.framing, ending.link));
     }
 }
 
@@ -41,6 +65,47 @@
     ]
 }
 
+fn doubt_label(doubt: Doubt) -> KeyValue {
+    KeyValue::new("reason", doubt.label())
+}
+
+/// Returns the way of a connection's bytes.
+pub(crate) fn link(connection: &Connection) -> Link {
+    match connection.relay() {
+        None => Link::Direct,
+        Some(Relay::Plain) => Link::Relayed,
+        Some(Relay::Marked) => Link::Marked,
+    }
+}
+
+impl Node {
+    /// Asks a server that has closed its connection at the end of an answer whether it still runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns the doubt if it may have ended, or broken off its work.
+    pub(crate) async fn confirm_end(&self, target: &Target, link: Link) -> Result<(), Doubt> {
+        let (server, address) = (&target.server, target.address);
+        if link != Link::Direct {
+            let is_running = self.is_registered(target) && self.open_tunnel(target).await.is_ok();
+            return is_running.then_some(()).ok_or(Doubt::Server);
+        }
+        if target.model.is_none() {
+            let has_ended = self.has_server_ended(target).await;
+            return if has_ended {
+                Err(Doubt::Server)
+            } else {
+                Ok(())
+            };
+        }
+        let report = self.parts.orders.report(server, address);
+        match time::timeout(REPORT_TIMEOUT.duration(), report).await {
+            Ok(Ok(report)) => ending::check_report(&report, target.born, &target.group),
+            Ok(Err(_)) | Err(_) => Err(Doubt::Server),
+        }
+    }
+}
+
 /// Returns what marks the end of an answer's body.
 pub(crate) fn framing(headers: &HeaderMap, body: &impl Body) -> Framing {
     // A chunked body has no exact length; neither has one that ends with its connection.
--- a/crates/gateway/tests/node/ending.rs
+++ b/crates/gateway/tests/node/ending.rs
@@ -1,9 +1,25 @@
 //! Tests of answers that only the end of their connection ends.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http::{HeaderMap, StatusCode};
+use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
+use jackdaw_core::config::{Configuration, Engine, Model};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::protocol::{Answer, Forwarding, Head, Orders, Protocol};
+use jackdaw_core::store::Entry;
+use jackdaw_core::units::{Millis, Tokens};
+use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::options::Options;
+use jackdaw_gateway::server::Ports;
 use rstest::rstest;
+use slog::{Logger, o};
 
 use super::lines::Lines;
-use super::support::{Node, Script, exchange, options, request};
+use super::store::MemoryStore;
+use super::support::{Node, Process, Script, Servers, exchange, options, parts, request, server};
 
 const LINE: &str = "answer ended with its connection";
 
@@ -39,3 +55,159 @@
         assert_eq!(line.field("link"), "direct", "{}", case.name);
     }
 }
+
+const UNFRAMED_PART: Script =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: a\n\n";
+const REST: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 3\ndata: a\n\n\r\n0\r\n\r\n";
+const MODEL: &str = "model";
+
+/// Protocol of a service of replica groups with one server each.
+struct GroupProtocol(Arc<dyn Protocol>);
+
+impl Protocol for GroupProtocol {
+    fn decode_request(&self, headers: &HeaderMap) -> Result<Head> {
+        Ok(Head {
+            model: Some(MODEL.into()),
+            ..self.0.decode_request(headers)?
+        })
+    }
+
+    fn write_headers(&self, headers: &mut HeaderMap, forwarding: &Forwarding<'_>) {
+        self.0.write_headers(headers, forwarding);
+    }
+
+    fn decode_answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer {
+        self.0.decode_answer(status, headers)
+    }
+
+    fn readiness_path(&self) -> &'static str {
+        self.0.readiness_path()
+    }
+
+    fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
+        let mut configuration = self.0.decode_configuration(value)?;
+        for service in &mut configuration.services {
+            service.engine = Some(engine());
+        }
+        Ok(configuration)
+    }
+
+    fn decode_server(&self, entry: &Entry) -> Result<Server> {
+        self.0.decode_server(entry)
+    }
+
+    fn configuration_key(&self) -> &'static str {
+        self.0.configuration_key()
+    }
+
+    fn servers_prefix(&self) -> &'static str {
+        self.0.servers_prefix()
+    }
+}
+
+fn engine() -> Engine {
+    Engine {
+        slots: 4,
+        kv_capacity: Tokens(100_000),
+        steps_per_pass: 1,
+        step_ms: 1.0,
+        step_ms_per_request: 0.0,
+        step_ms_per_context: 0.0,
+        prefill_per_ms: 100.0,
+        prefill_ms_per_million_pairs: 0.0,
+        mean_prompt_tokens: 10,
+        mean_output_tokens: 10,
+        loads_per_second: 1.0,
+        concurrent_loads: 1,
+        open_time: Millis(100),
+        models: vec![Model {
+            name: MODEL.into(),
+            size: 1,
+            share: 1.0,
+            time_factor: 1.0,
+            load_time: Millis(1_000),
+            warm_load_time: Millis(100),
+        }],
+    }
+}
+
+fn membership(server: &str, state: State) -> Membership {
+    Membership {
+        group: format!("{MODEL}.1.{server}").into(),
+        epoch: 1,
+        rank: 0,
+        state,
+    }
+}
+
+/// Servers that report one state of their groups, or do not answer.
+struct Reports {
+    start_unix_ms: u64,
+    state: Option<State>,
+}
+
+#[async_trait]
+impl Orders for Reports {
+    async fn order(&self, order: &Order) -> Result<Reply> {
+        Err(Error::unreachable("send order", &order.server, "none"))
+    }
+
+    async fn report(&self, server: &str, _: SocketAddr) -> Result<Report> {
+        let unreachable = || Error::unreachable("read report", server, "none");
+        let state = self.state.ok_or_else(unreachable)?;
+        Ok(Report {
+            start_unix_ms: Some(self.start_unix_ms),
+            accepted_orders: 1,
+            membership: Some(membership(server, state)),
+        })
+    }
+}
+
+/// What a server says after it has closed the connection of a stream without chunks and length.
+struct Closed {
+    name: &'static str,
+    reports: Reports,
+    /// Number of servers that get the request.
+    attempts: usize,
+}
+
+// Guards against streams that look complete although the server has broken off what its replica group
+// was doing, or has started again, and against sound streams that are sent twice.
+#[rstest]
+#[case(Closed { name: "open", reports: Reports { start_unix_ms: 1, state: Some(State::Open) }, attempts: 1 })]
+#[case(Closed { name: "broken", reports: Reports { start_unix_ms: 1, state: Some(State::Broken) }, attempts: 2 })]
+#[case(Closed { name: "started again", reports: Reports { start_unix_ms: 2, state: Some(State::Open) }, attempts: 2 })]
+#[case(Closed { name: "gone", reports: Reports { start_unix_ms: 1, state: None }, attempts: 2 })]
+fn stream_ends_with_its_connection_only_if_its_group_still_serves(#[case] case: Closed) {
+    let servers = Servers::with_scripts(&[UNFRAMED_PART, REST]);
+    let registered = ["s0", "s1"].map(|id| Server {
+        staged: vec![MODEL.into()],
+        membership: Some(membership(id, State::Open)),
+        ..server(id, servers.listen())
+    });
+    let store = Arc::new(MemoryStore::new());
+    store.put("configuration", "1");
+    store.put("servers/s0", "");
+    store.put("servers/s1", "");
+    let options = Options {
+        retry_ratio: 1.0,
+        ..options("node")
+    };
+    let ports = Ports::bind(&options).expect("ports are free");
+    let parts = parts(&store, registered.into(), Logger::root(slog::Discard, o!()));
+    let parts = Parts {
+        protocol: Arc::new(GroupProtocol(parts.protocol)),
+        orders: Arc::new(case.reports),
+        ..parts
+    };
+    let process = Process::launch(options, ports, parts);
+    process.wait_ready();
+    let answer = exchange(process.callers, &request("r1", "POST", "/stream/x"));
+    let events = answer.matches("data: a").count();
+    let expected = 1 + case.attempts;
+    assert_eq!(events, expected, "{}: {answer}", case.name);
+    assert!(answer.ends_with("0\r\n\r\n"), "{}: {answer}", case.name);
+    let arrived = servers.arrived.lock().expect("no test panicked").len();
+    assert_eq!(arrived, case.attempts, "{}", case.name);
+    process.stop();
+}
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -335,6 +335,7 @@
                 Task::Query { server, .. } => {
                     let report = match self.hosts.get(&server) {
                         Some(host) if host.dead_since.is_none() && !self.is_cut => Ok(Report {
+                            start_unix_ms: None,
                             accepted_orders: host.accepted_orders,
                             membership: host.membership.clone(),
                         }),
