Confirm the end of an answer by an answer, not by a connection

Cause: a server that is not a model engine was believed if it accepted a connection. The operating system accepts connections for a process until its listening socket is closed, which may be after those of the streams.

Such a server is now sent a request that names none of a caller's, which it answers without running it, as for the probes of a node that is cut off. A connection through another node is asked through a tunnel.

--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -1,9 +1,11 @@
 //! Finds out whether the answers of servers have ended whole, and counts how they end.
 
-use http::{HeaderMap, header::TRANSFER_ENCODING};
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, Request};
 use hyper::body::Body;
 use jackdaw_core::units::Millis;
-use jackdaw_link::connection::{Connection, Relay};
+use jackdaw_link::connection::{Connection, Fault, Relay};
 use jackdaw_policy::ending::{self, Doubt, Ending, Framing, Link};
 use jackdaw_policy::fleet::Target;
 use opentelemetry::KeyValue;
@@ -12,8 +14,8 @@
 
 use crate::node::Node;
 
-/// Longest time for a server's report.
-const REPORT_TIMEOUT: Millis = Millis(400);
+/// Longest time for the answer of a server that is asked whether it runs.
+const ANSWER_TIMEOUT: Millis = Millis(400);
 
 /// Counter of the answers that have ended without an error.
 #[derive(Debug)]
@@ -85,24 +87,36 @@
     ///
     /// Returns the doubt if it may have ended, or broken off its work.
     pub(crate) async fn confirm_end(&self, target: &Target, link: Link) -> Result<(), Doubt> {
-        let (server, address) = (&target.server, target.address);
-        if link != Link::Direct {
-            let is_running = self.is_registered(target) && self.open_tunnel(target).await.is_ok();
-            return is_running.then_some(()).ok_or(Doubt::Server);
-        }
-        if target.model.is_none() {
-            let has_ended = self.has_server_ended(target).await;
-            return if has_ended {
-                Err(Doubt::Server)
-            } else {
-                Ok(())
+        if link == Link::Direct && target.model.is_some() {
+            let report = self.parts.orders.report(&target.server, target.address);
+            let report = time::timeout(ANSWER_TIMEOUT.duration(), report).await;
+            let Ok(Ok(report)) = report else {
+                return Err(Doubt::Server);
             };
+            return ending::check_report(&report, target.born, &target.group);
         }
-        let report = self.parts.orders.report(server, address);
-        match time::timeout(REPORT_TIMEOUT.duration(), report).await {
-            Ok(Ok(report)) => ending::check_report(&report, target.born, &target.group),
-            Ok(Err(_)) | Err(_) => Err(Doubt::Server),
-        }
+        let answer = time::timeout(ANSWER_TIMEOUT.duration(), self.ask(target, link)).await;
+        let is_running = self.is_registered(target) && matches!(answer, Ok(Ok(())));
+        is_running.then_some(()).ok_or(Doubt::Server)
+    }
+
+    /// Sends a request that names none of a caller's, which no server runs and each answers. A connection
+    /// alone would prove nothing: the operating system accepts it for a process that is about to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if there is no answer.
+    async fn ask(&self, target: &Target, link: Link) -> Result<(), Fault> {
+        let mut connection = match link {
+            Link::Direct => self.pool.open(target.address).await?,
+            Link::Relayed | Link::Marked => self.open_tunnel(target).await?,
+        };
+        let request = Request::get("/")
+            .header(HOST, target.address.to_string())
+            .header(CONNECTION, "close")
+            .body(Bytes::new())
+            .map_err(|error| Fault::NotSent(error.to_string()))?;
+        connection.send(request).await.map(drop)
     }
 }
 
--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,7 +14,9 @@
 use socket2::SockRef;
 
 use super::store::MemoryStore;
-use super::support::{Process, TIMEOUT, exchange, options, parts, read_message, request, server};
+use super::support::{
+    PROBE, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
+};
 
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -50,6 +53,8 @@
     Reset,
     /// Its process ends, and the operating system closes its sockets.
     Exit,
+    /// The same, with the socket on which it listens last; connections meanwhile are not answered.
+    ExitListening,
     /// It sends bytes again and again, without an end.
     Repeat(&'static str),
     /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
@@ -75,6 +80,14 @@
     is_closed: bool,
 }
 
+/// Socket on which a server listens.
+#[derive(Debug)]
+struct Listener {
+    socket: TcpListener,
+    /// Whether its connections are served.
+    is_served: AtomicBool,
+}
+
 /// Servers of which the first to get a request sends a reply, and all later answers are sound.
 #[derive(Clone, Debug)]
 struct Servers {
@@ -87,9 +100,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
-        let listener = Arc::new(listener);
+        let listener = Arc::new(Listener {
+            socket: listener,
+            is_served: AtomicBool::new(true),
+        });
         thread::spawn(move || {
-            while let Ok((stream, _)) = listener.accept() {
+            while let Ok((stream, _)) = listener.socket.accept() {
+                if !listener.is_served.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let servers = servers.clone();
                 let listener = Arc::clone(&listener);
                 thread::spawn(move || servers.serve(stream, &listener));
@@ -114,9 +133,16 @@
         !waited.1.timed_out()
     }
 
-    fn serve(&self, mut stream: TcpStream, listener: &TcpListener) {
+    fn serve(&self, mut stream: TcpStream, listener: &Listener) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
+            if head.starts_with(PROBE) {
+                let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
             let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
             let id = field("id: ").unwrap_or_default();
             let number = self.record(|events| {
@@ -135,7 +161,7 @@
         }
     }
 
-    fn send_first(&self, mut stream: TcpStream, id: &str, listener: &TcpListener) {
+    fn send_first(&self, mut stream: TcpStream, id: &str, listener: &Listener) {
         let bytes = self.first.parts.concat().replace("ID", id);
         // The node may have given the answer up.
         let _ = stream.write_all(bytes.as_bytes());
@@ -148,10 +174,14 @@
                 linger.expect("the option is known");
             }
             End::Exit => {
-                let closed = SockRef::from(listener).shutdown(Shutdown::Both);
+                let closed = SockRef::from(&listener.socket).shutdown(Shutdown::Both);
                 closed.expect("the listener is open");
                 let _ = stream.shutdown(Shutdown::Write);
             }
+            End::ExitListening => {
+                listener.is_served.store(false, Ordering::SeqCst);
+                let _ = stream.shutdown(Shutdown::Write);
+            }
             End::Repeat(piece) => {
                 let piece = piece.repeat(PIECE.div_ceil(piece.len()));
                 while stream.write_all(piece.as_bytes()).is_ok() {
@@ -315,6 +345,13 @@
     }
 }
 
+const fn exited_listening(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::ExitListening,
+    }
+}
+
 const fn exited(parts: &'static [&'static str]) -> Reply {
     Reply {
         parts,
@@ -373,6 +410,7 @@
 #[case(Framing { name: "a part of a stream that may not be resumed", reply: exited(&[SIGNED, STREAM, "\r\n", ONE]), outcome: Outcome::Failed, ..FRAGILE })]
 #[case(Framing { name: "a part of a whole answer", reply: exited(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
 #[case(Framing { name: "a part of an answer to a request that runs at most once", reply: exited(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
+#[case(Framing { name: "a part of a stream whose server still listens", reply: exited_listening(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
 fn answers_whose_server_has_ended_are_not_complete(#[case] case: Framing) {
     assert_outcome(case);
 }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -255,6 +255,9 @@
 /// Place of a script for the bytes that [`Servers::fill`] sets.
 pub(crate) const FILL: &str = "FILL";
 
+/// Begin of a request that belongs to no caller and that servers answer without running it.
+pub(crate) const PROBE: &str = "GET / ";
+
 /// Bytes that a scripted server writes for one request; `ID` stands for the request's identity. The
 /// server then closes the connection, unless the script ends with [`HOLD`] or [`KEEP`].
 pub(crate) type Script = &'static str;
@@ -385,6 +388,12 @@
     fn serve(&self, stream: TcpStream, address: SocketAddr) {
         let mut reader = BufReader::new(stream);
         while let Some((mut head, _)) = read_message(&mut reader) {
+            if head.starts_with(PROBE) {
+                let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
+                // The node may have given the probe up.
+                let _ = reader.get_mut().write_all(answer.as_bytes());
+                continue;
+            }
             head.push_str(&format!("server: {address}\n"));
             let arrived = head.clone();
             self.arrived.lock().expect("no test panicked").push(arrived);
