Take a refusal only for the request that it belongs to

A server that wrote an earlier refusal once more, without a request's identity, on a kept connection made this node tell the caller of the next request that it had not run, although its server ran it. Requests and streams that run at most once were not told so and reached no second server: each of their attempts has a new connection.

Cause: check_head refused an answer that names another request, but took one that names none for a refusal of this request on any connection. The check that an idle connection holds no bytes does not help: bytes that arrive after the event loop has last looked at its sockets are read as the answer to the request that is sent then (the test with a loop that stands still shows it, 503 for a request that arrived at the server).

policy::answer now decides by what an answer names, what it says and whether the connection was used before: it belongs to the request if it names it, or if it is a refusal that names none and is the first answer on its connection. All other answers are invalid, and the request may have run (502); it is sent elsewhere only if it may be repeated. Avoidance and limits are fed after this check. An empty identity names no request.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,11 +21,12 @@
 use jackdaw_entry::in_flight::{self, Stage};
 use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
+use jackdaw_policy::answer::{self, Claim, Named};
 use jackdaw_policy::ending::{Framing, Link};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
 use jackdaw_policy::reach;
-use jackdaw_policy::retry::{ExchangeFailure, Fault};
+use jackdaw_policy::retry::{self, ExchangeFailure, Fault};
 use slog::info;
 
 use crate::buffered::BufferedAnswer;
@@ -340,6 +341,14 @@
         })
     }
 
+    /// Returns the kind of the connection.
+    pub(crate) fn connection(&self) -> retry::Connection {
+        match self.is_new_connection {
+            true => retry::Connection::New,
+            false => retry::Connection::Used,
+        }
+    }
+
     /// Records that the server has answered.
     fn record_answer(&self) {
         if let Some(link) = self.direct_link() {
@@ -433,44 +442,29 @@
     /// # Errors
     ///
     /// Returns the failure if the server did not run the request or the answer is invalid.
-    fn check_head(&self, answer: &Response<Incoming>) -> Result<(), ExchangeFailure> {
-        let status = answer.status();
+    fn check_head(&self, response: &Response<Incoming>) -> Result<(), ExchangeFailure> {
+        let status = response.status();
         let protocol = &self.node.parts.protocol;
-        let decoded = protocol.decode_answer(status, answer.headers());
+        let decoded = protocol.decode_answer(status, response.headers());
         // Another server may answer at the address, and a late answer is older than the request.
-        let is_own = decoded.id.as_ref() == Some(&self.call.head.id);
-        if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+        let named = Named::new(decoded.id.as_deref(), &self.call.head.id);
+        let claim = match decoded.not_run {
+            true => Claim::NotRun,
+            false => Claim::Answered,
+        };
+        answer::check(named, claim, self.connection())?;
+        if named == Named::Own && status != StatusCode::MISDIRECTED_REQUEST {
             let node = &self.node;
             node.record_limit(&self.target, decoded.limit, self.sent_at);
         }
         if decoded.not_run {
-            if decoded
-                .id
-                .as_ref()
-                .is_some_and(|id| *id != self.call.head.id)
-            {
-                let detail = "the answer belongs to another request";
-                return Err(ExchangeFailure::new(Fault::Invalid, Step::Written, detail));
-            }
-            let detail = refusal_detail(status, &decoded);
-            let now = self.node.now();
-            let mut targets = self.node.targets.borrow_mut();
-            if status == StatusCode::MISDIRECTED_REQUEST || decoded.faulty_server.is_some() {
-                targets.avoid(self.plan.key, now);
-            } else {
-                targets.avoid_until(self.plan.key, now + FULL_AVOIDANCE_TIME);
-            }
-            drop(targets);
-            return Err(ExchangeFailure::new(Fault::Refused, Step::Routed, detail));
+            return Err(self.record_refusal(status, &decoded));
         }
         let invalid = |detail: &str| Err(ExchangeFailure::invalid(detail));
-        if decoded.id.as_ref() != Some(&self.call.head.id) {
-            return invalid("the answer belongs to another request");
-        }
         if status.is_success() && !decoded.signed {
             return invalid("the answer is not signed");
         }
-        if answer.headers().contains_key(CONTENT_ENCODING) {
+        if response.headers().contains_key(CONTENT_ENCODING) {
             return invalid("the answer is encoded");
         }
         let ambiguous_statuses = [
@@ -486,6 +480,19 @@
         }
         Ok(())
     }
+
+    /// Keeps new requests away from a server that did not run this one, and returns the failure.
+    fn record_refusal(&self, status: StatusCode, decoded: &Answer) -> ExchangeFailure {
+        let now = self.node.now();
+        let mut targets = self.node.targets.borrow_mut();
+        if status == StatusCode::MISDIRECTED_REQUEST || decoded.faulty_server.is_some() {
+            targets.avoid(self.plan.key, now);
+        } else {
+            targets.avoid_until(self.plan.key, now + FULL_AVOIDANCE_TIME);
+        }
+        let detail = refusal_detail(status, decoded);
+        ExchangeFailure::new(Fault::Refused, Step::Routed, detail)
+    }
 }
 
 impl Node {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -911,11 +911,7 @@
         server: incarnation_name(&attempt.target),
         step,
         fault,
-        connection: if attempt.is_new_connection {
-            retry::Connection::New
-        } else {
-            retry::Connection::Used
-        },
+        connection: attempt.connection(),
         is_uncounted: false,
     }
 }
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod lines;
 mod poison;
+mod refusal;
 mod relay;
 mod restore;
 mod silence;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -285,19 +285,24 @@
     /// Returns servers that share scripts.
     pub(crate) fn with_scripts(scripts: &[Script]) -> Servers {
         let servers = Servers::default();
-        *servers.scripts.lock().expect("no test panicked") = scripts.to_vec();
+        servers.set_scripts(scripts);
         servers
     }
 
+    /// Replaces the scripts that are left.
+    pub(crate) fn set_scripts(&self, scripts: &[Script]) {
+        *self.scripts.lock().expect("no test panicked") = scripts.to_vec();
+    }
+
     /// Starts a server on a free port.
     pub(crate) fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let servers = servers.clone();
-                thread::spawn(move || servers.serve(stream, address));
+                thread::spawn(move || servers.serve(stream, address, connection));
             }
         });
         address
@@ -382,10 +387,10 @@
         self.wait_until(|_| false, Duration::from_millis(millis.unwrap_or_default()));
     }
 
-    fn serve(&self, stream: TcpStream, address: SocketAddr) {
+    fn serve(&self, stream: TcpStream, address: SocketAddr, connection: usize) {
         let mut reader = BufReader::new(stream);
         while let Some((mut head, _)) = read_message(&mut reader) {
-            head.push_str(&format!("server: {address}\n"));
+            head.push_str(&format!("server: {address}\nsocket: {connection}\n"));
             let arrived = head.clone();
             self.arrived.lock().expect("no test panicked").push(arrived);
             self.record(|events| events.arrived += 1);
--- a/crates/gateway/tests/node/tunnel.rs
+++ b/crates/gateway/tests/node/tunnel.rs
@@ -10,6 +10,8 @@
 use super::support::{Node, Script, TIMEOUT, options, request};
 
 const ANSWER: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 2\r\n\r\nok";
+const KEPT_ANSWER: Script =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 2\r\n\r\nokKEEP";
 
 /// Starts a node before one server; returns the address at which it passes connections on.
 fn start(scripts: &[Script]) -> (Node, SocketAddr) {
@@ -67,6 +69,25 @@
     node.stop();
 }
 
+// Guards against a tunnel over a connection that has carried another one's requests: a node takes the
+// first answer that it gets through a tunnel for its own.
+#[test]
+fn each_tunnel_has_a_connection_of_its_own() {
+    let (node, relay) = start(&[KEPT_ANSWER; 2]);
+    for id in ["r1", "r2"] {
+        let (_, mut stream) = open(relay, "s0\n");
+        let sent = request(id, "GET", "/safe/x");
+        stream.write_all(sent.as_bytes()).expect("the node reads");
+        let expected = KEPT_ANSWER.replace("ID", id).replace("KEEP", "");
+        let mut answer = vec![0; expected.len()];
+        stream.read_exact(&mut answer).expect("the answer is whole");
+        assert_eq!(String::from_utf8_lossy(&answer), expected);
+    }
+    let arrived = node.arrived();
+    assert_ne!(arrived[0]["socket"], arrived[1]["socket"]);
+    node.stop();
+}
+
 // Guards against a stop that waits for tunnels which carry no request.
 #[test]
 fn stopping_node_closes_idle_tunnels_and_opens_no_more() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! numbers come from a seed. Tests can therefore run the whole crate without a network or a clock.
 
 pub mod admission;
+pub mod answer;
 pub mod assembly;
 pub mod backoff;
 pub mod balance;
