Send each order on a connection of its own

A server that wrote the answer to an earlier order or report once more on a kept connection gave the leader a wrong answer to the next order. A 200 told it that a member had left which was in its group still, and the node enters that into its view at once: it would join the other members to new groups beside a head that serves (rule TWO). A 409, 412 or 421 made it give an order up that had begun; a copy of a report gave an old number of orders, and the answer to an order in place of a report a failed query.

Cause: answers to orders and reports name no request, and the client used kept connections, where an answer may be a copy of an earlier one. The number of orders that each order states protects the server that gets it, not the others of its group.

Exchange has a second call, for a connection that carries nothing else, as the first answer on a connection is a copy of nothing. The polls of all servers of a zone, while the store is away, stay on kept connections, as they come every 0.4 s and a server resets connections beyond its limit; nothing else goes over these, so a copy there is an earlier report.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -177,12 +177,23 @@
     ///
     /// Returns an error if no report is received in time.
     async fn report(&self, server: &str, address: SocketAddr) -> Result<Report>;
+
+    /// Requests the report of a server that is polled all the time, which may go over a kept connection.
+    /// A faulty server may give an earlier report once more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no report is received in time.
+    async fn poll_report(&self, server: &str, address: SocketAddr) -> Result<Report> {
+        self.report(server, address).await
+    }
 }
 
 /// Sends a request to a peer and receives the whole answer.
 #[async_trait]
 pub trait Exchange: Send + Sync {
-    /// Sends a request and returns the whole answer.
+    /// Sends a request and returns the whole answer. The connection may have carried others, so a peer
+    /// that sends an answer once more is taken to answer the next request.
     ///
     /// # Errors
     ///
@@ -194,4 +205,17 @@
         request: http::Request<Bytes>,
         timeout: Millis,
     ) -> Result<http::Response<Bytes>>;
+
+    /// Sends a request on a connection that carries no other, so that the answer is this request's even
+    /// if it does not name it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Exchange::exchange`].
+    async fn exchange_on_new_connection(
+        &self,
+        peer: SocketAddr,
+        request: http::Request<Bytes>,
+        timeout: Millis,
+    ) -> Result<http::Response<Bytes>>;
 }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -199,7 +199,7 @@
             .collect();
         let reports = servers.iter().map(|server| {
             let orders = &node.parts.orders;
-            async move { orders.report(&server.id, server.address).await }
+            async move { orders.poll_report(&server.id, server.address).await }
         });
         let reports = futures::future::join_all(reports).await;
         let answered = reports.iter().filter(|report| report.is_ok()).count();
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -12,13 +12,13 @@
 use jackdaw_core::units::{Bytes as Size, Millis};
 use tokio::time;
 
-use crate::connection::Fault;
+use crate::connection::{Connection, Fault};
 use crate::pool::{Options, Pool};
 
 /// Largest body of a response; a page of the store holds about a megabyte.
 const MAX_RESPONSE_SIZE: Size = Size(8 << 20);
 
-/// Sends requests over pooled connections and buffers the responses.
+/// Sends requests and buffers the responses.
 #[derive(Debug)]
 pub struct Client {
     pool: Pool,
@@ -35,18 +35,58 @@
         }
     }
 
-    async fn send(
+    /// Sends a request on an idle connection, or a new one, which is kept afterwards.
+    async fn send_pooled(
         &self,
         peer: SocketAddr,
         request: Request<Bytes>,
     ) -> std::result::Result<Response<Bytes>, Fault> {
         let mut connection = self.pool.take(peer).await?;
-        let response = connection.send(request).await?;
-        let (head, body) = response.into_parts();
-        let body = read_body(body, MAX_RESPONSE_SIZE).await?;
-        self.pool.put(connection, &head.headers, usize::MAX);
-        Ok(Response::from_parts(head, body))
+        let response = send(&mut connection, request).await?;
+        self.pool.put(connection, response.headers(), usize::MAX);
+        Ok(response)
     }
+
+    /// Sends a request on a connection that carries no other.
+    async fn send_alone(
+        &self,
+        peer: SocketAddr,
+        request: Request<Bytes>,
+    ) -> std::result::Result<Response<Bytes>, Fault> {
+        let mut connection = self.pool.open(peer).await?;
+        send(&mut connection, request).await
+    }
+
+    /// Waits for a response, at most for the given time.
+    async fn wait(
+        &self,
+        peer: SocketAddr,
+        response: impl Future<Output = std::result::Result<Response<Bytes>, Fault>>,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        let name = peer.to_string();
+        match time::timeout(timeout.duration(), response).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(Fault::NotSent(reason))) => Err(Error::unreachable(self.step, &name, reason)),
+            Ok(Err(fault @ Fault::Unanswered(_))) => {
+                Err(Error::indeterminate(self.step, &name, fault))
+            }
+            Err(_) => {
+                let reason = format!("no answer within {timeout}");
+                Err(Error::indeterminate(self.step, &name, reason))
+            }
+        }
+    }
+}
+
+/// Sends a request and reads the whole response.
+async fn send(
+    connection: &mut Connection,
+    request: Request<Bytes>,
+) -> std::result::Result<Response<Bytes>, Fault> {
+    let (head, body) = connection.send(request).await?.into_parts();
+    let body = read_body(body, MAX_RESPONSE_SIZE).await?;
+    Ok(Response::from_parts(head, body))
 }
 
 /// Reads the body of a response to its end and returns it.
@@ -70,17 +110,17 @@
         request: Request<Bytes>,
         timeout: Millis,
     ) -> Result<Response<Bytes>> {
-        let name = peer.to_string();
-        match time::timeout(timeout.duration(), self.send(peer, request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(Fault::NotSent(reason))) => Err(Error::unreachable(self.step, &name, reason)),
-            Ok(Err(fault @ Fault::Unanswered(_))) => {
-                Err(Error::indeterminate(self.step, &name, fault))
-            }
-            Err(_) => {
-                let reason = format!("no answer within {timeout}");
-                Err(Error::indeterminate(self.step, &name, reason))
-            }
-        }
+        let response = self.send_pooled(peer, request);
+        self.wait(peer, response, timeout).await
+    }
+
+    async fn exchange_on_new_connection(
+        &self,
+        peer: SocketAddr,
+        request: Request<Bytes>,
+        timeout: Millis,
+    ) -> Result<Response<Bytes>> {
+        let response = self.send_alone(peer, request);
+        self.wait(peer, response, timeout).await
     }
 }
