Test that a foreign refusal leads to no second run

Two cases before two servers: a stream that may not be resumed and a request that runs at most once get another request's refusal.

--- a/crates/gateway/tests/node/refusal.rs
+++ b/crates/gateway/tests/node/refusal.rs
@@ -195,6 +195,20 @@
     node.stop();
 }
 
+// Guards against a request that runs at a second server after another one's refusal, although it may run
+// at most once.
+#[rstest]
+#[case("a stream that may not be resumed", "/fragile/x")]
+#[case("a request that runs at most once", "/once/x")]
+fn request_that_runs_at_most_once_reaches_no_second_server(#[case] name: &str, #[case] path: &str) {
+    let node = start_warm();
+    let before = node.arrived().len();
+    node.servers.set_scripts(&[OTHER, STREAM]);
+    assert_status(&node.call_as("r1", "POST", path), "502", name);
+    assert_eq!(node.arrived().len(), before + 1, "{name}");
+    node.stop();
+}
+
 // Guards against limits that a server named to another request, or before.
 #[rstest]
 #[case("without a name", LIMITED)]
