Test request bodies that end early, and old callers of broken streams

Both hold on the current code: a request whose body ends before its length or its last chunk reaches no server, and a caller of HTTP/1.0 gets chunks, so that a stream that is broken off does not look complete.

--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -431,6 +431,69 @@
     assert_outcome(case);
 }
 
+// Guards against a stream that looks complete to a caller of HTTP/1.0, whose answers end with their
+// connection, although it was broken off.
+#[test]
+fn stream_to_an_old_caller_that_is_broken_off_does_not_look_complete() {
+    let node = Node::start(broken(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK]));
+    let sent = request("r1", "POST", "/fragile/x").replace(" HTTP/1.1", " HTTP/1.0");
+    let mut caller = TcpStream::connect(node.process.callers).expect("the node listens");
+    let timeout = caller.set_read_timeout(Some(TIMEOUT));
+    timeout.expect("the time-out is valid");
+    caller.write_all(sent.as_bytes()).expect("the node reads");
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    let is_chunked = answer.to_lowercase().contains(CHUNKED.trim_end());
+    assert!(answer.contains("id: 1\n"), "{answer:?}");
+    assert!(is_chunked || end.is_err(), "{answer:?}: {end:?}");
+    node.process.stop();
+}
+
+/// A request whose body ends early.
+#[derive(Clone, Copy, Debug)]
+struct Partial {
+    name: &'static str,
+    /// Header of the body's length.
+    length: &'static str,
+    body: &'static str,
+    /// Whether the caller closes its side, instead of both.
+    is_half_closed: bool,
+}
+
+// Guards against a request whose body ends early that reaches a server.
+#[rstest]
+#[case(Partial { name: "before its length", length: "content-length: 10", body: "hello", is_half_closed: true })]
+#[case(Partial { name: "before its length, closed", length: "content-length: 10", body: "hello", is_half_closed: false })]
+#[case(Partial { name: "without its last chunk", length: "transfer-encoding: chunked", body: "5\r\nhello\r\n", is_half_closed: true })]
+#[case(Partial { name: "within a chunk", length: "transfer-encoding: chunked", body: "8\r\nhello", is_half_closed: true })]
+#[case(Partial { name: "within its last chunk", length: "transfer-encoding: chunked", body: "5\r\nhello\r\n0\r\n", is_half_closed: true })]
+fn requests_whose_body_ends_early_reach_no_server(#[case] case: Partial) {
+    let node = Node::start(closed(&[SIGNED, "content-length: 0\r\n\r\n"]));
+    let head = request("r1", "POST", "/once/x");
+    let head = head
+        .split_once("content-length")
+        .expect("it has a length")
+        .0;
+    let mut caller = TcpStream::connect(node.process.callers).expect("the node listens");
+    let sent = format!("{head}{}\r\n\r\n{}", case.length, case.body);
+    caller.write_all(sent.as_bytes()).expect("the node reads");
+    if case.is_half_closed {
+        let timeout = caller.set_read_timeout(Some(TIMEOUT));
+        timeout.expect("the time-out is valid");
+        caller.shutdown(Shutdown::Write).expect("it is open");
+        let mut answer = Vec::new();
+        let _ = caller.read_to_end(&mut answer);
+        assert!(!answer.starts_with(b"HTTP/1.1 2"), "{}", case.name);
+    }
+    drop(caller);
+    // A later request has been answered, so the earlier one would have arrived.
+    let later = node.call("r2", "GET", "/safe/x");
+    assert!(later.starts_with("HTTP/1.1 200"), "{}: {later}", case.name);
+    assert_eq!(node.arrived(), 1, "{}", case.name);
+    node.process.stop();
+}
+
 fn assert_outcome(case: Framing) {
     let node = Node::start(case.reply);
     let answer = node.call("r1", case.method, case.path);
