Break a stream off that ends before what its caller has

A stream that went on at another server counted as complete at that server's end, however early.

Cause: a server that sends all events again is skipped up to the last one that the caller has; if its stream was shorter, its end was passed on as the stream's. Class: the end of something else is taken for the end of what was asked for.

Evidence: stream_does_not_end_before_what_its_caller_has, case_1 failed: two events and the last chunk after a second server's only event.

An end after an event that is older than the caller's last one now fails the attempt. An end without any event still counts as complete: nothing of the stream was left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,6 +120,8 @@
     sent_at: Instant,
     reservation: Option<Reservation>,
     head: Option<AnswerHead>,
+    /// Number of the last event that has arrived.
+    last_event: Option<u64>,
     /// What marks the end of the answer, once its head has arrived.
     framing: Framing,
     phase: Phase,
@@ -164,6 +166,7 @@
             sent_at: node.now(),
             reservation: None,
             head: None,
+            last_event: None,
             framing: Framing::Connection,
             phase: Phase::Connecting(Box::pin(connecting)),
         }
@@ -188,6 +191,11 @@
         self.head.as_ref()
     }
 
+    /// Gets the number of the last event that has arrived from the server.
+    pub(crate) fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
     /// Gets the time of the last bytes from the server, at first the time of sending.
     pub(crate) fn last_activity(&self) -> Instant {
         self.last_activity
@@ -231,6 +239,7 @@
                     let next = stream.splitter.next();
                     let next = next.map_err(|_| ExchangeFailure::invalid("an event is too large"));
                     if let Some(event) = next? {
+                        self.last_event = event.id.or(self.last_event);
                         return Poll::Ready(Ok(Piece::Event(event)));
                     }
                     let frame = ready!(Pin::new(&mut stream.body).poll_frame(cx));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -360,6 +360,12 @@
             }
             Piece::End => {
                 self.record_survival(attempt);
+                // A server that sends all events again may run another stream, which is shorter.
+                let last = attempt.last_event();
+                if last.is_some() && last < self.last_delivered {
+                    let detail = "the stream ended before the last event that the caller has";
+                    return Err(ExchangeFailure::invalid(detail));
+                }
                 Ok(Some(Piece::End))
             }
             Piece::Answer(buffered) => {
--- a/crates/gateway/tests/node/ending.rs
+++ b/crates/gateway/tests/node/ending.rs
@@ -59,6 +59,39 @@
 const UNFRAMED_PART: Script =
     "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: a\n\n";
 const REST: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 3\ndata: a\n\n\r\n0\r\n\r\n";
+const TWO_EVENTS: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n1e\r\nid: 1\ndata: a\n\nid: 2\ndata: a\n\n\r\n";
+const ONE_EVENT: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
+const NO_EVENT: Script =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+
+/// What the second server of a stream sends, of which the first has sent two events.
+struct Shorter {
+    name: &'static str,
+    script: Script,
+    /// Whether the stream is complete for its caller; the route allows no third server.
+    is_complete: bool,
+}
+
+// Guards against a stream that counts as complete at an end before the last event that its caller has,
+// and against one that counts as broken off although nothing of it was left.
+#[rstest]
+#[case(Shorter { name: "all events, of a shorter stream", script: ONE_EVENT, is_complete: false })]
+#[case(Shorter { name: "no event", script: NO_EVENT, is_complete: true })]
+fn stream_does_not_end_before_what_its_caller_has(#[case] case: Shorter) {
+    let options = Options {
+        retry_ratio: 1.0,
+        ..options("node")
+    };
+    let scripts = [TWO_EVENTS, case.script];
+    let node = Node::start_with(2, &scripts, options, Logger::root(slog::Discard, o!()));
+    let answer = exchange(node.address, &request("r1", "POST", "/stream/x"));
+    assert_eq!(answer.matches("data: a").count(), 2, "{}", case.name);
+    let is_complete = answer.ends_with("0\r\n\r\n");
+    assert_eq!(is_complete, case.is_complete, "{}: {answer}", case.name);
+    assert_eq!(node.arrived().len(), 2, "{}", case.name);
+    node.stop();
+}
+
 const MODEL: &str = "model";
 
 /// Protocol of a service of replica groups with one server each.
