Test answers whose server was replaced at its address, which fails

The end of a connection is believed at services without an engine if anything takes a connection at the server's address and the node still knows the server's registration. Nobody asks who takes it.

Both cases fail: a part of a stream, and of an answer to a request that may not be sent again.

--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -2,8 +2,7 @@
 
 use std::io::{BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -54,6 +53,8 @@
     /// Its process is killed, and the operating system closes its listener after its connections, so
     /// that a new connection is taken and then reset.
     Kill,
+    /// Its process ends, and another server takes its address at once.
+    Replace,
     /// It sends bytes again and again, without an end.
     Repeat(&'static str),
     /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
@@ -95,17 +96,24 @@
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
         let listener = Arc::new(listener);
-        let is_killed = Arc::new(AtomicBool::new(false));
+        let ended = Arc::new(OnceLock::new());
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
-                if is_killed.load(Ordering::SeqCst) {
-                    thread::spawn(move || reset_soon(stream));
-                    continue;
+                match ended.get() {
+                    Some(End::Replace) => {
+                        thread::spawn(move || deny(stream));
+                        continue;
+                    }
+                    Some(_) => {
+                        thread::spawn(move || reset_soon(stream));
+                        continue;
+                    }
+                    None => {}
                 }
                 let servers = servers.clone();
                 let listener = Arc::clone(&listener);
-                let is_killed = Arc::clone(&is_killed);
-                thread::spawn(move || servers.serve(stream, &listener, &is_killed));
+                let ended = Arc::clone(&ended);
+                thread::spawn(move || servers.serve(stream, &listener, &ended));
             }
         });
         address
@@ -127,7 +135,7 @@
         !waited.1.timed_out()
     }
 
-    fn serve(&self, mut stream: TcpStream, listener: &TcpListener, is_killed: &AtomicBool) {
+    fn serve(&self, mut stream: TcpStream, listener: &TcpListener, ended: &OnceLock<End>) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
             let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
@@ -137,7 +145,7 @@
                 events.arrived
             });
             if number == 1 {
-                return self.send_first(stream, id, listener, is_killed);
+                return self.send_first(stream, id, listener, ended);
             }
             let path = head.split(' ').nth(1).unwrap_or_default();
             let last = field("last: ").and_then(|last| last.parse().ok());
@@ -153,7 +161,7 @@
         mut stream: TcpStream,
         id: &str,
         listener: &TcpListener,
-        is_killed: &AtomicBool,
+        ended: &OnceLock<End>,
     ) {
         let bytes = self.first.parts.concat().replace("ID", id);
         // The node may have given the answer up.
@@ -168,8 +176,8 @@
                 closed.expect("the listener is open");
                 let _ = stream.shutdown(Shutdown::Write);
             }
-            End::Kill => {
-                is_killed.store(true, Ordering::SeqCst);
+            End::Kill | End::Replace => {
+                let _ = ended.set(self.first.end);
                 let _ = stream.shutdown(Shutdown::Write);
             }
             End::Repeat(piece) => {
@@ -208,6 +216,16 @@
     reset(&stream);
 }
 
+/// Answers requests for the server whose address this one has taken.
+fn deny(mut stream: TcpStream) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
+    while read_message(&mut reader).is_some() {
+        let answer = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+        // The node may have left.
+        let _ = stream.write_all(answer.as_bytes());
+    }
+}
+
 /// Returns a whole answer, or a stream after the last event that the caller has.
 fn sound_answer(id: &str, path: &str, last: u64) -> String {
     let signed = SIGNED.replace("ID", id);
@@ -420,6 +438,22 @@
     }
 }
 
+const fn replaced(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Replace,
+    }
+}
+
+// Guards against answers without a length that look complete to their callers because another server
+// takes connections at the address of the one that has ended.
+#[rstest]
+#[case(Framing { name: "a part of a stream", reply: replaced(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of an answer to a request that runs at most once", reply: replaced(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
+fn answers_whose_server_is_replaced_are_not_complete(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
 // Guards against answers without a length that look complete to their callers because a server that
 // was just killed still takes a connection, which the operating system resets.
 #[rstest]
