Believe the end of a connection only if this node reaches its server

A stream without chunks and length that ended with its connection looked complete although nobody knew whether its server ran.

Cause: whether a server has ended was asked as for requests that end servers, where what is not known must not count against a request. So the end was believed if no other node told and this one suspected its links, and also if only others reached the server, although the node's own link may have ended the connection.

The end of a direct connection is now believed only if the server is registered and takes another connection of this node.

--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -91,12 +91,9 @@
             return is_running.then_some(()).ok_or(Doubt::Server);
         }
         if target.model.is_none() {
-            let has_ended = self.has_server_ended(target).await;
-            return if has_ended {
-                Err(Doubt::Server)
-            } else {
-                Ok(())
-            };
+            // What other nodes reach does not tell what ended this connection.
+            let is_running = self.is_registered(target) && self.pool.open(address).await.is_ok();
+            return is_running.then_some(()).ok_or(Doubt::Server);
         }
         let report = self.parts.orders.report(server, address);
         match time::timeout(REPORT_TIMEOUT.duration(), report).await {
--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -55,6 +55,8 @@
     Kill,
     /// Its process ends, and another server takes its address at once.
     Replace,
+    /// It and all others end, but this connection only once [`Events::is_released`].
+    ExitLast,
     /// It sends bytes again and again, without an end.
     Repeat(&'static str),
     /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
@@ -77,6 +79,10 @@
 #[derive(Debug, Default)]
 struct Events {
     arrived: usize,
+    /// Whether connections that outlast their servers end.
+    is_released: bool,
+    /// Listeners of all servers.
+    listeners: Vec<Arc<TcpListener>>,
     /// Number of bytes that the node took of an answer without an end.
     taken: usize,
     /// Whether the node has closed the connection of an answer without an end.
@@ -96,6 +102,7 @@
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
         let listener = Arc::new(listener);
+        self.record(|events| events.listeners.push(Arc::clone(&listener)));
         let ended = Arc::new(OnceLock::new());
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
@@ -176,6 +183,15 @@
                 closed.expect("the listener is open");
                 let _ = stream.shutdown(Shutdown::Write);
             }
+            End::ExitLast => {
+                let listeners = self.record(|events| events.listeners.clone());
+                for listener in listeners {
+                    let closed = SockRef::from(&*listener).shutdown(Shutdown::Both);
+                    closed.expect("the listener is open");
+                }
+                self.wait_until(|events| events.is_released);
+                let _ = stream.shutdown(Shutdown::Write);
+            }
             End::Kill | End::Replace => {
                 let _ = ended.set(self.first.end);
                 let _ = stream.shutdown(Shutdown::Write);
@@ -484,6 +500,37 @@
     node.process.stop();
 }
 
+/// Time without an answer of any server after which a node suspects its own links.
+const SUSPICION_TIME: Duration = Duration::from_millis(600);
+
+// Guards against a stream that looks complete because the node cannot tell whether its server has
+// ended, as it reaches no server and no other node.
+#[test]
+fn stream_of_a_server_of_which_nothing_is_known_does_not_look_complete() {
+    let node = Node::start(Reply {
+        parts: &[SIGNED, STREAM, "\r\n", ONE],
+        end: End::ExitLast,
+    });
+    let callers = node.process.callers;
+    let sent = request("r1", "POST", "/fragile/x");
+    let caller = thread::spawn(move || exchange(callers, &sent));
+    assert!(node.servers.wait_until(|events| events.arrived > 0));
+    let start = Instant::now();
+    while start.elapsed() < SUSPICION_TIME {
+        let answer = node.call("r2", "GET", "/safe/x");
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+        thread::sleep(DRIP_PAUSE);
+    }
+    node.servers.record(|events| events.is_released = true);
+    let answer = caller.join().expect("the caller ends");
+    assert_eq!(
+        outcome(&answer, "/fragile/x"),
+        Some(Outcome::Failed),
+        "{answer:?}"
+    );
+    node.process.stop();
+}
+
 /// A request whose body ends early.
 #[derive(Clone, Copy, Debug)]
 struct Partial {
