Read the framing of an answer as the HTTP library does

A part of a whole answer counted as whole if its server named chunks and then, in another line, an encoding that is no text.

Cause: the last encoding that is a text was looked at; the library looks at the last one, and reads such an answer to the end of its connection.

Evidence: answers_whose_server_has_ended_are_not_complete, case_06 failed. The four other new cases passed before: another last encoding, an encoding beside a length, and HTTP/1.0 with and without a length.

--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -109,11 +109,8 @@
     if body.size_hint().exact().is_some() {
         return Framing::Length;
     }
-    let encodings = headers.get_all(TRANSFER_ENCODING).iter();
-    let last = encodings
-        .filter_map(|value| value.to_str().ok())
-        .next_back();
-    let last = last.and_then(|text| text.rsplit(',').next());
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
     match last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked")) {
         true => Framing::Chunks,
         false => Framing::Connection,
--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -442,6 +442,11 @@
 #[case(Framing { name: "a stream after its last event", reply: exited(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
 #[case(Framing { name: "a part of a stream that may not be resumed", reply: exited(&[SIGNED, STREAM, "\r\n", ONE]), outcome: Outcome::Failed, ..FRAGILE })]
 #[case(Framing { name: "a part of a whole answer", reply: exited(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer whose last encoding is no text", reply: exited(&[SIGNED, CHUNKED, "transfer-encoding: \u{e9}\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer with another last encoding", reply: exited(&[SIGNED, CHUNKED, "transfer-encoding: gzip\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer with an encoding and a length", reply: exited(&[SIGNED, "transfer-encoding: identity\r\ncontent-length: 3\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer of an older version", reply: exited(&["HTTP/1.0 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer of an older version with a length", reply: closed(&["HTTP/1.0 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 5\r\n\r\nwho"]), attempts: 2, ..SAFE })]
 #[case(Framing { name: "a part of an answer to a request that runs at most once", reply: exited(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
 fn answers_whose_server_has_ended_are_not_complete(#[case] case: Framing) {
     assert_outcome(case);
