--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -1,9 +1,8 @@
 //! Tests of where answers end: with their connection, within an event, with a reset, or never.
 
-use std::io::{BufReader, Write as _};
+use std::io::{BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -53,8 +52,13 @@
     Reset,
     /// Its process ends, and the operating system closes its sockets.
     Exit,
-    /// The same, with the socket on which it listens last; connections meanwhile are not answered.
-    ExitListening,
+    /// Its process is killed, and the operating system closes its listener after its connections, so
+    /// that a new connection is taken and then reset.
+    Kill,
+    /// Its process ends, and another server takes its address at once.
+    Replace,
+    /// It and all others end, but this connection only once [`Events::is_released`].
+    ExitLast,
     /// It sends bytes again and again, without an end.
     Repeat(&'static str),
     /// It sends bytes again and again, with a pause of [`DRIP_PAUSE`].
@@ -64,6 +68,9 @@
 /// Pause of a server that sends bytes slowly.
 const DRIP_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time for which the listener of a server that was killed still takes connections.
+const KILL_TIME: Duration = Duration::from_millis(50);
+
 /// What a server sends for a request; `ID` stands for the request's identity.
 #[derive(Clone, Copy, Debug)]
 struct Reply {
@@ -74,20 +81,16 @@
 #[derive(Debug, Default)]
 struct Events {
     arrived: usize,
+    /// Whether connections that outlast their servers end.
+    is_released: bool,
+    /// Listeners of all servers.
+    listeners: Vec<Arc<TcpListener>>,
     /// Number of bytes that the node took of an answer without an end.
     taken: usize,
     /// Whether the node has closed the connection of an answer without an end.
     is_closed: bool,
 }
 
-/// Socket on which a server listens.
-#[derive(Debug)]
-struct Listener {
-    socket: TcpListener,
-    /// Whether its connections are served.
-    is_served: AtomicBool,
-}
-
 /// Servers of which the first to get a request sends a reply, and all later answers are sound.
 #[derive(Clone, Debug)]
 struct Servers {
@@ -100,18 +103,26 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
-        let listener = Arc::new(Listener {
-            socket: listener,
-            is_served: AtomicBool::new(true),
-        });
+        let listener = Arc::new(listener);
+        self.record(|events| events.listeners.push(Arc::clone(&listener)));
+        let ended = Arc::new(OnceLock::new());
         thread::spawn(move || {
-            while let Ok((stream, _)) = listener.socket.accept() {
-                if !listener.is_served.load(Ordering::SeqCst) {
-                    continue;
+            while let Ok((stream, _)) = listener.accept() {
+                match ended.get() {
+                    Some(End::Replace) => {
+                        thread::spawn(move || deny(stream));
+                        continue;
+                    }
+                    Some(_) => {
+                        thread::spawn(move || reset_soon(stream));
+                        continue;
+                    }
+                    None => {}
                 }
                 let servers = servers.clone();
                 let listener = Arc::clone(&listener);
-                thread::spawn(move || servers.serve(stream, &listener));
+                let ended = Arc::clone(&ended);
+                thread::spawn(move || servers.serve(stream, &listener, &ended));
             }
         });
         address
@@ -133,7 +144,7 @@
         !waited.1.timed_out()
     }
 
-    fn serve(&self, mut stream: TcpStream, listener: &Listener) {
+    fn serve(&self, mut stream: TcpStream, listener: &TcpListener, ended: &OnceLock<End>) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
             if head.starts_with(PROBE) {
@@ -150,7 +161,7 @@
                 events.arrived
             });
             if number == 1 {
-                return self.send_first(stream, id, listener);
+                return self.send_first(stream, id, listener, ended);
             }
             let path = head.split(' ').nth(1).unwrap_or_default();
             let last = field("last: ").and_then(|last| last.parse().ok());
@@ -161,7 +172,13 @@
         }
     }
 
-    fn send_first(&self, mut stream: TcpStream, id: &str, listener: &Listener) {
+    fn send_first(
+        &self,
+        mut stream: TcpStream,
+        id: &str,
+        listener: &TcpListener,
+        ended: &OnceLock<End>,
+    ) {
         let bytes = self.first.parts.concat().replace("ID", id);
         // The node may have given the answer up.
         let _ = stream.write_all(bytes.as_bytes());
@@ -169,17 +186,23 @@
             End::Close => {
                 let _ = stream.shutdown(Shutdown::Write);
             }
-            End::Reset => {
-                let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-                linger.expect("the option is known");
-            }
+            End::Reset => reset(&stream),
             End::Exit => {
-                let closed = SockRef::from(&listener.socket).shutdown(Shutdown::Both);
+                let closed = SockRef::from(listener).shutdown(Shutdown::Both);
                 closed.expect("the listener is open");
                 let _ = stream.shutdown(Shutdown::Write);
             }
-            End::ExitListening => {
-                listener.is_served.store(false, Ordering::SeqCst);
+            End::ExitLast => {
+                let listeners = self.record(|events| events.listeners.clone());
+                for listener in listeners {
+                    let closed = SockRef::from(&*listener).shutdown(Shutdown::Both);
+                    closed.expect("the listener is open");
+                }
+                self.wait_until(|events| events.is_released);
+                let _ = stream.shutdown(Shutdown::Write);
+            }
+            End::Kill | End::Replace => {
+                let _ = ended.set(self.first.end);
                 let _ = stream.shutdown(Shutdown::Write);
             }
             End::Repeat(piece) => {
@@ -202,6 +225,32 @@
     }
 }
 
+/// Makes the system reset a connection when it is closed.
+fn reset(stream: &TcpStream) {
+    let linger = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    linger.expect("the option is known");
+}
+
+/// Resets a connection that the operating system has taken for a process which has ended.
+fn reset_soon(mut stream: TcpStream) {
+    stream
+        .set_read_timeout(Some(KILL_TIME))
+        .expect("the time-out is valid");
+    // Whatever is sent meanwhile is not answered.
+    let _ = stream.read(&mut [0]);
+    reset(&stream);
+}
+
+/// Answers requests for the server whose address this one has taken.
+fn deny(mut stream: TcpStream) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
+    while read_message(&mut reader).is_some() {
+        let answer = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+        // The node may have left.
+        let _ = stream.write_all(answer.as_bytes());
+    }
+}
+
 /// Returns a whole answer, or a stream after the last event that the caller has.
 fn sound_answer(id: &str, path: &str, last: u64) -> String {
     let signed = SIGNED.replace("ID", id);
@@ -338,20 +387,13 @@
     }
 }
 
-const fn reset(parts: &'static [&'static str]) -> Reply {
+const fn broken(parts: &'static [&'static str]) -> Reply {
     Reply {
         parts,
         end: End::Reset,
     }
 }
 
-const fn exited_listening(parts: &'static [&'static str]) -> Reply {
-    Reply {
-        parts,
-        end: End::ExitListening,
-    }
-}
-
 const fn exited(parts: &'static [&'static str]) -> Reply {
     Reply {
         parts,
@@ -375,13 +417,13 @@
 
 // Guards against answers that are delivered as complete although their connection was reset.
 #[rstest]
-#[case(Framing { name: "a whole answer", reply: reset(&[SIGNED, "\r\n", BODY]), attempts: 2, ..SAFE })]
-#[case(Framing { name: "a part of a whole answer", reply: reset(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
-#[case(Framing { name: "an answer to a request that runs at most once", reply: reset(&[SIGNED, "\r\n", BODY]), outcome: Outcome::Failed, ..ONCE })]
-#[case(Framing { name: "a stream", reply: reset(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
-#[case(Framing { name: "a part of a stream", reply: reset(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
-#[case(Framing { name: "a part of a stream in chunks", reply: reset(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK]), attempts: 2, ..RESUMABLE })]
-#[case(Framing { name: "a stream that may not be resumed", reply: reset(WHOLE_STREAM), outcome: Outcome::Failed, ..FRAGILE })]
+#[case(Framing { name: "a whole answer", reply: broken(&[SIGNED, "\r\n", BODY]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer", reply: broken(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "an answer to a request that runs at most once", reply: broken(&[SIGNED, "\r\n", BODY]), outcome: Outcome::Failed, ..ONCE })]
+#[case(Framing { name: "a stream", reply: broken(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream", reply: broken(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream in chunks", reply: broken(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a stream that may not be resumed", reply: broken(WHOLE_STREAM), outcome: Outcome::Failed, ..FRAGILE })]
 fn answers_whose_connection_is_reset_are_not_complete(#[case] case: Framing) {
     assert_outcome(case);
 }
@@ -409,12 +451,144 @@
 #[case(Framing { name: "a stream after its last event", reply: exited(WHOLE_STREAM), attempts: 2, ..RESUMABLE })]
 #[case(Framing { name: "a part of a stream that may not be resumed", reply: exited(&[SIGNED, STREAM, "\r\n", ONE]), outcome: Outcome::Failed, ..FRAGILE })]
 #[case(Framing { name: "a part of a whole answer", reply: exited(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer whose last encoding is no text", reply: exited(&[SIGNED, CHUNKED, "transfer-encoding: \u{e9}\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer with another last encoding", reply: exited(&[SIGNED, CHUNKED, "transfer-encoding: gzip\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer with an encoding and a length", reply: exited(&[SIGNED, "transfer-encoding: identity\r\ncontent-length: 3\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer of an older version", reply: exited(&["HTTP/1.0 200 OK\r\nid: ID\r\nsigned: 1\r\n\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of a whole answer of an older version with a length", reply: closed(&["HTTP/1.0 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 5\r\n\r\nwho"]), attempts: 2, ..SAFE })]
 #[case(Framing { name: "a part of an answer to a request that runs at most once", reply: exited(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
-#[case(Framing { name: "a part of a stream whose server still listens", reply: exited_listening(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
 fn answers_whose_server_has_ended_are_not_complete(#[case] case: Framing) {
     assert_outcome(case);
 }
 
+const fn killed(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Kill,
+    }
+}
+
+const fn replaced(parts: &'static [&'static str]) -> Reply {
+    Reply {
+        parts,
+        end: End::Replace,
+    }
+}
+
+// Guards against answers without a length that look complete to their callers because another server
+// takes connections at the address of the one that has ended.
+#[rstest]
+#[case(Framing { name: "a part of a stream", reply: replaced(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of an answer to a request that runs at most once", reply: replaced(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
+fn answers_whose_server_is_replaced_are_not_complete(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
+// Guards against answers without a length that look complete to their callers because a server that
+// was just killed still takes a connection, which the operating system resets.
+#[rstest]
+#[case(Framing { name: "a part of a stream", reply: killed(&[SIGNED, STREAM, "\r\n", ONE]), attempts: 2, ..RESUMABLE })]
+#[case(Framing { name: "a part of a stream that may not be resumed", reply: killed(&[SIGNED, STREAM, "\r\n", ONE]), outcome: Outcome::Failed, ..FRAGILE })]
+#[case(Framing { name: "a part of a whole answer", reply: killed(&[SIGNED, "\r\nwho"]), attempts: 2, ..SAFE })]
+#[case(Framing { name: "a part of an answer to a request that runs at most once", reply: killed(&[SIGNED, "\r\nwho"]), outcome: Outcome::Failed, ..ONCE })]
+fn answers_whose_server_is_killed_are_not_complete(#[case] case: Framing) {
+    assert_outcome(case);
+}
+
+// Guards against a stream that looks complete to a caller of HTTP/1.0, whose answers end with their
+// connection, although it was broken off.
+#[test]
+fn stream_to_an_old_caller_that_is_broken_off_does_not_look_complete() {
+    let node = Node::start(broken(&[SIGNED, STREAM, CHUNKED, "\r\n", ONE_CHUNK]));
+    let sent = request("r1", "POST", "/fragile/x").replace(" HTTP/1.1", " HTTP/1.0");
+    let mut caller = TcpStream::connect(node.process.callers).expect("the node listens");
+    let timeout = caller.set_read_timeout(Some(TIMEOUT));
+    timeout.expect("the time-out is valid");
+    caller.write_all(sent.as_bytes()).expect("the node reads");
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    let is_chunked = answer.to_lowercase().contains(CHUNKED.trim_end());
+    assert!(answer.contains("id: 1\n"), "{answer:?}");
+    assert!(is_chunked || end.is_err(), "{answer:?}: {end:?}");
+    node.process.stop();
+}
+
+/// Time without an answer of any server after which a node suspects its own links.
+const SUSPICION_TIME: Duration = Duration::from_millis(600);
+
+// Guards against a stream that looks complete because the node cannot tell whether its server has
+// ended, as it reaches no server and no other node.
+#[test]
+fn stream_of_a_server_of_which_nothing_is_known_does_not_look_complete() {
+    let node = Node::start(Reply {
+        parts: &[SIGNED, STREAM, "\r\n", ONE],
+        end: End::ExitLast,
+    });
+    let callers = node.process.callers;
+    let sent = request("r1", "POST", "/fragile/x");
+    let caller = thread::spawn(move || exchange(callers, &sent));
+    assert!(node.servers.wait_until(|events| events.arrived > 0));
+    let start = Instant::now();
+    while start.elapsed() < SUSPICION_TIME {
+        let answer = node.call("r2", "GET", "/safe/x");
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+        thread::sleep(DRIP_PAUSE);
+    }
+    node.servers.record(|events| events.is_released = true);
+    let answer = caller.join().expect("the caller ends");
+    assert_eq!(
+        outcome(&answer, "/fragile/x"),
+        Some(Outcome::Failed),
+        "{answer:?}"
+    );
+    node.process.stop();
+}
+
+/// A request whose body ends early.
+#[derive(Clone, Copy, Debug)]
+struct Partial {
+    name: &'static str,
+    /// Header of the body's length.
+    length: &'static str,
+    body: &'static str,
+    /// Whether the caller closes its side, instead of both.
+    is_half_closed: bool,
+}
+
+// Guards against a request whose body ends early that reaches a server.
+#[rstest]
+#[case(Partial { name: "before its length", length: "content-length: 10", body: "hello", is_half_closed: true })]
+#[case(Partial { name: "before its length, closed", length: "content-length: 10", body: "hello", is_half_closed: false })]
+#[case(Partial { name: "without its last chunk", length: "transfer-encoding: chunked", body: "5\r\nhello\r\n", is_half_closed: true })]
+#[case(Partial { name: "within a chunk", length: "transfer-encoding: chunked", body: "8\r\nhello", is_half_closed: true })]
+#[case(Partial { name: "within its last chunk", length: "transfer-encoding: chunked", body: "5\r\nhello\r\n0\r\n", is_half_closed: true })]
+fn requests_whose_body_ends_early_reach_no_server(#[case] case: Partial) {
+    let node = Node::start(closed(&[SIGNED, "content-length: 0\r\n\r\n"]));
+    let head = request("r1", "POST", "/once/x");
+    let head = head
+        .split_once("content-length")
+        .expect("it has a length")
+        .0;
+    let mut caller = TcpStream::connect(node.process.callers).expect("the node listens");
+    let sent = format!("{head}{}\r\n\r\n{}", case.length, case.body);
+    caller.write_all(sent.as_bytes()).expect("the node reads");
+    if case.is_half_closed {
+        let timeout = caller.set_read_timeout(Some(TIMEOUT));
+        timeout.expect("the time-out is valid");
+        caller.shutdown(Shutdown::Write).expect("it is open");
+        let mut answer = Vec::new();
+        let _ = caller.read_to_end(&mut answer);
+        assert!(!answer.starts_with(b"HTTP/1.1 2"), "{}", case.name);
+    }
+    drop(caller);
+    // A later request has been answered, so the earlier one would have arrived.
+    let later = node.call("r2", "GET", "/safe/x");
+    assert!(later.starts_with("HTTP/1.1 200"), "{}: {later}", case.name);
+    assert_eq!(node.arrived(), 1, "{}", case.name);
+    node.process.stop();
+}
+
 fn assert_outcome(case: Framing) {
     let node = Node::start(case.reply);
     let answer = node.call("r1", case.method, case.path);
