Keep a rank as it is when nodes pass it on

Nodes that read the store and nodes that hear of a registration could differ in who leads a group: a rank was read as a machine word and passed on as 32 bits, so an entry of another writer with the rank became rank 0, the first member, which takes the group's requests.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -27,7 +27,7 @@
     /// Epoch of the group.
     pub epoch: u64,
     /// Rank within the group; rank 0 receives the requests.
-    pub rank: usize,
+    pub rank: u32,
     /// State of the member.
     pub state: State,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -627,7 +627,7 @@
             .map(|state| Membership {
                 group: server_state.group.as_str().into(),
                 epoch: server_state.epoch,
-                rank: server_state.rank as usize,
+                rank: server_state.rank,
                 state: *state,
             });
         changed |= fleet.apply_report(&server_state.server, membership, now);
@@ -674,7 +674,7 @@
                 .map(|membership| membership.group.to_string())
                 .unwrap_or_default(),
             epoch: membership.map_or(0, |membership| membership.epoch),
-            rank: membership.map_or(0, |membership| membership.rank as u32),
+            rank: membership.map_or(0, |membership| membership.rank),
             state: state.unwrap_or_default() as u32,
             is_lost: false,
         }
--- a/crates/gateway/src/segment.rs
+++ b/crates/gateway/src/segment.rs
@@ -151,7 +151,7 @@
                 .map(|known| known.group.to_string())
                 .unwrap_or_default(),
             epoch: membership.map_or(0, |known| known.epoch),
-            rank: membership.map_or(0, |known| known.rank as u32),
+            rank: membership.map_or(0, |known| known.rank),
             state: state.map_or(0, |state| state as u32 + 1),
         }
     }
@@ -167,7 +167,7 @@
                 Some(Membership {
                     group: self.group.into(),
                     epoch: self.epoch,
-                    rank: self.rank as usize,
+                    rank: self.rank,
                     state: *state,
                 })
             }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -63,6 +63,11 @@
         self.members.first().and_then(Option::as_ref)
     }
 
+    /// Gets the place of a rank, if the group has that rank.
+    fn member_mut(&mut self, rank: u32) -> Option<&mut Option<CompactString>> {
+        self.members.get_mut(usize::try_from(rank).ok()?)
+    }
+
     /// Returns whether every rank is reported, or was until the member's registration expired.
     #[must_use]
     pub fn is_whole(&self) -> bool {
@@ -290,7 +295,7 @@
                     members: vec![None; size],
                     absent: Vec::new(),
                 });
-            if let Some(member) = group.members.get_mut(membership.rank) {
+            if let Some(member) = group.member_mut(membership.rank) {
                 *member = Some(server.id.clone());
             }
         }
@@ -301,7 +306,7 @@
             let Some(group) = groups.get_mut(&(membership.group.as_str(), membership.epoch)) else {
                 continue;
             };
-            if let Some(member @ None) = group.members.get_mut(membership.rank) {
+            if let Some(member @ None) = group.member_mut(membership.rank) {
                 *member = Some(server.id.clone());
                 group.absent.push(server.id.clone());
             }
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -470,7 +470,7 @@
             rank: members
                 .iter()
                 .position(|member| member == id)
-                .unwrap_or_default(),
+                .unwrap_or_default() as u32,
             state: State::Joining,
         });
         host.model = Some(model.clone());
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -193,7 +193,7 @@
     assert_eq!(loads.peer_load(1, Instant(10)).requests, 12);
 }
 
-fn server(id: &str, state: State, rank: usize) -> Server {
+fn server(id: &str, state: State, rank: u32) -> Server {
     Server {
         id: id.into(),
         service: "m".into(),
