Count epochs and orders on from sound numbers only

A leader that reads an entry of another writer whose group has the last epoch counts its own epochs on from there. Debug builds ended; release builds began again at 0, so servers refused every join as outdated and no group of the zone was replaced as long as the entry stood. A report with the last number of orders ended debug builds when the next order was counted.

Cause: the leader took the highest epoch of all entries of its zone, whoever wrote them. It takes none above 2^53 now, which leaders that count up from 0 never reach, so there is always an epoch left above its own. A number of orders that cannot be counted on is unknown, and the server is asked for it.

Failed before: two cases of groups_are_formed_and_replaced_beside_an_odd_entry ("attempt to add with overflow" in order_join; without overflow checks "the last epoch: the group is not replaced") and groups_are_formed_with_a_server_whose_number_of_orders_is_the_last_one (the same in record_reply). The simulated servers refuse joins with an epoch lower than one that they have seen, as the platform's do.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -268,14 +268,14 @@
         // After a refused order, the next one waits for a newer registration.
         let pause = match reply {
             Ok(Reply::Begun) => {
-                record.accepted_orders = Some(order.accepted_orders + 1);
+                record.accepted_orders = order.accepted_orders.checked_add(1);
                 record.reported_group = None;
                 self.options.order_timeout
             }
             Ok(Reply::Done) => {
                 // An order that takes effect at once counts as accepted; if the server was in that
                 // state already, it refuses the next order and is queried.
-                record.accepted_orders = Some(order.accepted_orders + 1);
+                record.accepted_orders = order.accepted_orders.checked_add(1);
                 record.reported_group = None;
                 REFRESH_TIME
             }
@@ -391,7 +391,9 @@
                     record.model = model_of(&membership.group).map(CompactString::from);
                     record.group = Some(membership.group.clone());
                     record.free_since = None;
-                    self.min_epoch = self.min_epoch.max(membership.epoch);
+                    if membership.epoch <= MAX_KNOWN_EPOCH {
+                        self.min_epoch = self.min_epoch.max(membership.epoch);
+                    }
                 }
                 None if record.free_since.is_none() => record.free_since = Some(now),
                 None => {}
@@ -487,3 +489,6 @@
 const REFRESH_TIME: Millis = Millis(500);
 /// Distance between the epochs of two groups.
 const EPOCH_STEP: u64 = 1;
+/// Largest registered epoch from which a leader counts on. Leaders count up from zero, so a larger one
+/// is none of theirs, and no epoch may be left above it.
+const MAX_KNOWN_EPOCH: u64 = 1 << 53;
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -38,6 +38,8 @@
 struct Host {
     domain: CompactString,
     accepted_orders: u64,
+    /// Highest epoch of a join.
+    epoch: u64,
     membership: Option<Membership>,
     model: Option<CompactString>,
     last_model: Option<CompactString>,
@@ -165,6 +167,7 @@
         let host = Host {
             domain: domain.into(),
             accepted_orders: 0,
+            epoch: 0,
             membership: None,
             model: None,
             last_model: None,
@@ -181,6 +184,41 @@
         self.register(&id.into());
     }
 
+    /// Sets the number of orders that a server says it has accepted.
+    pub(crate) fn set_accepted_orders(&mut self, id: &str, count: u64) {
+        let host = self.hosts.get_mut(id).expect("the host is there");
+        host.accepted_orders = count;
+    }
+
+    /// Adds an entry that no server writes.
+    pub(crate) fn add_entry(
+        &mut self,
+        group: &str,
+        epoch: u64,
+        rank: u32,
+        slots: u32,
+        start_unix_ms: u64,
+    ) {
+        let server = Server {
+            id: "other".into(),
+            service: SERVICE.into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: ZONE.into(),
+            draining: false,
+            slots,
+            start_unix_ms,
+            domain: "d0".into(),
+            staged: Vec::new(),
+            membership: Some(Membership {
+                group: group.into(),
+                epoch,
+                rank,
+                state: State::Open,
+            }),
+        };
+        self.fleet.register(server, self.now);
+    }
+
     /// Adds a leader beside the existing ones.
     pub(crate) fn add_leader(&mut self) {
         let options = Options {
@@ -245,6 +283,7 @@
             let id = format_compact!("{id}+");
             let host = Host {
                 accepted_orders: 0,
+                epoch: 0,
                 membership: None,
                 model: None,
                 last_model: None,
@@ -410,9 +449,9 @@
             Command::Leave { group, .. } => self.leave(&order.server, group),
             Command::Stage { model } => self.stage(&order.server, model),
         };
-        if reply != Reply::Conflict {
+        if !matches!(reply, Reply::Conflict | Reply::Outdated) {
             let host = self.hosts.get_mut(&order.server)?;
-            host.accepted_orders += 1;
+            host.accepted_orders = host.accepted_orders.wrapping_add(1);
             self.register(&order.server);
         }
         Some(reply)
@@ -433,6 +472,9 @@
         members: &[CompactString],
     ) -> Reply {
         let host = &self.hosts[id];
+        if epoch < host.epoch {
+            return Reply::Outdated;
+        }
         if let Some(former) = host
             .membership
             .as_ref()
@@ -464,6 +506,7 @@
             host.staged = Some(model.clone());
             Millis(config.load_time.0 / 10)
         };
+        host.epoch = epoch;
         host.membership = Some(Membership {
             group: group.clone(),
             epoch,
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -352,3 +352,55 @@
     cluster.run(Millis(8_000));
     assert_eq!(cluster.violations, []);
 }
+
+/// An entry of another writer among those of the servers.
+#[derive(Debug)]
+struct OddEntry {
+    name: &'static str,
+    group: &'static str,
+    epoch: u64,
+    rank: u32,
+    slots: u32,
+    start_unix_ms: u64,
+}
+
+// Guards against an entry whose numbers are the largest ones: the leader ended when it counted its
+// epochs up from there, or its servers refused all joins.
+#[rstest]
+#[case(OddEntry { name: "the last epoch", group: "large.1.900", epoch: u64::MAX, rank: 0, slots: 26, start_unix_ms: 1 })]
+#[case(OddEntry { name: "an epoch near the last one", group: "large.1.900", epoch: u64::MAX - 1, rank: 0, slots: 26, start_unix_ms: 1 })]
+#[case(OddEntry { name: "a group that no leader made", group: "", epoch: 1 << 63, rank: 0, slots: 26, start_unix_ms: 1 })]
+#[case(OddEntry { name: "the most slots and the last start", group: "small.1.900", epoch: 1, rank: 1, slots: u32::MAX, start_unix_ms: u64::MAX })]
+#[case(OddEntry { name: "no slots", group: "small.1.900", epoch: 0, rank: 0, slots: 0, start_unix_ms: 0 })]
+fn groups_are_formed_and_replaced_beside_an_odd_entry(#[case] odd: OddEntry) {
+    let mut cluster = Cluster::new(&[8], Faults::default());
+    cluster.run(Millis(100));
+    cluster.add_entry(odd.group, odd.epoch, odd.rank, odd.slots, odd.start_unix_ms);
+    let took = cluster.run_until(FIRST_GROUPS_TIMEOUT, |cluster| {
+        cluster.count_serving(LARGE) >= 1 && cluster.count_serving(SMALL) >= 1
+    });
+    assert!(took.is_some(), "{}: no groups serve", odd.name);
+    cluster.has_traffic = true;
+    let member = cluster.member(LARGE, 1);
+    cluster.kill(&member);
+    cluster.add_leader();
+    cluster.run(Millis(3_500));
+    let took = cluster.run_until(REPLACEMENT_TIMEOUT, |cluster| {
+        cluster.count_serving(LARGE) >= 1 && cluster.count_serving(SMALL) >= 1
+    });
+    assert!(took.is_some(), "{}: the group is not replaced", odd.name);
+    assert_eq!(cluster.violations, [], "{}", odd.name);
+}
+
+// Guards against a report whose number of orders is the largest one: the leader ended when it counted
+// its next order.
+#[test]
+fn groups_are_formed_with_a_server_whose_number_of_orders_is_the_last_one() {
+    let mut cluster = Cluster::new(&[8], Faults::default());
+    cluster.set_accepted_orders("s0-0", u64::MAX);
+    let took = cluster.run_until(FIRST_GROUPS_TIMEOUT, |cluster| {
+        cluster.count_serving(LARGE) >= 1 && cluster.count_serving(SMALL) >= 1
+    });
+    assert!(took.is_some(), "no groups serve");
+    assert_eq!(cluster.violations, []);
+}
