Wait for no group without a member that has a rank in it

An entry with the name of a group and a rank beyond the group's size kept a leader from forming a group of that model for 4 s at the start: the group had no member, so it counted as one that servers were about to join. It is dissolved at once now, as one of an unknown model is.

Failed before: case_4 of groups_are_formed_and_replaced_beside_an_odd_entry ("the last rank: no groups serve" within 5 s).

--- a/crates/policy/src/assembly/maintain.rs
+++ b/crates/policy/src/assembly/maintain.rs
@@ -30,8 +30,8 @@
         tasks: &mut Vec<Task>,
     ) {
         let members = view.members(group);
-        if group.members.is_empty() {
-            self.dissolve_unconfigured(view, group, now, tasks);
+        if group.members.iter().all(Option::is_none) {
+            self.dissolve_unranked(view, group, now, tasks);
             return;
         }
         let state = |server: &Server| {
@@ -160,8 +160,9 @@
         is_intact
     }
 
-    /// Dissolves a group of a model that is not configured.
-    fn dissolve_unconfigured(
+    /// Dissolves a group none of whose members has a rank in it: its model is not configured, or has
+    /// smaller groups.
+    fn dissolve_unranked(
         &mut self,
         view: &View<'_>,
         group: &Group,
@@ -176,8 +177,13 @@
                 })
             })
             .collect();
+        let cause = if group.members.is_empty() {
+            "the model is not configured"
+        } else {
+            "no member has a rank of the group"
+        };
         for server in members {
-            self.order_leave(server, group, now, "the model is not configured", tasks);
+            self.order_leave(server, group, now, cause, tasks);
         }
     }
 
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -370,6 +370,7 @@
 #[case(OddEntry { name: "the last epoch", group: "large.1.900", epoch: u64::MAX, rank: 0, slots: 26, start_unix_ms: 1 })]
 #[case(OddEntry { name: "an epoch near the last one", group: "large.1.900", epoch: u64::MAX - 1, rank: 0, slots: 26, start_unix_ms: 1 })]
 #[case(OddEntry { name: "a group that no leader made", group: "", epoch: 1 << 63, rank: 0, slots: 26, start_unix_ms: 1 })]
+#[case(OddEntry { name: "the last rank", group: "large.1.900", epoch: 1, rank: u32::MAX, slots: 26, start_unix_ms: 1 })]
 #[case(OddEntry { name: "the most slots and the last start", group: "small.1.900", epoch: 1, rank: 1, slots: u32::MAX, start_unix_ms: u64::MAX })]
 #[case(OddEntry { name: "no slots", group: "small.1.900", epoch: 0, rank: 0, slots: 0, start_unix_ms: 0 })]
 fn groups_are_formed_and_replaced_beside_an_odd_entry(#[case] odd: OddEntry) {
