Sum up the loads of other nodes without an overflow

Two requests at two nodes that state as many prompt tokens as a number holds made a third node's sum of the loads overflow: debug builds ended at the next choice of a group, release builds took the sum for a small one. The numbers come from callers and pass from node to node.

The sums end at the largest number now. Failed before: sum_of_the_largest_loads_is_the_largest_load ("attempt to add with overflow" in peer_load).

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -42,7 +42,7 @@
     /// Returns the number of requests in progress.
     #[must_use]
     pub fn requests(&self) -> u32 {
-        self.own + self.others
+        self.own.saturating_add(self.others)
     }
 }
 
@@ -87,7 +87,7 @@
 /// Estimates the times of a request at a group.
 #[must_use]
 pub fn estimate(engine: &Engine, model: &Model, load: &Load, demand: Demand) -> Estimate {
-    let running = f64::from(load.requests() + 1);
+    let running = f64::from(load.requests()) + 1.0;
     let context = (load.cached as f64 + f64::from(demand.prompt)) / 1_000.0;
     let step = engine.step_ms
         + engine.step_ms_per_request * running.min(f64::from(engine.slots))
@@ -99,7 +99,9 @@
     let slot_wait = gap * f64::from(engine.mean_output_tokens)
         / f64::from(engine.steps_per_pass)
         / f64::from(engine.slots.max(1));
-    let pending = load.pending_prefill + load.others_pending_prefill;
+    let pending = load
+        .pending_prefill
+        .saturating_add(load.others_pending_prefill);
     let first = prefill_ms(engine, pending as f64)
         + prefill_ms(engine, f64::from(demand.prompt))
         + gap
--- a/crates/policy/src/peers.rs
+++ b/crates/policy/src/peers.rs
@@ -120,8 +120,8 @@
             }
             nodes += 1;
             if let Some(share) = report.places.get(&place) {
-                sum.requests += share.requests;
-                sum.unread += share.unread;
+                sum.requests = sum.requests.saturating_add(share.requests);
+                sum.unread = sum.unread.saturating_add(share.unread);
                 sum.suspect |= share.suspect && age <= WARNING;
             }
         }
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -276,3 +276,41 @@
     assert_eq!(model_of(&group_name("a.b", 12, 3)), Some("a.b"));
     assert_eq!(model_of("other"), None);
 }
+
+// Guards against requests that state as many tokens as a number holds, at several nodes at once: the
+// node that summed them up ended, or took the sum for a small one.
+#[test]
+fn sum_of_the_largest_loads_is_the_largest_load() {
+    let mut loads = PeerLoads::default();
+    loads.set_peer_count(2);
+    for node in ["a", "b"] {
+        let share = Share {
+            requests: u32::MAX,
+            unread: u32::MAX,
+            suspect: false,
+        };
+        let report = LoadReport {
+            node: node.into(),
+            places: vec![(1, share)],
+            ..LoadReport::default()
+        };
+        loads.record(report, Instant(0));
+    }
+    let sum = loads.peer_load(1, Instant(10));
+    assert_eq!((sum.requests, sum.unread), (u32::MAX, u32::MAX));
+    let load = Load {
+        own: 1,
+        others: sum.requests,
+        pending_prefill: u64::MAX,
+        others_pending_prefill: u64::from(sum.unread),
+        ..Load::default()
+    };
+    let engine = engine();
+    let estimate = balance::estimate(&engine, &engine.models[0], &load, DEMAND);
+    let small = Load {
+        own: 1,
+        ..Load::default()
+    };
+    let least = balance::estimate(&engine, &engine.models[0], &small, DEMAND);
+    assert!(estimate.first_event > least.first_event, "{estimate:?}");
+}
