Decode the store's items one by one

One item that could not be decoded made its whole page, batch of changes or refused transaction unreadable. Nodes that read it took the store for away and asked for the same again, so they followed neither servers nor configuration as long as the item stood.

Cause: an answer was decoded as a whole, refused transactions even into values of any kind, where one nested more than 128 deep is an error, in a field that nobody reads as well. One that cannot be decoded is an entry without a value, which whoever reads it takes for malformed as it does any other; it is left out if its key or revision cannot be read. Pages go on after the last item, decoded or not.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::{Order, Reply, Report, Server};
 use crate::config::Configuration;
-use crate::errors::Result;
+use crate::errors::{Error, Result};
 use crate::store::{Change, Entry, EraReport};
 use crate::units::{Millis, Rate};
 
@@ -122,6 +122,8 @@
 pub struct Page {
     /// Entries in the order of their keys.
     pub entries: Vec<Entry>,
+    /// Key of the last item, after which the next page begins. It may be one that could not be decoded.
+    pub last: Option<CompactString>,
     /// Whether more entries follow.
     pub more: bool,
     /// Revision of the store at which the page was read.
@@ -152,6 +154,14 @@
         EraReport::default()
     }
 
+    /// Takes what has been found wrong with single items since the last call, each fault once.
+    ///
+    /// An item that cannot be decoded is an entry without a value, or is left out if its key or its
+    /// revision cannot be read.
+    fn take_faults(&self) -> Vec<Error> {
+        Vec::new()
+    }
+
     /// Waits for changes after a revision, at most for the given time.
     ///
     /// # Errors
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -150,6 +150,9 @@
             result = read(&node, &prefix, after, wait) => result,
         };
         node.check_era();
+        for fault in node.parts.change_feed.take_faults() {
+            warn!(node.logger(), "item of the store cannot be decoded"; "error" => %fault);
+        }
         match result {
             Ok(update) => {
                 failures = 0;
@@ -279,9 +282,9 @@
     let revision = page.revision;
     let mut entries = std::mem::take(&mut page.entries);
     while page.more {
-        let last = entries.last().map(|entry| entry.key.clone());
+        let last = page.last.take();
         page = change_feed.page(prefix, last.as_deref()).await?;
-        page.more &= !page.entries.is_empty();
+        page.more &= page.last.is_some();
         entries.append(&mut page.entries);
     }
     Ok(Update::Snapshot(entries, revision))
--- a/crates/gateway/tests/node/store.rs
+++ b/crates/gateway/tests/node/store.rs
@@ -238,11 +238,13 @@
         let state = self.state();
         state.check("list")?;
         let entries = state.entries.values();
+        let entries: Vec<Entry> = entries
+            .filter(|entry| entry.key.starts_with(prefix))
+            .cloned()
+            .collect();
         Ok(Page {
-            entries: entries
-                .filter(|entry| entry.key.starts_with(prefix))
-                .cloned()
-                .collect(),
+            last: entries.last().map(|entry| entry.key.clone()),
+            entries,
             more: false,
             revision: state.current(),
         })
