Treat an odd entry in the same way, however it is read, and log it once

A server whose entry was sound and can no longer be decoded got no more requests from nodes that read the entry as a change or heard of it, but went on to get them from nodes that read all entries, at their start or when the store had compacted its history, for as long as the entry stood. Operators saw nothing of it, since the line was one of debugging; that of a configuration that cannot be decoded came again with each reading.

Cause: a server was missing if its key was not listed, whatever the entry held. An entry that cannot be decoded names no server in either way now.

The changes of sound entries beside odd ones were followed before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::node::Node;
+use crate::oddities::Oddities;
 use crate::registrations;
 
 /// Longest wait of a call for changes after an outage of the store, for entries that must take
@@ -293,6 +294,7 @@
 /// Puts configurations in force as they appear in the store.
 struct Configurations {
     node: Rc<Node>,
+    oddities: Oddities,
 }
 
 impl Configurations {
@@ -301,8 +303,13 @@
             return;
         }
         let value = Bytes::from(entry.value.clone());
-        if let Err(error) = self.node.apply_configuration(value) {
-            warn!(self.node.logger(), "configuration cannot be decoded"; "error" => %error);
+        match self.node.apply_configuration(value) {
+            Ok(()) => self.oddities.forget(&entry.key),
+            Err(error) => {
+                let message = "configuration cannot be decoded";
+                let logger = self.node.logger();
+                self.oddities.tell(logger, message, &entry.key, &error);
+            }
         }
     }
 }
@@ -348,6 +355,7 @@
 pub(crate) fn start(node: &Rc<Node>) {
     let configurations = Configurations {
         node: Rc::clone(node),
+        oddities: Oddities::default(),
     };
     ntex::rt::spawn(follow(Rc::clone(node), configurations));
     let registrations = registrations::Reader::new(node);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod lag;
 mod leader;
 mod limits;
+mod oddities;
 mod peers;
 mod poison;
 mod race;
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -23,6 +23,7 @@
 use crate::follow::Subscriber;
 use crate::limits::Link;
 use crate::node::Node;
+use crate::oddities::Oddities;
 use crate::peers;
 use crate::segment;
 
@@ -268,12 +269,14 @@
 /// Reads the registrations and their changes from the store.
 pub(crate) struct Reader {
     node: Rc<Node>,
+    oddities: Oddities,
 }
 
 impl Reader {
     pub(crate) fn new(node: &Rc<Node>) -> Self {
         Reader {
             node: Rc::clone(node),
+            oddities: Oddities::default(),
         }
     }
 
@@ -283,9 +286,14 @@
 
     fn decode(&self, entry: &Entry) -> Option<Server> {
         match self.node.parts.protocol.decode_server(entry) {
-            Ok(server) => Some(server),
+            Ok(server) => {
+                self.oddities.forget(&entry.key);
+                Some(server)
+            }
             Err(error) => {
-                debug!(self.node.logger(), "registration cannot be decoded"; "error" => %error);
+                let message = "registration cannot be decoded";
+                let logger = self.node.logger();
+                self.oddities.tell(logger, message, &entry.key, &error);
                 None
             }
         }
@@ -295,7 +303,10 @@
     fn convert(&self, change: &Change) -> Option<feed::Change> {
         let (key, revision, state) = match change {
             Change::Put(entry) => (&entry.key, entry.mod_revision, self.decode(entry)),
-            Change::Delete(key, revision) => (key, *revision, None),
+            Change::Delete(key, revision) => {
+                self.oddities.forget(key);
+                (key, *revision, None)
+            }
         };
         Some(feed::Change {
             revision,
@@ -357,11 +368,15 @@
         let registrations = &node.registrations;
         registrations.record_answer(node.now());
         node.refresh_registry();
-        let listed: HashSet<CompactString> = entries
+        let keys: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        self.oddities.retain(|key| keys.contains(key));
+        // An entry that cannot be decoded names no server, as in a change.
+        let servers: Vec<Server> = entries
             .iter()
-            .filter_map(|entry| self.server_id(&entry.key))
-            .map(CompactString::from)
+            .filter_map(|entry| self.decode(entry))
             .collect();
+        let listed: HashSet<CompactString> =
+            servers.iter().map(|server| server.id.clone()).collect();
         let missing = registrations
             .registry
             .borrow()
@@ -370,7 +385,7 @@
             node.unregister(&id);
         }
         let mut has_changed = registrations.forget_unlisted(&listed);
-        for server in entries.iter().filter_map(|entry| self.decode(entry)) {
+        for server in servers {
             has_changed |= registrations.replace_state(&server.id, Some(&server));
             node.register(server, Source::Snapshot);
         }
--- a/crates/gateway/tests/node/freshness.rs
+++ b/crates/gateway/tests/node/freshness.rs
@@ -8,7 +8,7 @@
 use super::cluster::{Cluster, Member};
 
 /// Time within which a configuration must be in force.
-const APPLIED: Duration = Duration::from_secs(2);
+pub(crate) const APPLIED: Duration = Duration::from_secs(2);
 /// Nodes of a cluster; the last one is the one that is looked at.
 const NODES: usize = 3;
 
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod limits;
 mod lines;
+mod odd;
 mod poison;
 mod relay;
 mod restore;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use jackdaw_core::backend::{Order, Reply, Report, Server};
+use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
 use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Protocol};
@@ -38,7 +38,8 @@
 }
 
 /// Minimal protocol for these tests. A registration holds nothing, `draining`, or the time at which
-/// the server started.
+/// the server started; or words of `start:`, `slots:`, `group:`, `epoch:` and `rank:` with their values.
+/// Values that begin with `odd` cannot be decoded.
 pub(crate) struct TestProtocol {
     servers: Vec<Server>,
     routes: Vec<Route>,
@@ -140,6 +141,7 @@
     /// route, and `without-service` removes the service.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
         let text = std::str::from_utf8(value).unwrap_or_default();
+        check_not_odd("configuration", text)?;
         let numbers: Vec<u64> = text
             .split(' ')
             .filter_map(|number| number.parse().ok())
@@ -202,10 +204,14 @@
             .cloned()
             .ok_or_else(|| Error::malformed("read entry", &entry.key, "unknown"))?;
         server.draining = entry.value == b"draining";
-        let start = std::str::from_utf8(&entry.value).ok();
-        if let Some(start_unix_ms) = start.and_then(|text| text.parse().ok()) {
+        let text = std::str::from_utf8(&entry.value).unwrap_or_default();
+        check_not_odd(&entry.key, text)?;
+        if let Ok(start_unix_ms) = text.parse() {
             server.start_unix_ms = start_unix_ms;
         }
+        for word in text.split(' ') {
+            decode_word(&mut server, word);
+        }
         Ok(server)
     }
 
@@ -218,6 +224,36 @@
     }
 }
 
+fn check_not_odd(key: &str, text: &str) -> Result<()> {
+    if text.starts_with("odd") {
+        return Err(Error::malformed("read entry", key, text));
+    }
+    Ok(())
+}
+
+/// Sets the field that a word of a registration names.
+fn decode_word(server: &mut Server, word: &str) {
+    let Some((field, value)) = word.split_once(':') else {
+        return;
+    };
+    let number = || -> u64 { value.parse().expect("the value is a number") };
+    let mut membership = server.membership.take().unwrap_or(Membership {
+        group: String::new().into(),
+        epoch: 0,
+        rank: 0,
+        state: State::Open,
+    });
+    match field {
+        "start" => server.start_unix_ms = number(),
+        "slots" => server.slots = number() as u32,
+        "group" => membership.group = value.into(),
+        "epoch" => membership.epoch = number(),
+        "rank" => membership.rank = number() as u32,
+        _ => panic!("no field is called {field}"),
+    }
+    server.membership = Some(membership);
+}
+
 /// Exporter without metrics.
 struct EmptyExporter;
 
