Receive datagrams that are larger than most

An entry of another writer with a long name, 20,000 bytes in the test, is passed on from node to node in a datagram that receivers cut at 1,400 bytes and could not decode. Since changes are applied in their order, a node that the store turned away at that time learned of no later change of any server. States that leaders tell while the store is away share their datagrams, and were lost with it.

Cause: the bound on what a node sends, so that datagrams are mostly not fragmented, was the size of what it receives as well. A node receives whatever a datagram can hold now. An entry of more than that still makes the nodes read the store.

Failed before: the case long_name of odd_entry_that_nodes_pass_on_costs_no_other ("s0 gets requests", a leaving server). The cases with the largest and smallest numbers passed before and after.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -63,6 +63,9 @@
 const FANOUT: usize = 4;
 /// Largest datagram in bytes, which is not fragmented.
 const MAX_DATAGRAM: usize = 1_400;
+/// Largest datagram in bytes that is received. One state that is larger than others, as an entry of
+/// another writer may be, makes a datagram that is fragmented.
+const MAX_RECEIVED: usize = 64 << 10;
 /// Largest encoded size of a datagram's fields beside its lists in bytes.
 const MAX_HEADER_BYTES: usize = 160;
 /// Largest encoded size of one target's load in bytes.
@@ -459,7 +462,7 @@
 
 async fn receive(peer_addresses: PeerAddresses, socket: Rc<UdpSocket>) {
     let node = &peer_addresses.node;
-    let mut buf = vec![0; MAX_DATAGRAM];
+    let mut buf = vec![0; MAX_RECEIVED];
     loop {
         let (len, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -29,6 +29,8 @@
 /// Part of a path whose run calls a node with a request that ends servers.
 pub(crate) const CALLS: &str = "calls";
 
+/// Largest datagram in bytes.
+const MAX_DATAGRAM: usize = 64 << 10;
 /// Number of connections that wait to be accepted.
 const BACKLOG: i32 = 64;
 
@@ -309,7 +311,7 @@
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
     let address = socket.local_addr().expect("the port is bound");
     thread::spawn(move || {
-        let mut buf = [0; 2_048];
+        let mut buf = vec![0; MAX_DATAGRAM];
         while let Ok((len, sender)) = socket.recv_from(&mut buf) {
             let cut = cut.lock().expect("no test panicked");
             if !cut.contains(&sender) && !cut.contains(&node) {
--- a/crates/gateway/tests/node/odd.rs
+++ b/crates/gateway/tests/node/odd.rs
@@ -189,3 +189,18 @@
     assert_left_out(&cluster, node, "s0");
     assert_changes_are_known(&cluster, node);
 }
+
+// Guards against an entry that makes the datagrams which pass it on unreadable, or whose numbers end
+// the nodes that hear of it: a node that the store turns away would learn of no later change.
+#[rstest]
+#[case::largest_numbers("start:18446744073709551615 slots:4294967295 group:x.1.1 epoch:18446744073709551615 rank:4294967295".to_owned())]
+#[case::smallest_numbers("start:0 slots:0 group: epoch:0 rank:0".to_owned())]
+#[case::long_name(format!("group:{}", "x".repeat(20_000)))]
+fn odd_entry_that_nodes_pass_on_costs_no_other(#[case] value: String) {
+    let cluster = Cluster::start(NODES, 3);
+    let node = &cluster.nodes[NODES - 1];
+    node.feed.is_cut.store(true, Ordering::SeqCst);
+    node.call("r", "/safe/x");
+    cluster.store.put("servers/s2", &value);
+    assert_changes_are_known(&cluster, node);
+}
