Send nothing to a node whose address is none of one host

An entry among those of the nodes, or an introduction in a datagram, with port 0 or the unspecified address counted as another node, with a part in the loads and in the shares of the retry budget. An entry that could not be decoded was logged each time that all nodes were read anew, and its node was forgotten then.

The check of a server's address moves to the core and holds for nodes as well. A known address stays until its entry is gone or states another one, and an odd entry is logged once.

Failed before: node_follows_the_sound_entries_beside_odd_ones with the entries of two nodes ("the line is logged" for them). That a known address stays is not tested.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! explain decisions. It also defines the traits for access to external systems; sibling crates
 //! implement them.
 
+pub mod address;
 pub mod backend;
 pub mod catalog;
 pub mod config;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,13 +5,14 @@
 //! servers. Datagrams are not acknowledged, as a later one replaces a lost one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::{CompactString, format_compact};
+use jackdaw_core::address::is_of_one_host;
 use jackdaw_core::backend::{Membership, Server, State};
-use jackdaw_core::errors::Result;
+use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::store::{Change, Entry, Lease, Transaction, Write};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
@@ -22,13 +23,14 @@
 use jackdaw_policy::relay::{self, Turns};
 use jackdaw_policy::stall::{self, Report};
 use prost::Message;
-use slog::{debug, info, warn};
+use slog::{debug, info};
 use tokio::net::UdpSocket;
 use tokio::time;
 
 use crate::follow::{self, Subscriber};
 use crate::limits;
 use crate::node::Node;
+use crate::oddities::Oddities;
 use crate::poison;
 use crate::segment;
 
@@ -264,6 +266,7 @@
         addresses: Rc::clone(&addresses),
         read_at: Cell::default(),
         started_at: node.now(),
+        oddities: Oddities::default(),
     };
     ntex::rt::spawn(follow::follow(Rc::clone(node), peer_addresses));
     ntex::rt::spawn(keep_registered(Rc::clone(node)));
@@ -272,6 +275,7 @@
         addresses: Rc::clone(&addresses),
         read_at: Cell::default(),
         started_at: node.now(),
+        oddities: Oddities::default(),
     };
     let link = || limits::Link {
         socket: Rc::clone(&socket),
@@ -299,9 +303,11 @@
     /// Time of the store's last answer.
     read_at: Cell<Instant>,
     started_at: Instant,
+    oddities: Oddities,
 }
 
 impl PeerAddresses {
+    /// Adds a node, or leaves the one that is known as it is if its entry cannot be decoded.
     fn insert(&self, entry: &Entry) {
         let Some(name) = entry.key.strip_prefix(PREFIX) else {
             return;
@@ -309,15 +315,17 @@
         if name == self.node.options.node {
             return;
         }
-        let address = std::str::from_utf8(&entry.value)
-            .ok()
-            .and_then(|text| text.parse().ok());
-        match address {
-            Some(address) => {
+        let text = String::from_utf8_lossy(&entry.value);
+        match decode_address(&entry.key, &text) {
+            Ok(address) => {
+                self.oddities.forget(&entry.key);
                 self.addresses.borrow_mut().insert(name.into(), address);
             }
-            None => warn!(self.node.logger(), "address in a node's registration cannot be parsed";
-                "key" => %entry.key),
+            Err(error) => {
+                let message = "address in a node's registration cannot be used";
+                let logger = self.node.logger();
+                self.oddities.tell(logger, message, &entry.key, &error);
+            }
         }
     }
 
@@ -327,12 +335,12 @@
         if is_known || name == self.node.options.node {
             return;
         }
-        match address.parse() {
+        match decode_address(name, address) {
             Ok(address) => {
                 self.addresses.borrow_mut().insert(name.into(), address);
                 self.update_peer_count();
             }
-            Err(error) => debug!(self.node.logger(), "address in a datagram cannot be parsed";
+            Err(error) => debug!(self.node.logger(), "address in a datagram cannot be used";
                 "peer" => name, "error" => %error),
         }
     }
@@ -398,7 +406,12 @@
     fn replace(&mut self, entries: Vec<Entry>, _: u64) {
         self.read_at.set(self.node.now());
         self.node.knows_peers.set(true);
-        self.addresses.borrow_mut().clear();
+        let keys: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let is_listed = |name: &str| keys.contains(format_compact!("{PREFIX}{name}").as_str());
+        self.addresses
+            .borrow_mut()
+            .retain(|name, _| is_listed(name));
+        self.oddities.retain(|key| keys.contains(key));
         for entry in &entries {
             self.insert(entry);
         }
@@ -411,6 +424,7 @@
             match change {
                 Change::Put(entry) => self.insert(&entry),
                 Change::Delete(key, _) => {
+                    self.oddities.forget(&key);
                     if let Some(name) = key.strip_prefix(PREFIX) {
                         self.addresses.borrow_mut().remove(name);
                     }
@@ -421,6 +435,21 @@
     }
 }
 
+/// Decodes the address that a node states.
+///
+/// # Errors
+///
+/// Returns an error if the text is not the address of one host.
+fn decode_address(peer: &str, text: &str) -> Result<SocketAddr> {
+    let malformed =
+        |reason: &dyn ToString| Error::malformed("read node's address", peer, reason.to_string());
+    let address = text.parse().map_err(|error| malformed(&error))?;
+    if !is_of_one_host(address) {
+        return Err(malformed(&format!("{address} is not of one host")));
+    }
+    Ok(address)
+}
+
 /// Registers this node and renews its lease until the node stops.
 async fn keep_registered(node: Rc<Node>) {
     let mut lease: Option<Lease> = None;
--- a/crates/gateway/tests/node/odd.rs
+++ b/crates/gateway/tests/node/odd.rs
@@ -80,7 +80,7 @@
     message: &'static str,
 }
 
-const ODD_ENTRIES: [OddEntry; 4] = [
+const ODD_ENTRIES: [OddEntry; 6] = [
     OddEntry {
         key: "servers/another",
         value: "odd",
@@ -101,6 +101,16 @@
         value: "odd",
         message: "configuration cannot be decoded",
     },
+    OddEntry {
+        key: "jackdawstair/nodes/a",
+        value: "nowhere",
+        message: "address in a node's registration cannot be used",
+    },
+    OddEntry {
+        key: "jackdawstair/nodes/b",
+        value: "0.0.0.0:0",
+        message: "address in a node's registration cannot be used",
+    },
 ];
 
 // Guards against a node that ends, stops following the store, or fills its log because of entries
