Test nodes that start among odd entries

Beside those that a running node reads: entries of servers, nodes and bans, and of keys that begin like the configuration's and the leader's. Bans are read at the start only. Passes on the current code.

--- a/crates/gateway/tests/node/odd.rs
+++ b/crates/gateway/tests/node/odd.rs
@@ -128,7 +128,6 @@
         }
         // The zone's leader, this node, is named under this key.
         node.store.put("jackdawstair/leader/zone", "\0odd");
-        node.store.put("jackdawstair/bans/odd", "odd");
     }
     for odd in ODD_ENTRIES {
         let line = log.wait_for(|line| line.message == odd.message && line.field("key") == odd.key);
@@ -214,3 +213,30 @@
     cluster.store.put("servers/s2", &value);
     assert_changes_are_known(&cluster, node);
 }
+
+// Guards against a node that does not become ready, ends or follows nothing because of what it finds
+// in the store at its start.
+#[test]
+fn node_starts_among_odd_entries() {
+    let mut cluster = Cluster::start(1, 2);
+    for odd in ODD_ENTRIES {
+        if odd.key != "configuration" {
+            cluster.store.put(odd.key, odd.value);
+        }
+    }
+    for (key, value) in [
+        ("configuration/other", "odd"),
+        ("jackdawstair/bans/odd", "1"),
+        ("jackdawstair/bans/00000000000000ff", "odd"),
+        ("jackdawstair/bans/00000000000000fe", "18446744073709551615"),
+        ("jackdawstair/bans/00000000000000fd", "18446744073709551616"),
+        ("jackdawstair/bans/00000000000000fc", "-1 lifted"),
+        ("jackdawstair/leader/zone/other", "\0odd"),
+    ] {
+        cluster.store.put(key, value);
+    }
+    cluster.add_node();
+    assert_changes_are_known(&cluster, &cluster.nodes[1]);
+    assert_changes_are_known(&cluster, &cluster.nodes[0]);
+    cluster.stop_nodes();
+}
