--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,6 +16,7 @@
 use tokio::time;
 
 use crate::node::Node;
+use crate::oddities::Oddities;
 use crate::registrations;
 
 /// Longest wait of a call for changes after an outage of the store, for entries that must take
@@ -150,6 +151,9 @@
             result = read(&node, &prefix, after, wait) => result,
         };
         node.check_era();
+        for fault in node.parts.change_feed.take_faults() {
+            warn!(node.logger(), "item of the store cannot be decoded"; "error" => %fault);
+        }
         match result {
             Ok(update) => {
                 failures = 0;
@@ -279,9 +283,9 @@
     let revision = page.revision;
     let mut entries = std::mem::take(&mut page.entries);
     while page.more {
-        let last = entries.last().map(|entry| entry.key.clone());
+        let last = page.last.take();
         page = change_feed.page(prefix, last.as_deref()).await?;
-        page.more &= !page.entries.is_empty();
+        page.more &= page.last.is_some();
         entries.append(&mut page.entries);
     }
     Ok(Update::Snapshot(entries, revision))
@@ -290,6 +294,7 @@
 /// Puts configurations in force as they appear in the store.
 struct Configurations {
     node: Rc<Node>,
+    oddities: Oddities,
 }
 
 impl Configurations {
@@ -298,8 +303,13 @@
             return;
         }
         let value = Bytes::from(entry.value.clone());
-        if let Err(error) = self.node.apply_configuration(value) {
-            warn!(self.node.logger(), "configuration cannot be decoded"; "error" => %error);
+        match self.node.apply_configuration(value) {
+            Ok(()) => self.oddities.forget(&entry.key),
+            Err(error) => {
+                let message = "configuration cannot be decoded";
+                let logger = self.node.logger();
+                self.oddities.tell(logger, message, &entry.key, &error);
+            }
         }
     }
 }
@@ -345,6 +355,7 @@
 pub(crate) fn start(node: &Rc<Node>) {
     let configurations = Configurations {
         node: Rc::clone(node),
+        oddities: Oddities::default(),
     };
     ntex::rt::spawn(follow(Rc::clone(node), configurations));
     let registrations = registrations::Reader::new(node);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod leader;
 mod limits;
 mod marked;
+mod oddities;
 mod peers;
 mod poison;
 mod race;
