Play links that close connections, which shows streams that end early

The soak's cuts hang or reset a node's connections. A link that closes them as a server does (a proxy that ends, for example) makes streams of all servers end at one node at one moment; that is the pattern of the two streams that the users' record names.

Cause: the servers run on, and new connections are taken before they are reset, so the question whether the server takes a connection says yes.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -95,6 +95,12 @@
     check_play("unframed", 1);
 }
 
+/// Guards against the same where the links of a node close its connections to all servers.
+#[test]
+fn answer_whose_link_was_closed_does_not_look_complete() {
+    check_play("cut-close", 3);
+}
+
 /// Guards against the same where a node that passed the connection on for another one has ended.
 #[test]
 fn answer_whose_relay_has_ended_does_not_look_complete() {
