Continue a stream only with an answer known to continue it

It happened whenever a stream broke off, or its server fell silent, and the next server's answer was a signed success that was no continuation:

- events without a readable number were passed on although the stream numbers its events: pages, documents, `event: error`, a whole head within a body, numbers that are words or beyond 64 bits
- the end of any body read as a stream ended the caller's stream: 204, an empty success without a type, an empty body that only its connection ends, another status, a run that ended before what the caller has
- numbers that repeat or go back within one answer were dropped in silence, so that the events of a second run followed those of the first
- a stream without numbers that broke off was sent once more from its beginning, so that the caller got its events twice

Errors (4xx, 5xx, however they end), other types, answers that are unsigned, encoded or another request's were refused before and still are.

The rule is now one module of policy, continuation. A position (what the caller has) judges each event and each end of a source (one answer). After the head is sent, nothing of an answer is passed on before the event with the next number; each later event has the number after it, only comments and `retry` lines have none. An answer that is not yet known to continue the stream ends it only if its events end with the last one that the caller has, or if it is empty, framed, and of the status and type of the answer that began the stream. A stream with an event without a number cannot be continued, so its request is not sent once more. Whatever else comes is a failed attempt: the next server is asked, or the connection is closed within the stream. The head is judged before the body is read.

What cannot be told: whether an empty framed stream comes from a server that knows where the stream ends, whether a first event is the stream's first, and which run an event with the right number belongs to.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
 use jackdaw_core::outcome::Step;
 use jackdaw_core::protocol::{Answer, Forwarding};
@@ -21,6 +21,7 @@
 use jackdaw_entry::in_flight::{self, Stage};
 use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
+use jackdaw_policy::continuation::{Form, Source};
 use jackdaw_policy::ending::{Framing, Link};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
@@ -66,6 +67,8 @@
     pub(crate) needs_new_connection: bool,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// The answer beside what the caller has.
+    pub(crate) source: Source,
     /// Whether the request was sent to a server before.
     pub(crate) is_repetition: bool,
 }
@@ -103,6 +106,8 @@
     /// Whether another node relays the connection, once there is one.
     pub(crate) is_relayed: bool,
     pub(crate) exposure: Exposure,
+    /// The answer beside what the caller has.
+    pub(crate) source: Source,
     trial: Option<Trial>,
     /// Whether nothing arrived from the server for longer than a time-out.
     pub(crate) is_silent: bool,
@@ -150,6 +155,7 @@
             is_new_connection: true,
             is_relayed: false,
             exposure: Exposure::default(),
+            source: plan.source,
             trial,
             is_silent: false,
             last_activity: node.now(),
@@ -180,6 +186,11 @@
         self.head.as_ref()
     }
 
+    /// Gets what marks the end of the answer, once its head has arrived.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Gets the time of the last bytes from the server, at first the time of sending.
     pub(crate) fn last_activity(&self) -> Instant {
         self.last_activity
@@ -215,6 +226,10 @@
                     let answer = answer.map_err(connection_failure)?;
                     self.record_answer();
                     self.check_head(&answer)?;
+                    let form = form(&answer);
+                    self.source
+                        .receive(form)
+                        .map_err(ExchangeFailure::invalid)?;
                     self.phase = self.receive(connection, answer);
                 }
                 Phase::Streaming(stream) => {
@@ -304,7 +319,7 @@
     /// Begins to read the body of an answer.
     fn receive(&mut self, connection: Connection, answer: Response<Incoming>) -> Phase {
         let (head, body) = answer.into_parts();
-        let is_stream = self.call.route.kind.is_stream() && is_stream(head.status, &head.headers);
+        let is_stream = self.call.route.kind.is_stream() && self.source.is_stream();
         self.framing = ending::framing(&head.headers, &body);
         self.head = Some(AnswerHead {
             status: head.status,
@@ -527,12 +542,10 @@
     }
 }
 
-fn is_stream(status: StatusCode, headers: &HeaderMap) -> bool {
-    status.is_success()
-        && headers
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .is_none_or(|kind| kind.starts_with("text/event-stream"))
+fn form(answer: &Response<Incoming>) -> Form {
+    let content_type = answer.headers().get(CONTENT_TYPE);
+    let content_type = content_type.map(HeaderValue::as_bytes);
+    Form::new(answer.status().as_u16(), content_type)
 }
 
 fn refusal_detail(status: StatusCode, decoded: &Answer) -> String {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -11,6 +11,7 @@
 use jackdaw_entry::in_flight;
 use jackdaw_policy::admission::{self, Latency};
 use jackdaw_policy::balance::{self, Load};
+use jackdaw_policy::continuation::Position;
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
 use jackdaw_policy::reach;
@@ -96,8 +97,8 @@
     index: Rc<Index>,
     request: retry::Request,
     budget: Rc<Budget>,
-    /// Number of the last event that the caller has received.
-    pub(crate) last_delivered: Option<u64>,
+    /// What the caller has of a stream.
+    position: Position,
     /// A server's error answer, delivered if no other server succeeds.
     pub(crate) fallback: Option<BufferedAnswer>,
     reconnect_key: Option<Key>,
@@ -123,7 +124,7 @@
         Dispatch {
             request: retry::Request::new(repeatable, call.deadline)
                 .with_limit(call.route.max_attempts),
-            last_delivered: call.head.last_event,
+            position: Position::new(call.head.last_event),
             node,
             call: Rc::new(call),
             key,
@@ -170,7 +171,8 @@
             // again.
             needs_new_connection: is_once
                 || self.request.was_cut_off_by(&incarnation_name(&target)),
-            last_event: self.last_delivered,
+            last_event: self.last_delivered(),
+            source: self.position.begin(),
             is_repetition: self.failures > 0,
         };
         self.track(|tracked| {
@@ -355,11 +357,13 @@
         match piece {
             Piece::Event(event) => {
                 self.record_event(attempt);
-                let is_new = self.accept_event(&event)?;
+                let is_new = self.accept_event(&event, attempt)?;
                 Ok(is_new.then_some(Piece::Event(event)))
             }
             Piece::End => {
                 self.record_survival(attempt);
+                let checked = self.position.check_end(&attempt.source, attempt.framing());
+                checked.map_err(ExchangeFailure::invalid)?;
                 Ok(Some(Piece::End))
             }
             Piece::Answer(buffered) => {
@@ -380,26 +384,25 @@
         }
     }
 
-    /// Returns whether an event is new to the caller, and records it as delivered.
+    /// Returns whether an event is to be passed on to the caller, and records it as delivered.
     ///
     /// # Errors
     ///
-    /// Returns a failure if the event's number leaves a gap.
-    fn accept_event(&mut self, event: &Event) -> Result<bool, ExchangeFailure> {
-        if let Some(id) = event.id {
-            if let Some(delivered) = self.last_delivered {
-                if id <= delivered {
-                    return Ok(false);
-                }
-                if id > delivered + 1 {
-                    let detail = format!("event {id} came after event {delivered}");
-                    return Err(ExchangeFailure::invalid(detail));
-                }
-            }
-            self.last_delivered = Some(id);
+    /// Returns a failure if the event does not follow what the caller has.
+    fn accept_event(
+        &mut self,
+        event: &Event,
+        attempt: &mut Attempt,
+    ) -> Result<bool, ExchangeFailure> {
+        let accepted = self.position.accept(&mut attempt.source, event.label);
+        let is_new = accepted.map_err(ExchangeFailure::invalid)?;
+        if is_new {
+            self.request.mark_partially_answered();
+        }
+        if !self.position.can_be_continued() {
+            self.request.mark_final();
         }
-        self.request.mark_partially_answered();
-        Ok(true)
+        Ok(is_new)
     }
 
     /// Records a failed attempt as a crash if its server has ended under the request.
@@ -443,7 +446,7 @@
 
     /// Returns whether a server did not run what is left of a stream of which the caller has a part.
     fn is_refused_midway(&self, error: &ExchangeFailure) -> bool {
-        error.fault == Fault::Refused && self.last_delivered > self.call.head.last_event
+        error.fault == Fault::Refused && self.last_delivered() > self.call.head.last_event
     }
 
     /// Returns whether the server of a failed attempt has ended after it had begun to answer.
@@ -553,7 +556,8 @@
         let first_events: Vec<f64> = loads.iter().map(first_event).collect();
         let soonest = first_events.iter().copied().fold(f64::INFINITY, f64::min);
         let left = self.call.deadline.since(self.node.now());
-        if self.last_delivered.is_none() && soonest > left.0 as f64 / FIRST_EVENT_DEADLINE_DIVISOR {
+        if self.last_delivered().is_none() && soonest > left.0 as f64 / FIRST_EVENT_DEADLINE_DIVISOR
+        {
             let detail = format!("the first event would take {soonest:.0} ms of {left}");
             return Err(self.refuse(Reason::Overloaded, OVERLOADED_RETRY_AFTER, detail));
         }
@@ -563,7 +567,7 @@
             .filter(|(_, load)| !load.suspect)
             .map(|(first_event, _)| first_event)
             .collect();
-        if self.failures == 0 && self.last_delivered.is_none() && !healthy.is_empty() {
+        if self.failures == 0 && self.last_delivered().is_none() && !healthy.is_empty() {
             let latency = Latency {
                 expected: healthy.iter().sum::<f64>() / healthy.len() as f64,
                 minimum: first_event(&Load::default()),
@@ -620,6 +624,11 @@
         self.request.is_partially_answered()
     }
 
+    /// Returns the number of the last event that the caller has received.
+    pub(crate) fn last_delivered(&self) -> Option<u64> {
+        self.position.last()
+    }
+
     /// Returns the furthest step that any attempt reached.
     pub(crate) fn furthest(&self) -> Step {
         self.request.furthest()
@@ -698,7 +707,9 @@
     /// Returns the time from which an attempt's server counts as silent, or none if the request may
     /// not be sent again.
     pub(crate) fn silent_at(&self, attempt: &Attempt) -> Option<Instant> {
-        let is_final = !self.call.route.kind.is_repeatable() || !self.request.can_send_again();
+        let is_repeatable =
+            self.call.route.kind.is_repeatable() && self.position.can_be_continued();
+        let is_final = !is_repeatable || !self.request.can_send_again();
         if is_final || attempt.step() < Step::Written {
             return None;
         }
@@ -727,7 +738,7 @@
             "route" => %self.call.route.name,
             "status" => status,
             "failed_attempts" => self.failures,
-            "delivered" => self.last_delivered);
+            "delivered" => self.last_delivered());
     }
 
     /// Records a failed attempt and returns what follows.
@@ -872,7 +883,7 @@
             "configuration" => self.index.configuration().version,
             "registrations_age_ms" => self.node.registrations.age(now).0,
             "candidates" => self.candidate_count,
-            "delivered" => self.last_delivered,
+            "delivered" => self.last_delivered(),
             "age_ms" => now.since(self.call.arrived).0,
             "left_ms" => self.due().since(now).0,
             "retries_left" => self.budget.remaining(),
@@ -887,7 +898,7 @@
             "server" => %attempt.target.server,
             "group" => %attempt.target.group,
             "step" => %attempt.step(),
-            "delivered" => self.last_delivered);
+            "delivered" => self.last_delivered());
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,6 +1,7 @@
 //! Splits a server-sent event stream into complete events without changing its bytes.
 
 use bytes::{Buf, Bytes, BytesMut};
+use jackdaw_policy::continuation::Label;
 
 /// Largest event in bytes; an engine's events hold only a few tokens.
 const MAX_EVENT: usize = 1 << 20;
@@ -8,8 +9,8 @@
 /// One event including the empty line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Event {
-    /// Numeric `id` field, if the event has one.
-    pub(crate) id: Option<u64>,
+    /// Number in the `id` field.
+    pub(crate) label: Label,
     /// Bytes as sent by the server.
     pub(crate) bytes: Bytes,
 }
@@ -52,7 +53,7 @@
         self.scanned_bytes = 0;
         let bytes = self.buffer.copy_to_bytes(end);
         Ok(Some(Event {
-            id: parse_id(&bytes),
+            label: parse_label(&bytes),
             bytes,
         }))
     }
@@ -74,10 +75,27 @@
     }
 }
 
-fn parse_id(event: &[u8]) -> Option<u64> {
-    event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))
-        .and_then(|number| std::str::from_utf8(number).ok())
-        .and_then(|number| number.trim().parse().ok())
+fn parse_label(event: &[u8]) -> Label {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut ids = lines.clone().filter_map(|line| line.strip_prefix(b"id:"));
+    if let Some(id) = ids.next() {
+        // Two different numbers are no number.
+        let is_only = ids.all(|other| other == id);
+        let number = parse_number(id).filter(|_| is_only);
+        return number.map_or(Label::Missing, Label::Number);
+    }
+    match lines.all(is_silent) {
+        true => Label::Silent,
+        false => Label::Missing,
+    }
+}
+
+fn parse_number(id: &[u8]) -> Option<u64> {
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
+
+/// Returns whether a line is a comment or a setting of the connection.
+fn is_silent(line: &[u8]) -> bool {
+    line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:")
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -186,14 +186,14 @@
             "detail" => &refusal.detail,
             "age_ms" => now.since(self.race.dispatch.call.arrived).0,
             "left_ms" => self.race.dispatch.due().since(now).0,
-            "delivered" => self.race.dispatch.last_delivered);
+            "delivered" => self.race.dispatch.last_delivered());
     }
 
     /// Records that an event is handed to the caller's connection.
     fn record_delivery(&self) {
         self.race.dispatch.track(|tracked| {
             tracked.events += 1;
-            tracked.delivered = self.race.dispatch.last_delivered;
+            tracked.delivered = self.race.dispatch.last_delivered();
         });
     }
 
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod configuration;
 mod connection;
+mod continuation;
 mod delivery;
 mod domain;
 mod ending;
--- /dev/null
+++ b/crates/policy/src/continuation.rs
@@ -0,0 +1,290 @@
+//! Decides whether a part of an answer continues a stream of which the caller has a part.
+//!
+//! Once the head of a stream is sent, an answer of another server can only follow it event by event.
+//! Such an answer is known to continue the stream once it brings the event after the last one that the
+//! caller has; until then nothing of it is passed on. An error's text, an empty success or a run that
+//! begins anew has no such event.
+
+use std::fmt;
+
+use crate::ending::Framing;
+
+/// Content type of a stream of events.
+const EVENTS: &str = "text/event-stream";
+
+/// Kind of an answer's body, as its head states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Media {
+    /// A stream of events.
+    Events,
+    /// Something else.
+    Other,
+    /// The head states none.
+    Unstated,
+}
+
+/// What the head of an answer says of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Form {
+    /// HTTP status.
+    pub status: u16,
+    /// Kind of the body.
+    pub media: Media,
+}
+
+impl Form {
+    /// Creates the form of an answer with a status and the bytes of a content type.
+    #[must_use]
+    pub fn new(status: u16, content_type: Option<&[u8]>) -> Self {
+        let media = match content_type {
+            None => Media::Unstated,
+            Some(name) if is_events(name) => Media::Events,
+            Some(_) => Media::Other,
+        };
+        Form { status, media }
+    }
+
+    /// Returns whether the body is to be read as a stream of events.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        // Answers with status 204 or 205 have no body.
+        let has_body = matches!(self.status, 200..=203 | 206..=299);
+        has_body && self.media != Media::Other
+    }
+}
+
+fn is_events(content_type: &[u8]) -> bool {
+    let name = content_type.split(|byte| *byte == b';').next();
+    let name = name.unwrap_or_default().trim_ascii();
+    name.eq_ignore_ascii_case(EVENTS.as_bytes())
+}
+
+/// Number of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Label {
+    /// The event has a number.
+    Number(u64),
+    /// The event has no number, or one that cannot be read.
+    Missing,
+    /// Comments and settings alone, which callers do not take for an event.
+    Silent,
+}
+
+/// Reason why a part of an answer does not follow what the caller has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Objection {
+    /// The answer is not of the form of the one that began the stream.
+    Form(Form),
+    /// An event has no number, and the caller has others.
+    Unnumbered,
+    /// The number of an event is not the one after the previous event of the same answer.
+    Order(u64),
+    /// Events are missing before one with this number.
+    Gap(u64),
+    /// The caller has events without numbers, so that the next one cannot be told.
+    Untold,
+    /// The answer ends before the last event that the caller has.
+    Short,
+    /// The answer has no event, and nothing says that it is a stream with nothing left.
+    Empty,
+}
+
+impl fmt::Display for Objection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Objection::Form(form) => {
+                write!(
+                    f,
+                    "status {} with another body in place of a stream",
+                    form.status
+                )
+            }
+            Objection::Unnumbered => f.write_str("an event of a numbered stream has no number"),
+            Objection::Order(number) => write!(f, "event {number} came out of order"),
+            Objection::Gap(number) => write!(f, "events are missing before event {number}"),
+            Objection::Untold => f.write_str("the stream has no numbers to go on from"),
+            Objection::Short => f.write_str("the stream ended before what the caller has"),
+            Objection::Empty => f.write_str("an empty answer in place of a stream"),
+        }
+    }
+}
+
+/// An answer beside what the caller has when the request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Form of the answer whose head the caller has, if it has one.
+    begun: Option<Form>,
+    form: Option<Form>,
+    /// Number of the latest event of this answer.
+    last: Option<u64>,
+    /// Whether the answer is known to continue what the caller has.
+    is_joined: bool,
+}
+
+impl Source {
+    /// Takes the form of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an objection if the answer cannot continue the stream.
+    pub fn receive(&mut self, form: Form) -> Result<(), Objection> {
+        self.form = Some(form);
+        match self.begun {
+            Some(begun) if !form.is_stream() || form.status != begun.status => {
+                Err(Objection::Form(form))
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    /// Returns whether the body is read as a stream of events.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        self.form.is_some_and(Form::is_stream)
+    }
+
+    /// Takes the number of the next event.
+    fn advance(&mut self, number: u64) -> Result<(), Objection> {
+        let is_next = self
+            .last
+            .is_none_or(|last| last.checked_add(1) == Some(number));
+        self.last = Some(number);
+        match is_next {
+            true => Ok(()),
+            false => Err(Objection::Order(number)),
+        }
+    }
+
+    /// Returns whether an answer without events states that it is a stream, and its own end.
+    fn is_empty_stream(&self, framing: Framing) -> bool {
+        let is_framed = match framing {
+            Framing::Chunks | Framing::Length => true,
+            Framing::Connection => false,
+        };
+        let media = self.form.map(|form| form.media);
+        let is_like = |begun: Form| media == Some(Media::Events) || media == Some(begun.media);
+        is_framed && self.begun.is_none_or(is_like)
+    }
+}
+
+/// What the caller has of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// Form of the answer whose head the caller has.
+    begun: Option<Form>,
+    /// Number of the last event.
+    last: Option<u64>,
+    /// Whether the caller has events without numbers.
+    has_unnumbered: bool,
+}
+
+impl Position {
+    /// Creates the position of a caller that has nothing of this answer; it may have events of an
+    /// earlier one up to a number.
+    #[must_use]
+    pub fn new(last: Option<u64>) -> Self {
+        Position {
+            begun: None,
+            last,
+            has_unnumbered: false,
+        }
+    }
+
+    /// Gets the number of the last event that the caller has.
+    #[must_use]
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether another answer can be known to continue the stream.
+    #[must_use]
+    pub fn can_be_continued(&self) -> bool {
+        !self.has_unnumbered
+    }
+
+    /// Returns the state of an answer to a request that is sent now.
+    #[must_use]
+    pub fn begin(&self) -> Source {
+        Source {
+            begun: self.begun,
+            form: None,
+            last: None,
+            is_joined: false,
+        }
+    }
+
+    /// Takes the next event of an answer, and returns whether it is to be passed on; others repeat what
+    /// the caller has, or come from an answer that is not yet known to continue the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an objection if the event does not follow what the caller has.
+    pub fn accept(&mut self, source: &mut Source, label: Label) -> Result<bool, Objection> {
+        let is_new = match label {
+            Label::Silent => source.is_joined || source.begun.is_none(),
+            Label::Missing => self.accept_unnumbered(source)?,
+            Label::Number(number) => {
+                source.advance(number)?;
+                self.accept_number(source, number)?
+            }
+        };
+        if is_new {
+            source.is_joined |= label != Label::Silent;
+            self.begun = self.begun.or(source.form);
+        }
+        Ok(is_new)
+    }
+
+    fn accept_unnumbered(&mut self, source: &Source) -> Result<bool, Objection> {
+        if self.has_unnumbered && !source.is_joined {
+            return Err(Objection::Untold);
+        }
+        if self.last.is_some() && !self.has_unnumbered {
+            return Err(Objection::Unnumbered);
+        }
+        self.has_unnumbered = true;
+        Ok(true)
+    }
+
+    /// Returns whether an event with a number is new to the caller.
+    fn accept_number(&mut self, source: &Source, number: u64) -> Result<bool, Objection> {
+        if self.has_unnumbered && !source.is_joined {
+            return Err(Objection::Untold);
+        }
+        if let Some(last) = self.last {
+            if number <= last {
+                return Ok(false);
+            }
+            if last.checked_add(1) != Some(number) {
+                return Err(Objection::Gap(number));
+            }
+        }
+        self.last = Some(number);
+        Ok(true)
+    }
+
+    /// Checks whether the end of an answer is the end of the stream.
+    ///
+    /// An answer that is not known to continue the stream ends it only if its events end with the last
+    /// one that the caller has, or if it has none, states its own end and is of the form of the answer
+    /// that began the stream. Whether the server of an empty answer knows where the stream ends cannot
+    /// be told.
+    ///
+    /// # Errors
+    ///
+    /// Returns an objection if it is not.
+    pub fn check_end(&self, source: &Source, framing: Framing) -> Result<(), Objection> {
+        if source.is_joined {
+            return Ok(());
+        }
+        if self.has_unnumbered {
+            return Err(Objection::Untold);
+        }
+        match source.last {
+            Some(_) if source.last == self.last => Ok(()),
+            Some(_) => Err(Objection::Short),
+            None if source.is_empty_stream(framing) => Ok(()),
+            None => Err(Objection::Empty),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod assembly;
 pub mod backoff;
 pub mod balance;
+pub mod continuation;
 pub mod ending;
 pub mod fair;
 pub mod feed;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -304,6 +304,12 @@
         self.has_partial_answer = true;
     }
 
+    /// Records that no other answer can be known to continue the part that the caller has, so that the
+    /// request may not be repeated.
+    pub fn mark_final(&mut self) {
+        self.idempotent = false;
+    }
+
     /// Returns whether the caller has a part of the answer.
     #[must_use]
     pub fn is_partially_answered(&self) -> bool {
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -320,6 +320,25 @@
     prop::collection::vec(any_failure, 1..8)
 }
 
+// Guards against a stream that is sent once more although nothing tells where it would go on.
+#[rstest]
+#[case(Fault::Closed)]
+#[case(Fault::Invalid)]
+#[case(Fault::Silent)]
+fn final_request_is_not_repeated(#[case] fault: Fault) {
+    let mut request = Request::new(true, DEADLINE);
+    request.mark_partially_answered();
+    request.mark_final();
+    let budget = Budget::default();
+    let lost = failure("s0", Step::Answering, fault, Connection::New);
+    let before = budget.remaining();
+    let silence = request.record_silence(&lost, &budget, Instant(0));
+    assert_eq!(silence, Verdict::Wait(Cause::MayHaveRun));
+    let verdict = request.record_failure(&lost, &budget, Instant(0));
+    assert_eq!(verdict, MAY_HAVE_RUN);
+    assert_eq!(budget.remaining(), before);
+}
+
 #[test]
 fn no_sequence_repeats_a_server_or_a_call_that_may_have_run() {
     let config = Config {
