End a stream without events at once

A caller that asks for the rest of a stream whose last event it has gets an empty stream. The relay took the end of such a first answer, forgot it and asked the attempt for the next part, which never came. The server then counted as silent: a stream that may be resumed was sent to a second server, whose events would have followed, and one that may not was held until its deadline and broken off.

The relay now keeps how a stream begins, with an event or with its end.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,6 +39,13 @@
     race: Race,
 }
 
+/// How a stream begins.
+enum First {
+    Event(Event),
+    /// The stream has no events.
+    End,
+}
+
 /// The place of a relay that waits for its caller; it is empty while the next event is read.
 type Slot = Rc<Cell<Option<Relay>>>;
 
@@ -55,8 +62,8 @@
 ) -> Result<Response, Refusal> {
     let mut race = Race::new(dispatch);
     let first = match race.next().await {
-        Ok(Piece::Event(event)) => Some(event),
-        Ok(Piece::End) => None,
+        Ok(Piece::Event(event)) => First::Event(event),
+        Ok(Piece::End) => First::End,
         Ok(Piece::Answer(buffered)) => return Ok(buffered.into_response()),
         Err(refusal) => match race.dispatch.fallback.take() {
             Some(buffered) => return Ok(buffered.into_response()),
@@ -118,18 +125,19 @@
 /// work there, and drops the guard.
 fn stream_body(
     slot: Slot,
-    first: Option<Event>,
+    first: First,
     caller: Option<IoRef>,
     guard: oneshot::Sender<()>,
 ) -> impl futures::Stream<Item = Result<Bytes, io::Error>> {
-    let state = Some((slot, first, caller, guard));
+    let state = Some((slot, Some(first), caller, guard));
     stream::unfold(state, |state| async {
         let (slot, ready, caller, guard) = state?;
         let Some(mut relay) = slot.take() else {
             return Some((Err(abort_connection(caller).await), None));
         };
         let next = match ready {
-            Some(event) => Ok(Some(event)),
+            Some(First::Event(event)) => Ok(Some(event)),
+            Some(First::End) => Ok(None),
             None => relay.next_event().await,
         };
         match next {
--- a/crates/gateway/tests/node/relay.rs
+++ b/crates/gateway/tests/node/relay.rs
@@ -118,6 +118,39 @@
     node.stop();
 }
 
+const EMPTY: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
+const EMPTY_WITH_LENGTH: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ncontent-length: 0\r\n\r\n";
+
+#[derive(Debug)]
+struct EmptyCase {
+    name: &'static str,
+    path: &'static str,
+    script: Script,
+}
+
+// Guards against complete streams without events, such as the rest of one whose last event the caller
+// has, that are taken for silent and sent once more or broken off.
+#[rstest]
+#[case(EmptyCase { name: "in chunks", path: "/stream/x", script: EMPTY })]
+#[case(EmptyCase { name: "with a length", path: "/stream/x", script: EMPTY_WITH_LENGTH })]
+#[case(EmptyCase { name: "that may not be resumed", path: "/fragile/x", script: EMPTY })]
+fn complete_streams_without_events_end(#[case] case: EmptyCase) {
+    let node = Node::start(&[case.script, TWO_THREE_END]);
+    let answer = node.call("POST", case.path);
+    assert!(
+        answer.starts_with("HTTP/1.1 200"),
+        "{}: {answer}",
+        case.name
+    );
+    assert!(
+        answer.ends_with("\r\n\r\n0\r\n\r\n"),
+        "{}: {answer}",
+        case.name
+    );
+    assert_eq!(node.arrived().len(), 1, "{}", case.name);
+    node.stop();
+}
+
 // Guards against a stream under way that is given up although the last server did not run it.
 #[test]
 fn a_stream_under_way_goes_on_after_a_server_that_did_not_run_it() {
