Pass on only what is a completion's next token

The callers' data path of the product took each event with data for the next token.

- Events of a type of their own (`event: error`) are no tokens.
The type was dropped, so that the caller could not even see it.
- Once an event names its answer, an event that names none is no part of it: `{"error": ...}`, a line of text.
- Once an event has a number, an event without one, or with one that is a word or beyond 64 bits, cannot be told to be the next.
- A stream is resumed only by an answer with status 200, since its caller has that; 206 was taken.

Each is a failed attempt, after which the stream is resumed elsewhere or ends with an error event. Errors, other types, no content, and streams without an end marker were refused before, as were numbers that repeat or leave a gap.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -14,9 +14,11 @@
 use jackdaw_core::outcome::Step;
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
+use jackdaw_policy::continuation::{Form, Media};
 use jackdaw_policy::retry::{Connection, ExchangeFailure, Fault};
 use ntex::client::ClientResponse;
-use ntex::http::header::CONTENT_TYPE;
+use ntex::http::StatusCode;
+use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::util::{Bytes, BytesMut};
 
 use crate::buffered::Answer;
@@ -180,6 +182,10 @@
                         Some(sse::Event::Data(number, data)) => {
                             return Poll::Ready(Ok(Piece::Event(number, data)));
                         }
+                        Some(sse::Event::Other) => {
+                            let detail = "an event is no part of a completion";
+                            return Poll::Ready(Err(ExchangeFailure::invalid(detail)));
+                        }
                         Some(sse::Event::Done) => return Poll::Ready(Ok(Piece::End)),
                         None => {}
                     }
@@ -217,16 +223,19 @@
 
     /// Begins to read the body of an answer.
     fn receive(&self, answer: ClientResponse) -> Result<Phase, ExchangeFailure> {
-        if self.call.streamed && is_stream(&answer) {
+        let is_stream = self.call.streamed && is_stream(&answer);
+        let is_resumed = self.source.start() > 0;
+        // Callers get streams with status 200.
+        if is_resumed && !(is_stream && answer.status() == StatusCode::OK) {
+            let detail = format!("status {} came in place of a stream", answer.status());
+            return Err(ExchangeFailure::invalid(detail));
+        }
+        if is_stream {
             return Ok(Phase::Streaming(Box::new(Stream {
                 answer,
                 parser: Parser::default(),
             })));
         }
-        if self.source.start() > 0 {
-            let detail = format!("status {} came in place of a stream", answer.status());
-            return Err(ExchangeFailure::invalid(detail));
-        }
         Ok(Phase::Collecting(Box::new(Body {
             answer,
             bytes: BytesMut::new(),
@@ -256,8 +265,7 @@
 
 fn is_stream(answer: &ClientResponse) -> bool {
     let content_type = answer.headers().get(CONTENT_TYPE);
-    answer.status().is_success()
-        && content_type
-            .and_then(|value| value.to_str().ok())
-            .is_some_and(|value| value.starts_with("text/event-stream"))
+    let content_type = content_type.map(HeaderValue::as_bytes);
+    let form = Form::new(answer.status().as_u16(), content_type);
+    form.is_stream() && form.media == Media::Events
 }
--- a/crates/entry/src/sequence.rs
+++ b/crates/entry/src/sequence.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Sequence {
     delivered: u64,
+    /// Whether the caller has numbered events.
+    is_numbered: bool,
     /// Answer id that the caller sees.
     caller_id: Option<CompactString>,
 }
@@ -56,7 +58,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a failure if the event is out of order or belongs to another answer.
+    /// Returns a failure if the event is out of order, belongs to another answer, or lacks the number or
+    /// the answer id that the events before it have.
     pub(crate) fn accept(
         &mut self,
         source: &mut Source,
@@ -67,11 +70,20 @@
             let detail = format!("token {} was expected, {number:?} came", self.delivered);
             return Err(ExchangeFailure::invalid(detail));
         }
+        if self.is_numbered && number.is_none() {
+            return Err(ExchangeFailure::invalid(
+                "an event of a numbered stream has no number",
+            ));
+        }
         let data = match parse_id(&data) {
+            None if self.caller_id.is_some() => {
+                return Err(ExchangeFailure::invalid("an event names no answer"));
+            }
             None => data,
             Some(id) => self.check_id(source, &id, data)?,
         };
         self.delivered += 1;
+        self.is_numbered |= number.is_some();
         Ok(data)
     }
 
--- a/crates/entry/src/sse.rs
+++ b/crates/entry/src/sse.rs
@@ -4,6 +4,8 @@
 
 /// Data of the event that ends a stream of completions.
 const DONE_MARKER: &[u8] = b"[DONE]";
+/// Type of the events of a completion, which is the one of events that state none.
+const DATA_TYPE: &[u8] = b"message";
 /// Maximum size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -15,6 +17,8 @@
 pub(crate) enum Event {
     /// Data of an event, with its id if the server numbers its events.
     Data(Option<u64>, Bytes),
+    /// An event of a type of its own, which is no part of a completion.
+    Other,
     /// The marker that ends the stream.
     Done,
 }
@@ -78,6 +82,7 @@
 fn parse_event(lines: &[u8]) -> Option<Event> {
     let mut data: Option<Bytes> = None;
     let mut number = None;
+    let mut is_other = false;
     for line in lines.split(|byte| *byte == b'\n') {
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         if let Some(value) = field_value(line, b"id:") {
@@ -85,6 +90,9 @@
                 .ok()
                 .and_then(|text| text.parse().ok());
         }
+        if let Some(value) = field_value(line, b"event:") {
+            is_other = !value.is_empty() && value != DATA_TYPE;
+        }
         if let Some(value) = field_value(line, b"data:") {
             data = Some(match data {
                 None => Bytes::copy_from_slice(value),
@@ -93,6 +101,9 @@
         }
     }
     let data = data?;
+    if is_other {
+        return Some(Event::Other);
+    }
     if &data[..] == DONE_MARKER {
         return Some(Event::Done);
     }
