Name no header of the platform in a test of streams

Only platform/ knows the platform's names. The case about an event with a first line of another name needs any name; its check is unchanged (the 16 cases of answers_that_continue_a_stream_complete_it pass).

--- a/crates/gateway/tests/node/continuation.rs
+++ b/crates/gateway/tests/node/continuation.rs
@@ -246,7 +246,7 @@
 #[case(Case { name: "a type with a parameter", second: Answer { headers: "content-type: Text/Event-Stream; charset=utf-8\r\n", ..stream(&[THREE]) }, ..CONTINUED })]
 #[case(Case { name: "comments", second: stream(&[PING, THREE, PING]), body: &[ONE, TWO, THREE, PING], ..CONTINUED })]
 #[case(Case { name: "a time to reconnect", second: stream(&["retry: 500\n\n", THREE]), ..CONTINUED })]
-#[case(Case { name: "a changed version", second: stream(&["x-jackdawstair-weight-versions: 4\nid: 3\ndata: three\n\n"]), body: &[ONE, TWO, "x-jackdawstair-weight-versions: 4\nid: 3\ndata: three\n\n"], ..CONTINUED })]
+#[case(Case { name: "a changed version", second: stream(&["weight-versions: 4\nid: 3\ndata: three\n\n"]), body: &[ONE, TWO, "weight-versions: 4\nid: 3\ndata: three\n\n"], ..CONTINUED })]
 #[case(Case { name: "an error event with the next number", second: stream(&[NAMED_THREE]), body: &[ONE, TWO, NAMED_THREE], ..CONTINUED })]
 #[case(Case { name: "other line ends", second: stream(&["id:3\r\ndata: three\r\n\r\n"]), body: &[ONE, TWO, "id:3\r\ndata: three\r\n\r\n"], ..CONTINUED })]
 #[case(Case { name: "nothing that is left", ..ENDED })]
