--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
 use jackdaw_core::outcome::Step;
 use jackdaw_core::protocol::{Answer, Forwarding};
@@ -22,6 +22,7 @@
 use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::answer::{self, Claim, Named};
+use jackdaw_policy::continuation::{Form, Source};
 use jackdaw_policy::ending::{Doubt, Ending, Framing, Link, Verdict};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::poison::Suspicion;
@@ -67,6 +68,8 @@
     pub(crate) needs_new_connection: bool,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// The answer beside what the caller has.
+    pub(crate) source: Source,
     /// Whether the request was sent to a server before.
     pub(crate) is_repetition: bool,
 }
@@ -112,6 +115,8 @@
     /// Way to the server, once there is a connection.
     link: Link,
     pub(crate) exposure: Exposure,
+    /// The answer beside what the caller has.
+    pub(crate) source: Source,
     trial: Option<Trial>,
     /// Whether nothing arrived from the server for longer than a time-out.
     pub(crate) is_silent: bool,
@@ -121,8 +126,6 @@
     sent_at: Instant,
     reservation: Option<Reservation>,
     head: Option<AnswerHead>,
-    /// Number of the last event that has arrived.
-    last_event: Option<u64>,
     /// What marks the end of the answer, once its head has arrived.
     framing: Framing,
     phase: Phase,
@@ -161,13 +164,13 @@
             is_new_connection: true,
             link: Link::Direct,
             exposure: Exposure::default(),
+            source: plan.source,
             trial,
             is_silent: false,
             last_activity: node.now(),
             sent_at: node.now(),
             reservation: None,
             head: None,
-            last_event: None,
             framing: Framing::Connection,
             phase: Phase::Connecting(Box::pin(connecting)),
         }
@@ -192,9 +195,9 @@
         self.head.as_ref()
     }
 
-    /// Gets the number of the last event that has arrived from the server.
-    pub(crate) fn last_event(&self) -> Option<u64> {
-        self.last_event
+    /// Gets what marks the end of the answer, once its head has arrived.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Gets the time of the last bytes from the server, at first the time of sending.
@@ -234,13 +237,16 @@
                     let answer = answer.map_err(connection_failure)?;
                     self.record_answer();
                     self.check_head(&answer)?;
+                    let form = form(&answer);
+                    self.source
+                        .receive(form)
+                        .map_err(ExchangeFailure::invalid)?;
                     self.phase = self.receive(connection, answer);
                 }
                 Phase::Streaming(stream) => {
                     let next = stream.splitter.next();
                     let next = next.map_err(|_| ExchangeFailure::invalid("an event is too large"));
                     if let Some(event) = next? {
-                        self.last_event = event.id.or(self.last_event);
                         return Poll::Ready(Ok(Piece::Event(event)));
                     }
                     let frame = ready!(Pin::new(&mut stream.body).poll_frame(cx));
@@ -338,7 +344,7 @@
     /// Begins to read the body of an answer.
     fn receive(&mut self, connection: Connection, answer: Response<Incoming>) -> Phase {
         let (head, body) = answer.into_parts();
-        let is_stream = self.call.route.kind.is_stream() && is_stream(head.status, &head.headers);
+        let is_stream = self.call.route.kind.is_stream() && self.source.is_stream();
         self.framing = ending::framing(&head.headers, &body);
         self.head = Some(AnswerHead {
             status: head.status,
@@ -610,12 +616,10 @@
     }
 }
 
-fn is_stream(status: StatusCode, headers: &HeaderMap) -> bool {
-    status.is_success()
-        && headers
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .is_none_or(|kind| kind.starts_with("text/event-stream"))
+fn form(answer: &Response<Incoming>) -> Form {
+    let content_type = answer.headers().get(CONTENT_TYPE);
+    let content_type = content_type.map(HeaderValue::as_bytes);
+    Form::new(answer.status().as_u16(), content_type)
 }
 
 fn refusal_detail(status: StatusCode, decoded: &Answer) -> String {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod assembly;
 pub mod backoff;
 pub mod balance;
+pub mod continuation;
 pub mod ending;
 pub mod fair;
 pub mod feed;
