Ask a server again through other nodes while there is time

Cause: the node that was asked for a connection to the server had just been killed, or was cut off itself. That the server cannot be asked says nothing of it. It is asked again within the same time.

--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -17,6 +17,8 @@
 
 /// Longest time for the answer of a server that is asked whether it runs.
 const ANSWER_TIMEOUT: Millis = Millis(400);
+/// Pause before a server is asked again through other nodes.
+const RETRY_PAUSE: Millis = Millis(20);
 
 /// Counter of the answers that have ended without an error.
 #[derive(Debug)]
@@ -96,7 +98,18 @@
             };
             return ending::check_report(&report, target.born, &target.group);
         }
-        let status = time::timeout(ANSWER_TIMEOUT.duration(), self.ask(target, link)).await;
+        let asked = async {
+            loop {
+                match self.ask(target, link).await {
+                    // Nodes that pass connections on come and go, which says nothing of the server.
+                    Err(Fault::NotSent(_)) if link != Link::Direct => {
+                        time::sleep(RETRY_PAUSE.duration()).await;
+                    }
+                    status => return status,
+                }
+            }
+        };
+        let status = time::timeout(ANSWER_TIMEOUT.duration(), asked).await;
         match status {
             Ok(Ok(StatusCode::MISDIRECTED_REQUEST)) => Err(Doubt::Restart),
             Ok(Ok(_)) if self.is_registered(target) => Ok(()),
