Take an empty answer whose end is proved for the rest of a stream

Complete streams without a length were cut: their server, or the node that passed them on, ended just after the last event, the end was doubted, and the server that was asked for the rest answered with an empty stream that ended with its connection, which was refused as empty.

Cause: policy::continuation asked for chunks or a length, as the end of a connection proved nothing when it was written. Such an end now reaches it only after the server was asked (policy::ending), as for a stream with events. A first answer that is empty is still had from another server.

--- a/crates/policy/src/continuation.rs
+++ b/crates/policy/src/continuation.rs
@@ -157,13 +157,14 @@
 
     /// Returns whether an answer without events states that it is a stream, and its own end.
     fn is_empty_stream(&self, framing: Framing) -> bool {
-        let is_framed = match framing {
+        let is_ended = match framing {
             Framing::Chunks | Framing::Length => true,
-            Framing::Connection => false,
+            // The server was asked whether it runs. A first answer is better had from another one.
+            Framing::Connection => self.begun.is_some(),
         };
         let media = self.form.map(|form| form.media);
         let is_like = |begun: Form| media == Some(Media::Events) || media == Some(begun.media);
-        is_framed && self.begun.is_none_or(is_like)
+        is_ended && self.begun.is_none_or(is_like)
     }
 }
 
