Answer probes in one place in the tests of a node

The scripted servers of support and those of framing each answered the request by which a node asks whether a server runs, with the same bytes written twice. Both call answer_probe now. One difference: a server of framing whose node has left ends at its next read instead of at the write.

--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -14,7 +14,7 @@
 
 use super::store::MemoryStore;
 use super::support::{
-    PROBE, Process, TIMEOUT, exchange, options, parts, read_message, request, server,
+    Process, TIMEOUT, answer_probe, exchange, options, parts, read_message, request, server,
 };
 
 /// Deadline of the requests.
@@ -147,11 +147,7 @@
     fn serve(&self, mut stream: TcpStream, listener: &TcpListener, ended: &OnceLock<End>) {
         let mut reader = BufReader::new(stream.try_clone().expect("a descriptor is free"));
         while let Some((head, _)) = read_message(&mut reader) {
-            if head.starts_with(PROBE) {
-                let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
-                if stream.write_all(answer.as_bytes()).is_err() {
-                    return;
-                }
+            if answer_probe(&mut stream, &head) {
                 continue;
             }
             let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -291,8 +291,15 @@
 /// Place of a script for the bytes that [`Servers::fill`] sets.
 pub(crate) const FILL: &str = "FILL";
 
-/// Begin of a request that belongs to no caller and that servers answer without running it.
-pub(crate) const PROBE: &str = "GET / ";
+/// Answers a request that belongs to no caller, which servers do not run; returns false for others.
+pub(crate) fn answer_probe(stream: &mut TcpStream, head: &str) -> bool {
+    let is_probe = head.starts_with("GET / ");
+    if is_probe {
+        // The node may have given the probe up.
+        let _ = stream.write_all(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n");
+    }
+    is_probe
+}
 
 /// Bytes that a scripted server writes for one request; `ID` stands for the request's identity. The
 /// server then closes the connection, unless the script ends with [`HOLD`] or [`KEEP`].
@@ -429,10 +436,7 @@
     fn serve(&self, stream: TcpStream, address: SocketAddr, connection: usize) {
         let mut reader = BufReader::new(stream);
         while let Some((mut head, _)) = read_message(&mut reader) {
-            if head.starts_with(PROBE) {
-                let answer = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n";
-                // The node may have given the probe up.
-                let _ = reader.get_mut().write_all(answer.as_bytes());
+            if answer_probe(reader.get_mut(), &head) {
                 continue;
             }
             head.push_str(&format!("server: {address}\nsocket: {connection}\n"));
