Log what an order's number of accepted orders relies on

An order's line has known_by, known_ms and group now, and one line tells of the servers whose group such a reading has changed. Nothing is decided differently.

Checked: cargo check of the gateway and its tests.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -11,7 +11,7 @@
 use jackdaw_core::store::{Change, Committed, Compare, Entry, Lease, Transaction, Write};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Fence, Millis};
-use jackdaw_policy::assembly::{self, Planner, Task, View};
+use jackdaw_policy::assembly::{self, Knowledge, Planner, Task, View};
 use jackdaw_policy::grace_period::{self, GracePeriod};
 use jackdaw_policy::lease::{Action, Election, Event, Options};
 use slog::{info, warn};
@@ -301,11 +301,15 @@
     let (shared, node) = (Rc::clone(shared), Rc::clone(node));
     ntex::rt::spawn(async move {
         match task {
-            Task::Order { order, cause } => {
+            Task::Order {
+                order,
+                cause,
+                knowledge,
+            } => {
                 let sent = node.now();
                 let reply = node.parts.orders.order(&order).await;
                 let now = node.now();
-                log_order(&node, &order, cause, &reply, now.since(sent));
+                log_order(&node, &order, cause, &knowledge, &reply, now.since(sent));
                 node.histograms
                     .record_order(order.command.label(), now.since(sent));
                 if let (Command::Leave { .. }, Ok(Reply::Done)) = (&order.command, &reply) {
@@ -336,7 +340,14 @@
     });
 }
 
-fn log_order(node: &Node, order: &Order, cause: &'static str, reply: &Result<Reply>, took: Millis) {
+fn log_order(
+    node: &Node,
+    order: &Order,
+    cause: &'static str,
+    knowledge: &Knowledge,
+    reply: &Result<Reply>,
+    took: Millis,
+) {
     let outcome = match reply {
         Ok(reply) => format!("{reply:?}"),
         Err(error) => error.to_string(),
@@ -344,6 +355,9 @@
     info!(node.logger(), "order given";
         "server" => %order.server,
         "after" => order.accepted_orders,
+        "known_by" => knowledge.basis.label(),
+        "known_ms" => knowledge.age.0,
+        "group" => knowledge.group.as_deref(),
         "command" => order.command.label(),
         "target" => ?order.command,
         "cause" => cause,
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use jackdaw_core::backend::Server;
 use jackdaw_core::store::{Change, Entry};
 use jackdaw_core::time::Instant;
@@ -33,6 +33,8 @@
 const MAX_AGE_EIGHTHS: u64 = 3;
 /// Divisor of that bound by which the nodes' reads differ.
 const JITTER_DIVISOR: u64 = 16;
+/// Number of servers named in one line of the log.
+const MAX_LOGGED_CHANGES: usize = 8;
 /// Longest wait of other nodes' calls for changes.
 const WAIT: Millis = Millis(1_000);
 
@@ -315,6 +317,30 @@
         })
     }
 
+    /// Logs the known servers whose registrations, read anew, show another group than was known.
+    fn log_changed_groups(&self, servers: &[Server]) {
+        let fleet = self.node.fleet.borrow();
+        let group = |server: &Server| {
+            let membership = server.membership.as_ref();
+            membership.map_or("none".into(), |membership| membership.group.clone())
+        };
+        let changes: Vec<CompactString> = servers
+            .iter()
+            .filter_map(|server| {
+                let known = fleet.server(&server.id)?;
+                let is_same = known.start_unix_ms == server.start_unix_ms;
+                let (before, after) = (group(known), group(server));
+                (is_same && before != after)
+                    .then(|| format_compact!("{} {before} {after}", server.id))
+            })
+            .collect();
+        if !changes.is_empty() {
+            info!(self.node.logger(), "registrations read anew show other groups than were known";
+                "servers" => changes.len(),
+                "first" => changes[..changes.len().min(MAX_LOGGED_CHANGES)].join(", "));
+        }
+    }
+
     /// Returns the times after which this node reads the store itself.
     fn options(&self) -> feed::Options {
         let drain = self.node.options.drain;
@@ -385,6 +411,7 @@
             node.unregister(&id);
         }
         let mut has_changed = registrations.forget_unlisted(&listed);
+        self.log_changed_groups(&servers);
         for server in servers {
             has_changed |= registrations.replace_state(&server.id, Some(&server));
             node.register(server, Source::Snapshot);
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -71,6 +71,40 @@
     until: Instant,
 }
 
+/// What a server's number of accepted orders relies on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// Nothing: a server without a group and weights has most likely accepted none.
+    Assumption,
+    /// The reply to an order of this leader.
+    Reply,
+    /// A report of the server.
+    Report,
+}
+
+impl Basis {
+    /// Gets the name in logs.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Basis::Assumption => "assumption",
+            Basis::Reply => "reply",
+            Basis::Report => "report",
+        }
+    }
+}
+
+/// What a planner knew of a server when it decided on an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Knowledge {
+    /// What the number of accepted orders relies on.
+    pub basis: Basis,
+    /// Age of that number.
+    pub age: Millis,
+    /// Group in the fleet.
+    pub group: Option<CompactString>,
+}
+
 /// State of a server that its registration does not hold.
 #[derive(Clone, Debug, Default)]
 struct Record {
@@ -83,6 +117,8 @@
     free_since: Option<Instant>,
     /// Number of orders that the server has accepted, if known.
     accepted_orders: Option<u64>,
+    /// What that number relies on, and the time at which it became known.
+    known_by: Option<(Basis, Instant)>,
     /// Group in the report that stated that number, if it came from a report.
     reported_group: Option<Option<CompactString>>,
     /// Whether an order was issued before.
@@ -127,6 +163,8 @@
         order: Order,
         /// Reason for the order.
         cause: &'static str,
+        /// What was known of the server.
+        knowledge: Knowledge,
     },
     /// Request a server's report, which states its group and the orders that it has accepted.
     Query {
@@ -265,6 +303,7 @@
         let Some(record) = self.records.get_mut(&order.server) else {
             return;
         };
+        record.known_by = Some((Basis::Reply, now));
         // After a refused order, the next one waits for a newer registration.
         let pause = match reply {
             Ok(Reply::Begun) => {
@@ -313,6 +352,7 @@
                 self.pending.remove(server);
                 if let Some(record) = self.records.get_mut(server) {
                     record.accepted_orders = Some(report.accepted_orders);
+                    record.known_by = Some((Basis::Report, now));
                     let membership = report.membership.as_ref();
                     record.reported_group = Some(membership.map(|known| known.group.clone()));
                 }
@@ -449,7 +489,18 @@
             });
             return;
         };
+        let record = self.records.get(&server.id);
+        let known_by = record.and_then(|record| record.known_by);
+        let (basis, since) = known_by.unwrap_or((Basis::Assumption, now));
         tasks.push(Task::Order {
+            knowledge: Knowledge {
+                basis,
+                age: now.since(since),
+                group: server
+                    .membership
+                    .as_ref()
+                    .map(|membership| membership.group.clone()),
+            },
             order: Order {
                 server: server.id.clone(),
                 address: server.address,
