Test leaders whose registrations are older than their orders, which fails

What is shown: a leader takes a server for free by a registration from before its own orders, and names the number of accepted orders that it has counted from their replies, so the server accepts.

Servers of the assembly tests may crash and start again under their names, break groups that lack a member, and state a somewhat older state in their reports. A store with heartbeats, lapses, lost history and copies stands between them and the leaders, which read it through the registry as nodes do. Tables of known courses and random disturbances check that no server joins another group while its own serves or stands still, and that servers that can serve do so in time.

No source is changed.

--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -1,11 +1,12 @@
 //! Simulated model engines of one availability zone, with their registrations and leaders.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::backend::{Command, Membership, Order, Reply, Report, Server, State};
 use jackdaw_core::config::{Engine, Model};
-use jackdaw_core::errors::Error;
+use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Millis, Tokens};
 use jackdaw_policy::assembly::{Options, Planner, Task, View};
@@ -17,11 +18,13 @@
 pub(crate) const LARGE: &str = "large";
 pub(crate) const SMALL: &str = "small";
 /// Step of the simulated time.
-const STEP: Millis = Millis(50);
+pub(crate) const STEP: Millis = Millis(50);
 /// Time until a change of a server appears in its registration.
 const REGISTRATION_LAG: Millis = Millis(300);
 /// Time until the registration of a dead server expires.
 const REGISTRATION_TTL: Millis = Millis(3_000);
+/// Time for which states of servers are kept for their reports.
+const REPORT_MEMORY: Millis = Millis(1_000);
 
 /// Faults on the way of orders and replies.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,9 +37,19 @@
     pub(crate) seed: u64,
 }
 
+/// State of a server at a time, as its reports state it later.
+#[derive(Clone, Debug)]
+struct Past {
+    at: Instant,
+    accepted_orders: u64,
+    membership: Option<Membership>,
+}
+
 #[derive(Clone, Debug)]
 struct Host {
     domain: CompactString,
+    address: SocketAddr,
+    start_unix_ms: u64,
     accepted_orders: u64,
     /// Highest epoch of a join.
     epoch: u64,
@@ -54,6 +67,27 @@
     isolated_since: Option<Instant>,
     /// Time at which closing began; it ends after a second.
     closed_at: Option<Instant>,
+    /// Time since which the group of this first member has lacked a member.
+    incomplete_since: Option<Instant>,
+    /// States since the start, oldest first.
+    past: VecDeque<Past>,
+}
+
+/// Outcome of a planner's call to a server.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    Order(Order, Result<Reply>),
+    Report(CompactString, Result<Report>),
+}
+
+impl Answer {
+    /// Passes the outcome to the planner that made the call.
+    pub(crate) fn record(&self, planner: &mut Planner, now: Instant) {
+        match self {
+            Answer::Order(order, reply) => planner.record_reply(order, reply, now),
+            Answer::Report(server, report) => planner.record_report(server, report, now),
+        }
+    }
 }
 
 /// Violation of a safety rule.
@@ -61,7 +95,8 @@
 pub(crate) enum Violation {
     /// A group was opened although a member had never been ready.
     OpenedUnready(CompactString),
-    /// A server joined another group while the first member of its own group served.
+    /// A server joined another group while the first member of its own group served, or stood still
+    /// and was not broken yet.
     JoinedWhileServing(CompactString),
 }
 
@@ -74,15 +109,24 @@
     pub(crate) stalled: BTreeSet<CompactString>,
     /// Whether no server's report reaches the leaders.
     pub(crate) is_cut: bool,
+    /// Servers whose reports do not reach the leaders.
+    pub(crate) muted: BTreeSet<CompactString>,
     pub(crate) leaders: Vec<Planner>,
     pub(crate) violations: Vec<Violation>,
     pub(crate) loads: usize,
+    /// Time after which a group that lacks a member is broken; `None` if its first member goes on.
+    pub(crate) stall_time: Option<Millis>,
+    /// Age of the state in a server's report.
+    pub(crate) report_age: Millis,
+    /// Whether the servers' registrations go to a store instead of the cluster's fleet.
+    pub(crate) has_store: bool,
+    pub(crate) faults: Faults,
     hosts: BTreeMap<CompactString, Host>,
     were_ready: BTreeSet<(CompactString, CompactString)>,
     members: BTreeMap<CompactString, Vec<CompactString>>,
     pending_registrations: Vec<(Instant, CompactString, Option<Server>)>,
-    delayed_orders: Vec<(Instant, Order)>,
-    faults: Faults,
+    /// Orders that are executed late, with the start of the process that has received them.
+    delayed_orders: Vec<(Instant, Order, Option<u64>)>,
     sent_orders: u64,
     next_fence: u64,
 }
@@ -130,15 +174,19 @@
             has_traffic: false,
             stalled: BTreeSet::new(),
             is_cut: false,
+            muted: BTreeSet::new(),
             leaders: Vec::new(),
             violations: Vec::new(),
             loads: 0,
+            stall_time: None,
+            report_age: Millis(0),
+            has_store: false,
+            faults,
             hosts: BTreeMap::new(),
             were_ready: BTreeSet::new(),
             members: BTreeMap::new(),
             pending_registrations: Vec::new(),
             delayed_orders: Vec::new(),
-            faults,
             sent_orders: 0,
             next_fence: 1,
         };
@@ -166,6 +214,8 @@
     pub(crate) fn add_server(&mut self, id: &str, domain: &str) {
         let host = Host {
             domain: domain.into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            start_unix_ms: 1,
             accepted_orders: 0,
             epoch: 0,
             membership: None,
@@ -179,6 +229,8 @@
             is_stuck: false,
             isolated_since: None,
             closed_at: None,
+            incomplete_since: None,
+            past: VecDeque::new(),
         };
         self.hosts.insert(id.into(), host);
         self.register(&id.into());
@@ -221,12 +273,23 @@
 
     /// Adds a leader beside the existing ones.
     pub(crate) fn add_leader(&mut self) {
+        let planner = self.create_planner();
+        self.leaders.push(planner);
+    }
+
+    /// Creates the planner of a leader that is elected now.
+    pub(crate) fn create_planner(&mut self) -> Planner {
         let options = Options {
             zone: ZONE.into(),
             ..Options::default()
         };
-        self.leaders.push(Planner::new(options, self.next_fence));
+        Planner::new(options, self.draw_fence())
+    }
+
+    /// Returns the fencing number of a leader that is elected now.
+    pub(crate) fn draw_fence(&mut self) -> u64 {
         self.next_fence += 1;
+        self.next_fence - 1
     }
 
     /// Kills a server for good.
@@ -236,6 +299,82 @@
         }
     }
 
+    /// Ends a server's process; its group is lost with it.
+    pub(crate) fn crash(&mut self, id: &str) {
+        let now = self.now;
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.dead_since = Some(now);
+            host.membership = None;
+        }
+    }
+
+    /// Starts a crashed server again, under its own name or a new one; the weights in its memory stay.
+    pub(crate) fn start(&mut self, id: &str, new_id: Option<&str>) {
+        let Some(host) = self.hosts.remove(id) else {
+            return;
+        };
+        let host = Host {
+            start_unix_ms: self.now.0,
+            accepted_orders: 0,
+            epoch: 0,
+            membership: None,
+            model: None,
+            last_model: None,
+            staging: None,
+            dead_since: None,
+            closed_at: None,
+            incomplete_since: None,
+            past: VecDeque::new(),
+            ..host
+        };
+        self.hosts.insert(new_id.unwrap_or(id).into(), host);
+    }
+
+    /// Gives each server an address of its own.
+    pub(crate) fn assign_addresses(&mut self) {
+        for (host, port) in self.hosts.values_mut().zip(1..) {
+            host.address = ([127, 0, 0, 1], port).into();
+        }
+    }
+
+    /// Returns the names of the servers that run, or of those that have crashed.
+    pub(crate) fn servers(&self, is_running: bool) -> Vec<CompactString> {
+        let hosts = self.hosts.iter();
+        hosts
+            .filter(|(_, host)| host.dead_since.is_none() == is_running)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Returns the members of the groups that serve, by the servers' own states.
+    pub(crate) fn serving(&self) -> Vec<(CompactString, Vec<CompactString>)> {
+        let groups = self.members.iter();
+        groups
+            .filter(|(group, members)| {
+                self.head_state(group) == Some(State::Open) && self.is_complete(group, members)
+            })
+            .map(|(group, members)| (group.clone(), members.clone()))
+            .collect()
+    }
+
+    /// Returns whether a server joins a group of a model without a load.
+    pub(crate) fn is_warm(&self, id: &str, model: &str) -> bool {
+        self.hosts.get(id).is_some_and(|host| {
+            let mut models = host.last_model.iter().chain(&host.staged);
+            models.any(|known| known == model)
+        })
+    }
+
+    /// Returns whether each member of a group runs and has not left it.
+    fn is_complete(&self, group: &str, members: &[CompactString]) -> bool {
+        members.iter().all(|id| {
+            self.hosts.get(id).is_some_and(|host| {
+                let membership = host.membership.as_ref();
+                host.dead_since.is_none() && membership.is_some_and(|known| known.group == group)
+            })
+        })
+    }
+
     /// Keeps the free server that would be the first replacement in a model's group from ever becoming
     /// ready.
     pub(crate) fn block_first_spare(&mut self, model: &str) {
@@ -360,84 +499,119 @@
     }
 
     fn plan(&mut self, leader: usize) {
+        let mut planner = self.leaders.remove(leader);
+        let fleet = std::mem::take(&mut self.fleet);
+        for answer in self.run_planner(&mut planner, &fleet) {
+            answer.record(&mut planner, self.now);
+        }
+        self.fleet = fleet;
+        self.leaders.insert(leader, planner);
+    }
+
+    /// Makes the calls that a planner requests by a fleet, and returns their outcomes.
+    pub(crate) fn run_planner(&mut self, planner: &mut Planner, fleet: &Fleet) -> Vec<Answer> {
         let view = View {
-            fleet: &self.fleet,
+            fleet,
             service: SERVICE,
             engine: &self.engine,
             has_traffic: self.has_traffic,
             stalled: &self.stalled,
         };
-        let tasks = self.leaders[leader].plan(&view, self.now);
-        for task in tasks {
-            match task {
-                Task::Order { order, .. } => self.send_order(leader, &order),
-                Task::Query { server, .. } => {
-                    let report = match self.hosts.get(&server) {
-                        Some(host) if host.dead_since.is_none() && !self.is_cut => Ok(Report {
-                            start_unix_ms: None,
-                            accepted_orders: host.accepted_orders,
-                            membership: host.membership.clone(),
-                        }),
-                        _ => Err(Error::unreachable("read report", &server, "dead")),
-                    };
-                    self.leaders[leader].record_report(&server, &report, self.now);
-                }
+        let tasks = planner.plan(&view, self.now);
+        let calls = tasks.into_iter().map(|task| match task {
+            Task::Order { order, .. } => {
+                let reply = self.send_order(&order);
+                Answer::Order(order, reply)
             }
-        }
-    }
-
-    fn send_order(&mut self, leader: usize, order: &Order) {
+            Task::Query { server, address } => {
+                let report = self.report(&server, address);
+                Answer::Report(server, report)
+            }
+        });
+        calls.collect()
+    }
+
+    /// Reads a server's report, which is somewhat old.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server does not run at the address, or if no report arrives.
+    pub(crate) fn report(&self, id: &str, address: SocketAddr) -> Result<Report> {
+        let host = self.hosts.get(id).filter(|host| {
+            host.dead_since.is_none()
+                && host.address == address
+                && !self.is_cut
+                && !self.muted.contains(id)
+        });
+        let host = host.ok_or_else(|| Error::unreachable("read report", id, "dead"))?;
+        let mut past = host.past.iter().rev();
+        let past = past.find(|past| self.now.since(past.at) >= self.report_age);
+        let past = past.filter(|_| self.report_age > Millis(0));
+        Ok(Report {
+            start_unix_ms: Some(host.start_unix_ms),
+            accepted_orders: past.map_or(host.accepted_orders, |past| past.accepted_orders),
+            membership: match past {
+                Some(past) => past.membership.clone(),
+                None => host.membership.clone(),
+            },
+        })
+    }
+
+    /// Sends an order and returns the reply as it arrives.
+    fn send_order(&mut self, order: &Order) -> Result<Reply> {
         self.sent_orders += 1;
         let is_due = |every: Option<u64>| {
             every.is_some_and(|every| (self.sent_orders + self.faults.seed).is_multiple_of(every))
         };
+        let unanswered = || Error::indeterminate("send order", &order.server, "no answer");
         if is_due(self.faults.delay_every) {
             let delay = 2_000 + (self.sent_orders * 1_337 + self.faults.seed * 7_919) % 10_000;
+            let start = self.start_unix_ms(&order.server);
             self.delayed_orders
-                .push((self.now + Millis(delay), order.clone()));
-            let failure = Err(Error::indeterminate(
-                "send order",
-                &order.server,
-                "no answer",
-            ));
-            self.leaders[leader].record_reply(order, &failure, self.now);
-            return;
+                .push((self.now + Millis(delay), order.clone(), start));
+            return Err(unanswered());
         }
         let is_unanswered = is_due(self.faults.lose_reply_every);
         let reply = self.execute(order);
-        let reply = match reply {
+        match reply {
             Some(reply) if !is_unanswered => Ok(reply),
-            Some(_) => Err(Error::indeterminate(
-                "send order",
-                &order.server,
-                "no answer",
-            )),
+            Some(_) => Err(unanswered()),
             None => Err(Error::unreachable("send order", &order.server, "dead")),
-        };
-        self.leaders[leader].record_reply(order, &reply, self.now);
+        }
     }
 
-    fn execute_delayed(&mut self) {
+    pub(crate) fn execute_delayed(&mut self) {
         let now = self.now;
         let (due, rest) = self
             .delayed_orders
             .drain(..)
-            .partition(|(at, _)| *at <= now);
+            .partition(|(at, ..)| *at <= now);
         self.delayed_orders = rest;
-        let due: Vec<(Instant, Order)> = due;
-        for (_, order) in due {
-            self.execute(&order);
+        let due: Vec<_> = due;
+        for (_, order, start) in due {
+            if self.start_unix_ms(&order.server) == start {
+                self.execute(&order);
+            }
         }
     }
 
+    fn start_unix_ms(&self, id: &str) -> Option<u64> {
+        self.hosts.get(id).map(|host| host.start_unix_ms)
+    }
+
     fn execute(&mut self, order: &Order) -> Option<Reply> {
-        let host = self.hosts.get(&order.server)?;
+        let Some(host) = self.hosts.get(&order.server) else {
+            let mut hosts = self.hosts.values();
+            let is_used = self.has_store && hosts.any(|host| host.address == order.address);
+            return is_used.then_some(Reply::OtherServer);
+        };
         if host.dead_since.is_some() || host.isolated_since.is_some() {
             return None;
         }
         if host.accepted_orders != order.accepted_orders {
             return Some(Reply::Conflict);
         }
+        let before = host.membership.clone();
         let reply = match &order.command {
             Command::Join {
                 group,
@@ -450,8 +624,10 @@
             Command::Leave { group, .. } => self.leave(&order.server, group),
             Command::Stage { model } => self.stage(&order.server, model),
         };
-        if !matches!(reply, Reply::Conflict | Reply::Outdated) {
-            let host = self.hosts.get_mut(&order.server)?;
+        let host = self.hosts.get_mut(&order.server)?;
+        // An order whose state already holds begins nothing.
+        let is_held = self.has_store && reply == Reply::Done && host.membership == before;
+        if !is_held && !matches!(reply, Reply::Conflict | Reply::Outdated) {
             host.accepted_orders = host.accepted_orders.wrapping_add(1);
             self.register(&order.server);
         }
@@ -476,6 +652,20 @@
         if epoch < host.epoch {
             return Reply::Outdated;
         }
+        let membership = host.membership.as_ref();
+        let is_member =
+            membership.is_some_and(|known| known.group == *group && known.epoch == epoch);
+        if self.has_store && is_member {
+            let is_same = self
+                .members
+                .get(group)
+                .is_some_and(|known| known == members);
+            return if is_same {
+                Reply::Done
+            } else {
+                Reply::Outdated
+            };
+        }
         if let Some(former) = host
             .membership
             .as_ref()
@@ -534,6 +724,9 @@
             Some(membership) if membership.group == *group && membership.state == State::Ready => {
                 membership.state = State::Open;
             }
+            Some(membership) if membership.group == *group && membership.state == State::Open => {
+                return Reply::Done;
+            }
             Some(_) | None => return Reply::Conflict,
         }
         if is_unready {
@@ -552,6 +745,9 @@
                 host.closed_at = Some(now);
                 Reply::Begun
             }
+            Some(membership) if membership.group == *group && membership.state == State::Ready => {
+                Reply::Done
+            }
             Some(_) | None => Reply::Conflict,
         }
     }
@@ -585,8 +781,9 @@
         Reply::Begun
     }
 
-    fn advance_hosts(&mut self) {
+    pub(crate) fn advance_hosts(&mut self) {
         let now = self.now;
+        self.break_groups();
         let mut changed = Vec::new();
         for (id, host) in &mut self.hosts {
             if host.dead_since.is_some() {
@@ -619,6 +816,15 @@
         for id in changed {
             self.register(&id);
         }
+        let hosts = self.hosts.values_mut();
+        for host in hosts.filter(|_| self.report_age > Millis(0)) {
+            host.past.retain(|past| now.since(past.at) < REPORT_MEMORY);
+            host.past.push_back(Past {
+                at: now,
+                accepted_orders: host.accepted_orders,
+                membership: host.membership.clone(),
+            });
+        }
         let expired: Vec<CompactString> = self
             .hosts
             .iter()
@@ -634,29 +840,64 @@
         self.fleet.refresh_absent(now);
     }
 
-    /// Registers a server's state, which becomes visible after a lag.
-    fn register(&mut self, id: &CompactString) {
-        let Some(host) = self
-            .hosts
-            .get(id)
-            .filter(|host| host.isolated_since.is_none())
-        else {
+    /// Breaks the groups that have lacked a member for some time.
+    fn break_groups(&mut self) {
+        let Some(stall_time) = self.stall_time else {
             return;
         };
-        let server = Server {
-            id: id.clone(),
+        let now = self.now;
+        for (group, members) in &self.members {
+            let is_complete = self.is_complete(group, members);
+            let Some(head) = members.first().and_then(|head| self.hosts.get_mut(head)) else {
+                continue;
+            };
+            let Some(membership) = head.membership.as_mut().filter(|known| {
+                known.group == *group && matches!(known.state, State::Open | State::Closing)
+            }) else {
+                continue;
+            };
+            if is_complete {
+                head.incomplete_since = None;
+                continue;
+            }
+            let since = *head.incomplete_since.get_or_insert(now);
+            if now.since(since) >= stall_time {
+                membership.state = State::Broken;
+                head.incomplete_since = None;
+            }
+        }
+    }
+
+    /// Returns the state that a server would register now, if it runs.
+    pub(crate) fn state(&self, id: &str) -> Option<Server> {
+        let host = self.hosts.get(id)?;
+        host.dead_since.is_none().then(|| Server {
+            id: id.into(),
             service: SERVICE.into(),
-            address: ([127, 0, 0, 1], 1).into(),
+            address: host.address,
             zone: ZONE.into(),
             draining: host.is_draining,
             slots: 26,
-            start_unix_ms: 1,
+            start_unix_ms: host.start_unix_ms,
             domain: host.domain.clone(),
             staged: host.staged.iter().cloned().collect(),
             membership: host.membership.clone(),
-        };
-        self.pending_registrations
-            .push((self.now + REGISTRATION_LAG, id.clone(), Some(server)));
+        })
+    }
+
+    /// Registers a server's state, which becomes visible after a lag.
+    fn register(&mut self, id: &CompactString) {
+        let host = self.hosts.get(id);
+        if self.has_store || host.is_none_or(|host| host.isolated_since.is_some()) {
+            return;
+        }
+        if let Some(server) = self.state(id) {
+            self.pending_registrations.push((
+                self.now + REGISTRATION_LAG,
+                id.clone(),
+                Some(server),
+            ));
+        }
     }
 
     fn apply_registrations(&mut self) {
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -1,6 +1,9 @@
 //! Formation of replica groups under server losses, late orders, leader changes and two leaders.
 
 mod cluster;
+mod explorer;
+mod site;
+mod store;
 
 use cluster::{Cluster, Faults, LARGE, SMALL};
 use jackdaw_core::units::Millis;
