Give orders only by registrations that show the server's own last state

Its streams were cut off.

Cause: an order names how many orders the server has accepted, and the server refuses it if the number differs. The number came from the replies to the leader's own orders, while the group that the order was decided from came from a registration, and nothing said that both belonged to one state. Registrations that are read anew, after the store has dropped its history or come back from a copy, may be older than the replies. The leader then took members of open groups for free and proved to them, with the right number, that it knew their state. Only a number from a report was compared with the registration.

Change: the planner keeps the number of accepted orders together with the group and epoch that the same answer told, of a reply as of a report. It gives an order only if the registration shows that group and epoch; otherwise it asks the server, at most twice a second, until both agree. A server whose own answer tells of a group is not free, whatever its registration says. A report of another incarnation than the registered one tells nothing. A leader that is elected again asks each server before its first order to it.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -105,6 +105,65 @@
     pub group: Option<CompactString>,
 }
 
+/// State in which a server was after a number of accepted orders.
+///
+/// Both come from the server's own answers. Registrations may be older than them, so an order is
+/// decided only from a registration that shows the same group.
+#[derive(Clone, Debug)]
+struct Known {
+    accepted_orders: u64,
+    group: Option<Assignment>,
+    basis: Basis,
+    at: Instant,
+}
+
+impl Known {
+    /// Returns the state after the reply that an order was carried out, if the reply tells it.
+    fn after(self, command: &Command, reply: Reply, now: Instant) -> Option<Known> {
+        let group = match (command, reply) {
+            (Command::Join { group, epoch, .. }, Reply::Begun | Reply::Done) => Some(Assignment {
+                group: group.clone(),
+                epoch: *epoch,
+            }),
+            (Command::Leave { .. }, Reply::Begun | Reply::Done) => None,
+            (
+                Command::Open { .. } | Command::Close { .. } | Command::Stage { .. },
+                Reply::Begun,
+            ) => self.group,
+            // A server that was in that state already may not have counted the order.
+            (_, Reply::Done | Reply::Conflict | Reply::Outdated | Reply::OtherServer) => {
+                return None;
+            }
+        };
+        Some(Known {
+            accepted_orders: self.accepted_orders.checked_add(1)?,
+            group,
+            basis: Basis::Reply,
+            at: now,
+        })
+    }
+}
+
+/// Group and epoch of a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Assignment {
+    group: CompactString,
+    epoch: u64,
+}
+
+impl Assignment {
+    fn of(membership: &Membership) -> Self {
+        Assignment {
+            group: membership.group.clone(),
+            epoch: membership.epoch,
+        }
+    }
+
+    fn of_server(server: &Server) -> Option<Self> {
+        server.membership.as_ref().map(Assignment::of)
+    }
+}
+
 /// State of a server that its registration does not hold.
 #[derive(Clone, Debug, Default)]
 struct Record {
@@ -115,12 +174,8 @@
     group: Option<CompactString>,
     /// Time since which the server is in no group.
     free_since: Option<Instant>,
-    /// Number of orders that the server has accepted, if known.
-    accepted_orders: Option<u64>,
-    /// What that number relies on, and the time at which it became known.
-    known_by: Option<(Basis, Instant)>,
-    /// Group in the report that stated that number, if it came from a report.
-    reported_group: Option<Option<CompactString>>,
+    /// Latest state that is known from the server itself.
+    state: Option<Known>,
     /// Whether an order was issued before.
     was_ordered: bool,
     /// Time at which this leader saw the first registration.
@@ -253,8 +308,13 @@
     }
 
     /// Sets the fencing number after the same node was elected again.
+    ///
+    /// Another leader may have given orders meanwhile, so servers are queried before their next order.
     pub fn set_fence(&mut self, fence: u64) {
         self.fence = fence;
+        for record in self.records.values_mut() {
+            record.state = None;
+        }
     }
 
     /// Returns the orders and queries to send now.
@@ -288,6 +348,7 @@
             now.since(formation.since) < order_timeout
                 || groups.iter().any(|group| group.name == *name)
         });
+        self.query_contradicted(view, now, &mut tasks);
         if self.is_settled(view, now) {
             self.form(view, &groups, now, &mut tasks);
             self.stage(view, &groups, now, &mut tasks);
@@ -303,34 +364,34 @@
         let Some(record) = self.records.get_mut(&order.server) else {
             return;
         };
-        record.known_by = Some((Basis::Reply, now));
+        // An answer that arrived meanwhile is about another number of orders.
+        let known = record
+            .state
+            .take()
+            .filter(|known| known.accepted_orders == order.accepted_orders);
         // After a refused order, the next one waits for a newer registration.
         let pause = match reply {
-            Ok(Reply::Begun) => {
-                record.accepted_orders = order.accepted_orders.checked_add(1);
-                record.reported_group = None;
-                self.options.order_timeout
-            }
-            Ok(Reply::Done) => {
-                // An order that takes effect at once counts as accepted; if the server was in that
-                // state already, it refuses the next order and is queried.
-                record.accepted_orders = order.accepted_orders.checked_add(1);
-                record.reported_group = None;
-                REFRESH_TIME
-            }
-            Ok(Reply::Conflict | Reply::OtherServer) => {
-                record.accepted_orders = None;
-                REFRESH_TIME
+            Ok(reply @ (Reply::Begun | Reply::Done)) => {
+                record.state = known.and_then(|known| known.after(&order.command, *reply, now));
+                if *reply == Reply::Begun {
+                    self.options.order_timeout
+                } else {
+                    REFRESH_TIME
+                }
             }
+            Ok(Reply::Conflict | Reply::OtherServer) => REFRESH_TIME,
             Ok(Reply::Outdated) => {
+                record.state = known;
                 if let Command::Join { epoch, .. } = &order.command {
                     self.min_epoch = self.min_epoch.max(epoch + EPOCH_STEP);
                 }
                 REFRESH_TIME
             }
-            Err(Error::Unreachable { .. } | Error::Refused { .. }) => REFRESH_TIME,
+            Err(Error::Unreachable { .. } | Error::Refused { .. }) => {
+                record.state = known;
+                REFRESH_TIME
+            }
             Err(Error::Indeterminate { .. } | Error::Malformed { .. }) => {
-                record.accepted_orders = None;
                 self.options.order_timeout
             }
         };
@@ -338,29 +399,41 @@
     }
 
     /// Records a server's report, or the failure to get it.
+    ///
+    /// A server whose report differs from its registration is queried again after a while.
     pub fn record_report(&mut self, server: &str, report: &Result<Report>, now: Instant) {
+        let start = self.records.get(server).map(|record| record.start_unix_ms);
+        // Another incarnation may have taken the name since the registration.
+        let report = report.as_ref().ok();
+        let own = report.filter(|report| {
+            report
+                .start_unix_ms
+                .is_none_or(|reported| start.is_none_or(|start| start == reported))
+        });
         if let Some(check) = self.checks.get_mut(server) {
-            let membership = report
-                .as_ref()
-                .ok()
-                .and_then(|report| report.membership.as_ref());
+            let membership = own.and_then(|report| report.membership.as_ref());
             check.is_member = Some(membership.is_some_and(|known| known.group == check.group));
         }
-        self.queries.record(server, report.is_ok());
-        match report {
-            Ok(report) => {
-                self.pending.remove(server);
-                if let Some(record) = self.records.get_mut(server) {
-                    record.accepted_orders = Some(report.accepted_orders);
-                    record.known_by = Some((Basis::Report, now));
-                    let membership = report.membership.as_ref();
-                    record.reported_group = Some(membership.map(|known| known.group.clone()));
-                }
+        self.queries.record(server, report.is_some());
+        let group = own.map(|report| report.membership.as_ref().map(Assignment::of));
+        if let Some(record) = self.records.get_mut(server) {
+            if let Some(report) = own {
+                record.state = Some(Known {
+                    accepted_orders: report.accepted_orders,
+                    group: group.clone().flatten(),
+                    basis: Basis::Report,
+                    at: now,
+                });
+            } else if report.is_some() {
+                record.state = None;
             }
-            Err(_) => {
-                if let Some(pending) = self.pending.get_mut(server) {
-                    pending.until = now + REFRESH_TIME;
-                }
+        }
+        if let Some(pending) = self.pending.get_mut(server) {
+            let registered = pending.membership.as_ref().map(Assignment::of);
+            if group == Some(registered) {
+                self.pending.remove(server);
+            } else {
+                pending.until = now + REFRESH_TIME;
             }
         }
     }
@@ -473,66 +546,91 @@
         if self.pending.contains_key(&server.id) {
             return;
         }
-        self.pending.insert(
-            server.id.clone(),
-            Pending {
-                start_unix_ms: server.start_unix_ms,
-                membership: server.membership.clone(),
-                staged: server.staged.clone(),
-                until: now + self.options.order_timeout,
-            },
-        );
-        let Some(accepted_orders) = self.accepted_orders(server) else {
-            tasks.push(Task::Query {
-                server: server.id.clone(),
-                address: server.address,
-            });
+        let Some(known) = self.known_state(server, now) else {
+            self.query(server, now, tasks);
             return;
         };
-        let record = self.records.get(&server.id);
-        let known_by = record.and_then(|record| record.known_by);
-        let (basis, since) = known_by.unwrap_or((Basis::Assumption, now));
+        self.await_effect(server, now);
         tasks.push(Task::Order {
             knowledge: Knowledge {
-                basis,
-                age: now.since(since),
-                group: server
-                    .membership
-                    .as_ref()
-                    .map(|membership| membership.group.clone()),
+                basis: known.basis,
+                age: now.since(known.at),
+                group: known.group.map(|assignment| assignment.group),
             },
             order: Order {
                 server: server.id.clone(),
                 address: server.address,
-                accepted_orders,
+                accepted_orders: known.accepted_orders,
                 command,
             },
             cause,
         });
     }
 
-    /// Returns how many orders a server has accepted, if known.
+    /// Queries a server; it gets no orders until it has answered.
+    fn query(&mut self, server: &Server, now: Instant, tasks: &mut Vec<Task>) {
+        self.await_effect(server, now);
+        tasks.push(Task::Query {
+            server: server.id.clone(),
+            address: server.address,
+        });
+    }
+
+    /// Gives a server no orders until its state changes or the time for that is over.
+    fn await_effect(&mut self, server: &Server, now: Instant) {
+        let pending = Pending {
+            start_unix_ms: server.start_unix_ms,
+            membership: server.membership.clone(),
+            staged: server.staged.clone(),
+            until: now + self.options.order_timeout,
+        };
+        self.pending.insert(server.id.clone(), pending);
+    }
+
+    /// Returns a server's state with the number of orders that led to it, if its registration shows that
+    /// state.
     ///
-    /// A server without a group and weights has most likely accepted none; otherwise it refuses the
+    /// A server without a group and weights has most likely accepted no orders; otherwise it refuses the
     /// order and is queried.
-    fn accepted_orders(&mut self, server: &Server) -> Option<u64> {
+    fn known_state(&mut self, server: &Server, now: Instant) -> Option<Known> {
         let record = self.records.entry(server.id.clone()).or_default();
         let is_new = record.group.is_none() && server.staged.is_empty() && !record.was_ordered;
         record.was_ordered = true;
-        if record.accepted_orders.is_none() && is_new {
-            return Some(0);
+        if record.state.is_none() && is_new {
+            record.state = Some(Known {
+                accepted_orders: 0,
+                group: None,
+                basis: Basis::Assumption,
+                at: now,
+            });
+        }
+        let registered = Assignment::of_server(server);
+        record
+            .state
+            .clone()
+            .filter(|known| known.group == registered)
+    }
+
+    /// Returns whether a server's own answers show another group than its registration.
+    fn is_contradicted(&self, server: &Server) -> bool {
+        let state = self
+            .records
+            .get(&server.id)
+            .and_then(|record| record.state.as_ref());
+        state.is_some_and(|known| known.group != Assignment::of_server(server))
+    }
+
+    /// Queries the servers without a registered group that were in a group by their own last answer, so
+    /// that they are free again once they have left it.
+    fn query_contradicted(&mut self, view: &View<'_>, now: Instant, tasks: &mut Vec<Task>) {
+        let contradicted: Vec<&Server> = self
+            .servers(view)
+            .filter(|server| server.membership.is_none() && self.is_contradicted(server))
+            .filter(|server| !self.pending.contains_key(&server.id))
+            .collect();
+        for server in contradicted {
+            self.query(server, now, tasks);
         }
-        // The number may count an order whose effect is not registered yet; an order that was decided
-        // without that effect must not be carried out.
-        let group = server
-            .membership
-            .as_ref()
-            .map(|membership| &membership.group);
-        let is_ahead = record
-            .reported_group
-            .as_ref()
-            .is_some_and(|reported| reported.as_ref() != group);
-        record.accepted_orders.filter(|_| !is_ahead)
     }
 }
 
--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -61,6 +61,7 @@
                 || server.membership.is_some()
                 || self.pending.contains_key(&server.id)
                 || self.is_assigned(&server.id)
+                || self.is_contradicted(server)
                 || last_group.is_some_and(|group| serving.contains(group))
             {
                 continue;
--- a/crates/policy/tests/assembly/site.rs
+++ b/crates/policy/tests/assembly/site.rs
@@ -186,6 +186,8 @@
     /// Former leader that does not know of the next one yet, with the time at which it will.
     former: Option<(usize, Instant)>,
     writers: BTreeMap<CompactString, Writer>,
+    /// Whether another node has come to lead, which does not know the servers' former groups.
+    pub(crate) has_new_leader: bool,
 }
 
 impl Site {
@@ -212,6 +214,7 @@
             leader: 0,
             former: None,
             writers: BTreeMap::new(),
+            has_new_leader: false,
         }
     }
 
@@ -376,6 +379,7 @@
         }
         self.former = Some((self.leader, now + overlap));
         self.leader = 1 - self.leader;
+        self.has_new_leader = true;
         self.nodes[self.leader].planner = Some(self.cluster.create_planner());
     }
 
