Count no order whose state already held

Servers answer an order whose state already holds with "done", and count only orders that begin something. The leader counted each such reply, and was one ahead of its server then; once another leader's order had made the numbers equal, a late order of the first one was carried out. The simulated servers counted them as well, so no test showed it.

Change: after "done" the number is unknown and the server is asked, except after an order to leave the group that its own last answer named, which has taken effect.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -121,7 +121,7 @@
     /// Returns the state after the reply that an order was carried out, if the reply tells it.
     fn after(self, command: &Command, reply: Reply, now: Instant) -> Option<Known> {
         let group = match (command, reply) {
-            (Command::Join { group, epoch, .. }, Reply::Begun | Reply::Done) => Some(Assignment {
+            (Command::Join { group, epoch, .. }, Reply::Begun) => Some(Assignment {
                 group: group.clone(),
                 epoch: *epoch,
             }),
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -627,7 +627,7 @@
         };
         let host = self.hosts.get_mut(&order.server)?;
         // An order whose state already holds begins nothing.
-        let is_held = self.has_store && reply == Reply::Done && host.membership == before;
+        let is_held = reply == Reply::Done && host.membership == before;
         if !is_held && !matches!(reply, Reply::Conflict | Reply::Outdated) {
             host.accepted_orders = host.accepted_orders.wrapping_add(1);
             self.register(&order.server);
@@ -656,7 +656,7 @@
         let membership = host.membership.as_ref();
         let is_member =
             membership.is_some_and(|known| known.group == *group && known.epoch == epoch);
-        if self.has_store && is_member {
+        if is_member {
             let is_same = self
                 .members
                 .get(group)
