Keep what servers have reported when an entry that is not newer is read again

Callers saw: groups that had been formed while the store was away got no requests for up to a heartbeat after it was back.

The entries of servers that had joined and opened groups during the outage were those from before it.

Change: the registry knows the revision of each server's entry that it applied last. An entry that is not newer, of the same incarnation, leaves the membership as it is known. Revisions are forgotten when the store comes back from a copy, in which they may be given out again; what a copy's entries say of groups is applied as before, and orders are guarded by the servers' own answers.

Failed before: groups_formed_while_the_store_was_away_go_on_when_registrations_ are_read_anew, two of three cases (the leader's targets were gone 0.25 s after the return).

--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -172,8 +172,9 @@
 
     /// Applies a change and returns whether anything changed.
     fn apply_change(&self, change: feed::Change) -> bool {
+        let revision = change.revision;
         match change.state {
-            Some(server) => self.register(server, Source::Change),
+            Some(server) => self.register(server, Source::Change { revision }),
             None => self.unregister(&change.server),
         }
     }
@@ -317,21 +318,27 @@
         })
     }
 
-    /// Logs the known servers whose registrations, read anew, show another group than was known.
-    fn log_changed_groups(&self, servers: &[Server]) {
+    /// Returns the incarnations and groups of the servers of groups.
+    fn groups(&self) -> Vec<(CompactString, u64, Option<CompactString>)> {
         let fleet = self.node.fleet.borrow();
-        let group = |server: &Server| {
-            let membership = server.membership.as_ref();
-            membership.map_or("none".into(), |membership| membership.group.clone())
-        };
-        let changes: Vec<CompactString> = servers
+        let engines = fleet.servers().filter(|server| !server.domain.is_empty());
+        let group = |server: &Server| server.membership.as_ref().map(|known| known.group.clone());
+        engines
+            .map(|server| (server.id.clone(), server.start_unix_ms, group(server)))
+            .collect()
+    }
+
+    /// Logs the servers whose groups a reading of all registrations has changed.
+    fn log_changed_groups(&self, before: &[(CompactString, u64, Option<CompactString>)]) {
+        let fleet = self.node.fleet.borrow();
+        let changes: Vec<CompactString> = before
             .iter()
-            .filter_map(|server| {
-                let known = fleet.server(&server.id)?;
-                let is_same = known.start_unix_ms == server.start_unix_ms;
-                let (before, after) = (group(known), group(server));
-                (is_same && before != after)
-                    .then(|| format_compact!("{} {before} {after}", server.id))
+            .filter_map(|(id, start, group)| {
+                let server = fleet.server(id).filter(|now| now.start_unix_ms == *start)?;
+                let now = server.membership.as_ref().map(|known| &known.group);
+                let name = |group: Option<&CompactString>| group.cloned().unwrap_or("none".into());
+                (now != group.as_ref())
+                    .then(|| format_compact!("{id} {} {}", name(group.as_ref()), name(now)))
             })
             .collect();
         if !changes.is_empty() {
@@ -397,12 +404,12 @@
         let keys: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
         self.oddities.retain(|key| keys.contains(key));
         // An entry that cannot be decoded names no server, as in a change.
-        let servers: Vec<Server> = entries
+        let servers: Vec<(u64, Server)> = entries
             .iter()
-            .filter_map(|entry| self.decode(entry))
+            .filter_map(|entry| Some((entry.mod_revision, self.decode(entry)?)))
             .collect();
-        let listed: HashSet<CompactString> =
-            servers.iter().map(|server| server.id.clone()).collect();
+        let ids = servers.iter().map(|(_, server)| server.id.clone());
+        let listed: HashSet<CompactString> = ids.collect();
         let missing = registrations
             .registry
             .borrow()
@@ -411,11 +418,12 @@
             node.unregister(&id);
         }
         let mut has_changed = registrations.forget_unlisted(&listed);
-        self.log_changed_groups(&servers);
-        for server in servers {
+        let before = self.groups();
+        for (revision, server) in servers {
             has_changed |= registrations.replace_state(&server.id, Some(&server));
-            node.register(server, Source::Snapshot);
+            node.register(server, Source::Snapshot { revision });
         }
+        self.log_changed_groups(&before);
         let mut feed = registrations.feed.borrow_mut();
         feed.finish_snapshot(revision, has_changed, node.now());
         drop(feed);
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -5,6 +5,9 @@
 //! then. After a copy the same holds for servers that the copy lacks; incarnations that were draining
 //! stay so, and entries of incarnations that had ended are suspect until their servers write
 //! themselves or the entries have had time to lapse.
+//!
+//! An entry that is read again says nothing new, so it does not replace what its server has reported
+//! since, as servers do while the store is away.
 
 use std::collections::{HashMap, HashSet};
 
@@ -32,9 +35,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// Among all entries of the store, of which some may be a copy's.
-    Snapshot,
+    Snapshot {
+        /// Revision at which the entry was written.
+        revision: u64,
+    },
     /// In a change that the server itself has written.
-    Change,
+    Change {
+        /// Revision of the change.
+        revision: u64,
+    },
 }
 
 /// Effect of a registration that is gone.
@@ -65,6 +74,8 @@
     ended_before: Starts,
     /// Time at which the entries of the copy have lapsed, unless their servers live.
     copy_lapses_at: Instant,
+    /// Revisions of the entries that were applied last, since the store last came back from a copy.
+    revisions: HashMap<CompactString, u64>,
 }
 
 /// Starts of incarnations in Unix milliseconds, by server.
@@ -99,9 +110,12 @@
             }
         }
         self.copy_lapses_at = now + COPY_LAPSE_TIME;
+        self.revisions.clear();
     }
 
     /// Adds or updates a server and returns whether anything changed.
+    ///
+    /// What the server has reported since an entry was written outlives reading that entry again.
     pub fn register(
         &mut self,
         fleet: &mut Fleet,
@@ -111,9 +125,13 @@
     ) -> bool {
         let id = server.id.clone();
         let start = server.start_unix_ms;
-        let is_of_copy = source == Source::Snapshot && now < self.copy_lapses_at;
-        let known = fleet.server(&id).map(|known| known.start_unix_ms);
-        if is_of_copy && known.is_some_and(|known| known > start) {
+        let (is_snapshot, revision) = match source {
+            Source::Snapshot { revision } => (true, revision),
+            Source::Change { revision } => (false, revision),
+        };
+        let is_of_copy = is_snapshot && now < self.copy_lapses_at;
+        let known = fleet.server(&id);
+        if is_of_copy && known.is_some_and(|known| known.start_unix_ms > start) {
             // The entry of a later incarnation is lost and is written again if the server lives.
             if self.lapsed.contains_key(&id) {
                 return false;
@@ -121,6 +139,11 @@
             self.expect_registration(fleet, &id, now);
             return true;
         }
+        let applied = self.revisions.insert(id.clone(), revision);
+        let is_applied = is_snapshot && applied.is_some_and(|applied| revision <= applied);
+        if let Some(known) = known.filter(|known| is_applied && known.start_unix_ms == start) {
+            server.membership.clone_from(&known.membership);
+        }
         if !is_of_copy {
             self.ended.remove(&id);
         }
@@ -135,7 +158,7 @@
         if server.draining {
             insert_latest(&mut self.seen_draining, &id, start);
         }
-        if source == Source::Change {
+        if !is_snapshot {
             self.ended_before.remove(&id);
         }
         let ended = self.ended.get(&id).map(|(start, _)| start);
@@ -173,6 +196,7 @@
             self.expect_registration(fleet, id, now);
             return Removal::Suspected;
         }
+        self.revisions.remove(id);
         let removed = if self.lapsed.remove(id).is_some() {
             fleet.remove(id)
         } else {
--- a/crates/policy/tests/assembly/explorer.rs
+++ b/crates/policy/tests/assembly/explorer.rs
@@ -303,6 +303,58 @@
     play(&case, &[]);
 }
 
+#[derive(Debug)]
+struct Reread {
+    name: &'static str,
+    is_compacted: bool,
+    is_elected: bool,
+}
+
+// Guards against registrations that are read anew and replace what servers have reported since: the groups
+// that were formed while the store was away got no requests until the next heartbeats (issues 44 and 47).
+#[rstest]
+#[case(Reread { name: "the history is dropped", is_compacted: true, is_elected: false })]
+#[case(Reread { name: "the history is dropped and the leader elected again", is_compacted: true, is_elected: true })]
+#[case(Reread { name: "the history is kept", is_compacted: false, is_elected: true })]
+fn groups_formed_while_the_store_was_away_go_on_when_registrations_are_read_anew(
+    #[case] case: Reread,
+) {
+    let mut site = start(&[8]);
+    for step in RESTART
+        .iter()
+        .chain(&[Move::Run(700), Move::Outage, Move::Run(3_500)])
+    {
+        perform(&mut site, *step);
+    }
+    let serving = |site: &Site| -> BTreeSet<CompactString> {
+        let serving = site.cluster.serving().into_iter();
+        serving.map(|(group, _)| group).collect()
+    };
+    let formed = serving(&site);
+    assert!(!formed.is_empty(), "{}: no groups are formed", case.name);
+    if case.is_elected {
+        perform(&mut site, Move::Reelect);
+    }
+    for id in site.cluster.servers(true) {
+        site.set_heartbeat(&id, Millis(1_200));
+    }
+    let is_compacted = case.is_compacted;
+    perform(
+        &mut site,
+        Move::Return {
+            lapsed: 0,
+            is_compacted,
+        },
+    );
+    for _ in 0..40 {
+        site.run(STEP);
+        let at = site.cluster.now;
+        assert_eq!(site.targets(), formed, "{}: targets at {at:?}", case.name);
+        assert_eq!(serving(&site), formed, "{}: groups at {at:?}", case.name);
+    }
+    assert_eq!(site.cluster.violations, [], "{}", case.name);
+}
+
 /// Kinds of disturbances out of which random moves are drawn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
--- a/crates/policy/tests/assembly/site.rs
+++ b/crates/policy/tests/assembly/site.rs
@@ -1,6 +1,6 @@
 //! Simulated zone whose leaders read the servers' registrations from a store, as nodes do.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use compact_str::{CompactString, format_compact};
 use jackdaw_core::backend::{Command, Reply, Server};
@@ -11,7 +11,7 @@
 use jackdaw_policy::grace_period;
 use jackdaw_policy::registry::{Registry, Source};
 
-use crate::cluster::{Answer, Cluster, Faults, STEP};
+use crate::cluster::{Answer, Cluster, Faults, SERVICE, STEP};
 use crate::store::{Change, Store, Update};
 
 /// Time between two writes of a server that does not change.
@@ -85,15 +85,15 @@
         self.fleet.refresh_absent(now);
     }
 
-    fn replace(&mut self, servers: Vec<Server>, now: Instant) {
+    fn replace(&mut self, servers: Vec<(u64, Server)>, now: Instant) {
         self.refresh(now);
-        let listed: HashSet<CompactString> =
-            servers.iter().map(|server| server.id.clone()).collect();
+        let ids = servers.iter().map(|(_, server)| server.id.clone());
+        let listed: HashSet<CompactString> = ids.collect();
         for id in self.registry.missing(&self.fleet, &listed) {
             self.registry.remove(&mut self.fleet, &id, now);
         }
-        for server in servers {
-            let source = Source::Snapshot;
+        for (revision, server) in servers {
+            let source = Source::Snapshot { revision };
             self.registry.register(&mut self.fleet, server, source, now);
         }
     }
@@ -101,9 +101,10 @@
     fn apply(&mut self, changes: Vec<Change>, now: Instant) {
         self.refresh(now);
         for change in changes {
+            let revision = change.revision;
             match change.state {
                 Some(server) => {
-                    let source = Source::Change;
+                    let source = Source::Change { revision };
                     self.registry.register(&mut self.fleet, server, source, now);
                 }
                 None => {
@@ -322,6 +323,13 @@
         self.nodes[self.leader].frozen_until = until;
     }
 
+    /// Returns the groups that the leader sends requests to.
+    pub(crate) fn targets(&self) -> BTreeSet<CompactString> {
+        let fleet = &self.nodes[self.leader].fleet;
+        let targets = fleet.targets(SERVICE, Some(&self.cluster.engine));
+        targets.into_iter().map(|target| target.group).collect()
+    }
+
     /// Lets the leader read the entries as they were some time ago, and the present ones later.
     pub(crate) fn rewind(&mut self, age: Millis, span: Millis) {
         let now = self.cluster.now;
--- a/crates/policy/tests/assembly/store.rs
+++ b/crates/policy/tests/assembly/store.rs
@@ -14,11 +14,13 @@
 /// Time between two copies.
 const COPY_INTERVAL: Millis = Millis(200);
 
-type Entries = BTreeMap<CompactString, Server>;
+/// Servers with the revisions at which they were written.
+type Entries = BTreeMap<CompactString, (u64, Server)>;
 
 /// A change of an entry; the state is `None` once the entry is removed.
 #[derive(Clone, Debug)]
 pub(crate) struct Change {
+    pub(crate) revision: u64,
     pub(crate) server: CompactString,
     pub(crate) state: Option<Server>,
 }
@@ -26,7 +28,7 @@
 /// Answer to a call for changes.
 #[derive(Debug)]
 pub(crate) enum Update {
-    Snapshot(Vec<Server>, u64),
+    Snapshot(Vec<(u64, Server)>, u64),
     Changes(Vec<Change>, u64),
 }
 
@@ -48,11 +50,21 @@
     }
 
     fn change(&mut self, server: CompactString, state: Option<Server>) {
+        let revision = self.revision() + 1;
         match &state {
-            Some(state) => self.entries.insert(server.clone(), state.clone()),
-            None => self.entries.remove(&server),
-        };
-        self.changes.push(Change { server, state });
+            Some(state) => {
+                let entry = (revision, state.clone());
+                self.entries.insert(server.clone(), entry);
+            }
+            None => {
+                self.entries.remove(&server);
+            }
+        }
+        self.changes.push(Change {
+            revision,
+            server,
+            state,
+        });
     }
 
     /// Writes a server's entry, at a heartbeat or a change.
@@ -122,7 +134,7 @@
     }
 
     /// Returns all entries as they were some time ago.
-    pub(crate) fn read_old(&self, age: Millis, now: Instant) -> Vec<Server> {
+    pub(crate) fn read_old(&self, age: Millis, now: Instant) -> Vec<(u64, Server)> {
         self.copy(age, now).into_values().collect()
     }
 
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -116,8 +116,11 @@
         }
         self.ended.remove(&(id, state.0));
         let server = server(id, state);
+        let source = Source::Change {
+            revision: self.now.0,
+        };
         self.registry
-            .register(&mut self.fleet, server, Source::Change, self.now);
+            .register(&mut self.fleet, server, source, self.now);
     }
 
     fn rewrite(&mut self) {
@@ -146,8 +149,11 @@
         }
         for (id, state) in self.stored.clone() {
             let server = server(id, state);
+            let source = Source::Snapshot {
+                revision: self.now.0,
+            };
             self.registry
-                .register(&mut self.fleet, server, Source::Snapshot, self.now);
+                .register(&mut self.fleet, server, source, self.now);
         }
     }
 
