Show that a head that a server broke off is no answer on any path

Operators of systems like this one reported that a server stopped in the middle of its answer's head and closed, and that callers got a 200 with an empty or short body, framed as whole. It does not happen here: no case below fails on, so no code of the product is changed.

Why it cannot happen: both HTTP libraries hand out a head only after its empty line, and the end of a connection before that is an error. The data path takes that error for a request that was written and may have run, so it becomes a retry where the kind of request allows one and a 502 else. In the product's own path, a request that may be repeated and meets two such servers in turn is refused as one that ends servers: 422, outcome unknown.

What was tried. Every strict beginning, byte by byte, of whole heads with a length, without a body, in chunks, of a stream, with a body to the connection's end, of HTTP/1.0, with bare line feeds, after a 100 Continue, and of refusals (503, 429, 421, 408, 409), then closed or reset: in the gateway (14 heads) for requests that may be repeated, that run at most once, and streams that may and may not be resumed; in the product's own path (9 heads) for completions, streams, reads and calls that run at most once. Named parts beside that: half-closed, closed later, on a kept connection, with every server doing it, with a refusal of the second server, and through a node that passes marked connections on.

--- a/crates/entry/tests/support/backend.rs
+++ b/crates/entry/tests/support/backend.rs
@@ -8,6 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 /// Time to wait for an event before a test fails.
 pub const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -34,6 +36,10 @@
     Pause(Duration),
     /// Closes the connection in both directions and discards unread data.
     Close,
+    /// Closes the server's side of the connection and waits until the peer closes its own.
+    HalfClose,
+    /// Resets the connection.
+    Reset,
 }
 
 /// The actions that answer one request.
@@ -233,6 +239,15 @@
             let _ = stream.shutdown(Shutdown::Both);
             false
         }
+        Action::HalfClose => {
+            let _ = stream.shutdown(Shutdown::Write);
+            perform(&Action::Hang, request, stream, inner)
+        }
+        Action::Reset => {
+            let linger = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+            linger.expect("the option is known");
+            false
+        }
     }
 }
 
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod framing;
 mod freshness;
+mod head;
 mod limits;
 mod lines;
 mod odd;
