--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -1,10 +1,11 @@
 //! Forms replica groups out of the model engines of one availability zone.
 //!
-//! The planner relies on the servers' registrations only, so any leader can continue the work of
-//! another. It opens a group once every member reports itself ready under the group's name and
+//! The planner relies on the servers' registrations and their own answers only, so any leader can continue
+//! the work of another. It opens a group once every member reports itself ready under the group's name and
 //! epoch, and it never orders a server to join while the first member of its former group may still
 //! serve. Every order states how many orders the server has accepted, so an order that arrives late
-//! or was sent by a former leader has no effect.
+//! or was sent by a former leader has no effect. Registrations may be older than the server's answers, so an
+//! order is given only if both show the same group.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
