Let what is known of groups outlive a copy of the store

Callers saw: after the store had come back from a copy, open groups were dissolved and formed anew; their streams were cut off.

Members of an open group that the copy showed as joining had been joining for too long, and were ordered to leave. The orders named the right group and number of orders, so nothing held them up.

Change: while entries may be a copy's, the group that is known of a server stays. The entry's group counts after the time in which living servers write their entries again, unless the server has written another one by then.

Failed before: open_groups_outlive_a_copy_with_an_old_state_of_their_members, five of six cases. After: all six, with the other 74 tests of assembly, the sequences of registry, and 27 tests of a node (domain, store, cluster, odd).

--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashMap, HashSet};
 
 use compact_str::CompactString;
-use jackdaw_core::backend::Server;
+use jackdaw_core::backend::{Membership, Server};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 
@@ -76,6 +76,9 @@
     copy_lapses_at: Instant,
     /// Revisions of the entries that were applied last, since the store last came back from a copy.
     revisions: HashMap<CompactString, u64>,
+    /// Memberships in entries that may be a copy's, with the times from which they count unless their
+    /// servers write others.
+    held: HashMap<CompactString, (Option<Membership>, Instant)>,
 }
 
 /// Starts of incarnations in Unix milliseconds, by server.
@@ -111,11 +114,13 @@
         }
         self.copy_lapses_at = now + COPY_LAPSE_TIME;
         self.revisions.clear();
+        self.held.clear();
     }
 
     /// Adds or updates a server and returns whether anything changed.
     ///
-    /// What the server has reported since an entry was written outlives reading that entry again.
+    /// What the server has reported since an entry was written outlives reading that entry again, and what
+    /// is known of its group outlives a copy until the server has had time to write its entry.
     pub fn register(
         &mut self,
         fleet: &mut Fleet,
@@ -141,8 +146,18 @@
         }
         let applied = self.revisions.insert(id.clone(), revision);
         let is_applied = is_snapshot && applied.is_some_and(|applied| revision <= applied);
-        if let Some(known) = known.filter(|known| is_applied && known.start_unix_ms == start) {
-            server.membership.clone_from(&known.membership);
+        if let Some(known) = known.filter(|known| known.start_unix_ms == start) {
+            if !is_applied && is_of_copy && known.membership != server.membership {
+                let held = std::mem::take(&mut server.membership);
+                self.held
+                    .insert(id.clone(), (held, now + REREGISTRATION_TIME));
+            }
+            if is_applied || is_of_copy {
+                server.membership.clone_from(&known.membership);
+            }
+        }
+        if !is_snapshot {
+            self.held.remove(&id);
         }
         if !is_of_copy {
             self.ended.remove(&id);
@@ -197,6 +212,7 @@
             return Removal::Suspected;
         }
         self.revisions.remove(id);
+        self.held.remove(id);
         let removed = if self.lapsed.remove(id).is_some() {
             fleet.remove(id)
         } else {
@@ -219,13 +235,13 @@
         overdue.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Trusts the servers whose entries were taken for the copy's but have not lapsed, and returns
-    /// whether there are any.
+    /// Trusts the servers whose entries were taken for the copy's but have not lapsed, and the memberships
+    /// that their servers have not changed in time, and returns whether there are any.
     pub fn trust_living(&mut self, fleet: &mut Fleet, now: Instant) -> bool {
+        let mut changed = self.apply_held(fleet, now);
         if self.ended_before.is_empty() || now < self.copy_lapses_at {
-            return false;
+            return changed;
         }
-        let mut changed = false;
         for id in std::mem::take(&mut self.ended_before).into_keys() {
             if let Some(server) = fleet.server(&id).cloned() {
                 changed |= fleet.register(server, now);
@@ -233,4 +249,15 @@
         }
         changed
     }
+
+    /// Applies the memberships whose servers have had time to write others, and returns whether that
+    /// changed anything.
+    fn apply_held(&mut self, fleet: &mut Fleet, now: Instant) -> bool {
+        let is_due = |(_, until): &(Option<Membership>, Instant)| *until <= now;
+        let mut changed = false;
+        for (id, (membership, _)) in self.held.extract_if(|_, held| is_due(held)) {
+            changed |= fleet.apply_report(&id, membership, now);
+        }
+        changed
+    }
 }
--- a/crates/policy/tests/assembly/explorer.rs
+++ b/crates/policy/tests/assembly/explorer.rs
@@ -355,6 +355,46 @@
     assert_eq!(site.cluster.violations, [], "{}", case.name);
 }
 
+#[derive(Debug)]
+struct OldState {
+    name: &'static str,
+    age: u64,
+    is_elected: bool,
+}
+
+// Guards against an open group that is dissolved since the store's copy shows its members joining, for longer
+// than that may take (issues 44 and 47).
+#[rstest]
+#[case(OldState { name: "before the join", age: 6_900, is_elected: false })]
+#[case(OldState { name: "joining", age: 5_500, is_elected: false })]
+#[case(OldState { name: "joining, elected again", age: 5_500, is_elected: true })]
+#[case(OldState { name: "joining, late", age: 5_000, is_elected: false })]
+#[case(OldState { name: "ready", age: 4_500, is_elected: false })]
+#[case(OldState { name: "open", age: 1_000, is_elected: true })]
+fn open_groups_outlive_a_copy_with_an_old_state_of_their_members(#[case] case: OldState) {
+    for shift in 0..SHIFTS {
+        let mut site = start(&[8]);
+        let moves = RESTART.iter().chain(&[Move::Run(7_000)]);
+        site.run(Millis(shift * STEP.0));
+        for step in moves {
+            perform(&mut site, *step);
+        }
+        let formed = site.cluster.serving();
+        assert!(!formed.is_empty(), "{}: no groups are formed", case.name);
+        perform(&mut site, Move::Restore(case.age));
+        if case.is_elected {
+            perform(&mut site, Move::Reelect);
+        }
+        site.run(Millis(5_000));
+        assert_eq!(
+            site.cluster.serving(),
+            formed,
+            "{}, shift {shift}",
+            case.name
+        );
+    }
+}
+
 /// Kinds of disturbances out of which random moves are drawn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
