--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod framing;
 mod freshness;
+mod late;
 mod limits;
 mod lines;
 mod odd;
