Answer the requests that are given up before the process ends

Callers of a stopping node saw their connections end without an answer at the end of the grace period, though the node had passed their requests on and had given them up in time.

Cause: a request that is due is read for 20 ms more, and only then gets its 502. The end of the process waited for a time and not for these answers: from its planned exit until half of what was left of the grace period had passed, 25 ms at the grace period of 1 s. If the event loop is held up until after the exit, both times begin in the same turn; if it is held up once more, both have passed when it goes on, and the future that ends the process is polled first. The request stands in the log as abandoned in the stage waiting-for-server.

The process now looks whether all requests in flight have been answered before it ends, up to four times with a pause of 10 ms: counted, since a late loop uses up a time-out without a turn for the requests. An answer that its caller does not read is not waited for.

The test holds up the event loop until the exit and once more after the node has noticed it.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,6 +7,7 @@
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::units::{Bytes, Millis};
 use jackdaw_entry::connection;
+use jackdaw_entry::in_flight::Stage;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
 use ntex::io::IoConfig;
@@ -45,6 +46,11 @@
 const LEASE_RELEASE_TIME: Millis = Millis(200);
 /// Interval at which a stopping node looks whether it still relays connections.
 const TUNNEL_POLL: Millis = Millis(50);
+/// Number of times that a process that is to end waits for requests that have not been answered. They are
+/// counted, since an event loop that is late uses up a time-out without a turn for the requests.
+const ANSWER_TURNS: u32 = 4;
+/// Each of these waits; together they outlast the time to read what has arrived.
+const ANSWER_PAUSE: Millis = Millis(10);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Millis = Millis(10);
 
@@ -157,6 +163,7 @@
     leadership.resign();
     let left = node.options.grace.0 - node.stop_limits().exit.0;
     time::sleep(LEASE_RELEASE_TIME.min(Millis(left / 2)).duration()).await;
+    wait_answered(&node).await;
     stop::log_end(&node);
     in_flight::abandon_all(&node);
     connections::end_all(&node);
@@ -185,6 +192,18 @@
     }
 }
 
+/// Waits for a bounded number of turns until the requests that are given up have been answered and the
+/// streams broken off.
+async fn wait_answered(node: &Node) {
+    for _ in 0..ANSWER_TURNS {
+        let counts = node.in_flight.registry.counts();
+        if counts.total() == counts.get(Stage::Answer) {
+            return;
+        }
+        time::sleep(ANSWER_PAUSE.duration()).await;
+    }
+}
+
 /// Returns the HTTP library's settings for a port and the largest head of a request in force.
 fn http_config(port: Port, max_head: Bytes) -> SharedCfg {
     // The library refuses heads that reach the size.
--- a/crates/gateway/tests/node/late.rs
+++ b/crates/gateway/tests/node/late.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Read as _, Write as _};
 use std::net::TcpStream;
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use jackdaw_gateway::options::Options;
 use jackdaw_policy::shutdown::Limits;
 use rstest::rstest;
+use slog::{Drain, Logger, OwnedKVList, Record, o};
 
 use super::lines::Lines;
 use super::support::{HOLD, Node, Script, TIMEOUT, options, read_message};
@@ -229,3 +231,86 @@
     assert_eq!(passed_on.count(), 0, "{way:?}: {arrived:?}");
     node.process.wait_ended();
 }
+
+/// Returns a request that holds up the event loop.
+fn stalling() -> String {
+    kept("stall", "GET", "/none/x", 15_000).replace("id: ", "stall: 1\r\nid: ")
+}
+
+/// Records lines and holds up the thread that logs one with a message, until it is released.
+#[derive(Clone, Debug)]
+struct Barrier {
+    lines: Lines,
+    message: &'static str,
+    is_open: Arc<(Mutex<bool>, Condvar)>,
+}
+
+impl Barrier {
+    fn release(&self) {
+        let (is_open, changed) = &*self.is_open;
+        *is_open.lock().expect("no test panicked") = true;
+        changed.notify_all();
+    }
+}
+
+impl Drain for Barrier {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        self.lines.log(record, values)?;
+        if record.msg().to_string() == self.message {
+            let (is_open, changed) = &*self.is_open;
+            let is_open = is_open.lock().expect("no test panicked");
+            let waited = changed.wait_timeout_while(is_open, TIMEOUT, |is_open| !*is_open);
+            drop(waited.expect("no test panicked"));
+        }
+        Ok(())
+    }
+}
+
+// Guards against requests that end without an answer because a node whose event loop is late ends
+// before it has answered those that it gives up.
+#[rstest]
+#[case::once("/slow/x")]
+#[case::stream("/longest/x")]
+fn request_that_is_given_up_is_answered_though_the_event_loop_is_late(#[case] path: &str) {
+    let grace = Millis(1_000);
+    let lines = Lines::default();
+    let barrier = Barrier {
+        lines: lines.clone(),
+        message: "leadership lost",
+        is_open: Arc::default(),
+    };
+    let logger = Logger::root(barrier.clone().ignore_res(), o!());
+    let options = Options {
+        grace,
+        ..options("node")
+    };
+    let mut node = Node::start_with(2, &[HOLD], options, logger);
+    let mut caller = connect(&node);
+    send(&mut caller, &kept("r1", "POST", path, 15_000));
+    node.servers.wait_arrived(1);
+    lines.wait_for(|line| line.message == "leadership won");
+    let mut stalls = [connect(&node), connect(&node)];
+    let asked = node.begin_stop();
+    node.wait_unready();
+    // The event loop stands still until the process is to end.
+    send(&mut stalls[0], &stalling());
+    node.stall.wait_stalled();
+    wait_until(asked + Limits::new(grace).exit.duration());
+    node.stall.resume();
+    // It stands still once more after it has noticed that, for longer than it takes to end.
+    lines.wait_for(|line| line.message == barrier.message);
+    send(&mut stalls[1], &stalling());
+    barrier.release();
+    node.stall.wait_stalled();
+    wait_until(asked + 2 * grace.duration());
+    node.stall.resume();
+    let (answer, error) = read_rest(&mut caller);
+    assert!(
+        answer.starts_with("HTTP/1.1 502"),
+        "{path}: ended with {error:?}: {answer}\n{lines:?}"
+    );
+    node.process.wait_ended();
+}
