Refuse what a server did not run and a stopping node cannot finish

Callers of a stopping node whose request was refused by its server late in the grace period saw it sent to another server, and were cut off at the end: a stream within its events, another request with a 502 that says it may have run, though at the time of the refusal it had not.

Cause: whether a stopping node can finish a request was asked for its first attempt only. A later one went out however little time was left.

A request that has not run and of which the caller has nothing is now asked the same before each attempt, except that it counts as taken: it is sent again if its answer is due before requests are given up, and is else refused as not run, with Retry-After 0. What may have run, and streams under way, are sent again as before, since a refusal would lose them.

The test has a server refuse a stream after the node has begun to refuse requests.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -589,20 +589,29 @@
         Some((engine, model))
     }
 
-    /// Rejects a new request that a stopping node cannot finish before it ends.
+    /// Rejects a request that has not run and that a stopping node cannot finish before it ends.
     ///
     /// # Errors
     ///
     /// Returns the refusal if the request is rejected.
     fn check_stop(&self, load: &Load) -> Result<(), Refusal> {
-        let Some(shutdown) = self.node.shutdown().filter(|_| self.failures == 0) else {
+        let Some(shutdown) = self.node.shutdown() else {
             return Ok(());
         };
+        let has_run = self.furthest().outcome() != Outcome::NotRun;
+        if has_run || self.is_partially_answered() {
+            return Ok(());
+        }
         let estimate_ms = self.engine().map(|(engine, model)| {
             let estimate = balance::estimate(engine, model, load, self.call.demand());
             estimate.last_event(engine, self.call.head.max_output)
         });
-        if shutdown.can_finish(self.node.now(), self.call.deadline, estimate_ms) {
+        let (now, deadline) = (self.node.now(), self.call.deadline);
+        let can_send = match self.failures {
+            0 => shutdown.can_finish(now, deadline, estimate_ms),
+            _ => shutdown.can_answer(now, deadline, estimate_ms),
+        };
+        if can_send {
             return Ok(());
         }
         let detail = "the node is stopping and ends before the answer would".to_owned();
--- a/crates/gateway/tests/node/late.rs
+++ b/crates/gateway/tests/node/late.rs
@@ -22,6 +22,9 @@
 
 const FILLED: Script =
     "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4194304\r\n\r\nFILL";
+const REFUSED_LATE: Script = "GATEHTTP/1.1 503 Service Unavailable\r\nid: ID\r\nsigned: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const ONE_HOLD: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\nHOLD";
+const ONE: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n";
 /// Number of bytes of an answer that fits in no buffer on the way.
 const LARGE: usize = 4_194_304;
 
@@ -232,6 +235,42 @@
     node.process.wait_ended();
 }
 
+/// A request that its first server does not run, and says so late in the grace period.
+#[derive(Debug)]
+struct RetryCase {
+    name: &'static str,
+    deadline_ms: u64,
+    /// Script of the second server.
+    script: Script,
+    status: &'static str,
+    attempts: usize,
+}
+
+// Guards against requests that a stopping node sends to another server late in the grace period
+// although the first one did not run them, and whose answers it cannot wait for.
+#[rstest]
+#[case::after(RetryCase { name: "after the end of the grace period", deadline_ms: 15_000, script: ONE_HOLD, status: "503", attempts: 1 })]
+#[case::within(RetryCase { name: "within the grace period", deadline_ms: 3_500, script: ONE, status: "200", attempts: 2 })]
+fn request_that_a_server_refuses_late_is_sent_again_only_if_it_can_end(#[case] case: RetryCase) {
+    let (mut node, _) = start(&[REFUSED_LATE, case.script], Millis(4_000));
+    let mut caller = connect(&node);
+    let request = kept("r1", "POST", "/longest/x", case.deadline_ms);
+    send(&mut caller, &request);
+    node.servers.wait_arrived(1);
+    node.begin_stop();
+    node.wait_refusing();
+    node.servers.release();
+    let (answer, error) = read_rest(&mut caller);
+    let status = format!("HTTP/1.1 {}", case.status);
+    assert!(
+        answer.starts_with(&status),
+        "{}: ended with {error:?}: {answer}",
+        case.name
+    );
+    assert_eq!(node.arrived().len(), case.attempts, "{}", case.name);
+    node.process.wait_ended();
+}
+
 /// Returns a request that holds up the event loop.
 fn stalling() -> String {
     kept("stall", "GET", "/none/x", 15_000).replace("id: ", "stall: 1\r\nid: ")
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -82,14 +82,14 @@
     /// milliseconds that it takes can be estimated.
     #[must_use]
     pub fn can_finish(&self, now: Instant, deadline: Instant, estimate_ms: Option<f64>) -> bool {
-        let answered = match estimate_ms {
-            Some(estimate) => {
-                let longest = Millis((estimate * ESTIMATE_MARGIN).ceil() as u64);
-                deadline.min(now + longest)
-            }
-            None => deadline,
-        };
-        self.can_take(now, answered)
+        self.can_take(now, expect_answer(now, deadline, estimate_ms))
+    }
+
+    /// Returns whether a request that was taken is answered in time if it is sent to a server now; see
+    /// [`Shutdown::can_finish`].
+    #[must_use]
+    pub fn can_answer(&self, now: Instant, deadline: Instant, estimate_ms: Option<f64>) -> bool {
+        expect_answer(now, deadline, estimate_ms) <= self.answers_until()
     }
 
     /// Returns the time at which requests in flight are given up.
@@ -104,3 +104,14 @@
         self.signalled + self.limits.exit
     }
 }
+
+/// Returns when a request that is sent now is answered at the latest.
+fn expect_answer(now: Instant, deadline: Instant, estimate_ms: Option<f64>) -> Instant {
+    match estimate_ms {
+        Some(estimate) => {
+            let longest = Millis((estimate * ESTIMATE_MARGIN).ceil() as u64);
+            deadline.min(now + longest)
+        }
+        None => deadline,
+    }
+}
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -72,3 +72,26 @@
     let taken = shutdown.can_finish(SIGNALLED + Millis(1_000), deadline, case.estimate_ms);
     assert_eq!(taken, case.is_taken);
 }
+
+struct RetryCase {
+    /// Time after the signal.
+    now: Millis,
+    /// Deadline after the signal.
+    deadline: Millis,
+    estimate_ms: Option<f64>,
+    is_sent: bool,
+}
+
+// Guards against requests that were taken in time and are sent to another server when their answers
+// cannot be waited for.
+#[rstest]
+#[case::deadline(RetryCase { now: Millis(5_000), deadline: Millis(7_300), estimate_ms: None, is_sent: true })]
+#[case::late_deadline(RetryCase { now: Millis(1_000), deadline: Millis(7_301), estimate_ms: None, is_sent: false })]
+#[case::short(RetryCase { now: Millis(5_000), deadline: Millis(9_000), estimate_ms: Some(1_500.0), is_sent: true })]
+#[case::long(RetryCase { now: Millis(5_000), deadline: Millis(9_000), estimate_ms: Some(2_000.0), is_sent: false })]
+fn a_request_that_was_taken_is_sent_again_only_if_it_can_end(#[case] case: RetryCase) {
+    let shutdown = Shutdown::new(SIGNALLED, Limits::new(Millis(8_000)));
+    let deadline = SIGNALLED + case.deadline;
+    let sent = shutdown.can_answer(SIGNALLED + case.now, deadline, case.estimate_ms);
+    assert_eq!(sent, case.is_sent);
+}
