Play requests that come late in the grace period with real processes

The plays sent requests around 3 s after SIGTERM, and few later ones, none of which may run only once.

The play `late` stops one of three nodes and sends, from SIGTERM to the end of the grace period, long streams and requests that may run once, 30 a second beside 45 others, on kept and new connections.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -30,6 +30,13 @@
     check_play("boundary", 4);
 }
 
+/// Guards against a stopping node that takes requests late in its grace period, passes them on and cuts
+/// off their answers at its end.
+#[test]
+fn request_that_comes_late_in_the_grace_period_is_answered() {
+    check_play("late", 4701);
+}
+
 /// Guards against a node that ends answers while their servers are silent and then go on.
 #[test]
 fn answer_is_not_ended_while_its_server_is_silent() {
