--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod framing;
 mod freshness;
 mod head;
+mod late;
 mod limits;
 mod lines;
 mod odd;
