Test that serving groups outlive a copy of the store

Seen: the store comes back from a copy of 4.2 to 7.3 s, in which members of groups that serve now are joining or have no group. The leader orders the members to leave: "the group did not become ready in time", "the group has lost a member". The servers carry that out, since the group and the number of orders are the right ones, and the requests in progress end with the group.

Cause: the state in a registration (joining, none) is taken for newer than the open group that the leader has seen, or whose first member registers it open. Only the group is compared with a server's own last answer, not the state. The formation is as old as the group, so its time to become ready is over at once; where the first member's entry is written again before another member's, is_still_joining() does not wait at all, for a new leader too.

--- a/crates/policy/tests/assembly/explorer.rs
+++ b/crates/policy/tests/assembly/explorer.rs
@@ -543,3 +543,41 @@
         failures[0].1
     );
 }
+
+#[derive(Debug)]
+struct Copy {
+    name: &'static str,
+    /// Moves after the store came back from the copy.
+    after: &'static [Move],
+}
+
+// Guards against leaders that dissolve serving groups, as the store came back from a copy in which their
+// members had not joined or were not ready yet (issue 47).
+#[rstest]
+#[case(Copy { name: "the leader stays", after: &[] })]
+#[case(Copy { name: "the leader is elected again", after: &[Move::Reelect] })]
+#[case(Copy { name: "another leader", after: &[Move::Replace(0)] })]
+fn groups_that_serve_go_on_after_the_store_came_back_from_a_copy(#[case] case: Copy) {
+    let mut failures = Vec::new();
+    for age in (200..=9_000).step_by(100) {
+        let mut site = start(&[8]);
+        for step in RESTART.iter().chain(&[Move::Run(7_500)]) {
+            perform(&mut site, *step);
+        }
+        let serving = |site: &Site| -> BTreeSet<CompactString> {
+            let serving = site.cluster.serving().into_iter();
+            serving.map(|(group, _)| group).collect()
+        };
+        let before = serving(&site);
+        assert!(!before.is_empty(), "no group serves before the copy");
+        for step in [Move::Restore(age)].iter().chain(case.after) {
+            perform(&mut site, *step);
+        }
+        site.run(SETTLE_TIME);
+        let lost: Vec<CompactString> = before.difference(&serving(&site)).cloned().collect();
+        if !lost.is_empty() {
+            failures.push((age, lost));
+        }
+    }
+    assert!(failures.is_empty(), "{}: {failures:?}", case.name);
+}
