Choose no server whose next life has answered while its former one is registered

Callers saw: while the store was away and a server had started again under its name within two rounds of reports, servers that could serve stayed idle. The leader chose that server for a group of its last model every 4 s, as the registration of its former life says that it is free; the others joined, waited and left again.

Cause: since orders are given only by the server's own answers, a report of another life counts for nothing, and the server can get no orders until its new life is registered. Nothing kept it from being chosen meanwhile.

Change: the planner remembers that another incarnation has answered last. Such a server is not free, and is queried like one whose registration shows another group, so an answer of the registered life, which a former life's late report preceded, frees it.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -177,6 +177,8 @@
     free_since: Option<Instant>,
     /// Latest state that is known from the server itself.
     state: Option<Known>,
+    /// Whether another incarnation has answered since the server itself did.
+    is_replaced: bool,
     /// Whether an order was issued before.
     was_ordered: bool,
     /// Time at which this leader saw the first registration.
@@ -418,6 +420,7 @@
         self.queries.record(server, report.is_some());
         let group = own.map(|report| report.membership.as_ref().map(Assignment::of));
         if let Some(record) = self.records.get_mut(server) {
+            record.is_replaced = report.map_or(record.is_replaced, |_| own.is_none());
             if let Some(report) = own {
                 record.state = Some(Known {
                     accepted_orders: report.accepted_orders,
@@ -612,17 +615,17 @@
             .filter(|known| known.group == registered)
     }
 
-    /// Returns whether a server's own answers show another group than its registration.
+    /// Returns whether a server's own answers show another group or incarnation than its registration.
     fn is_contradicted(&self, server: &Server) -> bool {
-        let state = self
-            .records
-            .get(&server.id)
-            .and_then(|record| record.state.as_ref());
-        state.is_some_and(|known| known.group != Assignment::of_server(server))
+        self.records.get(&server.id).is_some_and(|record| {
+            let state = record.state.as_ref();
+            let group = Assignment::of_server(server);
+            record.is_replaced || state.is_some_and(|known| known.group != group)
+        })
     }
 
-    /// Queries the servers without a registered group that were in a group by their own last answer, so
-    /// that they are free again once they have left it.
+    /// Queries the servers without a registered group whose own last answer shows a group or another
+    /// incarnation, so that they are free again once that is over.
     fn query_contradicted(&mut self, view: &View<'_>, now: Instant, tasks: &mut Vec<Task>) {
         let contradicted: Vec<&Server> = self
             .servers(view)
--- a/crates/policy/tests/assembly/explorer.rs
+++ b/crates/policy/tests/assembly/explorer.rs
@@ -145,6 +145,11 @@
 ///
 /// A few servers of a domain that hold different weights stay free as replacements.
 fn idle(site: &Site) -> Vec<CompactString> {
+    idle_besides(site, &[])
+}
+
+/// Returns those servers, not counting some.
+fn idle_besides(site: &Site, others: &[CompactString]) -> Vec<CompactString> {
     let serving = site.cluster.serving();
     let members: BTreeSet<&CompactString> =
         serving.iter().flat_map(|(_, members)| members).collect();
@@ -154,7 +159,7 @@
     let idle = |domain: &str| -> Vec<CompactString> {
         let servers = running.iter().filter(|id| id.starts_with(domain));
         let idle: Vec<CompactString> = servers
-            .filter(|id| !members.contains(id))
+            .filter(|id| !members.contains(id) && !others.contains(id))
             .cloned()
             .collect();
         let is_enough = models.iter().any(|model| {
@@ -581,3 +586,39 @@
     }
     assert!(failures.is_empty(), "{}: {failures:?}", case.name);
 }
+
+#[derive(Debug)]
+struct Restart {
+    name: &'static str,
+    servers: &'static [Pick],
+}
+
+// Guards against leaders that choose a server for groups again and again although it can get no orders,
+// as only its former life's registration is known while the store is away: the others did not serve
+// (issue 47).
+#[rstest]
+#[case(Restart { name: "a head", servers: &[Pick::Member(LARGE, 0)] })]
+#[case(Restart { name: "another member", servers: &[Pick::Member(LARGE, 1)] })]
+#[case(Restart { name: "a member of the smaller model", servers: &[Pick::Member(SMALL, 1)] })]
+#[case(Restart { name: "a member of each model", servers: &[Pick::Member(LARGE, 1), Pick::Member(SMALL, 1)] })]
+fn other_servers_serve_while_one_started_again_and_the_store_is_away(#[case] case: Restart) {
+    let mut site = start(&[9]);
+    site.begin_outage();
+    site.run(Millis(1_500));
+    let mut restarted = Vec::new();
+    for server in case.servers {
+        restarted.extend(pick(&site, *server));
+    }
+    for id in &restarted {
+        site.crash(id);
+    }
+    // No round of reports misses the servers twice.
+    site.run(Millis(100));
+    for id in &restarted {
+        site.start(id, false);
+    }
+    site.run(Millis(40_000));
+    let idle = idle_besides(&site, &restarted);
+    assert_eq!(idle, Vec::<CompactString>::new(), "{}", case.name);
+    assert_eq!(site.cluster.violations, [], "{}", case.name);
+}
