Stop the operators' server from its own thread

Callers saw: nothing; a node that is stopped right after its start may never end.

Cause: the server's thread reported its start and only then awaited the server. A server asks its manager for a notice of its end at its first poll. If the dropping thread's stop gets into the manager's queue first, the manager ends without reading the request behind it; the queue keeps the request as long as a handle to the server exists, so the notice neither arrives nor fails.

Evidence: in the stacks of the hang the server's accept thread has ended while its worker, which starts only after the first poll, still runs, so the stop was read before the worker reported.

Change: the thread keeps the server to itself, waits for a signal of its own and then stops the server and awaits that stop.

--- a/crates/control/src/admin/server.rs
+++ b/crates/control/src/admin/server.rs
@@ -16,6 +16,7 @@
 use ntex::service::fn_service;
 use ntex::time::Seconds;
 use ntex::web::{self, App};
+use tokio::sync::oneshot;
 
 use super::auth::Operator;
 use super::handle::Handle;
@@ -45,7 +46,7 @@
 /// A running server on a thread of its own.
 pub struct Server {
     address: SocketAddr,
-    server: ntex::server::Server,
+    stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -68,17 +69,18 @@
         let fail = |error: std::io::Error| Error::unreachable("bind operators' port", &peer, error);
         let listener = TcpListener::bind(address).map_err(fail)?;
         let address = listener.local_addr().map_err(fail)?;
-        let (sender, receiver) = mpsc::channel();
+        let (stop, stopped) = oneshot::channel();
+        let (start_sender, started) = mpsc::channel();
         let thread = std::thread::Builder::new()
             .name("operators".to_owned())
-            .spawn(move || run(listener, context, sender))
+            .spawn(move || run(listener, context, start_sender, stopped))
             .map_err(fail)?;
-        let server = receiver
+        started
             .recv()
             .map_err(|error| Error::unreachable("start operators' port", &peer, error))?;
         Ok(Server {
             address,
-            server,
+            stop: Some(stop),
             thread: Some(thread),
         })
     }
@@ -92,15 +94,20 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        // `stop` sends its command without being polled; the thread ends after it.
-        drop(self.server.stop(false));
+        drop(self.stop.take());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
-fn run(listener: TcpListener, context: Context, sender: mpsc::Sender<ntex::server::Server>) {
+/// Serves until the sender of `stopped` is dropped.
+fn run(
+    listener: TcpListener,
+    context: Context,
+    start_sender: mpsc::Sender<()>,
+    stopped: oneshot::Receiver<()>,
+) {
     System::new("operators", DefaultRuntime).block_on(async move {
         let bound = ntex::server::build()
             .workers(1)
@@ -117,9 +124,10 @@
             return;
         };
         let server = bound.config("operators", build_config()).run();
-        if sender.send(server.clone()).is_ok() {
-            let _ = server.await;
-        }
+        let _ = start_sender.send(());
+        let _ = stopped.await;
+        // The server's own future never ends if another thread's stop overtakes its first poll.
+        server.stop(false).await;
     });
 }
 
