Stop a stand-in's server from its own thread

Callers saw: nothing; a test that drops a stand-in right after its start may hang, as the one of the operators' port did.

Cause: as for the operators' server, a stop sent by another thread can overtake the first poll of the server's own future, which then never ends.

Change: the thread keeps the server to itself, waits for a notice and then stops the server and awaits that stop.

--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -8,8 +8,8 @@
 
 use jackdaw_core::errors::{Error, Result};
 use ntex::rt::{DefaultRuntime, System};
-use ntex::server::Server;
 use ntex::web::{App, HttpServer, ServiceConfig};
+use tokio::sync::Notify;
 
 /// Function that adds the routes of a stand-in.
 pub type Routes = Arc<dyn Fn(&mut ServiceConfig) + Send + Sync>;
@@ -17,7 +17,7 @@
 /// A running HTTP server.
 pub struct Host {
     address: SocketAddr,
-    server: Server,
+    stop: Arc<Notify>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -42,25 +42,26 @@
         let address = listener
             .local_addr()
             .map_err(|error| Error::unreachable("bind stand-in", &peer, error))?;
-        let (server_tx, server_rx) = mpsc::channel();
+        let stop = Arc::new(Notify::new());
+        let stopped = Arc::clone(&stop);
+        let (start_sender, started) = mpsc::channel();
         let thread = std::thread::Builder::new()
             .name("standin".to_owned())
-            .spawn(move || run(listener, routes, server_tx))
+            .spawn(move || run(listener, routes, start_sender, stopped))
             .map_err(|error| Error::unreachable("start stand-in", &peer, error))?;
-        let server = server_rx
+        started
             .recv()
             .map_err(|error| Error::unreachable("start stand-in", &peer, error))?;
         Ok(Host {
             address,
-            server,
+            stop,
             thread: Some(thread),
         })
     }
 
     /// Starts to stop the server without waiting for its end.
     pub fn begin_stop(&self) {
-        // The command is sent at once; the future only waits for the end of the server.
-        drop(self.server.stop(false));
+        self.stop.notify_one();
     }
 
     /// Gets the bound address.
@@ -79,7 +80,13 @@
     }
 }
 
-fn run(listener: TcpListener, routes: Routes, server_tx: mpsc::Sender<Server>) {
+/// Serves until it is notified of a stop.
+fn run(
+    listener: TcpListener,
+    routes: Routes,
+    start_sender: mpsc::Sender<()>,
+    stopped: Arc<Notify>,
+) {
     System::new("standin", DefaultRuntime).block_on(async move {
         let factory = move || {
             let routes = Arc::clone(&routes);
@@ -93,8 +100,9 @@
             return;
         };
         let server = http_server.run();
-        if server_tx.send(server.clone()).is_ok() {
-            let _ = server.await;
-        }
+        let _ = start_sender.send(());
+        stopped.notified().await;
+        // The server's own future never ends if another thread's stop overtakes its first poll.
+        server.stop(false).await;
     });
 }
