Stop the callers' server from its own thread

Callers saw: nothing; a node that is stopped right after its start may never end.

Cause: as for the operators' server, a stop sent by another thread can overtake the first poll of the server's own future, which then never ends, and the node waits for it.

Change: the thread keeps the server to itself, waits for a signal of its own and then stops the server and awaits that stop. A server that is dropped without a stop serves on as before, which refusal_of_a_large_body_reaches_its_caller relies on.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for callers.
 
+use std::future;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -29,14 +30,12 @@
 /// Time for the answers to requests that the end of the grace period has ended.
 const LAST_ANSWERS_TIME: Millis = Millis(1_000);
 
-type Handle = ntex::server::Server;
-
-/// A running server with its own threads.
+/// A running server with its own threads; one that is dropped without a stop serves on.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
     shared: Arc<Shared>,
-    handle: Handle,
+    stop: oneshot::Sender<()>,
     ended: oneshot::Receiver<()>,
 }
 
@@ -50,6 +49,7 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let (start_sender, start) = mpsc::channel();
+        let (stop, stopped) = oneshot::channel();
         let (end_sender, ended) = oneshot::channel();
         let server_shared = Arc::clone(&shared);
         thread::Builder::new()
@@ -58,8 +58,13 @@
                 System::new("entry", DefaultRuntime).block_on(async move {
                     match listen(server_shared, listener) {
                         Ok(server) => {
-                            let _ = start_sender.send(Ok(server.clone()));
-                            let _ = server.await;
+                            let _ = start_sender.send(Ok(()));
+                            if stopped.await.is_err() {
+                                future::pending::<()>().await;
+                            }
+                            // The server's own future never ends if another thread's stop
+                            // overtakes its first poll.
+                            server.stop(true).await;
                         }
                         Err(error) => {
                             let _ = start_sender.send(Err(error));
@@ -68,13 +73,13 @@
                 });
                 let _ = end_sender.send(());
             })?;
-        let handle = start
+        start
             .recv()
             .map_err(|_| io::Error::other("the server's thread ended"))??;
         Ok(Server {
             address,
             shared,
-            handle,
+            stop,
             ended,
         })
     }
@@ -95,7 +100,7 @@
         let grace = Grace::start(drain, self.shared.options.grace_period);
         drain.wait_drained().await;
         let unfinished = grace.end();
-        self.handle.stop(true).await;
+        let _ = self.stop.send(());
         let _ = self.ended.await;
         unfinished
     }
@@ -139,7 +144,7 @@
     }
 }
 
-fn listen(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Handle> {
+fn listen(shared: Arc<Shared>, listener: TcpListener) -> io::Result<ntex::server::Server> {
     let options = shared.options;
     let next_worker = Arc::new(AtomicU64::new(0));
     let server = ntex::server::build()
