--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -101,6 +101,13 @@
     check_play("cut-close", 3);
 }
 
+/// Guards against a leader that reads registrations from before an outage of the store and joins
+/// members of groups that it opened meanwhile to new groups.
+#[test]
+fn member_of_a_group_opened_during_an_outage_is_not_joined_to_another() {
+    check_play("lapse", 1);
+}
+
 /// Guards against the same where a node that passed the connection on for another one has ended.
 #[test]
 fn answer_whose_relay_has_ended_does_not_look_complete() {
