Leave servers alone that became known anew while their report was asked for

Callers saw: a server that had started again while the store was away got no requests once the store was back, until its registration changed the next time. Heartbeats do not change it.

A round of reports ends when the last one has arrived or failed, which may be after the store has answered again. record_report() then removed the server by its name, although its next life was registered, and applied memberships that are older than the registrations read meanwhile.

Change: a report counts only for the incarnation that it was asked for, and its membership only if none was learned since.

That memberships are older is by reading only.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -219,11 +219,24 @@
 }
 
 /// Applies a report to the fleet or counts a missed one, and returns whether anything changed.
+///
+/// What became known of the server since the report was asked for is newer.
 fn record_report(shared: &Shared, node: &Node, server: &Server, report: Result<Report>) -> bool {
     let now = node.now();
+    let known = node.fleet.borrow().server(&server.id).cloned();
+    let is_same = |known: &Server| {
+        known.start_unix_ms == server.start_unix_ms && known.address == server.address
+    };
+    if !known.as_ref().is_some_and(is_same) {
+        shared.borrow_mut().missed_reports.remove(&server.id);
+        return false;
+    }
     match report {
         Ok(report) => {
             shared.borrow_mut().missed_reports.remove(&server.id);
+            if known.is_some_and(|known| known.membership != server.membership) {
+                return false;
+            }
             let mut fleet = node.fleet.borrow_mut();
             let changed = fleet.apply_report(&server.id, report.membership, now);
             if changed {
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -19,6 +19,7 @@
 mod poison;
 mod refusal;
 mod relay;
+mod report;
 mod restore;
 mod silence;
 mod stop;
--- /dev/null
+++ b/crates/gateway/tests/node/report.rs
@@ -0,0 +1,103 @@
+//! Reports of servers that arrive after the store has come back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_trait::async_trait;
+use jackdaw_core::backend::{Order, Reply, Report, Server};
+use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::protocol::Orders;
+use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::server::Ports;
+use tokio::sync::watch;
+
+use super::lines::Lines;
+use super::store::MemoryStore;
+use super::support::{
+    KEEP, Process, Script, Servers, TIMEOUT, exchange, options, parts, request, server,
+};
+
+const OK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndoneKEEP";
+
+/// Servers of which the first does not answer; its second report is held up.
+struct HeldReports {
+    polls: AtomicUsize,
+    is_held: watch::Sender<bool>,
+    is_released: watch::Sender<bool>,
+}
+
+#[async_trait]
+impl Orders for HeldReports {
+    async fn order(&self, order: &Order) -> Result<Reply> {
+        Err(Error::unreachable("send order", &order.server, "none"))
+    }
+
+    async fn report(&self, server: &str, _: SocketAddr) -> Result<Report> {
+        if server != "s0" {
+            return Ok(Report::default());
+        }
+        if self.polls.fetch_add(1, Ordering::SeqCst) > 0 {
+            self.is_held.send_replace(true);
+            let mut is_released = self.is_released.subscribe();
+            // The sender lives as long as the test.
+            let _ = is_released.wait_for(|is_released| *is_released).await;
+        }
+        Err(Error::unreachable("read report", server, "none"))
+    }
+}
+
+// Guards against a node that removes a server's next life, as a report of its former one that was asked
+// for before the registration fails after it (issue 47).
+#[test]
+fn server_that_registered_again_stays_though_its_former_life_misses_a_report() {
+    assert!(OK.ends_with(KEEP), "the script keeps the connection open");
+    let servers = Servers::with_scripts(&[OK; 100]);
+    let registered = ["s0", "s1"].map(|id| Server {
+        domain: "domain".into(),
+        ..server(id, servers.listen())
+    });
+    let store = Arc::new(MemoryStore::new());
+    store.put("configuration", "1");
+    store.put("servers/s0", "");
+    store.put("servers/s1", "");
+    let options = options("node");
+    let ports = Ports::bind(&options).expect("ports are free");
+    let reports = Arc::new(HeldReports {
+        polls: AtomicUsize::new(0),
+        is_held: watch::Sender::new(false),
+        is_released: watch::Sender::new(false),
+    });
+    let lines = Lines::default();
+    let parts = Parts {
+        orders: reports.clone(),
+        ..parts(&store, registered.into(), lines.logger())
+    };
+    let process = Process::launch(options, ports, parts);
+    process.wait_ready();
+    lines.wait_for(|line| line.message == "leadership won");
+    store.set_unavailable(true);
+    let mut is_held = reports.is_held.subscribe();
+    let held = async { tokio::time::timeout(TIMEOUT, is_held.wait_for(|held| *held)).await };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime starts");
+    let is_in_time = runtime.block_on(held).is_ok();
+    assert!(is_in_time, "the second report is not asked for");
+    // The first server's next life is registered, and the other one leaves.
+    store.put("servers/s0", "2");
+    store.put("servers/s1", "draining");
+    store.set_unavailable(false);
+    lines.wait_for(|line| {
+        line.message == "store answers again" && line.field("prefix") == "servers/"
+    });
+    reports.is_released.send_replace(true);
+    store.put("configuration", "2");
+    lines.wait_for(|line| {
+        line.message == "configuration in force" && line.number("version") == Some(2)
+    });
+    let answer = exchange(process.callers, &request("r1", "POST", "/steady/x"));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    process.stop();
+}
