Test a leader that is elected again after another one led, which fails

Seen: a leader had chosen a group to retire for another model and closed it. Another one was elected, opened the group again and formed the larger model's group otherwise. Once the first one is elected again, it closes and dissolves the open group ("another model lacks groups"), and forms the same one anew, which serves nothing for 2 s.

Cause: a node keeps its planner when its lease is lost in the grace period, also while another node leads, and set_fence() drops only the servers' states. What the planner had decided (the groups to retire and to dissolve, formations with their joins) is older than what the other leader has done since, and is taken for newer. Leader.planners is cleared only if the loss was no grace period's.

--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -434,3 +434,31 @@
     );
     assert_eq!(cluster.violations, []);
 }
+
+// Guards against a leader that is elected again and goes on with what it had decided before another one
+// led: it closed a group again that the other one had opened (issue 47).
+#[test]
+fn leader_that_is_elected_again_closes_no_group_by_a_former_decision() {
+    let mut cluster = start_cluster(&[8], Faults::default());
+    let member = cluster.member(LARGE, 1);
+    cluster.crash(&member);
+    let before = cluster.count_serving(SMALL);
+    let took = cluster.run_until(REPLACEMENT_TIMEOUT, |cluster| {
+        cluster.count_serving(SMALL) < before
+    });
+    assert!(took.is_some(), "no group is closed for the larger model");
+    let mut former = cluster.leaders.remove(0);
+    cluster.start(&member, None);
+    cluster.add_leader();
+    cluster.run(Millis(60_000));
+    let groups = |cluster: &Cluster| -> Vec<_> {
+        let targets = cluster.targets().into_iter();
+        targets.map(|target| target.group).collect()
+    };
+    let serving = groups(&cluster);
+    former.set_fence(cluster.draw_fence());
+    cluster.leaders = vec![former];
+    cluster.run(Millis(10_000));
+    assert_eq!(groups(&cluster), serving);
+    assert_eq!(cluster.violations, []);
+}
