Forget decisions that another leader may have replaced

Callers saw: an open group was closed, although its zone's leader had just formed it.

Cause: a planner outlives the loss of its lease in the grace period. Elected again after another node had led, it went on with what it had decided before: a group that it was to retire was closed, and formations of that time were still held.

Change: a planner that has made no plan for 2 s, in which another leader may have led, forgets its decisions, formations and queries, and what it knows of servers' orders.

--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -257,6 +257,8 @@
     last_retired: Option<Instant>,
     /// Time since which the servers of one model carry notably more load than the others.
     imbalanced_since: Option<Instant>,
+    /// Time of the last plan.
+    planned_at: Instant,
 }
 
 /// Input of a planner.
@@ -307,6 +309,22 @@
             retiring: BTreeSet::new(),
             last_retired: None,
             imbalanced_since: None,
+            planned_at: Instant::default(),
+        }
+    }
+
+    /// Forgets what was decided and learned before another leader may have led.
+    fn forget_decisions(&mut self) {
+        self.pending.clear();
+        self.formations.clear();
+        self.checks.clear();
+        self.queries = Queries::default();
+        self.dissolving.clear();
+        self.retiring.clear();
+        self.imbalanced_since = None;
+        for record in self.records.values_mut() {
+            record.state = None;
+            record.staging = None;
         }
     }
 
@@ -323,6 +341,10 @@
     /// Returns the orders and queries to send now.
     pub fn plan(&mut self, view: &View<'_>, now: Instant) -> Vec<Task> {
         let mut tasks = Vec::new();
+        if now.since(self.planned_at) >= MAX_PAUSE {
+            self.forget_decisions();
+        }
+        self.planned_at = now;
         self.update_records(view, now);
         self.queries.retain(view.stalled);
         let groups: Vec<Group> = view
@@ -638,6 +660,8 @@
     }
 }
 
+/// Time without a plan after which another leader may have led.
+const MAX_PAUSE: Millis = Millis(2_000);
 /// Time within which a newer registration arrives after a refused order.
 const REFRESH_TIME: Millis = Millis(500);
 /// Distance between the epochs of two groups.
