Wait until the servers have ended in the test of an unknown server

Cause: the test waited until the first request had arrived at its server. The listeners are closed by that server's thread a moment later, so the next request may still reach another one.

The test waits until the listeners are closed, and asserts what it did.

--- a/crates/gateway/tests/node/framing.rs
+++ b/crates/gateway/tests/node/framing.rs
@@ -81,6 +81,8 @@
 #[derive(Debug, Default)]
 struct Events {
     arrived: usize,
+    /// Whether no server takes connections any more.
+    has_ended: bool,
     /// Whether connections that outlast their servers end.
     is_released: bool,
     /// Listeners of all servers.
@@ -194,6 +196,7 @@
                     let closed = SockRef::from(&*listener).shutdown(Shutdown::Both);
                     closed.expect("the listener is open");
                 }
+                self.record(|events| events.has_ended = true);
                 self.wait_until(|events| events.is_released);
                 let _ = stream.shutdown(Shutdown::Write);
             }
@@ -524,7 +527,7 @@
     let callers = node.process.callers;
     let sent = request("r1", "POST", "/fragile/x");
     let caller = thread::spawn(move || exchange(callers, &sent));
-    assert!(node.servers.wait_until(|events| events.arrived > 0));
+    assert!(node.servers.wait_until(|events| events.has_ended));
     let start = Instant::now();
     while start.elapsed() < SUSPICION_TIME {
         let answer = node.call("r2", "GET", "/safe/x");
