Name the serving groups in one place in the explorer's tests

Found in the read-through: two tests held the same closure. They call one function; what they assert is as it was.

Checked: formatter, linter of the crate, and the 21 tests of assembly whose names hold groups_.

--- a/crates/policy/tests/assembly/explorer.rs
+++ b/crates/policy/tests/assembly/explorer.rs
@@ -201,6 +201,12 @@
     Ok(())
 }
 
+/// Returns the names of the groups that serve, by the servers' own states.
+fn serving(site: &Site) -> BTreeSet<CompactString> {
+    let serving = site.cluster.serving().into_iter();
+    serving.map(|(group, _)| group).collect()
+}
+
 /// Creates a site whose groups serve, and whose requests arrive.
 fn start(domains: &[usize]) -> Site {
     let mut site = Site::new(domains);
@@ -331,10 +337,6 @@
     {
         perform(&mut site, *step);
     }
-    let serving = |site: &Site| -> BTreeSet<CompactString> {
-        let serving = site.cluster.serving().into_iter();
-        serving.map(|(group, _)| group).collect()
-    };
     let formed = serving(&site);
     assert!(!formed.is_empty(), "{}: no groups are formed", case.name);
     if case.is_elected {
@@ -569,10 +571,6 @@
         for step in RESTART.iter().chain(&[Move::Run(7_500)]) {
             perform(&mut site, *step);
         }
-        let serving = |site: &Site| -> BTreeSet<CompactString> {
-            let serving = site.cluster.serving().into_iter();
-            serving.map(|(group, _)| group).collect()
-        };
         let before = serving(&site);
         assert!(!before.is_empty(), "no group serves before the copy");
         for step in [Move::Restore(age)].iter().chain(case.after) {
