Check heads that end early in one place

Found in the read-through: two tests of answers that end within their head held the same steps. One function has them; the cases and what is asserted are as they were.

Checked: formatter, linter of the gateway's tests, and the 40 tests of head pass.

--- a/crates/gateway/tests/node/head.rs
+++ b/crates/gateway/tests/node/head.rs
@@ -285,6 +285,17 @@
         }
     }
 
+    /// Sends a request of a kind whose first answer ends within its head while all later ones are sound,
+    /// and checks that it is repeated if it may be and has failed otherwise.
+    fn assert_failure(&mut self, name: &str, kind: Kind, reply: &Reply) {
+        let (expected, attempts) = match kind.is_repeatable {
+            true => (Outcome::Whole, 2),
+            false => (Outcome::Failed, 1),
+        };
+        let arrivals = self.assert_outcome(kind, reply, expected);
+        assert_eq!(arrivals.len(), attempts, "{name}: {reply:?}");
+    }
+
     /// Sends a request of a kind whose first answer ends within its head, and checks what its caller
     /// and the servers see.
     fn assert_outcome(&mut self, kind: Kind, reply: &Reply, expected: Outcome) -> Vec<Arrival> {
@@ -388,13 +399,7 @@
                 end,
                 later: Later::Sound,
             };
-            let expected = match kind.is_repeatable {
-                true => Outcome::Whole,
-                false => Outcome::Failed,
-            };
-            let arrivals = node.assert_outcome(kind, &reply, expected);
-            let attempts = if kind.is_repeatable { 2 } else { 1 };
-            assert_eq!(arrivals.len(), attempts, "{}: {reply:?}", head.name);
+            node.assert_failure(head.name, kind, &reply);
         }
     }
     node.process.stop();
@@ -557,13 +562,7 @@
                 end,
                 later: Later::Sound,
             };
-            let expected = match kind.is_repeatable {
-                true => Outcome::Whole,
-                false => Outcome::Failed,
-            };
-            let arrivals = node.assert_outcome(kind, &reply, expected);
-            let attempts = if kind.is_repeatable { 2 } else { 1 };
-            assert_eq!(arrivals.len(), attempts, "{}: {reply:?}", part.name);
+            node.assert_failure(part.name, kind, &reply);
         }
     }
     node.process.stop();
