Play servers that ask for pauses and answers without an end in the soak

Real processes before servers that refuse with 503 and Retry-After, and before servers that send bodies or heads without an end.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -120,3 +120,35 @@
 fn answer_whose_relay_has_ended_does_not_look_complete() {
     check_play("cut-kills", 1);
 }
+
+/// Guards against nodes that send streams to a server in the time for which it has asked for no request.
+#[test]
+fn server_that_asks_for_a_pause_gets_no_streams() {
+    check_play("pauses", 1);
+}
+
+/// Guards against the same with whole answers, whose requests may be repeated.
+#[test]
+fn server_that_asks_for_a_pause_gets_no_requests() {
+    check_play("pauses-safe", 1);
+}
+
+/// Guards against nodes that send requests on although all servers have asked for a pause.
+#[test]
+fn servers_that_all_ask_for_a_pause_get_no_requests() {
+    check_play("pauses-all", 2);
+}
+
+/// Guards against nodes that keep the answers of many servers, each without an end, until they are out
+/// of memory.
+#[test]
+fn answers_without_an_end_stay_within_the_memory() {
+    check_play("endless", 1);
+}
+
+/// Guards against nodes whose callers wait beyond their deadlines while servers send heads of status
+/// 100 without an end.
+#[test]
+fn heads_without_an_end_hold_up_no_caller() {
+    check_play("endless-heads", 1);
+}
