Decode the pauses that servers ask for, log and count what is sent in them

A 503 with Retry-After is decoded at the border to the platform; seconds may be fractions, the longest of several holds, and what is no time is told once and ignored. policy::pause keeps the ends of pauses by incarnation and by the machine that the server saw. Nothing acts on them yet.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -63,6 +63,19 @@
     Unreadable,
 }
 
+/// What an answer says of the time for which its server wants no requests from the machine that sent this
+/// one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pause {
+    /// Nothing.
+    #[default]
+    None,
+    /// It wants none for so long.
+    For(Millis),
+    /// The statement cannot be read.
+    Unreadable,
+}
+
 /// The decoded head of a server's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
@@ -76,6 +89,8 @@
     pub faulty_server: Option<CompactString>,
     /// Limit that the server names.
     pub limit: Limit,
+    /// Pause that the server asks for.
+    pub pause: Pause,
 }
 
 /// Decodes and encodes the platform's headers, paths and stored documents.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
 use jackdaw_core::outcome::Step;
-use jackdaw_core::protocol::{Answer, Forwarding};
+use jackdaw_core::protocol::{Answer, Forwarding, Pause};
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Bytes as Size, Millis};
 use jackdaw_entry::in_flight::{self, Stage};
@@ -25,6 +25,7 @@
 use jackdaw_policy::continuation::{Form, Source};
 use jackdaw_policy::ending::{Doubt, Ending, Framing, Link, Verdict};
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::pause::Way;
 use jackdaw_policy::poison::Suspicion;
 use jackdaw_policy::reach;
 use jackdaw_policy::retry::{self, ExchangeFailure, Fault};
@@ -315,6 +316,8 @@
         self.node
             .limits
             .count_sent(&self.target, self.plan.is_repetition);
+        self.node
+            .count_in_pause(&self.target, Way::Direct, self.plan.is_repetition);
         Ok(Phase::Sending(Box::pin(async move {
             let answer = connection.send(request).await;
             (connection, answer)
@@ -539,6 +542,7 @@
             let node = &self.node;
             node.record_limit(&self.target, decoded.limit, self.sent_at);
         }
+        self.record_pause(named, decoded.pause);
         if decoded.not_run {
             return Err(self.record_refusal(status, &decoded));
         }
@@ -563,6 +567,19 @@
         Ok(())
     }
 
+    /// Records the pause that an answer's server asks for, if the answer belongs to the request.
+    fn record_pause(&self, named: Named, pause: Pause) {
+        let is_own = match named {
+            Named::Own => true,
+            Named::None => self.is_new_connection,
+            Named::Other => false,
+        };
+        if is_own {
+            self.node
+                .record_pause(&self.target, Way::Direct, pause, &self.call.head.id);
+        }
+    }
+
     /// Keeps new requests away from a server that did not run this one, and returns the failure.
     fn record_refusal(&self, status: StatusCode, decoded: &Answer) -> ExchangeFailure {
         let now = self.node.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod limits;
 mod marked;
 mod oddities;
+mod pauses;
 mod peers;
 mod poison;
 mod race;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -38,6 +38,7 @@
 use crate::lag::Lag;
 use crate::limits::Limits as ServerLimits;
 use crate::options::Options;
+use crate::pauses::Pauses;
 use crate::poison::Poison;
 use crate::registrations::Registrations;
 use crate::targets::Targets;
@@ -157,6 +158,8 @@
     pub(crate) freshness: Freshness,
     /// Limits that servers name.
     pub(crate) limits: ServerLimits,
+    /// Pauses that servers have asked for.
+    pub(crate) pauses: Pauses,
     /// Links to servers, this node's and those of others.
     pub(crate) reach: RefCell<reach::Tracker>,
     /// Number of connections that this node relays for others.
@@ -189,6 +192,7 @@
             relay_port: Cell::new(0),
             counters_of_reach: ReachCounters::new(&parts.meter),
             limits: ServerLimits::new(&options.node, &parts.meter),
+            pauses: Pauses::new(&parts.meter),
             options,
             parts,
             pool: Pool::new(pool::Options::default()),
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -12,7 +12,7 @@
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
 use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
 use jackdaw_core::errors::{Error, Result};
-use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Protocol};
+use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Pause, Protocol};
 use jackdaw_core::store::Entry;
 use jackdaw_core::time::{Clock, SystemClock};
 use jackdaw_core::units::{Bytes, Millis, Rate};
@@ -128,6 +128,11 @@
                 Some(Err(_)) => Limit::Unreadable,
                 None => Limit::None,
             },
+            pause: match header_text(headers, "pause-ms").map(|text| text.parse()) {
+                Some(Ok(time)) => Pause::For(Millis(time)),
+                Some(Err(_)) => Pause::Unreadable,
+                None => Pause::None,
+            },
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod lease;
 pub mod member;
 pub mod once;
+pub mod pause;
 pub mod peers;
 pub mod placement;
 pub mod plan;
