Send no request to a server in the pause that it has asked for

What callers saw: servers that refuse with 503 and Retry-After got requests all the same, which cost each a round trip and one of the retries of its service.

Cause: the pause was not read. A refusal only made the target the last choice for 0.4 s, unless another request made progress there. Class of fault: a statement of a server about the future taken for an event of the past.

Change: policy::pause is asked wherever a target is chosen, for a target that was granted or is to be reconnected, and again when the connection is open. Nothing but time and the end of the incarnation ends a pause; pauses over ten minutes are cut. Attempts that find a pause cost no retry, and none is taken if no other server can take the request. If all servers are in a pause, the caller is refused at once with the reason server-pause and the shortest of the pauses, spread over half of it.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// The servers take no more requests now, by the limits that they name.
     ServerLimit,
+    /// The servers want no requests for some time.
+    ServerPause,
     /// Requests with the same digest have crashed backend servers.
     Poison,
     /// No whole replica group or live backend server is known.
@@ -51,7 +53,7 @@
 
 impl Reason {
     /// Every reason, for registering counters.
-    pub const ALL: [Reason; 21] = [
+    pub const ALL: [Reason; 22] = [
         Reason::Malformed,
         Reason::TooLarge,
         Reason::HeadTooLarge,
@@ -65,6 +67,7 @@
         Reason::OverLimit,
         Reason::Overloaded,
         Reason::ServerLimit,
+        Reason::ServerPause,
         Reason::Poison,
         Reason::NoServer,
         Reason::PlatformDown,
@@ -92,6 +95,7 @@
             Reason::OverLimit => "over-limit",
             Reason::Overloaded => "overloaded",
             Reason::ServerLimit => "server-limit",
+            Reason::ServerPause => "server-pause",
             Reason::Poison => "poison",
             Reason::NoServer => "no-server",
             Reason::PlatformDown => "platform-down",
@@ -119,6 +123,7 @@
             Reason::ConnectFailed | Reason::Broken | Reason::AnswerInvalid => 502,
             Reason::Overloaded
             | Reason::ServerLimit
+            | Reason::ServerPause
             | Reason::NoServer
             | Reason::PlatformDown
             | Reason::NotReady => 503,
@@ -143,6 +148,7 @@
             | Reason::OverLimit
             | Reason::Overloaded
             | Reason::ServerLimit
+            | Reason::ServerPause
             | Reason::Poison
             | Reason::NoServer
             | Reason::PlatformDown
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -302,6 +302,17 @@
                 detail,
             ));
         }
+        // The pause may have been asked for while the connection was opened.
+        if self.node.pause_left(&self.target, Way::Direct).is_some() {
+            let detail = "the server asked for a pause before the request was sent";
+            let max_idle = self.node.max_idle_connections(&self.call.service);
+            self.node.pool.put(connection, &HeaderMap::new(), max_idle);
+            return Err(ExchangeFailure::new(
+                Fault::Paused,
+                Step::Connecting,
+                detail,
+            ));
+        }
         let request = self.build_request(left)?;
         let demand = self.call.demand();
         self.reservation = Some(Reservation::acquire(
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use jackdaw_policy::balance::{self, Load};
 use jackdaw_policy::continuation::Position;
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::pause::{self, Way};
 use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
 use jackdaw_policy::reach;
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
@@ -204,7 +205,7 @@
             Fault::Unreachable => reach::Failure::Refused,
             Fault::Closed => reach::Failure::Closed,
             Fault::Silent => reach::Failure::Silent,
-            Fault::Deadline | Fault::Invalid | Fault::Refused => return,
+            Fault::Deadline | Fault::Invalid | Fault::Refused | Fault::Paused => return,
         };
         let Some(link) = attempt.direct_link() else {
             return;
@@ -428,7 +429,8 @@
             | Fault::Deadline
             | Fault::Unreachable
             | Fault::Invalid
-            | Fault::Refused => {}
+            | Fault::Refused
+            | Fault::Paused => {}
         }
     }
 
@@ -461,16 +463,17 @@
 
     /// Returns the target for the next attempt.
     fn choose_target(&mut self, suspicion: Option<Suspicion>) -> Result<Key, Refusal> {
-        if let Some(key) = self.granted {
-            return Ok(key);
-        }
-        if let Some(key) = self.reconnect_key.take() {
+        let named = self.granted.or_else(|| self.reconnect_key.take());
+        if let Some(key) = named.filter(|key| self.pause_left(*key).is_none()) {
             return Ok(key);
         }
         let now = self.node.now();
         let candidates = self.keep_apart(self.candidates(), suspicion);
         self.candidate_count = candidates.len();
         if candidates.is_empty() {
+            if let Some(refusal) = self.refusal_in_pause() {
+                return Err(refusal);
+            }
             let detail = match &self.call.head.model {
                 Some(model) => format!("no replica group of model {model} can take the request"),
                 None => format!("no server of {} can take the request", self.call.service),
@@ -523,17 +526,37 @@
         if apart.is_empty() { candidates } else { apart }
     }
 
-    /// Returns the targets that serve the request's model and may still be tried.
-    fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
+    /// Returns the time left of the pause that a target's server has asked for.
+    fn pause_left(&self, key: Key) -> Option<Millis> {
+        let target = self.node.targets.borrow().target(key);
+        self.node.pause_left(&target, Way::Direct)
+    }
+
+    /// Returns the refusal of a request if all servers that could serve it want no requests now.
+    fn refusal_in_pause(&self) -> Option<Refusal> {
+        let keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
+        let pauses: Option<Vec<Millis>> = keys.iter().map(|key| self.pause_left(*key)).collect();
+        let shortest = pauses?.into_iter().min()?;
+        let retry_after = pause::retry_after(shortest, fastrand::f64());
+        let detail = "all servers that can take the request have asked for a pause".to_owned();
+        Some(self.refuse(Reason::ServerPause, retry_after, detail))
+    }
+
+    /// Returns the targets that serve the request's model.
+    fn serving_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
         let service = self.index.service(&self.call.service);
         let has_engine = service.is_some_and(|service| service.engine.is_some());
         let keys = targets.serving(&self.call.service).iter().copied();
-        keys.filter(move |key| {
+        keys.filter(move |key| !has_engine || targets.target(*key).model == self.call.head.model)
+    }
+
+    /// Returns the targets that serve the request's model, want requests and may still be tried.
+    fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
+        self.serving_keys(targets).filter(move |key| {
             let target = targets.target(*key);
-            let is_eligible = !has_engine || target.model == self.call.head.model;
             let was_tried = !self.request.tried().is_empty()
                 && !self.request.can_try(&incarnation_name(&target));
-            is_eligible && !was_tried
+            !was_tried && self.node.pause_left(&target, Way::Direct).is_none()
         })
     }
 
@@ -769,7 +792,14 @@
         if error.fault == Fault::Unreachable && !self.node.reach.borrow().is_cut() {
             self.avoid(attempt);
         }
-        let verdict = self.request.record_failure(&failure, &self.budget, now);
+        // A retry is not taken for an attempt that cannot be made.
+        let is_last = matches!(error.fault, Fault::Refused | Fault::Paused)
+            && !self.is_partially_answered()
+            && !self.has_other_target(attempt.key());
+        let verdict = match is_last {
+            true => self.request.record_last_failure(&failure, now),
+            false => self.request.record_failure(&failure, &self.budget, now),
+        };
         self.log_failure(error, attempt, Some(verdict)).await;
         self.prepare_retry(verdict, error.fault, attempt);
         verdict
@@ -853,6 +883,10 @@
             let detail = format!("the node is stopping: {}", error.detail);
             return self.refuse(Reason::NotReady, Millis(0), detail);
         }
+        let is_refused = matches!(error.fault, Fault::Refused | Fault::Paused);
+        if let Some(refusal) = self.refusal_in_pause().filter(|_| is_refused) {
+            return refusal;
+        }
         let reason = match cause {
             Cause::Deadline => Reason::Deadline,
             Cause::MayHaveRun | Cause::Budget | Cause::Attempts | Cause::NoServer => {
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod lines;
 mod odd;
+mod pause;
 mod poison;
 mod refusal;
 mod relay;
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -16,6 +16,11 @@
 /// Longest pause that is kept; a longer one is taken for an error of the server.
 pub const MAX_PAUSE: Millis = Millis(10 * 60 * 1_000);
 
+/// Time by which a pause is kept longer than asked for, as both clocks are read in whole milliseconds.
+pub const MARGIN: Millis = Millis(20);
+/// Divisor of a pause for the time over which the callers that are refused in it return.
+const SPREAD_DIVISOR: f64 = 2.0;
+
 /// Machine that a server sees at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Way {
@@ -34,6 +39,15 @@
     pub is_new: bool,
 }
 
+/// Returns when a caller is asked to come again whose request no server wants for a time; `random` is at
+/// least 0 and less than 1.
+#[must_use]
+pub fn retry_after(left: Millis, random: f64) -> Millis {
+    // Callers that were refused together do not return together.
+    let spread = left.0 as f64 / SPREAD_DIVISOR * random;
+    Millis(left.0 + spread.ceil() as u64)
+}
+
 /// The pauses that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -53,7 +67,7 @@
             return None;
         };
         let kept = asked.min(MAX_PAUSE);
-        let until = now + kept;
+        let until = now + kept + MARGIN;
         self.ends.retain(|_, end| *end > now);
         let known = self.ends.get(&(server, way)).copied();
         if kept == Millis(0) || known.is_some_and(|end| end >= until) {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -146,6 +146,8 @@
     Invalid,
     /// The server answered that it did not accept the request.
     Refused,
+    /// The server had asked for a pause when the request was about to be sent.
+    Paused,
     /// The deadline passed.
     Deadline,
 }
@@ -204,7 +206,11 @@
         match self.fault {
             Fault::Silent => self.connection == Connection::Used || self.step >= Step::Answering,
             Fault::Closed => self.connection == Connection::Used && self.step < Step::Answering,
-            Fault::Unreachable | Fault::Invalid | Fault::Refused | Fault::Deadline => false,
+            Fault::Unreachable
+            | Fault::Invalid
+            | Fault::Refused
+            | Fault::Paused
+            | Fault::Deadline => false,
         }
     }
 }
@@ -351,7 +357,7 @@
     pub fn is_server_at_fault(&self, failure: &Failure) -> bool {
         let was_reconnected = self.reconnected.as_ref() == Some(&failure.server);
         match failure.fault {
-            Fault::Refused | Fault::Deadline => false,
+            Fault::Refused | Fault::Paused | Fault::Deadline => false,
             Fault::Unreachable | Fault::Invalid => true,
             Fault::Closed | Fault::Silent => was_reconnected || !failure.is_connection_suspect(),
         }
@@ -366,7 +372,7 @@
         if let Some(cause) = self.give_up_cause(failure.fault, now) {
             return Verdict::GiveUp(cause);
         }
-        if failure.fault != Fault::Unreachable && !budget.withdraw() {
+        if failure.fault.has_reached_server() && !budget.withdraw() {
             return match self.has_partial_answer {
                 true => Verdict::Wait(Cause::Budget),
                 false => Verdict::GiveUp(Cause::Budget),
@@ -375,6 +381,13 @@
         self.choose_retry(failure, can_reconnect)
     }
 
+    /// Records a failed attempt after which no other server can take the request; no retry is taken for it.
+    pub fn record_last_failure(&mut self, failure: &Failure, now: Instant) -> Verdict {
+        self.count_attempt(failure);
+        let cause = self.give_up_cause(failure.fault, now);
+        Verdict::GiveUp(cause.unwrap_or(Cause::NoServer))
+    }
+
     /// Takes a retry for a request that waits for one after a failed attempt.
     pub fn retry(&mut self, budget: &Budget, now: Instant) -> Verdict {
         if now >= self.deadline {
@@ -426,7 +439,7 @@
     /// Counts an attempt and returns whether the same server may be tried once more.
     fn count_attempt(&mut self, failure: &Failure) -> bool {
         self.attempts += 1;
-        if failure.fault != Fault::Unreachable && !failure.is_uncounted {
+        if failure.fault.has_reached_server() && !failure.is_uncounted {
             self.sent += 1;
         }
         self.furthest = self.furthest.max(failure.step);
@@ -467,6 +480,11 @@
 }
 
 impl Fault {
+    /// Returns whether the server may have got the request.
+    fn has_reached_server(self) -> bool {
+        !matches!(self, Fault::Unreachable | Fault::Paused)
+    }
+
     /// Gets the reason that the caller receives.
     #[must_use]
     pub fn reason(self) -> Reason {
@@ -475,6 +493,7 @@
             Fault::Closed | Fault::Silent => Reason::Broken,
             Fault::Invalid => Reason::AnswerInvalid,
             Fault::Refused => Reason::NoServer,
+            Fault::Paused => Reason::ServerPause,
             Fault::Deadline => Reason::Deadline,
         }
     }
@@ -488,17 +507,19 @@
             Fault::Silent => "silent",
             Fault::Invalid => "invalid",
             Fault::Refused => "refused",
+            Fault::Paused => "paused",
             Fault::Deadline => "deadline",
         }
     }
 
     /// All faults, for registering counters.
-    pub const ALL: [Fault; 6] = [
+    pub const ALL: [Fault; 7] = [
         Fault::Unreachable,
         Fault::Closed,
         Fault::Silent,
         Fault::Invalid,
         Fault::Refused,
+        Fault::Paused,
         Fault::Deadline,
     ];
 }
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -292,6 +292,7 @@
 #[case::no_connection(Step::Connecting, Fault::Unreachable, 0)]
 #[case::closed(Step::Written, Fault::Closed, 1)]
 #[case::refused_by_the_server(Step::Written, Fault::Refused, 1)]
+#[case::in_a_pause(Step::Connecting, Fault::Paused, 0)]
 fn only_attempts_that_reached_a_server_cost_a_retry(
     #[case] step: Step,
     #[case] fault: Fault,
