Bound the bytes before an answer, and let other requests have their turns

What callers saw: beside servers that send heads of status 100 without an end, requests had neither an answer nor a refusal a second after their deadlines.

Cause: the HTTP library skips interim heads in a loop that ends only when the socket is empty, and a fast server keeps it full. One connection kept the node's only thread. Class of fault: a peer decides how long a task runs.

Change: a connection reads at most 256 KB from the sending of a request until the head of its answer is whole, and yields after each 64 KB, also within bodies. It stands below all that reads answers: requests, reports, orders, the store, other nodes.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -18,9 +18,15 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::paced::{self, Allowance};
+
 /// Largest head of a response in bytes; the HTTP library accepts no buffer below 8 KiB.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Bytes that are read from the sending of a request until the head of its answer is whole, with heads
+/// of interim answers before it. What is read beyond the head at once stays within it.
+const MAX_UNANSWERED_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
 /// Time without traffic before the first TCP keepalive probe, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the system closes a connection.
@@ -77,6 +83,7 @@
     sender: SendRequest<Full<Bytes>>,
     exchanges: u32,
     relay: Option<Relay>,
+    allowance: Allowance,
     idle_until: Instant,
 }
 
@@ -131,6 +138,8 @@
         relay: Option<Relay>,
     ) -> Result<Connection, Fault> {
         let not_sent = |error: &dyn fmt::Display| Fault::NotSent(format!("connect: {error}"));
+        let allowance = Allowance::default();
+        let stream = paced::Stream::new(stream, allowance.clone());
         let (sender, driver) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -143,6 +152,7 @@
             sender,
             exchanges: 0,
             relay,
+            allowance,
             idle_until: Instant::now(),
         })
     }
@@ -178,7 +188,9 @@
             .ready()
             .await
             .map_err(|error| Fault::NotSent(error.to_string()))?;
+        self.allowance.set(MAX_UNANSWERED_BYTES);
         let result = self.sender.try_send_request(request.map(Full::new)).await;
+        self.allowance.lift();
         result.map_err(|mut error| {
             let detail = error.error().to_string();
             match error.take_message() {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod client;
 pub mod connection;
+mod paced;
 pub mod pool;
