Bound the memory of requests and answers by the settings' limit

What callers saw: before servers that send bodies without an end, and with large bodies of requests in a burst, a node's process exceeded limits.memory_mb, was ended by the platform, and the requests of all its callers ended with it.

Cause: each answer and each body had a bound of its own, and nothing knew the sum. Pieces of an answer, their copy and the copy for the caller were held at once. limits.memory_mb was not read. Class of fault: bounds of single things in place of a bound of what they share.

Change: policy::memory counts what is held, in two classes that share a bound. A request whose body has no room is refused at once with the reason no-memory, not run, and Retry-After; its body is read on and dropped, as many callers read no answer before. Answers wait with what they have, and the one that has waited longest goes on beyond the bound, so that sound large ones are served one after the other; one that takes longer than a second for that while others wait is given up. Small messages have a part of their own. Whole answers are kept in segments, which are given back as the caller takes them. Servers whose answers are too large are the last choice for some seconds. Answers to orders and reports are bounded by 64 KB (8 MB before).

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -31,6 +31,8 @@
     Overloaded,
     /// The servers take no more requests now, by the limits that they name.
     ServerLimit,
+    /// The node has no memory for the request.
+    NoMemory,
     /// The servers want no requests for some time.
     ServerPause,
     /// Requests with the same digest have crashed backend servers.
@@ -53,7 +55,7 @@
 
 impl Reason {
     /// Every reason, for registering counters.
-    pub const ALL: [Reason; 22] = [
+    pub const ALL: [Reason; 23] = [
         Reason::Malformed,
         Reason::TooLarge,
         Reason::HeadTooLarge,
@@ -68,6 +70,7 @@
         Reason::Overloaded,
         Reason::ServerLimit,
         Reason::ServerPause,
+        Reason::NoMemory,
         Reason::Poison,
         Reason::NoServer,
         Reason::PlatformDown,
@@ -96,6 +99,7 @@
             Reason::Overloaded => "overloaded",
             Reason::ServerLimit => "server-limit",
             Reason::ServerPause => "server-pause",
+            Reason::NoMemory => "no-memory",
             Reason::Poison => "poison",
             Reason::NoServer => "no-server",
             Reason::PlatformDown => "platform-down",
@@ -124,6 +128,7 @@
             Reason::Overloaded
             | Reason::ServerLimit
             | Reason::ServerPause
+            | Reason::NoMemory
             | Reason::NoServer
             | Reason::PlatformDown
             | Reason::NotReady => 503,
@@ -149,6 +154,7 @@
             | Reason::Overloaded
             | Reason::ServerLimit
             | Reason::ServerPause
+            | Reason::NoMemory
             | Reason::Poison
             | Reason::NoServer
             | Reason::PlatformDown
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -25,6 +25,8 @@
 const LEADER_LEASE: Millis = Millis(1_500);
 /// Time limit for the response to an order; engines respond immediately.
 const ORDER_TIMEOUT: Millis = Millis(600);
+/// Largest answer of a server to an order, and largest report.
+const MAX_ORDER_RESPONSE: Bytes = Bytes(64 << 10);
 /// Size limit of a request's head until the configuration has been read.
 const MAX_REQUEST_HEAD: Bytes = Bytes(16 << 10);
 
@@ -66,7 +68,8 @@
     let logger = log::json_stdout(Level::Info, &settings.node);
     let metrics = Metrics::new()?;
     let store_exchange = Arc::new(Client::new("call store", pool::Options::default()));
-    let order_exchange = Arc::new(Client::new("send order", pool::Options::default()));
+    let order_exchange = Client::new("send order", pool::Options::default());
+    let order_exchange = Arc::new(order_exchange.with_max_response(MAX_ORDER_RESPONSE));
     let store = store::Client::new(store_exchange, settings.store);
     let parts = Parts {
         protocol: Arc::new(Platform),
@@ -108,5 +111,6 @@
         lease: LEADER_LEASE.max(settings.min_lease),
         drain: settings.bounds.drain,
         max_head: MAX_REQUEST_HEAD,
+        memory: settings.memory,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,14 +17,14 @@
 use jackdaw_core::outcome::Step;
 use jackdaw_core::protocol::{Answer, Forwarding, Pause};
 use jackdaw_core::time::Instant;
-use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_core::units::Millis;
 use jackdaw_entry::in_flight::{self, Stage};
-use jackdaw_link::client;
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::answer::{self, Claim, Named};
 use jackdaw_policy::continuation::{Form, Source};
 use jackdaw_policy::ending::{Doubt, Ending, Framing, Link, Verdict};
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::memory::{Class, SMALL};
 use jackdaw_policy::pause::Way;
 use jackdaw_policy::poison::Suspicion;
 use jackdaw_policy::reach;
@@ -34,15 +34,14 @@
 use crate::buffered::BufferedAnswer;
 use crate::call::Call;
 use crate::ending;
-use crate::event::{Event, Splitter};
+use crate::event::{Event, Splitter, TooLarge};
 use crate::exposure::Exposure;
 use crate::header;
+use crate::memory::{Charge, Held, ReadError};
 use crate::node::Node;
 use crate::poison::Trial;
 use crate::targets::{Key, Reservation};
 
-/// Largest body of a buffered answer.
-const MAX_ANSWER: Size = Size(16 << 20);
 /// Time for which a target that was full gets new requests only if no other can take them; some of
 /// its requests end within that time.
 const FULL_AVOIDANCE_TIME: Millis = Millis(400);
@@ -80,7 +79,7 @@
     Connecting(LocalBoxFuture<'static, Result<Connection, connection::Fault>>),
     Sending(LocalBoxFuture<'static, (Connection, Result<Response<Incoming>, connection::Fault>)>),
     Streaming(Box<Stream>),
-    Collecting(LocalBoxFuture<'static, Result<(Connection, Bytes), connection::Fault>>),
+    Collecting(LocalBoxFuture<'static, Result<(Connection, Held), ReadError>>),
     Confirming(Box<Confirmation>),
     Ended,
 }
@@ -89,7 +88,7 @@
 struct Confirmation {
     answer: LocalBoxFuture<'static, Result<(), Doubt>>,
     /// Body of a whole answer; none for a stream.
-    body: Option<Bytes>,
+    body: Option<Held>,
 }
 
 /// A stream that is being received.
@@ -97,6 +96,29 @@
     connection: Connection,
     body: Incoming,
     splitter: Splitter,
+    charge: Charge,
+    /// Bytes that the event in progress takes, if it is large.
+    charged: usize,
+}
+
+impl Stream {
+    /// Takes memory for a large event that goes on with some bytes; returns false if there is none.
+    fn charge_event(&mut self, bytes: usize) -> bool {
+        if self.splitter.is_empty() && self.charged > 0 {
+            self.charge.shrink(std::mem::take(&mut self.charged));
+        }
+        let needed = self.splitter.len() + bytes;
+        if needed <= SMALL.0 as usize || needed <= self.charged {
+            return true;
+        }
+        // Buffers double when they grow.
+        let growth = 2 * needed - self.charged;
+        let is_granted = self.charge.try_grow(growth);
+        if is_granted {
+            self.charged += growth;
+        }
+        is_granted
+    }
 }
 
 /// Status and headers of an answer.
@@ -246,9 +268,12 @@
                 }
                 Phase::Streaming(stream) => {
                     let next = stream.splitter.next();
-                    let next = next.map_err(|_| ExchangeFailure::invalid("an event is too large"));
-                    if let Some(event) = next? {
-                        return Poll::Ready(Ok(Piece::Event(event)));
+                    match next {
+                        Ok(Some(event)) => return Poll::Ready(Ok(Piece::Event(event))),
+                        Ok(None) => {}
+                        Err(TooLarge) => {
+                            return Poll::Ready(Err(self.reject("an event is too large")));
+                        }
                     }
                     let frame = ready!(Pin::new(&mut stream.body).poll_frame(cx));
                     let Some(frame) = frame else {
@@ -261,15 +286,27 @@
                         ExchangeFailure::new(Fault::Closed, Step::Answering, error)
                     })?;
                     if let Ok(data) = frame.into_data() {
+                        if !stream.charge_event(data.len()) {
+                            let detail = "there is no memory for a large event";
+                            return Poll::Ready(Err(self.reject(detail)));
+                        }
                         stream.splitter.push(&data);
                         self.record_progress();
                     }
                 }
                 Phase::Collecting(collecting) => {
                     let collected = ready!(collecting.as_mut().poll(cx));
-                    let (connection, body) = collected.map_err(|fault| {
-                        ExchangeFailure::new(Fault::Closed, Step::Answering, fault)
-                    })?;
+                    let (connection, body) = match collected {
+                        Ok(collected) => collected,
+                        Err(ReadError::Broken(fault)) => {
+                            let failure =
+                                ExchangeFailure::new(Fault::Closed, Step::Answering, fault);
+                            return Poll::Ready(Err(failure));
+                        }
+                        Err(ReadError::Denied(denial)) => {
+                            return Poll::Ready(Err(self.reject(denial)));
+                        }
+                    };
                     if let Some(piece) = self.end_body(connection, Some(body))? {
                         return Poll::Ready(Ok(piece));
                     }
@@ -288,6 +325,13 @@
         }
     }
 
+    /// Returns the failure of an answer that is not held, and keeps new requests away from its server.
+    fn reject(&self, detail: impl fmt::Display) -> ExchangeFailure {
+        let now = self.node.now();
+        self.node.targets.borrow_mut().avoid(self.plan.key, now);
+        ExchangeFailure::invalid(detail)
+    }
+
     /// Sends the request on a connection.
     fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
         self.is_new_connection = !connection.is_used();
@@ -375,10 +419,13 @@
                 connection,
                 body,
                 splitter: Splitter::default(),
+                charge: self.node.memory.open(Class::Answer),
+                charged: 0,
             }));
         }
+        let memory = Rc::clone(&self.node.memory);
         Phase::Collecting(Box::pin(async move {
-            let body = client::read_body(body, MAX_ANSWER).await?;
+            let body = Held::read(body, &memory).await?;
             Ok((connection, body))
         }))
     }
@@ -447,7 +494,7 @@
     fn end_body(
         &mut self,
         connection: Connection,
-        body: Option<Bytes>,
+        body: Option<Held>,
     ) -> Result<Option<Piece>, ExchangeFailure> {
         let ending = Ending {
             framing: self.framing,
@@ -476,7 +523,7 @@
     }
 
     /// Returns the last part of a complete answer.
-    fn finish(&mut self, body: Option<Bytes>) -> Piece {
+    fn finish(&mut self, body: Option<Held>) -> Piece {
         self.log_end(None);
         let Some(body) = body else {
             return Piece::End;
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -1,20 +1,20 @@
 //! Answers that are buffered completely before they are sent to the caller.
 
-use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use ntex::http::header::HeaderValue;
 use ntex::http::{Response, ResponseBuilder};
 
 use crate::attempt::Piece;
+use crate::memory::Held;
 use crate::race::Race;
 use crate::refusal::Refusal;
 
 /// A complete answer of a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct BufferedAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Held,
 }
 
 impl BufferedAnswer {
@@ -25,8 +25,7 @@
 
     /// Converts the answer to a response for the caller.
     pub(crate) fn into_response(self) -> Response {
-        response_builder(self.status, &self.headers)
-            .body(ntex::util::Bytes::from(self.body.to_vec()))
+        response_builder(self.status, &self.headers).body(self.body.into_body())
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -12,6 +12,7 @@
 use jackdaw_policy::balance::Demand;
 use jackdaw_policy::poison::Features;
 
+use crate::memory::Charge;
 use crate::node::Node;
 
 /// An admitted request.
@@ -26,6 +27,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What the body takes.
+    pub(crate) charge: Option<Charge>,
     pub(crate) digest: OnceCell<Digest>,
     /// Time at which the request arrived.
     pub(crate) arrived: Instant,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -32,6 +32,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of bytes that are buffered.
+    pub(crate) fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether no bytes of an incomplete event are buffered.
     pub(crate) fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -20,7 +20,7 @@
 use slog::info;
 use tokio::time;
 
-use crate::body;
+use crate::body::{self, Whole};
 use crate::buffered;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
@@ -49,7 +49,7 @@
     // The guard is dropped with this future, or with the response's body.
     let mut guard = None;
     let mut payload = request.take_payload();
-    let mut response = match process(&node, &request, &mut payload, &mut guard).await {
+    let response = match process(&node, &request, &mut payload, &mut guard).await {
         Ok(response) => response,
         Err((id, refusal)) => {
             node.counters.count_refusal(refusal.reason);
@@ -64,6 +64,10 @@
                 "may_have_run" => refusal.may_have_run,
                 "retry_after_ms" => refusal.retry_after.map(|delay| delay.0),
                 "detail" => &refusal.detail);
+            if refusal.reason == Reason::NoMemory {
+                let response = body::answer_early(&node, &refusal, payload);
+                return finish(&node, response, guard);
+            }
             // A body that was too slow is not waited for again.
             if refusal.reason != Reason::Deadline {
                 body::discard(&mut payload).await;
@@ -71,6 +75,11 @@
             refusal.to_response()
         }
     };
+    finish(&node, response, guard)
+}
+
+/// Hands a response over to its caller's connection.
+fn finish(node: &Node, mut response: Response, guard: Option<Guard>) -> Response {
     if node.is_stopping() || guard.as_ref().is_some_and(Guard::is_last) {
         response
             .head_mut()
@@ -137,13 +146,17 @@
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
     let caller_deadline = caller_deadline(&head, arrived);
-    let body = read_body(node, payload, caller_deadline)
+    let stated = header::content_length(&headers);
+    let charge = body::reserve(node, stated).map_err(failed)?;
+    let body = body::read(node, payload, charge, stated);
+    let body = wait_body(node, body, caller_deadline)
         .await
         .map_err(failed)?;
     // The configuration may have changed while the body was read.
     let index = node.index().unwrap_or(index);
     let mut call = admit(&index, request, head, headers).map_err(failed)?;
-    call.body = body;
+    call.body = body.bytes;
+    call.charge = Some(body.charge);
     call.arrived = arrived;
     call.caller_deadline = caller_deadline;
     call.deadline = call.caller_deadline.min(arrived + call.route.timeout);
@@ -219,13 +232,17 @@
     Err(Refusal::not_run(Reason::HeadTooLarge, detail))
 }
 
-/// Reads a request's body while the node takes new requests, at most until the request is due.
+/// Waits for a request's body while the node takes new requests, at most until the request is due.
 ///
 /// # Errors
 ///
 /// Returns a refusal if the body is incomplete, too large or late, or the node is stopping.
-async fn read_body(node: &Node, payload: &mut Payload, due: Instant) -> Result<Bytes, Refusal> {
-    let mut body = pin!(body::read(node, payload));
+async fn wait_body(
+    node: &Node,
+    body: impl Future<Output = Result<Whole, Refusal>>,
+    due: Instant,
+) -> Result<Whole, Refusal> {
+    let mut body = pin!(body);
     loop {
         check_accepting(node)?;
         let now = node.now();
@@ -290,6 +307,7 @@
         uri: server_uri(request),
         headers,
         body: Bytes::new(),
+        charge: None,
         digest: OnceCell::new(),
         arrived: Instant::default(),
         deadline: Instant::default(),
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -74,6 +74,11 @@
     Bytes((method + scheme + authority + path + LINE + headers + END) as u64)
 }
 
+/// Returns the length of a body that its head states.
+pub(crate) fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 /// Copies a caller's headers; values that are invalid in the http crate are left out.
 pub(crate) fn convert(headers: &ntex::http::HeaderMap) -> HeaderMap {
     let mut copied = HeaderMap::with_capacity(headers.len());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! store, forms replica groups while it leads its availability zone, and relays requests. It uses
 //! ntex on the callers' side and [`jackdaw_link`] on the servers' side.
 
+mod memory;
 pub mod node;
 pub mod options;
 pub mod server;
--- /dev/null
+++ b/crates/gateway/src/memory.rs
@@ -0,0 +1,294 @@
+//! Memory of this node's messages: charges for what is held, and answers that wait until they may grow.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::error::Error;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
+use jackdaw_core::time::Clock;
+use jackdaw_core::units::{Bytes as Size, Millis};
+use jackdaw_link::connection::Fault;
+use jackdaw_policy::memory::{Bounds, Class, Growth, Key, Ledger};
+use ntex::http::body::{Body, BodySize, MessageBody};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
+use thiserror::Error as ThisError;
+use tokio::sync::Notify;
+use tokio::time;
+
+/// Longest time until an answer that waits asks again.
+const ASK_INTERVAL: Millis = Millis(50);
+/// Smallest and largest number of bytes by which a message grows.
+const MIN_SEGMENT: usize = 4 << 10;
+const MAX_SEGMENT: usize = 256 << 10;
+
+/// Reason why a message is not held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ThisError)]
+pub(crate) enum Denial {
+    /// It is larger than any message may be.
+    #[error("the answer is larger than {0}")]
+    TooLarge(Size),
+    /// Others wait for what it holds.
+    #[error("the answer takes the memory for which others wait")]
+    Evicted,
+}
+
+/// Reason why the body of an answer was not read to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ReadError {
+    /// It has ended early.
+    Broken(Fault),
+    /// It is not held.
+    Denied(Denial),
+}
+
+impl From<Denial> for ReadError {
+    fn from(denial: Denial) -> Self {
+        ReadError::Denied(denial)
+    }
+}
+
+/// The memory of a node's messages.
+pub(crate) struct Memory {
+    ledger: RefCell<Ledger>,
+    clock: Arc<dyn Clock>,
+    released: Notify,
+    denied: Counter<u64>,
+    waits: Counter<u64>,
+    held: Arc<AtomicU64>,
+    _held: ObservableGauge<u64>,
+}
+
+impl fmt::Debug for Memory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Memory")
+            .field("held", &self.ledger.borrow().held())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Memory {
+    pub(crate) fn new(process: Size, clock: &Arc<dyn Clock>, meter: &Meter) -> Self {
+        let held = Arc::new(AtomicU64::new(0));
+        let observed = Arc::clone(&held);
+        Memory {
+            ledger: RefCell::new(Ledger::new(Bounds::new(process))),
+            clock: Arc::clone(clock),
+            released: Notify::new(),
+            denied: meter
+                .u64_counter("jackdawstair_memory_denials")
+                .with_description("Messages that were not held for want of memory, by kind.")
+                .build(),
+            waits: meter
+                .u64_counter("jackdawstair_memory_waits")
+                .with_description("Times that an answer was not read on for want of memory.")
+                .build(),
+            held,
+            _held: meter
+                .u64_observable_gauge("jackdawstair_held_bytes")
+                .with_description("Bytes of requests and answers that are held.")
+                .with_callback(move |observer| {
+                    observer.observe(observed.load(Ordering::Relaxed), &[]);
+                })
+                .build(),
+        }
+    }
+
+    /// Returns the largest answer that is held.
+    pub(crate) fn max_answer(&self) -> Size {
+        self.ledger.borrow().bounds().answer
+    }
+
+    /// Begins to hold a message.
+    pub(crate) fn open(self: &Rc<Self>, class: Class) -> Charge {
+        Charge {
+            key: self.ledger.borrow_mut().open(class),
+            memory: Rc::clone(self),
+        }
+    }
+
+    fn count_denial(&self, kind: &'static str) {
+        self.denied.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    fn observe(&self) {
+        let held = self.ledger.borrow().held();
+        self.held.store(held.0, Ordering::Relaxed);
+    }
+}
+
+/// What a message takes, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    memory: Rc<Memory>,
+    key: Key,
+}
+
+impl Charge {
+    /// Takes more memory if there is room at once.
+    pub(crate) fn try_grow(&self, bytes: usize) -> bool {
+        let memory = &self.memory;
+        let now = memory.clock.now();
+        let growth = memory
+            .ledger
+            .borrow_mut()
+            .grow(self.key, Size(bytes as u64), now);
+        memory.observe();
+        growth == Growth::Granted
+    }
+
+    /// Counts a request that is turned away.
+    pub(crate) fn count_refusal(&self) {
+        self.memory.count_denial("request");
+    }
+
+    /// Takes more memory once there is room.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Denial::Evicted`] if the message has to be given up.
+    async fn grow(&self, bytes: usize) -> Result<(), Denial> {
+        let memory = &self.memory;
+        let mut has_waited = false;
+        loop {
+            let released = memory.released.notified();
+            let now = memory.clock.now();
+            let size = Size(bytes as u64);
+            let growth = memory.ledger.borrow_mut().grow(self.key, size, now);
+            match growth {
+                Growth::Granted => {
+                    memory.observe();
+                    return Ok(());
+                }
+                Growth::Evicted => {
+                    memory.count_denial("answer");
+                    return Err(Denial::Evicted);
+                }
+                Growth::Wait => {}
+            }
+            if !std::mem::replace(&mut has_waited, true) {
+                memory.waits.add(1, &[]);
+            }
+            let _ = time::timeout(ASK_INTERVAL.duration(), released).await;
+        }
+    }
+
+    /// Gives memory back.
+    pub(crate) fn shrink(&self, bytes: usize) {
+        let mut ledger = self.memory.ledger.borrow_mut();
+        ledger.shrink(self.key, Size(bytes as u64));
+        drop(ledger);
+        self.memory.observe();
+        self.memory.released.notify_waiters();
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        self.memory.ledger.borrow_mut().close(self.key);
+        self.memory.observe();
+        self.memory.released.notify_waiters();
+    }
+}
+
+/// A whole body of an answer, in segments.
+#[derive(Debug)]
+pub(crate) struct Held {
+    segments: VecDeque<Bytes>,
+    len: u64,
+    charge: Charge,
+}
+
+impl Held {
+    /// Reads the body of an answer to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is not held or ends early.
+    pub(crate) async fn read(mut body: Incoming, memory: &Rc<Memory>) -> Result<Held, ReadError> {
+        let max = memory.max_answer();
+        let stated = body.size_hint().lower();
+        let mut held = Held {
+            segments: VecDeque::new(),
+            len: 0,
+            charge: memory.open(Class::Answer),
+        };
+        if stated > max.0 {
+            return Err(held.deny_size(max).into());
+        }
+        let mut tail = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame =
+                frame.map_err(|error| ReadError::Broken(Fault::Unanswered(error.to_string())))?;
+            let Ok(mut data) = frame.into_data() else {
+                continue;
+            };
+            held.len += data.len() as u64;
+            if held.len > max.0 {
+                return Err(held.deny_size(max).into());
+            }
+            while !data.is_empty() {
+                if tail.len() == tail.capacity() {
+                    held.push(tail.split());
+                    let segment = (held.len as usize).clamp(MIN_SEGMENT, MAX_SEGMENT);
+                    held.charge.grow(segment).await?;
+                    tail = BytesMut::with_capacity(segment);
+                }
+                let count = data.len().min(tail.capacity() - tail.len());
+                tail.extend_from_slice(&data.split_to(count));
+            }
+        }
+        held.push(tail);
+        Ok(held)
+    }
+
+    fn push(&mut self, segment: BytesMut) {
+        if !segment.is_empty() {
+            self.segments.push_back(segment.freeze());
+        }
+    }
+
+    fn deny_size(&self, max: Size) -> Denial {
+        self.charge.memory.count_denial("large-answer");
+        Denial::TooLarge(max)
+    }
+
+    /// Converts the body to that of a response.
+    pub(crate) fn into_body(mut self) -> Body {
+        match self.segments.len() {
+            0 => Body::Empty,
+            1 => {
+                let segment = self.segments.pop_front().unwrap_or_default();
+                Body::Bytes(ntex::util::Bytes::from(segment.to_vec()))
+            }
+            _ => Body::from_message(self),
+        }
+    }
+}
+
+impl MessageBody for Held {
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.len)
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<ntex::util::Bytes, Rc<dyn Error>>>> {
+        let Some(segment) = self.segments.pop_front() else {
+            return Poll::Ready(None);
+        };
+        let copy = ntex::util::Bytes::from(segment.to_vec());
+        let count = segment.len();
+        drop(segment);
+        self.charge.shrink(count);
+        Poll::Ready(Some(Ok(copy)))
+    }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -37,6 +37,7 @@
 use crate::in_flight::InFlight;
 use crate::lag::Lag;
 use crate::limits::Limits as ServerLimits;
+use crate::memory::Memory;
 use crate::options::Options;
 use crate::pauses::Pauses;
 use crate::poison::Poison;
@@ -158,6 +159,8 @@
     pub(crate) freshness: Freshness,
     /// Limits that servers name.
     pub(crate) limits: ServerLimits,
+    /// Memory of requests and answers.
+    pub(crate) memory: Rc<Memory>,
     /// Pauses that servers have asked for.
     pub(crate) pauses: Pauses,
     /// Links to servers, this node's and those of others.
@@ -192,6 +195,7 @@
             relay_port: Cell::new(0),
             counters_of_reach: ReachCounters::new(&parts.meter),
             limits: ServerLimits::new(&options.node, &parts.meter),
+            memory: Rc::new(Memory::new(options.memory, &parts.clock, &parts.meter)),
             pauses: Pauses::new(&parts.meter),
             options,
             parts,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -32,4 +32,6 @@
     pub drain: Millis,
     /// Largest head of a request, unless the configuration states a limit.
     pub max_head: Bytes,
+    /// Memory that the process may hold.
+    pub memory: Bytes,
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 use jackdaw_core::refusal::Reason;
 use jackdaw_core::units::Millis;
 use ntex::http::header::{CONTENT_TYPE, RETRY_AFTER};
-use ntex::http::{Response, StatusCode};
+use ntex::http::{Response, ResponseBuilder, StatusCode};
 
 /// The reason why a request is refused or given up, and what the caller is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,12 +65,22 @@
 
     /// Creates the response for the caller.
     pub(crate) fn to_response(&self) -> Response {
+        self.builder().body(self.text())
+    }
+
+    /// Returns the text for the caller.
+    pub(crate) fn text(&self) -> String {
+        format!("{}: {}\n", self.reason.label(), self.detail)
+    }
+
+    /// Begins the response for the caller.
+    pub(crate) fn builder(&self) -> ResponseBuilder {
         let mut builder = Response::build(self.status());
         builder.header(CONTENT_TYPE, "text/plain");
         if let Some(delay) = self.retry_after {
             let seconds = format!("{}.{:03}", delay.0 / 1_000, delay.0 % 1_000);
             builder.header(RETRY_AFTER, seconds);
         }
-        builder.body(format!("{}: {}\n", self.reason.label(), self.detail))
+        builder
     }
 }
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod late;
 mod limits;
 mod lines;
+mod memory;
 mod odd;
 mod pause;
 mod poison;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -537,6 +537,7 @@
         lease: Millis(3_000),
         drain: Millis(2_000),
         max_head: Bytes(16 << 10),
+        memory: Bytes(260 << 20),
     }
 }
 
--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -23,6 +23,7 @@
 pub struct Client {
     pool: Pool,
     step: &'static str,
+    max_response: Size,
 }
 
 impl Client {
@@ -32,9 +33,17 @@
         Client {
             pool: Pool::new(options),
             step,
+            max_response: MAX_RESPONSE_SIZE,
         }
     }
 
+    /// Sets the largest body of a response.
+    #[must_use]
+    pub fn with_max_response(mut self, size: Size) -> Self {
+        self.max_response = size;
+        self
+    }
+
     /// Sends a request on an idle connection, or a new one, which is kept afterwards.
     async fn send_pooled(
         &self,
@@ -42,7 +51,7 @@
         request: Request<Bytes>,
     ) -> std::result::Result<Response<Bytes>, Fault> {
         let mut connection = self.pool.take(peer).await?;
-        let response = send(&mut connection, request).await?;
+        let response = send(&mut connection, request, self.max_response).await?;
         self.pool.put(connection, response.headers(), usize::MAX);
         Ok(response)
     }
@@ -54,7 +63,7 @@
         request: Request<Bytes>,
     ) -> std::result::Result<Response<Bytes>, Fault> {
         let mut connection = self.pool.open(peer).await?;
-        send(&mut connection, request).await
+        send(&mut connection, request, self.max_response).await
     }
 
     /// Waits for a response, at most for the given time.
@@ -83,9 +92,10 @@
 async fn send(
     connection: &mut Connection,
     request: Request<Bytes>,
+    max_body: Size,
 ) -> std::result::Result<Response<Bytes>, Fault> {
     let (head, body) = connection.send(request).await?.into_parts();
-    let body = read_body(body, MAX_RESPONSE_SIZE).await?;
+    let body = read_body(body, max_body).await?;
     Ok(Response::from_parts(head, body))
 }
 
@@ -94,7 +104,7 @@
 /// # Errors
 ///
 /// Returns [`Fault::Unanswered`] if the body ends early or is larger than `limit`.
-pub async fn read_body(body: Incoming, limit: Size) -> std::result::Result<Bytes, Fault> {
+async fn read_body(body: Incoming, limit: Size) -> std::result::Result<Bytes, Fault> {
     let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod grace_period;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod once;
 pub mod pause;
 pub mod peers;
