Look at timers and sockets after each turn of a connection's reader

What callers saw: beside a server that sends the size of a chunk, or tiny chunks, without an end, requests that could be sent elsewhere ended at their deadlines (unoptimized builds, beside load).

Cause: the reader yields after 64 KB, but a task that only wakes itself is run again before the runtime looks at timers and sockets, which it does once in 61 turns. Class of fault: as before, a peer decides how long a thread runs.

--- a/crates/link/src/paced.rs
+++ b/crates/link/src/paced.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::task;
 
 /// Bytes after which other tasks have their turn.
 const TURN: usize = 64 << 10;
@@ -48,12 +49,13 @@
 }
 
 /// A stream whose reader yields to other tasks.
-#[derive(Debug)]
 pub(crate) struct Stream<S> {
     inner: S,
     allowance: Allowance,
     /// Bytes that were read in this turn.
     turn: usize,
+    /// Ends once other tasks, timers and sockets have had their turns.
+    rest: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl<S> Stream<S> {
@@ -62,6 +64,7 @@
             inner,
             allowance,
             turn: 0,
+            rest: None,
         }
     }
 }
@@ -78,8 +81,12 @@
         }
         if self.turn >= TURN {
             self.turn = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
+            // A task that only wakes itself runs again before timers and sockets are looked at.
+            self.rest = Some(Box::pin(task::yield_now()));
+        }
+        if let Some(rest) = &mut self.rest {
+            ready!(rest.as_mut().poll(cx));
+            self.rest = None;
         }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
