Give servers the last choice that send too much before an answer

Cause: a connection that was given up for this looked like any other that closed, so its server was chosen again at once, and each time 256 KB were parsed.

Change: the link names this fault, and its server is the last choice for some seconds, like one whose answer is too large. Reads before a head take 16 KB at most, so that 128 KB suffice as a bound.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -257,6 +257,9 @@
                 }
                 Phase::Sending(sending) => {
                     let (connection, answer) = ready!(sending.as_mut().poll(cx));
+                    if matches!(answer, Err(connection::Fault::Overlong(_))) {
+                        self.avoid_server();
+                    }
                     let answer = answer.map_err(connection_failure)?;
                     self.record_answer();
                     self.check_head(&answer)?;
@@ -327,9 +330,14 @@
 
     /// Returns the failure of an answer that is not held, and keeps new requests away from its server.
     fn reject(&self, detail: impl fmt::Display) -> ExchangeFailure {
+        self.avoid_server();
+        ExchangeFailure::invalid(detail)
+    }
+
+    /// Keeps new requests away from a server that sends more than can be an answer.
+    fn avoid_server(&self) {
         let now = self.node.now();
         self.node.targets.borrow_mut().avoid(self.plan.key, now);
-        ExchangeFailure::invalid(detail)
     }
 
     /// Sends the request on a connection.
@@ -685,7 +693,7 @@
         connection::Fault::NotSent(detail) => {
             ExchangeFailure::new(Fault::Unreachable, Step::Connecting, detail)
         }
-        connection::Fault::Unanswered(detail) => {
+        connection::Fault::Unanswered(detail) | connection::Fault::Overlong(detail) => {
             ExchangeFailure::new(Fault::Closed, Step::Written, detail)
         }
     }
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -25,7 +25,7 @@
 
 /// Bytes that are read from the sending of a request until the head of its answer is whole, with heads
 /// of interim answers before it. What is read beyond the head at once stays within it.
-const MAX_UNANSWERED_BYTES: usize = 4 * MAX_HEAD_BYTES;
+const MAX_UNANSWERED_BYTES: usize = MAX_HEAD_BYTES + 4 * paced::MAX_READ;
 
 /// Time without traffic before the first TCP keepalive probe, and the interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -66,6 +66,9 @@
     /// The peer may have received the request, but no complete response arrived.
     #[error("no whole answer: {0}")]
     Unanswered(String),
+    /// The peer may have received the request, and sent more than any head of an answer holds.
+    #[error("too many bytes before an answer: {0}")]
+    Overlong(String),
 }
 
 /// How another node passes the bytes of a connection on.
@@ -180,8 +183,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Fault::NotSent`] if nothing was sent, and [`Fault::Unanswered`] if the peer may
-    /// have received the request.
+    /// Returns [`Fault::NotSent`] if nothing was sent, and another fault if the peer may have received
+    /// the request.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, Fault> {
         self.exchanges += 1;
         self.sender
@@ -190,11 +193,13 @@
             .map_err(|error| Fault::NotSent(error.to_string()))?;
         self.allowance.set(MAX_UNANSWERED_BYTES);
         let result = self.sender.try_send_request(request.map(Full::new)).await;
+        let is_used_up = self.allowance.is_used_up();
         self.allowance.lift();
         result.map_err(|mut error| {
             let detail = error.error().to_string();
             match error.take_message() {
                 Some(_) => Fault::NotSent(detail),
+                None if is_used_up => Fault::Overlong(detail),
                 None => Fault::Unanswered(detail),
             }
         })
--- a/crates/link/src/paced.rs
+++ b/crates/link/src/paced.rs
@@ -12,6 +12,8 @@
 
 /// Bytes after which other tasks have their turn.
 const TURN: usize = 64 << 10;
+/// Most bytes that one read takes while they are bounded.
+pub(crate) const MAX_READ: usize = 16 << 10;
 /// Value of an allowance without a bound.
 const UNBOUNDED: usize = usize::MAX;
 
@@ -36,6 +38,11 @@
         self.set(UNBOUNDED);
     }
 
+    /// Returns whether no more bytes may be read.
+    pub(crate) fn is_used_up(&self) -> bool {
+        self.left() == 0
+    }
+
     fn left(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
@@ -75,7 +82,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.allowance.left() == 0 {
+        if self.allowance.is_used_up() {
             let detail = "too many bytes before the head of an answer is whole";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, detail)));
         }
@@ -89,7 +96,16 @@
             self.rest = None;
         }
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.inner).poll_read(cx, buffer);
+        let read = if self.allowance.left() == UNBOUNDED {
+            Pin::new(&mut self.inner).poll_read(cx, buffer)
+        } else {
+            let max = buffer.remaining().min(MAX_READ);
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max));
+            let read = Pin::new(&mut self.inner).poll_read(cx, &mut part);
+            let count = part.filled().len();
+            buffer.advance(count);
+            read
+        };
         if read.is_pending() {
             self.turn = 0;
         }
