--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -262,14 +262,12 @@
 
     /// Converts the body to that of a response.
     pub(crate) fn into_body(mut self) -> Body {
-        match self.segments.len() {
-            0 => Body::Empty,
-            1 => {
-                let segment = self.segments.pop_front().unwrap_or_default();
-                Body::Bytes(ntex::util::Bytes::from(segment.to_vec()))
-            }
-            _ => Body::from_message(self),
+        if self.segments.len() > 1 {
+            return Body::from_message(self);
         }
+        // An empty body has a length too.
+        let segment = self.segments.pop_front().unwrap_or_default();
+        Body::Bytes(ntex::util::Bytes::from(segment.to_vec()))
     }
 }
 
