Let charges cover growing buffers, and count held bytes once

Read once more: bodies of requests and events of streams each computed how far a doubling buffer has to be charged, with a count of their own beside the ledger's; the length that a head states was bounded twice, by limits read at two moments; the sum of held bytes was copied into an atomic after each change; the ledger's peak had no reader.

A charge knows what it takes: Charge::cover serves both buffers, the body's capacity is what was taken for it, and the gauge is a counter that goes up and down, as that of limited servers. What is taken, refused and given back stays the same.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,28 +96,18 @@
     connection: Connection,
     body: Incoming,
     splitter: Splitter,
+    /// What the event in progress takes, if it is large.
     charge: Charge,
-    /// Bytes that the event in progress takes, if it is large.
-    charged: usize,
 }
 
 impl Stream {
     /// Takes memory for a large event that goes on with some bytes; returns false if there is none.
     fn charge_event(&mut self, bytes: usize) -> bool {
-        if self.splitter.is_empty() && self.charged > 0 {
-            self.charge.shrink(std::mem::take(&mut self.charged));
+        if self.splitter.is_empty() {
+            self.charge.release();
         }
-        let needed = self.splitter.len() + bytes;
-        if needed <= SMALL.0 as usize || needed <= self.charged {
-            return true;
-        }
-        // Buffers double when they grow.
-        let growth = 2 * needed - self.charged;
-        let is_granted = self.charge.try_grow(growth);
-        if is_granted {
-            self.charged += growth;
-        }
-        is_granted
+        let len = self.splitter.len() + bytes;
+        len <= SMALL.0 as usize || self.charge.cover(len)
     }
 }
 
@@ -299,17 +289,12 @@
                 }
                 Phase::Collecting(collecting) => {
                     let collected = ready!(collecting.as_mut().poll(cx));
-                    let (connection, body) = match collected {
-                        Ok(collected) => collected,
-                        Err(ReadError::Broken(fault)) => {
-                            let failure =
-                                ExchangeFailure::new(Fault::Closed, Step::Answering, fault);
-                            return Poll::Ready(Err(failure));
-                        }
-                        Err(ReadError::Denied(denial)) => {
-                            return Poll::Ready(Err(self.reject(denial)));
+                    let (connection, body) = collected.map_err(|error| match error {
+                        ReadError::Broken(fault) => {
+                            ExchangeFailure::new(Fault::Closed, Step::Answering, fault)
                         }
-                    };
+                        ReadError::Denied(denial) => self.reject(denial),
+                    })?;
                     if let Some(piece) = self.end_body(connection, Some(body))? {
                         return Poll::Ready(Ok(piece));
                     }
@@ -428,7 +413,6 @@
                 body,
                 splitter: Splitter::default(),
                 charge: self.node.memory.open(Class::Answer),
-                charged: 0,
             }));
         }
         let memory = Rc::clone(&self.node.memory);
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -82,7 +82,7 @@
 ///
 /// Returns a refusal if there is none.
 pub(crate) fn reserve(node: &Node, stated: Option<u64>) -> Result<Charge, Refusal> {
-    let charge = node.memory.open(Class::Request);
+    let mut charge = node.memory.open(Class::Request);
     let stated = stated.unwrap_or_default().min(node.limits().body.0);
     match charge.try_grow(usize::try_from(stated).unwrap_or(usize::MAX)) {
         true => Ok(charge),
@@ -90,7 +90,7 @@
     }
 }
 
-/// Reads a complete body, for which some bytes are reserved.
+/// Reads a complete body, for which memory may have been taken.
 ///
 /// # Errors
 ///
@@ -99,13 +99,10 @@
 pub(crate) async fn read(
     node: &Node,
     payload: &mut Payload,
-    charge: Charge,
-    stated: Option<u64>,
+    mut charge: Charge,
 ) -> Result<Whole, Refusal> {
     let mut limit = node.limits().body;
-    let stated = stated.unwrap_or_default().min(limit.0);
-    let mut reserved = usize::try_from(stated).unwrap_or(usize::MAX);
-    let mut body = BytesMut::with_capacity(reserved);
+    let mut body = BytesMut::with_capacity(charge.taken());
     while let Some(chunk) = stream_recv(payload).await {
         let chunk = chunk.map_err(|error| {
             Refusal::not_run(Reason::Malformed, format!("the body broke off: {error}"))
@@ -115,14 +112,8 @@
             let detail = format!("the body is larger than {limit}");
             return Err(Refusal::not_run(Reason::TooLarge, detail));
         }
-        let needed = body.len() + chunk.len();
-        if needed > reserved {
-            // Buffers double when they grow.
-            let growth = 2 * needed - reserved;
-            if !charge.try_grow(growth) {
-                return Err(refuse_for_memory(&charge));
-            }
-            reserved += growth;
+        if !charge.cover(body.len() + chunk.len()) {
+            return Err(refuse_for_memory(&charge));
         }
         body.extend_from_slice(&chunk);
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -146,9 +146,8 @@
         return Err(failed(refusal.with_retry_after(NOT_READY_RETRY_AFTER)));
     };
     let caller_deadline = caller_deadline(&head, arrived);
-    let stated = header::content_length(&headers);
-    let charge = body::reserve(node, stated).map_err(failed)?;
-    let body = body::read(node, payload, charge, stated);
+    let charge = body::reserve(node, header::content_length(&headers)).map_err(failed)?;
+    let body = body::read(node, payload, charge);
     let body = wait_body(node, body, caller_deadline)
         .await
         .map_err(failed)?;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -6,7 +6,6 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
@@ -18,7 +17,7 @@
 use jackdaw_policy::memory::{Bounds, Class, Growth, Key, Ledger};
 use ntex::http::body::{Body, BodySize, MessageBody};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Meter, ObservableGauge};
+use opentelemetry::metrics::{Counter, Meter, UpDownCounter};
 use thiserror::Error as ThisError;
 use tokio::sync::Notify;
 use tokio::time;
@@ -62,8 +61,7 @@
     released: Notify,
     denied: Counter<u64>,
     waits: Counter<u64>,
-    held: Arc<AtomicU64>,
-    _held: ObservableGauge<u64>,
+    held: UpDownCounter<i64>,
 }
 
 impl fmt::Debug for Memory {
@@ -76,8 +74,11 @@
 
 impl Memory {
     pub(crate) fn new(process: Size, clock: &Arc<dyn Clock>, meter: &Meter) -> Self {
-        let held = Arc::new(AtomicU64::new(0));
-        let observed = Arc::clone(&held);
+        let held = meter
+            .i64_up_down_counter("jackdawstair_held_bytes")
+            .with_description("Bytes of requests and answers that are held.")
+            .build();
+        held.add(0, &[]);
         Memory {
             ledger: RefCell::new(Ledger::new(Bounds::new(process))),
             clock: Arc::clone(clock),
@@ -91,13 +92,6 @@
                 .with_description("Times that an answer was not read on for want of memory.")
                 .build(),
             held,
-            _held: meter
-                .u64_observable_gauge("jackdawstair_held_bytes")
-                .with_description("Bytes of requests and answers that are held.")
-                .with_callback(move |observer| {
-                    observer.observe(observed.load(Ordering::Relaxed), &[]);
-                })
-                .build(),
         }
     }
 
@@ -111,17 +105,13 @@
         Charge {
             key: self.ledger.borrow_mut().open(class),
             memory: Rc::clone(self),
+            taken: 0,
         }
     }
 
     fn count_denial(&self, kind: &'static str) {
         self.denied.add(1, &[KeyValue::new("kind", kind)]);
     }
-
-    fn observe(&self) {
-        let held = self.ledger.borrow().held();
-        self.held.store(held.0, Ordering::Relaxed);
-    }
 }
 
 /// What a message takes, until it is dropped.
@@ -129,19 +119,35 @@
 pub(crate) struct Charge {
     memory: Rc<Memory>,
     key: Key,
+    taken: usize,
 }
 
 impl Charge {
+    /// Gets the number of bytes that the message takes.
+    pub(crate) fn taken(&self) -> usize {
+        self.taken
+    }
+
     /// Takes more memory if there is room at once.
-    pub(crate) fn try_grow(&self, bytes: usize) -> bool {
+    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
+        self.ask(bytes) == Growth::Granted
+    }
+
+    /// Takes memory for a buffer of a size, if there is room at once.
+    pub(crate) fn cover(&mut self, len: usize) -> bool {
+        // Buffers double when they grow.
+        len <= self.taken || self.try_grow(2 * len - self.taken)
+    }
+
+    fn ask(&mut self, bytes: usize) -> Growth {
         let memory = &self.memory;
-        let now = memory.clock.now();
-        let growth = memory
-            .ledger
-            .borrow_mut()
-            .grow(self.key, Size(bytes as u64), now);
-        memory.observe();
-        growth == Growth::Granted
+        let mut ledger = memory.ledger.borrow_mut();
+        let growth = ledger.grow(self.key, Size(bytes as u64), memory.clock.now());
+        if growth == Growth::Granted {
+            self.taken += bytes;
+            memory.held.add(bytes as i64, &[]);
+        }
+        growth
     }
 
     /// Counts a request that is turned away.
@@ -154,19 +160,13 @@
     /// # Errors
     ///
     /// Returns [`Denial::Evicted`] if the message has to be given up.
-    async fn grow(&self, bytes: usize) -> Result<(), Denial> {
-        let memory = &self.memory;
+    async fn grow(&mut self, bytes: usize) -> Result<(), Denial> {
+        let memory = Rc::clone(&self.memory);
         let mut has_waited = false;
         loop {
             let released = memory.released.notified();
-            let now = memory.clock.now();
-            let size = Size(bytes as u64);
-            let growth = memory.ledger.borrow_mut().grow(self.key, size, now);
-            match growth {
-                Growth::Granted => {
-                    memory.observe();
-                    return Ok(());
-                }
+            match self.ask(bytes) {
+                Growth::Granted => return Ok(()),
                 Growth::Evicted => {
                     memory.count_denial("answer");
                     return Err(Denial::Evicted);
@@ -180,20 +180,29 @@
         }
     }
 
-    /// Gives memory back.
-    pub(crate) fn shrink(&self, bytes: usize) {
-        let mut ledger = self.memory.ledger.borrow_mut();
+    /// Gives all memory back.
+    pub(crate) fn release(&mut self) {
+        if self.taken > 0 {
+            self.shrink(self.taken);
+        }
+    }
+
+    fn shrink(&mut self, bytes: usize) {
+        // An allocation may be larger than asked for.
+        let bytes = bytes.min(self.taken);
+        self.taken -= bytes;
+        let memory = &self.memory;
+        let mut ledger = memory.ledger.borrow_mut();
         ledger.shrink(self.key, Size(bytes as u64));
-        drop(ledger);
-        self.memory.observe();
-        self.memory.released.notify_waiters();
+        memory.held.add(-(bytes as i64), &[]);
+        memory.released.notify_waiters();
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
         self.memory.ledger.borrow_mut().close(self.key);
-        self.memory.observe();
+        self.memory.held.add(-(self.taken as i64), &[]);
         self.memory.released.notify_waiters();
     }
 }
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -98,7 +98,6 @@
     last_key: u64,
     requests: u64,
     answers: u64,
-    peak: u64,
     /// The answer that goes on beyond the bound, and since when.
     turn: Option<(Key, Instant)>,
 }
@@ -113,7 +112,6 @@
             last_key: 0,
             requests: 0,
             answers: 0,
-            peak: 0,
             turn: None,
         }
     }
@@ -130,12 +128,6 @@
         Bytes(self.requests + self.answers)
     }
 
-    /// Returns the largest number of bytes that were held at once.
-    #[must_use]
-    pub fn peak(&self) -> Bytes {
-        Bytes(self.peak)
-    }
-
     /// Adds a message that holds nothing yet.
     pub fn open(&mut self, class: Class) -> Key {
         self.last_key += 1;
@@ -219,7 +211,6 @@
         holder.waits_since = None;
         let class = holder.class;
         *self.used_mut(class) += bytes.0;
-        self.peak = self.peak.max(self.requests + self.answers);
     }
 
     fn record_wait(&mut self, key: Key, now: Instant) {
