Drop the rest of a refused body in one place, and hand responses over in one

The loop that reads and drops what is left of a body stood twice with other times, and the handler left in the middle for refusals without memory, with a function of its own for its last lines. The times and the order of what is sent stay the same.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -36,11 +36,15 @@
 ///
 /// Closing a connection with unread bytes resets it, and the caller might lose the refusal.
 pub(crate) async fn discard(payload: &mut Payload) {
+    read_rest(payload, DISCARD_TIMEOUT, DISCARD_IDLE_TIMEOUT).await;
+}
+
+/// Reads and drops the rest of a body for a bounded time, with bounded pauses.
+async fn read_rest(payload: &mut Payload, limit: Millis, idle: Millis) {
     let rest = async {
-        let idle = DISCARD_IDLE_TIMEOUT.duration();
-        while let Ok(Some(Ok(_))) = time::timeout(idle, stream_recv(payload)).await {}
+        while let Ok(Some(Ok(_))) = time::timeout(idle.duration(), stream_recv(payload)).await {}
     };
-    let _ = time::timeout(DISCARD_TIMEOUT.duration(), rest).await;
+    let _ = time::timeout(limit.duration(), rest).await;
 }
 
 /// Returns the answer to a refused request whose body is still on its way: its head is sent at once, and
@@ -49,11 +53,7 @@
     let node = Rc::clone(node);
     let text = refusal.text();
     let rest = async move {
-        let idle = EARLY_IDLE_TIMEOUT.duration();
-        let read = async {
-            while let Ok(Some(Ok(_))) = time::timeout(idle, stream_recv(&mut payload)).await {}
-        };
-        let read = time::timeout(EARLY_TIMEOUT.duration(), read);
+        let read = read_rest(&mut payload, EARLY_TIMEOUT, EARLY_IDLE_TIMEOUT);
         let _ = select(pin!(read), pin!(node.stop.wait())).await;
         Ok::<_, io::Error>(Bytes::from(text))
     };
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -49,7 +49,7 @@
     // The guard is dropped with this future, or with the response's body.
     let mut guard = None;
     let mut payload = request.take_payload();
-    let response = match process(&node, &request, &mut payload, &mut guard).await {
+    let mut response = match process(&node, &request, &mut payload, &mut guard).await {
         Ok(response) => response,
         Err((id, refusal)) => {
             node.counters.count_refusal(refusal.reason);
@@ -65,21 +65,16 @@
                 "retry_after_ms" => refusal.retry_after.map(|delay| delay.0),
                 "detail" => &refusal.detail);
             if refusal.reason == Reason::NoMemory {
-                let response = body::answer_early(&node, &refusal, payload);
-                return finish(&node, response, guard);
-            }
-            // A body that was too slow is not waited for again.
-            if refusal.reason != Reason::Deadline {
-                body::discard(&mut payload).await;
+                body::answer_early(&node, &refusal, payload)
+            } else {
+                // A body that was too slow is not waited for again.
+                if refusal.reason != Reason::Deadline {
+                    body::discard(&mut payload).await;
+                }
+                refusal.to_response()
             }
-            refusal.to_response()
         }
     };
-    finish(&node, response, guard)
-}
-
-/// Hands a response over to its caller's connection.
-fn finish(node: &Node, mut response: Response, guard: Option<Guard>) -> Response {
     if node.is_stopping() || guard.as_ref().is_some_and(Guard::is_last) {
         response
             .head_mut()
