Remove the count of requests in pauses, which nothing can reach any more

Refusals for other reasons than a server's do not compute the shortest pause any more. The module of memory stands among the private ones.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -364,8 +364,6 @@
         self.node
             .limits
             .count_sent(&self.target, self.plan.is_repetition);
-        self.node
-            .count_in_pause(&self.target, Way::Direct, self.plan.is_repetition);
         Ok(Phase::Sending(Box::pin(async move {
             let answer = connection.send(request).await;
             (connection, answer)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -883,8 +883,9 @@
             let detail = format!("the node is stopping: {}", error.detail);
             return self.refuse(Reason::NotReady, Millis(0), detail);
         }
-        let is_refused = matches!(error.fault, Fault::Refused | Fault::Paused);
-        if let Some(refusal) = self.refusal_in_pause().filter(|_| is_refused) {
+        if matches!(error.fault, Fault::Refused | Fault::Paused)
+            && let Some(refusal) = self.refusal_in_pause()
+        {
             return refusal;
         }
         let reason = match cause {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,6 @@
 //! store, forms replica groups while it leads its availability zone, and relays requests. It uses
 //! ntex on the callers' side and [`jackdaw_link`] on the servers' side.
 
-mod memory;
 pub mod node;
 pub mod options;
 pub mod server;
@@ -31,6 +30,7 @@
 mod leader;
 mod limits;
 mod marked;
+mod memory;
 mod oddities;
 mod pauses;
 mod peers;
--- a/crates/gateway/src/pauses.rs
+++ b/crates/gateway/src/pauses.rs
@@ -18,7 +18,6 @@
 pub(crate) struct Pauses {
     table: RefCell<Table>,
     asked: Counter<u64>,
-    sent: Counter<u64>,
 }
 
 impl fmt::Debug for Pauses {
@@ -35,10 +34,6 @@
                 .u64_counter("jackdawstair_server_pauses")
                 .with_description("Refusals in which servers asked for a pause, by its kind.")
                 .build(),
-            sent: meter
-                .u64_counter("jackdawstair_paused_requests")
-                .with_description("Requests sent to servers in the pauses that they had asked for.")
-                .build(),
         }
     }
 }
@@ -84,18 +79,4 @@
         }
         table.left(server_id(target), way, self.now())
     }
-
-    /// Counts a request that is sent to a server in its pause.
-    pub(crate) fn count_in_pause(&self, target: &Target, way: Way, is_repetition: bool) {
-        let Some(left) = self.pause_left(target, way) else {
-            return;
-        };
-        let kind = match is_repetition {
-            true => "repetition",
-            false => "first",
-        };
-        self.pauses.sent.add(1, &[KeyValue::new("kind", kind)]);
-        info!(self.logger(), "request sent to a server in its pause";
-            "server" => %target.server, "kind" => kind, "left_ms" => left.0);
-    }
 }
