Take servers back that missed reports during an outage of the store

Such a server is now set aside with its registration. The leader goes on asking it and takes it back at its first answer; other nodes take it back as a suspect once they know the registrations again and nobody says that it is unreachable.

Both cases of server_that_missed_reports_is_taken_back_once_it_answers fail without the change. Ruled out: lapsed registrations, a former incarnation that is taken for the present one.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -181,36 +181,26 @@
 
 /// Polls the reports of the zone's servers while this node leads in the grace period, since the
 /// store sends no registrations then.
+///
+/// A leader also polls the servers that were set aside because they did not answer, until they answer or
+/// the store tells that they are gone: their registrations do not change when they are reached again.
 async fn poll_reports(shared: Shared) {
     let node = Rc::clone(&shared.borrow().node);
     loop {
         time::sleep(REPORT_INTERVAL.duration()).await;
-        if !node.in_grace_period.get() {
+        if !node.is_leading.get() {
             shared.borrow_mut().missed_reports.clear();
-            node.dead_servers.borrow_mut().clear();
-            continue;
-        }
-        let servers: Vec<Server> = node
-            .fleet
-            .borrow()
-            .servers()
-            .filter(|server| server.zone == node.options.zone && !server.domain.is_empty())
-            .cloned()
-            .collect();
-        let reports = servers.iter().map(|server| {
-            let orders = &node.parts.orders;
-            async move { orders.poll_report(&server.id, server.address).await }
-        });
-        let reports = futures::future::join_all(reports).await;
-        let answered = reports.iter().filter(|report| report.is_ok()).count();
-        if !grace_period::is_conclusive(servers.len(), answered) {
-            warn!(node.logger(), "reports say nothing of the servers, since hardly any arrived";
-                "servers" => servers.len(), "answered" => answered);
             continue;
         }
+        let unreachable = unreachable_servers(&node);
         let mut changed = false;
-        for (server, report) in servers.iter().zip(reports) {
-            changed |= record_report(&shared, &node, server, report);
+        for (server, report) in poll(&node, &unreachable).await {
+            changed |= take_back(&node, server, report);
+        }
+        if node.in_grace_period.get() {
+            changed |= poll_registered(&shared, &node).await;
+        } else {
+            shared.borrow_mut().missed_reports.clear();
         }
         if changed {
             node.update_targets();
@@ -218,6 +208,69 @@
     }
 }
 
+/// Polls servers at the same time and returns them with their reports.
+async fn poll<'a>(node: &Node, servers: &'a [Server]) -> Vec<(&'a Server, Result<Report>)> {
+    let orders = &node.parts.orders;
+    let reports = servers
+        .iter()
+        .map(|server| async { orders.poll_report(&server.id, server.address).await });
+    let reports = futures::future::join_all(reports).await;
+    servers.iter().zip(reports).collect()
+}
+
+/// Returns the servers of the zone that were set aside because they did not answer.
+fn unreachable_servers(node: &Node) -> Vec<Server> {
+    let fleet = node.fleet.borrow();
+    let servers = fleet.unreachable_servers().map(|(server, _)| server);
+    let local = servers.filter(|server| server.zone == node.options.zone);
+    local.cloned().collect()
+}
+
+/// Takes a server back that answers again, and returns whether it did.
+fn take_back(node: &Node, server: &Server, report: Result<Report>) -> bool {
+    let Ok(report) = report else {
+        return false;
+    };
+    // Another incarnation at the address says nothing of the one that is registered.
+    let start = report.start_unix_ms;
+    if start.is_some_and(|start| start != server.start_unix_ms) {
+        return false;
+    }
+    let mut fleet = node.fleet.borrow_mut();
+    let known = fleet.unreachable(&server.id);
+    if known.is_none_or(|known| known.start_unix_ms != server.start_unix_ms) {
+        return false;
+    }
+    fleet.take_back(&server.id);
+    fleet.apply_report(&server.id, report.membership, node.now());
+    node.record_change(&server.id);
+    info!(node.logger(), "server that had missed reports answers again"; "server" => %server.id);
+    true
+}
+
+/// Polls the registered servers of the zone, and returns whether anything changed.
+async fn poll_registered(shared: &Shared, node: &Node) -> bool {
+    let servers: Vec<Server> = node
+        .fleet
+        .borrow()
+        .servers()
+        .filter(|server| server.zone == node.options.zone && !server.domain.is_empty())
+        .cloned()
+        .collect();
+    let reports = poll(node, &servers).await;
+    let answered = reports.iter().filter(|(_, report)| report.is_ok()).count();
+    if !grace_period::is_conclusive(servers.len(), answered) {
+        warn!(node.logger(), "reports say nothing of the servers, since hardly any arrived";
+            "servers" => servers.len(), "answered" => answered);
+        return false;
+    }
+    let mut changed = false;
+    for (server, report) in reports {
+        changed |= record_report(shared, node, server, report);
+    }
+    changed
+}
+
 /// Applies a report to the fleet or counts a missed one, and returns whether anything changed.
 ///
 /// What became known of the server since the report was asked for is newer.
@@ -254,10 +307,7 @@
             info!(node.logger(),
                 "server removed after missed reports while the store is unavailable";
                 "server" => %server.id, "error" => %error);
-            node.dead_servers
-                .borrow_mut()
-                .insert(server.id.clone(), server.start_unix_ms);
-            node.fleet.borrow_mut().remove(&server.id).is_some()
+            node.fleet.borrow_mut().set_unreachable(&server.id, now)
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -146,9 +146,6 @@
     pub(crate) is_leading: Cell<bool>,
     /// Servers whose state has changed, with the times of the changes.
     pub(crate) changed_servers: RefCell<HashMap<CompactString, Instant>>,
-    /// Servers that were found unreachable while the store is unavailable, with their start times
-    /// in Unix milliseconds.
-    pub(crate) dead_servers: RefCell<HashMap<CompactString, u64>>,
     /// Notified when the configuration, the servers or the leadership have changed.
     pub(crate) state_changed: Notify,
     /// Notified when another node has reported a place that stands still.
@@ -207,7 +204,6 @@
             knows_peers: Cell::new(false),
             is_leading: Cell::new(false),
             changed_servers: RefCell::default(),
-            dead_servers: RefCell::default(),
             state_changed: Notify::new(),
             stalls_changed: Notify::new(),
             fleet: RefCell::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -641,16 +641,16 @@
     let mut changed = false;
     for server_state in server_states {
         let mut fleet = node.fleet.borrow_mut();
-        let is_known = fleet
-            .server(&server_state.server)
-            .is_some_and(|server| server.start_unix_ms == server_state.start_unix_ms);
-        if !is_known {
+        let id = server_state.server.as_str();
+        let known = fleet.server(id).or_else(|| fleet.unreachable(id));
+        if known.is_none_or(|server| server.start_unix_ms != server_state.start_unix_ms) {
             continue;
         }
         if server_state.is_lost {
-            changed |= fleet.remove(&server_state.server).is_some();
+            changed |= fleet.set_unreachable(id, now);
             continue;
         }
+        changed |= fleet.take_back(id);
         let state = usize::try_from(server_state.state)
             .ok()
             .and_then(|number| STATES.get(number));
@@ -673,7 +673,6 @@
 /// many as are told in a round: first those that have changed lately or are lost, and the others in
 /// turn.
 fn server_states(node: &Node, turns: &mut Turns) -> Vec<ServerState> {
-    let dead_servers = node.dead_servers.borrow();
     let fleet = node.fleet.borrow();
     let changed = node.recently_changed_servers();
     let servers = fleet
@@ -681,11 +680,12 @@
         .filter(|server| server.zone == node.options.zone && !server.domain.is_empty());
     let (changed, others): (Vec<&Server>, Vec<&Server>) =
         servers.partition(|server| changed.contains(&server.id));
-    let lost = dead_servers
-        .iter()
-        .map(|(server, start_unix_ms)| ServerState {
-            server: server.to_string(),
-            start_unix_ms: *start_unix_ms,
+    let lost = fleet
+        .unreachable_servers()
+        .filter(|(server, _)| server.zone == node.options.zone)
+        .map(|(server, _)| ServerState {
+            server: server.id.to_string(),
+            start_unix_ms: server.start_unix_ms,
             is_lost: true,
             ..ServerState::default()
         });
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -190,6 +190,10 @@
         let mut fleet = self.fleet.borrow_mut();
         let mut registry = self.registrations.registry.borrow_mut();
         changed |= registry.trust_living(&mut fleet, now);
+        if !self.registrations.is_stale(now) {
+            let own_zone = self.is_leading.get().then_some(self.options.zone.as_str());
+            changed |= registry.take_back(&mut fleet, own_zone, now);
+        }
         changed |= fleet.refresh_absent(now);
         changed
     }
--- a/crates/gateway/tests/node/report.rs
+++ b/crates/gateway/tests/node/report.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use jackdaw_core::backend::{Order, Reply, Report, Server};
@@ -10,6 +12,7 @@
 use jackdaw_core::protocol::Orders;
 use jackdaw_gateway::node::Parts;
 use jackdaw_gateway::server::Ports;
+use rstest::rstest;
 use tokio::sync::watch;
 
 use super::lines::Lines;
@@ -101,3 +104,98 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     process.stop();
 }
+
+/// Longest time from a server's first answer until it gets requests again.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Servers of which the first gives no reports for a while.
+#[derive(Default)]
+struct LostReports {
+    is_lost: AtomicBool,
+}
+
+#[async_trait]
+impl Orders for LostReports {
+    async fn order(&self, order: &Order) -> Result<Reply> {
+        Err(Error::unreachable("send order", &order.server, "none"))
+    }
+
+    async fn report(&self, server: &str, _: SocketAddr) -> Result<Report> {
+        if server == "s0" && self.is_lost.load(Ordering::SeqCst) {
+            return Err(Error::unreachable("read report", server, "none"));
+        }
+        Ok(Report::default())
+    }
+}
+
+#[derive(Debug)]
+struct Return {
+    name: &'static str,
+    /// Whether the store answers again before the server does.
+    is_after_outage: bool,
+}
+
+// Guards against a node that never takes a server back which missed its reports during an outage of the
+// store, as the server's registration does not change afterwards (review/3).
+#[rstest]
+#[case(Return { name: "the server answers while the store is away", is_after_outage: false })]
+#[case(Return { name: "the server answers after the store", is_after_outage: true })]
+fn server_that_missed_reports_is_taken_back_once_it_answers(#[case] case: Return) {
+    let servers = Servers::with_scripts(&[OK; 1_000]);
+    let registered = ["s0", "s1", "s2", "s3"].map(|id| Server {
+        domain: "domain".into(),
+        ..server(id, servers.listen())
+    });
+    let store = Arc::new(MemoryStore::new());
+    store.put("configuration", "1");
+    for server in &registered {
+        store.put(&format!("servers/{}", server.id), "");
+    }
+    let options = options("node");
+    let ports = Ports::bind(&options).expect("ports are free");
+    let reports = Arc::new(LostReports::default());
+    let lines = Lines::default();
+    let parts = Parts {
+        orders: reports.clone(),
+        ..parts(&store, registered.into(), lines.logger())
+    };
+    let process = Process::launch(options, ports, parts);
+    process.wait_ready();
+    lines.wait_for(|line| line.message == "leadership won");
+    store.set_unavailable(true);
+    reports.is_lost.store(true, Ordering::SeqCst);
+    lines.wait_for(|line| {
+        line.message
+            .starts_with("server removed after missed reports")
+    });
+    // Nothing but the first server is left to serve requests.
+    for id in ["s1", "s2", "s3"] {
+        store.put(&format!("servers/{id}"), "draining");
+    }
+    if case.is_after_outage {
+        store.set_unavailable(false);
+        lines.wait_for(|line| {
+            line.message == "store answers again" && line.field("prefix") == "servers/"
+        });
+        reports.is_lost.store(false, Ordering::SeqCst);
+    } else {
+        reports.is_lost.store(false, Ordering::SeqCst);
+        lines.wait_for(|line| line.message == "server that had missed reports answers again");
+        store.set_unavailable(false);
+        lines.wait_for(|line| {
+            line.message == "store answers again" && line.field("prefix") == "servers/"
+        });
+    }
+    let answered_at = Instant::now();
+    let mut answer = String::new();
+    while answered_at.elapsed() < RETURN_TIMEOUT && !answer.starts_with("HTTP/1.1 200") {
+        answer = exchange(process.callers, &request("r1", "POST", "/steady/x"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(
+        answer.starts_with("HTTP/1.1 200"),
+        "{}: {answer}",
+        case.name
+    );
+    process.stop();
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -110,6 +110,16 @@
     overrides: BTreeMap<CompactString, Override>,
     /// Members of groups whose registrations expired.
     absent: BTreeMap<CompactString, Absent>,
+    /// Registered servers that do not answer, which the store does not tell while it is unavailable.
+    unreachable: BTreeMap<CompactString, Unreachable>,
+}
+
+/// A registered server that does not answer.
+#[derive(Clone, Debug)]
+struct Unreachable {
+    server: Server,
+    /// Time at which this was found, or told by another node, last.
+    at: Instant,
 }
 
 /// A group member without a registration: it is dead, or cut off from the store only.
@@ -145,6 +155,7 @@
         }
         let was_suspect = self.suspects.remove(&server.id);
         let was_absent = self.absent.remove(&server.id).is_some();
+        self.unreachable.remove(&server.id);
         let known = self.servers.get(&server.id);
         let changed = known.is_none_or(|known| *known != server);
         self.servers.insert(server.id.clone(), server);
@@ -204,7 +215,7 @@
     /// It counts as an absent member of its group while the group's first member still serves.
     pub fn expire(&mut self, id: &str, now: Instant) -> Option<Server> {
         if !self.servers.contains_key(id) {
-            return None;
+            return self.remove(id);
         }
         let server = self.remove(id)?;
         if server.membership.is_some() && !server.draining {
@@ -258,7 +269,48 @@
         self.absent.remove(id);
         self.suspects.remove(id);
         self.overrides.remove(id);
-        self.servers.remove(id)
+        let unreachable = self.unreachable.remove(id);
+        let server = self.servers.remove(id);
+        server.or(unreachable.map(|unreachable| unreachable.server))
+    }
+
+    /// Sets a registered server aside that does not answer, and returns whether it served until now.
+    ///
+    /// Its registration is kept: it does not change when the server is reached again, so nothing else
+    /// would bring the server back.
+    pub fn set_unreachable(&mut self, id: &str, now: Instant) -> bool {
+        if let Some(unreachable) = self.unreachable.get_mut(id) {
+            unreachable.at = now;
+            return false;
+        }
+        let Some(server) = self.remove(id) else {
+            return false;
+        };
+        let unreachable = Unreachable { server, at: now };
+        self.unreachable.insert(id.into(), unreachable);
+        true
+    }
+
+    /// Takes back a server that was set aside, with its last membership, and returns whether there is one.
+    pub fn take_back(&mut self, id: &str) -> bool {
+        let Some(Unreachable { server, .. }) = self.unreachable.remove(id) else {
+            return false;
+        };
+        self.servers.insert(id.into(), server);
+        true
+    }
+
+    /// Gets a server that was set aside.
+    #[must_use]
+    pub fn unreachable(&self, id: &str) -> Option<&Server> {
+        let unreachable = self.unreachable.get(id)?;
+        Some(&unreachable.server)
+    }
+
+    /// Gets the servers that were set aside, with the times at which they were last found unreachable.
+    pub fn unreachable_servers(&self) -> impl Iterator<Item = (&Server, Instant)> {
+        let unreachable = self.unreachable.values();
+        unreachable.map(|unreachable| (&unreachable.server, unreachable.at))
     }
 
     /// Gets a server by name.
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -25,6 +25,9 @@
 const OUTAGE_LAPSE_WINDOW: Millis = Millis(300);
 /// Shortest outage of the store during which entries may lapse because of it.
 const MIN_OUTAGE: Millis = Millis(1_000);
+/// Time without news of a server that did not answer after which it is taken back, if the store has not
+/// removed it; the leader that finds it unreachable says so about once a second.
+const RETURN_TIME: Millis = Millis(1_500);
 /// Age up to which the end of a server is remembered; copies are some seconds old.
 const END_MEMORY: Millis = Millis::from_secs(120);
 /// Time after the store came back in which the entry of a server that had ended is taken for one of the
@@ -79,6 +82,9 @@
     /// Memberships in entries that may be a copy's, with the times from which they count unless their
     /// servers write others.
     held: HashMap<CompactString, (Option<Membership>, Instant)>,
+    /// Servers that were taken back without an answer, with the times from which they are trusted unless
+    /// their entries lapse before.
+    taken_back: HashMap<CompactString, Instant>,
 }
 
 /// Starts of incarnations in Unix milliseconds, by server.
@@ -135,7 +141,7 @@
             Source::Change { revision } => (false, revision),
         };
         let is_of_copy = is_snapshot && now < self.copy_lapses_at;
-        let known = fleet.server(&id);
+        let known = fleet.server(&id).or_else(|| fleet.unreachable(&id));
         if is_of_copy && known.is_some_and(|known| known.start_unix_ms > start) {
             // The entry of a later incarnation is lost and is written again if the server lives.
             if self.lapsed.contains_key(&id) {
@@ -163,6 +169,7 @@
             self.ended.remove(&id);
         }
         self.lapsed.remove(&id);
+        self.taken_back.remove(&id);
         // A server that writes itself may have a clock that was set back; its own incarnation counts.
         let matches = |latest: Option<&u64>| match latest {
             Some(latest) if is_of_copy => start <= *latest,
@@ -197,7 +204,8 @@
     pub fn missing(&self, fleet: &Fleet, listed: &HashSet<CompactString>) -> Vec<CompactString> {
         let is_missing =
             |id: &&CompactString| !listed.contains(*id) && !self.lapsed.contains_key(*id);
-        let ids = fleet.servers().map(|server| &server.id);
+        let unreachable = fleet.unreachable_servers().map(|(server, _)| server);
+        let ids = fleet.servers().chain(unreachable).map(|server| &server.id);
         ids.filter(is_missing).cloned().collect()
     }
 
@@ -213,6 +221,7 @@
         }
         self.revisions.remove(id);
         self.held.remove(id);
+        self.taken_back.remove(id);
         let removed = if self.lapsed.remove(id).is_some() {
             fleet.remove(id)
         } else {
@@ -228,6 +237,27 @@
         Removal::Removed(Box::new(server))
     }
 
+    /// Takes back, as suspects, the servers that were set aside as unreachable and that nobody has found
+    /// so lately, and returns whether there are any.
+    ///
+    /// The store answers again, so it tells which of them are gone. A leader asks the servers of its own
+    /// zone, `own_zone`, and takes them back itself once they answer.
+    pub fn take_back(&mut self, fleet: &mut Fleet, own_zone: Option<&str>, now: Instant) -> bool {
+        let due: Vec<CompactString> = fleet
+            .unreachable_servers()
+            .filter(|(server, at)| {
+                own_zone != Some(server.zone.as_str()) && now.since(*at) >= RETURN_TIME
+            })
+            .map(|(server, _)| server.id.clone())
+            .collect();
+        for id in &due {
+            fleet.take_back(id);
+            fleet.mark_suspect(id);
+            self.taken_back.insert(id.clone(), now + COPY_LAPSE_TIME);
+        }
+        !due.is_empty()
+    }
+
     /// Returns the servers that have not registered again in time.
     #[must_use]
     pub fn overdue(&self, now: Instant) -> Vec<CompactString> {
@@ -239,6 +269,11 @@
     /// that their servers have not changed in time, and returns whether there are any.
     pub fn trust_living(&mut self, fleet: &mut Fleet, now: Instant) -> bool {
         let mut changed = self.apply_held(fleet, now);
+        for (id, _) in self.taken_back.extract_if(|_, until| *until <= now) {
+            if let Some(server) = fleet.server(&id).cloned() {
+                changed |= fleet.register(server, now);
+            }
+        }
         if self.ended_before.is_empty() || now < self.copy_lapses_at {
             return changed;
         }
