--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -215,7 +215,8 @@
     /// It counts as an absent member of its group while the group's first member still serves.
     pub fn expire(&mut self, id: &str, now: Instant) -> Option<Server> {
         if !self.servers.contains_key(id) {
-            return self.remove(id);
+            let unreachable = self.unreachable.remove(id);
+            return unreachable.map(|unreachable| unreachable.server);
         }
         let server = self.remove(id)?;
         if server.membership.is_some() && !server.draining {
