Send nothing to evacuated zones

Operators evacuate an availability zone with a key beside the configuration. Nodes follow the prefix of both in place of the one key, tell each other the set with its revision, and leave the zone's servers out of the selection of targets, of resumptions and of relayed connections. Leaders form no groups there meanwhile.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -128,6 +128,13 @@
     /// Gets the key of the operators' configuration.
     fn configuration_key(&self) -> &'static str;
 
+    /// Gets the prefix of all keys that operators write, the one of the configuration among them.
+    fn operators_prefix(&self) -> &'static str;
+
+    /// Decodes the zone that a key evacuates; none if the key is of another kind. The name is any text,
+    /// also an empty one.
+    fn decode_evacuation(&self, key: &str) -> Option<CompactString>;
+
     /// Gets the prefix of the servers' registrations.
     fn servers_prefix(&self) -> &'static str;
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -464,14 +464,16 @@
     /// Returns the target for the next attempt.
     fn choose_target(&mut self, suspicion: Option<Suspicion>) -> Result<Key, Refusal> {
         let named = self.granted.or_else(|| self.reconnect_key.take());
-        if let Some(key) = named.filter(|key| self.pause_left(*key).is_none()) {
+        let is_usable = |key: &Key| self.pause_left(*key).is_none() && !self.is_evacuated(*key);
+        if let Some(key) = named.filter(is_usable) {
             return Ok(key);
         }
         let now = self.node.now();
         let candidates = self.keep_apart(self.candidates(), suspicion);
         self.candidate_count = candidates.len();
         if candidates.is_empty() {
-            if let Some(refusal) = self.refusal_in_pause() {
+            let refusal = self.refusal_in_evacuation();
+            if let Some(refusal) = refusal.or_else(|| self.refusal_in_pause()) {
                 return Err(refusal);
             }
             let detail = match &self.call.head.model {
@@ -532,9 +534,28 @@
         self.node.pause_left(&target, Way::Direct)
     }
 
+    /// Returns whether a target's server is in an evacuated zone.
+    fn is_evacuated(&self, key: Key) -> bool {
+        let evacuations = &self.node.evacuations;
+        !evacuations.is_empty()
+            && evacuations.is_evacuated(&self.node.targets.borrow().target(key).zone)
+    }
+
+    /// Returns the refusal of a request if all servers that could serve it are in evacuated zones.
+    fn refusal_in_evacuation(&self) -> Option<Refusal> {
+        let keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
+        if keys.is_empty() || !keys.iter().all(|key| self.is_evacuated(*key)) {
+            return None;
+        }
+        let retry_after = self.node.evacuations.count_refusal();
+        let detail = "all servers that can take the request are in evacuated zones".to_owned();
+        Some(self.refuse(Reason::NoServer, retry_after, detail))
+    }
+
     /// Returns the refusal of a request if all servers that could serve it want no requests now.
     fn refusal_in_pause(&self) -> Option<Refusal> {
-        let keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
+        let mut keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
+        keys.retain(|key| !self.is_evacuated(*key));
         let pauses: Option<Vec<Millis>> = keys.iter().map(|key| self.pause_left(*key)).collect();
         let shortest = pauses?.into_iter().min()?;
         let retry_after = pause::retry_after(shortest, fastrand::f64());
@@ -550,13 +571,16 @@
         keys.filter(move |key| !has_engine || targets.target(*key).model == self.call.head.model)
     }
 
-    /// Returns the targets that serve the request's model, want requests and may still be tried.
+    /// Returns the targets outside evacuated zones that serve the request's model, want requests and may
+    /// still be tried.
     fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
         self.serving_keys(targets).filter(move |key| {
             let target = targets.target(*key);
             let was_tried = !self.request.tried().is_empty()
                 && !self.request.can_try(&incarnation_name(&target));
-            !was_tried && self.node.pause_left(&target, Way::Direct).is_none()
+            !was_tried
+                && !self.node.evacuations.is_evacuated(&target.zone)
+                && self.node.pause_left(&target, Way::Direct).is_none()
         })
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
-//! Follows prefixes of the store: the configuration and the servers' registrations.
+//! Follows prefixes of the store: the operators' entries and the servers' registrations.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::Millis;
 use jackdaw_policy::backoff::Backoff;
+use jackdaw_policy::evacuation::is_zone_name;
 use slog::{debug, info, warn};
 use tokio::sync::{Notify, watch};
 use tokio::time;
@@ -291,7 +293,8 @@
     Ok(Update::Snapshot(entries, revision))
 }
 
-/// Puts configurations in force as they appear in the store.
+/// Puts configurations in force and evacuates zones as their entries appear in the store. Other entries
+/// of the operators are ignored.
 struct Configurations {
     node: Rc<Node>,
     oddities: Oddities,
@@ -314,9 +317,31 @@
     }
 }
 
+impl Configurations {
+    /// Returns the zone that a key evacuates, if it can be the name of a zone.
+    fn evacuated_zone(&self, key: &str) -> Option<CompactString> {
+        let zone = self.node.parts.protocol.decode_evacuation(key);
+        zone.filter(|zone| is_zone_name(zone))
+    }
+
+    /// Logs why the key of an entry evacuates no zone, if it should.
+    fn check_evacuation(&self, key: &str) {
+        let Some(zone) = self.node.parts.protocol.decode_evacuation(key) else {
+            return;
+        };
+        match self.node.check_evacuation(key, &zone) {
+            Ok(()) => self.oddities.forget(key),
+            Err(error) => {
+                let message = "evacuation names no known zone";
+                self.oddities.tell(self.node.logger(), message, key, &error);
+            }
+        }
+    }
+}
+
 impl Subscriber for Configurations {
     fn prefix(&self) -> CompactString {
-        self.node.parts.protocol.configuration_key().into()
+        self.node.parts.protocol.operators_prefix().into()
     }
 
     fn is_probe(&self) -> bool {
@@ -331,8 +356,18 @@
         Some(self.node.freshness.configuration_rereads())
     }
 
-    fn replace(&mut self, entries: Vec<Entry>, _: u64) {
+    fn replace(&mut self, entries: Vec<Entry>, revision: u64) {
         self.node.confirm_configuration();
+        let keys: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        self.oddities.retain(|key| keys.contains(key));
+        for entry in &entries {
+            self.check_evacuation(&entry.key);
+        }
+        let zones = entries.iter();
+        let zones = zones.filter_map(|entry| self.evacuated_zone(&entry.key));
+        // The node is ready with its first configuration, so the evacuations come before it.
+        self.node
+            .change_evacuations(|evacuations| evacuations.replace(zones, revision));
         for entry in &entries {
             self.apply_entry(entry);
         }
@@ -342,8 +377,21 @@
         self.node.confirm_configuration();
         for change in changes {
             match change {
-                Change::Put(entry) => self.apply_entry(&entry),
-                Change::Delete(key, _) => {
+                Change::Put(entry) => {
+                    self.check_evacuation(&entry.key);
+                    match self.evacuated_zone(&entry.key) {
+                        Some(zone) => self
+                            .node
+                            .change_evacuations(|set| set.put(&zone, entry.mod_revision)),
+                        None => self.apply_entry(&entry),
+                    }
+                }
+                Change::Delete(key, revision) => {
+                    self.oddities.forget(&key);
+                    if let Some(zone) = self.evacuated_zone(&key) {
+                        self.node
+                            .change_evacuations(|set| set.remove(&zone, revision));
+                    }
                     debug!(self.node.logger(), "key deleted"; "key" => %key);
                 }
             }
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -351,6 +351,7 @@
                 engine,
                 has_traffic: node.has_traffic.get(),
                 stalled: &stalled,
+                is_evacuated: node.evacuations.is_evacuated(&node.options.zone),
             };
             planner.plan(&view, now)
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod connections;
 mod dispatch;
 mod ending;
+mod evacuation;
 mod event;
 mod exposure;
 mod follow;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,6 +31,7 @@
 use crate::body;
 use crate::connections::Connections;
 use crate::ending::Endings;
+use crate::evacuation::Evacuations;
 use crate::follow::Availability;
 use crate::freshness::Freshness;
 use crate::histograms::Histograms;
@@ -127,6 +128,7 @@
     pub(crate) counters: Counters,
     pub(crate) histograms: Histograms,
     pub(crate) endings: Endings,
+    pub(crate) evacuations: Evacuations,
     pub(crate) in_flight: InFlight,
     pub(crate) lag: Lag,
     pub(crate) connections: Connections,
@@ -180,6 +182,7 @@
             counters: Counters::new(&parts.meter),
             histograms: Histograms::new(&parts.meter),
             endings: Endings::new(&parts.meter),
+            evacuations: Evacuations::new(&parts.meter),
             in_flight: InFlight::new(&parts.meter),
             lag: Lag::default(),
             connections: Connections::new(&parts.meter, &drain),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,7 @@
 use tokio::net::UdpSocket;
 use tokio::time;
 
+use crate::evacuation;
 use crate::follow::{self, Subscriber};
 use crate::limits;
 use crate::node::Node;
@@ -74,10 +75,10 @@
 const MAX_LOAD_BYTES: usize = 24;
 /// Largest encoded size of what is known of a server's limit in bytes.
 const MAX_LIMIT_BYTES: usize = 48;
+/// Largest encoded size of the number and the length of the field with the evacuations in bytes.
+const MAX_EVACUATIONS_PREFIX: usize = 4;
 /// Largest encoded size of one server's state in bytes.
 const MAX_SERVER_STATE_BYTES: usize = 96;
-/// Largest number of server states in a datagram.
-const MAX_STATES: usize = (MAX_DATAGRAM - MAX_HEADER_BYTES) / MAX_SERVER_STATE_BYTES;
 
 /// A datagram between nodes.
 #[derive(Clone, PartialEq, Message)]
@@ -144,6 +145,9 @@
     /// sender's name and its position.
     #[prost(message, repeated, tag = "20")]
     stalls: Vec<StallRecord>,
+    /// Zones that the sender knows to be evacuated; none if it has never known of any.
+    #[prost(message, optional, tag = "21")]
+    evacuations: Option<evacuation::Record>,
 }
 
 /// What a node has seen of a place.
@@ -531,6 +535,10 @@
                 if let Some(age) = datagram.leader_age_ms.filter(|_| is_of_zone) {
                     node.hear_of_leader(Millis(age));
                 }
+                // A configuration from a peer makes the node ready, so evacuations come before it.
+                if let Some(record) = datagram.evacuations.take() {
+                    node.adopt_evacuations(record, &datagram.node);
+                }
                 if datagram.configuration > 0 {
                     let address = peer_addresses.address(&datagram.node);
                     node.hear_version(&datagram.node, address, datagram.configuration);
@@ -774,6 +782,7 @@
             leader_age_ms: self.node.leader_age().map(|age| age.0),
             reach: encode_reach(self.node.reach.borrow().reach(self.node.now())),
             relay_port: self.node.relay_port.get().into(),
+            evacuations: self.node.evacuation_record(),
             ..datagram
         };
         let bytes = datagram.with_position(&self.node).encode_to_vec();
@@ -785,13 +794,20 @@
         }
     }
 
+    /// Returns the size in bytes that the evacuations add to a datagram.
+    fn evacuations_len(&self) -> usize {
+        let record = self.node.evacuation_record();
+        record.map_or(0, |record| record.encoded_len() + MAX_EVACUATIONS_PREFIX)
+    }
+
     async fn send_loads(&mut self, recipients: &[SocketAddr]) {
         let mut shares = self.node.targets.borrow().shares(self.node.now());
         // Suspected targets and those with most requests are kept if not all fit.
         shares.sort_by_key(|(_, share)| std::cmp::Reverse((share.suspect, share.requests)));
         let limits = self.node.limits.records(self.node.now());
         let limits_len = limits.len() * MAX_LIMIT_BYTES;
-        shares.truncate((MAX_DATAGRAM - MAX_HEADER_BYTES - limits_len) / MAX_LOAD_BYTES);
+        let list_len = MAX_DATAGRAM - MAX_HEADER_BYTES - self.evacuations_len();
+        shares.truncate(list_len.saturating_sub(limits_len) / MAX_LOAD_BYTES);
         let loads = shares.into_iter().map(|(target, share)| Load {
             target,
             requests: share.requests,
@@ -811,7 +827,9 @@
     async fn send_server_states(&mut self, recipients: &[SocketAddr]) {
         let fanout = relay::fanout(recipients.len());
         let server_states = server_states(&self.node, &mut self.turns);
-        for chunk in server_states.chunks(MAX_STATES) {
+        let list_len = MAX_DATAGRAM - MAX_HEADER_BYTES - self.evacuations_len();
+        let max_states = (list_len / MAX_SERVER_STATE_BYTES).max(1);
+        for chunk in server_states.chunks(max_states) {
             let datagram = Datagram {
                 server_states: chunk.to_vec(),
                 is_relayed: true,
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -219,11 +219,13 @@
         Some(name) => (name, Relay::Marked),
         None => (name.as_str(), Relay::Plain),
     };
-    // Only registered servers are connected, and none for a node that is about to end.
+    // Only registered servers outside evacuated zones are connected, and none for a node that is about to
+    // end.
     let address = node
         .fleet
         .borrow()
         .server(name)
+        .filter(|server| !node.evacuations.is_evacuated(&server.zone))
         .map(|server| server.address);
     let is_taking = !node.is_stopping() && node.tunnels.get() < MAX_TUNNELS;
     let Some(address) = address.filter(|_| is_taking) else {
@@ -334,7 +336,11 @@
         }
         let servers: Vec<SocketAddr> = {
             let fleet = node.fleet.borrow();
-            fleet.servers().map(|server| server.address).collect()
+            let servers = fleet.servers();
+            servers
+                .filter(|server| !node.evacuations.is_evacuated(&server.zone))
+                .map(|server| server.address)
+                .collect()
         };
         let Some(address) = fastrand::choice(&servers) else {
             continue;
--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -7,6 +7,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::backend;
 use jackdaw_core::config::{Backend, Configuration, Route, RouteKind, Service};
@@ -494,6 +495,14 @@
         self.protocol.configuration_key()
     }
 
+    fn operators_prefix(&self) -> &'static str {
+        self.protocol.operators_prefix()
+    }
+
+    fn decode_evacuation(&self, key: &str) -> Option<CompactString> {
+        self.protocol.decode_evacuation(key)
+    }
+
     fn servers_prefix(&self) -> &'static str {
         self.protocol.servers_prefix()
     }
--- a/crates/gateway/tests/node/ending.rs
+++ b/crates/gateway/tests/node/ending.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
 use jackdaw_core::config::{Configuration, Engine, Model};
@@ -133,6 +134,14 @@
         self.0.configuration_key()
     }
 
+    fn operators_prefix(&self) -> &'static str {
+        self.0.operators_prefix()
+    }
+
+    fn decode_evacuation(&self, key: &str) -> Option<CompactString> {
+        self.0.decode_evacuation(key)
+    }
+
     fn servers_prefix(&self) -> &'static str {
         self.0.servers_prefix()
     }
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod delivery;
 mod domain;
 mod ending;
+mod evacuation;
 mod follow;
 mod framing;
 mod freshness;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
+use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
 use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
@@ -224,6 +225,15 @@
         "configuration"
     }
 
+    fn operators_prefix(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn decode_evacuation(&self, key: &str) -> Option<CompactString> {
+        key.strip_prefix("configuration/evacuate/")
+            .map(CompactString::from)
+    }
+
     fn servers_prefix(&self) -> &'static str {
         "servers/"
     }
--- a/crates/policy/src/assembly.rs
+++ b/crates/policy/src/assembly.rs
@@ -274,6 +274,9 @@
     pub has_traffic: bool,
     /// Groups that make no progress.
     pub stalled: &'a BTreeSet<CompactString>,
+    /// Whether the planner's zone is evacuated; no groups are formed or retired and no weights are loaded
+    /// then.
+    pub is_evacuated: bool,
 }
 
 impl<'a> View<'a> {
@@ -366,7 +369,12 @@
                 formation.join = None;
             }
         }
-        self.order_joins(view, now, &mut tasks);
+        if view.is_evacuated {
+            // An imbalance counts from the end of the evacuation.
+            self.imbalanced_since = None;
+        } else {
+            self.order_joins(view, now, &mut tasks);
+        }
         let order_timeout = self.options.order_timeout;
         self.formations.retain(|name, formation| {
             // Members report a group some time after they were ordered to join it.
@@ -374,7 +382,7 @@
                 || groups.iter().any(|group| group.name == *name)
         });
         self.query_contradicted(view, now, &mut tasks);
-        if self.is_settled(view, now) {
+        if !view.is_evacuated && self.is_settled(view, now) {
             self.form(view, &groups, now, &mut tasks);
             self.stage(view, &groups, now, &mut tasks);
         }
--- a/crates/policy/src/assembly/maintain.rs
+++ b/crates/policy/src/assembly/maintain.rs
@@ -91,6 +91,9 @@
             .iter()
             .all(|member| state(member) == Some(State::Ready));
         if is_ready {
+            if view.is_evacuated {
+                return;
+            }
             let command = Command::Open {
                 group: group.name.clone(),
                 epoch: group.epoch,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balance;
 pub mod continuation;
 pub mod ending;
+pub mod evacuation;
 pub mod fair;
 pub mod feed;
 pub mod fleet;
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -105,6 +105,8 @@
     pub(crate) now: Instant,
     pub(crate) fleet: Fleet,
     pub(crate) has_traffic: bool,
+    /// Whether the zone is evacuated.
+    pub(crate) is_evacuated: bool,
     /// Groups that nodes report to stand still.
     pub(crate) stalled: BTreeSet<CompactString>,
     /// Whether no server's report reaches the leaders.
@@ -172,6 +174,7 @@
             now: Instant(1_000),
             fleet: Fleet::default(),
             has_traffic: false,
+            is_evacuated: false,
             stalled: BTreeSet::new(),
             is_cut: false,
             muted: BTreeSet::new(),
@@ -524,6 +527,7 @@
             engine: &self.engine,
             has_traffic: self.has_traffic,
             stalled: &self.stalled,
+            is_evacuated: self.is_evacuated,
         };
         let tasks = planner.plan(&view, self.now);
         let calls = tasks.into_iter().map(|task| match task {
--- a/crates/policy/tests/assembly/main.rs
+++ b/crates/policy/tests/assembly/main.rs
@@ -6,6 +6,7 @@
 mod store;
 
 use cluster::{Cluster, Faults, LARGE, SMALL};
+use compact_str::CompactString;
 use jackdaw_core::units::Millis;
 use rstest::rstest;
 
@@ -462,3 +463,59 @@
     assert_eq!(groups(&cluster), serving);
     assert_eq!(cluster.violations, []);
 }
+
+/// Time within which a group that has lost a member is dissolved: the registration expires after 3 s.
+const DISSOLUTION_TIME: Millis = Millis(6_000);
+
+// Guards against groups that are formed, opened or retired and weights that are loaded in an evacuated
+// zone, and against servers that stay in a broken group there or are not used again after the evacuation.
+#[test]
+fn evacuated_zone_gets_no_groups_and_loses_broken_ones() {
+    let mut cluster = start_cluster(&[8, 8], Faults::default());
+    let before = cluster.serving();
+    let member = cluster.member(LARGE, 2);
+    let group = cluster.group_of(&member);
+    let partner = cluster.member(LARGE, 1);
+    cluster.is_evacuated = true;
+    cluster.kill(&member);
+    cluster.run(DISSOLUTION_TIME);
+    let is_free = |cluster: &Cluster| {
+        let server = cluster.fleet.server(&partner);
+        server.is_some_and(|server| server.membership.is_none())
+    };
+    assert!(is_free(&cluster), "the broken group is not dissolved");
+    cluster.run(REPLACEMENT_TIMEOUT);
+    let during = cluster.serving();
+    let is_remaining = |name: &CompactString| before.iter().any(|(known, _)| known == name);
+    assert!(
+        during
+            .iter()
+            .all(|(name, _)| is_remaining(name) && *name != group),
+        "{during:?} serve, {before:?} did before"
+    );
+    assert!(is_free(&cluster), "a server joins a group");
+    cluster.is_evacuated = false;
+    let took = cluster.run_until(REPLACEMENT_TIMEOUT, |cluster| {
+        cluster.serving().len() >= before.len()
+    });
+    assert!(took.is_some(), "the lost group is not replaced afterwards");
+    assert_eq!(cluster.violations, []);
+}
+
+// Guards against first groups that are formed while the zone is evacuated at the start.
+#[test]
+fn zone_that_is_evacuated_at_the_start_gets_no_groups_until_its_end() {
+    let mut cluster = Cluster::new(&[8, 8], Faults::default());
+    cluster.is_evacuated = true;
+    cluster.run(Millis(8_000));
+    let joined = cluster
+        .fleet
+        .servers()
+        .filter(|server| server.membership.is_some());
+    assert_eq!(joined.count(), 0);
+    cluster.is_evacuated = false;
+    let took = cluster.run_until(FIRST_GROUPS_TIMEOUT, |cluster| {
+        cluster.count_serving(LARGE) + cluster.count_serving(SMALL) >= 5
+    });
+    assert!(took.is_some(), "the first groups do not serve in time");
+}
