Let servers that have left a group join another one at once

After the loss of a group's first member the other members waited until its registration had expired, 3.6 s after the loss, although they had left: callers of that model met fewer groups meanwhile. The wait guarded against a join while the former group still serves; a server gets a join only if its own last answer shows no group, so it has left by then.

Also applies changes of evacuations that one transaction writes at one revision.

--- a/crates/policy/src/assembly/form.rs
+++ b/crates/policy/src/assembly/form.rs
@@ -46,23 +46,17 @@
 
 impl Planner {
     /// Returns the servers that may join a group now.
-    fn free_servers<'a>(&self, view: &View<'a>, groups: &[Group]) -> FreeServers<'a> {
-        // The first member of a server's former group may still serve.
-        let serving: BTreeSet<&str> = groups
-            .iter()
-            .filter(|group| group.head().is_some())
-            .map(|group| group.name.as_str())
-            .collect();
+    ///
+    /// A server without a group has left its former one itself, so it need not wait for that group's end: an
+    /// order is given only by the server's own answer that shows no group.
+    fn free_servers<'a>(&self, view: &View<'a>) -> FreeServers<'a> {
         let mut free = FreeServers::new();
         for server in self.servers(view) {
-            let record = self.records.get(&server.id);
-            let last_group = record.and_then(|record| record.group.as_deref());
             if server.draining
                 || server.membership.is_some()
                 || self.pending.contains_key(&server.id)
                 || self.is_assigned(&server.id)
                 || self.is_contradicted(server)
-                || last_group.is_some_and(|group| serving.contains(group))
             {
                 continue;
             }
@@ -140,7 +134,7 @@
         now: Instant,
         tasks: &mut Vec<Task>,
     ) {
-        let mut free = self.free_servers(view, groups);
+        let mut free = self.free_servers(view);
         let held = self.held_domains(view, now);
         free.retain(|domain, _| !held.contains(domain));
         let mut capacity = self.capacity(view, groups);
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -47,13 +47,20 @@
     }
 
     /// Adds a zone whose key was written at a revision, and returns whether the set changed.
+    ///
+    /// One transaction may write several keys, so changes at the revision of the set count as well.
     pub fn put(&mut self, zone: &str, revision: u64) -> bool {
-        self.advance(revision) && self.zones.insert(zone.into())
+        self.reach(revision) && self.zones.insert(zone.into())
     }
 
     /// Removes a zone whose key was removed at a revision, and returns whether the set changed.
     pub fn remove(&mut self, zone: &str, revision: u64) -> bool {
-        self.advance(revision) && self.zones.remove(zone)
+        self.reach(revision) && self.zones.remove(zone)
+    }
+
+    /// Takes the revision of a change in the store, and returns whether the change is not older than the set.
+    fn reach(&mut self, revision: u64) -> bool {
+        self.advance(revision) || revision == self.revision
     }
 
     /// Takes over the set that another node knows as of a revision if that is higher, and returns whether
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -49,6 +49,7 @@
 #[case(Case { name: "a peer that has heard of the end", steps: &[Step::Put("a", 9, true), Step::Merge(&[], 10, true)], zones: &[], revision: 10, has_known_any: true })]
 #[case(Case { name: "a peer's late set after a snapshot", steps: &[Step::Snapshot(&["a"], 20, true), Step::Merge(&[], 15, false)], zones: &["a"], revision: 20, has_known_any: true })]
 #[case(Case { name: "several zones", steps: &[Step::Put("a", 8, true), Step::Put("b", 9, true), Step::Remove("a", 10, true)], zones: &["b"], revision: 10, has_known_any: true })]
+#[case(Case { name: "two zones in one transaction", steps: &[Step::Put("a", 8, true), Step::Put("b", 8, true)], zones: &["a", "b"], revision: 8, has_known_any: true })]
 #[case(Case { name: "a store that came back from a copy", steps: &[Step::Put("a", 9, true), Step::Snapshot(&[], NEXT_ERA + 3, true), Step::Merge(&["a"], 12, false)], zones: &[], revision: NEXT_ERA + 3, has_known_any: true })]
 fn newest_set_is_in_force(#[case] case: Case) {
     assert_eq!(Era::of(NEXT_ERA), Era(1));
