Limit requests to cold servers to what they bear, over all nodes together

A server that has just started bears few requests, and says in its registration for how long. Nodes ask the keeper of such a server before each request, as for a server with a limit. The bound holds in any one second and while nodes do not reach each other, so it is divided in advance among the keeper and the nodes that may take its place. The time for which a server is cold changes with each heartbeat and does not count as a change of its registration unless the end of that time moves.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -4,6 +4,8 @@
 
 use compact_str::CompactString;
 
+use crate::units::Millis;
+
 /// State of a member of a replica group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -55,6 +57,8 @@
     pub staged: Vec<CompactString>,
     /// Membership in a replica group, if the server has one.
     pub membership: Option<Membership>,
+    /// Time for which the server is still cold, as of the registration; zero if it is not.
+    pub warmup_left: Millis,
 }
 
 /// A command to a model engine.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::units::{Bytes, Millis, Tokens};
+use crate::units::{Bytes, Millis, Rate, Tokens};
 
 /// How often a request of a route may run, and whether its answer is a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -132,6 +132,15 @@
     }
 }
 
+/// What the servers of a service can do while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Requests that a cold server can sustain.
+    pub rate: Rate,
+    /// Time for which a server is cold after a start during traffic.
+    pub time: Millis,
+}
+
 /// A service of backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -141,6 +150,8 @@
     pub max_connections: u32,
     /// Figures of the model engines, if the service's servers form replica groups.
     pub engine: Option<Engine>,
+    /// What a cold server can do; none if cold servers are loaded like others.
+    pub warmup: Option<Warmup>,
 }
 
 /// Limits on requests and on connections of callers.
--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -125,6 +125,12 @@
     /// Returns an error if the entry is not a valid registration of a server.
     fn decode_server(&self, entry: &Entry) -> Result<Server>;
 
+    /// Returns what is wrong with a registration that can be used all the same, for the log.
+    fn registration_fault(&self, entry: &Entry) -> Option<Error> {
+        let _ = entry;
+        None
+    }
+
     /// Gets the key of the operators' configuration.
     fn configuration_key(&self) -> &'static str;
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -108,6 +108,8 @@
         grace: settings.bounds.grace,
         retries: settings.bounds.retry_slack,
         retry_ratio: settings.bounds.retry_ratio,
+        warmup_overshoot: settings.bounds.warmup_overshoot,
+        warmup_slack: settings.bounds.warmup_slack,
         lease: LEADER_LEASE.max(settings.min_lease),
         drain: settings.bounds.drain,
         max_head: MAX_REQUEST_HEAD,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -58,6 +58,9 @@
 const MAX_HOLD: Millis = Millis(3_000);
 /// Largest number of servers that are asked for one attempt.
 const MAX_ASKED: u32 = 4;
+/// Time after a grant within which the request is sent; a limit is kept only if requests arrive soon
+/// after they are granted.
+const GRANT_LIFETIME: Millis = Millis(10);
 /// Divisor of the time left until the deadline; a request whose first event is expected to take
 /// more than the quotient is rejected.
 const FIRST_EVENT_DEADLINE_DIVISOR: f64 = 2.0;
@@ -111,6 +114,8 @@
     is_cleared: bool,
     /// Target to which the next attempt was granted, as its server names a limit.
     granted: Option<Key>,
+    /// Time of that grant.
+    granted_at: Instant,
     /// Number of servers that were asked for since the last attempt began.
     asked: u32,
     /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
@@ -137,6 +142,7 @@
             failures: 0,
             is_cleared: false,
             granted: None,
+            granted_at: Instant::default(),
             asked: 0,
             has_met_silence: false,
         }
@@ -157,7 +163,9 @@
         let suspicion = self.check_poison()?;
         let key = self.choose_target(suspicion)?;
         let target = self.node.targets.borrow().target(key);
-        if self.granted != Some(key) && self.permission(&target) != Permission::Unlimited {
+        let is_granted =
+            self.granted == Some(key) && self.node.now().since(self.granted_at) <= GRANT_LIFETIME;
+        if !is_granted && self.permission(&target) != Permission::Unlimited {
             return Err(Obstacle::Unasked(key));
         }
         self.granted = None;
@@ -238,15 +246,14 @@
         let asked = self
             .node
             .ask_permission(&target, self.team(), self.urgency());
-        if asked.await {
-            self.granted = Some(key);
-        }
+        self.granted = asked.await.then_some(key);
+        self.granted_at = self.node.now();
     }
 
     /// Returns whether a target's server may get the request by the limit that it names.
     fn permission(&self, target: &Target) -> Permission {
         let limits = &self.node.limits;
-        // Few servers ever name a limit, so the team is identified only if one has.
+        // Few servers ever name a limit or are cold, so the team is identified only if one is.
         if limits.is_empty() {
             return Permission::Unlimited;
         }
@@ -288,7 +295,7 @@
         // Callers that were refused together do not return together.
         let left = shortest.unwrap_or(OVERLOADED_RETRY_AFTER).0;
         let retry_after = Millis(left + fastrand::u64(..=left));
-        let detail = "all servers that can take the request have reached the limits they name";
+        let detail = "all servers that can take the request have reached their limits";
         Err(self.refuse(Reason::ServerLimit, retry_after, detail.to_owned()))
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -12,13 +12,17 @@
 
 use compact_str::CompactString;
 use futures::channel::oneshot;
+use jackdaw_core::backend::Server;
+use jackdaw_core::config::Configuration;
 use jackdaw_core::protocol::Limit;
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Millis, Rate};
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::registry::Removal;
 use jackdaw_policy::throttle::{
     self, Ask, Asker, Keeper, Recipient, Role, ServerId, Statement, TeamId, Verdict,
 };
+use jackdaw_policy::warmup::{self, Warmups};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, UpDownCounter};
 use prost::Message;
@@ -95,6 +99,12 @@
     priority: u32,
     #[prost(fixed64, tag = "4")]
     team: u64,
+    /// Requests in a second that the server can sustain; none if it is not cold.
+    #[prost(double, optional, tag = "5")]
+    warmup_rate: Option<f64>,
+    /// Server, if it names no limit and there is no record of it.
+    #[prost(fixed64, tag = "6")]
+    server: u64,
 }
 
 /// The answer to a question, on the wire.
@@ -134,7 +144,7 @@
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Permission {
-    /// The server names no limit.
+    /// The server names no limit and is not cold.
     Unlimited,
     /// Another node, or this one, has to be asked.
     Needed,
@@ -153,6 +163,8 @@
     limits: RefCell<throttle::Limits>,
     asker: RefCell<Asker>,
     keeper: RefCell<Keeper>,
+    /// Servers that are cold.
+    warmups: RefCell<Warmups>,
     link: RefCell<Option<Link>>,
     /// Questions that wait for their answers.
     waiting: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
@@ -162,6 +174,7 @@
     sent: RefCell<HashMap<ServerId, Sent>>,
     requests: Counter<u64>,
     questions: Counter<u64>,
+    cold_questions: Counter<u64>,
     servers: UpDownCounter<i64>,
 }
 
@@ -177,6 +190,7 @@
             limits: RefCell::default(),
             asker: RefCell::new(Asker::new(node)),
             keeper: RefCell::default(),
+            warmups: RefCell::default(),
             link: RefCell::default(),
             waiting: RefCell::default(),
             verdicts: RefCell::default(),
@@ -190,6 +204,12 @@
                 .u64_counter("jackdawstair_limit_questions")
                 .with_description("Requests that other nodes were asked for, by what they said.")
                 .build(),
+            cold_questions: meter
+                .u64_counter("jackdawstair_cold_questions")
+                .with_description(
+                    "Requests to cold servers that nodes were asked for, by what they said.",
+                )
+                .build(),
             servers: meter
                 .i64_up_down_counter("jackdawstair_limited_servers")
                 .with_description("Servers that name a limit, as far as the node knows.")
@@ -204,11 +224,38 @@
 
     /// Sets the other nodes.
     pub(crate) fn set_peers(&self, peers: Vec<CompactString>, now: Instant) {
-        if self.asker.borrow_mut().set_peers(peers) {
+        if self.asker.borrow_mut().replace_peers(peers, now) {
             self.keeper.borrow_mut().record_node_change(now);
         }
     }
 
+    /// Records that this node stays registered with the others until a time.
+    pub(crate) fn record_registration(&self, until: Instant, now: Instant) {
+        self.asker.borrow_mut().record_registration(until, now);
+    }
+
+    /// Takes the rates that cold servers sustain from a configuration.
+    pub(crate) fn set_warmup_rates(&self, configuration: &Configuration) {
+        let services = configuration.services.iter();
+        let rates =
+            services.filter_map(|service| Some((service.name.clone(), service.warmup?.rate)));
+        self.warmups.borrow_mut().set_rates(rates.collect());
+    }
+
+    /// Returns the requests in a second that a server takes from all nodes: the limit that it names, or
+    /// what it can sustain while it is cold, if that is less.
+    fn rate(&self, server: ServerId, now: Instant) -> Option<Rate> {
+        let limit = self.limits.borrow().rate(server);
+        lower(limit, self.warmups.borrow().rate(server, now))
+    }
+
+    /// Forgets for how long a server is cold, if it is removed.
+    pub(crate) fn forget_warmup(&self, server: &str, removal: &Removal) {
+        if matches!(removal, Removal::Removed(_)) {
+            self.warmups.borrow_mut().forget(server);
+        }
+    }
+
     /// Records a sign of life of another node.
     pub(crate) fn record_heard(&self, peer: &str, now: Instant) {
         self.asker.borrow_mut().record_heard(peer, now);
@@ -227,9 +274,9 @@
             .collect()
     }
 
-    /// Returns whether no server has named a limit.
+    /// Returns whether no server has named a limit and none is cold.
     pub(crate) fn is_empty(&self) -> bool {
-        self.limits.borrow().is_empty()
+        self.limits.borrow().is_empty() && self.warmups.borrow().is_empty()
     }
 
     /// Returns whether a request of a team may be sent to a target's server.
@@ -241,7 +288,7 @@
         now: Instant,
     ) -> Permission {
         let server = server_id(target);
-        if self.limits.borrow().rate(server).is_none() {
+        if self.rate(server, now).is_none() {
             return Permission::Unlimited;
         }
         let asker = self.asker.borrow();
@@ -271,8 +318,12 @@
         self.requests.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    fn count_question(&self, result: &'static str) {
-        self.questions.add(1, &[KeyValue::new("result", result)]);
+    fn count_question(&self, is_cold: bool, result: &'static str) {
+        let label = [KeyValue::new("result", result)];
+        self.questions.add(1, &label);
+        if is_cold {
+            self.cold_questions.add(1, &label);
+        }
     }
 
     /// Adds a verdict to those that are remembered.
@@ -283,6 +334,14 @@
     }
 }
 
+/// Returns the lower one of two rates, of which either may be missing.
+fn lower(left: Option<Rate>, right: Option<Rate>) -> Option<Rate> {
+    match (left, right) {
+        (Some(left), Some(right)) => Some(if right < left { right } else { left }),
+        (left, right) => left.or(right),
+    }
+}
+
 /// Returns the identity of a target's server.
 pub(crate) fn server_id(target: &Target) -> ServerId {
     ServerId::new(&target.server, target.born)
@@ -341,15 +400,66 @@
             "sent_again_since" => sent.repetitions);
     }
 
+    /// Records the time for which a server is cold by its registration; returns whether that is news for
+    /// the other nodes.
+    pub(crate) fn record_warmup(&self, server: &Server, revision: u64) -> bool {
+        let now = self.now();
+        let change = self
+            .limits
+            .warmups
+            .borrow_mut()
+            .record(server, revision, now);
+        match change {
+            Some(warmup::Change::Cold(left)) => {
+                info!(self.logger(), "server is cold";
+                    "server" => %server.id, "service" => %server.service, "left_ms" => left.0);
+            }
+            Some(warmup::Change::Warm) => {
+                info!(self.logger(), "server is warm"; "server" => %server.id);
+            }
+            Some(warmup::Change::Moved(_)) | None => {}
+        }
+        change.is_some()
+    }
+
+    /// Forgets the servers that have become warm by the passing of time.
+    pub(crate) fn expire_warmups(&self) {
+        let warm = self.limits.warmups.borrow_mut().expire(self.now());
+        for server in warm {
+            info!(self.logger(), "server is warm"; "server" => %server);
+        }
+    }
+
+    /// Decides on a request to a server that has reached this node, as the node that is asked for it.
+    fn decide(&self, ask: &Ask, is_cold: bool, role: Role, now: Instant) -> Verdict {
+        let limits = &self.limits;
+        if !is_cold {
+            return limits.keeper.borrow_mut().decide(ask, role, now);
+        }
+        let part = limits.asker.borrow().part(ask.server, now);
+        let Some(part) = part else {
+            return Verdict::Denied(ANSWER_TIMEOUT);
+        };
+        let options = &self.options;
+        // The rate is the lower one if the server names a limit, too; the bound is then no higher.
+        let bound = ask.rate.per_second() * options.warmup_overshoot + options.warmup_slack;
+        limits
+            .keeper
+            .borrow_mut()
+            .decide_cold(ask, bound, part, now)
+    }
+
     /// Asks for one request to a target's server; returns whether it may be sent.
     pub(crate) async fn ask_permission(&self, target: &Target, team: TeamId, priority: u8) -> bool {
         let server = server_id(target);
         for _ in 0..MAX_RECIPIENTS {
             let now = self.now();
             let limits = &self.limits;
-            let Some(rate) = limits.limits.borrow().rate(server) else {
+            let warmup_rate = limits.warmups.borrow().rate(server, now);
+            let Some(rate) = limits.rate(server, now) else {
                 return true;
             };
+            let is_cold = warmup_rate.is_some();
             let ask = Ask {
                 server,
                 rate,
@@ -360,23 +470,23 @@
             let verdict = match recipient {
                 Some(Recipient::Own(role)) => {
                     self.probe_keeper(server, role);
-                    Some(limits.keeper.borrow_mut().decide(&ask, role, now))
+                    Some(self.decide(&ask, is_cold, role, now))
                 }
-                Some(Recipient::Peer(peer)) => self.ask_peer(&peer, &ask).await,
+                Some(Recipient::Peer(peer)) => self.ask_peer(&peer, &ask, warmup_rate).await,
                 None => break,
             };
             match verdict {
                 Some(Verdict::Granted) => {
-                    limits.count_question("granted");
+                    limits.count_question(is_cold, "granted");
                     return true;
                 }
                 Some(Verdict::Denied(retry_after)) => {
-                    limits.count_question("denied");
+                    limits.count_question(is_cold, "denied");
                     let mut asker = limits.asker.borrow_mut();
                     asker.record_denial(server, team, priority, retry_after, self.now());
                     return false;
                 }
-                None => limits.count_question("unanswered"),
+                None => limits.count_question(is_cold, "unanswered"),
             }
         }
         let mut asker = self.limits.asker.borrow_mut();
@@ -385,7 +495,7 @@
     }
 
     /// Asks another node for a request; returns none if it does not answer.
-    async fn ask_peer(&self, peer: &str, ask: &Ask) -> Option<Verdict> {
+    async fn ask_peer(&self, peer: &str, ask: &Ask, warmup_rate: Option<Rate>) -> Option<Verdict> {
         let limits = &self.limits;
         let id = fastrand::u64(..);
         let (sender, mut receiver) = oneshot::channel();
@@ -399,6 +509,8 @@
                 record: statement.map(|statement| Record::new(ask.server, &statement, now)),
                 priority: ask.priority.into(),
                 team: ask.team.0,
+                warmup_rate: warmup_rate.map(Rate::per_second),
+                server: if statement.is_none() { ask.server.0 } else { 0 },
             };
             self.send_exchange(peer, question.into());
             let received = time::timeout(ANSWER_TIMEOUT.duration(), &mut receiver).await;
@@ -478,13 +590,27 @@
     /// Decides on the question of another node; returns none if it is not a valid one.
     fn decide_question(&self, question: &Question) -> Option<Exchange> {
         let now = self.now();
-        let record = question.record?;
-        let statement = record.decode(now)?;
-        let server = ServerId(record.server);
-        self.record_statement(server, statement, None);
+        let warmup_rate = match question.warmup_rate {
+            Some(rate) => Some(Rate::new(rate)?),
+            None => None,
+        };
+        let (server, statement) = match question.record {
+            Some(record) => (ServerId(record.server), Some(record.decode(now)?)),
+            // The server names no limit, so far as the asking node knows.
+            None => (ServerId(question.server), None),
+        };
+        if statement.is_none() && warmup_rate.is_none() {
+            return None;
+        }
+        if let Some(statement) = statement {
+            self.record_statement(server, statement, None);
+        }
         let limits = &self.limits;
         let known = limits.limits.borrow().statement(server);
-        let rate = known.map_or(statement.rate, |known| known.rate);
+        let stated = statement.and_then(|statement| statement.rate);
+        // The asking node or this one may not have read yet that the server is cold.
+        let warmup_rate = lower(warmup_rate, limits.warmups.borrow().rate(server, now));
+        let rate = lower(known.map_or(stated, |known| known.rate), warmup_rate);
         let earlier = limits.verdicts.borrow().get(&question.id).copied();
         let verdict = match (earlier, rate) {
             (Some((verdict, _)), _) => verdict,
@@ -498,11 +624,11 @@
                     priority: u8::try_from(question.priority).unwrap_or(u8::MAX),
                     team: TeamId(question.team),
                 };
-                limits.keeper.borrow_mut().decide(&ask, role, now)
+                self.decide(&ask, warmup_rate.is_some(), role, now)
             }
         };
         limits.remember(question.id, verdict, now);
-        let newer = known.filter(|known| known.rate != statement.rate);
+        let newer = known.filter(|known| known.rate != stated);
         Some(Exchange {
             answer: Some(Answer {
                 id: question.id,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -302,6 +302,7 @@
             "routes" => configuration.routes.len(),
             "teams" => configuration.teams.len());
         self.record_configuration(configuration.version, value);
+        self.limits.set_warmup_rates(&configuration);
         let limits = self.limits();
         let former = self.index.replace(Some(Rc::new(Index::new(configuration))));
         self.former
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -26,6 +26,10 @@
     pub retries: u32,
     /// Retries that each request allows beyond that limit.
     pub retry_ratio: f64,
+    /// Multiple of its sustained rate that a cold server may get in any one second from all nodes.
+    pub warmup_overshoot: f64,
+    /// Requests beside that multiple that a cold server may get in any one second from all nodes.
+    pub warmup_slack: f64,
     /// Time to live of the leader's lease.
     pub lease: Millis,
     /// Time after a server's announcement that it drains by which it must get no new work.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -454,19 +454,23 @@
 async fn keep_registered(node: Rc<Node>) {
     let mut lease: Option<Lease> = None;
     while !node.is_stopping() {
+        let asked_at = node.now();
         let result = match lease {
             Some(lease) => node.parts.store.renew(lease).await,
             None => Ok(Millis(0)),
         };
         match result {
             Ok(Millis(0)) => match create_registration(&node).await {
-                Ok(granted) => lease = Some(granted),
+                Ok(granted) => {
+                    lease = Some(granted);
+                    node.limits.record_registration(asked_at + TTL, node.now());
+                }
                 Err(error) => {
                     lease = None;
                     info!(node.logger(), "node could not be registered"; "error" => %error);
                 }
             },
-            Ok(_) => {}
+            Ok(_) => node.limits.record_registration(asked_at + TTL, node.now()),
             Err(error) => debug!(node.logger(), "registration is not renewed"; "error" => %error),
         }
         time::sleep(RENEWAL_INTERVAL.duration()).await;
--- a/crates/gateway/src/registrations.rs
+++ b/crates/gateway/src/registrations.rs
@@ -109,12 +109,17 @@
         self.unanswered_since.set(None);
     }
 
-    /// Returns whether a server's registered state differs from the last one, and remembers it.
+    /// Returns whether a server's registered state differs from the last one, and remembers it. The time
+    /// for which it is cold changes with each heartbeat and is not part of that state.
     fn replace_state(&self, id: &str, server: Option<&Server>) -> bool {
         let mut states = self.states.borrow_mut();
         let Some(server) = server else {
             return states.remove(id).is_some();
         };
+        let server = Server {
+            warmup_left: Millis(0),
+            ..server.clone()
+        };
         let mut hasher = DefaultHasher::new();
         server.hash(&mut hasher);
         let hash = hasher.finish();
@@ -141,8 +146,10 @@
     }
 
     /// Adds or updates a server and returns whether anything changed.
-    fn register(&self, server: Server, source: Source) -> bool {
+    fn register(&self, mut server: Server, source: Source) -> bool {
         let id = server.id.clone();
+        // It is recorded elsewhere and would make each heartbeat a change of the fleet.
+        server.warmup_left = Millis(0);
         let mut registry = self.registrations.registry.borrow_mut();
         let mut fleet = self.fleet.borrow_mut();
         let changed = registry.register(&mut fleet, server, source, self.now());
@@ -157,6 +164,7 @@
     fn unregister(&self, id: &str) -> bool {
         let mut registry = self.registrations.registry.borrow_mut();
         let removal = registry.remove(&mut self.fleet.borrow_mut(), id, self.now());
+        self.limits.forget_warmup(id, &removal);
         match removal {
             Removal::None => false,
             Removal::Suspected => true,
@@ -170,6 +178,15 @@
         }
     }
 
+    /// Records what a change says of its server beside the fleet, and returns whether it is news for the
+    /// other nodes.
+    fn record_state(&self, change: &feed::Change) -> bool {
+        let state = change.state.as_ref();
+        let is_changed = self.registrations.replace_state(&change.server, state);
+        let is_news = state.is_some_and(|server| self.record_warmup(server, change.revision));
+        is_changed || is_news
+    }
+
     /// Applies a change and returns whether anything changed.
     fn apply_change(&self, change: feed::Change) -> bool {
         let revision = change.revision;
@@ -201,6 +218,7 @@
     /// Does what is due by the passing of time; called several times a second.
     pub(crate) fn tick_registrations(&self) {
         self.forget_old_changes();
+        self.expire_warmups();
         if self.refresh_registry() {
             self.update_targets();
         }
@@ -238,7 +256,7 @@
         registrations.count("applied");
         let mut changed = false;
         for change in changes {
-            registrations.replace_state(&change.server, change.state.as_ref());
+            self.record_state(&change);
             changed |= self.apply_change(change);
         }
         self.spread_segment(&segment);
@@ -294,7 +312,15 @@
     fn decode(&self, entry: &Entry) -> Option<Server> {
         match self.node.parts.protocol.decode_server(entry) {
             Ok(server) => {
-                self.oddities.forget(&entry.key);
+                let fault = self.node.parts.protocol.registration_fault(entry);
+                match fault.filter(|_| server.warmup_left == Millis(0)) {
+                    Some(fault) => {
+                        let message = "a part of a registration cannot be used";
+                        let logger = self.node.logger();
+                        self.oddities.tell(logger, message, &entry.key, &fault);
+                    }
+                    None => self.oddities.forget(&entry.key),
+                }
                 Some(server)
             }
             Err(error) => {
@@ -425,6 +451,7 @@
         let before = self.groups();
         for (revision, server) in servers {
             has_changed |= registrations.replace_state(&server.id, Some(&server));
+            has_changed |= node.record_warmup(&server, revision);
             node.register(server, Source::Snapshot { revision });
         }
         self.log_changed_groups(&before);
@@ -445,7 +472,7 @@
             if !registrations.feed.borrow().is_new(change.revision) {
                 continue;
             }
-            if registrations.replace_state(&change.server, change.state.as_ref()) {
+            if node.record_state(&change) {
                 effective.push(change.clone());
             }
             changed |= node.apply_change(change);
--- a/crates/gateway/src/segment.rs
+++ b/crates/gateway/src/segment.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use jackdaw_core::backend::{Membership, Server};
 use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::units::Millis;
 use jackdaw_policy::feed::{Change, Segment};
 use prost::Message;
 
@@ -66,6 +67,9 @@
     /// State of the membership as an index into [`STATES`] plus one; zero for no membership.
     #[prost(uint32, tag = "12")]
     state: u32,
+    /// Time in milliseconds for which the server is still cold; zero, which takes no space, if it is not.
+    #[prost(uint64, tag = "13")]
+    warmup_left_ms: u64,
 }
 
 impl Record {
@@ -153,6 +157,7 @@
             epoch: membership.map_or(0, |known| known.epoch),
             rank: membership.map_or(0, |known| known.rank),
             state: state.map_or(0, |state| state as u32 + 1),
+            warmup_left_ms: server.warmup_left.0,
         }
     }
 
@@ -183,6 +188,7 @@
             domain: self.domain.into(),
             staged: self.staged.into_iter().map(CompactString::from).collect(),
             membership,
+            warmup_left: Millis(self.warmup_left_ms),
         })
     }
 }
--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -443,6 +443,7 @@
             name: SERVICE.into(),
             max_connections: 100,
             engine: None,
+            warmup: None,
         }],
         ..Configuration::default()
     }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -167,6 +167,7 @@
             name: "service".into(),
             max_connections: 10,
             engine: None,
+            warmup: None,
         }];
         let mut teams = Vec::new();
         for word in text.split(' ') {
@@ -517,6 +518,7 @@
         start_unix_ms: 1,
         domain: String::new().into(),
         staged: Vec::new(),
+        warmup_left: Millis(0),
         membership: None,
     }
 }
@@ -534,6 +536,8 @@
         grace: Millis(6_000),
         retries: 1_000,
         retry_ratio: 0.2,
+        warmup_overshoot: 1.0,
+        warmup_slack: 0.0,
         lease: Millis(3_000),
         drain: Millis(2_000),
         max_head: Bytes(16 << 10),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod shutdown;
 pub mod stall;
 pub mod throttle;
+pub mod warmup;
--- a/crates/policy/src/throttle/ask.rs
+++ b/crates/policy/src/throttle/ask.rs
@@ -9,6 +9,7 @@
 
 use super::{Role, ServerId, TeamId};
 use crate::gossip::rendezvous;
+use crate::warmup::Part;
 
 /// Time for which a node that did not answer is not asked.
 const SILENCE_TIME: Millis = Millis(2_000);
@@ -17,6 +18,9 @@
 /// Time for which a server is not asked for after no node answered.
 const UNANSWERED_TIME: Millis = Millis(300);
 
+/// Time for which the other nodes may not know that a node has joined or left; they read the list of
+/// nodes each eight seconds at the latest, and those in doubt some seconds later.
+const LIST_TIME: Millis = Millis::from_secs(20);
 /// Largest number of servers whose keepers are remembered.
 const MAX_RANKS: usize = 1_024;
 
@@ -56,6 +60,10 @@
     ranks: RefCell<HashMap<ServerId, [Option<CompactString>; 2]>>,
     /// Nodes that this one stands in for.
     deputies: HashMap<CompactString, Deputy>,
+    /// Nodes that have left lately, with the times at which this one learned of it.
+    former: Vec<(CompactString, Instant)>,
+    /// Time since which this node has been registered with the others, and the time until which it is.
+    registered: Option<(Instant, Instant)>,
 }
 
 impl Asker {
@@ -79,6 +87,56 @@
         true
     }
 
+    /// Sets the other nodes and remembers those that have left; returns whether any have changed.
+    pub fn replace_peers(&mut self, peers: Vec<CompactString>, now: Instant) -> bool {
+        self.former
+            .retain(|(name, at)| now.since(*at) < LIST_TIME && !peers.contains(name));
+        let gone = self.peers.iter().filter(|name| !peers.contains(name));
+        self.former.extend(gone.map(|name| (name.clone(), now)));
+        self.set_peers(peers)
+    }
+
+    /// Records that this node stays registered with the others until a time.
+    pub fn record_registration(&mut self, until: Instant, now: Instant) {
+        let since = match self.registered {
+            Some((since, before)) if now < before => since,
+            Some(_) | None => now,
+        };
+        self.registered = Some((since, until));
+    }
+
+    /// Returns the part of a cold server's bound that this node may grant, or none if it may not.
+    ///
+    /// A node grants the main part only if no other node can take itself for the keeper: the others
+    /// have had time to learn of this one, and no node that left lately comes before it. Once the
+    /// registration of a keeper is not renewed, the others take over, so it grants nothing.
+    #[must_use]
+    pub fn part(&self, server: ServerId, now: Instant) -> Option<Part> {
+        let (since, until) = self.registered?;
+        if now >= until {
+            return None;
+        }
+        let [keeper, standby] = self.rank(server);
+        if keeper.as_ref() != Some(&self.own_name) {
+            return (standby.as_ref() == Some(&self.own_name)).then_some(Part::Share);
+        }
+        let is_known = now.since(since) >= LIST_TIME;
+        if !is_known || self.may_have_had_keeper(server, now) {
+            return Some(Part::Share);
+        }
+        Some(Part::Main)
+    }
+
+    /// Returns whether a node that has left lately may still be taken for the keeper of a server.
+    fn may_have_had_keeper(&self, server: ServerId, now: Instant) -> bool {
+        let former = self.former.iter();
+        let lately = former.filter(|(_, at)| now.since(*at) < LIST_TIME);
+        let names = lately.map(|(name, _)| name).chain([&self.own_name]);
+        let task = server.0.to_string();
+        let ranked = rendezvous::select_nodes(&["limit", &task], names, 1);
+        ranked.first() != Some(&&self.own_name)
+    }
+
     /// Returns the node to ask for a request to a server, or none if no node has answered lately.
     pub fn recipient(&mut self, server: ServerId, now: Instant) -> Option<Recipient> {
         let [keeper, standby] = self.rank(server);
--- a/crates/policy/src/throttle/keeper.rs
+++ b/crates/policy/src/throttle/keeper.rs
@@ -1,11 +1,12 @@
 //! Grants the requests of all nodes to the servers that a node keeps the limits of.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use jackdaw_core::time::Instant;
 use jackdaw_core::units::{Millis, Rate};
 
 use super::{ServerId, TeamId};
+use crate::warmup::{Allowance, Part};
 
 /// Requests in a second that are granted at least, as a server that gets none cannot tell that it is
 /// well again.
@@ -30,6 +31,9 @@
 const PRIORITY_RESERVE: f64 = 0.5;
 /// Share of the burst that is held back from a team that got more than the others.
 const TEAM_RESERVE: f64 = 0.4;
+/// Share of the burst of a cold server that is held back from a request while more urgent ones are
+/// refused.
+const COLD_RESERVE: f64 = 0.8;
 /// Number of refusals that are expected to lead to one more request.
 const REFUSALS_PER_TURN: f64 = 4.0;
 /// Longest time after which a node is told to ask again.
@@ -95,17 +99,20 @@
     /// Number of refusals lately.
     denied: f64,
     teams: HashMap<TeamId, Team>,
+    /// Times of the last refusals by priority.
+    denied_at: BTreeMap<u8, Instant>,
 }
 
 impl Bucket {
-    /// Creates a full bucket.
-    fn new(now: Instant) -> Self {
+    /// Creates a bucket with a level, which is at most the burst once it is refilled.
+    fn new(level: f64, now: Instant) -> Self {
         Bucket {
-            level: f64::INFINITY,
+            level,
             opened_at: now,
             updated_at: now,
             denied: 0.0,
             teams: HashMap::new(),
+            denied_at: BTreeMap::new(),
         }
     }
 
@@ -163,37 +170,75 @@
 
     /// Decides whether a request may be sent to a server.
     pub fn decide(&mut self, ask: &Ask, role: Role, now: Instant) -> Verdict {
-        if !self.buckets.contains_key(&ask.server) {
-            self.buckets
-                .retain(|_, bucket| now.since(bucket.updated_at) < IDLE_TIME);
-        }
         let is_changing = now.since(self.nodes_changed_at) < CHANGE_TIME;
-        let bucket = self
-            .buckets
-            .entry(ask.server)
-            .or_insert_with(|| Bucket::new(now));
+        let bucket = self.bucket(ask.server, f64::INFINITY, now);
         let is_shared = match role {
             Role::Keeper => is_changing && now.since(bucket.opened_at) < HANDOVER_TIME,
             Role::Standby => true,
         };
         let limit = ask.rate.per_second().max(MIN_PER_SECOND);
         let per_second = if is_shared { limit * SHARED } else { limit };
-        let burst = MIN_BURST + per_second * BURST_SECONDS;
-        bucket.refill(per_second, burst, now);
+        let allowance = Allowance {
+            per_second,
+            burst: MIN_BURST + per_second * BURST_SECONDS,
+        };
         let rank = f64::from(ask.priority);
-        let mut reserve = PRIORITY_RESERVE * rank / (rank + 2.0);
-        if bucket.is_over_share(ask.team, now) {
+        let reserve = PRIORITY_RESERVE * rank / (rank + 2.0);
+        bucket.decide(ask, allowance, reserve, now)
+    }
+
+    /// Decides whether a request may be sent to a cold server, which may get a number of requests in any
+    /// one second from all nodes together.
+    pub fn decide_cold(&mut self, ask: &Ask, bound: f64, part: Part, now: Instant) -> Verdict {
+        // What the server got before it was cold is not known.
+        let bucket = self.bucket(ask.server, 1.0, now);
+        let reserve = match bucket.has_more_urgent(ask.priority, now) {
+            true => COLD_RESERVE,
+            false => 0.0,
+        };
+        bucket.decide(ask, Allowance::new(ask.rate, bound, part), reserve, now)
+    }
+
+    fn bucket(&mut self, server: ServerId, level: f64, now: Instant) -> &mut Bucket {
+        if !self.buckets.contains_key(&server) {
+            self.buckets
+                .retain(|_, bucket| now.since(bucket.updated_at) < IDLE_TIME);
+        }
+        let bucket = self.buckets.entry(server);
+        bucket.or_insert_with(|| Bucket::new(level, now))
+    }
+}
+
+impl Bucket {
+    /// Returns whether a more urgent request than those of a priority was refused lately.
+    fn has_more_urgent(&self, priority: u8, now: Instant) -> bool {
+        let mut denials = self.denied_at.range(..priority);
+        denials.any(|(_, at)| now.since(*at) < MEMORY)
+    }
+
+    /// Decides whether a request is granted of which a share of the burst is held back.
+    fn decide(
+        &mut self,
+        ask: &Ask,
+        allowance: Allowance,
+        mut reserve: f64,
+        now: Instant,
+    ) -> Verdict {
+        let Allowance { per_second, burst } = allowance;
+        self.refill(per_second, burst, now);
+        if self.is_over_share(ask.team, now) {
             reserve += TEAM_RESERVE;
         }
-        let needed = 1.0 + reserve * (burst - 1.0);
-        let is_granted = bucket.level >= needed;
-        let missing = needed - bucket.level;
-        bucket.record(ask.team, is_granted, now);
+        let needed = 1.0 + reserve.min(1.0) * (burst - 1.0).max(0.0);
+        let is_granted = self.level >= needed;
+        let missing = needed - self.level;
+        self.record(ask.team, is_granted, now);
         if is_granted {
             return Verdict::Granted;
         }
+        self.denied_at.insert(ask.priority, now);
         // Each of those that were refused lately is told a later time.
-        let seconds = missing.max(bucket.denied / REFUSALS_PER_TURN) / per_second;
+        let seconds = missing.max(self.denied / REFUSALS_PER_TURN) / per_second;
         let retry_after = Millis((seconds * 1_000.0).ceil() as u64);
         Verdict::Denied(retry_after.min(MAX_RETRY_AFTER))
     }
--- a/crates/policy/tests/assembly/cluster.rs
+++ b/crates/policy/tests/assembly/cluster.rs
@@ -268,6 +268,7 @@
             start_unix_ms,
             domain: "d0".into(),
             staged: Vec::new(),
+            warmup_left: Millis(0),
             membership: Some(Membership {
                 group: group.into(),
                 epoch,
@@ -889,6 +890,7 @@
             start_unix_ms: host.start_unix_ms,
             domain: host.domain.clone(),
             staged: host.staged.iter().cloned().collect(),
+            warmup_left: Millis(0),
             membership: host.membership.clone(),
         })
     }
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -204,6 +204,7 @@
         start_unix_ms: 1,
         domain: "d".into(),
         staged: Vec::new(),
+        warmup_left: jackdaw_core::units::Millis(0),
         membership: Some(Membership {
             group: group_name("large", 3, 4),
             epoch: 5,
--- a/crates/policy/tests/feed.rs
+++ b/crates/policy/tests/feed.rs
@@ -40,6 +40,7 @@
         start_unix_ms: 1,
         domain: CompactString::default(),
         staged: Vec::new(),
+        warmup_left: Millis(0),
         membership: None,
     }
 }
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -62,6 +62,7 @@
         start_unix_ms,
         domain: CompactString::default(),
         staged: Vec::new(),
+        warmup_left: Millis(0),
         membership: None,
     }
 }
