--- a/crates/gateway/src/segment.rs
+++ b/crates/gateway/src/segment.rs
@@ -69,7 +69,7 @@
     state: u32,
     /// Time in milliseconds for which the server is still cold; zero, which takes no space, if it is not.
     #[prost(uint64, tag = "13")]
-    warmup_left_ms: u64,
+    cold_for_ms: u64,
 }
 
 impl Record {
@@ -157,7 +157,7 @@
             epoch: membership.map_or(0, |known| known.epoch),
             rank: membership.map_or(0, |known| known.rank),
             state: state.map_or(0, |state| state as u32 + 1),
-            warmup_left_ms: server.warmup_left.0,
+            cold_for_ms: server.warmup_left.0,
         }
     }
 
@@ -188,7 +188,7 @@
             domain: self.domain.into(),
             staged: self.staged.into_iter().map(CompactString::from).collect(),
             membership,
-            warmup_left: Millis(self.warmup_left_ms),
+            warmup_left: Millis(self.cold_for_ms),
         })
     }
 }
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use jackdaw_gateway::node::Parts;
+use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::Ports;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use socket2::{Domain, Socket, Type};
@@ -28,6 +29,9 @@
 pub(crate) const HELD_EVENTS: usize = 20;
 /// Part of a path whose run calls a node with a request that ends servers.
 pub(crate) const CALLS: &str = "calls";
+/// Bounds on the requests that cold servers get.
+pub(crate) const WARMUP_OVERSHOOT: f64 = 1.5;
+pub(crate) const WARMUP_SLACK: f64 = 5.0;
 
 /// Largest datagram in bytes.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -377,11 +381,24 @@
     registered: Vec<jackdaw_core::backend::Server>,
     cut: Cut,
     started: usize,
+    /// Whether datagrams go to the nodes themselves. Otherwise none that answers another one's sender
+    /// arrives, as that is the forwarder.
+    is_direct: bool,
 }
 
 impl Cluster {
     /// Starts nodes and servers, and waits until all nodes are ready.
     pub(crate) fn start(nodes: usize, servers: usize) -> Cluster {
+        Cluster::start_with(nodes, servers, false)
+    }
+
+    /// Starts nodes and servers like [`Cluster::start`]; the nodes answer each other's questions and
+    /// cannot be cut off.
+    pub(crate) fn start_direct(nodes: usize, servers: usize) -> Cluster {
+        Cluster::start_with(nodes, servers, true)
+    }
+
+    fn start_with(nodes: usize, servers: usize, is_direct: bool) -> Cluster {
         let store = Arc::new(MemoryStore::new());
         let shared = Arc::new(Servers::default());
         store.put("configuration", "1");
@@ -399,6 +416,7 @@
             registered,
             cut: Cut::default(),
             started: 0,
+            is_direct,
         };
         for _ in 0..nodes {
             cluster.add_node();
@@ -410,11 +428,19 @@
 
     /// Starts another node and waits until it is ready.
     pub(crate) fn add_node(&mut self) {
-        let mut options = options(&format!("n{}", self.started));
+        let mut options = Options {
+            warmup_overshoot: WARMUP_OVERSHOOT,
+            warmup_slack: WARMUP_SLACK,
+            ..options(&format!("n{}", self.started))
+        };
         self.started += 1;
         let mut ports = Ports::bind(&options).expect("ports are free");
         let peers = ports.peers.local_addr().expect("the port is bound");
+        options.peers = peers;
         loop {
+            if self.is_direct {
+                break;
+            }
             options.peers = forward_datagrams(peers, Arc::clone(&self.cut));
             // The port of the datagrams may be taken for connections.
             if let Ok(listener) = TcpListener::bind(options.peers) {
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -29,3 +29,4 @@
 mod support;
 mod tunnel;
 mod version;
+mod warmup;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -10,7 +10,9 @@
 use async_trait::async_trait;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
-use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
+use jackdaw_core::config::{
+    Backend, Configuration, Limits, Route, RouteKind, Service, Team, Warmup,
+};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Pause, Protocol};
 use jackdaw_core::store::Entry;
@@ -184,6 +186,13 @@
                         keys: vec![key.into()],
                     });
                 }
+                Some(("warmup", per_second)) => {
+                    let per_second = per_second.parse().expect("rates are numbers");
+                    services[0].warmup = Rate::new(per_second).map(|rate| Warmup {
+                        rate,
+                        time: Millis(3_000),
+                    });
+                }
                 Some(("without", name)) => routes.retain(|route| route.name != name),
                 _ if word == "without-service" => {
                     services.clear();
@@ -243,6 +252,10 @@
         return;
     };
     let number = || -> u64 { value.parse().expect("the value is a number") };
+    if field == "warmup" {
+        server.warmup_left = Millis(number());
+        return;
+    }
     let mut membership = server.membership.take().unwrap_or(Membership {
         group: String::new().into(),
         epoch: 0,
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -73,9 +73,11 @@
         };
         let per_second = max_per_second.min((room - 1.0) / span).max(0.0);
         let max_burst = 1.0 + sustained * BURST_SECONDS;
+        // Rounding must not leave a burst that is slightly less than one request.
+        let min_burst = if room >= 1.0 { 1.0 } else { 0.0 };
         Allowance {
             per_second,
-            burst: (room - per_second * span).clamp(0.0, max_burst),
+            burst: (room - per_second * span).clamp(min_burst, max_burst),
         }
     }
 }
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -117,17 +117,19 @@
     slack: f64,
     /// Whether the keeper's part is to allow 0.8 of the rate.
     is_used: bool,
+    /// Whether a share is to allow any request.
+    is_shared: bool,
 }
 
 #[rstest]
-#[case(Figures { rate: 26.0, overshoot: 1.5, slack: 5.0, is_used: true })]
-#[case(Figures { rate: 1.0, overshoot: 1.5, slack: 5.0, is_used: true })]
-#[case(Figures { rate: 200.0, overshoot: 1.5, slack: 5.0, is_used: true })]
-#[case(Figures { rate: 26.0, overshoot: 1.0, slack: 0.0, is_used: true })]
-#[case(Figures { rate: 26.0, overshoot: 1.2, slack: 2.0, is_used: true })]
-#[case(Figures { rate: 0.5, overshoot: 1.0, slack: 0.0, is_used: false })]
-#[case(Figures { rate: 5.0, overshoot: 0.5, slack: 0.0, is_used: false })]
-#[case(Figures { rate: 0.0, overshoot: 1.5, slack: 5.0, is_used: false })]
+#[case(Figures { rate: 26.0, overshoot: 1.5, slack: 5.0, is_used: true, is_shared: true })]
+#[case(Figures { rate: 1.0, overshoot: 1.5, slack: 5.0, is_used: true, is_shared: false })]
+#[case(Figures { rate: 200.0, overshoot: 1.5, slack: 5.0, is_used: true, is_shared: true })]
+#[case(Figures { rate: 26.0, overshoot: 1.0, slack: 0.0, is_used: true, is_shared: false })]
+#[case(Figures { rate: 26.0, overshoot: 1.2, slack: 2.0, is_used: true, is_shared: true })]
+#[case(Figures { rate: 0.5, overshoot: 1.0, slack: 0.0, is_used: false, is_shared: false })]
+#[case(Figures { rate: 5.0, overshoot: 0.5, slack: 0.0, is_used: false, is_shared: false })]
+#[case(Figures { rate: 0.0, overshoot: 1.5, slack: 5.0, is_used: false, is_shared: false })]
 // Guards against parts of several nodes that make up more than the bound.
 fn parts_of_all_nodes_make_up_no_more_than_the_bound(#[case] figures: Figures) {
     let bound = figures.rate * figures.overshoot + figures.slack;
@@ -145,6 +147,9 @@
         let is_enough = main.per_second >= 0.8 * figures.rate && main.burst >= 1.0;
         assert!(is_enough, "{figures:?}: {main:?}");
     }
+    let share = allowance(Part::Share);
+    let is_granted = share.burst >= 1.0 && share.per_second > 0.0;
+    assert_eq!(is_granted, figures.is_shared, "{figures:?}: {share:?}");
 }
 
 const BASE: Scenario = Scenario {
@@ -189,6 +194,13 @@
         assert!(worst as f64 <= bound, "{name} seed {seed}: {worst} arrive");
         let before = outcome.used(2_000, simulation::EVENT_AT);
         assert!(before >= 0.8, "{name} seed {seed}: {before:.2} before");
+        if scenario.event == Event::KeeperEnds {
+            let shared = outcome.used(simulation::EVENT_AT + 2_000, simulation::EVENT_AT + 12_000);
+            assert!(
+                shared > 0.0,
+                "{name} seed {seed}: the standby grants nothing"
+            );
+        }
         if scenario.event == Event::Partition {
             continue;
         }
