--- a/crates/gateway/tests/node/warmup.rs
+++ b/crates/gateway/tests/node/warmup.rs
@@ -1,5 +1,6 @@
 //! Tests of nodes before servers that are cold.
 
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use super::cluster::{Cluster, Member, WARMUP_OVERSHOOT, WARMUP_SLACK};
@@ -112,6 +113,17 @@
     cluster.stop_nodes();
 }
 
+// Guards against nodes that do not learn from others that a server is cold, which the store tells few.
+#[test]
+fn nodes_pass_on_that_a_server_is_cold() {
+    let mut cluster = start(2, &format!("2 warmup:{RATE}"));
+    // The first node leads the zone and reads the registrations all the time.
+    cluster.nodes[1].feed.is_cut.store(true, Ordering::SeqCst);
+    register(&cluster, "600000", "server is cold");
+    register(&cluster, "0", "server is warm");
+    cluster.stop_nodes();
+}
+
 // Guards against servers that stay cold because they say nothing new.
 #[test]
 fn server_is_warm_after_the_stated_time() {
