--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -30,3 +30,4 @@
 mod support;
 mod tunnel;
 mod version;
+mod warmup;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -11,7 +11,9 @@
 use compact_str::CompactString;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
-use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
+use jackdaw_core::config::{
+    Backend, Configuration, Limits, Route, RouteKind, Service, Team, Warmup,
+};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Pause, Protocol};
 use jackdaw_core::store::Entry;
@@ -168,6 +170,7 @@
             name: "service".into(),
             max_connections: 10,
             engine: None,
+            warmup: None,
         }];
         let mut teams = Vec::new();
         for word in text.split(' ') {
@@ -184,6 +187,13 @@
                         keys: vec![key.into()],
                     });
                 }
+                Some(("warmup", per_second)) => {
+                    let per_second = per_second.parse().expect("rates are numbers");
+                    services[0].warmup = Rate::new(per_second).map(|rate| Warmup {
+                        rate,
+                        time: Millis(3_000),
+                    });
+                }
                 Some(("without", name)) => routes.retain(|route| route.name != name),
                 _ if word == "without-service" => {
                     services.clear();
@@ -252,6 +262,10 @@
         return;
     };
     let number = || -> u64 { value.parse().expect("the value is a number") };
+    if field == "warmup" {
+        server.warmup_left = Millis(number());
+        return;
+    }
     let mut membership = server.membership.take().unwrap_or(Membership {
         group: String::new().into(),
         epoch: 0,
@@ -527,6 +541,7 @@
         start_unix_ms: 1,
         domain: String::new().into(),
         staged: Vec::new(),
+        warmup_left: Millis(0),
         membership: None,
     }
 }
@@ -544,6 +559,8 @@
         grace: Millis(6_000),
         retries: 1_000,
         retry_ratio: 0.2,
+        warmup_overshoot: 1.0,
+        warmup_slack: 0.0,
         lease: Millis(3_000),
         drain: Millis(2_000),
         max_head: Bytes(16 << 10),
