--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -363,6 +363,13 @@
         assert!(!waited.1.timed_out(), "{message:?} is not logged");
     }
 
+    /// Returns whether the node has logged a message.
+    pub(crate) fn has_logged(&self, message: &str) -> bool {
+        let (messages, _) = &*self.messages.0;
+        let messages = messages.lock().expect("no test panicked");
+        messages.iter().any(|logged| logged == message)
+    }
+
     /// Stops the node.
     pub(crate) fn stop(self) {
         self.process.stop();
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod continuation;
 mod delivery;
+mod demand;
 mod domain;
 mod ending;
 mod follow;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -10,12 +10,14 @@
 use async_trait::async_trait;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use jackdaw_core::backend::{Membership, Order, Reply, Report, Server, State};
-use jackdaw_core::config::{Backend, Configuration, Limits, Route, RouteKind, Service, Team};
+use jackdaw_core::config::{
+    Backend, Configuration, Engine, Limits, Model, Route, RouteKind, Service, Team,
+};
 use jackdaw_core::errors::{Error, Result};
 use jackdaw_core::protocol::{Answer, Forwarding, Head, Limit, Orders, Pause, Protocol};
 use jackdaw_core::store::Entry;
 use jackdaw_core::time::{Clock, SystemClock};
-use jackdaw_core::units::{Bytes, Millis, Rate};
+use jackdaw_core::units::{Bytes, Millis, Rate, Tokens};
 use jackdaw_gateway::node::{Exporter, Parts};
 use jackdaw_gateway::options::Options;
 use jackdaw_gateway::server::{self, Ports};
@@ -105,6 +107,8 @@
             id: header_text(headers, "id").unwrap_or_default().into(),
             deadline: header_number(headers, "deadline").map(Millis),
             key: header_text(headers, "key").map(Into::into),
+            model: header_text(headers, "model").map(Into::into),
+            prompt_tokens: header_number(headers, "prompt").unwrap_or_default() as u32,
             ..Head::default()
         })
     }
@@ -143,7 +147,8 @@
     /// Decodes a configuration that holds its version and, after a space each, its limits, if any;
     /// version 1 alone has the route `safe`. The word `timeout:` with milliseconds sets the time-out
     /// of all routes, `key:` with a key admits its holders alone, `without:` with a name removes a
-    /// route, and `without-service` removes the service.
+    /// route, `without-service` removes the service, and `models:` with a number gives it an engine with so
+    /// many models.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
         let text = std::str::from_utf8(value).unwrap_or_default();
         check_not_odd("configuration", text)?;
@@ -183,6 +188,10 @@
                         keys: vec![key.into()],
                     });
                 }
+                Some(("models", count)) => {
+                    let count = count.parse().expect("counts are numbers");
+                    services[0].engine = Some(engine(count));
+                }
                 Some(("without", name)) => routes.retain(|route| route.name != name),
                 _ if word == "without-service" => {
                     services.clear();
@@ -229,6 +238,34 @@
     }
 }
 
+/// Returns an engine with a number of models, `m0` and so on, which have the same share.
+fn engine(models: usize) -> Engine {
+    let models = (0..models).map(|number| Model {
+        name: format!("m{number}").into(),
+        size: 4,
+        share: 1.0 / models as f64,
+        time_factor: 1.0,
+        load_time: Millis(16_000),
+        warm_load_time: Millis(1_600),
+    });
+    Engine {
+        slots: 26,
+        kv_capacity: Tokens(1_400_000),
+        steps_per_pass: 5,
+        step_ms: 6.0,
+        step_ms_per_request: 0.25,
+        step_ms_per_context: 0.005,
+        prefill_per_ms: 46.0,
+        prefill_ms_per_million_pairs: 0.7,
+        mean_prompt_tokens: 1_000,
+        mean_output_tokens: 100,
+        loads_per_second: 4.0,
+        concurrent_loads: 6,
+        open_time: Millis(300),
+        models: models.collect(),
+    }
+}
+
 fn check_not_odd(key: &str, text: &str) -> Result<()> {
     if text.starts_with("odd") {
         return Err(Error::malformed("read entry", key, text));
