Start the sites of the tests of reports in one place

Two tests of reports registered their servers, started a node and waited for its leadership with the same twenty lines, and the second one wrote the end of the outage twice. Site::start and a closure serve both now. The cases, waits and assertions are as before.

--- a/crates/gateway/tests/node/report.rs
+++ b/crates/gateway/tests/node/report.rs
@@ -23,6 +23,44 @@
 
 const OK: Script = "HTTP/1.1 200 OK\r\nid: ID\r\nsigned: 1\r\ncontent-length: 4\r\n\r\ndoneKEEP";
 
+/// A node that leads a zone whose servers are model engines.
+struct Site {
+    store: Arc<MemoryStore>,
+    lines: Lines,
+    process: Process,
+}
+
+impl Site {
+    /// Registers servers, starts the node and waits until it leads.
+    fn start(servers: &Servers, ids: &[&str], orders: Arc<dyn Orders>) -> Site {
+        let registered = ids.iter().map(|id| Server {
+            domain: "domain".into(),
+            ..server(id, servers.listen())
+        });
+        let registered: Vec<Server> = registered.collect();
+        let store = Arc::new(MemoryStore::new());
+        store.put("configuration", "1");
+        for id in ids {
+            store.put(&format!("servers/{id}"), "");
+        }
+        let options = options("node");
+        let ports = Ports::bind(&options).expect("ports are free");
+        let lines = Lines::default();
+        let parts = Parts {
+            orders,
+            ..parts(&store, registered, lines.logger())
+        };
+        let process = Process::launch(options, ports, parts);
+        process.wait_ready();
+        lines.wait_for(|line| line.message == "leadership won");
+        Site {
+            store,
+            lines,
+            process,
+        }
+    }
+}
+
 /// Servers of which the first does not answer; its second report is held up.
 struct HeldReports {
     polls: AtomicUsize,
@@ -56,29 +94,16 @@
 fn server_that_registered_again_stays_though_its_former_life_misses_a_report() {
     assert!(OK.ends_with(KEEP), "the script keeps the connection open");
     let servers = Servers::with_scripts(&[OK; 100]);
-    let registered = ["s0", "s1"].map(|id| Server {
-        domain: "domain".into(),
-        ..server(id, servers.listen())
-    });
-    let store = Arc::new(MemoryStore::new());
-    store.put("configuration", "1");
-    store.put("servers/s0", "");
-    store.put("servers/s1", "");
-    let options = options("node");
-    let ports = Ports::bind(&options).expect("ports are free");
     let reports = Arc::new(HeldReports {
         polls: AtomicUsize::new(0),
         is_held: watch::Sender::new(false),
         is_released: watch::Sender::new(false),
     });
-    let lines = Lines::default();
-    let parts = Parts {
-        orders: reports.clone(),
-        ..parts(&store, registered.into(), lines.logger())
-    };
-    let process = Process::launch(options, ports, parts);
-    process.wait_ready();
-    lines.wait_for(|line| line.message == "leadership won");
+    let Site {
+        store,
+        lines,
+        process,
+    } = Site::start(&servers, &["s0", "s1"], reports.clone());
     store.set_unavailable(true);
     let mut is_held = reports.is_held.subscribe();
     let held = async { tokio::time::timeout(TIMEOUT, is_held.wait_for(|held| *held)).await };
@@ -142,26 +167,12 @@
 #[case(Return { name: "the server answers after the store", is_after_outage: true })]
 fn server_that_missed_reports_is_taken_back_once_it_answers(#[case] case: Return) {
     let servers = Servers::with_scripts(&[OK; 1_000]);
-    let registered = ["s0", "s1", "s2", "s3"].map(|id| Server {
-        domain: "domain".into(),
-        ..server(id, servers.listen())
-    });
-    let store = Arc::new(MemoryStore::new());
-    store.put("configuration", "1");
-    for server in &registered {
-        store.put(&format!("servers/{}", server.id), "");
-    }
-    let options = options("node");
-    let ports = Ports::bind(&options).expect("ports are free");
     let reports = Arc::new(LostReports::default());
-    let lines = Lines::default();
-    let parts = Parts {
-        orders: reports.clone(),
-        ..parts(&store, registered.into(), lines.logger())
-    };
-    let process = Process::launch(options, ports, parts);
-    process.wait_ready();
-    lines.wait_for(|line| line.message == "leadership won");
+    let Site {
+        store,
+        lines,
+        process,
+    } = Site::start(&servers, &["s0", "s1", "s2", "s3"], reports.clone());
     store.set_unavailable(true);
     reports.is_lost.store(true, Ordering::SeqCst);
     lines.wait_for(|line| {
@@ -172,19 +183,19 @@
     for id in ["s1", "s2", "s3"] {
         store.put(&format!("servers/{id}"), "draining");
     }
-    if case.is_after_outage {
+    let end_outage = || {
         store.set_unavailable(false);
         lines.wait_for(|line| {
             line.message == "store answers again" && line.field("prefix") == "servers/"
         });
+    };
+    if case.is_after_outage {
+        end_outage();
         reports.is_lost.store(false, Ordering::SeqCst);
     } else {
         reports.is_lost.store(false, Ordering::SeqCst);
         lines.wait_for(|line| line.message == "server that had missed reports answers again");
-        store.set_unavailable(false);
-        lines.wait_for(|line| {
-            line.message == "store answers again" && line.field("prefix") == "servers/"
-        });
+        end_outage();
     }
     let answered_at = Instant::now();
     let mut answer = String::new();
