Cut the server off in place of freezing the node in the case of truncated answers

One disruption in place of two: node_cut with servers reborn. The end of the crashed server's connections reaches the nodes after the cut, when the server runs again under its name. The variant with a frozen node stays as WAY=freeze.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,12 +4,13 @@
 //! and with 2 if the case could not run.
 
 mod engine;
-mod freeze;
 mod http;
 mod json;
 mod leaving;
 mod node;
 mod plain;
+mod proxy;
+mod reborn;
 mod record;
 mod recover;
 mod stop;
@@ -189,7 +190,8 @@
         return ExitCode::from(2);
     };
     let play: fn(&mut Lab) -> Verdict = match case.as_str() {
-        "freeze" => freeze::play,
+        "cut" => reborn::play_cut,
+        "freeze" => reborn::play_freeze,
         "recover" => recover::play,
         "stop" => stop::play,
         "tenants" => tenants::play,
--- a/review/standin-2/plain.rs
+++ b/review/standin-2/plain.rs
@@ -50,6 +50,8 @@
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
+    /// Address in the store, which may be that of a link to the server.
+    pub public_address: SocketAddr,
     work: Work,
     state: Arc<Mutex<State>>,
     runs: Runs,
@@ -74,9 +76,11 @@
         record: &Record,
     ) -> Result<Server> {
         let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
         let server = Server {
             id: id.to_owned(),
-            address: listener.local_addr()?,
+            address,
+            public_address: address,
             work,
             state: Arc::default(),
             runs: Arc::clone(runs),
@@ -108,7 +112,7 @@
         let born = 1_764_979_200_000 + life;
         format!(
             r#"{{"service":"{service}","address":"{}","zone":"zone-a","version":"v1","slots":6,"state":"{state}","warmup_left_ms":0,"seq":1,"born":{born}}}"#,
-            self.address
+            self.public_address
         )
     }
 
