review: a cold server gets its full share while the store is down, and crashes (FAILBACK)

Cause, as far as known: nodes learn from registrations alone that a server is cold. While the store is down, a server that starts again cold is taken for the warm one that it was. Its health responses say that it is cold, and nobody reads them.

Holds: review/12 (script).

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec python3 "$(dirname "$0")/case.py"
