gateway: find nothing by the key of a target that is gone

Cause: a target was kept by its index in a table while other nodes were asked for a cold server. The slot of a target that was gone was given to the next new one, and the granted key was used without a look at what it found. The same key was kept while a connection was opened.

Ruled out: reuse of an address (each server of the case has its own port, and the requests named the new server), and routing by the later version (a request keeps the index that admitted it). A line of log in a trial showed a key that was asked for s0 and found s1 of the other service once the configuration was in force.

Change: the table is a slotmap, whose keys carry a generation, and every read by a key may find nothing. A target that was named before a wait is looked at again: that it serves the request's service and model, is not paused and not evacuated. The place of a request is taken when it is about to be written, and only while the target serves; otherwise nothing is written and another target is chosen (Fault::Withdrawn, which costs no retry). An admitted request keeps to the configuration that admitted it.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -390,9 +390,12 @@
         let crashed = match fault {
             Fault::Closed => true,
             Fault::Unreachable => self.request.was_cut_off_by(&target.name),
-            Fault::Silent | Fault::Invalid | Fault::Refused | Fault::Paused | Fault::Deadline => {
-                false
-            }
+            Fault::Silent
+            | Fault::Invalid
+            | Fault::Refused
+            | Fault::Paused
+            | Fault::Withdrawn
+            | Fault::Deadline => false,
         };
         // A call that crashed one target may crash the next, so it runs alone from now on.
         self.admission.suspect |= crashed;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,10 +160,10 @@
     pub(crate) fn begin(
         node: &Rc<Node>,
         call: &Rc<Call>,
+        target: Rc<Target>,
         plan: Plan,
         trial: Option<Trial>,
     ) -> Attempt {
-        let target = node.targets.borrow().target(plan.key);
         let connecting = {
             let node = Rc::clone(node);
             let target = Rc::clone(&target);
@@ -351,14 +351,15 @@
             ));
         }
         let request = self.build_request(left)?;
-        let demand = self.call.demand();
-        self.reservation = Some(Reservation::acquire(
-            &self.node.targets,
-            self.plan.key,
-            u64::from(demand.prompt),
-            u64::from(demand.output),
-            self.plan.suspicion.map(|suspicion| suspicion.crashes),
-        ));
+        let Some(reservation) = self.reserve() else {
+            let detail = "the server was withdrawn before the request was sent";
+            return Err(ExchangeFailure::new(
+                Fault::Withdrawn,
+                Step::Connecting,
+                detail,
+            ));
+        };
+        self.reservation = Some(reservation);
         self.last_activity = sent;
         self.sent_at = sent;
         self.node
@@ -370,6 +371,21 @@
         })))
     }
 
+    /// Counts the request at its target; none if that was withdrawn while the connection was opened.
+    fn reserve(&self) -> Option<Reservation> {
+        if self.node.evacuations.is_evacuated(&self.target.zone) {
+            return None;
+        }
+        let demand = self.call.demand();
+        Reservation::acquire(
+            &self.node.targets,
+            self.plan.key,
+            u64::from(demand.prompt),
+            u64::from(demand.output),
+            self.plan.suspicion.map(|suspicion| suspicion.crashes),
+        )
+    }
+
     fn build_request(&self, left: Millis) -> Result<Request<Bytes>, ExchangeFailure> {
         let mut headers = self.call.headers.clone();
         let forwarding = Forwarding {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -84,7 +84,7 @@
     /// An attempt may be allowed soon; the refusal is for a request that does not wait.
     Held(Refusal),
     /// The target's server names a limit, and it has to be asked whether it may get the request.
-    Unasked(Key),
+    Unasked(Key, Rc<Target>),
 }
 
 impl From<Refusal> for Obstacle {
@@ -112,10 +112,8 @@
     failures: u32,
     /// Whether a server has begun to answer the request.
     is_cleared: bool,
-    /// Target to which the next attempt was granted, as its server names a limit.
-    granted: Option<Key>,
-    /// Time of that grant.
-    granted_at: Instant,
+    /// Target to which the next attempt was granted, as its server names a limit, and the time of that.
+    granted: Option<(Key, Instant)>,
     /// Number of servers that were asked for since the last attempt began.
     asked: u32,
     /// Whether a server fell silent in an attempt, which speaks against the request until one answers.
@@ -142,7 +140,6 @@
             failures: 0,
             is_cleared: false,
             granted: None,
-            granted_at: Instant::default(),
             asked: 0,
             has_met_silence: false,
         }
@@ -161,14 +158,11 @@
     pub(crate) fn begin(&mut self) -> Result<Attempt, Obstacle> {
         self.check_reach()?;
         let suspicion = self.check_poison()?;
-        let key = self.choose_target(suspicion)?;
-        let target = self.node.targets.borrow().target(key);
-        let is_granted =
-            self.granted == Some(key) && self.node.now().since(self.granted_at) <= GRANT_LIFETIME;
-        if !is_granted && self.permission(&target) != Permission::Unlimited {
-            return Err(Obstacle::Unasked(key));
-        }
-        self.granted = None;
+        let granted = self.take_granted();
+        let (key, target) = self.choose_target(granted, suspicion)?;
+        if granted != Some(key) && self.permission(&target) != Permission::Unlimited {
+            return Err(Obstacle::Unasked(key, target));
+        }
         self.asked = 0;
         let is_once = !self.call.route.kind.is_repeatable();
         let plan = Plan {
@@ -189,7 +183,7 @@
             tracked.group = target.group.clone();
         });
         let trial = suspicion.map(|_| Trial::begin(&self.node, &self.call.features()));
-        Ok(Attempt::begin(&self.node, &self.call, plan, trial))
+        Ok(Attempt::begin(&self.node, &self.call, target, plan, trial))
     }
 
     /// Rejects a new request if servers refuse this node and no other node reaches them.
@@ -213,7 +207,11 @@
             Fault::Unreachable => reach::Failure::Refused,
             Fault::Closed => reach::Failure::Closed,
             Fault::Silent => reach::Failure::Silent,
-            Fault::Deadline | Fault::Invalid | Fault::Refused | Fault::Paused => return,
+            Fault::Deadline
+            | Fault::Invalid
+            | Fault::Refused
+            | Fault::Paused
+            | Fault::Withdrawn => return,
         };
         let Some(link) = attempt.direct_link() else {
             return;
@@ -240,14 +238,19 @@
     }
 
     /// Asks whether a target's server, which names a limit, may get the request.
-    pub(crate) async fn ask(&mut self, key: Key) {
-        let target = self.node.targets.borrow().target(key);
+    pub(crate) async fn ask(&mut self, key: Key, target: &Target) {
         self.asked += 1;
         let asked = self
             .node
-            .ask_permission(&target, self.team(), self.urgency());
-        self.granted = asked.await.then_some(key);
-        self.granted_at = self.node.now();
+            .ask_permission(target, self.team(), self.urgency());
+        let is_granted = asked.await;
+        self.granted = is_granted.then(|| (key, self.node.now()));
+    }
+
+    /// Takes the target to which the next attempt was granted, if that was just now.
+    fn take_granted(&mut self) -> Option<Key> {
+        let (key, at) = self.granted.take()?;
+        (self.node.now().since(at) <= GRANT_LIFETIME).then_some(key)
     }
 
     /// Returns whether a target's server may get the request by the limit that it names.
@@ -281,13 +284,15 @@
     fn keep_unexhausted(&self, mut candidates: Vec<Key>) -> Result<Vec<Key>, Refusal> {
         let mut shortest: Option<Millis> = None;
         let targets = self.node.targets.borrow();
-        candidates.retain(|key| match self.permission(&targets.target(*key)) {
-            Permission::Unlimited => true,
-            Permission::Needed => self.asked < MAX_ASKED,
-            Permission::Refused(left) => {
+        let permission = |key| Some(self.permission(targets.serving_target(key)?));
+        candidates.retain(|key| match permission(*key) {
+            Some(Permission::Unlimited) => true,
+            Some(Permission::Needed) => self.asked < MAX_ASKED,
+            Some(Permission::Refused(left)) => {
                 shortest = Some(shortest.map_or(left, |shortest| shortest.min(left)));
                 false
             }
+            None => false,
         });
         if !candidates.is_empty() {
             return Ok(candidates);
@@ -437,7 +442,8 @@
             | Fault::Unreachable
             | Fault::Invalid
             | Fault::Refused
-            | Fault::Paused => {}
+            | Fault::Paused
+            | Fault::Withdrawn => {}
         }
     }
 
@@ -468,12 +474,18 @@
         is_replaced || self.node.has_server_ended(&attempt.target).await
     }
 
-    /// Returns the target for the next attempt.
-    fn choose_target(&mut self, suspicion: Option<Suspicion>) -> Result<Key, Refusal> {
-        let named = self.granted.or_else(|| self.reconnect_key.take());
-        let is_usable = |key: &Key| self.pause_left(*key).is_none() && !self.is_evacuated(*key);
-        if let Some(key) = named.filter(is_usable) {
-            return Ok(key);
+    /// Returns the target for the next attempt; `granted` is the one to which it was granted, if it was.
+    ///
+    /// Targets that were named before a wait are checked again, since the fleet and the configuration may
+    /// have changed meanwhile.
+    fn choose_target(
+        &mut self,
+        granted: Option<Key>,
+        suspicion: Option<Suspicion>,
+    ) -> Result<(Key, Rc<Target>), Refusal> {
+        let named = granted.or_else(|| self.reconnect_key.take());
+        if let Some((key, target)) = named.and_then(|key| self.usable_target(key)) {
+            return Ok((key, target));
         }
         let now = self.node.now();
         let candidates = self.keep_apart(self.candidates(), suspicion);
@@ -490,13 +502,11 @@
             return Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail));
         }
         let candidates = self.keep_unexhausted(candidates)?;
-        let loads: Vec<Load> = {
+        let (candidates, loads): (Vec<Key>, Vec<Load>) = {
             let targets = self.node.targets.borrow();
             let zone = &self.node.options.zone;
-            candidates
-                .iter()
-                .map(|key| targets.load(*key, zone, now))
-                .collect()
+            let load = |key: Key| Some((key, targets.load(key, zone, now)?));
+            candidates.into_iter().filter_map(load).unzip()
         };
         let sound = loads.iter().filter(|load| !load.suspect).count();
         if suspicion.is_some_and(|suspicion| !suspicion.may_run(sound, now)) {
@@ -505,17 +515,34 @@
         }
         let costs = self.costs(&loads)?;
         let mut random = fastrand::f64;
-        match balance::choose(&costs, &mut random) {
-            Some(idx) => {
-                self.check_stop(&loads[idx])?;
-                Ok(candidates[idx])
-            }
-            None => Err(self.refuse(
-                Reason::NoServer,
-                NO_GROUP_RETRY_AFTER,
-                "no candidate".to_owned(),
-            )),
+        let chosen = balance::choose(&costs, &mut random).and_then(|idx| {
+            let (key, target) = self.serving_target(candidates[idx])?;
+            Some((key, target, &loads[idx]))
+        });
+        let Some((key, target, load)) = chosen else {
+            let detail = "no candidate".to_owned();
+            return Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail));
+        };
+        self.check_stop(load)?;
+        Ok((key, target))
+    }
+
+    /// Returns the target with a key, if it still serves the request's service and model and its server
+    /// wants requests.
+    fn usable_target(&self, key: Key) -> Option<(Key, Rc<Target>)> {
+        let targets = self.node.targets.borrow();
+        let mut keys = self.serving_keys(&targets);
+        if !keys.any(|serving| serving == key) || self.is_evacuated(key) {
+            return None;
         }
+        let target = targets.serving_target(key)?;
+        let is_paused = self.node.pause_left(target, Way::Direct).is_some();
+        (!is_paused).then(|| (key, Rc::clone(target)))
+    }
+
+    fn serving_target(&self, key: Key) -> Option<(Key, Rc<Target>)> {
+        let targets = self.node.targets.borrow();
+        Some((key, Rc::clone(targets.serving_target(key)?)))
     }
 
     fn candidates(&self) -> Vec<Key> {
@@ -537,15 +564,20 @@
 
     /// Returns the time left of the pause that a target's server has asked for.
     fn pause_left(&self, key: Key) -> Option<Millis> {
-        let target = self.node.targets.borrow().target(key);
-        self.node.pause_left(&target, Way::Direct)
+        let targets = self.node.targets.borrow();
+        let target = targets.serving_target(key)?;
+        self.node.pause_left(target, Way::Direct)
     }
 
     /// Returns whether a target's server is in an evacuated zone.
     fn is_evacuated(&self, key: Key) -> bool {
         let evacuations = &self.node.evacuations;
-        !evacuations.is_empty()
-            && evacuations.is_evacuated(&self.node.targets.borrow().target(key).zone)
+        if evacuations.is_empty() {
+            return false;
+        }
+        let targets = self.node.targets.borrow();
+        let target = targets.serving_target(key);
+        target.is_some_and(|target| evacuations.is_evacuated(&target.zone))
     }
 
     /// Returns the refusal of a request if all servers that could serve it are in evacuated zones.
@@ -575,19 +607,22 @@
         let service = self.index.service(&self.call.service);
         let has_engine = service.is_some_and(|service| service.engine.is_some());
         let keys = targets.serving(&self.call.service).iter().copied();
-        keys.filter(move |key| !has_engine || targets.target(*key).model == self.call.head.model)
+        let model = |key| Some(&targets.serving_target(key)?.model);
+        keys.filter(move |key| !has_engine || model(*key) == Some(&self.call.head.model))
     }
 
     /// Returns the targets outside evacuated zones that serve the request's model, want requests and may
     /// still be tried.
     fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
         self.serving_keys(targets).filter(move |key| {
-            let target = targets.target(*key);
+            let Some(target) = targets.serving_target(*key) else {
+                return false;
+            };
             let was_tried = !self.request.tried().is_empty()
-                && !self.request.can_try(&incarnation_name(&target));
+                && !self.request.can_try(&incarnation_name(target));
             !was_tried
                 && !self.node.evacuations.is_evacuated(&target.zone)
-                && self.node.pause_left(&target, Way::Direct).is_none()
+                && self.node.pause_left(target, Way::Direct).is_none()
         })
     }
 
@@ -735,8 +770,9 @@
     fn has_other_target(&self, key: Key) -> bool {
         let targets = self.node.targets.borrow();
         let is_exhausted = |key: Key| {
-            let permission = self.permission(&targets.target(key));
-            matches!(permission, Permission::Refused(_))
+            let target = targets.serving_target(key);
+            let permission = target.map(|target| self.permission(target));
+            matches!(permission, None | Some(Permission::Refused(_)))
         };
         self.eligible_keys(&targets)
             .any(|eligible| eligible != key && !is_exhausted(eligible))
@@ -824,7 +860,7 @@
             self.avoid(attempt);
         }
         // A retry is not taken for an attempt that cannot be made.
-        let is_last = matches!(error.fault, Fault::Refused | Fault::Paused)
+        let is_last = is_rejection(error.fault)
             && !self.is_partially_answered()
             && !self.has_other_target(attempt.key());
         let verdict = match is_last {
@@ -914,10 +950,11 @@
             let detail = format!("the node is stopping: {}", error.detail);
             return self.refuse(Reason::NotReady, Millis(0), detail);
         }
-        if matches!(error.fault, Fault::Refused | Fault::Paused)
-            && let Some(refusal) = self.refusal_in_pause()
-        {
-            return refusal;
+        if is_rejection(error.fault) {
+            let refusal = self.refusal_in_evacuation();
+            if let Some(refusal) = refusal.or_else(|| self.refusal_in_pause()) {
+                return refusal;
+            }
         }
         let reason = match cause {
             Cause::Deadline => Reason::Deadline,
@@ -983,6 +1020,12 @@
     format_compact!("{}@{}", target.server, target.born)
 }
 
+/// Returns whether a fault says that a server did not get the request, or refused it, by what is known of
+/// the server.
+fn is_rejection(fault: Fault) -> bool {
+    matches!(fault, Fault::Refused | Fault::Paused | Fault::Withdrawn)
+}
+
 fn describe_crash(attempt: &Attempt) -> Crash {
     Crash {
         server: attempt.target.server.clone(),
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,7 +1,7 @@
 //! The targets that requests can be sent to and their load from this node.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -12,13 +12,16 @@
 use jackdaw_policy::peers::{PeerLoads, PlaceId, Share};
 use jackdaw_policy::route::prefix_hash;
 use jackdaw_policy::stall::{self, Progress, Report, STALL_TIME};
+use slotmap::{SlotMap, new_key_type};
 
 /// Time for which a target that stalled or is at fault gets no new requests if others can take
 /// them; the engine aborts stalled work after a few seconds.
 const AVOIDANCE_TIME: Millis = Millis(5_000);
-/// Identifies a target within this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Key(u32);
+
+new_key_type! {
+    /// Identifies a target within this node; the key of a target that is gone finds nothing.
+    pub(crate) struct Key;
+}
 
 #[derive(Debug)]
 struct Slot {
@@ -36,6 +39,27 @@
 }
 
 impl Slot {
+    fn new(target: Target, now: Instant) -> Self {
+        Slot {
+            place_id: place_id(&target),
+            target: Rc::new(target),
+            is_serving: true,
+            requests: 0,
+            streams: 0,
+            pending_prefill: 0,
+            cached_tokens: 0,
+            last_progress: now,
+            avoided_until: None,
+            suspect_crashes: Vec::new(),
+        }
+    }
+
+    /// Returns whether the target serves, has requests in progress, or is to be avoided if it serves
+    /// again.
+    fn is_used(&self, now: Instant) -> bool {
+        self.is_serving || self.requests > 0 || self.is_suspect(now)
+    }
+
     /// Returns whether this node has found the target stalled or avoids it.
     fn is_suspect(&self, now: Instant) -> bool {
         let is_avoided = self.avoided_until.is_some_and(|until| now < until);
@@ -44,10 +68,10 @@
     }
 }
 
-/// All targets; slots that do not serve and have no requests in progress are reused.
+/// All targets: those that serve, and others while they have requests in progress or are avoided.
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
-    slots: Vec<Slot>,
+    slots: SlotMap<Key, Slot>,
     serving: HashMap<CompactString, Vec<Key>>,
     /// Load that the other nodes report.
     pub(crate) peer_loads: Rc<RefCell<PeerLoads>>,
@@ -69,116 +93,79 @@
     /// Replaces the targets that serve.
     pub(crate) fn update(&mut self, targets: Vec<Target>, now: Instant) {
         self.serving.clear();
-        let mut kept: HashSet<usize> = HashSet::new();
+        for slot in self.slots.values_mut() {
+            slot.is_serving = false;
+        }
         for target in targets {
             let service = target.service.clone();
-            let existing = self
-                .slots
-                .iter()
-                .position(|slot| is_same_target(&slot.target, &target));
-            let idx = match existing {
-                Some(idx) => {
-                    let slot = &mut self.slots[idx];
+            let mut slots = self.slots.iter();
+            let existing = slots.find(|(_, slot)| is_same_target(&slot.target, &target));
+            let key = match existing.map(|(key, _)| key) {
+                Some(key) => {
+                    let slot = &mut self.slots[key];
                     slot.target = Rc::new(target);
-                    idx
+                    slot.is_serving = true;
+                    key
                 }
-                None => self.insert(target, &kept, now),
+                None => self.slots.insert(Slot::new(target, now)),
             };
-            kept.insert(idx);
-            let key = Key(u32::try_from(idx).unwrap_or(u32::MAX));
             self.serving.entry(service).or_default().push(key);
         }
-        for (idx, slot) in self.slots.iter_mut().enumerate() {
-            slot.is_serving = kept.contains(&idx);
-        }
-    }
-
-    fn insert(&mut self, target: Target, kept: &HashSet<usize>, now: Instant) -> usize {
-        let slot = Slot {
-            place_id: place_id(&target),
-            target: Rc::new(target),
-            is_serving: true,
-            requests: 0,
-            streams: 0,
-            pending_prefill: 0,
-            cached_tokens: 0,
-            last_progress: now,
-            avoided_until: None,
-            suspect_crashes: Vec::new(),
-        };
-        let unused =
-            self.slots.iter().enumerate().position(|(idx, slot)| {
-                !slot.is_serving && slot.requests == 0 && !kept.contains(&idx)
-            });
-        match unused {
-            Some(idx) => {
-                self.slots[idx] = slot;
-                idx
-            }
-            None => {
-                self.slots.push(slot);
-                self.slots.len() - 1
-            }
-        }
+        self.slots.retain(|_, slot| slot.is_used(now));
     }
 
     /// Counts the serving targets by model, or by service for services without models.
     pub(crate) fn count_serving(&self) -> BTreeMap<CompactString, usize> {
         let mut counts = BTreeMap::new();
-        for slot in self.slots.iter().filter(|slot| slot.is_serving) {
+        for slot in self.slots.values().filter(|slot| slot.is_serving) {
             let name = slot.target.model.as_ref().unwrap_or(&slot.target.service);
             *counts.entry(name.clone()).or_default() += 1;
         }
         counts
     }
 
-    fn slot(&self, key: Key) -> &Slot {
-        &self.slots[key.0 as usize]
-    }
-
-    fn slot_mut(&mut self, key: Key) -> &mut Slot {
-        &mut self.slots[key.0 as usize]
-    }
-
     /// Returns the keys of the targets that serve a service.
     pub(crate) fn serving(&self, service: &str) -> &[Key] {
         self.serving.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the target with a key.
-    pub(crate) fn target(&self, key: Key) -> Rc<Target> {
-        Rc::clone(&self.slot(key).target)
+    /// Returns the target with a key, if it serves.
+    pub(crate) fn serving_target(&self, key: Key) -> Option<&Rc<Target>> {
+        let slot = self.slots.get(key).filter(|slot| slot.is_serving)?;
+        Some(&slot.target)
     }
 
     /// Returns whether a target of this incarnation is registered.
     pub(crate) fn is_listed(&self, target: &Target) -> bool {
         self.slots
-            .iter()
+            .values()
             .any(|slot| slot.is_serving && is_same_target(&slot.target, target))
     }
 
     /// Returns whether a target still serves.
     pub(crate) fn is_serving(&self, key: Key) -> bool {
-        self.slot(key).is_serving
+        self.serving_target(key).is_some()
     }
 
     /// Returns the largest number of crashes among the suspects that this node has in flight at a
     /// target and that have not begun to be answered.
     pub(crate) fn suspect_crashes(&self, key: Key) -> u32 {
-        let crashes = self.slot(key).suspect_crashes.iter();
-        crashes.max().copied().unwrap_or_default()
+        let crashes = self.slots.get(key).map(|slot| slot.suspect_crashes.iter());
+        crashes
+            .and_then(|crashes| crashes.max().copied())
+            .unwrap_or_default()
     }
 
-    /// Returns a target's load from this node and the others.
-    pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Load {
-        let slot = self.slot(key);
+    /// Returns a target's load from this node and the others, or none if it is gone.
+    pub(crate) fn load(&self, key: Key, zone: &str, now: Instant) -> Option<Load> {
+        let slot = self.slots.get(key)?;
         let peer_load = self.peer_loads.borrow().peer_load(slot.place_id, now);
         // Progress that this node observes outweighs the suspicion of other nodes.
         let is_progressing = slot.streams > 0 && now.since(slot.last_progress) <= STALL_TIME;
         let is_stalled = self.stalls.stalled_since(slot.place_id, now).is_some();
         let is_told = peer_load.suspect || is_stalled;
         let is_suspect = slot.is_suspect(now) || (is_told && !is_progressing);
-        Load {
+        Some(Load {
             own: slot.requests,
             others: peer_load.requests,
             pending_prefill: slot.pending_prefill,
@@ -188,13 +175,13 @@
             slowness: 1.0,
             suspect: is_suspect || slot.target.suspect,
             remote: slot.target.zone != zone,
-        }
+        })
     }
 
     /// Returns this node's load on each target that it uses or suspects.
     pub(crate) fn shares(&self, now: Instant) -> Vec<(PlaceId, Share)> {
         self.slots
-            .iter()
+            .values()
             .map(|slot| {
                 let share = Share {
                     requests: slot.requests,
@@ -210,7 +197,7 @@
     /// Returns the time of a target's last progress, or none if no stream is in progress there that
     /// would show it and no other node says that it stands still.
     pub(crate) fn last_progress(&self, key: Key, now: Instant) -> Option<Instant> {
-        let slot = self.slot(key);
+        let slot = self.slots.get(key)?;
         if slot.streams > 0 {
             return Some(slot.last_progress);
         }
@@ -220,7 +207,7 @@
     /// Compares this node's streams with what is known of places that stand still, and returns what the
     /// other nodes are to be told.
     pub(crate) fn observe_stalls(&mut self, now: Instant) -> Vec<Report> {
-        let slots = self.slots.iter();
+        let slots = self.slots.values();
         let streams: Vec<Progress> = slots
             .filter(|slot| slot.is_serving && slot.streams > 0)
             .map(|slot| Progress {
@@ -241,7 +228,7 @@
         if self.stalls.is_empty() {
             return BTreeSet::new();
         }
-        let slots = self.slots.iter().filter(|slot| slot.is_serving);
+        let slots = self.slots.values().filter(|slot| slot.is_serving);
         slots
             .filter(|slot| self.stalls.stalled_since(slot.place_id, now).is_some())
             .map(|slot| slot.target.group.clone())
@@ -251,9 +238,10 @@
 
     /// Records progress at a target and ends its avoidance.
     pub(crate) fn advance(&mut self, key: Key, now: Instant) {
-        let slot = self.slot_mut(key);
-        slot.last_progress = now;
-        slot.avoided_until = None;
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.last_progress = now;
+            slot.avoided_until = None;
+        }
     }
 
     /// Avoids a target that stalled or is at fault for [`AVOIDANCE_TIME`].
@@ -263,8 +251,9 @@
 
     /// Avoids a target for new requests until a time, unless no other can take them.
     pub(crate) fn avoid_until(&mut self, key: Key, until: Instant) {
-        let slot = self.slot_mut(key);
-        slot.avoided_until = slot.avoided_until.max(Some(until));
+        if let Some(slot) = self.slots.get_mut(key) {
+            slot.avoided_until = slot.avoided_until.max(Some(until));
+        }
     }
 }
 
@@ -282,39 +271,41 @@
 
 impl Reservation {
     /// Adds a request with its prompt and output tokens to a target's load; a suspect states its
-    /// number of crashes.
+    /// number of crashes. Returns none if the target does not serve any more.
     pub(crate) fn acquire(
         targets: &Rc<RefCell<Targets>>,
         key: Key,
         prompt: u64,
         output: u64,
         suspect_crashes: Option<u32>,
-    ) -> Reservation {
+    ) -> Option<Reservation> {
         {
             let mut targets = targets.borrow_mut();
-            let slot = targets.slot_mut(key);
+            let slot = targets.slots.get_mut(key);
+            let slot = slot.filter(|slot| slot.is_serving)?;
             slot.suspect_crashes.extend(suspect_crashes);
             slot.requests += 1;
             slot.pending_prefill += prompt;
             slot.cached_tokens += prompt + output;
         }
-        Reservation {
+        Some(Reservation {
             targets: Rc::clone(targets),
             key,
             pending_prefill: prompt,
             cached_tokens: prompt + output,
             is_streaming: false,
             suspect_crashes,
-        }
+        })
     }
 
     /// Records progress at the target; the first event ends the request's prefill.
     pub(crate) fn advance(&mut self, now: Instant) {
         let mut targets = self.targets.borrow_mut();
         targets.advance(self.key, now);
-        if !self.is_streaming {
+        if !self.is_streaming
+            && let Some(slot) = targets.slots.get_mut(self.key)
+        {
             self.is_streaming = true;
-            let slot = targets.slot_mut(self.key);
             slot.streams += 1;
             slot.pending_prefill -= std::mem::take(&mut self.pending_prefill);
             release_suspect(slot, self.suspect_crashes.take());
@@ -336,7 +327,10 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         let mut targets = self.targets.borrow_mut();
-        let slot = targets.slot_mut(self.key);
+        // A slot is kept as long as it has requests.
+        let Some(slot) = targets.slots.get_mut(self.key) else {
+            return;
+        };
         slot.requests -= 1;
         slot.streams -= u32::from(self.is_streaming);
         slot.pending_prefill -= self.pending_prefill;
--- a/crates/gateway/tests/node/cluster.rs
+++ b/crates/gateway/tests/node/cluster.rs
@@ -112,7 +112,7 @@
 
 /// Binds a socket to a port that it keeps while it doesn't listen. A port that the system assigned
 /// would be given up then, so a free one is looked up and bound by its number.
-fn bind_fixed_port() -> (Socket, SocketAddr) {
+pub(crate) fn bind_fixed_port() -> (Socket, SocketAddr) {
     loop {
         let free = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = free.local_addr().expect("the port is bound");
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -32,3 +32,4 @@
 mod tunnel;
 mod version;
 mod warmup;
+mod withdrawal;
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -41,7 +41,8 @@
 }
 
 /// Minimal protocol for these tests. A registration holds nothing, `draining`, or the time at which
-/// the server started; or words of `start:`, `slots:`, `group:`, `epoch:` and `rank:` with their values.
+/// the server started; or words of `start:`, `slots:`, `group:`, `epoch:`, `rank:`, `warmup:` and
+/// `service:` with their values.
 /// Values that begin with `odd` cannot be decoded.
 pub(crate) struct TestProtocol {
     servers: Vec<Server>,
@@ -148,8 +149,8 @@
     /// Decodes a configuration that holds its version and, after a space each, its limits, if any;
     /// version 1 alone has the route `safe`. The word `timeout:` with milliseconds sets the time-out
     /// of all routes, `key:` with a key admits its holders alone, `without:` with a name removes a
-    /// route, `without-service` removes the service, and `models:` with a number gives it an engine with so
-    /// many models.
+    /// route, `without-service` removes the service, `service:` with a name adds one, and `models:` with a
+    /// number gives the first one an engine with so many models.
     fn decode_configuration(&self, value: &[u8]) -> Result<Configuration> {
         let text = std::str::from_utf8(value).unwrap_or_default();
         check_not_odd("configuration", text)?;
@@ -202,6 +203,12 @@
                     services[0].engine = Some(engine(count));
                 }
                 Some(("without", name)) => routes.retain(|route| route.name != name),
+                Some(("service", name)) => services.push(Service {
+                    name: name.into(),
+                    max_connections: 10,
+                    engine: None,
+                    warmup: None,
+                }),
                 _ if word == "without-service" => {
                     services.clear();
                     routes.iter_mut().for_each(|route| route.backends.clear());
@@ -297,9 +304,16 @@
         return;
     };
     let number = || -> u64 { value.parse().expect("the value is a number") };
-    if field == "warmup" {
-        server.warmup_left = Millis(number());
-        return;
+    match field {
+        "warmup" => {
+            server.warmup_left = Millis(number());
+            return;
+        }
+        "service" => {
+            server.service = value.into();
+            return;
+        }
+        _ => {}
     }
     let mut membership = server.membership.take().unwrap_or(Membership {
         group: String::new().into(),
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -148,6 +148,8 @@
     Refused,
     /// The server had asked for a pause when the request was about to be sent.
     Paused,
+    /// The server was gone, leaving or replaced when the request was about to be sent.
+    Withdrawn,
     /// The deadline passed.
     Deadline,
 }
@@ -210,6 +212,7 @@
             | Fault::Invalid
             | Fault::Refused
             | Fault::Paused
+            | Fault::Withdrawn
             | Fault::Deadline => false,
         }
     }
@@ -357,7 +360,7 @@
     pub fn is_server_at_fault(&self, failure: &Failure) -> bool {
         let was_reconnected = self.reconnected.as_ref() == Some(&failure.server);
         match failure.fault {
-            Fault::Refused | Fault::Paused | Fault::Deadline => false,
+            Fault::Refused | Fault::Paused | Fault::Withdrawn | Fault::Deadline => false,
             Fault::Unreachable | Fault::Invalid => true,
             Fault::Closed | Fault::Silent => was_reconnected || !failure.is_connection_suspect(),
         }
@@ -482,7 +485,7 @@
 impl Fault {
     /// Returns whether the server may have got the request.
     fn has_reached_server(self) -> bool {
-        !matches!(self, Fault::Unreachable | Fault::Paused)
+        !matches!(self, Fault::Unreachable | Fault::Paused | Fault::Withdrawn)
     }
 
     /// Gets the reason that the caller receives.
@@ -492,7 +495,7 @@
             Fault::Unreachable => Reason::ConnectFailed,
             Fault::Closed | Fault::Silent => Reason::Broken,
             Fault::Invalid => Reason::AnswerInvalid,
-            Fault::Refused => Reason::NoServer,
+            Fault::Refused | Fault::Withdrawn => Reason::NoServer,
             Fault::Paused => Reason::ServerPause,
             Fault::Deadline => Reason::Deadline,
         }
@@ -508,18 +511,20 @@
             Fault::Invalid => "invalid",
             Fault::Refused => "refused",
             Fault::Paused => "paused",
+            Fault::Withdrawn => "withdrawn",
             Fault::Deadline => "deadline",
         }
     }
 
     /// All faults, for registering counters.
-    pub const ALL: [Fault; 7] = [
+    pub const ALL: [Fault; 8] = [
         Fault::Unreachable,
         Fault::Closed,
         Fault::Silent,
         Fault::Invalid,
         Fault::Refused,
         Fault::Paused,
+        Fault::Withdrawn,
         Fault::Deadline,
     ];
 }
