Take no answer whose status HTTP does not have for one

What callers saw: a server in trouble that answered with status 600 or 999 had its answer passed on, to requests that may run once as well (MIXED). 000, 099, 1000 and text never were.

Cause: a status of three digits from 100 on is valid for the parsers; the checks of a head named what they reject, and the rest counted as an answer.

Change: answer::check_status, asked before anything else of a head is believed, in the gateway and in the product's own stack. The request may have run: one that runs once becomes 502, another one goes to the next server. Such a status does not show that a server runs whose answer without a length has ended. In the clients of the product's own stack the effect of an order is then unknown, where it counted as refused.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -41,6 +41,7 @@
         .send_body(call.body.clone())
         .await
         .map_err(|error| classify_error(&error))?;
+    answer::check_status(answer.status().as_u16())?;
     let named = read_named(call, &answer);
     if named == Named::Own {
         shared.limits.record(target, answer.headers(), sent_at);
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -472,3 +472,88 @@
         .collect();
     assert_eq!(after, [1 - first]);
 }
+
+/// Returns a whole answer, or one with an event, whose status HTTP does not have.
+fn odd(status: &str, is_stream: bool) -> Script {
+    let rest = match is_stream {
+        true => {
+            "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n6\r\nfake\n\n\r\n"
+        }
+        false => "content-length: 4\r\n\r\nfake",
+    };
+    let answer = format!("HTTP/1.1 {status} Odd\r\nx-request-id: {{id}}\r\n{rest}");
+    vec![Write(answer.leak()), Close]
+}
+
+/// What callers get after an answer with such a status.
+struct OddCase {
+    request: Request,
+    /// Whether the answer is one with an event.
+    is_stream: bool,
+    /// Scripts after it.
+    scripts: Vec<Script>,
+    status: u16,
+    attempts: &'static [usize],
+}
+
+fn odd_answer(request: Request) -> OddCase {
+    OddCase {
+        request,
+        is_stream: false,
+        scripts: Vec::new(),
+        status: 200,
+        attempts: &[0, 1],
+    }
+}
+
+fn odd_stream(request: Request) -> OddCase {
+    OddCase {
+        is_stream: true,
+        scripts: vec![complete_stream()],
+        ..odd_answer(request)
+    }
+}
+
+// Guards against an answer with a status that HTTP does not have, which a server in trouble sends, that
+// reaches the caller.
+#[rstest]
+#[case::completion(odd_answer(Request::completion()))]
+#[case::service(odd_answer(Request::service("GET", "/services/stock/tiles")))]
+#[case::at_most_once(OddCase {
+    status: 502,
+    attempts: &[0],
+    ..odd_answer(Request::service("POST", "/services/stock/orders").with_header("idempotency-key", "k1"))
+})]
+#[case::streamed(odd_stream(Request::streamed()))]
+#[case::streamed_whole(OddCase { is_stream: false, ..odd_stream(Request::streamed()) })]
+fn answer_with_an_odd_status_is_none(
+    #[case] case: OddCase,
+    #[values("000", "099", "600", "999", "1000", "abc")] status: &str,
+) {
+    let mut scripts = vec![odd(status, case.is_stream)];
+    scripts.extend(case.scripts);
+    let backend = Backend::start(2, &scripts);
+    let node = Node::start(options(), &backend.addresses);
+    let reply = case.request.send(node.address());
+    assert_eq!(reply.status, case.status, "{reply:?}");
+    assert!(!reply.body.contains("fake"), "{reply:?}");
+    if case.status != 200 {
+        assert_eq!(reply.outcome(), "unknown");
+        assert_eq!(reply.problem_field("reason"), "answer-invalid");
+    }
+    assert_eq!(attempted_servers(&backend), case.attempts);
+}
+
+// Guards against such an answer in the middle of a stream.
+#[rstest]
+fn stream_is_not_resumed_by_an_answer_with_an_odd_status(
+    #[values("000", "600", "999", "abc")] status: &str,
+) {
+    let begun = vec![Write(STREAM_HEAD), Tokens(2), Close];
+    let backend = Backend::start(3, &[begun, odd(status, true), complete_stream()]);
+    let node = Node::start(options(), &backend.addresses);
+    let reply = Request::streamed().send(node.address());
+    assert!(reply.is_complete_stream(), "{reply:?}");
+    assert_eq!(reply.tokens(), [0, 1, 2, 3, 4], "{reply:?}");
+    assert_eq!(attempted_servers(&backend), [0, 1, 2]);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -593,6 +593,7 @@
     /// Returns the failure if the server did not run the request or the answer is invalid.
     fn check_head(&self, response: &Response<Incoming>) -> Result<(), ExchangeFailure> {
         let status = response.status();
+        answer::check_status(status.as_u16())?;
         let protocol = &self.node.parts.protocol;
         let decoded = protocol.decode_answer(status, response.headers());
         // Another server may answer at the address, and a late answer is older than the request.
@@ -622,10 +623,7 @@
             StatusCode::TOO_MANY_REQUESTS,
             StatusCode::SERVICE_UNAVAILABLE,
         ];
-        if ambiguous_statuses.contains(&status)
-            || status.is_redirection()
-            || status.is_informational()
-        {
+        if ambiguous_statuses.contains(&status) || status.is_redirection() {
             return invalid("the status does not say whether the request has run");
         }
         Ok(())
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -7,6 +7,7 @@
 use jackdaw_core::protocol::Forwarding;
 use jackdaw_core::units::Millis;
 use jackdaw_link::connection::{Connection, Fault, Relay};
+use jackdaw_policy::answer;
 use jackdaw_policy::ending::{self, Doubt, Ending, Framing, Link};
 use jackdaw_policy::fleet::Target;
 use opentelemetry::KeyValue;
@@ -112,7 +113,9 @@
         let status = time::timeout(ANSWER_TIMEOUT.duration(), asked).await;
         match status {
             Ok(Ok(StatusCode::MISDIRECTED_REQUEST)) => Err(Doubt::Restart),
-            Ok(Ok(_)) if self.is_registered(target) => Ok(()),
+            Ok(Ok(status)) if answer::is_final(status.as_u16()) && self.is_registered(target) => {
+                Ok(())
+            }
             Ok(Ok(_) | Err(_)) | Err(_) => Err(Doubt::Server),
         }
     }
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -371,10 +371,16 @@
 
 /// Answers a request that belongs to no caller, which servers do not run; returns false for others.
 pub(crate) fn answer_probe(stream: &mut TcpStream, head: &str) -> bool {
+    answer_probe_with("400 Bad Request", stream, head)
+}
+
+/// Answers such a request with a status.
+fn answer_probe_with(status: &str, stream: &mut TcpStream, head: &str) -> bool {
     let is_probe = head.starts_with("GET / ");
     if is_probe {
+        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
         // The node may have given the probe up.
-        let _ = stream.write_all(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n");
+        let _ = stream.write_all(answer.as_bytes());
     }
     is_probe
 }
@@ -389,6 +395,8 @@
     scripts: Arc<Mutex<Vec<Script>>>,
     /// Bytes that stand for [`FILL`].
     filling: Arc<Mutex<String>>,
+    /// Status for requests that belong to no caller; 400 if there is none.
+    probe_status: Arc<Mutex<Option<String>>>,
     /// Heads of the requests that have arrived.
     pub(crate) arrived: Arc<Mutex<Vec<String>>>,
     /// Counts of events, with a condition variable that is notified of changes.
@@ -478,6 +486,11 @@
         self.record(|events| events.is_released = true);
     }
 
+    /// Sets the status for requests that belong to no caller.
+    pub(crate) fn answer_probes_with(&self, status: &str) {
+        *self.probe_status.lock().expect("no test panicked") = Some(status.to_owned());
+    }
+
     /// Sets the bytes that stand for [`FILL`].
     pub(crate) fn fill(&self, bytes: String) {
         *self.filling.lock().expect("no test panicked") = bytes;
@@ -514,7 +527,9 @@
     fn serve(&self, stream: TcpStream, address: SocketAddr, connection: usize) {
         let mut reader = BufReader::new(stream);
         while let Some((mut head, _)) = read_message(&mut reader) {
-            if answer_probe(reader.get_mut(), &head) {
+            let status = self.probe_status.lock().expect("no test panicked").clone();
+            let status = status.as_deref().unwrap_or("400 Bad Request");
+            if answer_probe_with(status, reader.get_mut(), &head) {
                 continue;
             }
             head.push_str(&format!("server: {address}\nsocket: {connection}\n"));
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -73,8 +73,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `Unreachable` if the request was not sent, `Indeterminate` for a status of 500 to
-    /// 599 or if no complete response arrives in time, and `Refused` for any other status outside
+    /// Returns `Unreachable` if the request was not sent, `Indeterminate` for a status of 500 or
+    /// more or if no complete response arrives in time, and `Refused` for any other status outside
     /// 200 to 299.
     pub(crate) async fn send<T: Serialize>(
         &self,
@@ -136,9 +136,11 @@
     Ok(Bytes::copy_from_slice(&body))
 }
 
-/// Returns the error for an unsuccessful status. A server error may follow a partial effect.
+/// Returns the error for an unsuccessful status. A server error may follow a partial effect, and a
+/// status that HTTP does not have says nothing of one.
 fn status_error(step: &'static str, peer: &str, status: StatusCode) -> Error {
-    if status.is_server_error() {
+    let is_known = (100..600).contains(&status.as_u16());
+    if status.is_server_error() || !is_known {
         return Error::indeterminate(step, peer, status);
     }
     Error::refused(step, peer, status)
--- a/crates/platform/tests/control_http.rs
+++ b/crates/platform/tests/control_http.rs
@@ -125,17 +125,18 @@
     order: Outcome,
 }
 
-/// Returns the case of a peer that stops within the head of its answer.
-const fn stopped(part: &'static str) -> Case {
+/// Returns the case of a peer whose answer stops within its head or has no status of HTTP.
+const fn unusable(answer: &'static str) -> Case {
     Case {
-        peer: Peer::Responds(part),
+        peer: Peer::Responds(answer),
         bounds: BOUNDS,
         report: Outcome::Indeterminate,
         order: Outcome::Indeterminate,
     }
 }
 
-// Guards against an order that counts as done or refused although its answer stopped within its head.
+// Guards against an order that counts as done or refused although its answer stopped within its head, or has
+// a status that HTTP does not have.
 #[rstest]
 #[case::nothing_listens(Case { peer: Peer::Absent, bounds: BOUNDS, report: Outcome::Unreachable, order: Outcome::Unreachable })]
 #[case::closed_without_response(Case { peer: Peer::Closes, bounds: BOUNDS, report: Outcome::Indeterminate, order: Outcome::Indeterminate })]
@@ -144,13 +145,17 @@
 #[case::not_http(Case { peer: Peer::Responds("SMTP ready\r\n\r\n"), bounds: BOUNDS, report: Outcome::Indeterminate, order: Outcome::Indeterminate })]
 #[case::conflict_for_old_fencing_number(Case { peer: Peer::Responds("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n"), bounds: BOUNDS, report: Outcome::Refused, order: Outcome::Refused })]
 #[case::server_error(Case { peer: Peer::Responds("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"), bounds: BOUNDS, report: Outcome::Indeterminate, order: Outcome::Indeterminate })]
-#[case::status_line_only(stopped("HTTP/1.1 200 OK\r\n"))]
-#[case::part_of_header_name(stopped("HTTP/1.1 200 OK\r\ncontent-le"))]
-#[case::part_of_length(stopped("HTTP/1.1 200 OK\r\ncontent-length: 0"))]
-#[case::part_of_encoding(stopped("HTTP/1.1 200 OK\r\ntransfer-encoding: chun"))]
-#[case::no_empty_line(stopped("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"))]
-#[case::part_of_empty_line(stopped("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r"))]
-#[case::part_of_refusal(stopped("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n"))]
+#[case::status_000(unusable("HTTP/1.1 000 Odd\r\ncontent-length: 0\r\n\r\n"))]
+#[case::status_600(unusable("HTTP/1.1 600 Odd\r\ncontent-length: 0\r\n\r\n"))]
+#[case::status_999(unusable("HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n"))]
+#[case::status_of_text(unusable("HTTP/1.1 abc Odd\r\ncontent-length: 0\r\n\r\n"))]
+#[case::status_line_only(unusable("HTTP/1.1 200 OK\r\n"))]
+#[case::part_of_header_name(unusable("HTTP/1.1 200 OK\r\ncontent-le"))]
+#[case::part_of_length(unusable("HTTP/1.1 200 OK\r\ncontent-length: 0"))]
+#[case::part_of_encoding(unusable("HTTP/1.1 200 OK\r\ntransfer-encoding: chun"))]
+#[case::no_empty_line(unusable("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"))]
+#[case::part_of_empty_line(unusable("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r"))]
+#[case::part_of_refusal(unusable("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n"))]
 #[case::json_of_another_type(Case { peer: Peer::Responds("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]"), bounds: BOUNDS, report: Outcome::Malformed, order: Outcome::Done })]
 #[ntex::test]
 async fn faulty_peer_gives_the_expected_outcome(#[case] case: Case) {
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -42,6 +42,26 @@
     Answered,
 }
 
+/// Returns whether a status is one of a final answer in HTTP. Parsers let others pass that have three
+/// digits, and such an answer says nothing of its request.
+#[must_use]
+pub fn is_final(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
+/// Checks that the status of an answer is one of a final answer in HTTP.
+///
+/// # Errors
+///
+/// Returns the failure of the exchange if it is not; the request may have run.
+pub fn check_status(status: u16) -> Result<(), ExchangeFailure> {
+    if is_final(status) {
+        return Ok(());
+    }
+    let detail = format!("{status} is no status of an answer");
+    Err(ExchangeFailure::invalid(detail))
+}
+
 /// Checks that an answer belongs to the request that was sent last on its connection.
 ///
 /// # Errors
