adapter: an answer with a status that HTTP does not have tells no effect

Change: the rule moves to protocol::is_final_status, which the adapter, the product's own clients and policy::answer use. The effect is unknown (Indeterminate) after such an answer, which the leases and the assembly of groups tell from a refusal already.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -257,3 +257,11 @@
         timeout: Millis,
     ) -> Result<http::Response<Bytes>>;
 }
+
+/// Returns whether a status is one of a final answer in HTTP.
+///
+/// Parsers let others of three digits pass. An answer with such a status says nothing of its request.
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -4,10 +4,9 @@
 use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Body;
-use jackdaw_core::protocol::Forwarding;
+use jackdaw_core::protocol::{Forwarding, is_final_status};
 use jackdaw_core::units::Millis;
 use jackdaw_link::connection::{Connection, Fault, Relay};
-use jackdaw_policy::answer;
 use jackdaw_policy::ending::{self, Doubt, Ending, Framing, Link};
 use jackdaw_policy::fleet::Target;
 use opentelemetry::KeyValue;
@@ -113,7 +112,7 @@
         let status = time::timeout(ANSWER_TIMEOUT.duration(), asked).await;
         match status {
             Ok(Ok(StatusCode::MISDIRECTED_REQUEST)) => Err(Doubt::Restart),
-            Ok(Ok(status)) if answer::is_final(status.as_u16()) && self.is_registered(target) => {
+            Ok(Ok(status)) if is_final_status(status.as_u16()) && self.is_registered(target) => {
                 Ok(())
             }
             Ok(Ok(_) | Err(_)) | Err(_) => Err(Doubt::Server),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
 use jackdaw_core::errors::{Error, Result};
+use jackdaw_core::protocol::is_final_status;
 use jackdaw_core::units::Millis;
 use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
@@ -139,8 +140,7 @@
 /// Returns the error for an unsuccessful status. A server error may follow a partial effect, and a
 /// status that HTTP does not have says nothing of one.
 fn status_error(step: &'static str, peer: &str, status: StatusCode) -> Error {
-    let is_known = (100..600).contains(&status.as_u16());
-    if status.is_server_error() || !is_known {
+    if status.is_server_error() || !is_final_status(status.as_u16()) {
         return Error::indeterminate(step, peer, status);
     }
     Error::refused(step, peer, status)
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -5,6 +5,7 @@
 //! if it is the first one on its connection.
 
 use jackdaw_core::outcome::Step;
+use jackdaw_core::protocol::is_final_status;
 
 use crate::retry::{Connection, ExchangeFailure, Fault};
 
@@ -42,20 +43,13 @@
     Answered,
 }
 
-/// Returns whether a status is one of a final answer in HTTP. Parsers let others pass that have three
-/// digits, and such an answer says nothing of its request.
-#[must_use]
-pub fn is_final(status: u16) -> bool {
-    (200..600).contains(&status)
-}
-
 /// Checks that the status of an answer is one of a final answer in HTTP.
 ///
 /// # Errors
 ///
 /// Returns the failure of the exchange if it is not; the request may have run.
 pub fn check_status(status: u16) -> Result<(), ExchangeFailure> {
-    if is_final(status) {
+    if is_final_status(status) {
         return Ok(());
     }
     let detail = format!("{status} is no status of an answer");
