gateway: keep the targets that serve beside their keys

The list of what serves now holds the targets beside their keys (targets::Candidate), so that candidates are read once; only keys that outlive a wait are looked up. The test for pauses and evacuations, which stood twice, is Dispatch::wants_requests. Nothing is decided differently.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -28,7 +28,7 @@
 use crate::node::Node;
 use crate::poison::Trial;
 use crate::refusal::Refusal;
-use crate::targets::{Key, Targets};
+use crate::targets::{Candidate, Key, Targets};
 
 /// Time without any event from a replica group after which its streams are resumed at another
 /// group; several times the longest forward pass.
@@ -84,7 +84,7 @@
     /// An attempt may be allowed soon; the refusal is for a request that does not wait.
     Held(Refusal),
     /// The target's server names a limit, and it has to be asked whether it may get the request.
-    Unasked(Key, Rc<Target>),
+    Unasked(Candidate),
 }
 
 impl From<Refusal> for Obstacle {
@@ -159,10 +159,12 @@
         self.check_reach()?;
         let suspicion = self.check_poison()?;
         let granted = self.take_granted();
-        let (key, target) = self.choose_target(granted, suspicion)?;
-        if granted != Some(key) && self.permission(&target) != Permission::Unlimited {
-            return Err(Obstacle::Unasked(key, target));
+        let candidate = self.choose_target(granted, suspicion)?;
+        let is_granted = granted == Some(candidate.key);
+        if !is_granted && self.permission(&candidate.target) != Permission::Unlimited {
+            return Err(Obstacle::Unasked(candidate));
         }
+        let Candidate { key, target } = candidate;
         self.asked = 0;
         let is_once = !self.call.route.kind.is_repeatable();
         let plan = Plan {
@@ -238,13 +240,13 @@
     }
 
     /// Asks whether a target's server, which names a limit, may get the request.
-    pub(crate) async fn ask(&mut self, key: Key, target: &Target) {
+    pub(crate) async fn ask(&mut self, candidate: &Candidate) {
         self.asked += 1;
         let asked = self
             .node
-            .ask_permission(target, self.team(), self.urgency());
+            .ask_permission(&candidate.target, self.team(), self.urgency());
         let is_granted = asked.await;
-        self.granted = is_granted.then(|| (key, self.node.now()));
+        self.granted = is_granted.then(|| (candidate.key, self.node.now()));
     }
 
     /// Takes the target to which the next attempt was granted, if that was just now.
@@ -281,18 +283,15 @@
     /// # Errors
     ///
     /// Returns a refusal if none is left.
-    fn keep_unexhausted(&self, mut candidates: Vec<Key>) -> Result<Vec<Key>, Refusal> {
+    fn keep_unexhausted(&self, mut candidates: Vec<Candidate>) -> Result<Vec<Candidate>, Refusal> {
         let mut shortest: Option<Millis> = None;
-        let targets = self.node.targets.borrow();
-        let permission = |key| Some(self.permission(targets.serving_target(key)?));
-        candidates.retain(|key| match permission(*key) {
-            Some(Permission::Unlimited) => true,
-            Some(Permission::Needed) => self.asked < MAX_ASKED,
-            Some(Permission::Refused(left)) => {
+        candidates.retain(|candidate| match self.permission(&candidate.target) {
+            Permission::Unlimited => true,
+            Permission::Needed => self.asked < MAX_ASKED,
+            Permission::Refused(left) => {
                 shortest = Some(shortest.map_or(left, |shortest| shortest.min(left)));
                 false
             }
-            None => false,
         });
         if !candidates.is_empty() {
             return Ok(candidates);
@@ -482,10 +481,10 @@
         &mut self,
         granted: Option<Key>,
         suspicion: Option<Suspicion>,
-    ) -> Result<(Key, Rc<Target>), Refusal> {
+    ) -> Result<Candidate, Refusal> {
         let named = granted.or_else(|| self.reconnect_key.take());
-        if let Some((key, target)) = named.and_then(|key| self.usable_target(key)) {
-            return Ok((key, target));
+        if let Some(candidate) = named.and_then(|key| self.usable_target(key)) {
+            return Ok(candidate);
         }
         let now = self.node.now();
         let candidates = self.keep_apart(self.candidates(), suspicion);
@@ -502,11 +501,15 @@
             return Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail));
         }
         let candidates = self.keep_unexhausted(candidates)?;
-        let (candidates, loads): (Vec<Key>, Vec<Load>) = {
+        let (mut candidates, loads): (Vec<Candidate>, Vec<Load>) = {
             let targets = self.node.targets.borrow();
             let zone = &self.node.options.zone;
-            let load = |key: Key| Some((key, targets.load(key, zone, now)?));
-            candidates.into_iter().filter_map(load).unzip()
+            let candidates = candidates.into_iter();
+            let with_loads = candidates.filter_map(|candidate| {
+                let load = targets.load(candidate.key, zone, now)?;
+                Some((candidate, load))
+            });
+            with_loads.unzip()
         };
         let sound = loads.iter().filter(|load| !load.suspect).count();
         if suspicion.is_some_and(|suspicion| !suspicion.may_run(sound, now)) {
@@ -515,75 +518,60 @@
         }
         let costs = self.costs(&loads)?;
         let mut random = fastrand::f64;
-        let chosen = balance::choose(&costs, &mut random).and_then(|idx| {
-            let (key, target) = self.serving_target(candidates[idx])?;
-            Some((key, target, &loads[idx]))
-        });
-        let Some((key, target, load)) = chosen else {
+        let Some(idx) = balance::choose(&costs, &mut random) else {
             let detail = "no candidate".to_owned();
             return Err(self.refuse(Reason::NoServer, NO_GROUP_RETRY_AFTER, detail));
         };
-        self.check_stop(load)?;
-        Ok((key, target))
+        self.check_stop(&loads[idx])?;
+        Ok(candidates.swap_remove(idx))
     }
 
     /// Returns the target with a key, if it still serves the request's service and model and its server
     /// wants requests.
-    fn usable_target(&self, key: Key) -> Option<(Key, Rc<Target>)> {
+    fn usable_target(&self, key: Key) -> Option<Candidate> {
         let targets = self.node.targets.borrow();
-        let mut keys = self.serving_keys(&targets);
-        if !keys.any(|serving| serving == key) || self.is_evacuated(key) {
-            return None;
-        }
-        let target = targets.serving_target(key)?;
-        let is_paused = self.node.pause_left(target, Way::Direct).is_some();
-        (!is_paused).then(|| (key, Rc::clone(target)))
+        let mut serving = self.serving(&targets);
+        let found = serving.find(|candidate| candidate.key == key)?;
+        self.wants_requests(&found.target).then(|| found.clone())
     }
 
-    fn serving_target(&self, key: Key) -> Option<(Key, Rc<Target>)> {
+    fn candidates(&self) -> Vec<Candidate> {
         let targets = self.node.targets.borrow();
-        Some((key, Rc::clone(targets.serving_target(key)?)))
-    }
-
-    fn candidates(&self) -> Vec<Key> {
-        self.eligible_keys(&self.node.targets.borrow()).collect()
+        self.eligible(&targets).cloned().collect()
     }
 
     /// Removes the targets where a suspect is in flight from which the request is to be kept apart,
     /// unless none is left.
-    fn keep_apart(&self, candidates: Vec<Key>, suspicion: Option<Suspicion>) -> Vec<Key> {
+    fn keep_apart(
+        &self,
+        candidates: Vec<Candidate>,
+        suspicion: Option<Suspicion>,
+    ) -> Vec<Candidate> {
         let targets = self.node.targets.borrow();
         let own_crashes = suspicion.map_or(0, |suspicion| suspicion.crashes);
-        let apart: Vec<Key> = candidates
-            .iter()
-            .copied()
-            .filter(|key| !poison::is_kept_apart(own_crashes, targets.suspect_crashes(*key)))
-            .collect();
+        let is_apart = |candidate: &&Candidate| {
+            !poison::is_kept_apart(own_crashes, targets.suspect_crashes(candidate.key))
+        };
+        let apart: Vec<Candidate> = candidates.iter().filter(is_apart).cloned().collect();
         if apart.is_empty() { candidates } else { apart }
     }
 
-    /// Returns the time left of the pause that a target's server has asked for.
-    fn pause_left(&self, key: Key) -> Option<Millis> {
-        let targets = self.node.targets.borrow();
-        let target = targets.serving_target(key)?;
-        self.node.pause_left(target, Way::Direct)
+    /// Returns whether a target's server is in an evacuated zone.
+    fn is_evacuated(&self, target: &Target) -> bool {
+        self.node.evacuations.is_evacuated(&target.zone)
     }
 
-    /// Returns whether a target's server is in an evacuated zone.
-    fn is_evacuated(&self, key: Key) -> bool {
-        let evacuations = &self.node.evacuations;
-        if evacuations.is_empty() {
-            return false;
-        }
-        let targets = self.node.targets.borrow();
-        let target = targets.serving_target(key);
-        target.is_some_and(|target| evacuations.is_evacuated(&target.zone))
+    /// Returns whether a target's server is outside evacuated zones and has asked for no pause.
+    fn wants_requests(&self, target: &Target) -> bool {
+        !self.is_evacuated(target) && self.node.pause_left(target, Way::Direct).is_none()
     }
 
     /// Returns the refusal of a request if all servers that could serve it are in evacuated zones.
     fn refusal_in_evacuation(&self) -> Option<Refusal> {
-        let keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
-        if keys.is_empty() || !keys.iter().all(|key| self.is_evacuated(*key)) {
+        let targets = self.node.targets.borrow();
+        let mut serving = self.serving(&targets).peekable();
+        serving.peek()?;
+        if !serving.all(|candidate| self.is_evacuated(&candidate.target)) {
             return None;
         }
         let retry_after = self.node.evacuations.count_refusal();
@@ -593,9 +581,12 @@
 
     /// Returns the refusal of a request if all servers that could serve it want no requests now.
     fn refusal_in_pause(&self) -> Option<Refusal> {
-        let mut keys: Vec<Key> = self.serving_keys(&self.node.targets.borrow()).collect();
-        keys.retain(|key| !self.is_evacuated(*key));
-        let pauses: Option<Vec<Millis>> = keys.iter().map(|key| self.pause_left(*key)).collect();
+        let targets = self.node.targets.borrow();
+        let serving = self.serving(&targets).map(|candidate| &candidate.target);
+        let pauses: Option<Vec<Millis>> = serving
+            .filter(|target| !self.is_evacuated(target))
+            .map(|target| self.node.pause_left(target, Way::Direct))
+            .collect();
         let shortest = pauses?.into_iter().min()?;
         let retry_after = pause::retry_after(shortest, fastrand::f64());
         let detail = "all servers that can take the request have asked for a pause".to_owned();
@@ -603,26 +594,21 @@
     }
 
     /// Returns the targets that serve the request's model.
-    fn serving_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
+    fn serving<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = &'a Candidate> {
         let service = self.index.service(&self.call.service);
         let has_engine = service.is_some_and(|service| service.engine.is_some());
-        let keys = targets.serving(&self.call.service).iter().copied();
-        let model = |key| Some(&targets.serving_target(key)?.model);
-        keys.filter(move |key| !has_engine || model(*key) == Some(&self.call.head.model))
+        let serving = targets.serving(&self.call.service).iter();
+        serving
+            .filter(move |candidate| !has_engine || candidate.target.model == self.call.head.model)
     }
 
-    /// Returns the targets outside evacuated zones that serve the request's model, want requests and may
-    /// still be tried.
-    fn eligible_keys<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = Key> + 'a {
-        self.serving_keys(targets).filter(move |key| {
-            let Some(target) = targets.serving_target(*key) else {
-                return false;
-            };
+    /// Returns the targets that serve the request's model, want requests and may still be tried.
+    fn eligible<'a>(&'a self, targets: &'a Targets) -> impl Iterator<Item = &'a Candidate> {
+        self.serving(targets).filter(|candidate| {
+            let target = &candidate.target;
             let was_tried = !self.request.tried().is_empty()
                 && !self.request.can_try(&incarnation_name(target));
-            !was_tried
-                && !self.node.evacuations.is_evacuated(&target.zone)
-                && self.node.pause_left(target, Way::Direct).is_none()
+            !was_tried && self.wants_requests(target)
         })
     }
 
@@ -769,13 +755,12 @@
 
     fn has_other_target(&self, key: Key) -> bool {
         let targets = self.node.targets.borrow();
-        let is_exhausted = |key: Key| {
-            let target = targets.serving_target(key);
-            let permission = target.map(|target| self.permission(target));
-            matches!(permission, None | Some(Permission::Refused(_)))
+        let is_exhausted = |target: &Target| {
+            let permission = self.permission(target);
+            matches!(permission, Permission::Refused(_))
         };
-        self.eligible_keys(&targets)
-            .any(|eligible| eligible != key && !is_exhausted(eligible))
+        self.eligible(&targets)
+            .any(|eligible| eligible.key != key && !is_exhausted(&eligible.target))
     }
 
     /// Returns the time-outs of an attempt in progress.
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -59,11 +59,6 @@
         self.set.borrow().is_evacuated(zone)
     }
 
-    /// Returns whether no zone is evacuated.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.set.borrow().is_empty()
-    }
-
     /// Counts a request that is refused because of evacuations, and returns the delay after which its
     /// caller should retry.
     pub(crate) fn count_refusal(&self) -> Millis {
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -125,8 +125,8 @@
                 }
                 Err(obstacle) => obstacle,
             };
-            if let Obstacle::Unasked(key, target) = &obstacle {
-                self.dispatch.ask(*key, target).await;
+            if let Obstacle::Unasked(candidate) = &obstacle {
+                self.dispatch.ask(candidate).await;
                 continue;
             }
             if self.return_to_standby() {
@@ -135,7 +135,7 @@
             let (refusal, waits) = match obstacle {
                 Obstacle::Refused(refusal) => (refusal, self.dispatch.is_partially_answered()),
                 Obstacle::Held(refusal) => (refusal, true),
-                Obstacle::Unasked(..) => continue,
+                Obstacle::Unasked(_) => continue,
             };
             if !waits || self.dispatch.is_due() {
                 return Err(refusal);
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -23,6 +23,13 @@
     pub(crate) struct Key;
 }
 
+/// A target that served when it was looked up.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) key: Key,
+    pub(crate) target: Rc<Target>,
+}
+
 #[derive(Debug)]
 struct Slot {
     target: Rc<Target>,
@@ -39,10 +46,10 @@
 }
 
 impl Slot {
-    fn new(target: Target, now: Instant) -> Self {
+    fn new(target: Rc<Target>, now: Instant) -> Self {
         Slot {
             place_id: place_id(&target),
-            target: Rc::new(target),
+            target,
             is_serving: true,
             requests: 0,
             streams: 0,
@@ -72,7 +79,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
     slots: SlotMap<Key, Slot>,
-    serving: HashMap<CompactString, Vec<Key>>,
+    serving: HashMap<CompactString, Vec<Candidate>>,
     /// Load that the other nodes report.
     pub(crate) peer_loads: Rc<RefCell<PeerLoads>>,
     /// Places that stand still, as far as all nodes have seen.
@@ -96,20 +103,20 @@
         for slot in self.slots.values_mut() {
             slot.is_serving = false;
         }
-        for target in targets {
-            let service = target.service.clone();
+        for target in targets.into_iter().map(Rc::new) {
             let mut slots = self.slots.iter();
             let existing = slots.find(|(_, slot)| is_same_target(&slot.target, &target));
             let key = match existing.map(|(key, _)| key) {
                 Some(key) => {
                     let slot = &mut self.slots[key];
-                    slot.target = Rc::new(target);
+                    slot.target = Rc::clone(&target);
                     slot.is_serving = true;
                     key
                 }
-                None => self.slots.insert(Slot::new(target, now)),
+                None => self.slots.insert(Slot::new(Rc::clone(&target), now)),
             };
-            self.serving.entry(service).or_default().push(key);
+            let serving = self.serving.entry(target.service.clone()).or_default();
+            serving.push(Candidate { key, target });
         }
         self.slots.retain(|_, slot| slot.is_used(now));
     }
@@ -124,17 +131,11 @@
         counts
     }
 
-    /// Returns the keys of the targets that serve a service.
-    pub(crate) fn serving(&self, service: &str) -> &[Key] {
+    /// Returns the targets that serve a service.
+    pub(crate) fn serving(&self, service: &str) -> &[Candidate] {
         self.serving.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the target with a key, if it serves.
-    pub(crate) fn serving_target(&self, key: Key) -> Option<&Rc<Target>> {
-        let slot = self.slots.get(key).filter(|slot| slot.is_serving)?;
-        Some(&slot.target)
-    }
-
     /// Returns whether a target of this incarnation is registered.
     pub(crate) fn is_listed(&self, target: &Target) -> bool {
         self.slots
@@ -144,16 +145,15 @@
 
     /// Returns whether a target still serves.
     pub(crate) fn is_serving(&self, key: Key) -> bool {
-        self.serving_target(key).is_some()
+        self.slots.get(key).is_some_and(|slot| slot.is_serving)
     }
 
     /// Returns the largest number of crashes among the suspects that this node has in flight at a
     /// target and that have not begun to be answered.
     pub(crate) fn suspect_crashes(&self, key: Key) -> u32 {
-        let crashes = self.slots.get(key).map(|slot| slot.suspect_crashes.iter());
-        crashes
-            .and_then(|crashes| crashes.max().copied())
-            .unwrap_or_default()
+        let slot = self.slots.get(key);
+        let most = slot.and_then(|slot| slot.suspect_crashes.iter().max());
+        most.copied().unwrap_or_default()
     }
 
     /// Returns a target's load from this node and the others, or none if it is gone.
