--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -7,7 +7,7 @@
 use jackdaw_policy::fair::{self, Arrival};
 use jackdaw_policy::poison::{Features, Verdict};
 
-use crate::call::{Call, Destination};
+use crate::call::Call;
 use crate::gate::Permit;
 use crate::handler::Worker;
 use crate::problem::Problem;
@@ -47,7 +47,7 @@
         let detail = "the deadline passed before the request was admitted";
         return Err(Problem::new(Reason::Deadline, Step::Authenticated, detail));
     }
-    let is_model = matches!(call.destination, Destination::Model(_));
+    let is_model = call.destination.is_model();
     let name = call.destination.name();
     let gate = shared.gates.get_or_create(is_model, name, &shared.clock);
     let arrival = Arrival {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -25,6 +25,11 @@
             Destination::Model(name) | Destination::Service(name) => name,
         }
     }
+
+    /// Returns whether the call is for a model.
+    pub(crate) fn is_model(&self) -> bool {
+        matches!(self, Destination::Model(_))
+    }
 }
 
 /// A caller's request after it was read and authenticated.
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -161,7 +161,7 @@
 
 /// Returns whether a model engine refused the request.
 fn is_refused(call: &Call, status: StatusCode) -> bool {
-    matches!(call.destination, Destination::Model(_))
+    call.destination.is_model()
         && (status == StatusCode::CONFLICT
             || status == StatusCode::SERVICE_UNAVAILABLE
             || status == StatusCode::TOO_MANY_REQUESTS)
--- a/crates/entry/src/isolation.rs
+++ b/crates/entry/src/isolation.rs
@@ -10,7 +10,7 @@
 use ntex::time;
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::call::{Call, Destination};
+use crate::call::Call;
 use crate::event::Event;
 use crate::exchange::{self, to_timer_millis};
 use crate::gauge::Reservation;
@@ -89,7 +89,7 @@
                 exchange::connection_kind(!self.call.idempotent),
             ),
         };
-        let own = previous.filter(|isolation| is_same(&isolation.target, &target));
+        let own = previous.filter(|isolation| isolation.target.is_same(&target));
         let isolation = match (own, slot) {
             (Some(own), _) => Some(own),
             (None, Some(slot)) => reserve_target(slot, &target, self.remaining()).await,
@@ -164,7 +164,7 @@
     fn selector(&self) -> Selector<'_> {
         Selector {
             name: self.call.destination.name(),
-            is_model: matches!(self.call.destination, Destination::Model(_)),
+            is_model: self.call.destination.is_model(),
             prefix_hash: self.call.prefix_hash,
             isolated: self.suspect,
         }
@@ -175,10 +175,6 @@
     }
 }
 
-fn is_same(left: &Target, right: &Target) -> bool {
-    Arc::ptr_eq(&left.gauge, &right.gauge)
-}
-
 /// Waits for a free slot; returns `None` if none becomes free in time.
 async fn acquire_slot(shared: &Shared, remaining: Millis) -> Option<Rc<Slot>> {
     let permit = Arc::clone(&shared.suspect_slots).acquire_owned();
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -46,12 +46,7 @@
     /// Returns the targets that may serve the request.
     #[must_use]
     pub fn targets<'a>(&self, snapshot: &'a Snapshot) -> &'a [Target] {
-        let targets = if self.is_model {
-            snapshot.models.get(self.name)
-        } else {
-            snapshot.services.get(self.name)
-        };
-        targets.map_or(&[], Vec::as_slice)
+        snapshot.targets(self.name, self.is_model)
     }
 }
 
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -57,19 +57,28 @@
     pub stopping: bool,
 }
 
+impl Target {
+    /// Returns whether another target is the same one; one that has started again is not.
+    ///
+    /// A gauge belongs to one target and is kept from snapshot to snapshot.
+    pub(crate) fn is_same(&self, other: &Target) -> bool {
+        Arc::ptr_eq(&self.gauge, &other.gauge)
+    }
+}
+
 impl Snapshot {
-    /// Returns the targets that serve a destination.
-    pub(crate) fn targets(&self, destination: &Destination) -> &[Target] {
-        let targets = match destination {
-            Destination::Model(name) => self.models.get(name),
-            Destination::Service(name) => self.services.get(name),
+    /// Returns the targets that serve a model or a plain service.
+    pub(crate) fn targets(&self, name: &str, is_model: bool) -> &[Target] {
+        let targets = match is_model {
+            true => self.models.get(name),
+            false => self.services.get(name),
         };
         targets.map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether a target still serves a destination; one that has started again is another one.
+    /// Returns whether a target still serves a destination.
     pub(crate) fn has_target(&self, destination: &Destination, target: &Target) -> bool {
-        let mut targets = self.targets(destination).iter();
-        targets.any(|listed| Arc::ptr_eq(&listed.gauge, &target.gauge))
+        let targets = self.targets(destination.name(), destination.is_model());
+        targets.iter().any(|listed| listed.is_same(target))
     }
 }
