entry: keep the requests in flight in a slotmap

The registry had an arena of its own with generations and a list of free places, which the library does that the gateway's targets use now. The tests of the registry are unchanged.

--- a/crates/entry/src/in_flight.rs
+++ b/crates/entry/src/in_flight.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use jackdaw_core::time::Instant;
+use slotmap::{SlotMap, new_key_type};
 
 /// How far an admitted request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -107,34 +108,9 @@
     pub is_closed_by_node: bool,
 }
 
-/// Identifies a request in flight; keys of requests that have ended are not given out again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Key {
-    slot: u32,
-    generation: u32,
-}
-
-#[derive(Debug, Default)]
-struct Slot {
-    generation: u32,
-    request: Option<Request>,
-}
-
-#[derive(Debug, Default)]
-struct Arena {
-    slots: Vec<Slot>,
-    free: Vec<u32>,
-}
-
-impl Arena {
-    fn slot_mut(&mut self, key: Key) -> Option<&mut Slot> {
-        let slot = self.slots.get_mut(key.slot as usize)?;
-        (slot.generation == key.generation).then_some(slot)
-    }
-
-    fn requests(&self) -> impl Iterator<Item = &Request> {
-        self.slots.iter().filter_map(|slot| slot.request.as_ref())
-    }
+new_key_type! {
+    /// Identifies a request in flight; the key of a request that has ended finds nothing.
+    pub struct Key;
 }
 
 /// Number of requests in each stage.
@@ -172,69 +148,40 @@
 /// All requests in flight of one node.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    arena: Arc<Mutex<Arena>>,
+    requests: Arc<Mutex<SlotMap<Key, Request>>>,
 }
 
 impl Registry {
-    fn arena(&self) -> MutexGuard<'_, Arena> {
-        self.arena.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, SlotMap<Key, Request>> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds a request.
     ///
     /// # Panics
     ///
-    /// Panics if more than `u32::MAX` requests are in flight.
+    /// Panics if almost 2^32 requests are in flight.
     #[must_use]
     pub fn insert(&self, request: Request) -> Key {
-        let mut arena = self.arena();
-        let slot = match arena.free.pop() {
-            Some(slot) => slot,
-            None => {
-                arena.slots.push(Slot::default());
-                u32::try_from(arena.slots.len() - 1).expect("fewer than 2^32 requests")
-            }
-        };
-        let entry = &mut arena.slots[slot as usize];
-        entry.request = Some(request);
-        Key {
-            slot,
-            generation: entry.generation,
-        }
+        self.lock().insert(request)
     }
 
     /// Changes a request unless it has been removed.
     pub fn update(&self, key: Key, change: impl FnOnce(&mut Request)) {
-        let mut arena = self.arena();
-        let request = arena.slot_mut(key).and_then(|slot| slot.request.as_mut());
-        if let Some(request) = request {
+        if let Some(request) = self.lock().get_mut(key) {
             change(request);
         }
     }
 
     /// Removes a request; returns `None` if it has been removed before.
     pub fn remove(&self, key: Key) -> Option<Request> {
-        let mut arena = self.arena();
-        let slot = arena.slot_mut(key)?;
-        let request = slot.request.take()?;
-        slot.generation = slot.generation.wrapping_add(1);
-        arena.free.push(key.slot);
-        Some(request)
+        self.lock().remove(key)
     }
 
     /// Removes all requests and returns them, the oldest first.
     #[must_use]
     pub fn remove_all(&self) -> Vec<Request> {
-        let mut arena = self.arena();
-        let Arena { slots, free } = &mut *arena;
-        let mut requests = Vec::new();
-        for (slot, entry) in (0..).zip(slots) {
-            if let Some(request) = entry.request.take() {
-                entry.generation = entry.generation.wrapping_add(1);
-                free.push(slot);
-                requests.push(request);
-            }
-        }
+        let mut requests: Vec<Request> = self.lock().drain().map(|(_, request)| request).collect();
         requests.sort_by_key(|request| request.arrived);
         requests
     }
@@ -242,7 +189,7 @@
     /// Returns all requests, the oldest first.
     #[must_use]
     pub fn requests(&self) -> Vec<Request> {
-        let mut requests: Vec<Request> = self.arena().requests().cloned().collect();
+        let mut requests: Vec<Request> = self.lock().values().cloned().collect();
         requests.sort_by_key(|request| request.arrived);
         requests
     }
@@ -251,7 +198,7 @@
     #[must_use]
     pub fn counts(&self) -> Counts {
         let mut counts = Counts::default();
-        for request in self.arena().requests() {
+        for request in self.lock().values() {
             counts.0[request.stage as usize] += 1;
         }
         counts
@@ -260,7 +207,7 @@
     /// Returns the latest deadline of the requests, or none if there is no request.
     #[must_use]
     pub fn latest_deadline(&self) -> Option<Instant> {
-        let arena = self.arena();
-        arena.requests().map(|request| request.deadline).max()
+        let requests = self.lock();
+        requests.values().map(|request| request.deadline).max()
     }
 }
