--- a/review/standin-4/ends.rs
+++ b/review/standin-4/ends.rs
@@ -22,8 +22,8 @@
 const SERVERS: usize = 8;
 const EVENTS: u32 = 30;
 const GAP: Duration = Duration::from_millis(60);
-/// Time from the end of a server's process to its next start.
-const RESTART: Duration = Duration::from_millis(100);
+/// Milliseconds from the end of a server's process to its next start, unless the variable `RESTART_MS` states others.
+const RESTART_MS: u64 = 100;
 /// Time from the start of a process to its first write to the store; servers write about every 1.2 s.
 const FIRST_BEAT: Duration = Duration::from_millis(300);
 const FORM: Duration = Duration::from_millis(300);
@@ -180,7 +180,8 @@
     fn restart(self: &Arc<Self>, server: &Arc<Server>) {
         self.record.add(&format!("{} ends", server.id));
         server.running.store(0, Ordering::SeqCst);
-        thread::sleep(RESTART);
+        let stated = std::env::var("RESTART_MS").ok().and_then(|text| text.parse().ok());
+        thread::sleep(Duration::from_millis(stated.unwrap_or(RESTART_MS)));
         self.start(server).expect("the server starts again");
         self.record.add(&format!("{} has started again", server.id));
     }
--- a/review/standin-4/world.rs
+++ b/review/standin-4/world.rs
@@ -502,9 +502,15 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 impl Node {
     pub fn start(program: &Path, folder: &Path, store: SocketAddr, number: usize, memory_mb: u64) -> io::Result<Node> {
         let port = free_ports(10)?;
@@ -526,15 +532,32 @@
         );
         let path = folder.join(format!("{name}.conf"));
         fs::write(&path, settings)?;
-        let log = fs::File::create(folder.join(format!("{name}.log")))?;
-        let child = Command::new(program)
+        let child = Node::spawn(program, &path)?;
+        Ok(Node { name, front, ready, program: program.to_owned(), settings: path, child })
+    }
+
+    fn spawn(program: &Path, settings: &Path) -> io::Result<Child> {
+        let log = fs::File::options().create(true).append(true).open(settings.with_extension("log"))?;
+        Command::new(program)
             .arg("gateway")
-            .env("JACKDAWSTAIR_CONFIG", &path)
+            .env("JACKDAWSTAIR_CONFIG", settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()?;
-        Ok(Node { name, front, ready, child })
+            .spawn()
+    }
+
+    /// Stops the process as the platform does, with SIGKILL after the grace period, and starts it again.
+    pub fn roll(&mut self, grace: Duration) -> io::Result<()> {
+        unsafe { kill(self.pid() as i32, 15) };
+        let due = Instant::now() + grace;
+        while Instant::now() < due && self.child.try_wait()?.is_none() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let _ = self.child.kill();
+        self.child.wait()?;
+        self.child = Node::spawn(&self.program, &self.settings)?;
+        Ok(())
     }
 
     pub fn pid(&self) -> u32 {
@@ -578,9 +601,6 @@
 
 /// Ends all nodes and this process if a script takes longer than it may.
 pub fn limit_time(processes: Vec<u32>, limit: Duration) {
-    unsafe extern "C" {
-        fn kill(process: i32, signal: i32) -> i32;
-    }
     thread::spawn(move || {
         thread::sleep(limit);
         for process in processes {
