--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in ends numbers pauses; do
+for name in ends numbers keys pauses; do
     rustc --edition 2024 -O -o "target/review/$name" "review/standin-4/$name.rs"
 done
