review: stand-ins that a second copy does not disturb

Cause: for each connection the stand-ins of 11 and 15 read the kernel's table of all sockets. With many closed connections of other programs in it that takes long, and connections are closed unanswered. Beside it, two copies could choose the same ports, and a server could start again before the thread of its former life had closed its port.

No check, bound or disruption is changed.

--- a/review/standin-4/ends.rs
+++ b/review/standin-4/ends.rs
@@ -5,14 +5,14 @@
 mod world;
 
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use world::{Json, Node, Record, Store, read_head, read_message, respond};
 
@@ -143,9 +143,23 @@
         status
     }
 
+    /// Binds a server's port once the thread of its life before has closed it.
+    fn listen(&self, address: SocketAddr) -> std::io::Result<TcpListener> {
+        let due = Instant::now() + Duration::from_secs(2);
+        loop {
+            match TcpListener::bind(address) {
+                Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < due => {
+                    self.record.add(&format!("{address} is still bound"));
+                    thread::sleep(Duration::from_millis(5));
+                }
+                bound => return bound,
+            }
+        }
+    }
+
     /// Starts a life of a server.
     fn start(self: &Arc<Self>, server: &Arc<Server>) -> std::io::Result<()> {
-        let listener = TcpListener::bind(server.address)?;
+        let listener = self.listen(server.address)?;
         listener.set_nonblocking(true)?;
         let number = {
             let mut life = server.life.lock().unwrap();
@@ -190,6 +204,7 @@
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
         let Some(node) = world::origin(&stream, &self.processes) else {
+            self.record.add("a connection whose other end no node holds any more is closed");
             return Ok(());
         };
         let is_cut = || node == CUT && self.is_cut.load(Ordering::SeqCst);
--- a/review/standin-4/pauses.rs
+++ b/review/standin-4/pauses.rs
@@ -44,6 +44,7 @@
 fn serve(site: &Arc<Site>, number: usize, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let Some(node) = world::origin(&stream, &site.processes) else {
+        site.record.add("a connection whose other end no node holds any more is closed");
         return Ok(());
     };
     let mut reader = BufReader::new(stream.try_clone()?);
--- a/review/standin-4/world.rs
+++ b/review/standin-4/world.rs
@@ -3,8 +3,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fs;
-use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::FromRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -12,6 +13,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Ports of which a node or server gets a part.
+const BLOCK: u16 = 12;
+const BLOCKS: u16 = 1_500;
+
 /// A JSON value; numbers are kept as their text.
 #[derive(Clone, Debug)]
 pub enum Json {
@@ -585,14 +590,23 @@
 }
 
 /// Returns the first of some free ports in a row, below those that the system gives to connections.
+///
+/// The last port of a block stays bound, so that a second copy of a script takes another block although this one
+/// has not bound its ports yet.
 pub fn free_ports(count: u16) -> io::Result<u16> {
     static NEXT: AtomicU16 = AtomicU16::new(0);
+    static CLAIMS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    assert!(count < BLOCK);
     let seed = u64::from(std::process::id()).wrapping_mul(2_654_435_761) >> 7;
-    for _ in 0..1_500 {
+    for _ in 0..BLOCKS {
         let place = NEXT.fetch_add(1, Ordering::SeqCst);
-        let first = 11_000 + ((seed % 1_500) as u16 + place) % 1_500 * 12;
+        let first = 11_000 + ((seed % u64::from(BLOCKS)) as u16 + place) % BLOCKS * BLOCK;
+        let Ok(claim) = TcpListener::bind(("127.0.0.1", first + BLOCK - 1)) else {
+            continue;
+        };
         let is_free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok() && UdpSocket::bind(("127.0.0.1", port)).is_ok();
         if (first..first + count).all(is_free) {
+            CLAIMS.lock().unwrap().push(claim);
             return Ok(first);
         }
     }
@@ -625,20 +639,10 @@
 
 /// Returns the process among some that holds the other end of a connection.
 pub fn origin(stream: &TcpStream, processes: &[u32]) -> Option<usize> {
-    let (local, peer) = (stream.local_addr().ok()?, stream.peer_addr().ok()?);
-    let encode = |address: SocketAddr| match address {
-        SocketAddr::V4(address) => {
-            format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
-        }
-        SocketAddr::V6(_) => String::new(),
+    let (SocketAddr::V4(local), SocketAddr::V4(peer)) = (stream.local_addr().ok()?, stream.peer_addr().ok()?) else {
+        return None;
     };
-    let (peer, local) = (encode(peer), encode(local));
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let row = table.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        (fields.len() > 9 && fields[1] == peer && fields[2] == local).then(|| fields[9].to_owned())
-    })?;
-    let socket = PathBuf::from(format!("socket:[{row}]"));
+    let socket = PathBuf::from(format!("socket:[{}]", inode(peer, local)?));
     processes.iter().position(|process| {
         let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else {
             return false;
@@ -648,6 +652,45 @@
     })
 }
 
+/// Asks the kernel for the inode of one TCP socket. Its table of all sockets takes long to read when other
+/// programs have left many connections behind.
+fn inode(socket: SocketAddrV4, peer: SocketAddrV4) -> Option<u32> {
+    unsafe extern "C" {
+        #[link_name = "socket"]
+        fn open_socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    }
+    // AF_NETLINK, SOCK_RAW with SOCK_CLOEXEC, and NETLINK_SOCK_DIAG on Linux.
+    let descriptor = unsafe { open_socket(16, 3 | 0o2_000_000, 4) };
+    if descriptor < 0 {
+        return None;
+    }
+    let mut kernel = unsafe { fs::File::from_raw_fd(descriptor) };
+    let mut request = Vec::with_capacity(72);
+    // Header: length, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, number and sender.
+    request.extend(72_u32.to_ne_bytes());
+    request.extend(20_u16.to_ne_bytes());
+    request.extend(1_u16.to_ne_bytes());
+    request.extend([0; 8]);
+    // AF_INET, IPPROTO_TCP, no extensions, all states.
+    request.extend([2, 6, 0, 0]);
+    request.extend(u32::MAX.to_ne_bytes());
+    request.extend(socket.port().to_be_bytes());
+    request.extend(peer.port().to_be_bytes());
+    for address in [socket.ip(), peer.ip()] {
+        request.extend(address.octets());
+        request.extend([0; 12]);
+    }
+    // Any interface, no cookie.
+    request.extend([0; 4]);
+    request.extend([0xff; 8]);
+    kernel.write_all(&request).ok()?;
+    let mut answer = [0; 1_024];
+    let length = kernel.read(&mut answer).ok()?;
+    let kind = u16::from_ne_bytes(answer[4..6].try_into().ok()?);
+    let inode = u32::from_ne_bytes(answer[84..88].try_into().ok()?);
+    (length >= 88 && kind == 20 && inode != 0).then_some(inode)
+}
+
 /// Makes the system reset a connection when it is closed.
 pub fn reset_on_close(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
