--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use jackdaw_entry::in_flight::{self, Stage};
 use jackdaw_link::connection::{self, Connection};
 use jackdaw_policy::answer::{self, Claim, Named};
-use jackdaw_policy::continuation::{Form, Source};
+use jackdaw_policy::continuation::{Form, Label, Source};
 use jackdaw_policy::ending::{Doubt, Ending, Framing, Link, Verdict};
 use jackdaw_policy::fleet::Target;
 use jackdaw_policy::memory::{Class, SMALL};
@@ -141,6 +141,10 @@
     head: Option<AnswerHead>,
     /// What marks the end of the answer, once its head has arrived.
     framing: Framing,
+    /// Event that is held until the next part of the answer tells whether events are missing before it.
+    held: Option<Event>,
+    /// Part of the answer that follows an event that was held.
+    ready: Option<Piece>,
     phase: Phase,
 }
 
@@ -185,6 +189,8 @@
             reservation: None,
             head: None,
             framing: Framing::Connection,
+            held: None,
+            ready: None,
             phase: Phase::Connecting(Box::pin(connecting)),
         }
     }
@@ -238,6 +244,37 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Result<Piece, ExchangeFailure>> {
+        if let Some(piece) = self.ready.take() {
+            return Poll::Ready(Ok(piece));
+        }
+        loop {
+            let piece = ready!(self.poll_received(cx))?;
+            match (self.held.take(), piece) {
+                (None, Piece::Event(event)) if self.source.is_ambiguous(event.label) => {
+                    self.held = Some(event);
+                }
+                // A comment tells nothing of the numbers.
+                (Some(held), Piece::Event(event)) if event.label == Label::Silent => {
+                    self.held = Some(held);
+                }
+                (Some(held), piece) => {
+                    if let Piece::Event(event) = &piece {
+                        self.source.look_ahead(event.label);
+                    }
+                    self.ready = Some(piece);
+                    return Poll::Ready(Ok(Piece::Event(held)));
+                }
+                (None, piece) => return Poll::Ready(Ok(piece)),
+            }
+        }
+    }
+
+    /// Polls for the next part of the answer as it is received.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that ends the attempt.
+    fn poll_received(&mut self, cx: &mut Context<'_>) -> Poll<Result<Piece, ExchangeFailure>> {
         loop {
             match &mut self.phase {
                 Phase::Connecting(connecting) => {
--- a/crates/gateway/tests/node/continuation.rs
+++ b/crates/gateway/tests/node/continuation.rs
@@ -283,6 +283,94 @@
     assert_received(case);
 }
 
+const FIVE: &str = "id: 5\ndata: a\n\n";
+const TEN: &str = "id: 10\ndata: b\n\n";
+const FIFTEEN: &str = "id: 15\ndata: c\n\n";
+const SEVENTEEN: &str = "id: 17\ndata: d\n\n";
+const TWENTY: &str = "id: 20\ndata: e\n\n";
+const LARGEST: &str = "id: 18446744073709551615\ndata: z\n\n";
+/// A stream whose numbers grow by five, after which the connection ends.
+const SPACED: Answer = Answer {
+    framing: Framing::Cut,
+    body: &[FIVE, TEN, FIFTEEN],
+    ..STREAM
+};
+
+// Guards against streams that are cut because their numbers grow by more than one.
+#[rstest]
+#[case(Case { name: "one server", first: stream(&[FIVE, TEN, FIFTEEN]), body: &[FIVE, TEN, FIFTEEN], attempts: 1, ..CONTINUED })]
+#[case(Case { name: "one server, up to the largest number", first: stream(&[FIVE, LARGEST]), body: &[FIVE, LARGEST], attempts: 1, ..CONTINUED })]
+#[case(Case { name: "one server that is not resumed", path: "/fragile/x", first: stream(&[ONE, TWO, FOUR]), body: &[ONE, TWO, FOUR], attempts: 1, ..CONTINUED })]
+#[case(Case { name: "the next event", first: SPACED, second: stream(&[TWENTY]), body: &[FIVE, TEN, FIFTEEN, TWENTY], ..CONTINUED })]
+#[case(Case { name: "other steps", first: SPACED, second: stream(&[SEVENTEEN, TWENTY]), body: &[FIVE, TEN, FIFTEEN, SEVENTEEN, TWENTY], ..CONTINUED })]
+#[case(Case { name: "the largest number", first: SPACED, second: stream(&[LARGEST]), body: &[FIVE, TEN, FIFTEEN, LARGEST], ..CONTINUED })]
+#[case(Case { name: "nothing that is left", first: SPACED, second: stream(&[]), body: SPACED.body, ..CONTINUED })]
+#[case(Case { name: "nothing that is left after the largest number", first: Answer { body: &[FIVE, LARGEST], ..SPACED }, second: stream(&[]), body: &[FIVE, LARGEST], ..CONTINUED })]
+#[case(Case { name: "the next events after a single one", first: Answer { body: &[FIVE], ..SPACED }, second: stream(&[TEN, FIFTEEN]), body: &[FIVE, TEN, FIFTEEN], ..CONTINUED })]
+#[case(Case { name: "the last event after a single one, and a comment", first: Answer { body: &[FIVE], ..SPACED }, second: stream(&[TEN, PING]), body: &[FIVE, TEN], ..CONTINUED })]
+#[case(Case { name: "a step that another server confirms", first: stream(&[ONE, TWO, FOUR]), second: stream(&[FOUR, "id: 9\ndata: nine\n\n"]), body: &[ONE, TWO, FOUR, "id: 9\ndata: nine\n\n"], ..CONTINUED })]
+#[case(Case { name: "an event that the first server leaves out", first: stream(&[ONE, TWO, FOUR]), second: stream(&[THREE]), ..CONTINUED })]
+fn streams_whose_numbers_skip_are_whole(#[case] case: Case) {
+    assert_received(case);
+}
+
+// Guards against a run that begins anew, or leaves events out, in the rest of a stream whose numbers may
+// skip.
+#[rstest]
+#[case(Case { name: "a run that begins anew", first: SPACED, second: stream(&[FIVE, TEN, FIFTEEN, TWENTY]), body: SPACED.body, ..BROKEN })]
+#[case(Case { name: "a run that begins anew in other steps", first: SPACED, second: stream(&["id: 7\ndata: x\n\n", "id: 14\ndata: x\n\n", "id: 21\ndata: x\n\n"]), body: SPACED.body, ..BROKEN })]
+#[case(Case { name: "a number that comes twice", first: SPACED, second: stream(&[SEVENTEEN, SEVENTEEN]), body: &[FIVE, TEN, FIFTEEN, SEVENTEEN], ..BROKEN })]
+#[case(Case { name: "a number that falls", first: SPACED, second: stream(&[TWENTY, SEVENTEEN]), body: &[FIVE, TEN, FIFTEEN, TWENTY], ..BROKEN })]
+#[case(Case { name: "an end before the last event", first: SPACED, second: stream(&[FIVE]), body: SPACED.body, ..BROKEN })]
+#[case(Case { name: "events after the largest number", first: Answer { body: &[FIVE, LARGEST], ..SPACED }, second: stream(&[FIVE]), body: &[FIVE, LARGEST], ..BROKEN })]
+#[case(Case { name: "an event that is missing after a single one", first: Answer { body: &[ONE], ..SPACED }, second: stream(&[THREE, FOUR]), body: &[ONE], ..BROKEN })]
+#[case(Case { name: "a connection that ends after an event that may not be the next one", first: Answer { body: &[ONE], ..SPACED }, second: Answer { framing: Framing::Cut, ..stream(&[THREE]) }, body: &[ONE], ..BROKEN })]
+fn streams_whose_numbers_may_skip_take_no_other_run(#[case] case: Case) {
+    assert_received(case);
+}
+
+/// The rest of a stream of which the caller has the events up to number 10.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    name: &'static str,
+    /// Events that the server sends.
+    sent: &'static [&'static str],
+    /// Events that the caller gets; none if the request fails.
+    received: &'static [&'static str],
+    status: &'static str,
+}
+
+const ELEVEN: &str = "id: 11\ndata: x\n\n";
+const TWELVE: &str = "id: 12\ndata: x\n\n";
+const THIRTEEN: &str = "id: 13\ndata: x\n\n";
+
+// Guards against streams that callers cannot resume themselves because their numbers skip.
+#[rstest]
+#[case(Rest { name: "the next numbers", sent: &[ELEVEN, TWELVE], received: &[ELEVEN, TWELVE], status: "200" })]
+#[case(Rest { name: "numbers that grow by five", sent: &[FIFTEEN, TWENTY], received: &[FIFTEEN, TWENTY], status: "200" })]
+#[case(Rest { name: "one more event", sent: &[FIFTEEN], received: &[FIFTEEN], status: "200" })]
+#[case(Rest { name: "nothing", sent: &[], received: &[], status: "200" })]
+#[case(Rest { name: "an event that is missing", sent: &[TWELVE, THIRTEEN], received: &[], status: "502" })]
+#[case(Rest { name: "a run that begins anew", sent: &[FIVE, TEN, FIFTEEN], received: &[], status: "502" })]
+fn callers_resume_streams_whose_numbers_skip(#[case] case: Rest) {
+    let script = Answer {
+        body: case.sent,
+        ..STREAM
+    }
+    .script();
+    let node = Node::start(&[script, script]);
+    let request = request("r1", "POST", "/stream/x").replacen("\r\n", "\r\nlast: 10\r\n", 1);
+    let answer = exchange(node.address, &request);
+    let received = Received::read(&answer);
+    assert_eq!(received.status, case.status, "{}: {answer}", case.name);
+    if case.status == "200" {
+        assert_eq!(received.body, case.received.concat(), "{}", case.name);
+        assert!(received.is_complete, "{}", case.name);
+    }
+    assert_eq!(node.arrived()[0]["last"], "10", "{}", case.name);
+    node.stop();
+}
+
 // Guards against answers without a body that are sent on as streams, whose last chunk is then taken for
 // the next answer.
 #[test]
@@ -318,6 +406,7 @@
 #[case(Beside { name: "an error event", second: stream(&[NAMED]) })]
 #[case(Beside { name: "an end before the events that the caller has", second: stream(&[ONE]) })]
 #[case(Beside { name: "a gap", second: stream(&[FOUR]) })]
+#[case(Beside { name: "a run that begins anew in other steps", second: stream(&["id: 1\ndata: x\n\n", FOUR]) })]
 fn silent_servers_go_on_after_an_answer_that_does_not_continue_their_stream(#[case] case: Beside) {
     let first = Answer {
         framing: Framing::Gate,
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -111,6 +111,7 @@
             key: header_text(headers, "key").map(Into::into),
             model: header_text(headers, "model").map(Into::into),
             prompt_tokens: header_number(headers, "prompt").unwrap_or_default() as u32,
+            last_event: header_number(headers, "last"),
             ..Head::default()
         })
     }
--- a/crates/policy/src/continuation.rs
+++ b/crates/policy/src/continuation.rs
@@ -4,6 +4,11 @@
 //! Such an answer is known to continue the stream once it brings the event after the last one that the
 //! caller has; until then nothing of it is passed on. An error's text, an empty success or a run that
 //! begins anew has no such event.
+//!
+//! Numbers need only increase. Where they grow by one, the next event has the next number, and another
+//! one means that events are missing. Where they do not, an answer continues the stream if its first
+//! number is higher than the one after which the server was asked to go on: a server that goes on may
+//! cut the text into other events than the one before it, and a run that begins anew starts below.
 
 use std::fmt;
 
@@ -70,6 +75,18 @@
     Silent,
 }
 
+/// How the numbers of a stream grow from one event to the next of the same answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Growth {
+    /// No answer has brought two events.
+    #[default]
+    Unknown,
+    /// By one.
+    ByOne,
+    /// By more than one at least once.
+    Uneven,
+}
+
 /// Reason why a part of an answer does not follow what the caller has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Objection {
@@ -77,12 +94,15 @@
     Form(Form),
     /// An event has no number, and the caller has others.
     Unnumbered,
-    /// The number of an event is not the one after the previous event of the same answer.
+    /// The number of an event does not follow the previous one of the same answer.
     Order(u64),
     /// Events are missing before one with this number.
     Gap(u64),
     /// The caller has events without numbers, so that the next one cannot be told.
     Untold,
+    /// The answer begins before the last event that the caller has, and its events cannot be told to be
+    /// the same.
+    Restarted,
     /// The answer ends before the last event that the caller has.
     Short,
     /// The answer has no event, and nothing says that it is a stream with nothing left.
@@ -103,6 +123,7 @@
             Objection::Order(number) => write!(f, "event {number} came out of order"),
             Objection::Gap(number) => write!(f, "events are missing before event {number}"),
             Objection::Untold => f.write_str("the stream has no numbers to go on from"),
+            Objection::Restarted => f.write_str("the answer begins before what the caller has"),
             Objection::Short => f.write_str("the stream ended before what the caller has"),
             Objection::Empty => f.write_str("an empty answer in place of a stream"),
         }
@@ -115,8 +136,20 @@
     /// Form of the answer whose head the caller has, if it has one.
     begun: Option<Form>,
     form: Option<Form>,
+    /// Number of the event after which the server was asked to go on.
+    after: Option<u64>,
+    /// How the numbers that the caller has grew when the request was sent.
+    growth: Growth,
     /// Number of the latest event of this answer.
     last: Option<u64>,
+    /// Number of the event after the first one, if the answer was read on that far.
+    second: Option<u64>,
+    /// Whether the numbers of this answer grew by more than one.
+    is_uneven: bool,
+    /// Whether the answer has the last event that the caller has, or one before it.
+    has_repeats: bool,
+    /// Whether the answer begins before the last event that the caller has.
+    begins_before: bool,
     /// Whether the answer is known to continue what the caller has.
     is_joined: bool,
 }
@@ -143,18 +176,31 @@
         self.form.is_some_and(Form::is_stream)
     }
 
-    /// Takes the number of the next event.
-    fn advance(&mut self, number: u64) -> Result<(), Objection> {
-        let is_next = self
-            .last
-            .is_none_or(|last| last.checked_add(1) == Some(number));
-        self.last = Some(number);
-        match is_next {
-            true => Ok(()),
-            false => Err(Objection::Order(number)),
+    /// Returns whether only what comes after an event, the next one of the answer, tells if events are
+    /// missing before it.
+    #[must_use]
+    pub fn is_ambiguous(&self, label: Label) -> bool {
+        let Label::Number(number) = label else {
+            return false;
+        };
+        let is_ahead = self
+            .after
+            .is_some_and(|after| number > after.saturating_add(1));
+        is_ahead && self.last.is_none() && self.growth == Growth::Unknown
+    }
+
+    /// Takes the label of the event after an ambiguous one, before that one is accepted.
+    pub fn look_ahead(&mut self, label: Label) {
+        if let Label::Number(number) = label {
+            self.second = Some(number);
         }
     }
 
+    /// Returns whether the numbers of the answer are known to grow by one from its first event on.
+    fn grows_by_one(&self, first: u64) -> bool {
+        self.second.is_some() && self.second == first.checked_add(1)
+    }
+
     /// Returns whether an answer without events states that it is a stream, and its own end.
     fn is_empty_stream(&self, framing: Framing) -> bool {
         let is_ended = match framing {
@@ -175,6 +221,12 @@
     begun: Option<Form>,
     /// Number of the last event.
     last: Option<u64>,
+    /// How the numbers grow.
+    growth: Growth,
+    /// Number that an answer had right after the last event although numbers grew by one.
+    doubted: Option<u64>,
+    /// Whether another answer may continue the stream.
+    is_resumable: bool,
     /// Whether the caller has events without numbers.
     has_unnumbered: bool,
 }
@@ -187,10 +239,21 @@
         Position {
             begun: None,
             last,
+            growth: Growth::Unknown,
+            doubted: None,
+            is_resumable: true,
             has_unnumbered: false,
         }
     }
 
+    /// Takes the numbers as the server gives them, as long as they increase: no other server could tell
+    /// whether events are missing.
+    #[must_use]
+    pub fn without_resumption(mut self) -> Self {
+        self.is_resumable = false;
+        self
+    }
+
     /// Gets the number of the last event that the caller has.
     #[must_use]
     pub fn last(&self) -> Option<u64> {
@@ -209,7 +272,13 @@
         Source {
             begun: self.begun,
             form: None,
+            after: self.last,
+            growth: self.growth,
             last: None,
+            second: None,
+            is_uneven: false,
+            has_repeats: false,
+            begins_before: false,
             is_joined: false,
         }
     }
@@ -224,10 +293,7 @@
         let is_new = match label {
             Label::Silent => source.is_joined || source.begun.is_none(),
             Label::Missing => self.accept_unnumbered(source)?,
-            Label::Number(number) => {
-                source.advance(number)?;
-                self.accept_number(source, number)?
-            }
+            Label::Number(number) => self.accept_number(source, number)?,
         };
         if is_new {
             source.is_joined |= label != Label::Silent;
@@ -248,22 +314,99 @@
     }
 
     /// Returns whether an event with a number is new to the caller.
-    fn accept_number(&mut self, source: &Source, number: u64) -> Result<bool, Objection> {
+    fn accept_number(&mut self, source: &mut Source, number: u64) -> Result<bool, Objection> {
+        let previous = source.last.replace(number);
+        if let Some(previous) = previous {
+            self.check_step(source, previous, number)?;
+        }
         if self.has_unnumbered && !source.is_joined {
             return Err(Objection::Untold);
         }
         if let Some(last) = self.last {
             if number <= last {
+                source.has_repeats = true;
+                source.begins_before |= number < last;
                 return Ok(false);
             }
-            if last.checked_add(1) != Some(number) {
-                return Err(Objection::Gap(number));
+            let is_next_of_answer = source.is_joined && previous == Some(last);
+            if !is_next_of_answer {
+                self.check_join(source, last, number)?;
             }
         }
+        if self.doubted == Some(number) {
+            // Two servers have the same number there.
+            self.growth = Growth::Uneven;
+        } else if previous.is_some() && previous == self.last {
+            self.record_step(number);
+        }
         self.last = Some(number);
+        self.doubted = None;
         Ok(true)
     }
 
+    /// Checks whether the number of an event follows the previous one of the same answer.
+    fn check_step(
+        &mut self,
+        source: &mut Source,
+        previous: u64,
+        number: u64,
+    ) -> Result<(), Objection> {
+        if number <= previous {
+            return Err(Objection::Order(number));
+        }
+        if previous.checked_add(1) == Some(number) {
+            return Ok(());
+        }
+        source.is_uneven = true;
+        if self.growth == Growth::ByOne && self.is_resumable {
+            if source.is_joined && self.last == Some(previous) {
+                self.doubted = Some(number);
+            }
+            return Err(Objection::Order(number));
+        }
+        Ok(())
+    }
+
+    /// Checks whether the first event of an answer that the caller does not have follows its last one.
+    fn check_join(&self, source: &Source, last: u64, number: u64) -> Result<(), Objection> {
+        let is_next = last.checked_add(1) == Some(number);
+        // A run that was sent on from elsewhere, or from its beginning, may have passed what is next.
+        let goes_on = source.after == Some(last) && !source.has_repeats;
+        let is_joined = match self.growth {
+            Growth::ByOne => is_next || (goes_on && self.doubted == Some(number)),
+            Growth::Unknown if goes_on => is_next || !source.grows_by_one(number),
+            Growth::Unknown => is_next && !source.is_uneven,
+            Growth::Uneven => goes_on,
+        };
+        match is_joined {
+            true => Ok(()),
+            false if source.has_repeats && self.growth != Growth::ByOne => {
+                Err(Objection::Restarted)
+            }
+            false => Err(Objection::Gap(number)),
+        }
+    }
+
+    /// Records how the number of an event grew from the last one, which is of the same answer.
+    fn record_step(&mut self, number: u64) {
+        let is_by_one = self.last.and_then(|last| last.checked_add(1)) == Some(number);
+        self.growth = match (self.growth, is_by_one) {
+            (Growth::Unknown | Growth::ByOne, true) => Growth::ByOne,
+            (Growth::Uneven, _) | (_, false) => Growth::Uneven,
+        };
+    }
+
+    /// Returns whether an answer has begun before the last event that the caller has, with events that
+    /// may be others.
+    fn is_restarted(&self, source: &Source) -> bool {
+        source.begins_before
+            && match self.growth {
+                Growth::ByOne => false,
+                Growth::Unknown => source.is_uneven,
+                Growth::Uneven => true,
+            }
+    }
+
     /// Checks whether the end of an answer is the end of the stream.
     ///
     /// An answer that is not known to continue the stream ends it only if its events end with the last
@@ -282,6 +425,7 @@
             return Err(Objection::Untold);
         }
         match source.last {
+            Some(_) if self.is_restarted(source) => Err(Objection::Restarted),
             Some(_) if source.last == self.last => Ok(()),
             Some(_) => Err(Objection::Short),
             None if source.is_empty_stream(framing) => Ok(()),
