--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -139,6 +139,12 @@
     check_play("pauses-all", 2);
 }
 
+/// Guards against the same at nodes that pass connections on for others, and at those that use them.
+#[test]
+fn server_that_asks_for_a_pause_through_another_node_gets_no_requests() {
+    check_play("pauses-cut", 1);
+}
+
 /// Guards against nodes that keep the answers of many servers, each without an end, until they are out
 /// of memory.
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -37,10 +37,13 @@
 use crate::event::{Event, Splitter, TooLarge};
 use crate::exposure::Exposure;
 use crate::header;
+use crate::limits::server_id;
 use crate::memory::{Charge, Held, ReadError};
 use crate::node::Node;
+use crate::pauses::Origin;
 use crate::poison::Trial;
 use crate::targets::{Key, Reservation};
+use crate::tunnel::{Purpose, Unopened};
 
 /// Time for which a target that was full gets new requests only if no other can take them; some of
 /// its requests end within that time.
@@ -76,7 +79,7 @@
 
 /// How far an attempt has come.
 enum Phase {
-    Connecting(LocalBoxFuture<'static, Result<Connection, connection::Fault>>),
+    Connecting(LocalBoxFuture<'static, Result<Connection, ExchangeFailure>>),
     Sending(LocalBoxFuture<'static, (Connection, Result<Response<Incoming>, connection::Fault>)>),
     Streaming(Box<Stream>),
     Collecting(LocalBoxFuture<'static, Result<(Connection, Held), ReadError>>),
@@ -125,8 +128,10 @@
     plan: Plan,
     pub(crate) target: Rc<Target>,
     pub(crate) is_new_connection: bool,
-    /// Way to the server, once there is a connection.
+    /// Way of the answer, once there is a connection.
     link: Link,
+    /// Machine that the server sees, once there is a connection.
+    way: Way,
     pub(crate) exposure: Exposure,
     /// The answer beside what the caller has.
     pub(crate) source: Source,
@@ -180,6 +185,7 @@
             target,
             is_new_connection: true,
             link: Link::Direct,
+            way: Way::Direct,
             exposure: Exposure::default(),
             source: plan.source,
             trial,
@@ -279,8 +285,7 @@
             match &mut self.phase {
                 Phase::Connecting(connecting) => {
                     let connection = ready!(connecting.as_mut().poll(cx));
-                    let connection = connection.map_err(connection_failure)?;
-                    self.phase = self.send(connection)?;
+                    self.phase = self.send(connection?)?;
                 }
                 Phase::Sending(sending) => {
                     let (connection, answer) = ready!(sending.as_mut().poll(cx));
@@ -366,6 +371,7 @@
     fn send(&mut self, mut connection: Connection) -> Result<Phase, ExchangeFailure> {
         self.is_new_connection = !connection.is_used();
         self.link = ending::link(&connection);
+        self.way = way(&connection);
         let sent = self.node.now();
         let left = self.call.caller_deadline.since(sent);
         if left == Millis(0) || sent >= self.call.due(&self.node) {
@@ -377,7 +383,8 @@
             ));
         }
         // The pause may have been asked for while the connection was opened.
-        if self.node.pause_left(&self.target, Way::Direct).is_some() {
+        let server = server_id(&self.target);
+        if self.node.pause_left_by(server, self.way).is_some() {
             let detail = "the server asked for a pause before the request was sent";
             let max_idle = self.node.max_idle_connections(&self.call.service);
             self.node.pool.put(connection, &HeaderMap::new(), max_idle);
@@ -674,8 +681,9 @@
             Named::Other => false,
         };
         if is_own {
-            self.node
-                .record_pause(&self.target, Way::Direct, pause, &self.call.head.id);
+            let origin = Origin::from(&*self.target);
+            let request = Some(&*self.call.head.id);
+            self.node.record_pause(origin, self.way, pause, request);
         }
     }
 
@@ -699,24 +707,46 @@
     ///
     /// # Errors
     ///
-    /// Returns [`connection::Fault::NotSent`] if there is none in time.
+    /// Returns a failure that has reached no server if there is none in time, or if the server wants no
+    /// requests of the nodes that reach it.
     async fn connect(
         &self,
         target: &Target,
         needs_new: bool,
-    ) -> Result<Connection, connection::Fault> {
+    ) -> Result<Connection, ExchangeFailure> {
         let address = target.address;
         while let Some(connection) = (!needs_new).then(|| self.pool.take_idle(address)).flatten() {
             // Old connections live on in some cuts, and are used then.
             let is_lost = self.reach.borrow().is_cut_entirely(self.now());
-            if connection.relay().is_some() || !is_lost {
+            let way = way(&connection);
+            let is_paused = self.pause_left_by(server_id(target), way).is_some();
+            if !is_paused && (way != Way::Direct || !is_lost) {
                 return Ok(connection);
             }
         }
         if self.reach.borrow().is_cut() && !self.relays().is_empty() {
-            return self.open_tunnel(target).await;
+            let opened = self.open_tunnel(target, Purpose::Request).await;
+            return opened.map_err(ExchangeFailure::from);
+        }
+        self.pool.open(address).await.map_err(connection_failure)
+    }
+}
+
+/// Returns the machine that the server sees at the other end of a connection.
+fn way(connection: &Connection) -> Way {
+    let through = connection.via().map(|via| Way::Through(via.machine));
+    through.unwrap_or(Way::Direct)
+}
+
+impl From<Unopened> for ExchangeFailure {
+    fn from(unopened: Unopened) -> Self {
+        match unopened {
+            Unopened::Paused => {
+                let detail = "the server asked the nodes that reach it for a pause";
+                ExchangeFailure::new(Fault::Paused, Step::Connecting, detail)
+            }
+            Unopened::Fault(fault) => connection_failure(fault),
         }
-        self.pool.open(address).await
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 use jackdaw_policy::balance::{self, Load};
 use jackdaw_policy::continuation::Position;
 use jackdaw_policy::fleet::Target;
-use jackdaw_policy::pause::{self, Way};
+use jackdaw_policy::pause;
 use jackdaw_policy::poison::{self, Admission, Crash, Suspicion};
 use jackdaw_policy::reach;
 use jackdaw_policy::retry::{self, Budget, Cause, ExchangeFailure, Failure, Fault, Verdict};
@@ -567,7 +567,7 @@
 
     /// Returns whether a target's server is outside evacuated zones and has asked for no pause.
     fn wants_requests(&self, target: &Target) -> bool {
-        !self.is_evacuated(target) && self.node.pause_left(target, Way::Direct).is_none()
+        !self.is_evacuated(target) && self.node.pause_left(target).is_none()
     }
 
     /// Returns the refusal of a request if all servers that could serve it are in evacuated zones.
@@ -589,7 +589,7 @@
         let serving = self.serving(&targets).map(|candidate| &candidate.target);
         let pauses: Option<Vec<Millis>> = serving
             .filter(|target| !self.is_evacuated(target))
-            .map(|target| self.node.pause_left(target, Way::Direct))
+            .map(|target| self.node.pause_left(target))
             .collect();
         let shortest = pauses?.into_iter().min()?;
         let retry_after = pause::retry_after(shortest, fastrand::f64());
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -6,7 +6,7 @@
 use hyper::body::Body;
 use jackdaw_core::protocol::{Forwarding, is_final_status};
 use jackdaw_core::units::Millis;
-use jackdaw_link::connection::{Connection, Fault, Relay};
+use jackdaw_link::connection::{self, Connection, Fault, Relay};
 use jackdaw_policy::ending::{self, Doubt, Ending, Framing, Link};
 use jackdaw_policy::fleet::Target;
 use opentelemetry::KeyValue;
@@ -14,6 +14,7 @@
 use tokio::time;
 
 use crate::node::Node;
+use crate::tunnel::Purpose;
 
 /// Longest time for the answer of a server that is asked whether it runs.
 const ANSWER_TIMEOUT: Millis = Millis(400);
@@ -76,7 +77,7 @@
 
 /// Returns the way of a connection's bytes.
 pub(crate) fn link(connection: &Connection) -> Link {
-    match connection.relay() {
+    match connection.via().map(|via| via.relay) {
         None => Link::Direct,
         Some(Relay::Plain) => Link::Relayed,
         Some(Relay::Marked) => Link::Marked,
@@ -129,7 +130,10 @@
     async fn ask(&self, target: &Target, link: Link) -> Result<StatusCode, Fault> {
         let mut connection = match link {
             Link::Direct => self.pool.open(target.address).await?,
-            Link::Relayed | Link::Marked => self.open_tunnel(target).await?,
+            Link::Relayed | Link::Marked => {
+                let opened = self.open_tunnel(target, Purpose::Question).await;
+                opened.map_err(connection::Fault::from)?
+            }
         };
         let mut request = Request::get("/")
             .header(HOST, target.address.to_string())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod marked;
 mod memory;
 mod oddities;
+mod passage;
 mod pauses;
 mod peers;
 mod poison;
--- a/crates/gateway/src/marked.rs
+++ b/crates/gateway/src/marked.rs
@@ -23,12 +23,12 @@
 pub(crate) async fn copy(
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
-    mut record: impl FnMut(),
+    mut record: impl FnMut(&[u8]),
 ) -> io::Result<()> {
     let mut block = vec![0; LENGTH + MAX_BLOCK];
     loop {
         let count = from.read(&mut block[LENGTH..]).await?;
-        record();
+        record(&block[LENGTH..LENGTH + count]);
         let length = u16::try_from(count).map_err(io::Error::other)?;
         block[..LENGTH].copy_from_slice(&length.to_be_bytes());
         to.write_all(&block[..LENGTH + count]).await?;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -4,25 +4,31 @@
 //! request itself stays with the node that has taken it: attempts, retries, limits, deadlines and what
 //! its caller is told are the same as over a direct connection, and a tunnel cannot lead to another
 //! tunnel.
+//!
+//! The server takes the node that passes the bytes on for the sender. So that node reads which pauses the
+//! server asks for, and opens no connection for requests to a server that wants none from it.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use compact_str::CompactString;
+use jackdaw_core::protocol::Pause;
 use jackdaw_core::units::Millis;
-use jackdaw_link::connection::{self, Connection, Relay};
+use jackdaw_link::connection::{self, Connection, Relay, Via};
 use jackdaw_policy::fleet::Target;
+use jackdaw_policy::pause::Way;
+use jackdaw_policy::throttle::ServerId;
 use slog::{info, warn};
-use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
+use crate::limits::server_id;
 use crate::marked;
 use crate::node::Node;
+use crate::passage::Passage;
+use crate::pauses::Origin;
 
 /// Time to connect to another node and to get its answer.
 const OPEN_TIMEOUT: Millis = Millis(600);
@@ -36,27 +42,101 @@
 const MAX_TUNNELS: u32 = 400;
 /// Number of nodes that are tried for one connection.
 const MAX_RELAYS: usize = 2;
-/// Time without bytes after an answer from which a stopping node closes a connection.
-const IDLE_TIME: Millis = Millis(1_000);
-/// Interval at which a stopping node looks for idle connections.
-const STOP_POLL: Millis = Millis(100);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Millis = Millis(10);
-/// Size of the buffer for bytes that are passed on.
-const BUFFER: usize = 16 << 10;
 
 /// Answers to a node that asks for a connection to a server.
 const CONNECTED: u8 = b'C';
 const UNREACHABLE: u8 = b'U';
 const UNAVAILABLE: u8 = b'N';
+/// Followed by the milliseconds that are left of the pause, in four bytes.
+const PAUSED: u8 = b'P';
 /// Suffix of a server's name with which a node asks for a mark at the server's end of the connection.
 const MARKED_SUFFIX: &str = "\t";
+/// Suffix with which a node asks for a marked connection over which it sends no caller's request.
+const QUESTION_SUFFIX: &str = "\t?";
+
+/// What a connection through another node is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Callers' requests, which a server may not want for a time.
+    Request,
+    /// A question whether the server runs, which is asked in a pause as well.
+    Question,
+}
+
+/// How a node asks another one for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Terms {
+    relay: Relay,
+    purpose: Purpose,
+}
+
+impl Terms {
+    fn suffix(self) -> &'static str {
+        match (self.relay, self.purpose) {
+            (Relay::Plain, _) => "",
+            (Relay::Marked, Purpose::Request) => MARKED_SUFFIX,
+            (Relay::Marked, Purpose::Question) => QUESTION_SUFFIX,
+        }
+    }
+
+    /// Splits what another node has sent into a server's name and terms.
+    fn parse(line: &str) -> (&str, Terms) {
+        let with = |relay, purpose| Terms { relay, purpose };
+        if let Some(name) = line.strip_suffix(QUESTION_SUFFIX) {
+            return (name, with(Relay::Marked, Purpose::Question));
+        }
+        match line.strip_suffix(MARKED_SUFFIX) {
+            Some(name) => (name, with(Relay::Marked, Purpose::Request)),
+            None => (line, with(Relay::Plain, Purpose::Request)),
+        }
+    }
+
+    /// Returns the terms on which a node of an older build may open a connection that knows no server by
+    /// the name with its suffix.
+    fn older(self) -> Option<Terms> {
+        match (self.relay, self.purpose) {
+            (Relay::Plain, _) => None,
+            (Relay::Marked, Purpose::Question) => Some(Terms {
+                relay: Relay::Marked,
+                purpose: Purpose::Request,
+            }),
+            (Relay::Marked, Purpose::Request) => Some(Terms {
+                relay: Relay::Plain,
+                purpose: Purpose::Request,
+            }),
+        }
+    }
+}
+
+/// Why no node has opened a connection to a server.
+#[derive(Clone, Debug)]
+pub(crate) enum Unopened {
+    /// The server wants no requests from the machines of those that were asked.
+    Paused,
+    /// None could.
+    Fault(connection::Fault),
+}
+
+impl From<Unopened> for connection::Fault {
+    fn from(unopened: Unopened) -> Self {
+        match unopened {
+            Unopened::Paused => {
+                connection::Fault::NotSent("the server asked for a pause".to_owned())
+            }
+            Unopened::Fault(fault) => fault,
+        }
+    }
+}
 
 /// Why another node opened no connection to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Denial {
     /// It does not reach the server either.
     Unreachable,
+    /// The server wants no requests from it for a time.
+    Paused(Millis),
     /// It relays no connection now, or knows no such server.
     Unknown,
     /// It did not answer.
@@ -84,37 +164,61 @@
     ///
     /// # Errors
     ///
-    /// Returns [`connection::Fault::NotSent`] if no other node opens one.
+    /// Returns the reason if no other node opens one.
     pub(crate) async fn open_tunnel(
         &self,
         target: &Target,
-    ) -> Result<Connection, connection::Fault> {
-        let mut detail = "no other node reaches servers".to_owned();
-        for node in self.relays() {
-            match open(node, &target.server).await {
+        purpose: Purpose,
+    ) -> Result<Connection, Unopened> {
+        let mut unopened = Unopened::Fault(not_sent("no other node reaches servers"));
+        for node in self.relays_to(target, purpose) {
+            let way = Way::Through(node.ip());
+            match open(node, &target.server, purpose).await {
                 Ok((stream, relay)) => {
                     self.counters_of_reach.opened.add(1, &[]);
-                    connection::set_up(&stream)
-                        .map_err(|error| connection::Fault::NotSent(format!("connect: {error}")))?;
-                    return match relay {
-                        Relay::Plain => Connection::over(stream, target.address, relay).await,
-                        Relay::Marked => {
-                            let stream = marked::Stream::new(stream);
-                            Connection::over(stream, target.address, relay).await
-                        }
+                    let via = Via {
+                        machine: node.ip(),
+                        relay,
                     };
+                    return connect_over(stream, target.address, via)
+                        .await
+                        .map_err(Unopened::Fault);
+                }
+                Err(Denial::Paused(left)) => {
+                    self.record_pause(Origin::from(target), way, Pause::For(left), None);
+                    unopened = Unopened::Paused;
+                }
+                Err(denial) => {
+                    let detail = format!("{node} opened no connection: {denial:?}");
+                    unopened = Unopened::Fault(not_sent(detail));
                 }
-                Err(denial) => detail = format!("{node} opened no connection: {denial:?}"),
             }
         }
-        Err(connection::Fault::NotSent(detail))
+        Err(unopened)
+    }
+
+    /// Returns the nodes that are asked for a connection to a target's server, the best first.
+    fn relays_to(&self, target: &Target, purpose: Purpose) -> Vec<SocketAddr> {
+        let server = server_id(target);
+        let mut relays = self.all_relays();
+        if purpose == Purpose::Request {
+            relays.retain(|relay| {
+                let way = Way::Through(relay.ip());
+                self.pause_left_by(server, way).is_none()
+            });
+        }
+        relays.truncate(MAX_RELAYS);
+        relays
+    }
+
+    fn all_relays(&self) -> Vec<SocketAddr> {
+        let reach = self.reach.borrow();
+        reach.relays(&self.options.zone, self.now(), &mut fastrand::Rng::new())
     }
 
     /// Returns the nodes through which servers may be reached, the best first.
     pub(crate) fn relays(&self) -> Vec<SocketAddr> {
-        let reach = self.reach.borrow();
-        let mut random = fastrand::Rng::new();
-        let mut relays = reach.relays(&self.options.zone, self.now(), &mut random);
+        let mut relays = self.all_relays();
         relays.truncate(MAX_RELAYS);
         relays
     }
@@ -146,49 +250,74 @@
     /// Returns whether a server can be reached by another node; none if no other node tells.
     async fn is_reached_by_others(&self, server: &str) -> Option<bool> {
         for relay in self.relays() {
-            match request(relay, server, Relay::Plain).await {
+            match open(relay, server, Purpose::Question).await {
                 Ok(_) => return Some(true),
                 Err(Denial::Unreachable) => return Some(false),
-                Err(Denial::Unknown | Denial::Unavailable) => {}
+                Err(Denial::Paused(_) | Denial::Unknown | Denial::Unavailable) => {}
             }
         }
         None
     }
 }
 
+fn not_sent(detail: impl Into<String>) -> connection::Fault {
+    connection::Fault::NotSent(detail.into())
+}
+
+/// Takes a stream on which another node begins to pass bytes on.
+async fn connect_over(
+    stream: TcpStream,
+    server: SocketAddr,
+    via: Via,
+) -> Result<Connection, connection::Fault> {
+    connection::set_up(&stream).map_err(|error| not_sent(format!("connect: {error}")))?;
+    match via.relay {
+        Relay::Plain => Connection::over(stream, server, via).await,
+        Relay::Marked => Connection::over(marked::Stream::new(stream), server, via).await,
+    }
+}
+
 /// Asks a node to connect this one to a server, with a mark at the server's end of the connection
 /// unless the node is of an older build.
-async fn open(node: SocketAddr, server: &str) -> Result<(TcpStream, Relay), Denial> {
-    match request(node, server, Relay::Marked).await {
-        Ok(stream) => Ok((stream, Relay::Marked)),
-        // An older build knows no server by the name with its suffix.
-        Err(Denial::Unknown) => {
-            let stream = request(node, server, Relay::Plain).await?;
-            Ok((stream, Relay::Plain))
-        }
-        Err(denial) => Err(denial),
+async fn open(
+    node: SocketAddr,
+    server: &str,
+    purpose: Purpose,
+) -> Result<(TcpStream, Relay), Denial> {
+    let mut terms = Terms {
+        relay: Relay::Marked,
+        purpose,
+    };
+    loop {
+        let denial = match request(node, server, terms).await {
+            Ok(stream) => return Ok((stream, terms.relay)),
+            Err(denial) => denial,
+        };
+        terms = match terms.older() {
+            Some(older) if denial == Denial::Unknown => older,
+            Some(_) | None => return Err(denial),
+        };
     }
 }
 
 /// Asks a node to connect this one to a server.
-async fn request(node: SocketAddr, server: &str, relay: Relay) -> Result<TcpStream, Denial> {
-    let suffix = match relay {
-        Relay::Plain => "",
-        Relay::Marked => MARKED_SUFFIX,
-    };
+async fn request(node: SocketAddr, server: &str, terms: Terms) -> Result<TcpStream, Denial> {
     let open = async {
         let mut stream = TcpStream::connect(node).await?;
         stream.set_nodelay(true)?;
-        let name = format!("{server}{suffix}\n");
+        let name = format!("{server}{}\n", terms.suffix());
         stream.write_all(name.as_bytes()).await?;
-        let answer = stream.read_u8().await?;
-        Ok::<_, io::Error>((stream, answer))
+        Ok::<_, io::Error>(match stream.read_u8().await? {
+            CONNECTED => Ok(stream),
+            UNREACHABLE => Err(Denial::Unreachable),
+            UNAVAILABLE => Err(Denial::Unknown),
+            PAUSED => Err(Denial::Paused(Millis(stream.read_u32().await?.into()))),
+            _ => Err(Denial::Unavailable),
+        })
     };
     match time::timeout(OPEN_TIMEOUT.duration(), open).await {
-        Ok(Ok((stream, CONNECTED))) => Ok(stream),
-        Ok(Ok((_, UNREACHABLE))) => Err(Denial::Unreachable),
-        Ok(Ok((_, UNAVAILABLE))) => Err(Denial::Unknown),
-        Ok(Ok(_) | Err(_)) | Err(_) => Err(Denial::Unavailable),
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) | Err(_) => Err(Denial::Unavailable),
     }
 }
 
@@ -212,27 +341,27 @@
 /// Connects another node to the server that it names.
 async fn serve(node: &Rc<Node>, mut stream: TcpStream) {
     let named = time::timeout(NAME_TIMEOUT.duration(), read_name(&mut stream)).await;
-    let Ok(Ok(name)) = named else {
+    let Ok(Ok(line)) = named else {
         return;
     };
-    let (name, relay) = match name.strip_suffix(MARKED_SUFFIX) {
-        Some(name) => (name, Relay::Marked),
-        None => (name.as_str(), Relay::Plain),
-    };
+    let (name, terms) = Terms::parse(&line);
     // Only registered servers outside evacuated zones are connected, and none for a node that is about to
     // end.
-    let address = node
+    let found = node
         .fleet
         .borrow()
         .server(name)
         .filter(|server| !node.evacuations.is_evacuated(&server.zone))
-        .map(|server| server.address);
+        .map(|server| (server.address, ServerId::new(name, server.start_unix_ms)));
     let is_taking = !node.is_stopping() && node.tunnels.get() < MAX_TUNNELS;
-    let Some(address) = address.filter(|_| is_taking) else {
+    let Some((address, id)) = found.filter(|_| is_taking) else {
         // The other node may have left.
         let _ = stream.write_u8(UNAVAILABLE).await;
         return;
     };
+    if is_denied_in_pause(node, id, terms.purpose, &mut stream).await {
+        return;
+    }
     let guard = Guard::new(node);
     let connecting = TcpStream::connect(address);
     let server = match time::timeout(CONNECT_TIMEOUT.duration(), connecting).await {
@@ -242,14 +371,42 @@
             return;
         }
     };
+    // The pause may have begun meanwhile.
+    if is_denied_in_pause(node, id, terms.purpose, &mut stream).await {
+        return;
+    }
     let is_set_up = connection::set_up(&server).and_then(|()| connection::set_up(&stream));
     if is_set_up.is_err() || stream.write_u8(CONNECTED).await.is_err() {
         return;
     }
-    pass_on(node, stream, server, relay).await;
+    let origin = Origin { id, server: name };
+    let passage = Passage::new(node, origin, terms.purpose);
+    passage.pass_on(stream, server, terms.relay).await;
     drop(guard);
 }
 
+/// Tells another node that a server wants no requests from this one's machine; returns false if it does,
+/// or gets none.
+async fn is_denied_in_pause(
+    node: &Node,
+    server: ServerId,
+    purpose: Purpose,
+    stream: &mut TcpStream,
+) -> bool {
+    let left = match purpose {
+        Purpose::Request => node.pause_left_by(server, Way::Direct),
+        Purpose::Question => None,
+    };
+    let Some(left) = left else {
+        return false;
+    };
+    let millis = u32::try_from(left.0).unwrap_or(u32::MAX).to_be_bytes();
+    let answer = [PAUSED, millis[0], millis[1], millis[2], millis[3]];
+    // The other node may have left.
+    let _ = stream.write_all(&answer).await;
+    true
+}
+
 async fn read_name(stream: &mut TcpStream) -> io::Result<CompactString> {
     let mut name = Vec::new();
     loop {
@@ -262,68 +419,6 @@
     CompactString::from_utf8(name).map_err(|_| io::ErrorKind::InvalidData.into())
 }
 
-/// Passes bytes on until either side ends, or the node stops and no request is under way.
-async fn pass_on(node: &Node, mut peer: TcpStream, mut server: TcpStream, relay: Relay) {
-    let is_answered = Cell::new(true);
-    let active_at = Cell::new(node.now());
-    let result = {
-        let (mut from_peer, mut to_peer) = peer.split();
-        let (mut from_server, mut to_server) = server.split();
-        let requests = copy(&mut from_peer, &mut to_server, || {
-            is_answered.set(false);
-            active_at.set(node.now());
-        });
-        let record_answer = || {
-            is_answered.set(true);
-            active_at.set(node.now());
-        };
-        let answers = async {
-            match relay {
-                Relay::Plain => copy(&mut from_server, &mut to_peer, record_answer).await,
-                Relay::Marked => marked::copy(&mut from_server, &mut to_peer, record_answer).await,
-            }
-        };
-        let idle = async {
-            node.stop.wait().await;
-            loop {
-                time::sleep(STOP_POLL.duration()).await;
-                let since = node.now().since(active_at.get());
-                if is_answered.get() && since >= IDLE_TIME {
-                    return;
-                }
-            }
-        };
-        tokio::select! {
-            result = requests => result,
-            result = answers => result,
-            () = idle => Ok(()),
-        }
-    };
-    if result.is_err() {
-        // A reset is passed on as one, so that an answer without a length does not look complete.
-        for stream in [&peer, &server] {
-            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-        }
-    }
-}
-
-/// Copies bytes to the end of a stream.
-async fn copy(
-    from: &mut (impl tokio::io::AsyncRead + Unpin),
-    to: &mut (impl tokio::io::AsyncWrite + Unpin),
-    mut record: impl FnMut(),
-) -> io::Result<()> {
-    let mut buffer = vec![0; BUFFER];
-    loop {
-        let count = from.read(&mut buffer).await?;
-        if count == 0 {
-            return Ok(());
-        }
-        record();
-        to.write_all(&buffer[..count]).await?;
-    }
-}
-
 /// Time between two probes of the servers while none is reached.
 const PROBE_INTERVAL: Millis = Millis(500);
 
--- a/crates/gateway/tests/node/main.rs
+++ b/crates/gateway/tests/node/main.rs
@@ -23,6 +23,7 @@
 mod poison;
 mod refusal;
 mod relay;
+mod relayed;
 mod remote;
 mod report;
 mod restore;
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -80,12 +80,21 @@
     Marked,
 }
 
+/// Another node that passes the bytes of a connection on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Via {
+    /// Machine of the node, which the peer takes for the other end.
+    pub machine: IpAddr,
+    /// How the node passes the bytes on.
+    pub relay: Relay,
+}
+
 /// An open connection to a peer.
 pub struct Connection {
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     exchanges: u32,
-    relay: Option<Relay>,
+    via: Option<Via>,
     allowance: Allowance,
     idle_until: Instant,
 }
@@ -130,15 +139,15 @@
     pub async fn over(
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         peer: SocketAddr,
-        relay: Relay,
+        via: Via,
     ) -> Result<Connection, Fault> {
-        Connection::handshake(stream, peer, Some(relay)).await
+        Connection::handshake(stream, peer, Some(via)).await
     }
 
     async fn handshake(
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         peer: SocketAddr,
-        relay: Option<Relay>,
+        via: Option<Via>,
     ) -> Result<Connection, Fault> {
         let not_sent = |error: &dyn fmt::Display| Fault::NotSent(format!("connect: {error}"));
         let allowance = Allowance::default();
@@ -154,7 +163,7 @@
             peer,
             sender,
             exchanges: 0,
-            relay,
+            via,
             allowance,
             idle_until: Instant::now(),
         })
@@ -166,10 +175,10 @@
         self.peer
     }
 
-    /// Returns how another node passes the bytes on; none for a direct connection.
+    /// Returns the other node that passes the bytes on; none for a direct connection.
     #[must_use]
-    pub fn relay(&self) -> Option<Relay> {
-        self.relay
+    pub fn via(&self) -> Option<Via> {
+        self.via
     }
 
     /// Returns whether the connection has carried an exchange.
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -5,7 +5,7 @@
 //! the servers that failed it since one last answered, and asks the others what they reach.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use compact_str::CompactString;
 use fastrand::Rng;
@@ -209,13 +209,21 @@
     /// Returns the addresses at which other nodes relay connections, the best first: those that reach
     /// servers, and of the own availability zone.
     pub fn relays(&self, zone: &str, now: Instant, random: &mut Rng) -> Vec<SocketAddr> {
-        let mut peers: Vec<&Peer> = self
-            .peers
-            .values()
-            .filter(|peer| peer.reach != Reach::Cut && now.since(peer.heard_at) < PEER_LIFETIME)
-            .collect();
+        let mut peers: Vec<&Peer> = self.usable_peers(now).collect();
         random.shuffle(&mut peers);
         peers.sort_by_key(|peer| (peer.reach != Reach::Reaching, peer.zone != zone));
         peers.into_iter().map(|peer| peer.relay).collect()
     }
+
+    /// Returns the machines of the nodes that relay connections.
+    pub fn relay_machines(&self, now: Instant) -> impl Iterator<Item = IpAddr> {
+        self.usable_peers(now).map(|peer| peer.relay.ip())
+    }
+
+    fn usable_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| {
+            peer.reach != Reach::Cut && now.since(peer.heard_at) < PEER_LIFETIME
+        })
+    }
 }
