--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 //! which ends the work at the server.
 
 use std::fmt;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -491,6 +492,14 @@
         })
     }
 
+    /// Returns the machine through which a new connection was opened; none if another one was used.
+    pub(crate) fn new_relay(&self) -> Option<IpAddr> {
+        match self.way {
+            Way::Through(machine) if self.is_new_connection => Some(machine),
+            Way::Through(_) | Way::Direct => None,
+        }
+    }
+
     /// Returns the kind of the connection.
     pub(crate) fn connection(&self) -> retry::Connection {
         match self.is_new_connection {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -220,6 +220,12 @@
             | Fault::Withdrawn => return,
         };
         let Some(link) = attempt.direct_link() else {
+            // A connection that ends before its first request may be the other node's doing.
+            if fault == Fault::Unreachable
+                && let Some(machine) = attempt.new_relay()
+            {
+                self.node.record_relay_failure(machine);
+            }
             return;
         };
         let server = &attempt.target.server;
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -9,7 +9,7 @@
 //! server asks for, and opens no connection for requests to a server that wants none from it.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -189,6 +189,9 @@
                     unopened = Unopened::Paused;
                 }
                 Err(denial) => {
+                    if denial == Denial::Unavailable {
+                        self.record_relay_failure(node.ip());
+                    }
                     let detail = format!("{node} opened no connection: {denial:?}");
                     unopened = Unopened::Fault(not_sent(detail));
                 }
@@ -211,6 +214,12 @@
         relays
     }
 
+    /// Asks other nodes first for a time, as one gave no usable connection.
+    pub(crate) fn record_relay_failure(&self, machine: IpAddr) {
+        let now = self.now();
+        self.reach.borrow_mut().record_relay_failure(machine, now);
+    }
+
     fn all_relays(&self) -> Vec<SocketAddr> {
         let reach = self.reach.borrow();
         reach.relays(&self.options.zone, self.now(), &mut fastrand::Rng::new())
--- a/crates/gateway/tests/node/relayed.rs
+++ b/crates/gateway/tests/node/relayed.rs
@@ -276,7 +276,7 @@
         let socket =
             UdpSocket::bind(SocketAddr::from(([127, 0, 0, machine], 0))).expect("a port is free");
         let statement = Statement {
-            node: "teller".to_owned(),
+            node: format!("teller-{machine}"),
             reach: 1,
             relay_port: port.into(),
         };
@@ -305,6 +305,7 @@
 #[case("a pause whose end is cut", b"P\0\0")]
 #[case("a pause of no length", b"P\0\0\0\0")]
 #[case("a pause of weeks", b"P\xff\xff\xff\xff")]
+#[case("a connection that ends", b"C")]
 #[case("an unknown answer", b"X")]
 #[case("many bytes", &[b'P'; 100])]
 #[case("nothing", b"")]
@@ -326,3 +327,32 @@
     }
     site.stop();
 }
+
+// Guards against nodes that give no usable connections and are asked first all the same, before the one that
+// does.
+#[test]
+fn several_nodes_that_tell_nonsense_are_left() {
+    let mut site = Site::start(0);
+    let answers: [&'static [u8]; 3] = [b"X", b"C", b""];
+    let tellers: Vec<Teller> = (0..)
+        .zip(answers)
+        .map(|(number, answer)| Teller::start(CUT + 9 + number, site.peers, answer))
+        .collect();
+    let start = Instant::now();
+    while !tellers
+        .iter()
+        .all(|teller| teller.asked.load(Ordering::SeqCst))
+    {
+        assert!(!is_answered(&site.cut, "/safe/x"));
+        assert!(start.elapsed() < TIMEOUT, "the nodes are not asked");
+    }
+    site.add_relay(CUT + 1);
+    site.servers.set_scripts(&[FREE; 100]);
+    let start = Instant::now();
+    let mut answered = 0;
+    while answered < 5 {
+        answered += usize::from(is_answered(&site.cut, "/safe/x"));
+        assert!(start.elapsed() < TIMEOUT, "requests fail");
+    }
+    site.stop();
+}
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -23,6 +23,9 @@
 /// Time for which the statement of another node counts; in a large fleet each node hears of another
 /// every few seconds.
 const PEER_LIFETIME: Millis = Millis::from_secs(5);
+/// Time for which a node that opened no usable connection is asked after the others; a node that stops or
+/// starts is back, or known to be gone, by then.
+const RELAY_FAILURE_LIFETIME: Millis = Millis::from_secs(2);
 /// Time after an answer for which a node says that it reaches servers.
 const ANSWER_LIFETIME: Millis = Millis(1_500);
 
@@ -108,6 +111,8 @@
     /// Whether no server is reached, until a probe is answered.
     is_cut: bool,
     peers: HashMap<CompactString, Peer>,
+    /// Machines whose nodes opened no usable connection, with the times of that.
+    failed_relays: HashMap<IpAddr, Instant>,
 }
 
 impl Tracker {
@@ -206,12 +211,28 @@
             .retain(|_, peer| now.since(peer.heard_at) < PEER_LIFETIME);
     }
 
-    /// Returns the addresses at which other nodes relay connections, the best first: those that reach
-    /// servers, and of the own availability zone.
+    /// Records that a node gave no usable connection to a server.
+    pub fn record_relay_failure(&mut self, machine: IpAddr, now: Instant) {
+        self.failed_relays
+            .retain(|_, at| now.since(*at) < RELAY_FAILURE_LIFETIME);
+        self.failed_relays.insert(machine, now);
+    }
+
+    fn has_relay_failed(&self, machine: IpAddr, now: Instant) -> bool {
+        let failed_at = self.failed_relays.get(&machine);
+        failed_at.is_some_and(|at| now.since(*at) < RELAY_FAILURE_LIFETIME)
+    }
+
+    /// Returns the addresses at which other nodes relay connections, the best first: those that have not
+    /// failed, that reach servers, and of the own availability zone.
     pub fn relays(&self, zone: &str, now: Instant, random: &mut Rng) -> Vec<SocketAddr> {
         let mut peers: Vec<&Peer> = self.usable_peers(now).collect();
         random.shuffle(&mut peers);
-        peers.sort_by_key(|peer| (peer.reach != Reach::Reaching, peer.zone != zone));
+        peers.sort_by_key(|peer| {
+            let has_failed = self.has_relay_failed(peer.relay.ip(), now);
+            let is_reaching = peer.reach == Reach::Reaching;
+            (has_failed, !is_reaching, peer.zone != zone)
+        });
         peers.into_iter().map(|peer| peer.relay).collect()
     }
 
--- a/crates/policy/tests/reach.rs
+++ b/crates/policy/tests/reach.rs
@@ -68,3 +68,18 @@
     assert_eq!(relays, [relay(4), relay(3), relay(2)]);
     assert!(tracker.relays("a", Instant(9_000), &mut random).is_empty());
 }
+
+// Guards against a node that gives no usable connections and is asked first all the same.
+#[test]
+fn relays_that_have_failed_go_last_for_a_time() {
+    let mut tracker = Tracker::default();
+    let now = Instant(1_000);
+    tracker.record_peer("far", "b", Reach::Unknown, relay(3), now);
+    tracker.record_peer("near", "a", Reach::Reaching, relay(4), now);
+    tracker.record_relay_failure(relay(4).ip(), now);
+    let mut random = fastrand::Rng::with_seed(1);
+    let relays = tracker.relays("a", Instant(2_900), &mut random);
+    assert_eq!(relays, [relay(3), relay(4)]);
+    let relays = tracker.relays("a", Instant(3_000), &mut random);
+    assert_eq!(relays, [relay(4), relay(3)]);
+}
