--- a/crates/gateway/tests/node/domain.rs
+++ b/crates/gateway/tests/node/domain.rs
@@ -85,7 +85,7 @@
     Refusing,
     /// It closes their connections.
     Closing,
-    /// It ends, until [`Domain::listen_again`].
+    /// It ends under a caller's request, until [`Domain::listen_again`].
     Ending,
     /// It sends bytes that are no answer.
     Garbled,
@@ -317,6 +317,10 @@
                 return self.write(&refusal);
             }
             Conduct::Closing => return None,
+            // A node that counts as cut off probes servers with requests of no caller, which no server runs.
+            Conduct::Ending if self.id.is_empty() => {
+                return self.write("HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n");
+            }
             Conduct::Ending => {
                 // Another request may have ended the server already.
                 let _ = self.member.socket.shutdown(Shutdown::Both);
