--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -51,10 +51,6 @@
 const UNAVAILABLE: u8 = b'N';
 /// Followed by the milliseconds that are left of the pause, in four bytes.
 const PAUSED: u8 = b'P';
-/// Suffix of a server's name with which a node asks for a mark at the server's end of the connection.
-const MARKED_SUFFIX: &str = "\t";
-/// Suffix with which a node asks for a marked connection over which it sends no caller's request.
-const QUESTION_SUFFIX: &str = "\t?";
 
 /// What a connection through another node is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,47 +61,64 @@
     Question,
 }
 
-/// How a node asks another one for a connection.
+/// Terms on which a node asks another one for a connection, from the oldest to the newest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Terms {
-    relay: Relay,
-    purpose: Purpose,
+enum Terms {
+    /// Bytes are passed on as they are.
+    Plain,
+    /// The server's end of the connection is marked.
+    Marked,
+    /// It is marked, and no caller's request is sent.
+    Question,
 }
 
 impl Terms {
-    fn suffix(self) -> &'static str {
-        match (self.relay, self.purpose) {
-            (Relay::Plain, _) => "",
-            (Relay::Marked, Purpose::Request) => MARKED_SUFFIX,
-            (Relay::Marked, Purpose::Question) => QUESTION_SUFFIX,
+    fn new(purpose: Purpose) -> Self {
+        match purpose {
+            Purpose::Request => Terms::Marked,
+            Purpose::Question => Terms::Question,
         }
     }
 
     /// Splits what another node has sent into a server's name and terms.
     fn parse(line: &str) -> (&str, Terms) {
-        let with = |relay, purpose| Terms { relay, purpose };
-        if let Some(name) = line.strip_suffix(QUESTION_SUFFIX) {
-            return (name, with(Relay::Marked, Purpose::Question));
+        for terms in [Terms::Question, Terms::Marked] {
+            if let Some(name) = line.strip_suffix(terms.suffix()) {
+                return (name, terms);
+            }
         }
-        match line.strip_suffix(MARKED_SUFFIX) {
-            Some(name) => (name, with(Relay::Marked, Purpose::Request)),
-            None => (line, with(Relay::Plain, Purpose::Request)),
+        (line, Terms::Plain)
+    }
+
+    /// Gets what follows the server's name.
+    fn suffix(self) -> &'static str {
+        match self {
+            Terms::Plain => "",
+            Terms::Marked => "\t",
+            Terms::Question => "\t?",
         }
     }
 
-    /// Returns the terms on which a node of an older build may open a connection that knows no server by
-    /// the name with its suffix.
+    /// Gets the terms for a node of an older build, which knows no server by a name with this suffix.
     fn older(self) -> Option<Terms> {
-        match (self.relay, self.purpose) {
-            (Relay::Plain, _) => None,
-            (Relay::Marked, Purpose::Question) => Some(Terms {
-                relay: Relay::Marked,
-                purpose: Purpose::Request,
-            }),
-            (Relay::Marked, Purpose::Request) => Some(Terms {
-                relay: Relay::Plain,
-                purpose: Purpose::Request,
-            }),
+        match self {
+            Terms::Plain => None,
+            Terms::Marked => Some(Terms::Plain),
+            Terms::Question => Some(Terms::Marked),
+        }
+    }
+
+    fn relay(self) -> Relay {
+        match self {
+            Terms::Plain => Relay::Plain,
+            Terms::Marked | Terms::Question => Relay::Marked,
+        }
+    }
+
+    fn purpose(self) -> Purpose {
+        match self {
+            Terms::Plain | Terms::Marked => Purpose::Request,
+            Terms::Question => Purpose::Question,
         }
     }
 }
@@ -170,8 +183,20 @@
         target: &Target,
         purpose: Purpose,
     ) -> Result<Connection, Unopened> {
-        let mut unopened = Unopened::Fault(not_sent("no other node reaches servers"));
-        for node in self.relays_to(target, purpose) {
+        let mut relays = self.all_relays();
+        let mut unopened = match relays.is_empty() {
+            true => Unopened::Fault(not_sent("no other node reaches servers")),
+            false => Unopened::Paused,
+        };
+        if purpose == Purpose::Request {
+            let server = server_id(target);
+            relays.retain(|relay| {
+                let way = Way::Through(relay.ip());
+                self.pause_left_by(server, way).is_none()
+            });
+        }
+        relays.truncate(MAX_RELAYS);
+        for node in relays {
             let way = Way::Through(node.ip());
             match open(node, &target.server, purpose).await {
                 Ok((stream, relay)) => {
@@ -200,20 +225,6 @@
         Err(unopened)
     }
 
-    /// Returns the nodes that are asked for a connection to a target's server, the best first.
-    fn relays_to(&self, target: &Target, purpose: Purpose) -> Vec<SocketAddr> {
-        let server = server_id(target);
-        let mut relays = self.all_relays();
-        if purpose == Purpose::Request {
-            relays.retain(|relay| {
-                let way = Way::Through(relay.ip());
-                self.pause_left_by(server, way).is_none()
-            });
-        }
-        relays.truncate(MAX_RELAYS);
-        relays
-    }
-
     /// Asks other nodes first for a time, as one gave no usable connection.
     pub(crate) fn record_relay_failure(&self, machine: IpAddr) {
         let now = self.now();
@@ -293,13 +304,10 @@
     server: &str,
     purpose: Purpose,
 ) -> Result<(TcpStream, Relay), Denial> {
-    let mut terms = Terms {
-        relay: Relay::Marked,
-        purpose,
-    };
+    let mut terms = Terms::new(purpose);
     loop {
         let denial = match request(node, server, terms).await {
-            Ok(stream) => return Ok((stream, terms.relay)),
+            Ok(stream) => return Ok((stream, terms.relay())),
             Err(denial) => denial,
         };
         terms = match terms.older() {
@@ -368,7 +376,7 @@
         let _ = stream.write_u8(UNAVAILABLE).await;
         return;
     };
-    if is_denied_in_pause(node, id, terms.purpose, &mut stream).await {
+    if is_denied_in_pause(node, id, terms.purpose(), &mut stream).await {
         return;
     }
     let guard = Guard::new(node);
@@ -381,7 +389,7 @@
         }
     };
     // The pause may have begun meanwhile.
-    if is_denied_in_pause(node, id, terms.purpose, &mut stream).await {
+    if is_denied_in_pause(node, id, terms.purpose(), &mut stream).await {
         return;
     }
     let is_set_up = connection::set_up(&server).and_then(|()| connection::set_up(&stream));
@@ -389,8 +397,8 @@
         return;
     }
     let origin = Origin { id, server: name };
-    let passage = Passage::new(node, origin, terms.purpose);
-    passage.pass_on(stream, server, terms.relay).await;
+    let passage = Passage::new(node, origin, terms.purpose());
+    passage.pass_on(stream, server, terms.relay()).await;
     drop(guard);
 }
 
