--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -742,7 +742,7 @@
 }
 
 /// Returns the machine that the server sees at the other end of a connection.
-fn way(connection: &Connection) -> Way {
+pub(crate) fn way(connection: &Connection) -> Way {
     let through = connection.via().map(|via| Way::Through(via.machine));
     through.unwrap_or(Way::Direct)
 }
--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -13,7 +13,9 @@
 use opentelemetry::metrics::{Counter, Meter};
 use tokio::time;
 
+use crate::attempt;
 use crate::node::Node;
+use crate::pauses::Origin;
 use crate::tunnel::Purpose;
 
 /// Longest time for the answer of a server that is asked whether it runs.
@@ -151,6 +153,9 @@
         let protocol = &self.parts.protocol;
         protocol.write_headers(request.headers_mut(), &forwarding);
         let answer = connection.send(request).await?;
+        let decoded = protocol.decode_answer(answer.status(), answer.headers());
+        let way = attempt::way(&connection);
+        self.record_pause(Origin::from(target), way, decoded.pause, None);
         Ok(answer.status())
     }
 }
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -12,7 +12,10 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
+use http::Request;
+use http::header::{CONNECTION, HOST};
 use jackdaw_core::protocol::Pause;
 use jackdaw_core::units::Millis;
 use jackdaw_link::connection::{self, Connection, Relay, Via};
@@ -446,33 +449,62 @@
         if !node.reach.borrow().is_cut() {
             continue;
         }
-        let servers: Vec<SocketAddr> = {
-            let fleet = node.fleet.borrow();
-            let servers = fleet.servers();
-            servers
-                .filter(|server| !node.evacuations.is_evacuated(&server.zone))
-                .map(|server| server.address)
-                .collect()
-        };
-        let Some(address) = fastrand::choice(&servers) else {
+        let Some(server) = fastrand::choice(probed(&node)) else {
             continue;
         };
-        if is_answered(*address).await {
+        let probing = probe_server(&node, &server);
+        let answered = time::timeout(CONNECT_TIMEOUT.duration(), probing).await;
+        if matches!(answered, Ok(Ok(()))) {
             node.record_direct_answer(jackdaw_policy::reach::Link::New);
         }
     }
 }
 
-/// Returns whether a server answers a request that names none, which no server runs.
-async fn is_answered(address: SocketAddr) -> bool {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
-        let request = format!("GET / HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await?;
-        stream.read_u8().await
+/// A server that may be probed.
+struct Probed {
+    name: CompactString,
+    id: ServerId,
+    address: SocketAddr,
+}
+
+/// Returns the servers that may be probed, outside evacuated zones and pauses.
+fn probed(node: &Node) -> Vec<Probed> {
+    let fleet = node.fleet.borrow();
+    let servers = fleet
+        .servers()
+        .filter(|server| !node.evacuations.is_evacuated(&server.zone))
+        .map(|server| Probed {
+            name: server.id.clone(),
+            id: ServerId::new(&server.id, server.start_unix_ms),
+            address: server.address,
+        });
+    servers
+        .filter(|server| node.pause_left_by(server.id, Way::Direct).is_none())
+        .collect()
+}
+
+/// Sends a request that names no caller's, which no server runs, and records the pause that its answer
+/// asks for.
+///
+/// # Errors
+///
+/// Returns the fault if there is no answer.
+async fn probe_server(node: &Node, server: &Probed) -> Result<(), connection::Fault> {
+    let mut connection = node.pool.open(server.address).await?;
+    let request = Request::get("/")
+        .header(HOST, server.address.to_string())
+        .header(CONNECTION, "close")
+        .body(Bytes::new())
+        .map_err(|error| not_sent(error.to_string()))?;
+    let answer = connection.send(request).await?;
+    let protocol = &node.parts.protocol;
+    let decoded = protocol.decode_answer(answer.status(), answer.headers());
+    let origin = Origin {
+        id: server.id,
+        server: &server.name,
     };
-    let answered = time::timeout(CONNECT_TIMEOUT.duration(), exchange).await;
-    matches!(answered, Ok(Ok(_)))
+    node.record_pause(origin, Way::Direct, decoded.pause, None);
+    Ok(())
 }
 
 impl Node {
--- a/crates/gateway/tests/node/relayed.rs
+++ b/crates/gateway/tests/node/relayed.rs
@@ -14,7 +14,9 @@
 use prost::Message as _;
 use rstest::rstest;
 use slog::{Logger, o};
+use socket2::Socket;
 
+use super::cluster::bind_fixed_port;
 use super::store::MemoryStore;
 use super::support::{
     Process, Script, Servers, TIMEOUT, exchange, options, parts, request, server,
@@ -30,6 +32,8 @@
 const SERVERS: usize = 4;
 /// Host number of the node that is cut off, among the addresses of this machine.
 const CUT: u8 = 1;
+/// Number of connections that wait to be accepted.
+const BACKLOG: i32 = 64;
 /// Interval at which a stand-in of a node tells that it reaches servers.
 const TELL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -39,6 +43,8 @@
     store: Arc<MemoryStore>,
     reached: Vec<Server>,
     cut: Process,
+    /// Ports of the servers for that node, which refuse connections.
+    refusing: Vec<(Socket, SocketAddr)>,
     /// Address for datagrams to the node that is cut off.
     peers: SocketAddr,
     relays: Vec<Process>,
@@ -54,21 +60,21 @@
         let reached: Vec<Server> = (0..SERVERS)
             .map(|number| server(&name(number), servers.listen()))
             .collect();
-        let refusing = (0..SERVERS).map(|number| {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-            let address = listener.local_addr().expect("the port is bound");
-            server(&name(number), address)
-        });
-        let refusing: Vec<Server> = refusing.collect();
+        let refusing: Vec<(Socket, SocketAddr)> = (0..SERVERS).map(|_| bind_fixed_port()).collect();
+        let unreached = refusing.iter().enumerate();
+        let unreached = unreached
+            .map(|(number, (_, address))| server(&name(number), *address))
+            .collect();
         for number in 0..SERVERS {
             store.put(&format!("servers/{}", name(number)), "");
         }
-        let (cut, peers) = launch(CUT, &store, refusing);
+        let (cut, peers) = launch(CUT, &store, unreached);
         let mut site = Site {
             servers,
             store,
             reached,
             cut,
+            refusing,
             peers,
             relays: Vec::new(),
         };
@@ -96,6 +102,15 @@
         }
     }
 
+    /// Ends the cut.
+    fn heal(&self) {
+        for (socket, _) in &self.refusing {
+            socket.listen(BACKLOG).expect("the port is bound");
+            let listener = socket.try_clone().expect("a descriptor is free");
+            self.servers.listen_on(listener.into());
+        }
+    }
+
     /// Has all servers ask a node, or the one through which it reaches them, for a pause.
     fn pause_all(&self, node: &Process) {
         self.servers.set_scripts(&[PAUSED; SERVERS]);
@@ -237,6 +252,42 @@
     site.stop();
 }
 
+// Guards against a pause that is asked for in the answer to a probe, and not kept.
+#[test]
+fn server_that_refuses_a_probe_with_a_pause_gets_nothing() {
+    let site = Site::start(0);
+    let start = Instant::now();
+    while !call(&site.cut, "/safe/x").contains("no node reaches a server") {
+        assert!(
+            start.elapsed() < TIMEOUT,
+            "the node does not count as cut off"
+        );
+    }
+    let refusal = "503 Full\r\nnot-run: 1\r\npause-ms: 60000";
+    site.servers.answer_probes_with(refusal);
+    site.servers.set_scripts(&[FREE; 100]);
+    site.heal();
+    let start = Instant::now();
+    while !is_answered(&site.cut, "/safe/x") {
+        assert!(start.elapsed() < TIMEOUT, "no server is reached again");
+    }
+    // The cut ends with the first probe that is answered.
+    let probed = site.servers.probed.lock().expect("no test panicked")[0];
+    for (number, (_, address)) in site.refusing.iter().enumerate() {
+        if *address != probed {
+            site.store.put(&format!("servers/s{number}"), "draining");
+        }
+    }
+    while !call(&site.cut, "/safe/x").contains("server-pause") {
+        assert!(start.elapsed() < TIMEOUT, "the pause is not kept");
+    }
+    let arrived = site.servers.arrived.lock().expect("no test panicked");
+    let refused = format!("server: {probed}\n");
+    assert!(!arrived.iter().any(|head| head.contains(&refused)));
+    drop(arrived);
+    site.stop();
+}
+
 /// Datagram by which a node tells that it reaches servers.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Statement {
--- a/crates/gateway/tests/node/support.rs
+++ b/crates/gateway/tests/node/support.rs
@@ -398,6 +398,8 @@
     filling: Arc<Mutex<String>>,
     /// Status for requests that belong to no caller; 400 if there is none.
     probe_status: Arc<Mutex<Option<String>>>,
+    /// Addresses of the servers that have got such requests.
+    pub(crate) probed: Arc<Mutex<Vec<SocketAddr>>>,
     /// Heads of the requests that have arrived.
     pub(crate) arrived: Arc<Mutex<Vec<String>>>,
     /// Counts of events, with a condition variable that is notified of changes.
@@ -429,7 +431,11 @@
 
     /// Starts a server on a free port.
     pub(crate) fn listen(&self) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        self.listen_on(TcpListener::bind("127.0.0.1:0").expect("a port is free"))
+    }
+
+    /// Starts a server on a bound port.
+    pub(crate) fn listen_on(&self, listener: TcpListener) -> SocketAddr {
         let address = listener.local_addr().expect("the port is bound");
         let servers = self.clone();
         thread::spawn(move || {
@@ -531,6 +537,7 @@
             let status = self.probe_status.lock().expect("no test panicked").clone();
             let status = status.as_deref().unwrap_or("400 Bad Request");
             if answer_probe_with(status, reader.get_mut(), &head) {
+                self.probed.lock().expect("no test panicked").push(address);
                 continue;
             }
             head.push_str(&format!("server: {address}\nsocket: {connection}\n"));
