--- a/crates/gateway/src/ending.rs
+++ b/crates/gateway/src/ending.rs
@@ -137,11 +137,7 @@
                 opened.map_err(connection::Fault::from)?
             }
         };
-        let mut request = Request::get("/")
-            .header(HOST, target.address.to_string())
-            .header(CONNECTION, "close")
-            .body(Bytes::new())
-            .map_err(|error| Fault::NotSent(error.to_string()))?;
+        let mut headers = HeaderMap::new();
         // Another server may have taken the address, and says so.
         let forwarding = Forwarding {
             server: &target.server,
@@ -151,11 +147,33 @@
             last_event: None,
         };
         let protocol = &self.parts.protocol;
-        protocol.write_headers(request.headers_mut(), &forwarding);
+        protocol.write_headers(&mut headers, &forwarding);
+        self.question(&mut connection, Origin::from(target), headers)
+            .await
+    }
+
+    /// Sends a request of no caller's with some headers on a connection that is used for nothing else, records
+    /// the pause that the answer asks for, and returns its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if there is no answer.
+    pub(crate) async fn question(
+        &self,
+        connection: &mut Connection,
+        origin: Origin<'_>,
+        headers: HeaderMap,
+    ) -> Result<StatusCode, Fault> {
+        let mut request = Request::get("/")
+            .header(HOST, connection.peer().to_string())
+            .header(CONNECTION, "close")
+            .body(Bytes::new())
+            .map_err(|error| Fault::NotSent(error.to_string()))?;
+        request.headers_mut().extend(headers);
         let answer = connection.send(request).await?;
+        let protocol = &self.parts.protocol;
         let decoded = protocol.decode_answer(answer.status(), answer.headers());
-        let way = attempt::way(&connection);
-        self.record_pause(Origin::from(target), way, decoded.pause, None);
+        self.record_pause(origin, attempt::way(connection), decoded.pause, None);
         Ok(answer.status())
     }
 }
--- a/crates/gateway/src/pauses.rs
+++ b/crates/gateway/src/pauses.rs
@@ -56,8 +56,8 @@
 }
 
 impl Node {
-    /// Records the pause that a server asks for in its answer to a request; none is named if the answer
-    /// is passed on for another node.
+    /// Records the pause that a server asks for in its answer to a request; none is named if it is
+    /// none of a caller of this node.
     pub(crate) fn record_pause(
         &self,
         origin: Origin<'_>,
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -12,10 +12,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use bytes::Bytes;
 use compact_str::CompactString;
-use http::Request;
-use http::header::{CONNECTION, HOST};
+use http::HeaderMap;
 use jackdaw_core::protocol::Pause;
 use jackdaw_core::units::Millis;
 use jackdaw_link::connection::{self, Connection, Relay, Via};
@@ -483,28 +481,19 @@
         .collect()
 }
 
-/// Sends a request that names no caller's, which no server runs, and records the pause that its answer
-/// asks for.
+/// Sends a request of no caller's, which no server runs, and records the pause that its answer asks for.
 ///
 /// # Errors
 ///
 /// Returns the fault if there is no answer.
 async fn probe_server(node: &Node, server: &Probed) -> Result<(), connection::Fault> {
     let mut connection = node.pool.open(server.address).await?;
-    let request = Request::get("/")
-        .header(HOST, server.address.to_string())
-        .header(CONNECTION, "close")
-        .body(Bytes::new())
-        .map_err(|error| not_sent(error.to_string()))?;
-    let answer = connection.send(request).await?;
-    let protocol = &node.parts.protocol;
-    let decoded = protocol.decode_answer(answer.status(), answer.headers());
     let origin = Origin {
         id: server.id,
         server: &server.name,
     };
-    node.record_pause(origin, Way::Direct, decoded.pause, None);
-    Ok(())
+    let question = node.question(&mut connection, origin, HeaderMap::new());
+    question.await.map(drop)
 }
 
 impl Node {
--- a/crates/gateway/tests/node/relayed.rs
+++ b/crates/gateway/tests/node/relayed.rs
@@ -349,6 +349,20 @@
     }
 }
 
+/// Starts a node that reaches servers beside others that give no usable connections, and checks that requests
+/// go through it.
+fn assert_served_beside(mut site: Site, name: &str) {
+    site.add_relay(CUT + 1);
+    site.servers.set_scripts(&[FREE; 100]);
+    let start = Instant::now();
+    let mut answered = 0;
+    while answered < 5 {
+        answered += usize::from(is_answered(&site.cut, "/safe/x"));
+        assert!(start.elapsed() < TIMEOUT, "{name}: requests fail");
+    }
+    site.stop();
+}
+
 // Guards against a node whose answers make no sense, or are those of another build, and that keeps a node
 // which is cut off from all others.
 #[rstest]
@@ -361,29 +375,21 @@
 #[case("many bytes", &[b'P'; 100])]
 #[case("nothing", b"")]
 fn node_that_tells_nonsense_is_left(#[case] name: &str, #[case] answer: &'static [u8]) {
-    let mut site = Site::start(0);
+    let site = Site::start(0);
     let teller = Teller::start(CUT + 9, site.peers, answer);
     let start = Instant::now();
     while !teller.asked.load(Ordering::SeqCst) {
         assert!(!is_answered(&site.cut, "/safe/x"), "{name}");
         assert!(start.elapsed() < TIMEOUT, "{name}: the node is not asked");
     }
-    site.add_relay(CUT + 1);
-    site.servers.set_scripts(&[FREE; 100]);
-    let start = Instant::now();
-    let mut answered = 0;
-    while answered < 5 {
-        answered += usize::from(is_answered(&site.cut, "/safe/x"));
-        assert!(start.elapsed() < TIMEOUT, "{name}: requests fail");
-    }
-    site.stop();
+    assert_served_beside(site, name);
 }
 
 // Guards against nodes that give no usable connections and are asked first all the same, before the one that
 // does.
 #[test]
 fn several_nodes_that_tell_nonsense_are_left() {
-    let mut site = Site::start(0);
+    let site = Site::start(0);
     let answers: [&'static [u8]; 3] = [b"X", b"C", b""];
     let tellers: Vec<Teller> = (0..)
         .zip(answers)
@@ -397,13 +403,5 @@
         assert!(!is_answered(&site.cut, "/safe/x"));
         assert!(start.elapsed() < TIMEOUT, "the nodes are not asked");
     }
-    site.add_relay(CUT + 1);
-    site.servers.set_scripts(&[FREE; 100]);
-    let start = Instant::now();
-    let mut answered = 0;
-    while answered < 5 {
-        answered += usize::from(is_answered(&site.cut, "/safe/x"));
-        assert!(start.elapsed() < TIMEOUT, "requests fail");
-    }
-    site.stop();
+    assert_served_beside(site, "several nodes");
 }
